--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,71 @@
+import js from '@eslint/js';
+import importX from 'eslint-plugin-import-x';
+import tseslint from 'typescript-eslint';
+
+// Folders of src/ that decide and do no I/O. They may not import a folder of `io`.
+const pure = [
+  'errors',
+  'base',
+  'configuration',
+  'membership',
+  'ownership',
+  'engines',
+  'grants',
+  'routing',
+  'requests',
+  'suspects',
+  'actions',
+  'drafts',
+  'core',
+];
+const io = ['clients', 'peers', 'observe', 'callers', 'admin', 'host', 'settings', 'cli'];
+
+export default tseslint.config(
+  { ignores: ['dist/', 'node_modules/', 'coverage/'] },
+  js.configs.recommended,
+  ...tseslint.configs.strictTypeChecked,
+  ...tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+    plugins: { 'import-x': importX },
+    rules: {
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+      '@typescript-eslint/no-confusing-void-expression': ['error', { ignoreArrowShorthand: true }],
+      // Construction goes through static `create`; classes that only hold state have no instance methods.
+      '@typescript-eslint/no-extraneous-class': 'off',
+      'import-x/no-restricted-paths': [
+        'error',
+        {
+          zones: [
+            ...pure.map((folder) => ({
+              target: `./src/${folder}`,
+              from: io.map((other) => `./src/${other}`),
+              message: 'Modules that decide do no I/O: they may not import clients, servers or the host.',
+            })),
+            { target: './src/clients', from: ['./src/callers', './src/admin', './src/host', './src/cli'] },
+            { target: './src/peers', from: ['./src/callers', './src/admin', './src/host', './src/cli'] },
+            { target: './src', from: ['./bench', './tests'] },
+          ],
+        },
+      ],
+      'no-restricted-imports': [
+        'error',
+        { paths: ['worker_threads', 'node:worker_threads', 'cluster', 'node:cluster'] },
+      ],
+    },
+  },
+  {
+    files: pure.map((folder) => `src/${folder}/**/*.ts`),
+    rules: {
+      'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'fetch', 'performance', 'Date'],
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: ['undici', 'winston', 'node:net', 'node:http', 'node:fs', 'node:fs/*', 'node:child_process'],
+          paths: ['worker_threads', 'node:worker_threads', 'cluster', 'node:cluster'],
+        },
+      ],
+    },
+  },
+  { files: ['**/*.js', '**/*.mjs'], extends: [tseslint.configs.disableTypeChecked] },
+);
--- /dev/null
+++ b/src/actions/types.ts
@@ -0,0 +1,7 @@
+export class Actions {
+  private constructor() {}
+
+  static create(): Actions {
+    return new Actions();
+  }
+}
--- /dev/null
+++ b/src/base/tokenBucket.ts
@@ -0,0 +1,40 @@
+/** Token bucket that refills at a constant rate up to a limit. All times in milliseconds. */
+export class TokenBucket {
+  private constructor(
+    private tokens: number,
+    private updatedAt: number,
+    readonly ratePerS: number,
+    readonly limit: number,
+  ) {}
+
+  /** Creates an empty bucket; `initial` tokens may be given where nothing was spent before. */
+  static create(ratePerS: number, limit: number, now: number, initial = 0): TokenBucket {
+    return new TokenBucket(initial, now, ratePerS, limit);
+  }
+
+  getTokens(now: number): number {
+    const refilled = this.tokens + (Math.max(0, now - this.updatedAt) * this.ratePerS) / 1000;
+    return Math.min(this.limit, refilled);
+  }
+
+  /** Takes `count` tokens when there are enough; returns whether it did. */
+  take(now: number, count = 1): boolean {
+    const available = this.getTokens(now);
+    if (available < count) return false;
+    this.tokens = available - count;
+    this.updatedAt = now;
+    return true;
+  }
+
+  add(now: number, count: number): void {
+    this.tokens = Math.min(this.limit, this.getTokens(now) + count);
+    this.updatedAt = now;
+  }
+
+  /** Returns milliseconds until `count` tokens are there; 0 when they are now. */
+  getWaitMs(now: number, count = 1): number {
+    const lacking = count - this.getTokens(now);
+    if (lacking <= 0) return 0;
+    return this.ratePerS > 0 ? Math.ceil((lacking * 1000) / this.ratePerS) : Infinity;
+  }
+}
--- /dev/null
+++ b/src/configuration/types.ts
@@ -0,0 +1,118 @@
+import { z } from 'zod';
+
+export const Name = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, 'lower-case letters, digits, ".", "_" and "-", at most 63');
+
+export const Adapter = z.strictObject({
+  name: Name,
+  firm: Name,
+  /** Base model that the adapter belongs to. */
+  model: Name,
+  /** Source of each version: the URL that engines load it from. */
+  versions: z.record(Name, z.strictObject({ source: z.string().min(1) })),
+  /** Version that a bare adapter name means. */
+  inForce: Name,
+});
+export type Adapter = z.infer<typeof Adapter>;
+
+export const Engine = z.strictObject({
+  id: Name,
+  /** `host:port` by IP number. */
+  address: z.string().min(3),
+  zone: Name,
+  /** Pool of engines that serve the same model. */
+  pool: Name,
+  model: Name,
+  /** Adapters that fit into the engine at once. */
+  slots: z.int().min(1).max(1024),
+  /** Requests that run in one batch. */
+  batch: z.int().min(1).max(4096),
+  /** Whether the engine refuses an order that carries an old fencing number. */
+  checksFencing: z.boolean(),
+});
+export type Engine = z.infer<typeof Engine>;
+
+export const ServiceCall = z.strictObject({
+  method: z.string().regex(/^[A-Z]+$/),
+  /** Path below the service; a trailing `*` matches the rest. */
+  path: z.string().startsWith('/'),
+});
+
+export const Service = z.strictObject({
+  name: Name,
+  endpoints: z.array(
+    z.strictObject({ id: Name, address: z.string().min(3), zone: Name }),
+  ),
+  /** Calls that may be repeated; all others run at most once. */
+  repeatable: z.array(ServiceCall),
+});
+export type Service = z.infer<typeof Service>;
+
+export const WarmIntent = z.strictObject({
+  adapter: Name,
+  pool: Name,
+  /** Resident copies to keep in each zone of the pool. */
+  copies: z.int().min(0).max(64),
+  /** Daily window in UTC minutes [from, until); absent means always. */
+  window: z.strictObject({ fromMinute: z.int().min(0).max(1440), untilMinute: z.int().min(0).max(1440) }).optional(),
+});
+export type WarmIntent = z.infer<typeof WarmIntent>;
+
+export const EngineRole = z.enum(['mixed', 'prefill', 'decode']);
+export type EngineRole = z.infer<typeof EngineRole>;
+
+/** One change of the configuration; a revision is a list of changes. */
+export const Change = z.discriminatedUnion('type', [
+  z.strictObject({ type: z.literal('putAdapter'), adapter: Adapter }),
+  z.strictObject({ type: z.literal('removeAdapter'), name: Name }),
+  z.strictObject({ type: z.literal('putEngine'), engine: Engine }),
+  z.strictObject({ type: z.literal('removeEngine'), id: Name }),
+  z.strictObject({ type: z.literal('putService'), service: Service }),
+  z.strictObject({ type: z.literal('removeService'), name: Name }),
+  z.strictObject({ type: z.literal('putWarm'), warm: WarmIntent }),
+  z.strictObject({ type: z.literal('removeWarm'), adapter: Name, pool: Name }),
+  /** Priority of a caller: lower numbers come first, 0 to 9; 5 is the default. */
+  z.strictObject({ type: z.literal('putCallerOrder'), caller: Name, priority: z.int().min(0).max(9) }),
+  z.strictObject({ type: z.literal('removeCallerOrder'), caller: Name }),
+  /** Guaranteed share of a firm, 0 to 1. */
+  z.strictObject({ type: z.literal('putShare'), firm: Name, share: z.number().min(0).max(1) }),
+  z.strictObject({ type: z.literal('removeShare'), firm: Name }),
+  z.strictObject({ type: z.literal('putLeaving'), endpoint: Name }),
+  z.strictObject({ type: z.literal('removeLeaving'), endpoint: Name }),
+  z.strictObject({ type: z.literal('putRole'), engine: Name, role: EngineRole }),
+  z.strictObject({ type: z.literal('removeRole'), engine: Name }),
+]);
+export type Change = z.infer<typeof Change>;
+
+/** One accepted revision of the configuration. */
+export const Revision = z.strictObject({
+  revision: z.int().min(1),
+  changes: z.array(Change),
+  /** Operator, time (Unix ms) and plan that made it. */
+  operator: z.string(),
+  confirmedAtUnixMs: z.int(),
+  plan: z.string(),
+});
+export type Revision = z.infer<typeof Revision>;
+
+/** The configuration in force, as the sum of all revisions up to `revision`. */
+export class Configuration {
+  /** 0 until a first revision is known. */
+  revision = 0;
+  readonly adapters = new Map<string, Adapter>();
+  readonly engines = new Map<string, Engine>();
+  readonly services = new Map<string, Service>();
+  /** By `adapter/pool`. */
+  readonly warm = new Map<string, WarmIntent>();
+  readonly callerOrder = new Map<string, number>();
+  readonly shares = new Map<string, number>();
+  readonly leaving = new Set<string>();
+  readonly roles = new Map<string, EngineRole>();
+
+  private constructor() {}
+
+  static create(): Configuration {
+    return new Configuration();
+  }
+}
--- /dev/null
+++ b/src/core/effects.ts
@@ -0,0 +1,24 @@
+import type { EngineEffect } from '../engines/types.ts';
+import type { GrantEffect } from '../grants/types.ts';
+import type { MembershipEffect } from '../membership/types.ts';
+import type { RequestEffect } from '../requests/types.ts';
+import type { Message } from './messages.ts';
+import type { Observation } from './observations.ts';
+import type { ObjectPurpose, TablePurpose } from './purposes.ts';
+import type { ObjectCall, TableCall } from './store.ts';
+
+/** Everything that a host can be told to do. */
+export type Effect =
+  | Observation
+  /** Unreliable: the sender has a timer for the answer. */
+  | { type: 'sendMessage'; to: string; message: Message }
+  /** Answered by `tableAnswered` with the same purpose. */
+  | { type: 'callTable'; call: TableCall; purpose: TablePurpose }
+  /** Answered by `objectAnswered` with the same purpose. */
+  | { type: 'callObjects'; call: ObjectCall; purpose: ObjectPurpose }
+  /** Nothing is in flight any more; the process may end. */
+  | { type: 'stopped' }
+  | RequestEffect
+  | EngineEffect
+  | GrantEffect
+  | MembershipEffect;
--- /dev/null
+++ b/src/core/metricNames.ts
@@ -0,0 +1,63 @@
+/** The closed list of metrics. Histograms hold milliseconds unless the name says otherwise. */
+
+interface Metric {
+  readonly kind: 'counter' | 'histogram' | 'gauge';
+  readonly help: string;
+}
+
+export const METRICS = {
+  fireflywick_requests_total: {
+    kind: 'counter',
+    help: 'Requests that ended, by firm, request kind and result (completed or an error kind).',
+  },
+  fireflywick_request_duration_ms: {
+    kind: 'histogram',
+    help: 'Time from arrival to the end of the answer, by firm and request kind.',
+  },
+  fireflywick_first_token_ms: {
+    kind: 'histogram',
+    help: 'Time from arrival to the first byte of the answer, by firm and request kind.',
+  },
+  fireflywick_load_stall_ms: {
+    kind: 'histogram',
+    help: 'Time that a request waited for its adapter to arrive, by firm and request kind.',
+  },
+  fireflywick_batch_efficiency_percent: {
+    kind: 'histogram',
+    help: 'Share of batch places in use while an engine runs, by pool and firm.',
+  },
+  fireflywick_attempts_total: {
+    kind: 'counter',
+    help: 'Attempts at an endpoint, by result.',
+  },
+  fireflywick_decisions_total: {
+    kind: 'counter',
+    help: 'Decisions about requests and adapters, by decision and reason.',
+  },
+  fireflywick_adapter_orders_total: {
+    kind: 'counter',
+    help: 'Orders to engines, by order (load, unload, role) and answer.',
+  },
+  fireflywick_table_calls_total: {
+    kind: 'counter',
+    help: 'Calls to the table service, by purpose and answer.',
+  },
+  fireflywick_peer_bytes_total: {
+    kind: 'counter',
+    help: 'Bytes exchanged with other hosts, by direction.',
+  },
+  fireflywick_loop_turn_ms: {
+    kind: 'histogram',
+    help: 'Time that one event took in the loop.',
+  },
+  fireflywick_configuration_revision: {
+    kind: 'gauge',
+    help: 'Revision of the configuration in force on this host.',
+  },
+  fireflywick_configuration_lag_ms: {
+    kind: 'histogram',
+    help: 'Time from confirm to in force on this host.',
+  },
+} as const satisfies Record<string, Metric>;
+
+export type MetricName = keyof typeof METRICS;
--- /dev/null
+++ b/src/core/observations.ts
@@ -0,0 +1,38 @@
+/** Effects that every domain may return to tell what it did. */
+import type { MetricName } from './metricNames.ts';
+
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+export type Observation =
+  | { type: 'log'; level: LogLevel; message: string; fields: Record<string, unknown> }
+  | { type: 'count'; metric: MetricName; labels: Record<string, string>; by: number }
+  /** One value of a histogram, in the unit of the metric's name. */
+  | { type: 'observe'; metric: MetricName; labels: Record<string, string>; value: number }
+  | { type: 'gauge'; metric: MetricName; labels: Record<string, string>; value: number };
+
+/** Returns a log effect. */
+export function newLog(
+  level: LogLevel,
+  message: string,
+  fields: Record<string, unknown> = {},
+): Observation {
+  return { type: 'log', level, message, fields };
+}
+
+/** Returns an effect that adds `by` to a counter. */
+export function newCount(
+  metric: MetricName,
+  labels: Record<string, string> = {},
+  by = 1,
+): Observation {
+  return { type: 'count', metric, labels, by };
+}
+
+/** Returns an effect that records one value of a histogram. */
+export function newObserve(
+  metric: MetricName,
+  labels: Record<string, string>,
+  value: number,
+): Observation {
+  return { type: 'observe', metric, labels, value };
+}
--- /dev/null
+++ b/src/core/reduce.ts
@@ -0,0 +1,74 @@
+import { configurationTableHandlers, configurationTimers } from '../configuration/handlers.ts';
+import { engineEvents, engineTimers } from '../engines/handlers.ts';
+import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
+import { membershipEvents } from '../membership/handlers.ts';
+import { requestEvents, requestMessages, requestTimers } from '../requests/handlers.ts';
+import type { Effect } from './effects.ts';
+import type { Event } from './events.ts';
+import type {
+  EventHandlers,
+  MessageHandlers,
+  ObjectAnswerHandlers,
+  TableAnswerHandlers,
+  TimerHandlers,
+} from './handlers.ts';
+import { hostEvents } from './hostHandlers.ts';
+import type { Message } from './messages.ts';
+import type { ObjectPurpose, TablePurpose } from './purposes.ts';
+import type { State } from './state.ts';
+import type { Timer } from './timers.ts';
+
+type Untyped = (...args: unknown[]) => Effect[];
+
+const messages: MessageHandlers<Message['type']> = { ...grantMessages, ...requestMessages };
+
+const timers: TimerHandlers<Timer['type']> = {
+  ...configurationTimers,
+  ...engineTimers,
+  ...grantTimers,
+  ...requestTimers,
+};
+
+const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = { ...configurationTableHandlers };
+
+const objectAnswers: ObjectAnswerHandlers<ObjectPurpose['type']> = {};
+
+const events: EventHandlers<Event['type']> = {
+  ...hostEvents,
+  ...requestEvents,
+  ...engineEvents,
+  ...grantEvents,
+  ...membershipEvents,
+  tick: (state, _event, now) => runDueTimers(state, now),
+  messageReceived: (state, { from, message }, now) => {
+    const handler = messages[message.type] as Untyped;
+    return handler(state, message, from, now);
+  },
+  tableAnswered: (state, { purpose, answer, sentAt }, now) => {
+    const handler = tableAnswers[purpose.type] as Untyped;
+    return handler(state, purpose, answer, { sentAt, now });
+  },
+  objectAnswered: (state, { purpose, answer }, now) => {
+    const handler = (objectAnswers as Record<string, Untyped>)[purpose.type];
+    return handler === undefined ? [] : handler(state, purpose, answer, now);
+  },
+};
+
+/**
+ * Applies one event to `state` in place and returns what has to be done. `now` is monotonic
+ * milliseconds and never smaller than in an earlier call.
+ */
+export function reduce(state: State, event: Event, now: number): Effect[] {
+  const handler = events[event.type] as Untyped;
+  return handler(state, event, now);
+}
+
+function runDueTimers(state: State, now: number): Effect[] {
+  const effects: Effect[] = [];
+  for (;;) {
+    const timer = state.timers.popDue(now);
+    if (timer === undefined) return effects;
+    const handler = timers[timer.type] as Untyped;
+    effects.push(...handler(state, timer, now));
+  }
+}
--- /dev/null
+++ b/src/core/state.ts
@@ -0,0 +1,68 @@
+import { Actions } from '../actions/types.ts';
+import { MinHeap } from '../base/minHeap.ts';
+import { Random } from '../base/random.ts';
+import { Configuration } from '../configuration/types.ts';
+import { Drafts } from '../drafts/types.ts';
+import { Engines } from '../engines/types.ts';
+import { Grants } from '../grants/types.ts';
+import { Membership } from '../membership/types.ts';
+import { Ownership } from '../ownership/types.ts';
+import { Requests } from '../requests/types.ts';
+import { Suspects } from '../suspects/types.ts';
+import type { Timer } from './timers.ts';
+
+/** Who this host is; from its settings. */
+export interface HostIdentity {
+  readonly id: string;
+  readonly zone: string;
+  readonly region: string;
+  /** `host:port` of the peer listener. */
+  readonly address: string;
+  /** Grows with each start of the host. */
+  readonly incarnation: number;
+}
+
+/** Settings that decisions depend on. */
+export interface Policy {
+  /** 0 weighs batch efficiency only, 1 load stalls only. */
+  readonly stallWeight: number;
+  /** Adapter loads a second that the weight store allows for the whole deployment. */
+  readonly loadsPerS: number;
+  /** Requests in flight that one caller may have on this host. */
+  readonly maxRequestsPerCaller: number;
+  /** Requests in flight that this host takes. */
+  readonly maxRequests: number;
+}
+
+export interface StateOptions {
+  host: HostIdentity;
+  policy: Policy;
+  seed: number;
+}
+
+/** The whole state of a host. Only `reduce` changes it. */
+export class State {
+  readonly random: Random;
+  readonly timers = MinHeap.create<Timer>();
+  readonly configuration = Configuration.create();
+  readonly membership = Membership.create();
+  readonly ownership = Ownership.create();
+  readonly engines = Engines.create();
+  readonly grants = Grants.create();
+  readonly requests = Requests.create();
+  readonly suspects = Suspects.create();
+  readonly actions = Actions.create();
+  readonly drafts = Drafts.create();
+
+  private constructor(
+    readonly host: HostIdentity,
+    readonly policy: Policy,
+    seed: number,
+  ) {
+    this.random = Random.create(seed);
+  }
+
+  static create({ host, policy, seed }: StateOptions): State {
+    return new State(host, policy, seed);
+  }
+}
--- /dev/null
+++ b/src/drafts/types.ts
@@ -0,0 +1,7 @@
+export class Drafts {
+  private constructor() {}
+
+  static create(): Drafts {
+    return new Drafts();
+  }
+}
--- /dev/null
+++ b/src/engines/types.ts
@@ -0,0 +1,63 @@
+import { z } from 'zod';
+
+/** Load report of an engine as the engine publishes it, with a lag. */
+export const EngineReport = z.object({
+  /** Changes with each start of the engine. */
+  bootId: z.string(),
+  /** Number of requests in the running batch, by resident `adapter@version`. */
+  running: z.record(z.string(), z.int().min(0)),
+  waiting: z.int().min(0),
+  slots: z.int().min(1),
+  /** Resident `adapter@version`. */
+  residents: z.array(z.string()),
+});
+export type EngineReport = z.infer<typeof EngineReport>;
+
+export type EngineState = 'unknown' | 'live' | 'leaving' | 'unreachable';
+
+/** What this host knows of an engine, from its owner or, as the owner, from the engine itself. */
+export class EngineView {
+  state: EngineState = 'unknown';
+  bootId = '';
+  /** Monotonic ms of the last report; -Infinity when there is none. */
+  reportedAt = -Infinity;
+  readonly residents = new Set<string>();
+  /** Requests running at the time of the report. */
+  running = 0;
+  waiting = 0;
+  /** Requests that this host sent since the report and that have not ended. */
+  sentSince = 0;
+  /** Sequence number of the owner's last delta. */
+  sequence = 0;
+  /** Highest ownership epoch seen for the engine. */
+  epoch = 0;
+
+  private constructor(readonly id: string) {}
+
+  static create(id: string): EngineView {
+    return new EngineView(id);
+  }
+}
+
+/** Views of all engines, with an index from `adapter@version` to the engines that hold it. */
+export class Engines {
+  readonly views = new Map<string, EngineView>();
+  readonly holders = new Map<string, Set<string>>();
+
+  private constructor() {}
+
+  static create(): Engines {
+    return new Engines();
+  }
+}
+
+export type EngineEvent =
+  | { type: 'engineReported'; engine: string; report: EngineReport }
+  /** The engine did not answer; `refused` when a fresh connection was refused. */
+  | { type: 'engineSilent'; engine: string; refused: boolean };
+
+export type EngineEffect =
+  /** Reads the engine's load report; answered by `engineReported` or `engineSilent`. */
+  { type: 'readEngine'; engine: string; address: string };
+
+export type EngineTimer = { type: 'pollEngine'; engine: string };
--- /dev/null
+++ b/src/grants/types.ts
@@ -0,0 +1,146 @@
+import { z } from 'zod';
+import type { TokenBucket } from '../base/tokenBucket.ts';
+import type { EngineRole } from '../configuration/types.ts';
+import { Name } from '../configuration/types.ts';
+
+const Id = z.string().min(1).max(128);
+
+/** Asks the owner of an engine for permission to run one request there. */
+export const GrantAsk = z.object({
+  type: z.literal('grantAsk'),
+  request: Id,
+  /** Number of the ask within the request. */
+  ask: z.int().min(0),
+  engine: Name,
+  model: Id,
+  firm: Name,
+  kind: z.enum(['urgent', 'ordinary', 'draft']),
+  priority: z.int().min(0).max(9),
+  /** Milliseconds until the request's deadline. */
+  remainingMs: z.number(),
+  fingerprint: z.string(),
+  maxTokens: z.int().min(0),
+});
+export type GrantAsk = z.infer<typeof GrantAsk>;
+
+export const GrantGiven = z.object({
+  type: z.literal('grantGiven'),
+  request: Id,
+  ask: z.int().min(0),
+  engine: Name,
+  grant: Id,
+  epoch: z.int().min(0),
+  /** Time the ask waited for the adapter to arrive, in ms. */
+  stallMs: z.number(),
+});
+export type GrantGiven = z.infer<typeof GrantGiven>;
+
+export const RefusalReason = z.enum([
+  'notOwner',
+  'leaving',
+  'full',
+  'cannotEvict',
+  'loadFailed',
+  'loadTooSlow',
+  'suspect',
+  'unreachable',
+]);
+export type RefusalReason = z.infer<typeof RefusalReason>;
+
+export const GrantRefused = z.object({
+  type: z.literal('grantRefused'),
+  request: Id,
+  ask: z.int().min(0),
+  engine: Name,
+  reason: RefusalReason,
+});
+export type GrantRefused = z.infer<typeof GrantRefused>;
+
+/** Ends a grant, or withdraws an ask that was not answered yet (`grant` is empty). */
+export const GrantReleased = z.object({
+  type: z.literal('grantReleased'),
+  request: Id,
+  engine: Name,
+  grant: z.string(),
+  /** Whether the engine completed the request, failed it, or crashed under it. */
+  result: z.enum(['completed', 'failed', 'crashed', 'unused']),
+});
+export type GrantReleased = z.infer<typeof GrantReleased>;
+
+export interface QueuedAsk extends GrantAsk {
+  from: string;
+  arrivedAt: number;
+  /** Time at which the adapter became resident, or undefined while it is missing. */
+  residentAt: number | undefined;
+}
+
+/** A grant that is in use; its adapter may not be evicted. */
+export interface Pin {
+  grant: string;
+  request: string;
+  host: string;
+  model: string;
+  firm: string;
+  fingerprint: string;
+  grantedAt: number;
+  /** Monotonic ms after which the request cannot be running any more. */
+  expiresAt: number;
+}
+
+export interface Resident {
+  model: string;
+  loadedAt: number;
+  lastUsedAt: number;
+}
+
+/** An engine that this host owns. */
+export interface OwnedEngine {
+  id: string;
+  epoch: number;
+  ownedSince: number;
+  queue: QueuedAsk[];
+  pins: Map<string, Pin>;
+  residents: Map<string, Resident>;
+  /** Load orders without an answer, by model, with the time of the order. */
+  loading: Map<string, number>;
+  unloading: Map<string, number>;
+  budget: TokenBucket;
+}
+
+export class Grants {
+  readonly owned = new Map<string, OwnedEngine>();
+
+  private constructor() {}
+
+  static create(): Grants {
+    return new Grants();
+  }
+}
+
+export type Order =
+  | { type: 'load'; model: string; source: string }
+  | { type: 'unload'; model: string }
+  | { type: 'role'; role: EngineRole };
+
+export type OrderAnswer =
+  | { type: 'done' }
+  | { type: 'failed'; reason: string }
+  /** The engine saw a newer fencing number. */
+  | { type: 'fenced' }
+  /** The order may have taken effect. */
+  | { type: 'unknown'; reason: string };
+
+export type GrantEvent = {
+  type: 'orderAnswered';
+  engine: string;
+  epoch: number;
+  order: Order;
+  answer: OrderAnswer;
+};
+
+export type GrantEffect =
+  /** Sends an order to an engine with the fencing number `epoch`. */
+  { type: 'orderEngine'; engine: string; address: string; epoch: number; order: Order };
+
+export type GrantTimer =
+  { type: 'pinExpiry'; engine: string; grant: string } | { type: 'serveQueue'; engine: string };
--- /dev/null
+++ b/src/requests/types.ts
@@ -0,0 +1,119 @@
+import type { Failure } from '../errors/failure.ts';
+
+export type RequestKind = 'urgent' | 'ordinary' | 'draft';
+
+/** A parsed request for the model, as the callers' server or a draft hands it to the reducer. */
+export interface NewRequest {
+  id: string;
+  firm: string;
+  caller: string;
+  kind: RequestKind;
+  adapter: string;
+  /** Absent when the caller named the bare adapter. */
+  version: string | undefined;
+  /** Monotonic ms by which the answer must be complete. */
+  deadline: number;
+  /** Hash of adapter, version and normalized body. */
+  fingerprint: string;
+  /** Hash chain of the prompt's blocks, for prefix-cache routing. */
+  promptBlocks: number[];
+  maxTokens: number;
+  /** Draft that the request runs for. */
+  draft: string | undefined;
+}
+
+export type RequestPhase = 'asking' | 'running' | 'backoff';
+
+export interface Attempt {
+  id: string;
+  engine: string;
+  owner: string;
+  grant: string;
+  /** Ownership epoch of the grant. */
+  epoch: number;
+  /** Whether a byte of the answer was passed on. */
+  hasStarted: boolean;
+}
+
+/** A request in flight on its receiving host. */
+export interface Request extends NewRequest {
+  /** Resolved once on arrival. */
+  version: string;
+  /** `adapter@version` */
+  model: string;
+  /** 0 (first) to 9 (last), from the callers' order. */
+  priority: number;
+  arrivedAt: number;
+  phase: RequestPhase;
+  /** Identifies the current ask, so that an answer to an older one is ignored. */
+  ask: number;
+  asked: { engine: string; owner: string } | undefined;
+  attempt: Attempt | undefined;
+  attempts: number;
+  /** Engines that failed this request. */
+  excluded: Set<string>;
+  loadStallMs: number;
+}
+
+export class Requests {
+  readonly inFlight = new Map<string, Request>();
+  /** Requests in flight by caller. */
+  readonly byCaller = new Map<string, number>();
+  /** False once the host is shutting down. */
+  isAccepting = true;
+
+  private constructor() {}
+
+  static create(): Requests {
+    return new Requests();
+  }
+}
+
+export type AttemptOutcome =
+  | { type: 'completed'; adapter: string; version: string; tokens: number }
+  /** The engine answered that the adapter is not resident; nothing ran. */
+  | { type: 'notResident' }
+  /** The engine refused the request; `status` is its HTTP status. */
+  | { type: 'refused'; status: number; message: string }
+  /** The engine reported another adapter or version. */
+  | { type: 'wrongAdapter'; reported: string }
+  /** No connection could be opened; nothing ran. */
+  | { type: 'unreachable' }
+  /** The connection broke or made no progress, and could not be resumed. */
+  | { type: 'broken'; reason: string }
+  | { type: 'cancelled' };
+
+export type RequestEvent =
+  | { type: 'requestArrived'; request: NewRequest }
+  /** The caller closed the connection. */
+  | { type: 'requestCancelled'; id: string }
+  /** The first byte of the answer was passed on. */
+  | { type: 'attemptProgressed'; id: string; attempt: string }
+  | { type: 'attemptEnded'; id: string; attempt: string; outcome: AttemptOutcome };
+
+/** What the host needs to relay one attempt. */
+export interface AttemptOrder {
+  id: string;
+  attempt: string;
+  engine: string;
+  address: string;
+  model: string;
+  priority: number;
+  /** Milliseconds left until the request's deadline. */
+  remainingMs: number;
+  loadStallMs: number;
+}
+
+export type RequestEffect =
+  | { type: 'startAttempt'; order: AttemptOrder }
+  | { type: 'cancelAttempt'; id: string; attempt: string; address: string }
+  /** Ends the caller's answer with a failure. */
+  | { type: 'failRequest'; id: string; failure: Failure }
+  /** The answer was passed on whole. */
+  | { type: 'finishRequest'; id: string };
+
+export type RequestTimer =
+  | { type: 'requestDeadline'; id: string }
+  | { type: 'requestRetry'; id: string }
+  /** The owner did not answer an ask. */
+  | { type: 'askTimeout'; id: string; ask: number };
