--- a/eslint.config.js
+++ b/eslint.config.js
@@ -26,13 +26,18 @@
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
-    languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
     plugins: { 'import-x': importX },
     rules: {
       '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
       '@typescript-eslint/no-confusing-void-expression': ['error', { ignoreArrowShorthand: true }],
       // Construction goes through static `create`; classes that only hold state have no instance methods.
       '@typescript-eslint/no-extraneous-class': 'off',
+      '@typescript-eslint/no-empty-function': ['error', { allow: ['private-constructors'] }],
+      // Handlers of one table share a signature; a leading underscore marks what one does not use.
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_' }],
       'import-x/no-restricted-paths': [
         'error',
         {
@@ -40,10 +45,17 @@
             ...pure.map((folder) => ({
               target: `./src/${folder}`,
               from: io.map((other) => `./src/${other}`),
-              message: 'Modules that decide do no I/O: they may not import clients, servers or the host.',
+              message:
+                'Modules that decide do no I/O: they may not import clients, servers or the host.',
             })),
-            { target: './src/clients', from: ['./src/callers', './src/admin', './src/host', './src/cli'] },
-            { target: './src/peers', from: ['./src/callers', './src/admin', './src/host', './src/cli'] },
+            {
+              target: './src/clients',
+              from: ['./src/callers', './src/admin', './src/host', './src/cli'],
+            },
+            {
+              target: './src/peers',
+              from: ['./src/callers', './src/admin', './src/host', './src/cli'],
+            },
             { target: './src', from: ['./bench', './tests'] },
           ],
         },
@@ -57,11 +69,26 @@
   {
     files: pure.map((folder) => `src/${folder}/**/*.ts`),
     rules: {
-      'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'fetch', 'performance', 'Date'],
+      'no-restricted-globals': [
+        'error',
+        'setTimeout',
+        'setInterval',
+        'fetch',
+        'performance',
+        'Date',
+      ],
       'no-restricted-imports': [
         'error',
         {
-          patterns: ['undici', 'winston', 'node:net', 'node:http', 'node:fs', 'node:fs/*', 'node:child_process'],
+          patterns: [
+            'undici',
+            'winston',
+            'node:net',
+            'node:http',
+            'node:fs',
+            'node:fs/*',
+            'node:child_process',
+          ],
           paths: ['worker_threads', 'node:worker_threads', 'cluster', 'node:cluster'],
         },
       ],
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,16 @@
+// Bundles the program into one file, `dist/fireflywick.cjs`.
+import { build } from 'esbuild';
+
+await build({
+  entryPoints: ['src/main.ts'],
+  outfile: 'dist/fireflywick.cjs',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  // The UMD file of ts-results fails at run time once bundled.
+  mainFields: ['module', 'main'],
+  define: { 'import.meta.url': 'importMetaUrl' },
+  banner: { js: "const importMetaUrl = require('node:url').pathToFileURL(__filename).href;" },
+  logLevel: 'warning',
+});
--- a/src/configuration/types.ts
+++ b/src/configuration/types.ts
@@ -41,9 +41,7 @@
 
 export const Service = z.strictObject({
   name: Name,
-  endpoints: z.array(
-    z.strictObject({ id: Name, address: z.string().min(3), zone: Name }),
-  ),
+  endpoints: z.array(z.strictObject({ id: Name, address: z.string().min(3), zone: Name })),
   /** Calls that may be repeated; all others run at most once. */
   repeatable: z.array(ServiceCall),
 });
@@ -55,7 +53,9 @@
   /** Resident copies to keep in each zone of the pool. */
   copies: z.int().min(0).max(64),
   /** Daily window in UTC minutes [from, until); absent means always. */
-  window: z.strictObject({ fromMinute: z.int().min(0).max(1440), untilMinute: z.int().min(0).max(1440) }).optional(),
+  window: z
+    .strictObject({ fromMinute: z.int().min(0).max(1440), untilMinute: z.int().min(0).max(1440) })
+    .optional(),
 });
 export type WarmIntent = z.infer<typeof WarmIntent>;
 
@@ -73,7 +73,11 @@
   z.strictObject({ type: z.literal('putWarm'), warm: WarmIntent }),
   z.strictObject({ type: z.literal('removeWarm'), adapter: Name, pool: Name }),
   /** Priority of a caller: lower numbers come first, 0 to 9; 5 is the default. */
-  z.strictObject({ type: z.literal('putCallerOrder'), caller: Name, priority: z.int().min(0).max(9) }),
+  z.strictObject({
+    type: z.literal('putCallerOrder'),
+    caller: Name,
+    priority: z.int().min(0).max(9),
+  }),
   z.strictObject({ type: z.literal('removeCallerOrder'), caller: Name }),
   /** Guaranteed share of a firm, 0 to 1. */
   z.strictObject({ type: z.literal('putShare'), firm: Name, share: z.number().min(0).max(1) }),
--- a/src/core/purposes.ts
+++ b/src/core/purposes.ts
@@ -5,4 +5,7 @@
   /** Reads the revisions after `after`. */
   | { type: 'readRevisions'; after: number };
 
-export type ObjectPurpose = { type: 'readSnapshot'; revision: number };
+export interface ObjectPurpose {
+  type: 'readSnapshot';
+  revision: number;
+}
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -1,4 +1,8 @@
-import { configurationTableHandlers, configurationTimers } from '../configuration/handlers.ts';
+import {
+  configurationObjectHandlers,
+  configurationTableHandlers,
+  configurationTimers,
+} from '../configuration/handlers.ts';
 import { engineEvents, engineTimers } from '../engines/handlers.ts';
 import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
 import { membershipEvents } from '../membership/handlers.ts';
@@ -31,7 +35,9 @@
 
 const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = { ...configurationTableHandlers };
 
-const objectAnswers: ObjectAnswerHandlers<ObjectPurpose['type']> = {};
+const objectAnswers: ObjectAnswerHandlers<ObjectPurpose['type']> = {
+  ...configurationObjectHandlers,
+};
 
 const events: EventHandlers<Event['type']> = {
   ...hostEvents,
@@ -49,8 +55,8 @@
     return handler(state, purpose, answer, { sentAt, now });
   },
   objectAnswered: (state, { purpose, answer }, now) => {
-    const handler = (objectAnswers as Record<string, Untyped>)[purpose.type];
-    return handler === undefined ? [] : handler(state, purpose, answer, now);
+    const handler = objectAnswers[purpose.type] as Untyped;
+    return handler(state, purpose, answer, now);
   },
 };
 
--- a/src/core/store.ts
+++ b/src/core/store.ts
@@ -8,8 +8,7 @@
   version: string;
 }
 
-export type Condition =
-  { type: 'any' } | { type: 'absent' } | { type: 'version'; version: string };
+export type Condition = { type: 'any' } | { type: 'absent' } | { type: 'version'; version: string };
 
 export type RowWrite =
   | { type: 'put'; key: string; value: unknown; condition: Condition }
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -56,8 +56,13 @@
   /** The engine did not answer; `refused` when a fresh connection was refused. */
   | { type: 'engineSilent'; engine: string; refused: boolean };
 
-export type EngineEffect =
-  /** Reads the engine's load report; answered by `engineReported` or `engineSilent`. */
-  { type: 'readEngine'; engine: string; address: string };
+export interface EngineEffect {
+  type: 'readEngine';
+  engine: string;
+  address: string;
+}
 
-export type EngineTimer = { type: 'pollEngine'; engine: string };
+export interface EngineTimer {
+  type: 'pollEngine';
+  engine: string;
+}
--- /dev/null
+++ b/src/engines/views.ts
@@ -0,0 +1,47 @@
+import { type EngineReport, EngineView, type Engines } from './types.ts';
+
+/** Returns the view of `engine`, creating an empty one when there is none. */
+export function getView(engines: Engines, engine: string): EngineView {
+  const known = engines.views.get(engine);
+  if (known !== undefined) return known;
+  const view = EngineView.create(engine);
+  engines.views.set(engine, view);
+  return view;
+}
+
+/** Records that `model` is resident on `engine`. */
+export function addResident(engines: Engines, engine: string, model: string): void {
+  getView(engines, engine).residents.add(model);
+  const holders = engines.holders.get(model) ?? new Set<string>();
+  holders.add(engine);
+  engines.holders.set(model, holders);
+}
+
+/** Records that `model` is no longer resident on `engine`. */
+export function removeResident(engines: Engines, engine: string, model: string): void {
+  getView(engines, engine).residents.delete(model);
+  const holders = engines.holders.get(model);
+  holders?.delete(engine);
+  if (holders?.size === 0) engines.holders.delete(model);
+}
+
+/** Takes over a load report; residents of the view become those of the report. */
+export function updateFromReport(
+  engines: Engines,
+  engine: string,
+  report: EngineReport,
+  now: number,
+): void {
+  const view = getView(engines, engine);
+  const reported = new Set(report.residents);
+  for (const model of [...view.residents]) {
+    if (!reported.has(model)) removeResident(engines, engine, model);
+  }
+  for (const model of reported) addResident(engines, engine, model);
+  view.bootId = report.bootId;
+  view.reportedAt = now;
+  view.running = Object.values(report.running).reduce((sum, count) => sum + count, 0);
+  view.waiting = report.waiting;
+  view.sentSince = 0;
+  if (view.state !== 'leaving') view.state = 'live';
+}
--- a/src/grants/types.ts
+++ b/src/grants/types.ts
@@ -130,17 +130,21 @@
   /** The order may have taken effect. */
   | { type: 'unknown'; reason: string };
 
-export type GrantEvent = {
+export interface GrantEvent {
   type: 'orderAnswered';
   engine: string;
   epoch: number;
   order: Order;
   answer: OrderAnswer;
-};
+}
 
-export type GrantEffect =
-  /** Sends an order to an engine with the fencing number `epoch`. */
-  { type: 'orderEngine'; engine: string; address: string; epoch: number; order: Order };
+export interface GrantEffect {
+  type: 'orderEngine';
+  engine: string;
+  address: string;
+  epoch: number;
+  order: Order;
+}
 
 export type GrantTimer =
   { type: 'pinExpiry'; engine: string; grant: string } | { type: 'serveQueue'; engine: string };
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -35,9 +35,7 @@
 }
 
 export type MembershipEvent =
-  | { type: 'linkOpened'; host: string }
-  | { type: 'linkClosed'; host: string; reason: string };
+  { type: 'linkOpened'; host: string } | { type: 'linkClosed'; host: string; reason: string };
 
 export type MembershipEffect =
-  | { type: 'openLink'; host: string; address: string }
-  | { type: 'closeLink'; host: string };
+  { type: 'openLink'; host: string; address: string } | { type: 'closeLink'; host: string };
--- /dev/null
+++ b/src/requests/asking.ts
@@ -0,0 +1,62 @@
+import { deliver } from '../core/deliver.ts';
+import type { Effect } from '../core/effects.ts';
+import { newCount } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
+import { Failure } from '../errors/failure.ts';
+import { choosePlacement } from '../routing/placement.ts';
+import { ASK_TIMEOUT_MS, MAX_ATTEMPTS, RETRY_BASE_MS, RETRY_MAX_MS } from './constants.ts';
+import { failRequest } from './ending.ts';
+import type { Request } from './types.ts';
+
+/** Asks the owner of the best engine for a grant; fails the request when no engine can take it. */
+export function askForGrant(state: State, request: Request, now: number): Effect[] {
+  const placement = choosePlacement(state, request);
+  if (placement === undefined) {
+    return failRequest(state, request, getUnavailableFailure(request));
+  }
+  request.phase = 'asking';
+  request.ask += 1;
+  request.asked = { engine: placement.engine, owner: placement.owner.host };
+  schedule(state, now + ASK_TIMEOUT_MS, { type: 'askTimeout', id: request.id, ask: request.ask });
+  return [
+    deliver(state, placement.owner.host, {
+      type: 'grantAsk',
+      request: request.id,
+      ask: request.ask,
+      engine: placement.engine,
+      model: request.model,
+      firm: request.firm,
+      kind: request.kind,
+      priority: request.priority,
+      remainingMs: request.deadline - now,
+      fingerprint: request.fingerprint,
+      maxTokens: request.maxTokens,
+    }),
+  ];
+}
+
+/** Asks again after a backoff with full jitter, or fails the request when its attempts are used up. */
+export function retryLater(state: State, request: Request, now: number): Effect[] {
+  request.attempt = undefined;
+  request.asked = undefined;
+  if (request.attempts >= MAX_ATTEMPTS) {
+    const message = `request ${request.id} failed ${request.attempts} times`;
+    return failRequest(state, request, Failure.create('engine_failed', message));
+  }
+  request.phase = 'backoff';
+  const tries = request.attempts + request.excluded.size;
+  const limit = Math.min(RETRY_MAX_MS, RETRY_BASE_MS * 2 ** tries);
+  const at = now + state.random.getFraction() * limit;
+  schedule(state, at, { type: 'requestRetry', id: request.id });
+  return [newCount('fireflywick_decisions_total', { decision: 'retried', reason: 'failed' })];
+}
+
+function getUnavailableFailure(request: Request): Failure {
+  const reason = request.lastRefusal ?? 'no engine can take it';
+  return Failure.create(
+    'adapter_unavailable',
+    `no engine can run adapter "${request.model}" now: ${reason}`,
+    { outcome: request.mayHaveRun ? 'unknown' : 'not_run' },
+  );
+}
--- /dev/null
+++ b/src/requests/attempts.ts
@@ -0,0 +1,105 @@
+import { deliver } from '../core/deliver.ts';
+import type { Effect } from '../core/effects.ts';
+import { newCount } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import { Failure } from '../errors/failure.ts';
+import { retryLater } from './asking.ts';
+import { failRequest, finishRequest } from './ending.ts';
+import type { Attempt, AttemptOutcome, Request } from './types.ts';
+
+type GrantResult = 'completed' | 'failed' | 'crashed' | 'unused';
+
+interface Ending {
+  result: GrantResult;
+  /** Whether the engine may have run the request. */
+  mayHaveRun: boolean;
+  next: (state: State, request: Request, now: number) => Effect[];
+}
+
+type EndingTable = {
+  [T in AttemptOutcome['type']]: (
+    outcome: Extract<AttemptOutcome, { type: T }>,
+    attempt: Attempt,
+    request: Request,
+  ) => Ending;
+};
+
+/** Statuses of an engine that refuse the request itself, so that no other engine would take it. */
+function isFinalRefusal(status: number): boolean {
+  return status >= 400 && status < 500 && status !== 404 && status !== 408 && status !== 429;
+}
+
+const endings: EndingTable = {
+  completed: () => ({ result: 'completed', mayHaveRun: true, next: finishRequest }),
+  notResident: () => ({ result: 'unused', mayHaveRun: false, next: retryLater }),
+  unreachable: () => ({ result: 'unused', mayHaveRun: false, next: retryLater }),
+  cancelled: () => ({ result: 'failed', mayHaveRun: true, next: () => [] }),
+  refused: ({ status, message }) => ({
+    result: 'failed',
+    mayHaveRun: false,
+    next: isFinalRefusal(status)
+      ? (state, request) =>
+          failRequest(
+            state,
+            request,
+            Failure.create('bad_request', `the engine refused the request: ${message}`),
+          )
+      : retryLater,
+  }),
+  wrongAdapter: ({ reported }, attempt, { model }) => ({
+    result: 'failed',
+    mayHaveRun: true,
+    next: attempt.hasStarted
+      ? (state, request) =>
+          failRequest(
+            state,
+            request,
+            Failure.create('wrong_adapter', `the engine ran "${reported}" in place of "${model}"`),
+          )
+      : retryLater,
+  }),
+  broken: ({ reason }, attempt) => ({
+    result: 'crashed',
+    mayHaveRun: true,
+    next: attempt.hasStarted
+      ? (state, request) =>
+          failRequest(
+            state,
+            request,
+            Failure.create('stream_broken', `the answer ended early: ${reason}`),
+          )
+      : retryLater,
+  }),
+};
+
+/** Ends an attempt: releases its grant, then finishes, retries or fails the request. */
+export function endAttempt(
+  state: State,
+  request: Request,
+  attempt: Attempt,
+  outcome: AttemptOutcome,
+  now: number,
+): Effect[] {
+  const ending = getEnding(outcome, attempt, request);
+  request.mayHaveRun ||= ending.mayHaveRun;
+  request.attempt = undefined;
+  if (outcome.type !== 'completed') request.excluded.add(attempt.engine);
+  const view = state.engines.views.get(attempt.engine);
+  if (view !== undefined) view.sentSince = Math.max(0, view.sentSince - 1);
+  return [
+    newCount('fireflywick_attempts_total', { result: outcome.type }),
+    deliver(state, attempt.owner, {
+      type: 'grantReleased',
+      request: request.id,
+      engine: attempt.engine,
+      grant: attempt.grant,
+      result: ending.result,
+    }),
+    ...ending.next(state, request, now),
+  ];
+}
+
+function getEnding(outcome: AttemptOutcome, attempt: Attempt, request: Request): Ending {
+  const get = endings[outcome.type] as (o: AttemptOutcome, a: Attempt, r: Request) => Ending;
+  return get(outcome, attempt, request);
+}
--- /dev/null
+++ b/src/requests/ending.ts
@@ -0,0 +1,57 @@
+import { deliver } from '../core/deliver.ts';
+import type { Effect } from '../core/effects.ts';
+import { newCount, newObserve } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import type { Failure } from '../errors/failure.ts';
+import type { Request } from './types.ts';
+
+/** Ends a request with a failure and releases what it holds. */
+export function failRequest(state: State, request: Request, failure: Failure): Effect[] {
+  const effects = releaseAsk(state, request);
+  removeRequest(state, request);
+  return [
+    ...effects,
+    newCount('fireflywick_requests_total', getLabels(request, failure.kind)),
+    { type: 'failRequest', id: request.id, failure },
+  ];
+}
+
+/** Ends a request whose answer was passed on whole. */
+export function finishRequest(state: State, request: Request, now: number): Effect[] {
+  removeRequest(state, request);
+  const labels = { firm: request.firm, kind: request.kind };
+  return [
+    newCount('fireflywick_requests_total', getLabels(request, 'completed')),
+    newObserve('fireflywick_load_stall_ms', labels, request.loadStallMs),
+    newObserve('fireflywick_request_duration_ms', labels, now - request.arrivedAt),
+    { type: 'finishRequest', id: request.id },
+  ];
+}
+
+/** Withdraws the ask of a request that waits for a grant, or releases the grant that it holds. */
+export function releaseAsk(state: State, request: Request): Effect[] {
+  const held = request.attempt ?? request.asked;
+  if (held === undefined) return [];
+  const grant = request.attempt?.grant ?? '';
+  return [
+    deliver(state, held.owner, {
+      type: 'grantReleased',
+      request: request.id,
+      engine: held.engine,
+      grant,
+      result: grant === '' ? 'unused' : 'failed',
+    }),
+  ];
+}
+
+function removeRequest(state: State, request: Request): void {
+  const { inFlight, byCaller } = state.requests;
+  if (!inFlight.delete(request.id)) return;
+  const running = (byCaller.get(request.caller) ?? 1) - 1;
+  if (running > 0) byCaller.set(request.caller, running);
+  else byCaller.delete(request.caller);
+}
+
+function getLabels(request: Request, result: string): Record<string, string> {
+  return { firm: request.firm, kind: request.kind, result };
+}
--- /dev/null
+++ b/src/requests/handlers.ts
@@ -0,0 +1,132 @@
+import { deliver } from '../core/deliver.ts';
+import type { Effect } from '../core/effects.ts';
+import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
+import type { State } from '../core/state.ts';
+import { Failure } from '../errors/failure.ts';
+import { admitRequest } from './admission.ts';
+import { endAttempt } from './attempts.ts';
+import { askForGrant, retryLater } from './asking.ts';
+import { failRequest, releaseAsk } from './ending.ts';
+import type { Request, RequestEvent, RequestTimer } from './types.ts';
+
+export const requestEvents: EventHandlers<RequestEvent['type']> = {
+  requestArrived: (state, { request }, now) => admitRequest(state, request, now),
+  requestCancelled: (state, { id }) => {
+    const request = state.requests.inFlight.get(id);
+    if (request === undefined) return [];
+    const failure = Failure.create('cancelled', 'the caller closed the connection');
+    return [...cancelAttempt(state, request), ...failRequest(state, request, failure)];
+  },
+  attemptProgressed: (state, { id, attempt }) => {
+    const current = state.requests.inFlight.get(id)?.attempt;
+    if (current?.id === attempt) current.hasStarted = true;
+    return [];
+  },
+  attemptEnded: (state, { id, attempt, outcome }, now) => {
+    const request = state.requests.inFlight.get(id);
+    if (request?.attempt?.id !== attempt) return [];
+    return endAttempt(state, request, request.attempt, outcome, now);
+  },
+};
+
+export const requestMessages: MessageHandlers<'grantGiven' | 'grantRefused'> = {
+  grantGiven: (state, message, from) => {
+    const { request: id, ask, engine, grant, epoch, stallMs } = message;
+    const request = state.requests.inFlight.get(id);
+    const address = state.configuration.engines.get(engine)?.address;
+    if (request?.phase !== 'asking' || request.ask !== ask || address === undefined) {
+      return [
+        deliver(state, from, {
+          type: 'grantReleased',
+          request: id,
+          engine,
+          grant,
+          result: 'unused',
+        }),
+      ];
+    }
+    return startAttempt(state, request, { engine, owner: from, grant, epoch, stallMs, address });
+  },
+  grantRefused: (state, { request: id, ask, engine, reason }, _from, now) => {
+    const request = state.requests.inFlight.get(id);
+    if (request?.phase !== 'asking' || request.ask !== ask) return [];
+    request.excluded.add(engine);
+    request.lastRefusal = reason;
+    return retryLater(state, request, now);
+  },
+};
+
+export const requestTimers: TimerHandlers<RequestTimer['type']> = {
+  requestDeadline: (state, { id }) => {
+    const request = state.requests.inFlight.get(id);
+    if (request === undefined) return [];
+    const hasRun = request.attempt !== undefined || request.mayHaveRun;
+    const failure = Failure.create(
+      'deadline_exceeded',
+      `request ${id} was not answered by its deadline`,
+      { outcome: hasRun ? 'unknown' : 'not_run' },
+    );
+    return [...cancelAttempt(state, request), ...failRequest(state, request, failure)];
+  },
+  requestRetry: (state, { id }, now) => {
+    const request = state.requests.inFlight.get(id);
+    return request?.phase === 'backoff' ? askForGrant(state, request, now) : [];
+  },
+  askTimeout: (state, { id, ask }, now) => {
+    const request = state.requests.inFlight.get(id);
+    if (request?.phase !== 'asking' || request.ask !== ask) return [];
+    const effects = releaseAsk(state, request);
+    if (request.asked !== undefined) request.excluded.add(request.asked.engine);
+    return [...effects, ...retryLater(state, request, now)];
+  },
+};
+
+function startAttempt(
+  state: State,
+  request: Request,
+  given: {
+    engine: string;
+    owner: string;
+    grant: string;
+    epoch: number;
+    stallMs: number;
+    address: string;
+  },
+): Effect[] {
+  const { engine, owner, grant, epoch, stallMs, address } = given;
+  request.phase = 'running';
+  request.attempts += 1;
+  request.loadStallMs += stallMs;
+  request.attempt = {
+    id: `${request.id}.${request.attempts}`,
+    engine,
+    owner,
+    grant,
+    epoch,
+    hasStarted: false,
+  };
+  const view = state.engines.views.get(engine);
+  if (view !== undefined) view.sentSince += 1;
+  return [
+    {
+      type: 'startAttempt',
+      order: {
+        id: request.id,
+        attempt: request.attempt.id,
+        engine,
+        address,
+        model: request.model,
+        priority: request.priority,
+        deadline: request.deadline,
+        loadStallMs: request.loadStallMs,
+      },
+    },
+  ];
+}
+
+function cancelAttempt(state: State, request: Request): Effect[] {
+  const attempt = request.attempt;
+  if (attempt === undefined) return [];
+  const address = state.configuration.engines.get(attempt.engine)?.address ?? '';
+  return [{ type: 'cancelAttempt', id: request.id, attempt: attempt.id, address }];
+}
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -1,4 +1,5 @@
 import type { Failure } from '../errors/failure.ts';
+import type { RefusalReason } from '../grants/types.ts';
 
 export type RequestKind = 'urgent' | 'ordinary' | 'draft';
 
@@ -53,6 +54,9 @@
   /** Engines that failed this request. */
   excluded: Set<string>;
   loadStallMs: number;
+  /** Whether an attempt ended without proof that nothing ran. */
+  mayHaveRun: boolean;
+  lastRefusal: RefusalReason | undefined;
 }
 
 export class Requests {
@@ -99,8 +103,8 @@
   address: string;
   model: string;
   priority: number;
-  /** Milliseconds left until the request's deadline. */
-  remainingMs: number;
+  /** Monotonic ms by which the answer must be complete. */
+  deadline: number;
   loadStallMs: number;
 }
 
