--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,43 @@
+import meow from 'meow';
+import { runPolicy } from './policy/run.ts';
+
+const cli = meow(
+  `
+  Usage
+    npm run bench -- BENCH [options]
+
+  Benches
+    policy      decisions under load, against baselines and a clairvoyant bound
+
+  Options
+    --scenario NAME     one scenario of the policy bench; all when absent
+    --seed N            one seed; all tuning seeds when absent
+    --held-out          the seeds that tuning never sees
+    --slots N           adapter slots of an engine (8)
+    --zipf X            exponent of the adapters' popularity
+    --stall-weight X    0 weighs batch efficiency only, 1 load stalls only
+    --json              one JSON line for each scenario
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      scenario: { type: 'string' },
+      seed: { type: 'number' },
+      heldOut: { type: 'boolean', default: false },
+      slots: { type: 'number', default: 8 },
+      zipf: { type: 'number' },
+      stallWeight: { type: 'number' },
+      json: { type: 'boolean', default: false },
+    },
+  },
+);
+
+type Flags = typeof cli.flags;
+
+const BENCHES: Record<string, (flags: Flags) => number | Promise<number>> = {
+  policy: runPolicy,
+};
+
+const bench = BENCHES[cli.input[0] ?? ''];
+if (bench === undefined) cli.showHelp(2);
+else process.exitCode = await bench(cli.flags);
--- /dev/null
+++ b/bench/policy/arrivals.ts
@@ -0,0 +1,133 @@
+import { Random } from '../../src/base/random.ts';
+import { ADAPTERS_PER_DEPLOYMENT, RUN_MS } from './constants.ts';
+import type { Job, Scenario, Stream } from './types.ts';
+
+/** Time limits and mean sizes by kind. Drafts get the longest request time (design 7). */
+const SHAPES = {
+  urgent: { limitMs: 10_000, outputTokens: 32, promptTokens: 256 },
+  ordinary: { limitMs: 60_000, outputTokens: 128, promptTokens: 768 },
+  draft: { limitMs: 120_000, outputTokens: 224, promptTokens: 1536 },
+} as const;
+
+/** Adapter names of a firm, most popular first before any shift. */
+export function getAdapters(scenario: Scenario, firm: string): string[] {
+  const share = scenario.deployment.shares[firm] ?? 0;
+  const count = Math.round(ADAPTERS_PER_DEPLOYMENT * share);
+  return Array.from({ length: count }, (_, index) => `${firm}-${index}`);
+}
+
+/** Returns the workload of `scenario`, ordered by arrival; equal seeds give equal workloads. */
+export function getJobs(scenario: Scenario, zipf: number, seed: number): Job[] {
+  const random = Random.create(seed);
+  const ranks = new Map(
+    Object.keys(scenario.deployment.shares).map((firm) => [
+      firm,
+      newRanks(getAdapters(scenario, firm), scenario, random),
+    ]),
+  );
+  const drafts = scenario.streams.flatMap((stream) => {
+    const firmRanks = ranks.get(stream.firm) ?? [];
+    const sampler = newZipfSampler(firmRanks[0]?.adapters.length ?? 1, zipf);
+    return getTimes(stream, random).map((at) => {
+      const current = firmRanks.findLast((entry) => entry.from <= at);
+      return newJob(stream, current?.adapters[sampler(random)] ?? '', at, scenario, random);
+    });
+  });
+  return drafts
+    .sort((a, b) => a.arrivesAt - b.arrivesAt)
+    .map((job, index) => ({ ...job, id: `r${index}` }));
+}
+
+interface Ranks {
+  from: number;
+  adapters: string[];
+}
+
+/** Draws the order of popularity, and at each shift moves a share of the adapters to new ranks. */
+function newRanks(adapters: string[], scenario: Scenario, random: Random): Ranks[] {
+  let current = shuffle(adapters, random);
+  const ranks = [{ from: 0, adapters: current }];
+  for (const { at, fraction } of scenario.shifts) {
+    const moved = current.map((_, rank) => rank).filter(() => random.getFraction() < fraction);
+    const targets = shuffle(moved, random);
+    const next = [...current];
+    moved.forEach((rank, index) => {
+      next[targets[index] ?? rank] = current[rank] ?? '';
+    });
+    current = next;
+    ranks.push({ from: at, adapters: current });
+  }
+  return ranks;
+}
+
+function shuffle<T>(items: readonly T[], random: Random): T[] {
+  return items
+    .map((item) => ({ item, key: random.getFraction() }))
+    .sort((a, b) => a.key - b.key)
+    .map(({ item }) => item);
+}
+
+/** Poisson arrivals with a rate that varies, by thinning. */
+function getTimes(stream: Stream, random: Random): number[] {
+  const times: number[] = [];
+  const stepMs = 1_000;
+  for (let from = 0; from < RUN_MS; from += stepMs) {
+    const rate = stream.ratePerS(from);
+    if (rate <= 0) continue;
+    for (let at = getGapMs(rate, random); at < stepMs; at += getGapMs(rate, random)) {
+      times.push(from + at);
+    }
+  }
+  return times;
+}
+
+function getGapMs(ratePerS: number, random: Random): number {
+  return (-Math.log(1 - random.getFraction()) / ratePerS) * 1000;
+}
+
+function newZipfSampler(size: number, exponent: number): (random: Random) => number {
+  const cumulative: number[] = [];
+  let sum = 0;
+  for (let rank = 1; rank <= size; rank++) {
+    sum += rank ** -exponent;
+    cumulative.push(sum);
+  }
+  return (random) => {
+    const wanted = random.getFraction() * sum;
+    let low = 0;
+    let high = size - 1;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if ((cumulative[middle] ?? sum) > wanted) high = middle;
+      else low = middle + 1;
+    }
+    return low;
+  };
+}
+
+function newJob(
+  stream: Stream,
+  adapter: string,
+  at: number,
+  scenario: Scenario,
+  random: Random,
+): Job {
+  const shape = SHAPES[stream.kind];
+  const spread = () => 0.5 + random.getFraction();
+  return {
+    id: '',
+    firm: stream.firm,
+    kind: stream.kind,
+    model: `${adapter}@v1`,
+    arrivesAt: at,
+    deadlineAt: at + shape.limitMs,
+    outputTokens: Math.round(shape.outputTokens * spread()),
+    promptTokens: Math.round(shape.promptTokens * spread()),
+    host: random.getInteger(scenario.deployment.hosts.length),
+    startedAt: undefined,
+    endedAt: undefined,
+    isFailed: false,
+    stallMs: 0,
+    placeMs: 0,
+  };
+}
--- /dev/null
+++ b/bench/policy/compare.ts
@@ -0,0 +1,59 @@
+import { BASELINES } from './baselines.ts';
+import { Bound } from './bound.ts';
+import { Hosts } from './hosts.ts';
+import type { Result } from './measure.ts';
+import { Simulation, type Policy } from './simulation.ts';
+import type { Parameters, Scenario } from './types.ts';
+
+/** Seeds that changes of the policy are judged by, and seeds that tuning never sees. */
+export const TUNING_SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+export const HELD_OUT_SEEDS = [101, 102, 103, 104, 105];
+
+const SYSTEMS: Record<string, (simulation: Simulation) => Policy> = {
+  ...BASELINES,
+  bound: (simulation) => Bound.create(simulation),
+  fireflywick: (simulation) => Hosts.create(simulation),
+};
+
+/** Figures of one run of all systems on the same workload, and the ratios between them. */
+export interface Comparison {
+  readonly scenario: string;
+  readonly seed: number;
+  readonly slots: number;
+  readonly results: Record<string, Result>;
+  readonly ratios: Ratios;
+}
+
+/** Stall ratios are better when small, efficiency ratios when large. */
+export interface Ratios {
+  readonly urgentStallToBaseline: number;
+  readonly urgentStallToBound: number;
+  readonly efficiencyToBaseline: number;
+  readonly efficiencyToBound: number;
+}
+
+/** Runs `scenario` with every system; `only` limits the run to one of them. */
+export function compare(scenario: Scenario, parameters: Parameters): Comparison {
+  const results = Object.fromEntries(
+    Object.entries(SYSTEMS).map(([name, create]) => {
+      const simulation = Simulation.create(scenario, parameters);
+      return [name, simulation.run(create(simulation))];
+    }),
+  );
+  const { seed, slots } = parameters;
+  return { scenario: scenario.name, seed, slots, results, ratios: getRatios(results) };
+}
+
+function getRatios(results: Record<string, Result>): Ratios {
+  const getStall = (name: string) => results[name]?.stallMs.urgent ?? NaN;
+  const getEfficiency = (name: string) => results[name]?.efficiency.all ?? NaN;
+  const baselines = Object.keys(BASELINES);
+  const bestStall = Math.min(...baselines.map(getStall));
+  const bestEfficiency = Math.max(...baselines.map(getEfficiency));
+  return {
+    urgentStallToBaseline: getStall('fireflywick') / bestStall,
+    urgentStallToBound: getStall('fireflywick') / getStall('bound'),
+    efficiencyToBaseline: getEfficiency('fireflywick') / bestEfficiency,
+    efficiencyToBound: getEfficiency('fireflywick') / getEfficiency('bound'),
+  };
+}
--- /dev/null
+++ b/bench/policy/hosts.ts
@@ -0,0 +1,305 @@
+import { applyRevision } from '../../src/configuration/apply.ts';
+import type { Change } from '../../src/configuration/types.ts';
+import type { Effect } from '../../src/core/effects.ts';
+import type { Event } from '../../src/core/events.ts';
+import { reduce } from '../../src/core/reduce.ts';
+import { State } from '../../src/core/state.ts';
+import { updateOwned } from '../../src/grants/owned.ts';
+import { getAdapters } from './arrivals.ts';
+import { BATCH, REPORT_LAG_MS, SAME_ZONE_LATENCY_MS } from './constants.ts';
+import type { EngineFake, RunEnd } from './engineFake.ts';
+import type { Policy, Simulation } from './simulation.ts';
+import type { Job, Scenario } from './types.ts';
+
+type AttemptOutcome = Extract<Event, { type: 'attemptEnded' }>['outcome'];
+
+const MODEL = 'base';
+
+interface Host {
+  readonly id: string;
+  readonly zone: string;
+  readonly state: State;
+  /** Time of the earliest scheduled tick. */
+  tickAt: number;
+}
+
+/** The project's own decisions: the real reducers of all entry hosts, joined by simulated messages. */
+export class Hosts implements Policy {
+  readonly hosts: Host[];
+  private readonly jobs = new Map<string, Job>();
+  private readonly engines: Map<string, EngineFake>;
+  private readonly byId: Map<string, Host>;
+
+  private constructor(private readonly simulation: Simulation) {
+    const { scenario } = simulation;
+    this.hosts = scenario.deployment.hosts.map((host, index) => ({
+      ...host,
+      state: newState(simulation, index),
+      tickAt: Infinity,
+    }));
+    this.byId = new Map(this.hosts.map((host) => [host.id, host]));
+    this.engines = new Map(simulation.engines.map((engine) => [engine.id, engine]));
+  }
+
+  static create(simulation: Simulation): Hosts {
+    return new Hosts(simulation);
+  }
+
+  start(): void {
+    for (const host of this.hosts) {
+      for (const other of this.hosts) {
+        if (other !== host) this.feed(host, { type: 'linkOpened', host: other.id });
+      }
+      this.run(host, updateOwned(host.state, 0));
+    }
+  }
+
+  arrive(job: Job): void {
+    const host = this.hosts[job.host];
+    if (host === undefined) return;
+    this.jobs.set(job.id, job);
+    const { now } = this.simulation.clock;
+    const [adapter = ''] = job.model.split('@');
+    this.feed(host, {
+      type: 'requestArrived',
+      request: {
+        id: job.id,
+        firm: job.firm,
+        caller: `${job.firm}-caller`,
+        kind: job.kind,
+        adapter,
+        version: undefined,
+        // A draft that is submitted again gets a new time limit.
+        deadline: Math.max(job.deadlineAt, job.kind === 'draft' ? now + 60_000 : 0),
+        fingerprint: job.id,
+        promptBlocks: [],
+        maxTokens: job.outputTokens,
+        draft: job.kind === 'draft' ? job.id : undefined,
+      },
+    });
+  }
+
+  setCut(zone: string | undefined): void {
+    for (const host of this.hosts) {
+      for (const other of this.hosts) {
+        if (host === other || host.zone === other.zone) continue;
+        if (zone === undefined) this.feed(host, { type: 'linkOpened', host: other.id });
+        else if (host.zone === zone || other.zone === zone) {
+          this.feed(host, { type: 'linkClosed', host: other.id, reason: 'silent' });
+        }
+      }
+    }
+  }
+
+  private feed(host: Host, event: Event): void {
+    this.run(host, reduce(host.state, event, this.simulation.clock.now));
+  }
+
+  private run(host: Host, effects: Effect[]): void {
+    for (const effect of effects) this.runEffect(host, effect);
+    const earliest = host.state.timers.earliest ?? Infinity;
+    if (earliest >= host.tickAt) return;
+    host.tickAt = earliest;
+    this.simulation.clock.at(earliest, () => {
+      if (host.tickAt === earliest) host.tickAt = Infinity;
+      this.feed(host, { type: 'tick' });
+    });
+  }
+
+  private runEffect(host: Host, effect: Effect): void {
+    switch (effect.type) {
+      case 'sendMessage': {
+        const target = this.byId.get(effect.to);
+        if (target === undefined) return;
+        this.send(host.zone, target.zone, target === host ? 0 : undefined, () => {
+          this.feed(target, { type: 'messageReceived', from: host.id, message: effect.message });
+        });
+        return;
+      }
+      case 'startAttempt': {
+        this.startAttempt(host, effect.order);
+        return;
+      }
+      case 'cancelAttempt':
+        for (const engine of this.engines.values()) engine.cancel(effect.id);
+        return;
+      case 'orderEngine': {
+        this.orderEngine(host, effect);
+        return;
+      }
+      case 'readEngine': {
+        this.readEngine(host, effect.engine);
+        return;
+      }
+      case 'finishRequest': {
+        this.withJob(effect.id, (job) => this.simulation.complete(job));
+        return;
+      }
+      case 'failRequest': {
+        this.withJob(effect.id, (job) => this.simulation.fail(job, () => this.arrive(job)));
+        return;
+      }
+      default:
+    }
+  }
+
+  private withJob(id: string, use: (job: Job) => void): void {
+    const job = this.jobs.get(id);
+    if (job !== undefined) use(job);
+  }
+
+  /** Runs `arrived` after the latency between two zones, or never when they are cut off. */
+  private send(
+    from: string,
+    to: string,
+    delayMs: number | undefined,
+    arrived: () => void,
+  ): boolean {
+    if (!this.simulation.isConnected(from, to)) return false;
+    const { zoneLatencyMs } = this.simulation.scenario.deployment;
+    const latency = from === to ? SAME_ZONE_LATENCY_MS : zoneLatencyMs;
+    this.simulation.clock.after(delayMs ?? latency, arrived);
+    return true;
+  }
+
+  private startAttempt(
+    host: Host,
+    {
+      id,
+      attempt,
+      engine: name,
+      model,
+    }: { id: string; attempt: string; engine: string; model: string },
+  ): void {
+    const engine = this.engines.get(name);
+    const job = this.jobs.get(id);
+    if (engine === undefined || job === undefined) return;
+    const end = (outcome: AttemptOutcome) => {
+      this.feed(host, { type: 'attemptEnded', id, attempt, outcome });
+    };
+    const isSent = this.send(host.zone, engine.zone, undefined, () => {
+      engine.submit(job, (ended) => {
+        const outcome = getOutcome(ended, model);
+        const isBack = this.send(engine.zone, host.zone, undefined, () => end(outcome));
+        if (!isBack)
+          this.simulation.clock.after(2_000, () => end({ type: 'broken', reason: 'cut' }));
+      });
+    });
+    if (!isSent) this.simulation.clock.after(1_000, () => end({ type: 'unreachable' }));
+  }
+
+  private orderEngine(host: Host, effect: Extract<Effect, { type: 'orderEngine' }>): void {
+    const engine = this.engines.get(effect.engine);
+    const { order, epoch } = effect;
+    if (engine === undefined) return;
+    const answer = (isDone: boolean) => {
+      this.send(engine.zone, host.zone, undefined, () => {
+        this.feed(host, {
+          type: 'orderAnswered',
+          engine: effect.engine,
+          epoch,
+          order,
+          answer: isDone ? { type: 'done' } : { type: 'failed', reason: 'load failed' },
+        });
+      });
+    };
+    const isSent = this.send(host.zone, engine.zone, undefined, () => {
+      if (order.type === 'load') engine.loadAdapter(order.model, answer);
+      if (order.type === 'unload') engine.unloadAdapter(order.model, () => answer(true));
+    });
+    if (isSent) return;
+    this.simulation.clock.after(2_000, () => {
+      this.feed(host, {
+        type: 'orderAnswered',
+        engine: effect.engine,
+        epoch,
+        order,
+        answer: { type: 'unknown', reason: 'no answer' },
+      });
+    });
+  }
+
+  private readEngine(host: Host, name: string): void {
+    const engine = this.engines.get(name);
+    if (engine === undefined) return;
+    if (engine.isDown || !this.simulation.isConnected(host.zone, engine.zone)) {
+      this.simulation.clock.after(1, () => {
+        this.feed(host, { type: 'engineSilent', engine: name, refused: engine.isDown });
+      });
+      return;
+    }
+    const report = engine.getReport();
+    this.simulation.clock.after(REPORT_LAG_MS, () => {
+      this.feed(host, { type: 'engineReported', engine: name, report });
+    });
+  }
+}
+
+function getOutcome(end: RunEnd, model: string): AttemptOutcome {
+  const [adapter = '', version = ''] = model.split('@');
+  if (end === 'completed') return { type: 'completed', adapter, version, tokens: 0 };
+  if (end === 'broken') return { type: 'broken', reason: 'engine restarted' };
+  return { type: end };
+}
+
+function newState({ scenario, parameters }: Simulation, index: number): State {
+  const { deployment } = scenario;
+  const host = deployment.hosts[index];
+  const state = State.create({
+    host: {
+      id: host?.id ?? '',
+      zone: host?.zone ?? '',
+      region: 'region',
+      address: '127.0.0.1:1',
+      incarnation: 1,
+    },
+    policy: {
+      stallWeight: parameters.stallWeight ?? deployment.stallWeight,
+      loadsPerS: deployment.loadsPerS,
+      maxRequestsPerCaller: 100_000,
+      maxRequests: 100_000,
+    },
+    seed: parameters.seed * 1_000 + index,
+  });
+  applyRevision(state.configuration, {
+    revision: 1,
+    changes: getChanges(scenario, parameters.slots),
+    operator: 'bench',
+    confirmedAtUnixMs: 0,
+    plan: 'bench',
+  });
+  state.ownership.row = {
+    epoch: 1,
+    members: deployment.hosts.map(({ id }) => ({ host: id, incarnation: 1 })),
+  };
+  return state;
+}
+
+function getChanges(scenario: Scenario, slots: number): Change[] {
+  const { deployment } = scenario;
+  const engines = deployment.engines.map(({ id, zone }, index): Change => ({
+    type: 'putEngine',
+    engine: {
+      id,
+      address: `127.0.0.1:${9000 + index}`,
+      zone,
+      pool: MODEL,
+      model: MODEL,
+      slots,
+      batch: BATCH,
+      checksFencing: true,
+    },
+  }));
+  const shares = Object.entries(deployment.shares).map(([firm, share]): Change => ({
+    type: 'putShare',
+    firm,
+    share,
+  }));
+  const adapters = Object.keys(deployment.shares).flatMap((firm) =>
+    getAdapters(scenario, firm).map((name): Change => ({
+      type: 'putAdapter',
+      adapter: { name, firm, model: MODEL, versions: { v1: { source: name } }, inForce: 'v1' },
+    })),
+  );
+  return [...engines, ...shares, ...adapters];
+}
--- /dev/null
+++ b/bench/policy/weightStore.ts
@@ -0,0 +1,55 @@
+import type { Random } from '../../src/base/random.ts';
+import { TokenBucket } from '../../src/base/tokenBucket.ts';
+import type { Clock } from './clock.ts';
+import { FULL_SPEED_LOADS, LOAD_MS, STORE_BURST } from './constants.ts';
+
+/**
+ * The rate-limited weight store. Loads beyond the rate wait in order of arrival; a load that starts
+ * while more than 8 are in flight takes proportionally longer.
+ */
+export class WeightStore {
+  slowFactor = 1;
+  failFraction = 0;
+  started = 0;
+  private inFlight = 0;
+  private readonly waiting: (() => void)[] = [];
+  private readonly bucket: TokenBucket;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly random: Random,
+    loadsPerS: number,
+  ) {
+    this.bucket = TokenBucket.create(loadsPerS, STORE_BURST, 0, STORE_BURST);
+  }
+
+  static create(clock: Clock, random: Random, loadsPerS: number): WeightStore {
+    return new WeightStore(clock, random, loadsPerS);
+  }
+
+  /** Milliseconds until `count` loads that are ordered now would have started. */
+  getStartDelayMs(count: number): number {
+    return this.bucket.getWaitMs(this.clock.now, this.waiting.length + count);
+  }
+
+  load(ended: (isDone: boolean) => void): void {
+    this.waiting.push(() => {
+      this.started += 1;
+      this.inFlight += 1;
+      const crowding = Math.max(1, this.inFlight / FULL_SPEED_LOADS);
+      this.clock.after(LOAD_MS * crowding * this.slowFactor, () => {
+        this.inFlight -= 1;
+        ended(this.random.getFraction() >= this.failFraction);
+      });
+    });
+    if (this.waiting.length === 1) this.startNext();
+  }
+
+  private startNext(): void {
+    while (this.waiting.length > 0 && this.bucket.take(this.clock.now)) this.waiting.shift()?.();
+    if (this.waiting.length === 0) return;
+    this.clock.after(this.bucket.getWaitMs(this.clock.now), () => {
+      this.startNext();
+    });
+  }
+}
