--- /dev/null
+++ b/src/settings/help.ts
@@ -0,0 +1,34 @@
+import type { SettingDefinition } from './definitions.ts';
+import { getEnvironmentName } from './types.ts';
+
+/** Returns the lines of `--help` for a list of settings. */
+export function getSettingsHelp(definitions: readonly SettingDefinition[]): string {
+  return definitions
+    .map((definition) => {
+      const fallback = getDefaultText(definition);
+      return [
+        `  --${definition.name} (${getEnvironmentName(definition.name)})`,
+        `      ${definition.help} Allowed: ${definition.allowed}. ${fallback}.`,
+      ].join('\n');
+    })
+    .join('\n');
+}
+
+/** Returns the settings as a Markdown table. */
+export function getSettingsTable(definitions: readonly SettingDefinition[]): string {
+  const rows = definitions.map(
+    (definition) =>
+      `| \`--${definition.name}\` | \`${getEnvironmentName(definition.name)}\` | ${definition.help} | ${definition.allowed} | ${getDefaultText(definition)} |`,
+  );
+  return [
+    '| flag | environment | meaning | allowed | default |',
+    '|---|---|---|---|---|',
+    ...rows,
+  ].join('\n');
+}
+
+function getDefaultText(definition: SettingDefinition): string {
+  if (definition.defaultText !== undefined) return `Default: ${definition.defaultText}`;
+  if (typeof definition.default === 'string') return `Default: ${definition.default}`;
+  return definition.isOptional === true ? 'Optional' : 'Required';
+}
--- /dev/null
+++ b/src/settings/parse.ts
@@ -0,0 +1,128 @@
+import { Err, Ok, type Result } from 'ts-results';
+import { OPERATOR_SETTINGS, SETTINGS, type SettingDefinition } from './definitions.ts';
+import { type ParsedFlags, parseFlags } from './flags.ts';
+import type { OperatorSettings, Settings } from './groups.ts';
+import { type SettingProblem, getEnvironmentName } from './types.ts';
+import type { z } from 'zod';
+
+type Environment = Readonly<Record<string, string | undefined>>;
+type Values = Record<string, Record<string, unknown>>;
+
+/** Reads the settings of `entry`: flag before environment before default. Errors list all problems. */
+export function parseSettings(
+  argv: readonly string[],
+  env: Environment,
+): Result<Settings, SettingProblem[]> {
+  const flags = parseFlags(
+    argv,
+    SETTINGS.map(({ name }) => name),
+    [],
+  );
+  const usage = getUsageProblems(flags);
+  const { values, problems } = readSettings(SETTINGS, flags, env);
+  const all = [...usage, ...problems, ...getConflicts(values)];
+  return all.length === 0 ? Ok(values as unknown as Settings) : Err(all);
+}
+
+/** Reads the settings of a command that talks to a host. */
+export function parseOperatorSettings(
+  flags: ParsedFlags,
+  env: Environment,
+): Result<z.infer<typeof OperatorSettings>, SettingProblem[]> {
+  const { values, problems } = readSettings(OPERATOR_SETTINGS, flags, env);
+  if (problems.length > 0) return Err(problems);
+  return Ok(values.operator as z.infer<typeof OperatorSettings>);
+}
+
+/** Returns one problem for each flag that is unknown or was given twice. */
+export function getUsageProblems(flags: ParsedFlags): SettingProblem[] {
+  return [
+    ...flags.unknown.map((flag) => ({
+      setting: flag,
+      value: undefined,
+      message: 'is not a known flag',
+    })),
+    ...flags.repeated.map((name) => ({
+      setting: `--${name}`,
+      value: undefined,
+      message: 'is given more than once',
+    })),
+  ];
+}
+
+/** Returns one message that lists all problems, one a line. */
+export function describeProblems(problems: readonly SettingProblem[]): string {
+  return problems
+    .map(({ setting, value, message }) =>
+      value === undefined
+        ? `${setting} ${message}`
+        : `${setting} = ${JSON.stringify(value)} ${message}`,
+    )
+    .join('\n');
+}
+
+function readSettings(
+  definitions: readonly SettingDefinition[],
+  flags: ParsedFlags,
+  env: Environment,
+): { values: Values; problems: SettingProblem[] } {
+  const values: Values = {};
+  const problems: SettingProblem[] = [];
+  for (const definition of definitions) {
+    const raw = getRaw(definition, flags, env);
+    const parsed = definition.schema.safeParse(raw.text);
+    if (parsed.success) (values[definition.group] ??= {})[definition.key] = parsed.data;
+    else problems.push(newProblem(definition, raw, parsed.error.issues[0]?.message ?? ''));
+  }
+  return { values, problems };
+}
+
+interface Raw {
+  text: string | undefined;
+  /** Flag or environment variable that gave the text. */
+  source: string;
+}
+
+function getRaw(definition: SettingDefinition, flags: ParsedFlags, env: Environment): Raw {
+  const flag = `--${definition.name}`;
+  const flagText = flags.values.get(definition.name);
+  if (flagText !== undefined) return { text: flagText, source: flag };
+  const variable = getEnvironmentName(definition.name);
+  const environmentText = env[variable];
+  // An empty variable counts as unset, as deployment tools cannot always leave one out.
+  if (environmentText) return { text: environmentText, source: variable };
+  const text = typeof definition.default === 'function' ? definition.default() : definition.default;
+  return { text, source: flag };
+}
+
+function newProblem(definition: SettingDefinition, raw: Raw, message: string): SettingProblem {
+  const other = raw.text === undefined ? ` (or ${getEnvironmentName(definition.name)})` : '';
+  return {
+    setting: raw.source + other,
+    value: definition.isSecret ? undefined : raw.text,
+    message: `${message}; allowed: ${definition.allowed}`,
+  };
+}
+
+/** Checks that span settings; a setting that is itself wrong is not checked again. */
+function getConflicts(values: Values): SettingProblem[] {
+  const limits = (values.limits ?? {}) as Partial<Settings['limits']>;
+  const { shutdownMs, maxRequestMs, defaultRequestMs } = limits;
+  const problems: SettingProblem[] = [];
+  if (maxRequestMs === undefined) return problems;
+  if (shutdownMs !== undefined && shutdownMs < maxRequestMs) {
+    problems.push({
+      setting: '--shutdown-limit',
+      value: `${shutdownMs}ms`,
+      message: `is below the longest request; allowed: from --max-deadline (${maxRequestMs}ms) to 60m`,
+    });
+  }
+  if (defaultRequestMs !== undefined && defaultRequestMs > maxRequestMs) {
+    problems.push({
+      setting: '--default-deadline',
+      value: `${defaultRequestMs}ms`,
+      message: `is above the longest request; allowed: at most --max-deadline (${maxRequestMs}ms)`,
+    });
+  }
+  return problems;
+}
