Log JSON lines and render metrics in the Prometheus text format

Names and values of labels come from requests too, so they are brought into the form that the format allows and their number is bounded. Quantiles cover the last minutes only, because quantiles since the start hide a change.

--- /dev/null
+++ b/src/observe/logger.ts
@@ -0,0 +1,53 @@
+import { type Logger as Winston, createLogger, format, transports } from 'winston';
+import type { LogLevel } from '../core/observations.ts';
+import { redact } from './redact.ts';
+
+export interface LoggerOptions {
+  level: LogLevel;
+  /** Fields of every line, such as host and zone. */
+  fields?: Record<string, unknown>;
+  /** Where lines go; stderr when absent. */
+  stream?: NodeJS.WritableStream;
+}
+
+/** Fields that tie lines to one request. */
+export interface RequestFields {
+  requestId: string;
+  traceId?: string;
+}
+
+/** Writes JSON lines: `time`, `level`, `message`, then the fields. */
+export class Logger {
+  private constructor(
+    private readonly winston: Winston,
+    private readonly fields: Record<string, unknown>,
+  ) {}
+
+  static create({ level, fields = {}, stream = process.stderr }: LoggerOptions): Logger {
+    const winston = createLogger({
+      level,
+      levels: { error: 0, warn: 1, info: 2, debug: 3 },
+      format: format.printf(({ line }) => line as string),
+      // winston declares its transports as interfaces, which the rule cannot match to the class.
+      // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
+      transports: [new transports.Stream({ stream, eol: '\n' })],
+    });
+    return new Logger(winston, fields);
+  }
+
+  /** Returns a logger whose lines also carry the ids of a request. */
+  getRequestLogger(request: RequestFields): Logger {
+    return new Logger(this.winston, { ...this.fields, ...request });
+  }
+
+  write(level: LogLevel, message: string, fields: Record<string, unknown> = {}): void {
+    if (!this.winston.isLevelEnabled(level)) return;
+    const line = JSON.stringify({
+      ...(redact({ ...this.fields, ...fields }) as object),
+      time: new Date().toISOString(),
+      level,
+      message: redact(message),
+    });
+    this.winston.log({ level, message, line });
+  }
+}
--- /dev/null
+++ b/src/observe/metrics.ts
@@ -0,0 +1,97 @@
+import { METRICS, type MetricName } from '../core/metricNames.ts';
+import type { Observation } from '../core/observations.ts';
+import { type Labels, getLabelText } from './labels.ts';
+import { Series } from './series.ts';
+
+/** Sets of labels kept for one metric; what exceeds them is counted under `overflow="true"`. */
+const MAX_SERIES = 2_000;
+const OVERFLOW: Labels = { overflow: 'true' };
+
+type Measurement = Exclude<Observation, { type: 'log' }>;
+type Recorders = Record<
+  Measurement['type'],
+  (metric: Metric, labels: Labels, value: number) => void
+>;
+
+interface Metric {
+  /** Values of counters and gauges, by label text. */
+  readonly values: Map<string, number>;
+  /** Series of histograms, by label text. */
+  readonly series: Map<string, { labels: Labels; series: Series }>;
+}
+
+const recorders: Recorders = {
+  count: ({ values }, labels, by) => {
+    const key = getKey(values, labels);
+    if (by >= 0) values.set(key, (values.get(key) ?? 0) + by);
+  },
+  gauge: ({ values }, labels, value) => void values.set(getKey(values, labels), value),
+  observe: ({ series }, labels, value) => {
+    const key = getKey(series, labels);
+    const now = performance.now();
+    const known = series.get(key) ?? {
+      labels: key === getLabelText(labels) ? labels : OVERFLOW,
+      series: Series.create(now),
+    };
+    series.set(key, known);
+    known.series.record(Math.max(0, value), now);
+  },
+};
+
+/** Values of all metrics of the closed list, and their Prometheus text. */
+export class Metrics {
+  private readonly metrics = new Map<MetricName, Metric>();
+
+  private constructor() {
+    for (const name of Object.keys(METRICS) as MetricName[]) {
+      this.metrics.set(name, { values: new Map(), series: new Map() });
+    }
+  }
+
+  static create(): Metrics {
+    return new Metrics();
+  }
+
+  /** Records what the reducer or the host observed; values that are not finite are ignored. */
+  record(observation: Measurement): void {
+    const value = observation.type === 'count' ? observation.by : observation.value;
+    const metric = this.metrics.get(observation.metric);
+    if (metric === undefined || !Number.isFinite(value)) return;
+    recorders[observation.type](metric, observation.labels, value);
+  }
+
+  /** Returns all metrics in the Prometheus text format, histograms as summaries. */
+  render(): string {
+    const now = performance.now();
+    const lines = [...this.metrics].flatMap(([name, metric]) => {
+      const { kind, help } = METRICS[name];
+      const type = kind === 'histogram' ? 'summary' : kind;
+      return [
+        `# HELP ${name} ${help.replaceAll('\\', '\\\\').replaceAll('\n', '\\n')}`,
+        `# TYPE ${name} ${type}`,
+        ...[...metric.values].map(([labels, value]) => `${name}${labels} ${value}`),
+        ...[...metric.series.values()].flatMap(({ labels, series }) =>
+          getSummaryLines(name, labels, series, now),
+        ),
+      ];
+    });
+    return `${lines.join('\n')}\n`;
+  }
+}
+
+function getSummaryLines(name: string, labels: Labels, series: Series, now: number): string[] {
+  const { sum, count, quantiles } = series.getSummary(now);
+  const text = getLabelText(labels);
+  return [
+    ...quantiles.map(
+      ([quantile, value]) => `${name}${getLabelText(labels, ['quantile', quantile])} ${value}`,
+    ),
+    `${name}_sum${text} ${sum}`,
+    `${name}_count${text} ${count}`,
+  ];
+}
+
+function getKey(known: ReadonlyMap<string, unknown>, labels: Labels): string {
+  const key = getLabelText(labels);
+  return known.has(key) || known.size < MAX_SERIES ? key : getLabelText(OVERFLOW);
+}
--- /dev/null
+++ b/src/observe/series.ts
@@ -0,0 +1,64 @@
+import { type Histogram, build } from 'hdr-histogram-js';
+
+/** Recorded values are integers, so milliseconds are kept as microseconds. */
+const STEPS_PER_UNIT = 1_000;
+/** Largest recorded value, in the metric's unit. */
+const MAX_VALUE = 1_000_000_000;
+/** Quantiles cover the current and the previous window. */
+const WINDOW_MS = 300_000;
+const PERCENTILES = [50, 90, 95, 99, 99.9] as const;
+
+/** Values of one histogram with one set of labels. */
+export class Series {
+  private current = newHistogram();
+  private previous = newHistogram();
+  private sum = 0;
+  private count = 0;
+
+  private constructor(private windowStart: number) {}
+
+  static create(now: number): Series {
+    return new Series(now);
+  }
+
+  record(value: number, now: number): void {
+    this.rotate(now);
+    this.sum += value;
+    this.count += 1;
+    this.current.recordValue(Math.round(Math.min(value, MAX_VALUE) * STEPS_PER_UNIT));
+  }
+
+  /** Returns sum and count since the start, and quantiles of the last 5 to 10 minutes. */
+  getSummary(now: number): { sum: number; count: number; quantiles: [string, number][] } {
+    this.rotate(now);
+    const recent = newHistogram();
+    recent.add(this.previous);
+    recent.add(this.current);
+    return {
+      sum: this.sum,
+      count: this.count,
+      quantiles: PERCENTILES.map((percentile) => [
+        String(Number((percentile / 100).toFixed(3))),
+        recent.totalCount === 0 ? NaN : recent.getValueAtPercentile(percentile) / STEPS_PER_UNIT,
+      ]),
+    };
+  }
+
+  private rotate(now: number): void {
+    const elapsed = now - this.windowStart;
+    if (elapsed < WINDOW_MS) return;
+    this.previous = elapsed < 2 * WINDOW_MS ? this.current : newHistogram();
+    this.current = newHistogram();
+    this.windowStart = now;
+  }
+}
+
+function newHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 2_000,
+    numberOfSignificantValueDigits: 2,
+    autoResize: true,
+    bitBucketSize: 32,
+  });
+}
