Serve callers' completions from one loop

The callers' server authenticates, limits and parses a request, keeps its body and sink as an exchange, and leaves every decision to the reducer.

--- /dev/null
+++ b/src/callers/completionBody.ts
@@ -0,0 +1,96 @@
+import { Err, Ok, type Result } from 'ts-results';
+import { z } from 'zod';
+import { hash32, sha256 } from '../base/hash.ts';
+import { Failure } from '../errors/failure.ts';
+
+const DEFAULT_MAX_TOKENS = 256;
+/** Characters of the prompt that one entry of the prompt's hash chain covers. */
+const BLOCK_CHARS = 256;
+const MAX_BLOCKS = 32;
+/** Fields that say who asks and how the answer is delivered, not what the engine computes. */
+const DELIVERY_FIELDS = new Set(['model', 'stream', 'stream_options', 'user']);
+
+const Model = z.string().regex(/^[^@\s]+(@[^@\s]+)?$/, 'must be "adapter" or "adapter@version"');
+const Text = z.union([z.string(), z.array(z.unknown())]);
+const Common = {
+  model: Model,
+  stream: z.boolean().nullish(),
+  max_tokens: z.int().min(1).nullish(),
+  max_completion_tokens: z.int().min(1).nullish(),
+};
+
+export const CompletionBody = z.looseObject({ ...Common, prompt: Text });
+export const ChatBody = z.looseObject({
+  ...Common,
+  messages: z
+    .array(z.looseObject({ role: z.string(), content: z.union([Text, z.null()]).optional() }))
+    .min(1),
+});
+type ParsedBody = z.infer<typeof CompletionBody> | z.infer<typeof ChatBody>;
+
+export interface Completion {
+  adapter: string;
+  version: string | undefined;
+  body: Record<string, unknown>;
+  isStream: boolean;
+  maxTokens: number;
+  bodyHash: string;
+  promptBlocks: number[];
+}
+
+/** Parses the body of a completion request; fails with `bad_request` naming the wrong field. */
+export function parseCompletion(
+  bytes: Buffer,
+  schema: typeof CompletionBody | typeof ChatBody,
+): Result<Completion, Failure> {
+  let json: unknown;
+  try {
+    json = JSON.parse(bytes.toString('utf8'));
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return Err(Failure.create('bad_request', `the body is not valid JSON: ${reason}`));
+  }
+  const parsed = schema.safeParse(json);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    const param = issue?.path.join('.') ?? '';
+    const where = param === '' ? 'the body' : `field "${param}"`;
+    return Err(
+      Failure.create('bad_request', `${where} is not valid: ${issue?.message ?? ''}`, { param }),
+    );
+  }
+  return Ok(getCompletion(parsed.data));
+}
+
+function getCompletion(body: ParsedBody): Completion {
+  const [adapter = '', version] = body.model.split('@');
+  return {
+    adapter,
+    version,
+    body,
+    isStream: body.stream === true,
+    maxTokens: body.max_completion_tokens ?? body.max_tokens ?? DEFAULT_MAX_TOKENS,
+    bodyHash: getBodyHash(body),
+    promptBlocks: getPromptBlocks(JSON.stringify(body.messages ?? body.prompt)),
+  };
+}
+
+/** Hashes what decides the engine's work; how the answer is delivered does not count. */
+function getBodyHash(body: ParsedBody): string {
+  const entries = Object.entries(body)
+    .filter(([field]) => !DELIVERY_FIELDS.has(field))
+    .sort(([a], [b]) => (a < b ? -1 : 1));
+  return sha256(JSON.stringify(entries));
+}
+
+function getPromptBlocks(prompt: string): number[] {
+  const blocks: number[] = [];
+  let previous = 0;
+  const whole = Math.min(MAX_BLOCKS, Math.floor(prompt.length / BLOCK_CHARS));
+  for (let i = 0; i < whole; i++) {
+    const block = prompt.slice(i * BLOCK_CHARS, (i + 1) * BLOCK_CHARS);
+    previous = hash32(`${previous}/${block}`);
+    blocks.push(previous);
+  }
+  return blocks;
+}
--- /dev/null
+++ b/src/callers/context.ts
@@ -0,0 +1,40 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Event } from '../core/events.ts';
+import type { State } from '../core/state.ts';
+import type { Key } from '../http/keys.ts';
+import type { Exchange } from './exchange.ts';
+
+/** What the callers' server needs of the host. */
+export interface CallerHost {
+  /** Read only: routes answer reads from it. */
+  readonly state: State;
+  readonly keys: readonly Key[];
+  dispatch(event: Event): void;
+  /** Keeps body and sink of a request until its answer ends. */
+  addExchange(id: string, exchange: Exchange): void;
+}
+
+/** One authenticated call of a caller. */
+export interface Call {
+  /** Also the `X-Request-Id` of the answer. */
+  id: string;
+  request: IncomingMessage;
+  response: ServerResponse;
+  key: Key;
+  params: Record<string, string | undefined>;
+  url: URL;
+  host: CallerHost;
+}
+
+/** A route of the callers' API. */
+export interface Route {
+  method:
+    | 'GET'
+    | 'POST'
+    | 'PUT'
+    | 'PATCH'
+    | 'DELETE'
+    | readonly ('GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE')[];
+  path: string;
+  handle: (call: Call) => Promise<void> | void;
+}
--- /dev/null
+++ b/src/callers/routes/complete.ts
@@ -0,0 +1,90 @@
+import { Failure } from '../../errors/failure.ts';
+import { readBody } from '../../http/body.ts';
+import { BODY_TIMEOUT_MS, MAX_BODY_BYTES } from '../../http/constants.ts';
+import { sendFailure } from '../../http/reply.ts';
+import type { Call, Route } from '../context.ts';
+import { ChatBody, type Completion, CompletionBody, parseCompletion } from '../completionBody.ts';
+import type { CompletionPath } from '../exchange.ts';
+import { HttpSink } from '../httpSink.ts';
+import { parseRequestHeaders, type RequestHeaders } from '../requestHeaders.ts';
+
+/** `POST /v1/completions` */
+export const completions: Route = {
+  method: 'POST',
+  path: '/v1/completions',
+  handle: (call) => complete(call, '/v1/completions', CompletionBody),
+};
+
+/** `POST /v1/chat/completions` */
+export const chatCompletions: Route = {
+  method: 'POST',
+  path: '/v1/chat/completions',
+  handle: (call) => complete(call, '/v1/chat/completions', ChatBody),
+};
+
+async function complete(
+  call: Call,
+  path: CompletionPath,
+  schema: typeof CompletionBody | typeof ChatBody,
+): Promise<void> {
+  const headers = parseRequestHeaders(call.request.headers);
+  if (headers.err) {
+    sendFailure(call.response, headers.val);
+    return;
+  }
+  const arrivedAt = performance.now();
+  const bytes = await readBody(call.request, {
+    maxBytes: MAX_BODY_BYTES,
+    timeoutMs: BODY_TIMEOUT_MS,
+  });
+  if (bytes.err) {
+    call.response.setHeader('connection', 'close');
+    sendFailure(call.response, bytes.val);
+    return;
+  }
+  const completion = parseCompletion(bytes.val, schema);
+  if (completion.err) {
+    sendFailure(call.response, completion.val);
+    return;
+  }
+  startRequest(call, path, completion.val, headers.val, arrivedAt);
+}
+
+function startRequest(
+  call: Call,
+  path: CompletionPath,
+  completion: Completion,
+  { kind, remainingMs }: RequestHeaders,
+  arrivedAt: number,
+): void {
+  const { id, host, key, response } = call;
+  const sink = HttpSink.create(response, completion.isStream);
+  if (response.destroyed) {
+    sink.fail(Failure.create('cancelled', 'the caller closed the connection'));
+    return;
+  }
+  host.addExchange(id, {
+    path,
+    body: completion.body,
+    sink,
+  });
+  response.once('close', () => {
+    if (!response.writableFinished) host.dispatch({ type: 'requestCancelled', id });
+  });
+  host.dispatch({
+    type: 'requestArrived',
+    request: {
+      id,
+      firm: key.firm,
+      caller: key.name,
+      kind,
+      adapter: completion.adapter,
+      version: completion.version,
+      deadline: arrivedAt + remainingMs,
+      fingerprint: completion.bodyHash,
+      promptBlocks: completion.promptBlocks,
+      maxTokens: completion.maxTokens,
+      draft: undefined,
+    },
+  });
+}
--- /dev/null
+++ b/src/callers/server.ts
@@ -0,0 +1,91 @@
+import { randomUUID } from 'node:crypto';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import createRouter, { type HTTPVersion, type Instance } from 'find-my-way';
+import { Failure } from '../errors/failure.ts';
+import { findKey } from '../http/keys.ts';
+import { getPort, type ListenAddress, startServer, stopServer } from '../http/listen.ts';
+import { sendFailure } from '../http/reply.ts';
+import type { CallerHost, Route } from './context.ts';
+import { routes } from './routes/index.ts';
+
+type Router = Instance<HTTPVersion.V1>;
+
+/** HTTP server for callers. */
+export class CallerServer {
+  private server: Server | undefined;
+
+  private constructor(
+    private readonly host: CallerHost,
+    private readonly address: ListenAddress,
+    private readonly router: Router,
+  ) {}
+
+  static create(host: CallerHost, address: ListenAddress): CallerServer {
+    const router = createRouter({
+      ignoreTrailingSlash: true,
+      defaultRoute: (request, response) => answerUnknownRoute(router, request, response),
+    });
+    const server = new CallerServer(host, address, router);
+    for (const route of routes) server.addRoute(route);
+    return server;
+  }
+
+  /** Starts to listen and returns the port. */
+  async start(): Promise<number> {
+    this.server = await startServer((request, response) => {
+      this.router.lookup(request, response);
+    }, this.address);
+    return getPort(this.server);
+  }
+
+  /** Takes no new connections and resolves when all have ended. */
+  async stop(): Promise<void> {
+    if (this.server !== undefined) await stopServer(this.server);
+  }
+
+  private addRoute(route: Route): void {
+    const methods = typeof route.method === 'string' ? [route.method] : [...route.method];
+    this.router.on(methods, route.path, (request, response, params) => {
+      void this.handle(route, request, response, params);
+    });
+  }
+
+  private async handle(
+    route: Route,
+    request: IncomingMessage,
+    response: ServerResponse,
+    params: Record<string, string | undefined>,
+  ): Promise<void> {
+    const id = randomUUID();
+    response.setHeader('x-request-id', id);
+    const key = findKey(this.host.keys, request.headers.authorization, 'caller');
+    if (key === undefined) {
+      const message = 'header Authorization carries no valid caller key';
+      sendFailure(response, Failure.create('unauthorized', message));
+      return;
+    }
+    const url = new URL(request.url ?? '/', 'http://localhost');
+    try {
+      await route.handle({ id, request, response, key, params, url, host: this.host });
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      sendFailure(response, Failure.create('internal', `request ${id} failed: ${reason}`));
+    }
+  }
+}
+
+function answerUnknownRoute(
+  router: Router,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const path = (request.url ?? '/').split('?')[0] ?? '/';
+  const isKnown = routes.some(({ method }) => {
+    const methods = typeof method === 'string' ? [method] : method;
+    return methods.some((known) => router.find(known, path) !== null);
+  });
+  const failure = isKnown
+    ? Failure.create('method_not_allowed', `${request.method ?? ''} is not allowed on ${path}`)
+    : Failure.create('not_found', `path ${path} does not exist`);
+  sendFailure(response, failure);
+}
--- a/src/core/hostHandlers.ts
+++ b/src/core/hostHandlers.ts
@@ -1,10 +1,13 @@
 import { startConfiguration } from '../configuration/handlers.ts';
-import type { EventHandlers } from './handlers.ts';
+import type { EventHandlers, TimerHandlers } from './handlers.ts';
+import { checkDrained, type LifecycleTimer, startDraining, startShutdown } from './lifecycle.ts';
 
 export const hostEvents: EventHandlers<'started' | 'stopRequested'> = {
   started: (state, _event, now) => startConfiguration(state, now),
-  stopRequested: (state) => {
-    state.requests.isAccepting = false;
-    return state.requests.inFlight.size === 0 ? [{ type: 'stopped' }] : [];
-  },
+  stopRequested: (state, _event, now) => startShutdown(state, now),
+};
+
+export const hostTimers: TimerHandlers<LifecycleTimer['type']> = {
+  lameDuckOver: (state, _timer, now) => startDraining(state, now),
+  checkDrained: (state, _timer, now) => checkDrained(state, now),
 };
--- /dev/null
+++ b/src/core/lifecycle.ts
@@ -0,0 +1,43 @@
+import type { Effect } from './effects.ts';
+import { newLog } from './observations.ts';
+import type { State } from './state.ts';
+import { schedule } from './timers.ts';
+
+/** Time for which a stopping host still takes new requests, so that the balancer can react. */
+export const LAME_DUCK_MS = 3_000;
+/** Interval between checks whether anything is still in flight. */
+const DRAIN_CHECK_MS = 50;
+
+export type Phase = 'running' | 'lameDuck' | 'draining' | 'stopped';
+
+export type LifecycleTimer = { type: 'lameDuckOver' } | { type: 'checkDrained' };
+
+/** Whether the host wants new requests from the balancer. */
+export function isReady(state: State): boolean {
+  return state.phase === 'running' && state.configuration.revision > 0;
+}
+
+/** Starts a graceful shutdown; a second request to stop changes nothing. */
+export function startShutdown(state: State, now: number): Effect[] {
+  if (state.phase !== 'running') return [];
+  state.phase = 'lameDuck';
+  schedule(state, now + LAME_DUCK_MS, { type: 'lameDuckOver' });
+  return [newLog('info', 'graceful shutdown started')];
+}
+
+/** Refuses new requests from now on and waits for those in flight. */
+export function startDraining(state: State, now: number): Effect[] {
+  state.phase = 'draining';
+  return checkDrained(state, now);
+}
+
+/** Ends the host once nothing is in flight. */
+export function checkDrained(state: State, now: number): Effect[] {
+  if (state.phase !== 'draining') return [];
+  if (state.requests.inFlight.size > 0) {
+    schedule(state, now + DRAIN_CHECK_MS, { type: 'checkDrained' });
+    return [];
+  }
+  state.phase = 'stopped';
+  return [newLog('info', 'graceful shutdown complete'), { type: 'stopped' }];
+}
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -16,7 +16,7 @@
   TableAnswerHandlers,
   TimerHandlers,
 } from './handlers.ts';
-import { hostEvents } from './hostHandlers.ts';
+import { hostEvents, hostTimers } from './hostHandlers.ts';
 import type { Message } from './messages.ts';
 import type { ObjectPurpose, TablePurpose } from './purposes.ts';
 import type { State } from './state.ts';
@@ -31,6 +31,7 @@
   ...engineTimers,
   ...grantTimers,
   ...requestTimers,
+  ...hostTimers,
 };
 
 const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = { ...configurationTableHandlers };
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -9,6 +9,7 @@
 import { Ownership } from '../ownership/types.ts';
 import { Requests } from '../requests/types.ts';
 import { Suspects } from '../suspects/types.ts';
+import type { Phase } from './lifecycle.ts';
 import type { Timer } from './timers.ts';
 
 /** Who this host is; from its settings. */
@@ -42,6 +43,7 @@
 
 /** The whole state of a host. Only `reduce` changes it. */
 export class State {
+  phase: Phase = 'running';
   readonly random: Random;
   readonly timers = MinHeap.create<Timer>();
   readonly configuration = Configuration.create();
--- /dev/null
+++ b/src/host/context.ts
@@ -0,0 +1,33 @@
+import type { Exchange } from '../callers/exchange.ts';
+import type { EngineClient } from '../clients/engineClient.ts';
+import type { ObjectClient } from '../clients/objectClient.ts';
+import type { TableClient } from '../clients/tableClient.ts';
+import type { Effect } from '../core/effects.ts';
+import type { Event } from '../core/events.ts';
+import type { Message } from '../core/messages.ts';
+import type { State } from '../core/state.ts';
+import type { Observer } from './observer.ts';
+
+/** An attempt that the host relays. */
+export interface RunningAttempt {
+  cancel(): void;
+}
+
+/** What the runners of effects work with. */
+export interface HostContext {
+  readonly state: State;
+  readonly observer: Observer;
+  readonly table: TableClient;
+  readonly objects: ObjectClient;
+  readonly engines: EngineClient;
+  readonly exchanges: Map<string, Exchange>;
+  readonly attempts: Map<string, RunningAttempt>;
+  dispatch(event: Event): void;
+  send(to: string, message: Message): void;
+  /** Called when the reducer has nothing left to do before the process ends. */
+  onStopped(): void;
+}
+
+export type EffectRunners<T extends Effect['type']> = {
+  [K in T]: (context: HostContext, effect: Extract<Effect, { type: K }>) => void;
+};
--- /dev/null
+++ b/src/host/runners/index.ts
@@ -0,0 +1,22 @@
+import type { Effect } from '../../core/effects.ts';
+import type { EffectRunners, HostContext } from '../context.ts';
+import { attemptRunners } from './attempts.ts';
+import { outsideRunners } from './outside.ts';
+
+const runners: EffectRunners<Effect['type']> = {
+  ...attemptRunners,
+  ...outsideRunners,
+  log: (context, effect) => context.observer.observe(effect),
+  count: (context, effect) => context.observer.observe(effect),
+  observe: (context, effect) => context.observer.observe(effect),
+  gauge: (context, effect) => context.observer.observe(effect),
+  openLink: () => undefined,
+  closeLink: () => undefined,
+  stopped: (context) => context.onStopped(),
+};
+
+/** Does what one effect says. */
+export function runEffect(context: HostContext, effect: Effect): void {
+  const run = runners[effect.type] as (context: HostContext, effect: Effect) => void;
+  run(context, effect);
+}
--- /dev/null
+++ b/src/host/runners/outside.ts
@@ -0,0 +1,41 @@
+import type { EffectRunners, HostContext } from '../context.ts';
+
+type OutsideEffect = 'callTable' | 'callObjects' | 'readEngine' | 'orderEngine' | 'sendMessage';
+
+export const outsideRunners: EffectRunners<OutsideEffect> = {
+  callTable: (context, { call, purpose }) => {
+    const sentAt = performance.now();
+    void context.table.call(call).then((answer) => {
+      context.observer.observe({
+        type: 'count',
+        metric: 'fireflywick_table_calls_total',
+        labels: { purpose: purpose.type, answer: answer.type },
+        by: 1,
+      });
+      context.dispatch({ type: 'tableAnswered', purpose, answer, sentAt });
+    });
+  },
+  callObjects: (context, { call, purpose }) => {
+    void context.objects.call(call).then((answer) => {
+      context.dispatch({ type: 'objectAnswered', purpose, answer });
+    });
+  },
+  readEngine: (context, { engine, address }) => {
+    void readEngine(context, engine, address);
+  },
+  orderEngine: (context, { engine, address, epoch, order }) => {
+    void context.engines.order(address, epoch, order).then((answer) => {
+      context.dispatch({ type: 'orderAnswered', engine, epoch, order, answer });
+    });
+  },
+  sendMessage: (context, { to, message }) => context.send(to, message),
+};
+
+async function readEngine(context: HostContext, engine: string, address: string): Promise<void> {
+  const read = await context.engines.readLoad(address);
+  context.dispatch(
+    read.ok
+      ? { type: 'engineReported', engine, report: read.val }
+      : { type: 'engineSilent', engine, refused: read.val.refused },
+  );
+}
--- /dev/null
+++ b/src/http/body.ts
@@ -0,0 +1,43 @@
+import type { IncomingMessage } from 'node:http';
+import { Err, Ok, type Result } from 'ts-results';
+import { Failure } from '../errors/failure.ts';
+
+interface BodyLimits {
+  maxBytes: number;
+  timeoutMs: number;
+}
+
+/**
+ * Reads a whole request body. Fails with `body_too_large`, `slow_sender`, or `cancelled` when the
+ * sender went away.
+ */
+export function readBody(
+  request: IncomingMessage,
+  { maxBytes, timeoutMs }: BodyLimits,
+): Promise<Result<Buffer, Failure>> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const end = (result: Result<Buffer, Failure>) => {
+      clearTimeout(timer);
+      request.removeAllListeners('data');
+      resolve(result);
+    };
+    const timer = setTimeout(() => {
+      end(Err(Failure.create('slow_sender', `the body did not arrive within ${timeoutMs} ms`)));
+    }, timeoutMs);
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= maxBytes) chunks.push(chunk);
+      else end(Err(Failure.create('body_too_large', `the body is larger than ${maxBytes} bytes`)));
+    });
+    request.on('end', () => end(Ok(Buffer.concat(chunks))));
+    request.on('close', () =>
+      end(
+        Err(
+          Failure.create('cancelled', 'the sender closed the connection', { outcome: 'not_run' }),
+        ),
+      ),
+    );
+  });
+}
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -22,7 +22,8 @@
 
 function checkLimits(state: State, arrival: NewRequest, now: number): Failure | undefined {
   const { requests, policy, configuration } = state;
-  if (!requests.isAccepting) return Failure.create('shutting_down', 'this host is shutting down');
+  if (state.phase === 'draining' || state.phase === 'stopped')
+    return Failure.create('shutting_down', 'this host is shutting down');
   if (configuration.revision === 0) {
     return Failure.create('not_ready', 'this host has no configuration yet');
   }
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -63,8 +63,6 @@
   readonly inFlight = new Map<string, Request>();
   /** Requests in flight by caller. */
   readonly byCaller = new Map<string, number>();
-  /** False once the host is shutting down. */
-  isAccepting = true;
 
   private constructor() {}
 
