--- /dev/null
+++ b/src/clients/constants.ts
@@ -0,0 +1,23 @@
+/** Idle time after which a kept connection is closed; below the 5 s after which servers close theirs. */
+export const IDLE_CONNECTION_MS = 4_000;
+/** Time to open a connection. */
+export const CONNECT_TIMEOUT_MS = 1_000;
+export const CONNECTIONS_PER_ADDRESS = 64;
+
+export const TABLE_TIMEOUT_MS = 2_000;
+export const OBJECT_TIMEOUT_MS = 5_000;
+export const HOST_LIST_TIMEOUT_MS = 2_000;
+export const LOAD_REPORT_TIMEOUT_MS = 1_000;
+/** Longest order to an engine; a takeover waits for it. */
+export const ORDER_TIMEOUT_MS = 30_000;
+
+/** A stream without progress for this long is resumed on a fresh connection. */
+export const PROGRESS_TIMEOUT_MS = 10_000;
+/** Resumptions in a row without a new chunk. */
+export const MAX_RESUMES = 3;
+/** Pause before a resumption; doubles with each one that brings no chunk. */
+export const RESUME_PAUSE_MS = 50;
+/** Chunks kept while an earlier one is missing. */
+export const MAX_CHUNKS_AHEAD = 256;
+/** Time for the connection of a complete stream to end by itself. */
+export const DRAIN_MS = 1_000;
--- /dev/null
+++ b/src/clients/hostListClient.ts
@@ -0,0 +1,49 @@
+import { Err, Ok, type Result } from 'ts-results';
+import { z } from 'zod';
+import { HOST_LIST_TIMEOUT_MS } from './constants.ts';
+import { Http } from './http.ts';
+
+/** A host as the platform's lagging list names it. */
+export const ListedHost = z.object({
+  id: z.string(),
+  kind: z.string(),
+  address: z.string(),
+  zone: z.string(),
+  state: z.enum(['live', 'leaving']),
+});
+export type ListedHost = z.infer<typeof ListedHost>;
+
+/** Client of the platform's host list. */
+export class HostListClient {
+  private constructor(
+    private readonly address: string,
+    private readonly timeoutMs: number,
+    private readonly http: Http,
+  ) {}
+
+  static create(options: { address: string; timeoutMs?: number; http?: Http }): HostListClient {
+    const { address, timeoutMs = HOST_LIST_TIMEOUT_MS, http = Http.create() } = options;
+    return new HostListClient(address, timeoutMs, http);
+  }
+
+  /** Returns the listed hosts, or the reason why the list could not be read. */
+  async read(): Promise<Result<ListedHost[], string>> {
+    const answer = await this.http.call({
+      address: this.address,
+      method: 'GET',
+      path: '/hosts',
+      timeoutMs: this.timeoutMs,
+    });
+    if (answer.type !== 'answered') return Err(answer.reason);
+    if (answer.status !== 200) return Err(`the host list answered ${answer.status}`);
+    try {
+      return Ok(z.array(ListedHost).parse(JSON.parse(answer.body.toString())));
+    } catch {
+      return Err('the host list does not parse');
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.http.close();
+  }
+}
--- /dev/null
+++ b/src/clients/http.ts
@@ -0,0 +1,183 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import { Agent, Client, type Dispatcher } from 'undici';
+import { CONNECT_TIMEOUT_MS, CONNECTIONS_PER_ADDRESS, IDLE_CONNECTION_MS } from './constants.ts';
+
+export interface HttpCall {
+  /** `host:port` or an origin. */
+  address: string;
+  method: 'GET' | 'PUT' | 'POST' | 'DELETE' | 'PATCH' | 'HEAD' | 'OPTIONS';
+  path: string;
+  headers?: Record<string, string>;
+  body?: string | Uint8Array;
+  /** Time for the whole call in ms, or for the head of the answer with `open`. */
+  timeoutMs: number;
+  /** Opens a connection for this call alone instead of reusing one. */
+  isFresh?: boolean;
+  signal?: AbortSignal;
+}
+
+/** A call that got no whole answer. */
+export type HttpFailure =
+  /** No byte of the call was written; `refused` when the connection was refused. */
+  | { type: 'notSent'; refused: boolean; reason: string }
+  /** Bytes of the call may have arrived. */
+  | { type: 'lost'; reason: string };
+
+export type HttpAnswer =
+  { type: 'answered'; status: number; headers: IncomingHttpHeaders; body: Buffer } | HttpFailure;
+
+export interface OpenAnswer {
+  type: 'open';
+  status: number;
+  headers: IncomingHttpHeaders;
+  body: Dispatcher.ResponseData['body'];
+  /** Closes a fresh connection. */
+  close: () => void;
+}
+
+/** Reason of a failure that was a timeout. */
+export const TIMED_OUT = 'timed out';
+
+const OPTIONS = {
+  pipelining: 1,
+  keepAliveTimeout: IDLE_CONNECTION_MS,
+  keepAliveMaxTimeout: IDLE_CONNECTION_MS,
+  connect: { timeout: CONNECT_TIMEOUT_MS },
+  // The calls bring their own limits.
+  headersTimeout: 0,
+  bodyTimeout: 0,
+};
+
+/** Returns the origin of `address`, which is an origin or `host:port`. */
+export function getOrigin(address: string): string {
+  return address.includes('://') ? new URL(address).origin : `http://${address}`;
+}
+
+/** Returns a handler that passes everything on and calls `markSent` before the first byte is written. */
+function newSentHandler(
+  handler: Dispatcher.DispatchHandler,
+  markSent: () => void,
+): Dispatcher.DispatchHandler {
+  return {
+    onRequestStart: (controller, context) => {
+      markSent();
+      handler.onRequestStart?.(controller, context);
+    },
+    onResponseStart: (...args) => handler.onResponseStart?.(...args),
+    onResponseData: (...args) => handler.onResponseData?.(...args),
+    onResponseEnd: (...args) => handler.onResponseEnd?.(...args),
+    onResponseError: (...args) => handler.onResponseError?.(...args),
+  };
+}
+
+function isRefused(error: unknown): boolean {
+  if (error instanceof AggregateError) return error.errors.every(isRefused);
+  return error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+}
+
+function getReason(error: unknown): string {
+  return error instanceof Error ? error.message || error.name : String(error);
+}
+
+/** HTTP calls over kept connections. Never repeats a call and never throws. */
+export class Http {
+  private readonly pools = new Map<string, Agent>();
+
+  private constructor() {}
+
+  static create(): Http {
+    return new Http();
+  }
+
+  /** Makes a call and reads the whole answer. */
+  async call(call: HttpCall): Promise<HttpAnswer> {
+    const started = performance.now();
+    const opened = await this.open(call);
+    if (opened.type !== 'open') return opened;
+    const remainingMs = Math.max(1, call.timeoutMs - (performance.now() - started));
+    const timer = setTimeout(
+      () => opened.body.destroy(new Error(TIMED_OUT)),
+      Math.ceil(remainingMs),
+    );
+    try {
+      const body = Buffer.from(await opened.body.arrayBuffer());
+      return { type: 'answered', status: opened.status, headers: opened.headers, body };
+    } catch (error) {
+      this.drop(call.address);
+      return { type: 'lost', reason: getReason(error) };
+    } finally {
+      clearTimeout(timer);
+      opened.close();
+    }
+  }
+
+  /** Makes a call and returns once the head of the answer has arrived. */
+  async open(call: HttpCall): Promise<OpenAnswer | HttpFailure> {
+    const origin = getOrigin(call.address);
+    const client = call.isFresh === true ? new Client(origin, OPTIONS) : undefined;
+    const dispatcher: Dispatcher = client ?? this.getPool(origin);
+    const close = () => {
+      client?.destroy().catch(() => undefined);
+    };
+    const sent = { isSent: false };
+    const marked = dispatcher.compose(
+      (dispatch) => (options, handler) =>
+        dispatch(
+          options,
+          newSentHandler(handler, () => (sent.isSent = true)),
+        ),
+    );
+    const abort = new AbortController();
+    const timer = setTimeout(() => abort.abort(new Error(TIMED_OUT)), call.timeoutMs);
+    try {
+      const answer = await marked.request({
+        origin,
+        path: call.path,
+        method: call.method,
+        headers: call.headers,
+        body: call.body,
+        signal: call.signal ? AbortSignal.any([abort.signal, call.signal]) : abort.signal,
+      });
+      return {
+        type: 'open',
+        status: answer.statusCode,
+        headers: answer.headers,
+        body: answer.body,
+        close,
+      };
+    } catch (error) {
+      close();
+      const reason = getReason(error);
+      if (!sent.isSent) return { type: 'notSent', refused: isRefused(error), reason };
+      this.drop(call.address);
+      return { type: 'lost', reason };
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  /** Stops reusing the connections to `address`; calls in flight on them go on. */
+  drop(address: string): void {
+    const origin = getOrigin(address);
+    const pool = this.pools.get(origin);
+    if (pool === undefined) return;
+    this.pools.delete(origin);
+    pool.close().catch(() => undefined);
+  }
+
+  /** Closes all connections at once. */
+  async close(): Promise<void> {
+    const pools = [...this.pools.values()];
+    this.pools.clear();
+    await Promise.all(pools.map((pool) => pool.destroy()));
+  }
+
+  private getPool(origin: string): Agent {
+    let pool = this.pools.get(origin);
+    if (pool === undefined) {
+      pool = new Agent({ ...OPTIONS, connections: CONNECTIONS_PER_ADDRESS });
+      this.pools.set(origin, pool);
+    }
+    return pool;
+  }
+}
