Share engine views between hosts and place adapters by holder index and ring

Cause: only the owner of an engine knew its residents, so every other host sent requests by rendezvous hashing, scanned all engines for it, and a lagging report made owners forget adapters that had just been loaded and believe in adapters that had just been unloaded. Owners now announce residents and load as numbered deltas; a host that misses one asks for the whole view. Orders newer than a report's lag outweigh the report. Ruled out: the load budget is untouched and still holds back urgent stalls.

--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -3,7 +3,7 @@
   configurationTableHandlers,
   configurationTimers,
 } from '../configuration/handlers.ts';
-import { engineEvents, engineTimers } from '../engines/handlers.ts';
+import { engineEvents, engineMessages, engineTimers } from '../engines/handlers.ts';
 import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
 import { membershipEvents } from '../membership/handlers.ts';
 import { requestEvents, requestMessages, requestTimers } from '../requests/handlers.ts';
@@ -24,7 +24,11 @@
 
 type Untyped = (...args: unknown[]) => Effect[];
 
-const messages: MessageHandlers<Message['type']> = { ...grantMessages, ...requestMessages };
+const messages: MessageHandlers<Message['type']> = {
+  ...engineMessages,
+  ...grantMessages,
+  ...requestMessages,
+};
 
 const timers: TimerHandlers<Timer['type']> = {
   ...configurationTimers,
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -8,6 +8,7 @@
 import { Membership } from '../membership/types.ts';
 import { Ownership } from '../ownership/types.ts';
 import { Requests } from '../requests/types.ts';
+import { Routing } from '../routing/types.ts';
 import { Suspects } from '../suspects/types.ts';
 import type { Phase } from './lifecycle.ts';
 import type { Timer } from './timers.ts';
@@ -51,6 +52,7 @@
   readonly ownership = Ownership.create();
   readonly engines = Engines.create();
   readonly grants = Grants.create();
+  readonly routing = Routing.create();
   readonly requests = Requests.create();
   readonly suspects = Suspects.create();
   readonly actions = Actions.create();
--- a/src/engines/handlers.ts
+++ b/src/engines/handlers.ts
@@ -1,28 +1,45 @@
 import type { Effect } from '../core/effects.ts';
-import type { EventHandlers, TimerHandlers } from '../core/handlers.ts';
+import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { syncOwned } from '../grants/owned.ts';
+import { serveQueue } from '../grants/serve.ts';
 import { ENGINE_POLL_MS } from './constants.ts';
+import { announceEngines, applyDeltas, newFullViews, noteChanged } from './gossip.ts';
 import type { EngineEvent, EngineTimer } from './types.ts';
 import { getView, updateFromReport } from './views.ts';
 
 export const engineEvents: EventHandlers<EngineEvent['type']> = {
   engineReported: (state, { engine, report }, now) => {
-    updateFromReport(state.engines, engine, report, now);
-    return syncOwned(state, engine, report, now);
+    const effects = syncOwned(state, engine, report, now);
+    const owned = state.grants.owned.get(engine);
+    // The owner's own orders are newer than the report, which lags.
+    const residents = owned === undefined ? report.residents : [...owned.residents.keys()];
+    updateFromReport(state.engines, engine, { ...report, residents }, now);
+    if (owned !== undefined) noteChanged(state, owned, now);
+    return effects;
   },
-  engineSilent: (state, { engine, refused }) => {
+  engineSilent: (state, { engine, refused }, now) => {
     const view = getView(state.engines, engine);
     const wasReachable = view.state !== 'unreachable';
     view.state = 'unreachable';
-    return wasReachable ? [newLog('warn', 'engine does not answer', { engine, refused })] : [];
+    if (!wasReachable) return [];
+    const owned = state.grants.owned.get(engine);
+    const effects = owned === undefined ? [] : serveQueue(state, owned, now);
+    if (owned !== undefined) noteChanged(state, owned, now);
+    return [newLog('warn', 'engine does not answer', { engine, refused }), ...effects];
   },
 };
 
+export const engineMessages: MessageHandlers<'enginesChanged' | 'engineViewsAsked'> = {
+  enginesChanged: (state, { engines }, from, now) => applyDeltas(state, engines, from, now),
+  engineViewsAsked: (state, { engines }, from, now) => newFullViews(state, engines, from, now),
+};
+
 export const engineTimers: TimerHandlers<EngineTimer['type']> = {
   pollEngine: (state, { engine }, now) => pollEngine(state, engine, now),
+  announceEngines: (state, _timer, now) => announceEngines(state, now),
 };
 
 function pollEngine(state: State, engine: string, now: number): Effect[] {
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -1,4 +1,6 @@
 import { z } from 'zod';
+import { Name } from '../configuration/types.ts';
+import type { HolderList } from './holderList.ts';
 
 /** Load report of an engine as the engine publishes it, with a lag. */
 export const EngineReport = z.object({
@@ -13,7 +15,39 @@
 });
 export type EngineReport = z.infer<typeof EngineReport>;
 
-export type EngineState = 'unknown' | 'live' | 'leaving' | 'unreachable';
+export const EngineState = z.enum(['unknown', 'live', 'leaving', 'unreachable']);
+export type EngineState = z.infer<typeof EngineState>;
+
+const Model = z.string().min(1).max(128);
+
+/** What the owner of an engine tells of it; `added` holds all residents when `isFull`. */
+export const EngineDelta = z.object({
+  engine: Name,
+  epoch: z.int().min(0),
+  /** Grows by one with each delta of one owner and epoch. */
+  sequence: z.int().min(0),
+  isFull: z.boolean(),
+  state: EngineState,
+  added: z.array(Model),
+  removed: z.array(Model),
+  /** Requests with a grant, and asks that wait for one. */
+  running: z.int().min(0),
+  waiting: z.int().min(0),
+});
+export type EngineDelta = z.infer<typeof EngineDelta>;
+
+export const EnginesChanged = z.object({
+  type: z.literal('enginesChanged'),
+  engines: z.array(EngineDelta),
+});
+export type EnginesChanged = z.infer<typeof EnginesChanged>;
+
+/** Asks the owner for the whole view of engines after a missed delta. */
+export const EngineViewsAsked = z.object({
+  type: z.literal('engineViewsAsked'),
+  engines: z.array(Name),
+});
+export type EngineViewsAsked = z.infer<typeof EngineViewsAsked>;
 
 /** What this host knows of an engine, from its owner or, as the owner, from the engine itself. */
 export class EngineView {
@@ -25,7 +59,7 @@
   /** Requests running at the time of the report. */
   running = 0;
   waiting = 0;
-  /** Requests that this host sent since the report and that have not ended. */
+  /** Asks that this host sent since the report and that have not ended. */
   sentSince = 0;
   /** Sequence number of the owner's last delta. */
   sequence = 0;
@@ -39,10 +73,25 @@
   }
 }
 
+/** What the last announcement of an owned engine said. */
+export interface Announced {
+  epoch: number;
+  sequence: number;
+  residents: Set<string>;
+  load: number;
+  state: EngineState;
+  at: number;
+}
+
 /** Views of all engines, with an index from `adapter@version` to the engines that hold it. */
 export class Engines {
   readonly views = new Map<string, EngineView>();
-  readonly holders = new Map<string, Set<string>>();
+  readonly holders = new Map<string, HolderList>();
+  /** Owned engines that the next announcement tells of. */
+  readonly changed = new Set<string>();
+  /** What this host last announced of each owned engine. */
+  readonly announced = new Map<string, Announced>();
+  isAnnouncing = false;
 
   private constructor() {}
 
@@ -62,7 +111,7 @@
   address: string;
 }
 
-export interface EngineTimer {
-  type: 'pollEngine';
-  engine: string;
-}
+export type EngineTimer =
+  | { type: 'pollEngine'; engine: string }
+  /** Sends what changed to the linked hosts. */
+  | { type: 'announceEngines' };
--- a/src/engines/views.ts
+++ b/src/engines/views.ts
@@ -1,3 +1,4 @@
+import { HolderList } from './holderList.ts';
 import { type EngineReport, EngineView, type Engines } from './types.ts';
 
 /** Returns the view of `engine`, creating an empty one when there is none. */
@@ -12,7 +13,7 @@
 /** Records that `model` is resident on `engine`. */
 export function addResident(engines: Engines, engine: string, model: string): void {
   getView(engines, engine).residents.add(model);
-  const holders = engines.holders.get(model) ?? new Set<string>();
+  const holders = engines.holders.get(model) ?? HolderList.create();
   holders.add(engine);
   engines.holders.set(model, holders);
 }
@@ -25,6 +26,18 @@
   if (holders?.size === 0) engines.holders.delete(model);
 }
 
+/** Corrects the load of `engine` by asks that this host sent (positive) or that ended. */
+export function updateSent(engines: Engines, engine: string, by: number): void {
+  const view = getView(engines, engine);
+  view.sentSince = Math.max(0, view.sentSince + by);
+}
+
+/** Returns the requests that run or wait at `engine`, as far as this host knows. */
+export function getLoad(engines: Engines, engine: string): number {
+  const view = engines.views.get(engine);
+  return view === undefined ? 0 : view.running + view.waiting + view.sentSince;
+}
+
 /** Takes over a load report; residents of the view become those of the report. */
 export function updateFromReport(
   engines: Engines,
--- a/src/grants/handlers.ts
+++ b/src/grants/handlers.ts
@@ -3,6 +3,7 @@
 import type { State } from '../core/state.ts';
 import type { Effect } from '../core/effects.ts';
 import { addResident, removeResident } from '../engines/views.ts';
+import { removePin } from './pins.ts';
 import { refuse, serveQueue } from './serve.ts';
 import type { GrantAsk, GrantEvent, GrantTimer, OwnedEngine } from './types.ts';
 
@@ -11,7 +12,7 @@
   grantReleased: (state, { engine, request, grant }, _from, now) => {
     const owned = state.grants.owned.get(engine);
     if (owned === undefined) return [];
-    owned.pins.delete(grant);
+    removePin(owned, grant, now);
     owned.queue = owned.queue.filter((ask) => ask.request !== request);
     return serveQueue(state, owned, now);
   },
@@ -28,7 +29,7 @@
     const effects =
       order.type === 'load'
         ? endLoad(state, owned, order.model, answer.type === 'done', now)
-        : endUnload(state, owned, order.model);
+        : endUnload(state, owned, order.model, now);
     const failure = 'reason' in answer ? answer.reason : '';
     if (answer.type !== 'done') {
       effects.push(newLog('warn', `order ${order.type} failed`, { engine, order, failure }));
@@ -40,7 +41,7 @@
 export const grantTimers: TimerHandlers<GrantTimer['type']> = {
   pinExpiry: (state, { engine, grant }, now) => {
     const owned = state.grants.owned.get(engine);
-    if (!owned?.pins.delete(grant)) return [];
+    if (owned === undefined || !removePin(owned, grant, now)) return [];
     return serveQueue(state, owned, now);
   },
   serveQueue: (state, { engine }, now) => {
@@ -77,7 +78,8 @@
   return [];
 }
 
-function endUnload(state: State, owned: OwnedEngine, model: string): Effect[] {
+function endUnload(state: State, owned: OwnedEngine, model: string, now: number): Effect[] {
+  owned.unloadedAt.set(model, now);
   owned.unloading.delete(model);
   removeResident(state.engines, owned.id, model);
   return [];
--- a/src/grants/owned.ts
+++ b/src/grants/owned.ts
@@ -4,7 +4,8 @@
 import { schedule } from '../core/timers.ts';
 import type { EngineReport } from '../engines/types.ts';
 import { getOwner } from '../ownership/owner.ts';
-import { LOAD_BURST } from './constants.ts';
+import { LOAD_BURST, REPORT_LAG_MS } from './constants.ts';
+import { updateUnexplained } from './pins.ts';
 import { serveQueue } from './serve.ts';
 import type { OwnedEngine } from './types.ts';
 
@@ -37,17 +38,31 @@
 ): Effect[] {
   const owned = state.grants.owned.get(engine);
   if (owned === undefined) return [];
+  if (owned.bootId !== '' && owned.bootId !== report.bootId) forgetEngine(owned);
+  owned.bootId = report.bootId;
+  updateUnexplained(owned, report, now);
+  const isRecent = (at: number | undefined) => at !== undefined && at + REPORT_LAG_MS > now;
+  for (const [model, at] of owned.unloadedAt) if (!isRecent(at)) owned.unloadedAt.delete(model);
   const reported = new Set(report.residents);
-  for (const model of [...owned.residents.keys()]) {
-    if (!reported.has(model)) owned.residents.delete(model);
+  for (const [model, { loadedAt }] of [...owned.residents]) {
+    if (!reported.has(model) && !isRecent(loadedAt)) owned.residents.delete(model);
   }
   for (const model of reported) {
     if (owned.unloading.has(model) || owned.residents.has(model)) continue;
+    if (isRecent(owned.unloadedAt.get(model))) continue;
     owned.residents.set(model, { model, loadedAt: now, lastUsedAt: now });
   }
   return serveQueue(state, owned, now);
 }
 
+/** The engine started again and holds nothing. */
+function forgetEngine(owned: OwnedEngine): void {
+  owned.residents.clear();
+  owned.unloadedAt.clear();
+  owned.loading.clear();
+  owned.unloading.clear();
+}
+
 function newOwnedEngine(state: State, id: string, epoch: number, now: number): OwnedEngine {
   const engines = Math.max(1, state.configuration.engines.size);
   return {
@@ -56,9 +71,15 @@
     ownedSince: now,
     queue: [],
     pins: new Map(),
+    pinned: new Map(),
+    pinsByFirm: new Map(),
+    released: [],
+    unexplained: new Set(),
     residents: new Map(),
     loading: new Map(),
     unloading: new Map(),
+    unloadedAt: new Map(),
+    bootId: '',
     budget: TokenBucket.create(state.policy.loadsPerS / engines, LOAD_BURST, now),
   };
 }
--- a/src/grants/serve.ts
+++ b/src/grants/serve.ts
@@ -4,8 +4,10 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import type { Engine } from '../configuration/types.ts';
+import { noteChanged } from '../engines/gossip.ts';
 import { canOrderDestructively } from '../ownership/owner.ts';
 import { ENGINE_CANCEL_MS, MIN_RESIDENCY_MS } from './constants.ts';
+import { addPin, isInUse } from './pins.ts';
 import type { OwnedEngine, QueuedAsk, RefusalReason, Resident } from './types.ts';
 
 const KIND_ORDER = { urgent: 0, ordinary: 1, draft: 2 } as const;
@@ -26,7 +28,9 @@
     }
   }
   owned.queue = left;
-  return [...effects, ...orderLoads(state, owned, engine, now)];
+  effects.push(...orderLoads(state, owned, engine, now));
+  noteChanged(state, owned, now);
+  return effects;
 }
 
 /** Returns the message that refuses `ask`. */
@@ -51,7 +55,7 @@
 function giveGrant(state: State, owned: OwnedEngine, ask: QueuedAsk, now: number): Effect[] {
   const grant = `${state.host.id}-${state.random.getHex(8)}`;
   const expiresAt = ask.arrivedAt + ask.remainingMs + ENGINE_CANCEL_MS;
-  owned.pins.set(grant, {
+  addPin(owned, {
     grant,
     request: ask.request,
     host: ask.from,
@@ -121,9 +125,8 @@
 
 /** Returns the least recently used resident that no grant pins. */
 function getVictim(owned: OwnedEngine, now: number): Resident | undefined {
-  const pinned = new Set([...owned.pins.values()].map((pin) => pin.model));
   return [...owned.residents.values()]
-    .filter(({ model, loadedAt }) => !pinned.has(model) && loadedAt + MIN_RESIDENCY_MS <= now)
+    .filter(({ model, loadedAt }) => !isInUse(owned, model) && loadedAt + MIN_RESIDENCY_MS <= now)
     .sort((a, b) => a.lastUsedAt - b.lastUsedAt)[0];
 }
 
--- a/src/grants/types.ts
+++ b/src/grants/types.ts
@@ -99,11 +99,23 @@
   epoch: number;
   ownedSince: number;
   queue: QueuedAsk[];
+  /** Changes only through pins.ts, which keeps the counts below. */
   pins: Map<string, Pin>;
+  /** Number of pins by `adapter@version`. */
+  pinned: Map<string, number>;
+  pinsByFirm: Map<string, number>;
+  /** Grants released within the lag of a report. */
+  released: { model: string; at: number }[];
+  /** Adapters that the engine runs requests of which no grant explains. */
+  unexplained: Set<string>;
   residents: Map<string, Resident>;
   /** Load orders without an answer, by model, with the time of the order. */
   loading: Map<string, number>;
   unloading: Map<string, number>;
+  /** Times of unloads within the lag of a report. */
+  unloadedAt: Map<string, number>;
+  /** Boot id of the last report. */
+  bootId: string;
   budget: TokenBucket;
 }
 
--- a/src/requests/asking.ts
+++ b/src/requests/asking.ts
@@ -4,6 +4,7 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { Failure } from '../errors/failure.ts';
+import { updateSent } from '../engines/views.ts';
 import { choosePlacement } from '../routing/placement.ts';
 import { ASK_TIMEOUT_MS, MAX_ATTEMPTS, RETRY_BASE_MS, RETRY_MAX_MS } from './constants.ts';
 import { failRequest } from './ending.ts';
@@ -18,6 +19,7 @@
   request.phase = 'asking';
   request.ask += 1;
   request.asked = { engine: placement.engine, owner: placement.owner.host };
+  updateSent(state.engines, placement.engine, 1);
   schedule(state, now + ASK_TIMEOUT_MS, { type: 'askTimeout', id: request.id, ask: request.ask });
   return [
     deliver(state, placement.owner.host, {
--- a/src/requests/handlers.ts
+++ b/src/requests/handlers.ts
@@ -3,6 +3,7 @@
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
+import { updateSent } from '../engines/views.ts';
 import { admitRequest } from './admission.ts';
 import { endAttempt } from './attempts.ts';
 import { askForGrant, retryLater } from './asking.ts';
@@ -51,6 +52,7 @@
     const request = state.requests.inFlight.get(id);
     if (request?.phase !== 'asking' || request.ask !== ask) return [];
     request.excluded.add(engine);
+    updateSent(state.engines, engine, -1);
     request.lastRefusal = reason;
     return retryLater(state, request, now);
   },
@@ -105,8 +107,6 @@
     epoch,
     hasStarted: false,
   };
-  const view = state.engines.views.get(engine);
-  if (view !== undefined) view.sentSince += 1;
   return [
     {
       type: 'startAttempt',
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -1,37 +1,96 @@
-import { getRendezvousOrder } from '../base/hash.ts';
 import type { State } from '../core/state.ts';
+import { getLoad } from '../engines/views.ts';
 import { getOwner, isReachable, type Owner } from '../ownership/owner.ts';
 import type { Request } from '../requests/types.ts';
+import {
+  MAX_HOLDERS_COMPARED,
+  MAX_RING_STEPS,
+  RING_CANDIDATES,
+  RING_OVERFLOW,
+  SECOND_COPY_BACKLOG,
+} from './constants.ts';
+import { getRing } from './rings.ts';
 
 export interface Placement {
   engine: string;
   owner: Owner;
 }
 
-/** Chooses the engine that `request` is sent to; undefined when none can take it. */
+interface Candidate extends Placement {
+  load: number;
+  batch: number;
+}
+
+/**
+ * Chooses the engine that `request` is sent to; undefined when none can take it. A resident copy
+ * with room comes first, then the engine that all hosts choose for the adapter on the ring.
+ */
 export function choosePlacement(state: State, request: Request): Placement | undefined {
-  const model = state.configuration.adapters.get(request.adapter)?.model;
-  const holders = [...(state.engines.holders.get(request.model) ?? [])].filter((engine) =>
-    canTake(state, request, engine),
+  const holder = getLeastLoaded(state, getHolders(state, request));
+  if (holder !== undefined && !isWorthSecondCopy(holder)) return holder;
+  const cold = getRingChoice(state, request);
+  if (holder === undefined) return cold;
+  return cold !== undefined && cold.load < cold.batch / 2 ? cold : holder;
+}
+
+function getHolders(state: State, request: Request): Candidate[] {
+  const holders = state.engines.holders.get(request.model);
+  if (holders === undefined) return [];
+  const start = holders.size > MAX_HOLDERS_COMPARED ? state.random.getInteger(holders.size) : 0;
+  return holders
+    .take(start, MAX_HOLDERS_COMPARED)
+    .flatMap((engine) => newCandidate(state, request, engine) ?? []);
+}
+
+function getRingChoice(state: State, request: Request): Candidate | undefined {
+  const model = state.configuration.adapters.get(request.adapter)?.model ?? '';
+  const found: Candidate[] = [];
+  getRing(state, model)?.find(
+    request.model,
+    RING_CANDIDATES,
+    (engine) => {
+      const candidate = newCandidate(state, request, engine);
+      if (candidate !== undefined) found.push(candidate);
+      return candidate !== undefined;
+    },
+    MAX_RING_STEPS,
   );
-  const pool = [...state.configuration.engines.values()]
-    .filter((engine) => engine.model === model && canTake(state, request, engine.id))
-    .map(({ id }) => id);
-  const resident = holders.sort((a, b) => getLoad(state, a) - getLoad(state, b))[0];
-  const engine = resident ?? getRendezvousOrder(request.model, pool)[0];
-  const owner = engine === undefined ? undefined : getOwner(state, engine);
-  if (engine === undefined || owner === undefined) return undefined;
-  return { engine, owner };
-}
-
-function canTake(state: State, request: Request, engine: string): boolean {
-  if (request.excluded.has(engine) || state.configuration.leaving.has(engine)) return false;
-  if (state.engines.views.get(engine)?.state === 'unreachable') return false;
+  return (
+    found.find(({ load, batch }) => load < batch * (1 + RING_OVERFLOW)) ??
+    getLeastLoaded(state, found)
+  );
+}
+
+/** A full batch with a queue behind it is shorter served by a second copy. */
+function isWorthSecondCopy({ load, batch }: Candidate): boolean {
+  return load >= batch * (1 + SECOND_COPY_BACKLOG);
+}
+
+function newCandidate(state: State, request: Request, engine: string): Candidate | undefined {
+  const { configuration, engines } = state;
+  const known = configuration.engines.get(engine);
+  if (known === undefined || request.excluded.has(engine)) return undefined;
+  const view = engines.views.get(engine)?.state;
+  if (configuration.leaving.has(engine) || view === 'leaving' || view === 'unreachable') {
+    return undefined;
+  }
   const owner = getOwner(state, engine);
-  return owner !== undefined && isReachable(state, owner.host);
+  if (owner === undefined || !isReachable(state, owner.host)) return undefined;
+  return { engine, owner, load: getLoad(engines, engine), batch: known.batch };
 }
 
-function getLoad(state: State, engine: string): number {
-  const view = state.engines.views.get(engine);
-  return view === undefined ? 0 : view.running + view.waiting + view.sentSince;
+/** Returns the candidate with the lowest load for its size; at equal loads one in this zone. */
+function getLeastLoaded(state: State, candidates: Candidate[]): Candidate | undefined {
+  const isFar = ({ engine }: Candidate) =>
+    Number(state.configuration.engines.get(engine)?.zone !== state.host.zone);
+  let best: Candidate | undefined;
+  for (const candidate of candidates) {
+    if (best === undefined) {
+      best = candidate;
+      continue;
+    }
+    const difference = candidate.load / candidate.batch - best.load / best.batch;
+    if (difference < 0 || (difference === 0 && isFar(candidate) < isFar(best))) best = candidate;
+  }
+  return best;
 }
--- /dev/null
+++ b/src/routing/types.ts
@@ -0,0 +1,16 @@
+import type { Ring } from './ring.ts';
+
+/** Rings of the engines of each base model, and the engine set that they were built from. */
+export class Routing {
+  readonly rings = new Map<string, Ring>();
+  /** Configuration revision that `rings` was checked against. */
+  revision = -1;
+  /** Engines and their models that `rings` was built from. */
+  readonly members = new Map<string, string>();
+
+  private constructor() {}
+
+  static create(): Routing {
+    return new Routing();
+  }
+}
