--- a/src/callers/context.ts
+++ b/src/callers/context.ts
@@ -1,14 +1,15 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Event } from '../core/events.ts';
 import type { State } from '../core/state.ts';
-import type { Key } from '../http/keys.ts';
+import type { AccessKey } from '../settings/accessKeys.ts';
+import type { Settings } from '../settings/groups.ts';
 import type { Exchange } from './exchange.ts';
 
 /** What the callers' server needs of the host. */
 export interface CallerHost {
   /** Read only: routes answer reads from it. */
   readonly state: State;
-  readonly keys: readonly Key[];
+  readonly settings: Settings;
   dispatch(event: Event): void;
   /** Keeps body and sink of a request until its answer ends. */
   addExchange(id: string, exchange: Exchange): void;
@@ -20,7 +21,7 @@
   id: string;
   request: IncomingMessage;
   response: ServerResponse;
-  key: Key;
+  key: AccessKey;
   params: Record<string, string | undefined>;
   url: URL;
   host: CallerHost;
--- a/src/callers/requestHeaders.ts
+++ b/src/callers/requestHeaders.ts
@@ -1,8 +1,8 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { Err, Ok, type Result } from 'ts-results';
 import { Failure } from '../errors/failure.ts';
-import { DEFAULT_REQUEST_MS, MAX_REQUEST_MS } from '../requests/constants.ts';
 import type { RequestKind } from '../requests/types.ts';
+import type { Settings } from '../settings/groups.ts';
 
 export interface RequestHeaders {
   kind: RequestKind;
@@ -11,7 +11,10 @@
 }
 
 /** Reads kind and deadline of a request from its headers; fails with `bad_request`. */
-export function parseRequestHeaders(headers: IncomingHttpHeaders): Result<RequestHeaders, Failure> {
+export function parseRequestHeaders(
+  headers: IncomingHttpHeaders,
+  { defaultRequestMs, maxRequestMs }: Settings['limits'],
+): Result<RequestHeaders, Failure> {
   const kind = getHeader(headers, 'x-request-kind') ?? 'ordinary';
   if (kind !== 'urgent' && kind !== 'ordinary') {
     return Err(
@@ -21,7 +24,7 @@
     );
   }
   const deadline = getHeader(headers, 'x-request-deadline-ms');
-  const remainingMs = deadline === undefined ? DEFAULT_REQUEST_MS : Number(deadline);
+  const remainingMs = deadline === undefined ? defaultRequestMs : Number(deadline);
   if (!Number.isFinite(remainingMs) || deadline === '') {
     return Err(
       Failure.create(
@@ -31,7 +34,7 @@
       ),
     );
   }
-  return Ok({ kind, remainingMs: Math.min(remainingMs, MAX_REQUEST_MS) });
+  return Ok({ kind, remainingMs: Math.min(remainingMs, maxRequestMs) });
 }
 
 /** Whether the caller asked for an asynchronous answer (RFC 7240). */
--- a/src/callers/routes/complete.ts
+++ b/src/callers/routes/complete.ts
@@ -1,6 +1,5 @@
 import { Failure } from '../../errors/failure.ts';
 import { readBody } from '../../http/body.ts';
-import { BODY_TIMEOUT_MS, MAX_BODY_BYTES } from '../../http/constants.ts';
 import { sendFailure } from '../../http/reply.ts';
 import type { Call, Route } from '../context.ts';
 import { ChatBody, type Completion, CompletionBody, parseCompletion } from '../completionBody.ts';
@@ -27,15 +26,16 @@
   path: CompletionPath,
   schema: typeof CompletionBody | typeof ChatBody,
 ): Promise<void> {
-  const headers = parseRequestHeaders(call.request.headers);
+  const { limits } = call.host.settings;
+  const headers = parseRequestHeaders(call.request.headers, limits);
   if (headers.err) {
     sendFailure(call.response, headers.val);
     return;
   }
   const arrivedAt = performance.now();
   const bytes = await readBody(call.request, {
-    maxBytes: MAX_BODY_BYTES,
-    timeoutMs: BODY_TIMEOUT_MS,
+    maxBytes: limits.bodyBytes,
+    timeoutMs: limits.slowSenderMs,
   });
   if (bytes.err) {
     call.response.setHeader('connection', 'close');
--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -3,7 +3,7 @@
 import createRouter, { type HTTPVersion, type Instance } from 'find-my-way';
 import { Failure } from '../errors/failure.ts';
 import { findKey } from '../http/keys.ts';
-import { getPort, type ListenAddress, startServer, stopServer } from '../http/listen.ts';
+import { getPort, startServer, stopServer } from '../http/listen.ts';
 import { sendFailure } from '../http/reply.ts';
 import type { CallerHost, Route } from './context.ts';
 import { routes } from './routes/index.ts';
@@ -16,25 +16,27 @@
 
   private constructor(
     private readonly host: CallerHost,
-    private readonly address: ListenAddress,
     private readonly router: Router,
   ) {}
 
-  static create(host: CallerHost, address: ListenAddress): CallerServer {
+  static create(host: CallerHost): CallerServer {
     const router = createRouter({
       ignoreTrailingSlash: true,
       defaultRoute: (request, response) => answerUnknownRoute(router, request, response),
     });
-    const server = new CallerServer(host, address, router);
+    const server = new CallerServer(host, router);
     for (const route of routes) server.addRoute(route);
     return server;
   }
 
   /** Starts to listen and returns the port. */
   async start(): Promise<number> {
-    this.server = await startServer((request, response) => {
-      this.router.lookup(request, response);
-    }, this.address);
+    const { listen, limits } = this.host.settings;
+    this.server = await startServer(
+      (request, response) => void this.router.lookup(request, response),
+      listen.callers,
+      limits.headerBytes,
+    );
     return getPort(this.server);
   }
 
@@ -58,7 +60,7 @@
   ): Promise<void> {
     const id = randomUUID();
     response.setHeader('x-request-id', id);
-    const key = findKey(this.host.keys, request.headers.authorization, 'caller');
+    const key = findKey(this.host.settings.access.keys, request.headers.authorization, 'caller');
     if (key === undefined) {
       const message = 'header Authorization carries no valid caller key';
       sendFailure(response, Failure.create('unauthorized', message));
--- a/src/core/lifecycle.ts
+++ b/src/core/lifecycle.ts
@@ -3,8 +3,6 @@
 import type { State } from './state.ts';
 import { schedule } from './timers.ts';
 
-/** Time for which a stopping host still takes new requests, so that the balancer can react. */
-export const LAME_DUCK_MS = 3_000;
 /** Interval between checks whether anything is still in flight. */
 const DRAIN_CHECK_MS = 50;
 
@@ -21,7 +19,7 @@
 export function startShutdown(state: State, now: number): Effect[] {
   if (state.phase !== 'running') return [];
   state.phase = 'lameDuck';
-  schedule(state, now + LAME_DUCK_MS, { type: 'lameDuckOver' });
+  schedule(state, now + state.policy.lameDuckMs, { type: 'lameDuckOver' });
   return [newLog('info', 'graceful shutdown started')];
 }
 
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -33,6 +33,8 @@
   readonly maxRequestsPerCaller: number;
   /** Requests in flight that this host takes. */
   readonly maxRequests: number;
+  /** Time for which a stopping host still takes new requests, in ms. */
+  readonly lameDuckMs: number;
 }
 
 export interface StateOptions {
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -3,63 +3,44 @@
 import { EngineClient } from '../clients/engineClient.ts';
 import { ObjectClient } from '../clients/objectClient.ts';
 import { TableClient } from '../clients/tableClient.ts';
+import { hash32 } from '../base/hash.ts';
 import type { Event } from '../core/events.ts';
 import type { Message } from '../core/messages.ts';
-import { type HostIdentity, type Policy, State } from '../core/state.ts';
-import type { Key } from '../http/keys.ts';
-import type { ListenAddress } from '../http/listen.ts';
+import { State } from '../core/state.ts';
+import type { Settings } from '../settings/groups.ts';
 import type { HostContext, RunningAttempt } from './context.ts';
 import { Loop } from './loop.ts';
-import type { Observer } from './observer.ts';
+import { Observer } from './observer.ts';
 import { runEffect } from './runners/index.ts';
 
-export interface EntryHostOptions {
-  identity: HostIdentity;
-  policy: Policy;
-  seed: number;
-  keys: readonly Key[];
-  callers: ListenAddress;
-  tableUrl: string;
-  objectsUrl: string;
-  observer: Observer;
-}
-
 /** One entry host: the loop, its clients and its servers. */
 export class EntryHost implements HostContext {
   readonly exchanges = new Map<string, Exchange>();
   readonly attempts = new Map<string, RunningAttempt>();
+  readonly state: State;
+  readonly observer: Observer;
+  readonly table: TableClient;
+  readonly objects: ObjectClient;
+  readonly engines = EngineClient.create();
   private readonly loop: Loop;
   private readonly callerServer: CallerServer;
-  private readonly stopping: Promise<void>;
+  private readonly stopped: Promise<void>;
   private resolveStopped: () => void = () => undefined;
 
-  private constructor(
-    readonly state: State,
-    readonly keys: readonly Key[],
-    readonly observer: Observer,
-    readonly table: TableClient,
-    readonly objects: ObjectClient,
-    readonly engines: EngineClient,
-    callers: ListenAddress,
-  ) {
-    this.loop = Loop.create(state, (effect) => runEffect(this, effect));
-    this.callerServer = CallerServer.create(this, callers);
-    this.stopping = new Promise((resolve) => {
+  private constructor(readonly settings: Settings) {
+    this.state = newState(settings);
+    this.observer = Observer.create(settings);
+    this.table = TableClient.create({ address: settings.platform.tableUrl });
+    this.objects = ObjectClient.create({ address: settings.platform.objectsUrl });
+    this.loop = Loop.create(this.state, (effect) => runEffect(this, effect));
+    this.callerServer = CallerServer.create(this);
+    this.stopped = new Promise((resolve) => {
       this.resolveStopped = resolve;
     });
   }
 
-  static create(options: EntryHostOptions): EntryHost {
-    const { identity, policy, seed } = options;
-    return new EntryHost(
-      State.create({ host: identity, policy, seed }),
-      options.keys,
-      options.observer,
-      TableClient.create({ address: options.tableUrl }),
-      ObjectClient.create({ address: options.objectsUrl }),
-      EngineClient.create(),
-      options.callers,
-    );
+  static create(settings: Settings): EntryHost {
+    return new EntryHost(settings);
   }
 
   /** Starts the servers and the loop; returns the callers' port. */
@@ -72,9 +53,10 @@
   /** Stops gracefully: takes no new work and resolves when nothing is in flight. */
   async stop(): Promise<void> {
     this.dispatch({ type: 'stopRequested' });
-    await this.stopping;
-    await this.callerServer.stop();
+    await this.stopped;
     this.loop.stop();
+    await this.callerServer.stop();
+    await Promise.all([this.engines.close(), this.table.close(), this.objects.close()]);
   }
 
   dispatch(event: Event): void {
@@ -93,3 +75,12 @@
     this.resolveStopped();
   }
 }
+
+function newState({ host, listen, policy, limits }: Settings): State {
+  return State.create({
+    host: { ...host, address: listen.advertised },
+    policy: { ...policy, ...limits },
+    // Hosts draw different numbers, and so does the same host after a restart.
+    seed: hash32(`${host.id}/${host.incarnation}`),
+  });
+}
--- a/src/host/observer.ts
+++ b/src/host/observer.ts
@@ -1,6 +1,25 @@
 import type { Observation } from '../core/observations.ts';
+import { Logger } from '../observe/logger.ts';
+import { Metrics } from '../observe/metrics.ts';
+import type { Settings } from '../settings/groups.ts';
 
-/** Receives what the reducer tells of its work. */
-export interface Observer {
-  observe(observation: Observation): void;
+/** Passes what the reducer tells of its work to the log and the metrics. */
+export class Observer {
+  private constructor(
+    readonly logger: Logger,
+    readonly metrics: Metrics,
+  ) {}
+
+  static create({ host, log }: Settings): Observer {
+    const fields = { host: host.id, zone: host.zone };
+    return new Observer(Logger.create({ level: log.level, fields }), Metrics.create());
+  }
+
+  observe(observation: Observation): void {
+    if (observation.type === 'log') {
+      this.logger.write(observation.level, observation.message, observation.fields);
+    } else {
+      this.metrics.record(observation);
+    }
+  }
 }
--- a/src/http/listen.ts
+++ b/src/http/listen.ts
@@ -3,21 +3,21 @@
 import { Failure } from '../errors/failure.ts';
 import { getFailureBody } from '../errors/failure.ts';
 import { getAnswer } from '../errors/kinds.ts';
-import { KEEP_ALIVE_MS, MAX_HEADER_BYTES } from './constants.ts';
-
-export interface ListenAddress {
-  host: string;
-  port: number;
-}
+import type { Address } from '../settings/values.ts';
+import { KEEP_ALIVE_MS } from './constants.ts';
 
 /** Starts an HTTP server; rejects when the address is in use. Port 0 takes any free port. */
-export function startServer(listener: RequestListener, address: ListenAddress): Promise<Server> {
+export function startServer(
+  listener: RequestListener,
+  address: Address,
+  maxHeaderBytes: number,
+): Promise<Server> {
   const server = createServer(
-    { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: KEEP_ALIVE_MS },
+    { maxHeaderSize: maxHeaderBytes, keepAliveTimeout: KEEP_ALIVE_MS },
     listener,
   );
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-    answerBrokenRequest(error, socket);
+    answerBrokenRequest(error, socket, maxHeaderBytes);
   });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
@@ -38,11 +38,15 @@
   });
 }
 
-function answerBrokenRequest(error: NodeJS.ErrnoException, socket: Socket): void {
+function answerBrokenRequest(
+  error: NodeJS.ErrnoException,
+  socket: Socket,
+  maxHeaderBytes: number,
+): void {
   if (!socket.writable) return;
   const failure =
     error.code === 'HPE_HEADER_OVERFLOW'
-      ? Failure.create('headers_too_large', `the headers are larger than ${MAX_HEADER_BYTES} bytes`)
+      ? Failure.create('headers_too_large', `the headers are larger than ${maxHeaderBytes} bytes`)
       : Failure.create('bad_request', `the request is not valid HTTP: ${error.message}`);
   const body = JSON.stringify(getFailureBody(failure));
   socket.end(
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -1,5 +1,3 @@
-/** Deadline of a request that names none. */
-export const DEFAULT_REQUEST_MS = 60_000;
 /** Longest deadline that a caller may ask for. */
 export const MAX_REQUEST_MS = 120_000;
 /** Attempts at engines for one request. */
--- a/tests/core/thinPath.test.ts
+++ b/tests/core/thinPath.test.ts
@@ -9,7 +9,13 @@
 function newState(): State {
   const state = State.create({
     host: { id: 'h1', zone: 'z', region: 'r', address: '127.0.0.1:1', incarnation: 1 },
-    policy: { stallWeight: 0.5, loadsPerS: 100, maxRequestsPerCaller: 2, maxRequests: 10 },
+    policy: {
+      stallWeight: 0.5,
+      loadsPerS: 100,
+      maxRequestsPerCaller: 2,
+      maxRequests: 10,
+      lameDuckMs: 0,
+    },
     seed: 1,
   });
   applyRevision(state.configuration, {
