--- /dev/null
+++ b/src/cli/quickstart.ts
@@ -0,0 +1,186 @@
+import { Engine } from '../../stand-ins/engine/engine.ts';
+import { HostList } from '../../stand-ins/hostList.ts';
+import { Objects } from '../../stand-ins/objects.ts';
+import type { StandIn } from '../../stand-ins/server.ts';
+import { Service } from '../../stand-ins/service.ts';
+import { Table } from '../../stand-ins/table.ts';
+import { WeightStore } from '../../stand-ins/weightStore.ts';
+import { sha256 } from '../base/hash.ts';
+import { TableClient } from '../clients/tableClient.ts';
+import { HEAD_KEY } from '../configuration/constants.ts';
+import { getRevisionKey } from '../configuration/keys.ts';
+import type { Change, Revision } from '../configuration/types.ts';
+import { EntryHost } from '../host/entryHost.ts';
+import { describeProblems, parseSettings } from '../settings/parse.ts';
+import { getEnvironmentName } from '../settings/types.ts';
+
+const CALLER_KEY = 'demo-caller';
+const OPERATOR_KEY = 'demo-operator';
+const FIRM = 'demo';
+const ZONE = 'local';
+const MODEL = 'demo-base';
+const ENGINE_SLOTS = 4;
+const ENGINE_BATCH = 16;
+const ADAPTERS = ['label-translation', 'order-status', 'session-summary'];
+
+/** The stand-ins of the platform that quickstart runs in its own process. */
+export interface Platform {
+  tableUrl: string;
+  objectsUrl: string;
+  hostsUrl: string;
+  stop(): Promise<void>;
+}
+
+/** Runs one entry host and the stand-ins of the platform in this process until it is told to stop. */
+export async function runQuickstart(argv: string[], env: NodeJS.ProcessEnv): Promise<number> {
+  const platform = await startPlatform();
+  const settings = parseSettings(argv, { ...getDefaults(platform), ...env });
+  if (settings.err) {
+    console.error(describeProblems(settings.val));
+    await platform.stop();
+    return 2;
+  }
+  const host = EntryHost.create(settings.val);
+  const ports = await host.start();
+  printReady(ports.callerPort);
+  await waitForSignal();
+  await host.stop();
+  await platform.stop();
+  return 0;
+}
+
+/** Starts the stand-ins and writes a first configuration into the table. */
+export async function startPlatform(): Promise<Platform> {
+  const table = Table.create();
+  const objects = Objects.create();
+  const hosts = HostList.create();
+  const weights = WeightStore.create();
+  const engines = ['engine-1', 'engine-2'].map((id) =>
+    Engine.create({ id, slots: ENGINE_SLOTS, maxBatch: ENGINE_BATCH }),
+  );
+  const service = Service.create();
+  const parts: StandIn[] = [table, objects, hosts, weights, service, ...engines];
+  const [tableAddress = '', objectsAddress = '', hostsAddress = '', weightsAddress = ''] =
+    await Promise.all(parts.slice(0, 4).map((part) => part.start()));
+  const serviceAddress = await service.start();
+  const engineAddresses = await Promise.all(engines.map((engine) => engine.start()));
+  await writeConfiguration(tableAddress, [
+    ...engineAddresses.map((address, index) => newEngineChange(`engine-${index + 1}`, address)),
+    ...ADAPTERS.map((name) => newAdapterChange(name, weightsAddress)),
+    newServiceChange(serviceAddress),
+  ]);
+  return {
+    tableUrl: `http://${tableAddress}`,
+    objectsUrl: `http://${objectsAddress}`,
+    hostsUrl: `http://${hostsAddress}`,
+    stop: async () => {
+      await Promise.all(parts.map((part) => part.stop()));
+    },
+  };
+}
+
+function newEngineChange(id: string, address: string): Change {
+  return {
+    type: 'putEngine',
+    engine: {
+      id,
+      address,
+      zone: ZONE,
+      pool: 'demo-llm',
+      model: MODEL,
+      slots: ENGINE_SLOTS,
+      batch: ENGINE_BATCH,
+      checksFencing: true,
+    },
+  };
+}
+
+function newAdapterChange(name: string, weightsAddress: string): Change {
+  const source = `http://${weightsAddress}/weights/${name}`;
+  return {
+    type: 'putAdapter',
+    adapter: {
+      name,
+      firm: FIRM,
+      model: MODEL,
+      versions: { v1: { source: `${source}@v1` }, v2: { source: `${source}@v2` } },
+      inForce: 'v2',
+    },
+  };
+}
+
+function newServiceChange(address: string): Change {
+  return {
+    type: 'putService',
+    service: {
+      name: 'bookings',
+      endpoints: [{ id: 'bookings-1', address, zone: ZONE }],
+      repeatable: [{ method: 'GET', path: '/*' }],
+    },
+  };
+}
+
+async function writeConfiguration(tableAddress: string, changes: Change[]): Promise<void> {
+  const revision: Revision = {
+    revision: 1,
+    changes,
+    operator: 'quickstart',
+    confirmedAtUnixMs: Date.now(),
+    plan: 'quickstart',
+  };
+  const condition = { type: 'absent' } as const;
+  const table = TableClient.create({ address: tableAddress });
+  const answer = await table.call({
+    type: 'write',
+    writes: [
+      { type: 'put', key: getRevisionKey(1), value: revision, condition },
+      { type: 'put', key: HEAD_KEY, value: { revision: 1 }, condition },
+    ],
+  });
+  await table.close();
+  if (answer.type !== 'ok') throw new Error(`the first configuration was not written: ${answer.type}`);
+}
+
+/** Settings of quickstart, as environment variables, so that the user's own go before them. */
+function getDefaults({ tableUrl, objectsUrl, hostsUrl }: Platform): Record<string, string> {
+  const keys = [
+    { name: 'demo', firm: FIRM, role: 'caller', sha256: sha256(CALLER_KEY) },
+    { name: 'demo', firm: FIRM, role: 'operator', sha256: sha256(OPERATOR_KEY) },
+  ];
+  const settings = {
+    'host-id': 'quickstart',
+    zone: ZONE,
+    region: 'local',
+    'caller-listen': '127.0.0.1:8080',
+    'operator-listen': '127.0.0.1:8081',
+    'peer-listen': '127.0.0.1:8082',
+    'peer-address': '127.0.0.1:8082',
+    'table-url': tableUrl,
+    'objects-url': objectsUrl,
+    'hosts-url': hostsUrl,
+    keys: JSON.stringify(keys),
+    'loads-per-second': '4',
+    'log-level': 'warn',
+  };
+  return Object.fromEntries(
+    Object.entries(settings).map(([name, value]) => [getEnvironmentName(name), value]),
+  );
+}
+
+function printReady(callerPort: number): void {
+  console.log(
+    [
+      'fireflywick is ready.',
+      `  callers:   http://127.0.0.1:${callerPort}  key ${CALLER_KEY}`,
+      `  operators: http://127.0.0.1:8081  key ${OPERATOR_KEY}`,
+      `  models:    ${ADAPTERS.map((name) => `${name}@v2`).join(', ')}`,
+      'Press Ctrl+C to stop.',
+    ].join('\n'),
+  );
+}
+
+function waitForSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => resolve());
+  });
+}
