--- /dev/null
+++ b/stand-ins/hostList.ts
@@ -0,0 +1,57 @@
+import { z } from 'zod';
+import { ListedHost } from '../src/clients/hostListClient.ts';
+import { Lagged } from './lagged.ts';
+import {
+  type Call,
+  CommonFaults,
+  ListenOptions,
+  parseJson,
+  type Reply,
+  type StandIn,
+  StandInServer,
+} from './server.ts';
+
+const Options = ListenOptions.extend({
+  /** Time after which a change becomes visible. */
+  lagMs: z.number().min(0).default(2_000),
+});
+
+/** Lagging list of hosts; `PUT /hosts` replaces it. */
+export class HostList implements StandIn {
+  private readonly hosts: Lagged<ListedHost[]>;
+  private readonly server: StandInServer;
+
+  private constructor(options: z.infer<typeof Options>) {
+    this.hosts = Lagged.create<ListedHost[]>(options.lagMs, []);
+    this.server = StandInServer.create(options, CommonFaults, (call) => this.handle(call));
+  }
+
+  static create(options: z.input<typeof Options> = {}): HostList {
+    return new HostList(Options.parse(options));
+  }
+
+  start(): Promise<string> {
+    return this.server.start();
+  }
+
+  stop(): Promise<void> {
+    return this.server.stop();
+  }
+
+  setFaults(change: Partial<CommonFaults>): void {
+    this.server.setFaults(change);
+  }
+
+  setHosts(hosts: ListedHost[]): void {
+    this.hosts.set(hosts);
+  }
+
+  private handle(call: Call): Reply {
+    if (call.path !== '/hosts') return { status: 404 };
+    if (call.method === 'GET') return { status: 200, body: this.hosts.get() };
+    const parsed = z.array(ListedHost).safeParse(parseJson(call));
+    if (!parsed.success) return { status: 400 };
+    this.setHosts(parsed.data);
+    return { status: 200 };
+  }
+}
--- /dev/null
+++ b/stand-ins/objects.ts
@@ -0,0 +1,68 @@
+import { z } from 'zod';
+import { TokenBucket } from '../src/base/tokenBucket.ts';
+import {
+  type Call,
+  CommonFaults,
+  ListenOptions,
+  type Reply,
+  type StandIn,
+  StandInServer,
+} from './server.ts';
+
+const Options = ListenOptions.extend({
+  writesPerS: z.number().min(0).default(500),
+  readsPerS: z.number().min(0).default(2_000),
+});
+
+/** Object store in memory. */
+export class Objects implements StandIn {
+  readonly objects = new Map<string, { body: string; version: string }>();
+  private lastVersion = 0;
+  private readonly server: StandInServer;
+  private readonly writes: TokenBucket;
+  private readonly reads: TokenBucket;
+
+  private constructor(options: z.infer<typeof Options>) {
+    const { writesPerS, readsPerS } = options;
+    const now = performance.now();
+    this.writes = TokenBucket.create(writesPerS, writesPerS, now, writesPerS);
+    this.reads = TokenBucket.create(readsPerS, readsPerS, now, readsPerS);
+    this.server = StandInServer.create(options, CommonFaults, (call) => this.handle(call));
+  }
+
+  static create(options: z.input<typeof Options> = {}): Objects {
+    return new Objects(Options.parse(options));
+  }
+
+  start(): Promise<string> {
+    return this.server.start();
+  }
+
+  stop(): Promise<void> {
+    return this.server.stop();
+  }
+
+  setFaults(change: Partial<CommonFaults>): void {
+    this.server.setFaults(change);
+  }
+
+  private handle({ method, path, headers, body }: Call): Reply {
+    const bucket = method === 'GET' ? this.reads : this.writes;
+    if (!bucket.take(performance.now())) return { status: 429 };
+    if (!path.startsWith('/objects/')) return { status: 404 };
+    const key = path.slice('/objects/'.length);
+    const found = this.objects.get(key);
+    if (method === 'GET') {
+      if (found === undefined) return { status: 404 };
+      return { status: 200, headers: { etag: found.version }, body: found.body };
+    }
+    const match = headers['if-match'];
+    if (match !== undefined && match !== found?.version) return { status: 412 };
+    if (headers['if-none-match'] === '*' && found !== undefined) return { status: 412 };
+    if (method === 'DELETE') return { status: this.objects.delete(key) ? 204 : 404 };
+    if (method !== 'PUT') return { status: 405 };
+    const version = String(++this.lastVersion);
+    this.objects.set(key, { body, version });
+    return { status: 200, headers: { etag: version } };
+  }
+}
--- /dev/null
+++ b/stand-ins/service.ts
@@ -0,0 +1,52 @@
+import type { z } from 'zod';
+import {
+  type Call,
+  CommonFaults,
+  ListenOptions,
+  type Reply,
+  type StandIn,
+  StandInServer,
+} from './server.ts';
+
+/** A call that the service executed. */
+export interface ExecutedCall {
+  method: string;
+  path: string;
+  /** Its `Idempotency-Key`; the service itself does not look at it. */
+  key: string | undefined;
+  body: string;
+}
+
+/** Plain service that executes each call it gets, repeated or not, and records it. */
+export class Service implements StandIn {
+  readonly records: ExecutedCall[] = [];
+  private readonly server: StandInServer;
+
+  private constructor(options: z.infer<typeof ListenOptions>) {
+    this.server = StandInServer.create(options, CommonFaults, (call) => this.handle(call));
+  }
+
+  static create(options: z.input<typeof ListenOptions> = {}): Service {
+    return new Service(ListenOptions.parse(options));
+  }
+
+  start(): Promise<string> {
+    return this.server.start();
+  }
+
+  stop(): Promise<void> {
+    return this.server.stop();
+  }
+
+  setFaults(change: Partial<CommonFaults>): void {
+    this.server.setFaults(change);
+  }
+
+  private handle({ method, path, headers, body }: Call): Reply {
+    if (path === '/records') return { status: 200, body: this.records };
+    const header = headers['idempotency-key'];
+    const key = Array.isArray(header) ? header[0] : header;
+    this.records.push({ method, path, key, body });
+    return { status: 200, body: { execution: this.records.length, method, path, key, body } };
+  }
+}
--- /dev/null
+++ b/stand-ins/weightStore.ts
@@ -0,0 +1,133 @@
+import { z } from 'zod';
+import { TokenBucket } from '../src/base/tokenBucket.ts';
+import {
+  type Call,
+  CommonFaults,
+  ListenOptions,
+  type Reply,
+  type StandIn,
+  StandInServer,
+} from './server.ts';
+
+const Options = ListenOptions.extend({
+  /** Loads that may start in a second. */
+  loadsPerS: z.number().positive().default(4),
+  /** Time of a load at full speed. */
+  loadMs: z.number().min(0).default(250),
+  /** Loads in flight up to which each runs at full speed. */
+  fullSpeedLoads: z.int().min(1).default(8),
+});
+
+const Faults = CommonFaults.extend({
+  /** Adapters, as `adapter@version`, whose loads fail after the time of a load. */
+  failLoadsOf: z.array(z.string()).default([]),
+});
+type Faults = z.infer<typeof Faults>;
+
+interface Load {
+  engine: string;
+  remainingMs: number;
+  finish: () => void;
+}
+
+/** Rate-limited store of adapter weights; each GET is a load, and the header `X-Engine` names the engine. */
+export class WeightStore implements StandIn {
+  /** Largest number of loads in flight so far, and loads served by adapter. */
+  readonly records = { maxInFlight: 0, loads: [] as { engine: string; model: string }[] };
+  private readonly server: StandInServer<Faults>;
+  private readonly starts: TokenBucket;
+  private readonly waiting: (() => void)[] = [];
+  private readonly inFlight = new Set<Load>();
+  private updatedAt = 0;
+  private startTimer: NodeJS.Timeout | undefined;
+  private finishTimer: NodeJS.Timeout | undefined;
+
+  private constructor(private readonly options: z.infer<typeof Options>) {
+    const { loadsPerS } = options;
+    const burst = Math.max(1, loadsPerS);
+    this.starts = TokenBucket.create(loadsPerS, burst, performance.now(), burst);
+    this.server = StandInServer.create<Faults>(options, Faults, (call) => this.handle(call));
+  }
+
+  static create(options: z.input<typeof Options> = {}): WeightStore {
+    return new WeightStore(Options.parse(options));
+  }
+
+  start(): Promise<string> {
+    return this.server.start();
+  }
+
+  stop(): Promise<void> {
+    clearTimeout(this.startTimer);
+    clearTimeout(this.finishTimer);
+    return this.server.stop();
+  }
+
+  setFaults(change: Partial<Faults>): void {
+    this.server.setFaults(change);
+  }
+
+  private async handle(call: Call): Promise<Reply> {
+    if (call.path === '/records') return { status: 200, body: this.records };
+    if (call.method !== 'GET') return { status: 405 };
+    const engine = String(call.headers['x-engine'] ?? '');
+    const model = String(call.headers['x-adapter'] ?? call.path.split('/').at(-1));
+    await new Promise<void>((resolve) => {
+      this.waiting.push(resolve);
+      this.startNext();
+    });
+    await this.run(engine);
+    if (this.server.faults.failLoadsOf.includes(model)) return { status: 500 };
+    this.records.loads.push({ engine, model });
+    return { status: 200, body: { model } };
+  }
+
+  private startNext(): void {
+    clearTimeout(this.startTimer);
+    while (this.waiting.length > 0 && this.starts.take(performance.now())) this.waiting.shift()?.();
+    if (this.waiting.length === 0) return;
+    const waitMs = this.starts.getWaitMs(performance.now());
+    this.startTimer = setTimeout(() => this.startNext(), waitMs);
+  }
+
+  private run(engine: string): Promise<void> {
+    return new Promise((finish) => {
+      this.advance();
+      this.inFlight.add({ engine, remainingMs: this.options.loadMs, finish });
+      this.records.maxInFlight = Math.max(this.records.maxInFlight, this.inFlight.size);
+      this.arm();
+    });
+  }
+
+  /** Part of the full speed at which `load` runs now; the loads of one engine share its speed. */
+  private getSpeed(load: Load): number {
+    const ofEngine = [...this.inFlight].filter(({ engine }) => engine === load.engine).length;
+    return Math.min(1, this.options.fullSpeedLoads / this.inFlight.size) / ofEngine;
+  }
+
+  private advance(): void {
+    const now = performance.now();
+    const elapsedMs = now - this.updatedAt;
+    this.updatedAt = now;
+    const speeds = new Map([...this.inFlight].map((load) => [load, this.getSpeed(load)]));
+    for (const [load, speed] of speeds) {
+      load.remainingMs -= elapsedMs * speed;
+      if (load.remainingMs > 0) continue;
+      this.inFlight.delete(load);
+      load.finish();
+    }
+  }
+
+  private arm(): void {
+    clearTimeout(this.finishTimer);
+    if (this.inFlight.size === 0) return;
+    const waits = [...this.inFlight].map((load) => load.remainingMs / this.getSpeed(load));
+    this.finishTimer = setTimeout(
+      () => {
+        this.advance();
+        this.arm();
+      },
+      Math.max(1, Math.ceil(Math.min(...waits))),
+    );
+  }
+}
