Add the engine stand-in, the fault-injecting proxy and their command

The proxy holds bytes back during a cut, as a network with retransmission does.

ts-results needs tslib at run time without declaring it, and Node.js finds no named exports in it, so the clients import it through one module.

--- a/src/clients/hostListClient.ts
+++ b/src/clients/hostListClient.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, type Result } from 'ts-results';
+import { Err, Ok, type Result } from './result.ts';
 import { z } from 'zod';
 import { HOST_LIST_TIMEOUT_MS } from './constants.ts';
 import { Http } from './http.ts';
--- /dev/null
+++ b/stand-ins/engine/adapters.ts
@@ -0,0 +1,63 @@
+import { Http } from '../../src/clients/http.ts';
+
+export interface OrderResult {
+  status: number;
+  message?: string;
+}
+
+/** Time after which the weight store counts as down. */
+const LOAD_TIMEOUT_MS = 25_000;
+
+/** Adapter slots of one run of the engine. */
+export class Adapters {
+  readonly residents = new Set<string>();
+  private readonly loading = new Map<string, Promise<OrderResult>>();
+
+  private constructor(
+    private readonly engine: string,
+    private readonly slots: number,
+    private readonly http: Http,
+  ) {}
+
+  static create(engine: string, slots: number): Adapters {
+    return new Adapters(engine, slots, Http.create());
+  }
+
+  /** Fetches `model` from `source`; never displaces a resident adapter. */
+  load(model: string, source: string, mustFail: boolean): Promise<OrderResult> {
+    if (this.residents.has(model)) return Promise.resolve({ status: 200 });
+    const current = this.loading.get(model);
+    if (current !== undefined) return current;
+    if (this.residents.size + this.loading.size >= this.slots) {
+      return Promise.resolve({ status: 503, message: 'no adapter slot is free' });
+    }
+    const load = this.fetch(model, source)
+      .then((result): OrderResult => {
+        if (mustFail) return { status: 500, message: `loading "${model}" failed` };
+        if (result.status === 200) this.residents.add(model);
+        return result;
+      })
+      .finally(() => this.loading.delete(model));
+    this.loading.set(model, load);
+    return load;
+  }
+
+  private async fetch(model: string, source: string): Promise<OrderResult> {
+    if (!URL.canParse(source)) return { status: 400, message: 'lora_path is not a URL' };
+    const { origin, pathname } = new URL(source);
+    const answer = await this.http.call({
+      address: origin,
+      method: 'GET',
+      path: pathname,
+      headers: { 'x-engine': this.engine, 'x-adapter': model },
+      timeoutMs: LOAD_TIMEOUT_MS,
+    });
+    if (answer.type !== 'answered') return { status: 500, message: answer.reason };
+    if (answer.status === 200) return { status: 200 };
+    return { status: 500, message: `the weight store answered ${answer.status}` };
+  }
+
+  async close(): Promise<void> {
+    await this.http.close();
+  }
+}
--- /dev/null
+++ b/stand-ins/engine/engine.ts
@@ -0,0 +1,209 @@
+import { randomUUID } from 'node:crypto';
+import type { z } from 'zod';
+import type { EngineReport } from '../../src/engines/types.ts';
+import { Lagged } from '../lagged.ts';
+import { type Call, parseJson, type Reply, type StandIn, StandInServer } from '../server.ts';
+import { Adapters } from './adapters.ts';
+import { CompletionBody } from './answer.ts';
+import { Batch } from './batch.ts';
+import { Job } from './job.ts';
+import { EngineFaults, EngineOptions } from './options.ts';
+import { getPromptBlocks, PrefixCache } from './prefixCache.ts';
+import { newRecords } from './records.ts';
+import { ROUTES } from './routes.ts';
+
+/** Finished jobs that can still be resumed. */
+const MAX_FINISHED_JOBS = 1_000;
+
+/** Model engine with adapter slots, a continuous batch and a prefix cache. */
+export class Engine implements StandIn {
+  readonly records = newRecords();
+  bootId = '';
+  role = 'mixed';
+  fencingNumber = 0;
+  adapters!: Adapters;
+  cache!: PrefixCache;
+  private batch!: Batch;
+  private report!: Lagged<EngineReport>;
+  private jobs = new Map<string, Job>();
+  private readonly runs = new Map<Job, (typeof this.records.runs)[number]>();
+  private coldStart: NodeJS.Timeout | undefined;
+  private readonly server: StandInServer<EngineFaults>;
+
+  private constructor(readonly options: EngineOptions) {
+    this.server = StandInServer.create<EngineFaults>(options, EngineFaults, (call) =>
+      this.handle(call),
+    );
+    this.boot();
+  }
+
+  static create(options: z.input<typeof EngineOptions> = {}): Engine {
+    return new Engine(EngineOptions.parse(options));
+  }
+
+  get faults(): EngineFaults {
+    return this.server.faults;
+  }
+
+  start(): Promise<string> {
+    return this.server.start();
+  }
+
+  async stop(): Promise<void> {
+    clearTimeout(this.coldStart);
+    this.abandonAll('cancelled');
+    await Promise.all([this.server.stop(), this.adapters.close()]);
+  }
+
+  setFaults(change: Partial<EngineFaults>): void {
+    this.server.setFaults(change);
+  }
+
+  /** Drops all connections, refuses new ones for the cold start, and starts empty. */
+  crash(): void {
+    const requests = [...this.batch.running].map(({ id }) => id);
+    this.records.crashes.push({ bootId: this.bootId, requests });
+    this.abandonAll('crashed');
+    const { adapters } = this;
+    Promise.all([this.server.stop(), adapters.close()]).catch(() => undefined);
+    this.boot();
+    this.coldStart = setTimeout(() => {
+      this.server.start().catch(() => undefined);
+    }, this.options.coldStartMs);
+  }
+
+  /** The load report as it was some time ago. */
+  getReport(): EngineReport {
+    return this.report.get();
+  }
+
+  /** Jobs that run or wait with `model`. */
+  getUsers(model: string): Job[] {
+    return [...this.runs.keys()].filter((job) => job.body.model === model && !job.isOver);
+  }
+
+  /** Publishes a new load report and brings the records up to date. */
+  update(): void {
+    for (const [job, run] of this.runs) {
+      run.state = job.state;
+      run.tokens = job.tokens;
+      if (job.isOver) this.runs.delete(job);
+    }
+    const running: Record<string, number> = {};
+    for (const { body } of this.batch.running) running[body.model] = (running[body.model] ?? 0) + 1;
+    this.report.set({
+      bootId: this.bootId,
+      running,
+      waiting: this.batch.waitingCount,
+      slots: this.options.slots,
+      residents: [...this.adapters.residents],
+    });
+  }
+
+  /** Starts a completion, or continues the one that `Last-Event-ID` names. */
+  complete(call: Call): Reply | undefined {
+    const header = call.headers['x-request-id'];
+    const id = typeof header === 'string' ? header : randomUUID();
+    const position = call.headers['last-event-id'];
+    if (typeof position === 'string') return this.resume(call, id, Number(position));
+    const parsed = CompletionBody.safeParse(parseJson(call));
+    if (!parsed.success) return newFailure(400, 'the body is not a completion request');
+    const { model } = parsed.data;
+    if (!this.adapters.residents.has(model)) {
+      return newFailure(404, `the model "${model}" does not exist`);
+    }
+    const job = Job.create(id, parsed.data, call.path.includes('/chat/'), this.faults);
+    const run = { request: id, model, bootId: this.bootId, state: job.state, tokens: 0 };
+    this.records.runs.push(run);
+    this.runs.set(job, run);
+    this.remember(job);
+    const remainingMs = Number(call.headers['x-request-deadline-ms']);
+    if (remainingMs > 0) job.deadlineTimer = setTimeout(() => this.cancel(job), remainingMs);
+    this.attach(job, call, 0);
+    this.batch.add(job);
+    return undefined;
+  }
+
+  private resume(call: Call, id: string, position: number): Reply | undefined {
+    const job = this.jobs.get(id);
+    if (job === undefined || job.state === 'cancelled') {
+      return newFailure(404, `request "${id}" is not known`);
+    }
+    clearTimeout(job.abandonTimer);
+    this.attach(job, call, position);
+    return undefined;
+  }
+
+  private attach(job: Job, { response }: Call, position: number): void {
+    response.on('close', () => {
+      job.detach(response);
+      if (job.isAttached || job.isOver) return;
+      clearTimeout(job.abandonTimer);
+      job.abandonTimer = setTimeout(() => this.cancel(job), this.options.resumeWindowMs);
+    });
+    job.attach(response, position);
+  }
+
+  private cancel(job: Job): void {
+    job.end('cancelled');
+    this.batch.remove(job);
+  }
+
+  private remember(job: Job): void {
+    this.jobs.set(job.id, job);
+    if (this.jobs.size <= MAX_FINISHED_JOBS) return;
+    for (const [id, { isOver }] of this.jobs) {
+      if (isOver) this.jobs.delete(id);
+      if (this.jobs.size <= MAX_FINISHED_JOBS) return;
+    }
+  }
+
+  private begin(job: Job): boolean {
+    const { crashOn } = this.faults;
+    if (crashOn !== '' && job.prompt.includes(crashOn)) {
+      this.crash();
+      return false;
+    }
+    const blocks = getPromptBlocks(job.body.model, job.prompt);
+    const missing = blocks.length - this.cache.getHits(blocks);
+    job.prefillSteps = Math.ceil(missing / this.options.blocksPerStep);
+    this.cache.store(blocks);
+    return true;
+  }
+
+  private abandonAll(state: 'cancelled' | 'crashed'): void {
+    for (const job of this.batch.clear()) job.end(state);
+    this.update();
+  }
+
+  private boot(): void {
+    this.bootId = randomUUID();
+    this.fencingNumber = 0;
+    this.role = 'mixed';
+    this.jobs = new Map();
+    this.adapters = Adapters.create(this.options.id, this.options.slots);
+    this.cache = PrefixCache.create(this.options);
+    this.batch = Batch.create(
+      this.options,
+      (job) => this.begin(job),
+      () => this.update(),
+    );
+    this.report = Lagged.create<EngineReport>(this.options.reportLagMs, {
+      bootId: this.bootId,
+      running: {},
+      waiting: 0,
+      slots: this.options.slots,
+      residents: [],
+    });
+  }
+
+  private handle(call: Call): Reply | undefined | Promise<Reply | undefined> {
+    const route = ROUTES[`${call.method} ${call.path}`];
+    return route === undefined ? newFailure(404, 'no such path') : route(this, call);
+  }
+}
+
+/** Returns an error body as the OpenAI protocol has it. */
+export function newFailure(status: number, message: string): Reply {
+  return { status, body: { error: { message, type: 'invalid_request_error' } } };
+}
--- /dev/null
+++ b/stand-ins/engine/prefixCache.ts
@@ -0,0 +1,86 @@
+import { hash32 } from '../../src/base/hash.ts';
+
+/** Characters of the prompt in one cached block. */
+export const BLOCK_CHARS = 64;
+
+export interface CacheEvent {
+  /** Numbered from 1 since the engine's start. */
+  n: number;
+  type: 'stored' | 'removed';
+  block: number;
+}
+
+/** Returns the hash chain of the whole blocks of `prompt` under `model`. */
+export function getPromptBlocks(model: string, prompt: string): number[] {
+  const blocks: number[] = [];
+  let previous = hash32(model);
+  for (let end = BLOCK_CHARS; end <= prompt.length; end += BLOCK_CHARS) {
+    previous = hash32(`${previous}/${prompt.slice(end - BLOCK_CHARS, end)}`);
+    blocks.push(previous);
+  }
+  return blocks;
+}
+
+/** Prefix cache of limited size that publishes its changes late and with gaps. */
+export class PrefixCache {
+  /** Cached blocks, least recently used first. */
+  private readonly blocks = new Set<number>();
+  private readonly events: { at: number; event: CacheEvent }[] = [];
+  private lastEvent = 0;
+
+  private constructor(
+    private readonly options: {
+      cacheBlocks: number;
+      eventLagMs: number;
+      /** Every event with a multiple of this number is lost; 0 loses none. */
+      eventGapEvery: number;
+    },
+  ) {}
+
+  static create(options: {
+    cacheBlocks: number;
+    eventLagMs: number;
+    eventGapEvery: number;
+  }): PrefixCache {
+    return new PrefixCache(options);
+  }
+
+  /** Returns how many of `blocks` are cached from the start. */
+  getHits(blocks: number[]): number {
+    const miss = blocks.findIndex((block) => !this.blocks.has(block));
+    return miss === -1 ? blocks.length : miss;
+  }
+
+  /** Returns those of `blocks` that are cached. */
+  getCached(blocks: number[]): number[] {
+    return blocks.filter((block) => this.blocks.has(block));
+  }
+
+  store(blocks: number[]): void {
+    for (const block of blocks) {
+      if (!this.blocks.delete(block)) this.publish('stored', block);
+      this.blocks.add(block);
+    }
+    for (const block of this.blocks) {
+      if (this.blocks.size <= this.options.cacheBlocks) break;
+      this.blocks.delete(block);
+      this.publish('removed', block);
+    }
+  }
+
+  /** Returns the published events after number `after`. */
+  getEvents(after: number): CacheEvent[] {
+    const latest = performance.now() - this.options.eventLagMs;
+    return this.events
+      .filter(({ at, event }) => at <= latest && event.n > after)
+      .map(({ event }) => event);
+  }
+
+  private publish(type: CacheEvent['type'], block: number): void {
+    const n = ++this.lastEvent;
+    const { eventGapEvery } = this.options;
+    if (eventGapEvery > 0 && n % eventGapEvery === 0) return;
+    this.events.push({ at: performance.now(), event: { n, type, block } });
+    if (this.events.length > 10_000) this.events.splice(0, 5_000);
+  }
+}
--- /dev/null
+++ b/stand-ins/engine/records.ts
@@ -0,0 +1,18 @@
+import type { JobState } from './job.ts';
+
+/** What the engine did since its process began, over all its restarts. */
+export interface EngineRecords {
+  runs: { request: string; model: string; bootId: string; state: JobState; tokens: number }[];
+  evictions: { model: string; bootId: string; inUseBy: string[] }[];
+  crashes: { bootId: string; requests: string[] }[];
+  orders: {
+    type: 'load' | 'unload' | 'role';
+    subject: string;
+    fencingNumber: number | undefined;
+    status: number;
+  }[];
+}
+
+export function newRecords(): EngineRecords {
+  return { runs: [], evictions: [], crashes: [], orders: [] };
+}
--- /dev/null
+++ b/stand-ins/main.ts
@@ -0,0 +1,71 @@
+import meow from 'meow';
+import { ZodError } from 'zod';
+import { Engine } from './engine/engine.ts';
+import { HostList } from './hostList.ts';
+import { Objects } from './objects.ts';
+import { Proxy } from './proxy/proxy.ts';
+import type { StandIn } from './server.ts';
+import { Service } from './service.ts';
+import { Table } from './table.ts';
+import { WeightStore } from './weightStore.ts';
+
+const cli = meow(
+  `
+  Usage
+    $ npm run stand-in -- NAME [--host HOST] [--port PORT] [--OPTION VALUE ...]
+
+  Names
+    engine, service, weights, table, objects, hosts, proxy
+
+  Prints one line of JSON with the address when ready. The proxy also prints the address
+  of its control server when --control-port is given.
+`,
+  { importMeta: import.meta, allowUnknownFlags: true },
+);
+
+type Options = Record<string, unknown>;
+
+// The options come from the command line; `create` checks them.
+const STAND_INS: Record<string, ((options: never) => StandIn) | undefined> = {
+  engine: Engine.create.bind(Engine),
+  service: Service.create.bind(Service),
+  weights: WeightStore.create.bind(WeightStore),
+  table: Table.create.bind(Table),
+  objects: Objects.create.bind(Objects),
+  hosts: HostList.create.bind(HostList),
+  proxy: Proxy.create.bind(Proxy),
+};
+
+function getOptions(): Options {
+  const entries = Object.entries(cli.flags).map(([name, value]) => {
+    const isNumber = typeof value === 'string' && /^\d+(\.\d+)?$/.test(value);
+    return [name, isNumber ? Number(value) : value] as const;
+  });
+  return Object.fromEntries(entries);
+}
+
+async function run(): Promise<void> {
+  const name = cli.input[0] ?? '';
+  const create = STAND_INS[name];
+  if (create === undefined) {
+    console.error(`unknown stand-in "${name}"; see --help`);
+    process.exit(2);
+  }
+  const options = getOptions();
+  const standIn = create(options as never);
+  const address = await standIn.start();
+  const hasControl = standIn instanceof Proxy && options.controlPort !== undefined;
+  const control = hasControl ? { control: await standIn.startControl() } : {};
+  console.log(JSON.stringify({ address, ...control }));
+  const stop = () => {
+    void standIn.stop().finally(() => process.exit(0));
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
+
+run().catch((error: unknown) => {
+  const isUsage = error instanceof ZodError;
+  console.error(isUsage ? error.message : String(error));
+  process.exit(isUsage ? 2 : 1);
+});
--- /dev/null
+++ b/stand-ins/proxy/proxy.ts
@@ -0,0 +1,164 @@
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import type { Server as HttpServer } from 'node:http';
+import { z } from 'zod';
+import { ListenOptions, listen, type StandIn } from '../server.ts';
+import { newControlServer } from './control.ts';
+import { Direction } from './direction.ts';
+
+const Options = ListenOptions.extend({
+  /** `host:port` of the server behind the proxy. */
+  target: z.string(),
+  /** Port of `POST /faults` and `POST /silence`; absent without control over HTTP. */
+  controlPort: z.int().min(0).max(65_535).optional(),
+});
+
+export const ProxyFaults = z.object({
+  /** Added to each direction. */
+  delayMs: z.number().min(0).default(0),
+  /** Number of answers whose connection is closed before their first byte is passed on. */
+  loseAnswers: z.int().min(0).default(0),
+  /** Holds back what clients send until cleared. */
+  cutToServer: z.boolean().default(false),
+  /** Holds back what the server sends until cleared. */
+  cutToClient: z.boolean().default(false),
+  /** Refuses new connections; open ones go on. */
+  refuse: z.boolean().default(false),
+});
+export type ProxyFaults = z.infer<typeof ProxyFaults>;
+
+interface Link {
+  client: Socket;
+  server: Socket;
+  toServer: Direction;
+  toClient: Direction;
+  isSilent: boolean;
+}
+
+/** TCP proxy that injects faults between a client and a server. */
+export class Proxy implements StandIn {
+  faults = ProxyFaults.parse({});
+  private readonly links = new Set<Link>();
+  private listener: Server | undefined;
+  private boundPort: number | undefined;
+  private control: HttpServer | undefined;
+  private changes: Promise<void> = Promise.resolve();
+
+  private constructor(private readonly options: z.infer<typeof Options>) {}
+
+  static create(options: z.input<typeof Options>): Proxy {
+    return new Proxy(Options.parse(options));
+  }
+
+  /** Number of open connections. */
+  get connections(): number {
+    return this.links.size;
+  }
+
+  async start(): Promise<string> {
+    await this.open();
+    return `${this.options.host}:${this.boundPort ?? 0}`;
+  }
+
+  /** Starts the control server and returns its address. */
+  startControl(): Promise<string> {
+    this.control = newControlServer(this);
+    return listen(this.control, this.options.host, this.options.controlPort ?? 0);
+  }
+
+  async stop(): Promise<void> {
+    await this.changes;
+    await this.shut();
+    for (const { client, server } of this.links) {
+      client.destroy();
+      server.destroy();
+    }
+    this.control?.close();
+    this.control?.closeAllConnections();
+  }
+
+  /** Changes the named switches, also for open connections. */
+  setFaults(change: Partial<ProxyFaults>): Promise<void> {
+    this.faults = { ...this.faults, ...change };
+    for (const link of this.links) this.apply(link);
+    this.changes = this.changes.then(() => (this.faults.refuse ? this.shut() : this.open()));
+    return this.changes;
+  }
+
+  /** Makes all open connections silent for good; new ones work. */
+  silence(): void {
+    for (const link of this.links) {
+      link.isSilent = true;
+      this.apply(link);
+    }
+  }
+
+  private async open(): Promise<void> {
+    if (this.listener !== undefined) return;
+    this.listener = createServer({ allowHalfOpen: true }, (client) => this.accept(client));
+    const { host, port } = this.options;
+    const address = await listen(this.listener, host, this.boundPort ?? port);
+    this.boundPort = Number(address.slice(address.lastIndexOf(':') + 1));
+  }
+
+  private shut(): Promise<void> {
+    // Connections stay open, so the callback of `close` may come much later.
+    this.listener?.close();
+    this.listener = undefined;
+    return Promise.resolve();
+  }
+
+  private accept(client: Socket): void {
+    const at = this.options.target.lastIndexOf(':');
+    const host = this.options.target.slice(0, at);
+    const port = Number(this.options.target.slice(at + 1));
+    const server = connect({ host, port, allowHalfOpen: true });
+    client.setNoDelay(true);
+    server.setNoDelay(true);
+    const link: Link = {
+      client,
+      server,
+      toServer: Direction.create(client, server, () => true),
+      toClient: Direction.create(server, client, () => !this.losesAnswer(link)),
+      isSilent: false,
+    };
+    this.links.add(link);
+    this.apply(link);
+    for (const [socket, other] of [
+      [client, server],
+      [server, client],
+    ] as const) {
+      socket.on('error', () => socket.destroy());
+      socket.on('close', (hadError) => {
+        // A silent connection must look open to both sides, and a held-back end is not lost.
+        const mayEnd = hadError || !socket.readableEnded;
+        if (mayEnd && !link.isSilent && !this.isCut()) other.destroy();
+        if (!client.destroyed || !server.destroyed) return;
+        link.toServer.stop();
+        link.toClient.stop();
+        this.links.delete(link);
+      });
+    }
+  }
+
+  private isCut(): boolean {
+    return this.faults.cutToServer || this.faults.cutToClient;
+  }
+
+  private losesAnswer(link: Link): boolean {
+    if (link.isSilent || this.faults.loseAnswers === 0) return false;
+    this.faults.loseAnswers--;
+    link.client.destroy();
+    link.server.destroy();
+    return true;
+  }
+
+  private apply({ toServer, toClient, isSilent }: Link): void {
+    const { delayMs, cutToServer, cutToClient } = this.faults;
+    toServer.isCut = isSilent || cutToServer;
+    toClient.isCut = isSilent || cutToClient;
+    for (const direction of [toServer, toClient]) {
+      direction.delayMs = delayMs;
+      direction.pump();
+    }
+  }
+}
--- a/stand-ins/server.ts
+++ b/stand-ins/server.ts
@@ -141,7 +141,8 @@
   }
 }
 
-async function readCall(request: IncomingMessage, response: ServerResponse): Promise<Call> {
+/** Reads a whole request. */
+export async function readCall(request: IncomingMessage, response: ServerResponse): Promise<Call> {
   const parts: Uint8Array[] = [];
   for await (const part of request) parts.push(part as Uint8Array);
   const url = new URL(request.url ?? '/', 'http://stand-in');
@@ -155,7 +156,8 @@
   };
 }
 
-function send(response: ServerResponse, { status, headers, body }: Reply): void {
+/** Answers once; does nothing on a closed or answered response. */
+export function send(response: ServerResponse, { status, headers, body }: Reply): void {
   if (response.destroyed || response.headersSent) return;
   const isText = typeof body === 'string';
   response.writeHead(status, {
