Serve a request end to end from the command line

npm start runs one entry host with embedded stand-ins; a completion is loaded, run and streamed back through the real clients. ts-results is imported through one module because Node.js finds no named exports in its UMD file.

--- a/src/callers/completionBody.ts
+++ b/src/callers/completionBody.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, type Result } from 'ts-results';
+import { Err, Ok, type Result } from '../base/result.ts';
 import { z } from 'zod';
 import { hash32, sha256 } from '../base/hash.ts';
 import { Failure } from '../errors/failure.ts';
--- a/src/callers/requestHeaders.ts
+++ b/src/callers/requestHeaders.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
-import { Err, Ok, type Result } from 'ts-results';
+import { Err, Ok, type Result } from '../base/result.ts';
 import { Failure } from '../errors/failure.ts';
 import type { RequestKind } from '../requests/types.ts';
 import type { Settings } from '../settings/groups.ts';
--- a/src/cli/quickstart.ts
+++ b/src/cli/quickstart.ts
@@ -10,6 +10,7 @@
 import { HEAD_KEY } from '../configuration/constants.ts';
 import { getRevisionKey } from '../configuration/keys.ts';
 import type { Change, Revision } from '../configuration/types.ts';
+import { waitForSignal } from '../host/entry.ts';
 import { EntryHost } from '../host/entryHost.ts';
 import { describeProblems, parseSettings } from '../settings/parse.ts';
 import { getEnvironmentName } from '../settings/types.ts';
@@ -138,7 +139,8 @@
     ],
   });
   await table.close();
-  if (answer.type !== 'ok') throw new Error(`the first configuration was not written: ${answer.type}`);
+  if (answer.type !== 'ok')
+    throw new Error(`the first configuration was not written: ${answer.type}`);
 }
 
 /** Settings of quickstart, as environment variables, so that the user's own go before them. */
@@ -178,9 +180,3 @@
     ].join('\n'),
   );
 }
-
-function waitForSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => resolve());
-  });
-}
--- a/src/clients/engineClient.ts
+++ b/src/clients/engineClient.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, type Result } from './result.ts';
+import { Err, Ok, type Result } from '../base/result.ts';
 import { EngineReport } from '../engines/types.ts';
 import type { Order, OrderAnswer } from '../grants/types.ts';
 import type { AttemptOutcome } from '../requests/types.ts';
--- a/src/clients/hostListClient.ts
+++ b/src/clients/hostListClient.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, type Result } from './result.ts';
+import { Err, Ok, type Result } from '../base/result.ts';
 import { z } from 'zod';
 import { HOST_LIST_TIMEOUT_MS } from './constants.ts';
 import { Http } from './http.ts';
--- /dev/null
+++ b/src/host/entry.ts
@@ -0,0 +1,36 @@
+import { describeProblems, parseSettings } from '../settings/parse.ts';
+import { EntryHost } from './entryHost.ts';
+
+/**
+ * Runs one entry host until it is told to stop. Prints one JSON line with its ports when it listens.
+ * Returns the exit code: 0 after a graceful shutdown, 1 when it did not end in time, 2 for wrong settings.
+ */
+export async function runEntry(argv: string[], env: NodeJS.ProcessEnv): Promise<number> {
+  const settings = parseSettings(argv, env);
+  if (settings.err) {
+    console.error(describeProblems(settings.val));
+    return 2;
+  }
+  const host = EntryHost.create(settings.val);
+  const ports = await host.start();
+  console.log(JSON.stringify({ ready: true, ...ports }));
+  await waitForSignal();
+  return stopWithin(host, settings.val.limits.shutdownMs);
+}
+
+/** Resolves at the first SIGTERM or SIGINT. */
+export function waitForSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => resolve());
+  });
+}
+
+async function stopWithin(host: EntryHost, limitMs: number): Promise<number> {
+  const limit = setTimeout(() => {
+    console.error(`graceful shutdown did not end within ${limitMs} ms`);
+    process.exit(1);
+  }, limitMs);
+  await host.stop();
+  clearTimeout(limit);
+  return 0;
+}
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { Err, Ok, type Result } from 'ts-results';
+import { Err, Ok, type Result } from '../base/result.ts';
 import { Failure } from '../errors/failure.ts';
 
 interface BodyLimits {
--- a/src/settings/parse.ts
+++ b/src/settings/parse.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, type Result } from 'ts-results';
+import { Err, Ok, type Result } from '../base/result.ts';
 import { OPERATOR_SETTINGS, SETTINGS, type SettingDefinition } from './definitions.ts';
 import { type ParsedFlags, parseFlags } from './flags.ts';
 import type { OperatorSettings, Settings } from './groups.ts';
