Test the clients and stand-ins, and bound what a failed callback can do

A chunk that could not be passed on now ends the attempt; it used to be taken for a broken stream, and the resumed stream skipped the chunk. A cancelled call no longer drops the pool of its engine.

--- a/src/clients/completion.ts
+++ b/src/clients/completion.ts
@@ -225,12 +225,15 @@
     if (chunk.model !== this.options.model) return { type: 'wrongAdapter', reported: chunk.model };
     if (this.isAborted()) return this.getAborted();
     this.tokens = chunk.usage?.completion_tokens ?? this.tokens + 1;
-    if (!this.hasHead) {
+    try {
+      if (!this.hasHead) this.options.onHead();
       this.hasHead = true;
-      this.options.onHead();
+      await this.options.onChunk(data);
+      return undefined;
+    } catch {
+      // The chunk may be lost to the caller, so the stream cannot go on.
+      return { type: 'broken', reason: 'the answer could not be passed on' };
     }
-    await this.options.onChunk(data);
-    return undefined;
   }
 
   private getCompleted(): AttemptOutcome {
--- a/src/clients/constants.ts
+++ b/src/clients/constants.ts
@@ -2,7 +2,8 @@
 export const IDLE_CONNECTION_MS = 4_000;
 /** Time to open a connection. */
 export const CONNECT_TIMEOUT_MS = 1_000;
-export const CONNECTIONS_PER_ADDRESS = 64;
+/** Calls beyond this wait for a connection and count as not sent when their time is over. */
+export const CONNECTIONS_PER_ADDRESS = 256;
 
 export const TABLE_TIMEOUT_MS = 2_000;
 export const OBJECT_TIMEOUT_MS = 5_000;
--- a/src/clients/http.ts
+++ b/src/clients/http.ts
@@ -149,7 +149,7 @@
       close();
       const reason = getReason(error);
       if (!sent.isSent) return { type: 'notSent', refused: isRefused(error), reason };
-      this.drop(call.address);
+      if (call.signal?.aborted !== true) this.drop(call.address);
       return { type: 'lost', reason };
     } finally {
       clearTimeout(timer);
--- a/stand-ins/weightStore.ts
+++ b/stand-ins/weightStore.ts
@@ -67,16 +67,21 @@
     this.server.setFaults(change);
   }
 
-  private async handle(call: Call): Promise<Reply> {
-    if (call.path === '/records') return { status: 200, body: this.records };
-    if (call.method !== 'GET') return { status: 405 };
-    const engine = String(call.headers['x-engine'] ?? '');
-    const model = String(call.headers['x-adapter'] ?? call.path.split('/').at(-1));
+  /** Resolves when the load is through; its time depends on the loads around it. */
+  async load(engine: string): Promise<void> {
     await new Promise<void>((resolve) => {
       this.waiting.push(resolve);
       this.startNext();
     });
     await this.run(engine);
+  }
+
+  private async handle(call: Call): Promise<Reply> {
+    if (call.path === '/records') return { status: 200, body: this.records };
+    if (call.method !== 'GET') return { status: 405 };
+    const engine = String(call.headers['x-engine'] ?? '');
+    const model = String(call.headers['x-adapter'] ?? call.path.split('/').at(-1));
+    await this.load(engine);
     if (this.server.faults.failLoadsOf.includes(model)) return { status: 500 };
     this.records.loads.push({ engine, model });
     return { status: 200, body: { model } };
--- /dev/null
+++ b/tests/clients/chunkOrder.test.ts
@@ -0,0 +1,63 @@
+import { describe, expect, it } from 'vitest';
+import { ChunkOrder } from '../../src/clients/chunkOrder.ts';
+
+describe('ChunkOrder', () => {
+  it.each<{ name: string; chunks: [string | undefined, string][]; expected: string }>([
+    {
+      name: 'keeps an ordered stream',
+      chunks: [
+        ['1', 'a'],
+        ['2', 'b'],
+      ],
+      expected: 'ab',
+    },
+    {
+      name: 'drops repeated chunks',
+      chunks: [
+        ['1', 'a'],
+        ['1', 'a'],
+        ['2', 'b'],
+        ['1', 'a'],
+      ],
+      expected: 'ab',
+    },
+    {
+      name: 'holds chunks that come early',
+      chunks: [
+        ['3', 'c'],
+        ['2', 'b'],
+        ['1', 'a'],
+      ],
+      expected: 'abc',
+    },
+    {
+      name: 'holds everything after a gap',
+      chunks: [
+        ['1', 'a'],
+        ['3', 'c'],
+        ['4', '[DONE]'],
+      ],
+      expected: 'a',
+    },
+    {
+      name: 'refuses an unnumbered end after a gap',
+      chunks: [
+        ['1', 'a'],
+        ['3', 'c'],
+        [undefined, '[DONE]'],
+      ],
+      expected: 'a',
+    },
+    {
+      name: 'passes a stream without numbers',
+      chunks: [
+        [undefined, 'a'],
+        [undefined, 'b'],
+      ],
+      expected: 'ab',
+    },
+  ])('$name', ({ chunks, expected }) => {
+    const order = ChunkOrder.create();
+    expect(chunks.flatMap(([id, data]) => order.take(id, data)).join('')).toBe(expected);
+  });
+});
--- /dev/null
+++ b/tests/clients/completion.test.ts
@@ -0,0 +1,147 @@
+import { describe, expect, it } from 'vitest';
+import { getExpectedText } from '../../stand-ins/engine/answer.ts';
+import type { EngineFaults } from '../../stand-ins/engine/options.ts';
+import { getText, runCompletion, startEngine, until } from '../support.ts';
+
+const EXPECTED = getExpectedText({
+  model: 'label@1',
+  prompt: 'green tea',
+  max_tokens: 12,
+  priority: 5,
+});
+const COMPLETED = { type: 'completed', adapter: 'label', version: '1', tokens: 12 };
+
+describe('startCompletion', () => {
+  it.each<{ name: string; faults: Partial<EngineFaults> }>([
+    { name: 'an undisturbed stream', faults: {} },
+    { name: 'duplicated chunks', faults: { duplicateChunks: true } },
+    { name: 'reordered chunks', faults: { reorderChunks: true } },
+    { name: 'both', faults: { duplicateChunks: true, reorderChunks: true } },
+    { name: 'a break after some chunks', faults: { breakAfter: 5 } },
+    { name: 'a break before the end mark', faults: { breakAfter: 12 } },
+    { name: 'a break among reordered chunks', faults: { breakAfter: 3, reorderChunks: true } },
+  ])('passes the whole answer on once: $name', async ({ faults }) => {
+    const { engine, client, address } = await startEngine();
+    engine.setFaults(faults);
+    const { ended, chunks, heads } = runCompletion(client, address, {});
+    expect(await ended).toEqual(COMPLETED);
+    expect(getText(chunks)).toBe(EXPECTED);
+    expect(heads.count).toBe(1);
+    // A resumed stream continues the same run.
+    expect(engine.records.runs).toHaveLength(1);
+  });
+
+  it('counts the tokens that the engine reports for a chat', async () => {
+    const { client, address } = await startEngine();
+    const messages = [{ role: 'user', content: 'tea' }];
+    const body = { prompt: undefined, messages, stream_options: { include_usage: true } };
+    const { ended, chunks } = runCompletion(client, address, body, {
+      path: '/v1/chat/completions',
+    });
+    expect(await ended).toEqual(COMPLETED);
+    expect(chunks).toHaveLength(13);
+  });
+
+  it.each([{ stream: true }, { stream: false }])(
+    'passes on nothing from a wrong adapter (stream: $stream)',
+    async ({ stream }) => {
+      const { engine, client, address } = await startEngine();
+      engine.setFaults({ reportModel: 'label@2' });
+      const { ended, chunks, heads } = runCompletion(client, address, { stream });
+      expect(await ended).toEqual({ type: 'wrongAdapter', reported: 'label@2' });
+      expect([chunks.length, heads.count]).toEqual([0, 0]);
+    },
+  );
+
+  it('passes the whole JSON answer to a caller that does not stream', async () => {
+    const { client, address } = await startEngine();
+    const { ended, chunks } = runCompletion(client, address, { stream: false });
+    expect(await ended).toEqual(COMPLETED);
+    expect(getText(chunks)).toBe(EXPECTED);
+  });
+
+  it.each([{ stream: true }, { stream: false }])(
+    'continues on a fresh connection after the first went silent (stream: $stream)',
+    async ({ stream }) => {
+      const { engine, client, address, proxy } = await startEngine({ stepMs: 20 });
+      const options = { progressTimeoutMs: 300 };
+      const { ended, chunks } = runCompletion(client, address, { stream }, options);
+      await until(() => engine.records.runs[0]?.state === 'running');
+      proxy.silence();
+      expect(await ended).toEqual(COMPLETED);
+      expect(getText(chunks)).toBe(EXPECTED);
+      expect(engine.records.runs).toHaveLength(1);
+    },
+  );
+
+  it('gives up a stream whose engine crashed, and never claims that it did not run', async () => {
+    const { engine, client, address } = await startEngine();
+    const { ended, chunks } = runCompletion(client, address, { max_tokens: 5_000 });
+    await until(() => chunks.length > 2);
+    engine.crash();
+    expect((await ended).type).toBe('broken');
+    expect(engine.records.crashes).toMatchObject([{ requests: ['r1'] }]);
+  });
+
+  it('reports a crash on a prompt as broken', async () => {
+    const { engine, client, direct } = await startEngine({ coldStartMs: 5_000 });
+    engine.setFaults({ crashOn: 'tea' });
+    const { ended } = runCompletion(client, direct, {});
+    expect((await ended).type).toBe('broken');
+    const again = runCompletion(client, direct, {});
+    expect(await again.ended).toEqual({ type: 'unreachable' });
+  });
+
+  it.each([
+    { name: 'not resident', model: 'label@7', body: {}, expected: { type: 'notResident' } },
+    {
+      name: 'an invalid body',
+      model: 'label@1',
+      body: { max_tokens: -1 },
+      expected: { type: 'refused', status: 400 },
+    },
+  ])('reports a refusal: $name', async ({ model, body, expected }) => {
+    const { client, address } = await startEngine();
+    expect(await runCompletion(client, address, body, { model }).ended).toMatchObject(expected);
+  });
+
+  it('cancels the request on the engine when the caller is gone', async () => {
+    const { engine, client, address } = await startEngine({ resumeWindowMs: 20 });
+    const running = runCompletion(client, address, { max_tokens: 5_000 });
+    await until(() => running.chunks.length > 2);
+    running.cancel();
+    expect(await running.ended).toEqual({ type: 'cancelled' });
+    const passedOn = running.chunks.length;
+    await until(() => engine.records.runs[0]?.state === 'cancelled');
+    expect(running.chunks).toHaveLength(passedOn);
+  });
+
+  it('ends at its deadline, also on the engine', async () => {
+    const { engine, client, address } = await startEngine();
+    const deadline = performance.now() + 150;
+    const { ended } = runCompletion(client, address, { max_tokens: 5_000 }, { deadline });
+    expect((await ended).type).toBe('broken');
+    await until(() => engine.records.runs[0]?.state === 'cancelled');
+  });
+
+  it('does not go on after a chunk that could not be passed on', async () => {
+    const { client, address } = await startEngine();
+    const onChunk = () => Promise.reject(new Error('the caller is gone'));
+    const { ended } = runCompletion(client, address, {}, { onChunk });
+    expect((await ended).type).toBe('broken');
+  });
+
+  it('holds the stream back while the caller is slow', async () => {
+    const { client, address } = await startEngine();
+    let active = 0;
+    const received: string[] = [];
+    const onChunk = async (data: string) => {
+      expect(++active).toBe(1);
+      await new Promise((resolve) => setImmediate(resolve));
+      received.push(data);
+      active--;
+    };
+    expect(await runCompletion(client, address, {}, { onChunk }).ended).toEqual(COMPLETED);
+    expect(getText(received)).toBe(EXPECTED);
+  });
+});
--- /dev/null
+++ b/tests/stand-ins/main.test.ts
@@ -0,0 +1,40 @@
+import { spawn } from 'node:child_process';
+import { createInterface } from 'node:readline';
+import { describe, expect, it } from 'vitest';
+import { Http } from '../../src/clients/http.ts';
+import { closeAfter } from '../support.ts';
+
+function runStandIn(...args: string[]) {
+  const child = spawn(process.execPath, ['--import', 'tsx', 'stand-ins/main.ts', ...args]);
+  const exited = new Promise<number | null>((resolve) => child.once('exit', resolve));
+  return { child, exited };
+}
+
+describe('npm run stand-in', () => {
+  it.each([
+    { args: ['engine', '--port', '0', '--slots', '2'], path: '/load', status: 200 },
+    { args: ['table', '--writes-per-s', '5'], path: '/rows/x', status: 404 },
+    { args: ['objects'], path: '/objects/x', status: 404 },
+    { args: ['hosts', '--lag-ms', '0'], path: '/hosts', status: 200 },
+    { args: ['service'], path: '/records', status: 200 },
+    { args: ['weights', '--loads-per-s', '2.5'], path: '/records', status: 200 },
+  ])('runs $args in a process of its own', async ({ args, path, status }) => {
+    const { child, exited } = runStandIn(...args);
+    const line = await new Promise<string>((resolve) => {
+      createInterface(child.stdout).once('line', resolve);
+    });
+    const { address } = JSON.parse(line) as { address: string };
+    const http = closeAfter(Http.create());
+    const answer = await http.call({ address, method: 'GET', path, timeoutMs: 10_000 });
+    child.kill('SIGTERM');
+    expect(answer).toMatchObject({ type: 'answered', status });
+    expect(await exited).toBe(0);
+  });
+
+  it.each([{ args: ['engine', '--slots', 'many'] }, { args: ['unknown'] }])(
+    'refuses wrong usage: $args',
+    async ({ args }) => {
+      expect(await runStandIn(...args).exited).toBe(2);
+    },
+  );
+});
--- /dev/null
+++ b/tests/support.ts
@@ -0,0 +1,83 @@
+import { afterEach, vi } from 'vitest';
+import { EngineClient } from '../src/clients/engineClient.ts';
+import type { CompletionOptions } from '../src/clients/completion.ts';
+import { Engine } from '../stand-ins/engine/engine.ts';
+import { Proxy } from '../stand-ins/proxy/proxy.ts';
+import type { StandIn } from '../stand-ins/server.ts';
+import { WeightStore } from '../stand-ins/weightStore.ts';
+
+const cleanups: (() => Promise<void>)[] = [];
+
+afterEach(async () => {
+  for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
+});
+
+/** Starts a stand-in that ends with the test; returns its address. */
+export async function startStandIn(standIn: StandIn): Promise<string> {
+  const address = await standIn.start();
+  cleanups.push(() => standIn.stop());
+  return address;
+}
+
+/** Closes `client` at the end of the test. */
+export function closeAfter<T extends { close: () => Promise<void> }>(client: T): T {
+  cleanups.push(() => client.close());
+  return client;
+}
+
+/** Waits until `condition` holds. */
+export function until(condition: () => boolean | Promise<boolean>): Promise<void> {
+  return vi.waitFor(
+    async () => {
+      if (!(await condition())) throw new Error('the condition does not hold');
+    },
+    { timeout: 20_000, interval: 5 },
+  );
+}
+
+/** Starts a weight store, an engine that holds `label@1`, and a proxy before the engine. */
+export async function startEngine(options: Parameters<typeof Engine.create>[0] = {}) {
+  const store = WeightStore.create({ loadMs: 1, loadsPerS: 1_000 });
+  const source = `http://${await startStandIn(store)}/weights/label`;
+  const engine = Engine.create({ stepMs: 2, reportLagMs: 0, coldStartMs: 20, ...options });
+  const direct = await startStandIn(engine);
+  const proxy = Proxy.create({ target: direct });
+  const address = await startStandIn(proxy);
+  const client = closeAfter(EngineClient.create());
+  await client.order(direct, 1, { type: 'load', model: 'label@1', source });
+  return { store, source, engine, direct, proxy, address, client };
+}
+
+/** Runs a completion and collects what is passed on. */
+export function runCompletion(
+  client: EngineClient,
+  address: string,
+  body: Record<string, unknown>,
+  options: Partial<CompletionOptions> = {},
+) {
+  const chunks: string[] = [];
+  const heads = { count: 0 };
+  const running = client.startCompletion({
+    address,
+    path: '/v1/completions',
+    body: { prompt: 'green tea', max_tokens: 12, stream: true, ...body },
+    requestId: 'r1',
+    model: 'label@1',
+    priority: 5,
+    deadline: performance.now() + 30_000,
+    onHead: () => heads.count++,
+    onChunk: (data) => {
+      chunks.push(data);
+    },
+    ...options,
+  });
+  return { ...running, chunks, heads };
+}
+
+/** Returns the text of completion chunks. */
+export function getText(chunks: string[]): string {
+  return chunks
+    .map((data) => JSON.parse(data) as { choices: { text: string }[] })
+    .map(({ choices }) => choices[0]?.text ?? '')
+    .join('');
+}
