Record the resumed streams of the engine stand-in

The tests could not tell a stream resumed at its position from one that was sent again from the start and whose chunks the client dropped. The engine also waits for its listener to close before it listens again.

--- a/src/clients/chunkOrder.ts
+++ b/src/clients/chunkOrder.ts
@@ -35,9 +35,4 @@
       next.push(chunk);
     }
   }
-
-  /** Forgets chunks that arrived early; the resumed stream sends them again. */
-  restart(): void {
-    this.ahead.clear();
-  }
 }
--- a/src/clients/completion.ts
+++ b/src/clients/completion.ts
@@ -115,7 +115,6 @@
       );
       if (this.isAborted()) return this.getAborted();
       this.http.drop(this.options.address);
-      this.order.restart();
       opened = await this.open(true);
     }
   }
--- a/stand-ins/engine/engine.ts
+++ b/stand-ins/engine/engine.ts
@@ -65,10 +65,10 @@
     this.records.crashes.push({ bootId: this.bootId, requests });
     this.abandonAll('crashed');
     const { adapters } = this;
-    Promise.all([this.server.stop(), adapters.close()]).catch(() => undefined);
+    const stopped = Promise.all([this.server.stop(), adapters.close()]);
     this.boot();
     this.coldStart = setTimeout(() => {
-      this.server.start().catch(() => undefined);
+      void stopped.then(() => this.server.start());
     }, this.options.coldStartMs);
   }
 
@@ -130,6 +130,7 @@
       return newFailure(404, `request "${id}" is not known`);
     }
     clearTimeout(job.abandonTimer);
+    this.records.resumes.push({ request: id, position });
     this.attach(job, call, position);
     return undefined;
   }
--- a/stand-ins/engine/records.ts
+++ b/stand-ins/engine/records.ts
@@ -3,6 +3,8 @@
 /** What the engine did since its process began, over all its restarts. */
 export interface EngineRecords {
   runs: { request: string; model: string; bootId: string; state: JobState; tokens: number }[];
+  /** Streams continued on another connection, with the last chunk that the client had. */
+  resumes: { request: string; position: number }[];
   evictions: { model: string; bootId: string; inUseBy: string[] }[];
   crashes: { bootId: string; requests: string[] }[];
   orders: {
@@ -14,5 +16,5 @@
 }
 
 export function newRecords(): EngineRecords {
-  return { runs: [], evictions: [], crashes: [], orders: [] };
+  return { runs: [], resumes: [], evictions: [], crashes: [], orders: [] };
 }
--- a/tests/clients/completion.test.ts
+++ b/tests/clients/completion.test.ts
@@ -12,15 +12,15 @@
 const COMPLETED = { type: 'completed', adapter: 'label', version: '1', tokens: 12 };
 
 describe('startCompletion', () => {
-  it.each<{ name: string; faults: Partial<EngineFaults> }>([
+  it.each<{ name: string; faults: Partial<EngineFaults>; resumedAt?: number }>([
     { name: 'an undisturbed stream', faults: {} },
     { name: 'duplicated chunks', faults: { duplicateChunks: true } },
     { name: 'reordered chunks', faults: { reorderChunks: true } },
     { name: 'both', faults: { duplicateChunks: true, reorderChunks: true } },
-    { name: 'a break after some chunks', faults: { breakAfter: 5 } },
-    { name: 'a break before the end mark', faults: { breakAfter: 12 } },
-    { name: 'a break among reordered chunks', faults: { breakAfter: 3, reorderChunks: true } },
-  ])('passes the whole answer on once: $name', async ({ faults }) => {
+    { name: 'a break after some chunks', faults: { breakAfter: 5 }, resumedAt: 5 },
+    { name: 'a break before the end mark', faults: { breakAfter: 12 }, resumedAt: 12 },
+    { name: 'a break among pairs', faults: { breakAfter: 3, reorderChunks: true }, resumedAt: 4 },
+  ])('passes the whole answer on once: $name', async ({ faults, resumedAt }) => {
     const { engine, client, address } = await startEngine();
     engine.setFaults(faults);
     const { ended, chunks, heads } = runCompletion(client, address, {});
@@ -29,6 +29,8 @@
     expect(heads.count).toBe(1);
     // A resumed stream continues the same run.
     expect(engine.records.runs).toHaveLength(1);
+    const resumes = resumedAt === undefined ? [] : [{ request: 'r1', position: resumedAt }];
+    expect(engine.records.resumes).toEqual(resumes);
   });
 
   it('counts the tokens that the engine reports for a chat', async () => {
