Spend less processor time on a whole answer

Cause: a processor profile of the entry host showed 8% in the stack trace of an Err that readBody created on every normal close, 5% in copying the arrival, 10% in composing a dispatcher for each call, and separate writes for head and body. Ruled out: the reducer itself, 6% of the time. Change: listeners of the body end with it, one dispatcher is composed for each origin, the request is built field by field, and a whole answer is sent in one write with its length. A failure after a whole answer's head was read is now answered as a failure, since nothing was sent.

--- a/src/callers/exchange.ts
+++ b/src/callers/exchange.ts
@@ -9,8 +9,8 @@
 export interface AnswerSink {
   /** Called once, before the first chunk. */
   start(head: AnswerHead): void;
-  /** Passes on a chunk; the promise settles when the receiver can take more. */
-  write(data: string): Promise<void>;
+  /** Passes on a chunk; a promise settles when the receiver can take more. */
+  write(data: string): void | Promise<void>;
   finish(): void;
   fail(failure: Failure): void;
 }
--- a/src/callers/httpSink.ts
+++ b/src/callers/httpSink.ts
@@ -6,6 +6,10 @@
 
 /** Writes an answer to a caller's HTTP response: server-sent events, or one JSON body. */
 export class HttpSink implements AnswerSink {
+  /** The JSON answer, sent in one piece once the answer is whole. */
+  private whole = '';
+  private head: AnswerHead | undefined;
+
   private constructor(
     private readonly response: ServerResponse,
     private readonly isStream: boolean,
@@ -15,20 +19,18 @@
     return new HttpSink(response, isStream);
   }
 
-  start({ adapter, version }: AnswerHead): void {
-    if (this.response.headersSent || this.response.destroyed) return;
-    this.response.writeHead(200, {
-      'content-type': this.isStream ? 'text/event-stream; charset=utf-8' : 'application/json',
-      'cache-control': 'no-cache',
-      'x-adapter': adapter,
-      'x-adapter-version': version,
-    });
+  start(head: AnswerHead): void {
+    if (this.isStream) this.writeHead(head);
+    else this.head = head;
   }
 
-  async write(data: string): Promise<void> {
+  write(data: string): void | Promise<void> {
     if (this.response.destroyed) return;
-    const hasRoom = this.response.write(this.isStream ? `data: ${data}\n\n` : data);
-    if (hasRoom) return;
+    if (!this.isStream) this.whole += data;
+    else if (!this.response.write(`data: ${data}\n\n`)) return this.waitForRoom();
+  }
+
+  private async waitForRoom(): Promise<void> {
     const controller = new AbortController();
     const { signal } = controller;
     await Promise.race([
@@ -39,17 +41,31 @@
   }
 
   finish(): void {
-    this.response.end(this.isStream ? 'data: [DONE]\n\n' : undefined);
+    if (this.isStream) {
+      this.response.end('data: [DONE]\n\n');
+    } else if (this.head !== undefined) {
+      this.writeHead(this.head, { 'content-length': String(Buffer.byteLength(this.whole)) });
+      this.response.end(this.whole);
+    }
   }
 
   /** Before the first byte the failure is the answer; after it, it ends the stream without `[DONE]`. */
   fail(failure: Failure): void {
     if (!this.response.headersSent) {
       sendFailure(this.response, failure);
-    } else if (this.isStream) {
-      this.response.end(`data: ${JSON.stringify(getFailureBody(failure))}\n\n`);
     } else {
-      this.response.destroy();
+      this.response.end(`data: ${JSON.stringify(getFailureBody(failure))}\n\n`);
     }
   }
+
+  private writeHead({ adapter, version }: AnswerHead, headers: Record<string, string> = {}): void {
+    if (this.response.headersSent || this.response.destroyed) return;
+    this.response.writeHead(200, {
+      'content-type': this.isStream ? 'text/event-stream; charset=utf-8' : 'application/json',
+      'cache-control': 'no-cache',
+      'x-adapter': adapter,
+      'x-adapter-version': version,
+      ...headers,
+    });
+  }
 }
--- a/src/clients/http.ts
+++ b/src/clients/http.ts
@@ -53,14 +53,22 @@
   return address.includes('://') ? new URL(address).origin : `http://${address}`;
 }
 
-/** Returns a handler that passes everything on and calls `markSent` before the first byte is written. */
+/** Whether a byte of a call may have been written; passed through undici as the call's `opaque`. */
+interface Progress {
+  isSent: boolean;
+}
+
+/** Marks a call as sent before its first byte is written. */
+const markSent: Dispatcher.DispatcherComposeInterceptor = (dispatch) => (options, handler) =>
+  dispatch(options, newSentHandler(handler, (options as { opaque?: Progress }).opaque));
+
 function newSentHandler(
   handler: Dispatcher.DispatchHandler,
-  markSent: () => void,
+  progress: Progress | undefined,
 ): Dispatcher.DispatchHandler {
   return {
     onRequestStart: (controller, context) => {
-      markSent();
+      if (progress !== undefined) progress.isSent = true;
       handler.onRequestStart?.(controller, context);
     },
     onResponseStart: (...args) => handler.onResponseStart?.(...args),
@@ -79,9 +87,15 @@
   return error instanceof Error ? error.message || error.name : String(error);
 }
 
+/** Kept connections to one origin. */
+interface Connections {
+  agent: Agent;
+  marked: Dispatcher;
+}
+
 /** HTTP calls over kept connections. Never repeats a call and never throws. */
 export class Http {
-  private readonly pools = new Map<string, Agent>();
+  private readonly pools = new Map<string, Connections>();
 
   private constructor() {}
 
@@ -115,27 +129,21 @@
   async open(call: HttpCall): Promise<OpenAnswer | HttpFailure> {
     const origin = getOrigin(call.address);
     const client = call.isFresh === true ? new Client(origin, OPTIONS) : undefined;
-    const dispatcher: Dispatcher = client ?? this.getPool(origin);
+    const dispatcher = client?.compose(markSent) ?? this.getPool(origin).marked;
     const close = () => {
       client?.destroy().catch(() => undefined);
     };
-    const sent = { isSent: false };
-    const marked = dispatcher.compose(
-      (dispatch) => (options, handler) =>
-        dispatch(
-          options,
-          newSentHandler(handler, () => (sent.isSent = true)),
-        ),
-    );
+    const progress: Progress = { isSent: false };
     const abort = new AbortController();
     const timer = setTimeout(() => abort.abort(new Error(TIMED_OUT)), call.timeoutMs);
     try {
-      const answer = await marked.request({
+      const answer = await dispatcher.request({
         origin,
         path: call.path,
         method: call.method,
         headers: call.headers,
         body: call.body,
+        opaque: progress,
         signal: call.signal ? AbortSignal.any([abort.signal, call.signal]) : abort.signal,
       });
       return {
@@ -148,7 +156,7 @@
     } catch (error) {
       close();
       const reason = getReason(error);
-      if (!sent.isSent) return { type: 'notSent', refused: isRefused(error), reason };
+      if (!progress.isSent) return { type: 'notSent', refused: isRefused(error), reason };
       if (call.signal?.aborted !== true) this.drop(call.address);
       return { type: 'lost', reason };
     } finally {
@@ -162,20 +170,21 @@
     const pool = this.pools.get(origin);
     if (pool === undefined) return;
     this.pools.delete(origin);
-    pool.close().catch(() => undefined);
+    pool.agent.close().catch(() => undefined);
   }
 
   /** Closes all connections at once. */
   async close(): Promise<void> {
     const pools = [...this.pools.values()];
     this.pools.clear();
-    await Promise.all(pools.map((pool) => pool.destroy()));
+    await Promise.all(pools.map(({ agent }) => agent.destroy()));
   }
 
-  private getPool(origin: string): Agent {
+  private getPool(origin: string): Connections {
     let pool = this.pools.get(origin);
     if (pool === undefined) {
-      pool = new Agent({ ...OPTIONS, connections: CONNECTIONS_PER_ADDRESS });
+      const agent = new Agent({ ...OPTIONS, connections: CONNECTIONS_PER_ADDRESS });
+      pool = { agent, marked: agent.compose(markSent) };
       this.pools.set(origin, pool);
     }
     return pool;
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -20,24 +20,26 @@
     let size = 0;
     const end = (result: Result<Buffer, Failure>) => {
       clearTimeout(timer);
-      request.removeAllListeners('data');
+      request.off('data', take);
+      request.off('end', finish);
+      request.off('close', abandon);
       resolve(result);
     };
     const timer = setTimeout(() => {
       end(Err(Failure.create('slow_sender', `the body did not arrive within ${timeoutMs} ms`)));
     }, timeoutMs);
-    request.on('data', (chunk: Buffer) => {
+    const take = (chunk: Buffer) => {
       size += chunk.length;
       if (size <= maxBytes) chunks.push(chunk);
       else end(Err(Failure.create('body_too_large', `the body is larger than ${maxBytes} bytes`)));
-    });
-    request.on('end', () => end(Ok(Buffer.concat(chunks))));
-    request.on('close', () =>
-      end(
-        Err(
-          Failure.create('cancelled', 'the sender closed the connection', { outcome: 'not_run' }),
-        ),
-      ),
-    );
+    };
+    const finish = () => end(Ok(Buffer.concat(chunks)));
+    const abandon = () => {
+      const message = 'the sender closed the connection';
+      end(Err(Failure.create('cancelled', message, { outcome: 'not_run' })));
+    };
+    request.on('data', take);
+    request.on('end', finish);
+    request.on('close', abandon);
   });
 }
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -65,8 +65,18 @@
 }
 
 function newRequest(state: State, arrival: NewRequest, version: string, now: number): Request {
+  // Listed one by one: a spread of `arrival` took 5% of the time of a request.
   return {
-    ...arrival,
+    id: arrival.id,
+    firm: arrival.firm,
+    caller: arrival.caller,
+    kind: arrival.kind,
+    adapter: arrival.adapter,
+    deadline: arrival.deadline,
+    fingerprint: arrival.fingerprint,
+    promptBlocks: arrival.promptBlocks,
+    maxTokens: arrival.maxTokens,
+    draft: arrival.draft,
     version,
     model: `${arrival.adapter}@${version}`,
     priority: state.configuration.callerOrder.get(arrival.caller) ?? DEFAULT_PRIORITY,
