Plan, confirm and spread the configuration through the reducer

A confirm writes head, revision and audit entry in one transaction that names the plan, so that a lost answer is settled by reading which plan followed the base. A write without an answer may still take effect late; it is repeated with the same conditions instead of being reported as failed.

A host that starts while the table service is down takes the configuration from a peer, because it must serve what its zone can serve without the platform.

An engine can be removed only after it was leaving, since removing a live engine would interrupt its requests.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,6 +16,7 @@
   'suspects',
   'actions',
   'drafts',
+  'operators',
   'core',
 ];
 const io = ['clients', 'peers', 'observe', 'callers', 'admin', 'host', 'settings', 'cli'];
--- /dev/null
+++ b/src/configuration/accept.ts
@@ -0,0 +1,77 @@
+import type { Effect } from '../core/effects.ts';
+import { newLog } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import { updateOwned } from '../grants/owned.ts';
+import { applyRevision } from './apply.ts';
+import { RECENT_REVISIONS, SNAPSHOT_EVERY } from './constants.ts';
+import { getSnapshotKey } from './keys.ts';
+import { applySnapshot, getSnapshot, type Snapshot } from './snapshot.ts';
+import { getPeerRevision, type Source, spreadRevision } from './spread.ts';
+import type { Revision } from './types.ts';
+
+/** Applies those of `revisions` that are next, in order, and passes them on. Others are ignored. */
+export function acceptRevisions(
+  state: State,
+  revisions: readonly Revision[],
+  source: Source,
+  now: number,
+): Effect[] {
+  const { configuration, sync } = state;
+  const effects: Effect[] = [];
+  const before = configuration.revision;
+  for (const revision of revisions) {
+    if (!applyRevision(configuration, revision)) continue;
+    sync.recent = [...sync.recent, revision].slice(-RECENT_REVISIONS);
+    effects.push(...spreadRevision(state, revision, source));
+    // The host that confirmed a revision writes the snapshot; others leave it alone.
+    if (source.type === 'confirmed' && revision.revision % SNAPSHOT_EVERY === 0) {
+      const body = JSON.stringify(getSnapshot(configuration));
+      effects.push(newSnapshotWrite(revision.revision, body));
+    }
+  }
+  return configuration.revision === before ? [] : [...effects, ...updateInForce(state, now)];
+}
+
+/** Returns the effect that writes a snapshot to the object store. */
+export function newSnapshotWrite(revision: number, body: string): Effect {
+  return {
+    type: 'callObjects',
+    call: { type: 'put', key: getSnapshotKey(revision), body },
+    purpose: { type: 'writeSnapshot', revision, body },
+  };
+}
+
+/** Replaces the configuration by a newer snapshot; an older one is ignored. */
+export function acceptSnapshot(state: State, snapshot: Snapshot, now: number): Effect[] {
+  if (!applySnapshot(state.configuration, snapshot)) return [];
+  state.sync.recent = [];
+  return updateInForce(state, now);
+}
+
+/**
+ * Marks the host as current once it has a configuration and no newer one is known: not in the table,
+ * or, while the table is silent, not at its peers.
+ */
+export function updateIsCurrent(state: State): void {
+  const { sync, configuration } = state;
+  if (sync.isCurrent || configuration.revision === 0) return;
+  const newest = sync.isTableSilent ? getNewestPeerRevision(state) : sync.headRevision;
+  sync.isCurrent = newest !== undefined && configuration.revision >= newest;
+}
+
+function getNewestPeerRevision(state: State): number {
+  const { host, membership, sync } = state;
+  const peers = new Set([...membership.hosts.keys(), ...sync.peerRevisions.keys()]);
+  peers.delete(host.id);
+  return [...peers].reduce((newest, peer) => Math.max(newest, getPeerRevision(state, peer)), 0);
+}
+
+function updateInForce(state: State, now: number): Effect[] {
+  const { revision } = state.configuration;
+  updateIsCurrent(state);
+  return [
+    newLog('info', 'configuration is in force', { revision }),
+    { type: 'gauge', metric: 'fireflywick_configuration_revision', labels: {}, value: revision },
+    ...updateOwned(state, now),
+  ];
+}
--- a/src/configuration/constants.ts
+++ b/src/configuration/constants.ts
@@ -6,3 +6,18 @@
 export const REVISION_SCAN_LIMIT = 200;
 export const HEAD_KEY = 'configuration/head';
 export const REVISION_PREFIX = 'configuration/change/';
+export const SNAPSHOT_PREFIX = 'configuration/snapshot/';
+/** Revisions between two snapshots in the object store. */
+export const SNAPSHOT_EVERY = 200;
+/** Time after which a failed write of a snapshot is repeated. */
+export const SNAPSHOT_RETRY_MS = 5_000;
+/** Hosts of a zone that poll at `HEAD_POLL_MS`. */
+export const POLLERS = 2;
+/** Time after which an unanswered read of the configuration is sent again. */
+export const READ_TIMEOUT_MS = 10_000;
+/** Revisions kept in memory for peers that are behind. */
+export const RECENT_REVISIONS = 200;
+/** Changes that one message between hosts may carry; keeps messages well under 1 MiB. */
+export const MESSAGE_CHANGES = 500;
+export const PLAN_PREFIX = 'plan/';
+export const AUDIT_PREFIX = 'audit/';
--- a/src/configuration/handlers.ts
+++ b/src/configuration/handlers.ts
@@ -5,13 +5,26 @@
 import type { State } from '../core/state.ts';
 import type { StoredRow } from '../core/store.ts';
 import { schedule } from '../core/timers.ts';
-import { updateOwned } from '../grants/owned.ts';
-import { applyRevision } from './apply.ts';
-import { HEAD_KEY, HEAD_POLL_MS, REVISION_PREFIX, REVISION_SCAN_LIMIT } from './constants.ts';
-import { getRevisionKey } from './keys.ts';
+import { acceptRevisions, acceptSnapshot, newSnapshotWrite, updateIsCurrent } from './accept.ts';
+import { HEAD_KEY, SNAPSHOT_EVERY, SNAPSHOT_RETRY_MS } from './constants.ts';
+import {
+  askPeer,
+  getPollInterval,
+  loadRevisions,
+  newRevisionScan,
+  newSnapshotRead,
+  readHead,
+} from './polling.ts';
+import { Snapshot } from './snapshot.ts';
 import { Revision } from './types.ts';
 
-const Head = z.object({ revision: z.int().min(0) });
+/** Row `configuration/head`. */
+export const Head = z.object({ revision: z.int().min(0) });
+
+export type ConfigurationTimer =
+  | { type: 'pollConfiguration' }
+  /** Repeats the write of a snapshot. */
+  | { type: 'writeSnapshot'; revision: number; body: string };
 
 /** Starts polling the table service for new revisions. */
 export function startConfiguration(state: State, now: number): Effect[] {
@@ -19,61 +32,76 @@
   return [];
 }
 
-export const configurationTimers: TimerHandlers<'pollConfiguration'> = {
+export const configurationTimers: TimerHandlers<ConfigurationTimer['type']> = {
   pollConfiguration: (state, _timer, now) => {
-    schedule(state, now + HEAD_POLL_MS, { type: 'pollConfiguration' });
-    return [
-      { type: 'callTable', call: { type: 'get', key: HEAD_KEY }, purpose: { type: 'readHead' } },
-    ];
+    schedule(state, now + getPollInterval(state), { type: 'pollConfiguration' });
+    return [...readHead(state, now), ...askPeer(state)];
+  },
+  writeSnapshot: (state, { revision, body }) => {
+    // Once the next snapshot is due, this one saves nobody a read.
+    const isOutdated = state.configuration.revision >= revision + SNAPSHOT_EVERY;
+    return isOutdated ? [] : [newSnapshotWrite(revision, body)];
   },
 };
 
 export const configurationTableHandlers: TableAnswerHandlers<'readHead' | 'readRevisions'> = {
-  readHead: (state, _purpose, answer) => {
+  readHead: (state, _purpose, answer, { now }) => {
+    const { sync } = state;
+    sync.headAskedAt = -Infinity;
+    sync.isTableSilent = answer.type !== 'ok' && answer.type !== 'missing';
+    if (answer.type === 'missing') sync.headRevision ??= 0;
     const row = answer.type === 'ok' ? answer.rows[0] : undefined;
-    if (row === undefined) return [];
-    const head = Head.safeParse(row.value);
-    if (!head.success) return [newLog('error', `row ${HEAD_KEY} is malformed`)];
-    return head.data.revision > state.configuration.revision ? [newRevisionScan(state)] : [];
+    if (row !== undefined) {
+      const head = Head.safeParse(row.value);
+      if (!head.success) return [newLog('error', `row ${HEAD_KEY} is malformed`)];
+      sync.headRevision = Math.max(sync.headRevision ?? 0, head.data.revision);
+    }
+    updateIsCurrent(state);
+    return sync.isTableSilent ? askPeer(state) : loadRevisions(state, now);
   },
   readRevisions: (state, _purpose, answer, { now }) => {
+    state.sync.loadingSince = -Infinity;
     if (answer.type !== 'ok') return [];
     const before = state.configuration.revision;
-    const effects = answer.rows.flatMap((row) => applyRow(state, row));
-    if (state.configuration.revision === before) return effects;
-    return [...effects, ...updateOwned(state, now)];
+    const parsed = answer.rows.map((row) => parseRevision(row));
+    const revisions = parsed.flatMap((result) => (result.success ? [result.data] : []));
+    const malformed = answer.rows
+      .filter((_row, index) => parsed[index]?.success !== true)
+      .map(({ key }) => newLog('error', `row ${key} is malformed`));
+    const effects = acceptRevisions(state, revisions, { type: 'table' }, now);
+    // Without progress the next poll tries again, so that a malformed row causes no busy loop.
+    const hasMoved = state.configuration.revision > before;
+    return [...malformed, ...effects, ...(hasMoved ? loadRevisions(state, now) : [])];
   },
 };
 
-export const configurationObjectHandlers: ObjectAnswerHandlers<'readSnapshot'> = {
-  readSnapshot: () => [],
+export const configurationObjectHandlers: ObjectAnswerHandlers<'readSnapshot' | 'writeSnapshot'> = {
+  readSnapshot: (state, { revision }, answer, now) => {
+    const { configuration } = state;
+    const snapshot = answer.type === 'ok' ? parseSnapshot(answer.body) : undefined;
+    if (snapshot !== undefined) {
+      return [...acceptSnapshot(state, snapshot, now), newRevisionScan(configuration.revision)];
+    }
+    // The newest snapshot may be missing when its writer stopped; the one before it serves as well.
+    const earlier = revision - SNAPSHOT_EVERY;
+    const isUseful = answer.type === 'missing' && earlier > configuration.revision;
+    return [isUseful ? newSnapshotRead(earlier) : newRevisionScan(configuration.revision)];
+  },
+  writeSnapshot: (state, { revision, body }, answer, now) => {
+    if (answer.type === 'ok') return [];
+    schedule(state, now + SNAPSHOT_RETRY_MS, { type: 'writeSnapshot', revision, body });
+    return [newLog('warn', 'snapshot of the configuration was not written', { revision })];
+  },
 };
 
-function newRevisionScan(state: State): Effect {
-  const after = state.configuration.revision;
-  return {
-    type: 'callTable',
-    call: {
-      type: 'scan',
-      prefix: REVISION_PREFIX,
-      after: getRevisionKey(after),
-      limit: REVISION_SCAN_LIMIT,
-    },
-    purpose: { type: 'readRevisions', after },
-  };
+function parseRevision(row: StoredRow) {
+  return Revision.safeParse(row.value);
 }
 
-function applyRow(state: State, row: StoredRow): Effect[] {
-  const revision = Revision.safeParse(row.value);
-  if (!revision.success) return [newLog('error', `row ${row.key} is malformed`)];
-  if (!applyRevision(state.configuration, revision.data)) return [];
-  return [
-    newLog('info', 'configuration is in force', { revision: revision.data.revision }),
-    {
-      type: 'gauge',
-      metric: 'fireflywick_configuration_revision',
-      labels: {},
-      value: revision.data.revision,
-    },
-  ];
+function parseSnapshot(body: string): Snapshot | undefined {
+  try {
+    return Snapshot.safeParse(JSON.parse(body)).data;
+  } catch {
+    return undefined;
+  }
 }
--- a/src/configuration/keys.ts
+++ b/src/configuration/keys.ts
@@ -1,8 +1,27 @@
-import { REVISION_PREFIX } from './constants.ts';
+import { AUDIT_PREFIX, PLAN_PREFIX, REVISION_PREFIX, SNAPSHOT_PREFIX } from './constants.ts';
 
 const REVISION_DIGITS = 12;
 
 /** Returns the row key of a revision; keys sort in revision order. */
 export function getRevisionKey(revision: number): string {
-  return REVISION_PREFIX + String(revision).padStart(REVISION_DIGITS, '0');
+  return REVISION_PREFIX + getDigits(revision);
+}
+
+/** Returns the object key of the snapshot at a revision. */
+export function getSnapshotKey(revision: number): string {
+  return SNAPSHOT_PREFIX + getDigits(revision);
+}
+
+/** Returns the row key of the audit entry of a revision. */
+export function getAuditKey(revision: number): string {
+  return AUDIT_PREFIX + getDigits(revision);
+}
+
+/** Returns the row key of a plan. */
+export function getPlanKey(id: string): string {
+  return PLAN_PREFIX + id;
+}
+
+function getDigits(revision: number): string {
+  return String(revision).padStart(REVISION_DIGITS, '0');
 }
--- /dev/null
+++ b/src/configuration/peerHandlers.ts
@@ -0,0 +1,68 @@
+import type { MessageHandlers } from '../core/handlers.ts';
+import type { State } from '../core/state.ts';
+import { acceptRevisions, acceptSnapshot } from './accept.ts';
+import type { ConfigurationMessage } from './messages.ts';
+import { loadRevisions } from './polling.ts';
+import { getPeerRevision, newCatchUp } from './spread.ts';
+import type { Change } from './types.ts';
+
+export const configurationMessages: MessageHandlers<ConfigurationMessage['type']> = {
+  revisionPushed: (state, { revision }, from, now) => {
+    updatePeerRevision(state, from, revision.revision);
+    const { configuration } = state;
+    if (revision.revision <= configuration.revision) return [];
+    // The sender sends what lies between as well, so that no revision is skipped.
+    if (revision.revision > configuration.revision + 1) {
+      const after = configuration.revision;
+      return [{ type: 'sendMessage', to: from, message: { type: 'revisionsAsked', after } }];
+    }
+    return acceptRevisions(state, [revision], { type: 'peer', host: from }, now);
+  },
+  revisionAnnounced: (state, { revision }, from, now) => {
+    updatePeerRevision(state, from, revision);
+    if (revision <= state.configuration.revision) return [];
+    // Only accepted revisions are announced, so the head row has at least this one.
+    state.sync.headRevision = Math.max(state.sync.headRevision ?? 0, revision);
+    return loadRevisions(state, now);
+  },
+  revisionsAsked: (state, { after }, from) => {
+    // A restarted peer has less than it had before.
+    state.sync.peerRevisions.set(from, after);
+    return newCatchUp(state, from, after);
+  },
+  snapshotPushed: (state, { revision, part, parts, changes }, from, now) => {
+    updatePeerRevision(state, from, revision);
+    const all = collectPart(state, from, { revision, part, parts, changes });
+    return all === undefined ? [] : acceptSnapshot(state, { revision, changes: all }, now);
+  },
+};
+
+interface Part {
+  revision: number;
+  part: number;
+  parts: number;
+  changes: Change[];
+}
+
+/** Keeps one part of a snapshot; returns all changes once the last part is there. */
+function collectPart(state: State, from: string, part: Part): Change[] | undefined {
+  const { partial } = state.sync;
+  if (part.revision <= state.configuration.revision) {
+    partial.delete(from);
+    return undefined;
+  }
+  let known = partial.get(from);
+  if (known?.revision !== part.revision) {
+    known = { revision: part.revision, parts: new Map() };
+    partial.set(from, known);
+  }
+  known.parts.set(part.part, part.changes);
+  if (known.parts.size < part.parts) return undefined;
+  partial.delete(from);
+  const { parts } = known;
+  return Array.from({ length: part.parts }, (_, index) => parts.get(index) ?? []).flat();
+}
+
+function updatePeerRevision(state: State, host: string, revision: number): void {
+  state.sync.peerRevisions.set(host, Math.max(revision, getPeerRevision(state, host)));
+}
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,6 +1,7 @@
 import type { EngineEffect } from '../engines/types.ts';
 import type { GrantEffect } from '../grants/types.ts';
 import type { MembershipEffect } from '../membership/types.ts';
+import type { OperatorEffect } from '../operators/types.ts';
 import type { RequestEffect } from '../requests/types.ts';
 import type { Message } from './messages.ts';
 import type { Observation } from './observations.ts';
@@ -21,4 +22,5 @@
   | RequestEffect
   | EngineEffect
   | GrantEffect
-  | MembershipEffect;
+  | MembershipEffect
+  | OperatorEffect;
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -1,6 +1,7 @@
 import type { EngineEvent } from '../engines/types.ts';
 import type { GrantEvent } from '../grants/types.ts';
 import type { MembershipEvent } from '../membership/types.ts';
+import type { OperatorEvent } from '../operators/types.ts';
 import type { RequestEvent } from '../requests/types.ts';
 import type { Message } from './messages.ts';
 import type { ObjectPurpose, TablePurpose } from './purposes.ts';
@@ -20,4 +21,5 @@
   | RequestEvent
   | EngineEvent
   | GrantEvent
-  | MembershipEvent;
+  | MembershipEvent
+  | OperatorEvent;
--- a/src/core/lifecycle.ts
+++ b/src/core/lifecycle.ts
@@ -14,7 +14,7 @@
 
 /** Whether the host wants new requests from the balancer. */
 export function isReady(state: State): boolean {
-  return state.phase === 'running' && state.configuration.revision > 0;
+  return state.phase === 'running' && state.sync.isCurrent;
 }
 
 /** Starts a graceful shutdown; a second request to stop changes nothing. */
@@ -34,7 +34,7 @@
 /** Ends the host once nothing is in flight. */
 export function checkDrained(state: State, now: number): Effect[] {
   if (state.phase !== 'draining') return [];
-  if (state.requests.inFlight.size > 0) {
+  if (state.requests.inFlight.size + state.operators.asks.size > 0) {
     schedule(state, now + DRAIN_CHECK_MS, { type: 'checkDrained' });
     return [];
   }
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -1,4 +1,10 @@
 import { z } from 'zod';
+import {
+  RevisionAnnounced,
+  RevisionPushed,
+  RevisionsAsked,
+  SnapshotPushed,
+} from '../configuration/messages.ts';
 import { GrantAsk, GrantGiven, GrantRefused, GrantReleased } from '../grants/types.ts';
 
 /** Every message between hosts, parsed at the link before it reaches the reducer. */
@@ -7,5 +13,9 @@
   GrantGiven,
   GrantRefused,
   GrantReleased,
+  RevisionPushed,
+  RevisionAnnounced,
+  RevisionsAsked,
+  SnapshotPushed,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/core/purposes.ts
+++ b/src/core/purposes.ts
@@ -1,11 +1,13 @@
+import type { OperatorPurpose } from '../operators/types.ts';
+
 /** Why a store call was made; the answer is handled by the table entry of its purpose. */
 export type TablePurpose =
   /** Reads `configuration/head`. */
   | { type: 'readHead' }
   /** Reads the revisions after `after`. */
-  | { type: 'readRevisions'; after: number };
+  | { type: 'readRevisions'; after: number }
+  | OperatorPurpose;
 
-export interface ObjectPurpose {
-  type: 'readSnapshot';
-  revision: number;
-}
+export type ObjectPurpose =
+  | { type: 'readSnapshot'; revision: number }
+  | { type: 'writeSnapshot'; revision: number; body: string };
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -3,9 +3,13 @@
   configurationTableHandlers,
   configurationTimers,
 } from '../configuration/handlers.ts';
+import { configurationMessages } from '../configuration/peerHandlers.ts';
 import { engineEvents, engineTimers } from '../engines/handlers.ts';
 import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
 import { membershipEvents } from '../membership/handlers.ts';
+import { operatorTableHandlers } from '../operators/actions/index.ts';
+import { confirmTimers } from '../operators/actions/confirmPlan.ts';
+import { operatorEvents } from '../operators/handlers.ts';
 import { requestEvents, requestMessages, requestTimers } from '../requests/handlers.ts';
 import type { Effect } from './effects.ts';
 import type { Event } from './events.ts';
@@ -24,7 +28,11 @@
 
 type Untyped = (...args: unknown[]) => Effect[];
 
-const messages: MessageHandlers<Message['type']> = { ...grantMessages, ...requestMessages };
+const messages: MessageHandlers<Message['type']> = {
+  ...configurationMessages,
+  ...grantMessages,
+  ...requestMessages,
+};
 
 const timers: TimerHandlers<Timer['type']> = {
   ...configurationTimers,
@@ -32,9 +40,13 @@
   ...grantTimers,
   ...requestTimers,
   ...hostTimers,
+  ...confirmTimers,
 };
 
-const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = { ...configurationTableHandlers };
+const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = {
+  ...configurationTableHandlers,
+  ...operatorTableHandlers,
+};
 
 const objectAnswers: ObjectAnswerHandlers<ObjectPurpose['type']> = {
   ...configurationObjectHandlers,
@@ -46,6 +58,7 @@
   ...engineEvents,
   ...grantEvents,
   ...membershipEvents,
+  ...operatorEvents,
   tick: (state, _event, now) => runDueTimers(state, now),
   messageReceived: (state, { from, message }, now) => {
     const handler = messages[message.type] as Untyped;
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -1,11 +1,13 @@
 import { Actions } from '../actions/types.ts';
 import { MinHeap } from '../base/minHeap.ts';
 import { Random } from '../base/random.ts';
+import { ConfigurationSync } from '../configuration/sync.ts';
 import { Configuration } from '../configuration/types.ts';
 import { Drafts } from '../drafts/types.ts';
 import { Engines } from '../engines/types.ts';
 import { Grants } from '../grants/types.ts';
 import { Membership } from '../membership/types.ts';
+import { Operators } from '../operators/types.ts';
 import { Ownership } from '../ownership/types.ts';
 import { Requests } from '../requests/types.ts';
 import { Suspects } from '../suspects/types.ts';
@@ -47,6 +49,7 @@
   readonly random: Random;
   readonly timers = MinHeap.create<Timer>();
   readonly configuration = Configuration.create();
+  readonly sync = ConfigurationSync.create();
   readonly membership = Membership.create();
   readonly ownership = Ownership.create();
   readonly engines = Engines.create();
@@ -55,6 +58,7 @@
   readonly suspects = Suspects.create();
   readonly actions = Actions.create();
   readonly drafts = Drafts.create();
+  readonly operators = Operators.create();
 
   private constructor(
     readonly host: HostIdentity,
--- a/src/host/context.ts
+++ b/src/host/context.ts
@@ -6,6 +6,7 @@
 import type { Event } from '../core/events.ts';
 import type { Message } from '../core/messages.ts';
 import type { State } from '../core/state.ts';
+import type { OperatorAnswer } from '../operators/types.ts';
 import type { Observer } from './observer.ts';
 
 /** An attempt that the host relays. */
@@ -23,6 +24,8 @@
   readonly exchanges: Map<string, Exchange>;
   readonly attempts: Map<string, RunningAttempt>;
   dispatch(event: Event): void;
+  /** Hands the answer to an operator's question to the server that asked. */
+  answerOperator(id: string, answer: OperatorAnswer): void;
   send(to: string, message: Message): void;
   /** Called when the reducer has nothing left to do before the process ends. */
   onStopped(): void;
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -89,6 +89,10 @@
     if (to === this.state.host.id) this.dispatch({ type: 'messageReceived', from: to, message });
   }
 
+  answerOperator(): void {
+    // The server for operators is not started here yet.
+  }
+
   onStopped(): void {
     this.resolveStopped();
   }
--- a/src/host/runners/index.ts
+++ b/src/host/runners/index.ts
@@ -12,6 +12,7 @@
   gauge: (context, effect) => context.observer.observe(effect),
   openLink: () => undefined,
   closeLink: () => undefined,
+  answerOperator: (context, effect) => context.answerOperator(effect.id, effect.answer),
   stopped: (context) => context.onStopped(),
 };
 
--- a/src/http/keys.ts
+++ b/src/http/keys.ts
@@ -8,7 +8,7 @@
   firm: Name,
   role: z.enum(['caller', 'operator']),
   /** SHA-256 of the key in lower-case hex. */
-  sha256: z.string().regex(/^[0-9a-f]{64}$/),
+  sha256: z.string().regex(/^[0-9a-f]{64}$/, '64 lower-case hex digits'),
 });
 export type Key = z.infer<typeof Key>;
 
--- /dev/null
+++ b/src/operators/actions/index.ts
@@ -0,0 +1,29 @@
+import type { TableAnswerHandlers } from '../../core/handlers.ts';
+import type { OperatorAction } from '../answer.ts';
+import type { OperatorCommand, OperatorPurpose } from '../types.ts';
+import { confirmPlan, confirmPlanAnswers } from './confirmPlan.ts';
+import { listAudit, listAuditAnswers } from './listAudit.ts';
+import { listEngines } from './listEngines.ts';
+import { listHosts } from './listHosts.ts';
+import { listSuspects } from './listSuspects.ts';
+import { makePlan, makePlanAnswers } from './makePlan.ts';
+import { showConfiguration } from './showConfiguration.ts';
+import { showPlan, showPlanAnswers } from './showPlan.ts';
+
+export const actions: { [T in OperatorCommand['type']]: OperatorAction<T> } = {
+  showConfiguration,
+  makePlan,
+  showPlan,
+  confirmPlan,
+  listAudit,
+  listHosts,
+  listEngines,
+  listSuspects,
+};
+
+export const operatorTableHandlers: TableAnswerHandlers<OperatorPurpose['type']> = {
+  ...makePlanAnswers,
+  ...showPlanAnswers,
+  ...confirmPlanAnswers,
+  ...listAuditAnswers,
+};
--- /dev/null
+++ b/src/operators/actions/listEngines.ts
@@ -0,0 +1,21 @@
+import { getOwner } from '../../ownership/owner.ts';
+import { answerDone, type OperatorAction } from '../answer.ts';
+
+/** Lists all engines of the configuration with what this host knows of them. */
+export const listEngines: OperatorAction<'listEngines'> = (state, ask) => {
+  const { configuration, engines } = state;
+  const list = [...configuration.engines.values()].map((engine) => {
+    const view = engines.views.get(engine.id);
+    return {
+      ...engine,
+      owner: getOwner(state, engine.id)?.host ?? null,
+      isLeaving: configuration.leaving.has(engine.id),
+      role: configuration.roles.get(engine.id) ?? 'mixed',
+      state: view?.state ?? 'unknown',
+      residents: [...(view?.residents ?? [])],
+      running: view?.running ?? 0,
+      waiting: view?.waiting ?? 0,
+    };
+  });
+  return answerDone(state, ask, { engines: list });
+};
--- /dev/null
+++ b/src/operators/types.ts
@@ -0,0 +1,91 @@
+import { z } from 'zod';
+import type { Intent } from '../configuration/intent.ts';
+import type { Plan } from '../configuration/plan.ts';
+import type { Failure } from '../errors/failure.ts';
+
+/** What an operator asks a host to do. */
+export type OperatorCommand =
+  | { type: 'showConfiguration' }
+  | { type: 'makePlan'; intent: Intent }
+  | { type: 'showPlan'; plan: string }
+  | { type: 'confirmPlan'; plan: string }
+  /** Entries after the key `after`; without it, the newest ones. */
+  | { type: 'listAudit'; after: string | undefined; limit: number }
+  | { type: 'listHosts' }
+  | { type: 'listEngines' }
+  | { type: 'listSuspects' };
+
+export interface OperatorEvent {
+  type: 'operatorAsked';
+  /** Identifies the question in `answerOperator`. */
+  id: string;
+  /** Name of the operator's key. */
+  operator: string;
+  command: OperatorCommand;
+  /** Unix ms by the clock of the host; only recorded, never compared. */
+  atUnixMs: number;
+}
+
+export type OperatorAnswer =
+  | { type: 'done'; status: 200 | 201; body: unknown }
+  | { type: 'refused'; failure: Failure; details: string[] };
+
+export interface OperatorEffect {
+  type: 'answerOperator';
+  id: string;
+  answer: OperatorAnswer;
+}
+
+/** A question that waits for the table service. */
+export interface Ask extends Omit<OperatorEvent, 'type'> {
+  /** Monotonic ms. */
+  askedAt: number;
+  confirm: ConfirmProgress | undefined;
+}
+
+export interface ConfirmProgress {
+  plan: Plan;
+  /** Whether a write was sent whose answer was lost. */
+  mayBeWritten: boolean;
+}
+
+export type OperatorPurpose =
+  | { type: 'writePlan'; ask: string; plan: Plan }
+  | { type: 'readPlan'; ask: string }
+  | { type: 'readAudit'; ask: string }
+  /** Steps of a confirm, in their order. */
+  | { type: 'confirmReadPlan'; ask: string }
+  | { type: 'confirmReadHead'; ask: string }
+  | { type: 'confirmWrite'; ask: string }
+  | { type: 'confirmReadRevision'; ask: string }
+  | { type: 'confirmReadSince'; ask: string };
+
+export interface OperatorTimer {
+  type: 'retryConfirm';
+  ask: string;
+}
+
+/** Row `audit/...`: what an operator changed. */
+export const AuditEntry = z.object({
+  action: z.string(),
+  operator: z.string(),
+  atUnixMs: z.int(),
+  /** Revision that the action made. */
+  revision: z.int().min(0),
+  /** Plan that was confirmed. */
+  plan: z.string(),
+  /** The changes in words. */
+  lines: z.array(z.string()),
+});
+export type AuditEntry = z.infer<typeof AuditEntry>;
+
+export class Operators {
+  /** Questions without an answer, by id. */
+  readonly asks = new Map<string, Ask>();
+
+  private constructor() {}
+
+  static create(): Operators {
+    return new Operators();
+  }
+}
--- a/src/settings/accessKeys.ts
+++ b/src/settings/accessKeys.ts
@@ -1,17 +1,8 @@
 import { readFileSync } from 'node:fs';
 import { z } from 'zod';
-import { Name } from '../configuration/types.ts';
+import { Key } from '../http/keys.ts';
 
-export const AccessKey = z.strictObject({
-  name: Name,
-  firm: Name,
-  role: z.enum(['caller', 'operator']),
-  /** SHA-256 of the key in lower-case hex. */
-  sha256: z.string().regex(/^[0-9a-f]{64}$/, '64 lower-case hex digits'),
-});
-export type AccessKey = z.infer<typeof AccessKey>;
-
-const AccessKeys = z.array(AccessKey).superRefine((keys, context) => {
+const AccessKeys = z.array(Key).superRefine((keys, context) => {
   const seen = new Set<string>();
   keys.forEach((key, index) => {
     if (seen.has(key.sha256)) {
@@ -22,7 +13,7 @@
 });
 
 /** Keys of callers and operators: a JSON list, or the path of a file that holds one. */
-export const AccessKeyList: z.ZodType<AccessKey[], string | undefined> = z
+export const AccessKeyList: z.ZodType<Key[], string | undefined> = z
   .string({ error: 'is required' })
   .transform((text, context) => {
     const fail = (message: string) => {
--- /dev/null
+++ b/tests/configuration/cluster.ts
@@ -0,0 +1,138 @@
+import type { Effect } from '../../src/core/effects.ts';
+import type { Event } from '../../src/core/events.ts';
+import { reduce } from '../../src/core/reduce.ts';
+import { State } from '../../src/core/state.ts';
+import type { ObjectAnswer, RowWrite, TableAnswer, TableCall } from '../../src/core/store.ts';
+import type { Message } from '../../src/core/messages.ts';
+import type { OperatorAnswer, OperatorCommand } from '../../src/operators/types.ts';
+
+/** Decides what a call meets; undefined lets it through. `late` applies a write and loses the answer. */
+export type Fault = (call: TableCall) => 'down' | 'lost' | 'late' | undefined;
+
+/** Several hosts' reducers over one table in memory; messages arrive at once and in order. */
+export class Cluster {
+  readonly rows = new Map<string, { value: unknown; version: string }>();
+  readonly objects = new Map<string, string>();
+  readonly states = new Map<string, State>();
+  readonly answers = new Map<string, OperatorAnswer>();
+  fault: Fault = () => undefined;
+  dropsMessages = false;
+  now = 0;
+  private version = 0;
+
+  private constructor() {}
+
+  static create(...hosts: string[]): Cluster {
+    const cluster = new Cluster();
+    for (const host of hosts) cluster.addHost(host);
+    return cluster;
+  }
+
+  addHost(id: string, zone = 'z'): State {
+    const state = State.create({
+      host: { id, zone, region: 'r', address: '127.0.0.1:1', incarnation: 1 },
+      policy: { stallWeight: 0.5, loadsPerS: 1, maxRequestsPerCaller: 1, maxRequests: 1 },
+      seed: this.states.size + 1,
+    });
+    for (const [other, { membership }] of this.states) {
+      membership.linked.add(id);
+      state.membership.linked.add(other);
+    }
+    this.states.set(id, state);
+    this.feed(id, { type: 'started' });
+    return state;
+  }
+
+  getState(id: string): State {
+    const state = this.states.get(id);
+    if (state === undefined) throw new Error(`no host ${id}`);
+    return state;
+  }
+
+  ask(host: string, command: OperatorCommand, operator = 'op'): OperatorAnswer | undefined {
+    const id = `ask-${this.answers.size}-${operator}`;
+    this.feed(host, { type: 'operatorAsked', id, operator, command, atUnixMs: 1 });
+    return this.answers.get(id);
+  }
+
+  feed(host: string, event: Event): void {
+    for (const effect of reduce(this.getState(host), event, this.now)) this.run(host, effect);
+  }
+
+  /** Lets time pass in steps that no timer is shorter than. */
+  advance(ms: number): void {
+    for (const end = this.now + ms; this.now < end;) {
+      this.now += 100;
+      for (const host of this.states.keys()) this.feed(host, { type: 'tick' });
+    }
+  }
+
+  send(from: string, to: string, message: Message): void {
+    this.feed(to, { type: 'messageReceived', from, message });
+  }
+
+  private run(host: string, effect: Effect): void {
+    if (effect.type === 'answerOperator') this.answers.set(effect.id, effect.answer);
+    if (effect.type === 'sendMessage' && !this.dropsMessages) {
+      this.send(host, effect.to, effect.message);
+    }
+    if (effect.type === 'callTable') {
+      const answer = this.answerTable(effect.call);
+      const { purpose } = effect;
+      this.feed(host, { type: 'tableAnswered', purpose, answer, sentAt: this.now });
+    }
+    if (effect.type === 'callObjects') {
+      const { purpose, call } = effect;
+      if (call.type === 'put') this.objects.set(call.key, call.body);
+      const body = this.objects.get(call.key);
+      const answer: ObjectAnswer = body === undefined ? { type: 'missing' } : { type: 'ok', body };
+      this.feed(host, { type: 'objectAnswered', purpose, answer });
+    }
+  }
+
+  private answerTable(call: TableCall): TableAnswer {
+    const fault = this.fault(call);
+    if (fault === 'down') return { type: 'unavailable', reason: 'down' };
+    if (fault === 'lost') return { type: 'unknown', reason: 'lost' };
+    const answer = this.getAnswer(call);
+    return fault === 'late' ? { type: 'unknown', reason: 'late' } : answer;
+  }
+
+  private getAnswer(call: TableCall): TableAnswer {
+    if (call.type === 'write') return this.write(call.writes);
+    if (call.type === 'get') {
+      const row = this.rows.get(call.key);
+      return row === undefined
+        ? { type: 'missing' }
+        : { type: 'ok', rows: [{ key: call.key, ...row }] };
+    }
+    const keys = [...this.rows.keys()].filter((k) => k.startsWith(call.prefix) && k > call.after);
+    const rows = keys.sort().slice(0, call.limit);
+    return {
+      type: 'ok',
+      rows: rows.flatMap((key) => {
+        const row = this.rows.get(key);
+        return row === undefined ? [] : [{ key, ...row }];
+      }),
+    };
+  }
+
+  private write(writes: RowWrite[]): TableAnswer {
+    const holds = writes.every(({ key, condition }) => {
+      const version = this.rows.get(key)?.version;
+      if (condition.type === 'any') return true;
+      return condition.type === 'absent' ? version === undefined : version === condition.version;
+    });
+    if (!holds) return { type: 'conflict' };
+    for (const write of writes) {
+      this.version += 1;
+      if (write.type === 'delete') this.rows.delete(write.key);
+      // Through JSON, as on the wire, so that hosts share no objects.
+      else {
+        const value = JSON.parse(JSON.stringify(write.value)) as unknown;
+        this.rows.set(write.key, { value, version: String(this.version) });
+      }
+    }
+    return { type: 'ok', rows: [] };
+  }
+}
