--- a/tests/configuration/cluster.ts
+++ b/tests/configuration/cluster.ts
@@ -31,7 +31,13 @@
   addHost(id: string, zone = 'z'): State {
     const state = State.create({
       host: { id, zone, region: 'r', address: '127.0.0.1:1', incarnation: 1 },
-      policy: { stallWeight: 0.5, loadsPerS: 1, maxRequestsPerCaller: 1, maxRequests: 1 },
+      policy: {
+        stallWeight: 0.5,
+        loadsPerS: 1,
+        maxRequestsPerCaller: 1,
+        maxRequests: 1,
+        lameDuckMs: 1,
+      },
       seed: this.states.size + 1,
     });
     for (const [other, { membership }] of this.states) {
