Serve operators over HTTP

Routes are a table of commands that the reducer answers, so that the HTTP server holds no decisions. Health, readiness and metrics need no key, because balancers and scrapers have none. A host that is shutting down waits for open questions too.

--- /dev/null
+++ b/src/admin/routes/commands.ts
@@ -0,0 +1,68 @@
+import { Err, Ok, type Result } from 'ts-results';
+import { parseIntent } from '../../configuration/intent.ts';
+import { Failure } from '../../errors/failure.ts';
+import { readBody } from '../../http/body.ts';
+import { MAX_AUDIT_PAGE } from '../../operators/constants.ts';
+import type { OperatorCommand } from '../../operators/types.ts';
+import type { Call, CommandRoute, Refusal } from '../context.ts';
+
+const DEFAULT_AUDIT_PAGE = 50;
+/** Ids that operators send become parts of row keys. */
+const ID_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+
+/** Routes that need an operator's key. */
+export const commandRoutes: readonly CommandRoute[] = [
+  { method: 'GET', path: '/v1/configuration', getCommand: () => Ok({ type: 'showConfiguration' }) },
+  { method: 'POST', path: '/v1/plans', getCommand: (call) => getPlanCommand(call) },
+  {
+    method: 'GET',
+    path: '/v1/plans/:id',
+    getCommand: (call) => getId(call).map((plan) => ({ type: 'showPlan', plan })),
+  },
+  {
+    method: 'POST',
+    path: '/v1/plans/:id/confirm',
+    getCommand: (call) => getId(call).map((plan) => ({ type: 'confirmPlan', plan })),
+  },
+  { method: 'GET', path: '/v1/audit', getCommand: (call) => getAuditCommand(call) },
+  { method: 'GET', path: '/v1/hosts', getCommand: () => Ok({ type: 'listHosts' }) },
+  { method: 'GET', path: '/v1/engines', getCommand: () => Ok({ type: 'listEngines' }) },
+  { method: 'GET', path: '/v1/suspects', getCommand: () => Ok({ type: 'listSuspects' }) },
+];
+
+async function getPlanCommand({
+  request,
+  limits,
+}: Call): Promise<Result<OperatorCommand, Refusal>> {
+  const body = await readBody(request, {
+    maxBytes: limits.operatorBodyBytes,
+    timeoutMs: limits.slowSenderMs,
+  });
+  if (body.err) return Err({ failure: body.val, details: [] });
+  const intent = parseIntent(body.val.toString('utf8'));
+  if (intent.ok) return Ok({ type: 'makePlan', intent: intent.val });
+  const failure = Failure.create('invalid_intent', 'the intent is not valid');
+  return Err({ failure, details: intent.val });
+}
+
+function getAuditCommand({ query }: Call): Result<OperatorCommand, Refusal> {
+  const after = query.get('after') ?? undefined;
+  const limit = query.get('limit') ?? String(DEFAULT_AUDIT_PAGE);
+  if (!/^\d{1,3}$/.test(limit) || Number(limit) < 1 || Number(limit) > MAX_AUDIT_PAGE) {
+    return refuse('limit', limit, `a whole number from 1 to ${MAX_AUDIT_PAGE}`);
+  }
+  if (after !== undefined && !ID_PATTERN.test(after)) {
+    return refuse('after', after, 'the id of an audit entry');
+  }
+  return Ok({ type: 'listAudit', after, limit: Number(limit) });
+}
+
+function getId({ params }: Call): Result<string, Refusal> {
+  const id = params.id ?? '';
+  return ID_PATTERN.test(id) ? Ok(id) : refuse('id', id, 'the id of a plan');
+}
+
+function refuse(param: string, value: string, allowed: string): Err<Refusal> {
+  const message = `${param} is ${JSON.stringify(value)}, allowed: ${allowed}`;
+  return Err({ failure: Failure.create('bad_request', message, { param }), details: [] });
+}
--- /dev/null
+++ b/src/admin/routes/open.ts
@@ -0,0 +1,39 @@
+import { isReady } from '../../core/lifecycle.ts';
+import { Failure } from '../../errors/failure.ts';
+import { sendFailure, sendJson } from '../../http/reply.ts';
+import type { AdminHost, OpenRoute } from '../context.ts';
+
+/** Routes that need no key. */
+export const openRoutes: readonly OpenRoute[] = [
+  {
+    method: 'GET',
+    path: '/healthz',
+    handle: (_host, response) => sendJson(response, 200, { status: 'ok' }),
+  },
+  {
+    method: 'GET',
+    path: '/readyz',
+    handle: (host, response) => {
+      if (isReady(host.state)) sendJson(response, 200, { status: 'ready' });
+      else sendFailure(response, getReason(host));
+    },
+  },
+  {
+    method: 'GET',
+    path: '/metrics',
+    handle: (host, response) => {
+      const body = host.observer.metrics.render();
+      response.writeHead(200, {
+        'content-type': 'text/plain; version=0.0.4; charset=utf-8',
+        'content-length': Buffer.byteLength(body),
+      });
+      response.end(body);
+    },
+  },
+];
+
+function getReason({ state }: AdminHost): Failure {
+  return state.phase === 'running'
+    ? Failure.create('not_ready', 'the host has no current configuration yet')
+    : Failure.create('shutting_down', 'the host is shutting down');
+}
--- /dev/null
+++ b/src/admin/server.ts
@@ -0,0 +1,125 @@
+import { randomUUID } from 'node:crypto';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import createRouter, { type HTTPVersion, type Instance } from 'find-my-way';
+import { Failure, getFailureBody } from '../errors/failure.ts';
+import { getAnswer } from '../errors/kinds.ts';
+import { findKey } from '../http/keys.ts';
+import { getPort, startServer, stopServer } from '../http/listen.ts';
+import { sendFailure, sendJson } from '../http/reply.ts';
+import type { OperatorAnswer } from '../operators/types.ts';
+import type { AdminHost, CommandRoute } from './context.ts';
+import { commandRoutes } from './routes/commands.ts';
+import { openRoutes } from './routes/open.ts';
+
+type Router = Instance<HTTPVersion.V1>;
+type Params = Record<string, string | undefined>;
+
+/** HTTP server for operators. */
+export class AdminServer {
+  private server: Server | undefined;
+  /** Calls that wait for the reducer's answer, by question. */
+  private readonly waiting = new Map<string, ServerResponse>();
+
+  private constructor(
+    private readonly host: AdminHost,
+    private readonly router: Router,
+  ) {}
+
+  static create(host: AdminHost): AdminServer {
+    const router = createRouter({
+      ignoreTrailingSlash: true,
+      defaultRoute: (request, response) => answerUnknownRoute(router, request, response),
+    });
+    const server = new AdminServer(host, router);
+    for (const { method, path, handle } of openRoutes) {
+      router.on(method, path, (_request, response) => handle(host, response));
+    }
+    for (const route of commandRoutes) {
+      router.on(route.method, route.path, (request, response, params) => {
+        void server.handle(route, request, response, params);
+      });
+    }
+    return server;
+  }
+
+  /** Starts to listen and returns the port. */
+  async start(): Promise<number> {
+    const { listen, limits } = this.host.settings;
+    this.server = await startServer(
+      (request, response) => void this.router.lookup(request, response),
+      listen.operators,
+      limits.headerBytes,
+    );
+    return getPort(this.server);
+  }
+
+  /** Takes no new connections and resolves when all have ended. */
+  async stop(): Promise<void> {
+    if (this.server !== undefined) await stopServer(this.server);
+  }
+
+  /** Passes the reducer's answer on; an operator who has gone gets none. */
+  answer(id: string, answer: OperatorAnswer): void {
+    const response = this.waiting.get(id);
+    if (response === undefined) return;
+    this.waiting.delete(id);
+    if (answer.type === 'done') sendJson(response, answer.status, answer.body);
+    else sendRefusal(response, answer.failure, answer.details);
+  }
+
+  private async handle(
+    route: CommandRoute,
+    request: IncomingMessage,
+    response: ServerResponse,
+    params: Params,
+  ): Promise<void> {
+    const id = randomUUID();
+    response.setHeader('x-request-id', id);
+    const { access, limits } = this.host.settings;
+    const key = findKey(access.keys, request.headers.authorization, 'operator');
+    if (key === undefined) {
+      const message = 'header Authorization carries no valid operator key';
+      sendFailure(response, Failure.create('unauthorized', message));
+      return;
+    }
+    const query = new URL(request.url ?? '/', 'http://localhost').searchParams;
+    const command = await route.getCommand({ request, params, query, limits });
+    if (command.err) {
+      sendRefusal(response, command.val.failure, command.val.details);
+      return;
+    }
+    this.waiting.set(id, response);
+    response.on('close', () => this.waiting.delete(id));
+    this.host.dispatch({
+      type: 'operatorAsked',
+      id,
+      operator: key.name,
+      command: command.val,
+      atUnixMs: Date.now(),
+    });
+  }
+}
+
+function sendRefusal(response: ServerResponse, failure: Failure, details: string[]): void {
+  if (details.length === 0) {
+    sendFailure(response, failure);
+    return;
+  }
+  const { error } = getFailureBody(failure);
+  sendJson(response, getAnswer(failure.kind).status, { error: { ...error, details } });
+}
+
+function answerUnknownRoute(
+  router: Router,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const path = (request.url ?? '/').split('?')[0] ?? '/';
+  const isKnown = [...openRoutes, ...commandRoutes].some(
+    ({ method }) => router.find(method, path) !== null,
+  );
+  const failure = isKnown
+    ? Failure.create('method_not_allowed', `${request.method ?? ''} is not allowed on ${path}`)
+    : Failure.create('not_found', `path ${path} does not exist`);
+  sendFailure(response, failure);
+}
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -1,3 +1,4 @@
+import { AdminServer } from '../admin/server.ts';
 import type { Exchange } from '../callers/exchange.ts';
 import { CallerServer } from '../callers/server.ts';
 import { EngineClient } from '../clients/engineClient.ts';
@@ -7,6 +8,7 @@
 import type { Event } from '../core/events.ts';
 import type { Message } from '../core/messages.ts';
 import { State } from '../core/state.ts';
+import type { OperatorAnswer } from '../operators/types.ts';
 import type { Settings } from '../settings/groups.ts';
 import type { HostContext, RunningAttempt } from './context.ts';
 import { Loop } from './loop.ts';
@@ -24,6 +26,7 @@
   readonly engines = EngineClient.create();
   private readonly loop: Loop;
   private readonly callerServer: CallerServer;
+  private readonly adminServer: AdminServer;
   private readonly stopped: Promise<void>;
   private resolveStopped: () => void = () => undefined;
 
@@ -34,6 +37,7 @@
     this.objects = ObjectClient.create({ address: settings.platform.objectsUrl });
     this.loop = Loop.create(this.state, (effect) => runEffect(this, effect));
     this.callerServer = CallerServer.create(this);
+    this.adminServer = AdminServer.create(this);
     this.stopped = new Promise((resolve) => {
       this.resolveStopped = resolve;
     });
@@ -43,11 +47,12 @@
     return new EntryHost(settings);
   }
 
-  /** Starts the servers and the loop; returns the callers' port. */
-  async start(): Promise<{ callerPort: number }> {
+  /** Starts the servers and the loop; returns the ports of the servers. */
+  async start(): Promise<{ callerPort: number; operatorPort: number }> {
     const callerPort = await this.callerServer.start();
+    const operatorPort = await this.adminServer.start();
     this.dispatch({ type: 'started' });
-    return { callerPort };
+    return { callerPort, operatorPort };
   }
 
   /** Stops gracefully: takes no new work and resolves when nothing is in flight. */
@@ -56,6 +61,7 @@
     await this.stopped;
     this.loop.stop();
     await this.callerServer.stop();
+    await this.adminServer.stop();
     await Promise.all([this.engines.close(), this.table.close(), this.objects.close()]);
   }
 
@@ -71,8 +77,8 @@
     if (to === this.state.host.id) this.dispatch({ type: 'messageReceived', from: to, message });
   }
 
-  answerOperator(): void {
-    // The server for operators is not started here yet.
+  answerOperator(id: string, answer: OperatorAnswer): void {
+    this.adminServer.answer(id, answer);
   }
 
   onStopped(): void {
--- /dev/null
+++ b/tests/admin/server.test.ts
@@ -0,0 +1,107 @@
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { AdminServer } from '../../src/admin/server.ts';
+import { sha256 } from '../../src/base/hash.ts';
+import { Metrics } from '../../src/observe/metrics.ts';
+import { parseSettings } from '../../src/settings/parse.ts';
+import { Cluster } from '../configuration/cluster.ts';
+
+const KEYS = [
+  { name: 'olga', firm: 'atlas', role: 'operator', sha256: sha256('op-key') },
+  { name: 'desk', firm: 'atlas', role: 'caller', sha256: sha256('caller-key') },
+];
+const INTENT = 'shares: [{ firm: atlas, share: 0.5 }]';
+const settings = parseSettings(
+  [
+    '--host-id=h1',
+    '--zone=z',
+    '--region=r',
+    '--peer-address=127.0.0.1:1',
+    '--operator-listen=127.0.0.1:0',
+    '--table-url=http://127.0.0.1:1',
+    '--objects-url=http://127.0.0.1:1',
+    '--hosts-url=http://127.0.0.1:1',
+    '--operator-body-limit=1KiB',
+    `--keys=${JSON.stringify(KEYS)}`,
+  ],
+  {},
+).unwrap();
+
+const cluster = Cluster.create('h1');
+const server = AdminServer.create({
+  state: cluster.getState('h1'),
+  settings,
+  observer: { metrics: Metrics.create() },
+  dispatch: (event) => {
+    cluster.feed('h1', event);
+    for (const [id, answer] of cluster.answers) server.answer(id, answer);
+  },
+});
+let url = '';
+beforeAll(async () => {
+  url = `http://127.0.0.1:${await server.start()}`;
+});
+afterAll(() => server.stop());
+
+async function call(method: string, path: string, body?: string, key = 'op-key') {
+  const headers = { authorization: `Bearer ${key}` };
+  const response = await fetch(url + path, { method, headers, body });
+  const text = await response.text();
+  return { status: response.status, text, headers: response.headers };
+}
+
+async function callJson<T>(method: string, path: string, body?: string): Promise<T> {
+  return JSON.parse((await call(method, path, body)).text) as T;
+}
+
+describe('operators API', () => {
+  it.each([
+    ['GET', '/v1/configuration', undefined, 'caller-key', 401, 'unauthorized'],
+    ['GET', '/v1/configuration', undefined, 'wrong', 401, 'unauthorized'],
+    ['POST', '/v1/plans', 'share: 1', 'op-key', 422, '"details":["intent: Unrecognized key'],
+    ['POST', '/v1/plans', INTENT.replace('0.5', '7'), 'op-key', 422, 'shares[0].share'],
+    ['POST', '/v1/plans', `# ${'x'.repeat(2_000)}`, 'op-key', 413, 'body_too_large'],
+    ['POST', '/v1/plans', 'leaving: [{ endpoint: e }]', 'op-key', 422, 'does not exist'],
+    ['GET', '/v1/plans/none', undefined, 'op-key', 404, 'not_found'],
+    ['GET', '/v1/plans/%2e%2e%2fhead', undefined, 'op-key', 400, 'bad_request'],
+    ['GET', '/v1/audit?limit=1000', undefined, 'op-key', 400, 'from 1 to 200'],
+    ['DELETE', '/v1/configuration', undefined, 'op-key', 405, 'method_not_allowed'],
+    ['GET', '/v1/none', undefined, 'op-key', 404, 'not_found'],
+  ])('%s %s %s with key %s is refused', async (method, path, body, key, status, text) => {
+    const answer = await call(method, path, body, key);
+    expect(answer.text).toContain(text);
+    expect(answer.status).toBe(status);
+  });
+
+  it('plans, confirms and shows what was changed', async () => {
+    expect((await call('GET', '/readyz', undefined, '')).status).toBe(503);
+    const plan = await callJson<{ id: string }>('POST', '/v1/plans', INTENT);
+    expect(await callJson('GET', `/v1/plans/${plan.id}`)).toEqual(plan);
+    const confirmed = { plan: plan.id, revision: 1 };
+    expect(await callJson('POST', `/v1/plans/${plan.id}/confirm`)).toEqual(confirmed);
+    expect(await callJson('POST', `/v1/plans/${plan.id}/confirm`)).toEqual(confirmed);
+    expect(await callJson('GET', '/v1/configuration')).toMatchObject({ revision: 1 });
+    expect(await callJson('GET', '/v1/hosts')).toMatchObject({
+      hosts: [{ host: 'h1', configurationRevision: 1 }],
+    });
+    await callJson('POST', `/v1/plans/${(await newPlan(0.6)).id}/confirm`);
+    const first = await callJson<{ next: string }>('GET', '/v1/audit?after=0&limit=1');
+    expect(first).toMatchObject({ entries: [{ operator: 'olga', plan: plan.id, revision: 1 }] });
+    const second = await callJson('GET', `/v1/audit?limit=1&after=${first.next}`);
+    expect(second).toMatchObject({ entries: [{ revision: 2 }] });
+  });
+
+  it.each([
+    ['/healthz', 200, 'ok'],
+    ['/readyz', 200, 'ready'],
+    ['/metrics', 200, '# TYPE fireflywick_requests_total counter'],
+  ])('answers %s without a key', async (path, status, text) => {
+    cluster.advance(1_000);
+    const answer = await call('GET', path, undefined, '');
+    expect(answer.text).toContain(text);
+    expect(answer.status).toBe(status);
+  });
+});
+
+function newPlan(share: number): Promise<{ id: string }> {
+  return callJson('POST', '/v1/plans', INTENT.replace('0.5', String(share)));
+}
