--- /dev/null
+++ b/src/cli/commands/checkSettings.ts
@@ -0,0 +1,19 @@
+import { describeProblems, parseSettings } from '../../settings/parse.ts';
+import type { Command } from '../types.ts';
+
+export const checkSettings: Command = {
+  summary: 'Check the settings of entry without starting it.',
+  input: [],
+  flags: [],
+  switches: [],
+  settings: 'entry',
+  run: ({ argv, env, out, err }) => {
+    const settings = parseSettings(argv, env);
+    if (settings.err) {
+      err(describeProblems(settings.val));
+      return 2;
+    }
+    out('The settings are valid.');
+    return 0;
+  },
+};
--- /dev/null
+++ b/src/cli/commands/engines.ts
@@ -0,0 +1,40 @@
+import { z } from 'zod';
+import { getTable } from '../format.ts';
+import { newQueryCommand } from '../operatorCommand.ts';
+
+const EnginesAnswer = z.looseObject({
+  engines: z.array(
+    z.looseObject({
+      id: z.string(),
+      zone: z.string(),
+      pool: z.string(),
+      state: z.string(),
+      owner: z.string().nullable(),
+      slots: z.int(),
+      residents: z.array(z.string()),
+      running: z.number(),
+      waiting: z.number(),
+      isLeaving: z.boolean(),
+    }),
+  ),
+});
+
+export const engines = newQueryCommand({
+  summary: 'List the engines with their owners, residents and load.',
+  schema: EnginesAnswer,
+  getCall: () => ({ method: 'GET', path: '/v1/engines' }),
+  getText: (answer) =>
+    getTable(
+      ['ENGINE', 'ZONE', 'POOL', 'STATE', 'OWNER', 'RESIDENTS', 'RUNNING', 'WAITING'],
+      answer.engines.map((engine) => [
+        engine.id,
+        engine.zone,
+        engine.pool,
+        engine.isLeaving ? 'leaving' : engine.state,
+        engine.owner ?? '-',
+        `${engine.residents.length}/${engine.slots}`,
+        String(engine.running),
+        String(engine.waiting),
+      ]),
+    ),
+});
--- /dev/null
+++ b/src/cli/commands/index.ts
@@ -0,0 +1,23 @@
+import type { Command } from '../types.ts';
+import { audit } from './audit.ts';
+import { checkSettings } from './checkSettings.ts';
+import { configuration } from './configuration.ts';
+import { confirm } from './confirm.ts';
+import { engines } from './engines.ts';
+import { hosts } from './hosts.ts';
+import { plan } from './plan.ts';
+import { suspects } from './suspects.ts';
+
+/** All commands by name, in the order of `--help`. */
+export const COMMANDS = new Map<string, Command>(
+  Object.entries({
+    plan,
+    confirm,
+    configuration,
+    audit,
+    hosts,
+    engines,
+    suspects,
+    'check-settings': checkSettings,
+  }),
+);
--- /dev/null
+++ b/src/cli/operatorCommand.ts
@@ -0,0 +1,63 @@
+import type { z } from 'zod';
+import { describeProblems, parseOperatorSettings } from '../settings/parse.ts';
+import { type AdminCall, AdminClient, type AdminFailure } from './adminClient.ts';
+import { getIndented } from './format.ts';
+import { type Command, type ExitCode, type Flag, type Invocation, JSON_SWITCH } from './types.ts';
+
+interface QueryOptions<T> {
+  summary: string;
+  input?: readonly string[];
+  flags?: readonly Flag[];
+  schema: z.ZodType<T>;
+  getCall: (invocation: Invocation) => AdminCall;
+  /** Returns the answer in words. */
+  getText: (answer: T) => string;
+}
+
+/** Returns a command that makes one call and prints the answer. */
+export function newQueryCommand<T>(options: QueryOptions<T>): Command {
+  const { summary, input = [], flags = [], schema, getCall, getText } = options;
+  return {
+    summary,
+    input,
+    flags,
+    switches: [JSON_SWITCH],
+    settings: 'operator',
+    run: (invocation) =>
+      withClient(invocation, async (client) => {
+        const answer = await client.call(getCall(invocation), schema);
+        if (answer.err) return reportFailure(invocation, answer.val);
+        printAnswer(invocation, answer.val, getText);
+        return 0;
+      }),
+  };
+}
+
+/** Runs `work` with a client made from the settings; wrong settings are reported as wrong usage. */
+export async function withClient(
+  invocation: Invocation,
+  work: (client: AdminClient) => Promise<ExitCode>,
+): Promise<ExitCode> {
+  const settings = parseOperatorSettings(invocation.flags, invocation.env);
+  if (settings.ok) return work(AdminClient.create(settings.val));
+  invocation.err(describeProblems(settings.val));
+  return 2;
+}
+
+/** Prints an answer as JSON with `--json`, otherwise in words. */
+export function printAnswer<T>(
+  { flags, out }: Invocation,
+  answer: T,
+  getText: (answer: T) => string,
+): void {
+  const isJson = flags.switches.has(JSON_SWITCH.name);
+  out(isJson ? JSON.stringify(answer, undefined, 2) : getText(answer));
+}
+
+/** Prints why there is no answer; as JSON with `--json`. */
+export function reportFailure({ flags, err }: Invocation, failure: AdminFailure): ExitCode {
+  const { message, details } = failure;
+  if (flags.switches.has(JSON_SWITCH.name)) err(JSON.stringify({ error: failure }));
+  else err(details.length === 0 ? message : `${message}\n${getIndented(details)}`);
+  return 1;
+}
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -1,5 +1,69 @@
+import { parseFlags, type ParsedFlags, VERSION } from '../settings/flags.ts';
+import { describeProblems, getUsageProblems } from '../settings/parse.ts';
+import { COMMANDS } from './commands/index.ts';
+import { getCommandHelp, getHelp, getSettings } from './help.ts';
+import type { Command, ExitCode, Invocation, Output } from './types.ts';
+
+const HELP_FLAGS = ['--help', '-h'];
+const CONSOLE: Output = {
+  out: (text) => console.log(text),
+  err: (text) => console.error(text),
+};
+
 /** Runs the command that `argv` names and returns the exit code: 0 done, 1 failed, 2 wrong usage. */
-export function runCommand(argv: string[]): Promise<number> {
-  console.error(`unknown command "${argv[0] ?? ''}"`);
-  return Promise.resolve(2);
+export async function runCommand(
+  argv: readonly string[],
+  env: Invocation['env'] = process.env,
+  output: Output = CONSOLE,
+): Promise<ExitCode> {
+  const [name = '', ...rest] = argv;
+  if (HELP_FLAGS.includes(name)) {
+    output.out(getHelp());
+    return 0;
+  }
+  if (name === '--version') {
+    output.out(VERSION);
+    return 0;
+  }
+  const command = COMMANDS.get(name);
+  if (command === undefined) {
+    const problem = name.startsWith('-') ? `${name} is not a known flag` : getUnknown(name);
+    output.err(`${problem}\n\n${getHelp()}`);
+    return 2;
+  }
+  if (rest.some((argument) => HELP_FLAGS.includes(argument))) {
+    output.out(getCommandHelp(name, command));
+    return 0;
+  }
+  const flags = parseCommandFlags(command, rest);
+  const problems = getProblems(command, flags);
+  if (problems.length > 0) {
+    output.err(`${problems.join('\n')}\nfireflywick ${name} --help shows the usage.`);
+    return 2;
+  }
+  return command.run({ argv: rest, flags, env, ...output });
+}
+
+function getUnknown(name: string): string {
+  return name === '' ? 'a command is missing' : `"${name}" is not a known command`;
+}
+
+function parseCommandFlags(command: Command, argv: readonly string[]): ParsedFlags {
+  const names = [...getSettings(command), ...command.flags].map((flag) => flag.name);
+  return parseFlags(
+    argv,
+    names,
+    command.switches.map((flag) => flag.name),
+  );
+}
+
+/** Commands that read the settings of `entry` report wrong flags together with wrong settings. */
+function getProblems(command: Command, flags: ParsedFlags): string[] {
+  const missing = command.input.slice(flags.input.length).map((name) => `${name} is missing`);
+  if (command.settings === 'entry') return missing;
+  const extra = flags.input
+    .slice(command.input.length)
+    .map((argument) => `argument "${argument}" is not expected`);
+  const usage = getUsageProblems(flags);
+  return [...missing, ...extra, ...(usage.length === 0 ? [] : [describeProblems(usage)])];
 }
--- /dev/null
+++ b/src/cli/types.ts
@@ -0,0 +1,36 @@
+import type { ParsedFlags } from '../settings/flags.ts';
+
+export interface Output {
+  out: (text: string) => void;
+  err: (text: string) => void;
+}
+
+/** What a command works with. */
+export interface Invocation extends Output {
+  /** Arguments after the command's name. */
+  argv: readonly string[];
+  flags: ParsedFlags;
+  env: Readonly<Record<string, string | undefined>>;
+}
+
+/** 0 done, 1 refused or failed, 2 wrong usage. */
+export type ExitCode = 0 | 1 | 2;
+
+export interface Flag {
+  name: string;
+  help: string;
+}
+
+export interface Command {
+  summary: string;
+  /** Positional arguments, all required, as shown in the usage line. */
+  input: readonly string[];
+  /** Flags with a value, besides the settings. */
+  flags: readonly Flag[];
+  switches: readonly Flag[];
+  /** Settings that the command reads. */
+  settings: 'entry' | 'operator';
+  run: (invocation: Invocation) => Promise<ExitCode> | ExitCode;
+}
+
+export const JSON_SWITCH: Flag = { name: 'json', help: 'Print the answer as JSON.' };
--- a/src/settings/parse.ts
+++ b/src/settings/parse.ts
@@ -18,7 +18,14 @@
     SETTINGS.map(({ name }) => name),
     [],
   );
-  const usage = getUsageProblems(flags);
+  const usage = [
+    ...getUsageProblems(flags),
+    ...flags.input.map((argument) => ({
+      setting: `argument "${argument}"`,
+      value: undefined,
+      message: 'is not expected',
+    })),
+  ];
   const { values, problems } = readSettings(SETTINGS, flags, env);
   const all = [...usage, ...problems, ...getConflicts(values)];
   return all.length === 0 ? Ok(values as unknown as Settings) : Err(all);
--- a/src/settings/values.ts
+++ b/src/settings/values.ts
@@ -108,7 +108,7 @@
 
 /** Returns a schema that passes undefined on. */
 export function newOptional<T>(schema: Text<T>): Text<T | undefined> {
-  return z.union([z.undefined(), schema]);
+  return z.union([z.undefined(), schema], { error: 'is not allowed' });
 }
 
 function getInRange(value: number, min: number, max: number): number | undefined {
--- /dev/null
+++ b/tests/admin/fixture.ts
@@ -0,0 +1,39 @@
+import { AdminServer } from '../../src/admin/server.ts';
+import { sha256 } from '../../src/base/hash.ts';
+import { Metrics } from '../../src/observe/metrics.ts';
+import { parseSettings } from '../../src/settings/parse.ts';
+import { Cluster } from '../configuration/cluster.ts';
+
+const KEYS = [
+  { name: 'olga', firm: 'atlas', role: 'operator', sha256: sha256('op-key') },
+  { name: 'desk', firm: 'atlas', role: 'caller', sha256: sha256('caller-key') },
+];
+
+/** Settings of a host with an operator's key `op-key` and a caller's key `caller-key`. */
+export const SETTINGS_ARGV = [
+  '--host-id=h1',
+  '--zone=z',
+  '--region=r',
+  '--peer-address=127.0.0.1:1',
+  '--operator-listen=127.0.0.1:0',
+  '--table-url=http://127.0.0.1:1',
+  '--objects-url=http://127.0.0.1:1',
+  '--hosts-url=http://127.0.0.1:1',
+  '--operator-body-limit=1KiB',
+  `--keys=${JSON.stringify(KEYS)}`,
+];
+
+/** Returns the operators' server of a host whose table is kept in memory. */
+export function newAdminServer(): { cluster: Cluster; server: AdminServer } {
+  const cluster = Cluster.create('h1');
+  const server = AdminServer.create({
+    state: cluster.getState('h1'),
+    settings: parseSettings(SETTINGS_ARGV, {}).unwrap(),
+    observer: { metrics: Metrics.create() },
+    dispatch: (event) => {
+      cluster.feed('h1', event);
+      for (const [id, answer] of cluster.answers) server.answer(id, answer);
+    },
+  });
+  return { cluster, server };
+}
--- a/tests/admin/server.test.ts
+++ b/tests/admin/server.test.ts
@@ -1,41 +1,8 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { AdminServer } from '../../src/admin/server.ts';
-import { sha256 } from '../../src/base/hash.ts';
-import { Metrics } from '../../src/observe/metrics.ts';
-import { parseSettings } from '../../src/settings/parse.ts';
-import { Cluster } from '../configuration/cluster.ts';
+import { newAdminServer } from './fixture.ts';
 
-const KEYS = [
-  { name: 'olga', firm: 'atlas', role: 'operator', sha256: sha256('op-key') },
-  { name: 'desk', firm: 'atlas', role: 'caller', sha256: sha256('caller-key') },
-];
 const INTENT = 'shares: [{ firm: atlas, share: 0.5 }]';
-const settings = parseSettings(
-  [
-    '--host-id=h1',
-    '--zone=z',
-    '--region=r',
-    '--peer-address=127.0.0.1:1',
-    '--operator-listen=127.0.0.1:0',
-    '--table-url=http://127.0.0.1:1',
-    '--objects-url=http://127.0.0.1:1',
-    '--hosts-url=http://127.0.0.1:1',
-    '--operator-body-limit=1KiB',
-    `--keys=${JSON.stringify(KEYS)}`,
-  ],
-  {},
-).unwrap();
-
-const cluster = Cluster.create('h1');
-const server = AdminServer.create({
-  state: cluster.getState('h1'),
-  settings,
-  observer: { metrics: Metrics.create() },
-  dispatch: (event) => {
-    cluster.feed('h1', event);
-    for (const [id, answer] of cluster.answers) server.answer(id, answer);
-  },
-});
+const { cluster, server } = newAdminServer();
 let url = '';
 beforeAll(async () => {
   url = `http://127.0.0.1:${await server.start()}`;
