--- a/src/admin/context.ts
+++ b/src/admin/context.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Result } from 'ts-results';
+import type { Result } from '../base/result.ts';
 import type { Event } from '../core/events.ts';
 import type { State } from '../core/state.ts';
 import type { Failure } from '../errors/failure.ts';
--- a/src/admin/routes/commands.ts
+++ b/src/admin/routes/commands.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, type Result } from 'ts-results';
+import { Err, Ok, type Result } from '../../base/result.ts';
 import { parseIntent } from '../../configuration/intent.ts';
 import { Failure } from '../../errors/failure.ts';
 import { readBody } from '../../http/body.ts';
@@ -62,7 +62,7 @@
   return ID_PATTERN.test(id) ? Ok(id) : refuse('id', id, 'the id of a plan');
 }
 
-function refuse(param: string, value: string, allowed: string): Err<Refusal> {
+function refuse(param: string, value: string, allowed: string): Result<never, Refusal> {
   const message = `${param} is ${JSON.stringify(value)}, allowed: ${allowed}`;
   return Err({ failure: Failure.create('bad_request', message, { param }), details: [] });
 }
--- a/src/cli/adminClient.ts
+++ b/src/cli/adminClient.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, type Result } from 'ts-results';
+import { Err, Ok, type Result } from '../base/result.ts';
 import { request } from 'undici';
 import { z } from 'zod';
 
--- a/src/cli/commands/plan.ts
+++ b/src/cli/commands/plan.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs';
-import { Err, Ok, type Result } from 'ts-results';
+import { Err, Ok, type Result } from '../../base/result.ts';
 import { getIndented } from '../format.ts';
 import { printAnswer, reportFailure, withClient } from '../operatorCommand.ts';
 import { PlanAnswer } from '../schemas.ts';
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -2,7 +2,7 @@
 import { describeProblems, getUsageProblems } from '../settings/parse.ts';
 import { COMMANDS } from './commands/index.ts';
 import { getCommandHelp, getHelp, getSettings } from './help.ts';
-import type { Command, ExitCode, Invocation, Output } from './types.ts';
+import type { Command, Invocation, Output } from './types.ts';
 
 const HELP_FLAGS = ['--help', '-h'];
 const CONSOLE: Output = {
@@ -15,7 +15,7 @@
   argv: readonly string[],
   env: Invocation['env'] = process.env,
   output: Output = CONSOLE,
-): Promise<ExitCode> {
+): Promise<number> {
   const [name = '', ...rest] = argv;
   if (HELP_FLAGS.includes(name)) {
     output.out(getHelp());
@@ -41,7 +41,12 @@
     output.err(`${problems.join('\n')}\nfireflywick ${name} --help shows the usage.`);
     return 2;
   }
-  return command.run({ argv: rest, flags, env, ...output });
+  try {
+    return await command.run({ argv: rest, flags, env, ...output });
+  } catch (error) {
+    output.err(`${name} failed: ${error instanceof Error ? error.message : String(error)}`);
+    return 1;
+  }
 }
 
 function getUnknown(name: string): string {
--- a/src/cli/types.ts
+++ b/src/cli/types.ts
@@ -30,7 +30,7 @@
   switches: readonly Flag[];
   /** Settings that the command reads. */
   settings: 'entry' | 'operator';
-  run: (invocation: Invocation) => Promise<ExitCode> | ExitCode;
+  run: (invocation: Invocation) => Promise<number> | number;
 }
 
 export const JSON_SWITCH: Flag = { name: 'json', help: 'Print the answer as JSON.' };
--- a/src/configuration/intent.ts
+++ b/src/configuration/intent.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, type Result } from 'ts-results';
+import { Err, Ok, type Result } from '../base/result.ts';
 import { parse } from 'yaml';
 import { z } from 'zod';
 import { Adapter, Engine, EngineRole, Name, Service, WarmIntent } from './types.ts';
--- a/src/configuration/plan.ts
+++ b/src/configuration/plan.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, type Result } from 'ts-results';
+import { Err, Ok, type Result } from '../base/result.ts';
 import { z } from 'zod';
 import { applyChange } from './apply.ts';
 import { describeChange } from './describe.ts';
