Link hosts over TCP with framed CBOR messages

Hosts need one working link for each pair. A link is replaced by a fresh connection when it goes silent, and it is reported as closed only after a fresh connection failed as well, so a dead connection is not taken for a dead host.

--- /dev/null
+++ b/src/peers/connection.ts
@@ -0,0 +1,125 @@
+import { connect, type Socket } from 'node:net';
+import { MAX_FRAME_BYTES, MAX_HELLO_BYTES } from './constants.ts';
+import { decodeBody, encodeFrame, FRAME, FrameReader } from './frames.ts';
+import { Hello } from './hello.ts';
+
+/** Bytes and faults on all connections of a host. */
+export interface PeerCounters {
+  sentBytes: number;
+  receivedBytes: number;
+  /** Messages that the schema does not know or does not accept. */
+  malformed: number;
+  /** Messages that were not sent: no link, buffer full or frame too large. */
+  dropped: number;
+  /** Connections closed for a frame over the limit or a bad or incompatible hello. */
+  refused: number;
+}
+
+export interface ConnectionOwner {
+  readonly counters: PeerCounters;
+  readonly hello: Hello;
+  onHello(connection: Connection, hello: Hello): void;
+  onMessage(connection: Connection, content: unknown): void;
+  onClosed(connection: Connection, reason: string): void;
+}
+
+/** One socket to another host. */
+export class Connection {
+  readonly createdAt = performance.now();
+  heardAt = this.createdAt;
+  sentAt = this.createdAt;
+  /** Hello of the other side; undefined until it arrived. */
+  peer: Hello | undefined;
+  private readonly reader = FrameReader.create();
+  private isClosed = false;
+
+  private constructor(
+    private readonly socket: Socket,
+    private readonly owner: ConnectionOwner,
+    /** Host that this side dialled, or undefined for an accepted connection. */
+    readonly dialled: string | undefined,
+  ) {}
+
+  static accept(socket: Socket, owner: ConnectionOwner): Connection {
+    const connection = new Connection(socket, owner, undefined);
+    connection.attach();
+    return connection;
+  }
+
+  static dial(host: string, address: string, owner: ConnectionOwner): Connection {
+    const separator = address.lastIndexOf(':');
+    const socket = connect({
+      host: address.slice(0, separator),
+      port: Number(address.slice(separator + 1)),
+    });
+    const connection = new Connection(socket, owner, host);
+    connection.attach();
+    return connection;
+  }
+
+  get bufferedBytes(): number {
+    return this.socket.writableLength;
+  }
+
+  write(frame: Buffer): void {
+    if (this.isClosed) return;
+    this.owner.counters.sentBytes += frame.length;
+    this.sentAt = performance.now();
+    this.socket.write(frame);
+  }
+
+  /** Closes the socket; `onClosed` is called once with the first reason. */
+  close(reason: string): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.socket.destroy();
+    this.owner.onClosed(this, reason);
+  }
+
+  private attach(): void {
+    this.socket.setNoDelay(true);
+    this.socket.on('data', (chunk: Buffer) => this.read(chunk));
+    this.socket.on('error', (error: NodeJS.ErrnoException) => {
+      this.close(error.code === 'ECONNREFUSED' ? 'refused' : 'ended');
+    });
+    this.socket.on('close', () => this.close('ended'));
+    this.write(encodeFrame(FRAME.hello, this.owner.hello));
+  }
+
+  private read(chunk: Buffer): void {
+    this.owner.counters.receivedBytes += chunk.length;
+    this.heardAt = performance.now();
+    const limit = this.peer === undefined ? MAX_HELLO_BYTES : MAX_FRAME_BYTES;
+    const bodies = this.reader.push(chunk, limit);
+    if (bodies === undefined) {
+      this.refuse('frame is too large');
+      return;
+    }
+    for (const body of bodies) {
+      if (this.isClosed) return;
+      this.readBody(body);
+    }
+  }
+
+  private readBody(body: Buffer): void {
+    const frame = decodeBody(body);
+    if (this.peer === undefined) {
+      const hello = Hello.safeParse(frame?.kind === FRAME.hello ? frame.content : undefined);
+      if (!hello.success) {
+        this.refuse('hello is malformed');
+        return;
+      }
+      this.peer = hello.data;
+      this.owner.onHello(this, hello.data);
+    } else if (frame === undefined) {
+      this.owner.counters.malformed += 1;
+    } else if (frame.kind === FRAME.message) {
+      this.owner.onMessage(this, frame.content);
+    }
+  }
+
+  private refuse(reason: string): void {
+    this.owner.counters.refused += 1;
+    this.close(reason);
+  }
+}
--- /dev/null
+++ b/src/peers/frames.ts
@@ -0,0 +1,64 @@
+import { decode, encode } from 'cbor-x';
+
+const LENGTH_BYTES = 4;
+
+/** Kinds of frames. The body of a frame is the array [kind, content]. */
+export const FRAME = { hello: 0, heartbeat: 1, message: 2 } as const;
+
+/** Returns the frame of `content`: four bytes of length, then the body in CBOR. */
+export function encodeFrame(kind: number, content: unknown): Buffer {
+  const body = encode([kind, content]);
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, LENGTH_BYTES);
+  return frame;
+}
+
+/** Returns kind and content of a frame body, or undefined when it is malformed. */
+export function decodeBody(body: Buffer): { kind: number; content: unknown } | undefined {
+  try {
+    const value: unknown = decode(body);
+    if (!Array.isArray(value) || typeof value[0] !== 'number') return undefined;
+    return { kind: value[0], content: value[1] as unknown };
+  } catch {
+    return undefined;
+  }
+}
+
+/** Cuts a byte stream into frame bodies. */
+export class FrameReader {
+  private chunks: Buffer[] = [];
+  private size = 0;
+
+  private constructor() {}
+
+  static create(): FrameReader {
+    return new FrameReader();
+  }
+
+  /** Returns the complete bodies, or undefined when a frame is longer than `maxBytes`. */
+  push(chunk: Buffer, maxBytes: number): Buffer[] | undefined {
+    this.chunks.push(chunk);
+    this.size += chunk.length;
+    const bodies: Buffer[] = [];
+    for (;;) {
+      if (this.size < LENGTH_BYTES) return bodies;
+      const length = this.peek(LENGTH_BYTES).readUInt32BE(0);
+      if (length > maxBytes) return undefined;
+      if (this.size < LENGTH_BYTES + length) return bodies;
+      const all = this.peek(this.size);
+      bodies.push(all.subarray(LENGTH_BYTES, LENGTH_BYTES + length));
+      this.chunks = [all.subarray(LENGTH_BYTES + length)];
+      this.size -= LENGTH_BYTES + length;
+    }
+  }
+
+  /** Returns a buffer that starts with at least `count` waiting bytes; joins chunks only if needed. */
+  private peek(count: number): Buffer {
+    const first = this.chunks[0];
+    if (first !== undefined && first.length >= count) return first;
+    const joined = Buffer.concat(this.chunks);
+    this.chunks = [joined];
+    return joined;
+  }
+}
--- /dev/null
+++ b/src/peers/hello.ts
@@ -0,0 +1,26 @@
+import { z } from 'zod';
+import { Name } from '../configuration/types.ts';
+import { MIN_PROTOCOL, PROTOCOL } from '../membership/constants.ts';
+
+/** First frame in each direction of a connection. */
+export const Hello = z.object({
+  host: Name,
+  incarnation: z.int().min(0),
+  zone: Name,
+  /** `host:port` of the sender's listener. */
+  address: z.string(),
+  /** Newest protocol version that the sender speaks. */
+  protocol: z.int().min(1),
+  /** Oldest protocol version that the sender speaks. */
+  minProtocol: z.int().min(1),
+});
+export type Hello = z.infer<typeof Hello>;
+
+/** Returns the newest protocol version that this host and the sender of `hello` share. */
+export function getSharedProtocol(
+  hello: Hello,
+  own = { protocol: PROTOCOL, minProtocol: MIN_PROTOCOL },
+): number | undefined {
+  const shared = Math.min(hello.protocol, own.protocol);
+  return shared < Math.max(hello.minProtocol, own.minProtocol) ? undefined : shared;
+}
--- /dev/null
+++ b/src/peers/links.ts
@@ -0,0 +1,316 @@
+import { createServer, type AddressInfo, type Server } from 'node:net';
+import { Random } from '../base/random.ts';
+import { Message } from '../core/messages.ts';
+import type { HostIdentity } from '../core/state.ts';
+import { MIN_PROTOCOL, PROTOCOL } from '../membership/constants.ts';
+import type { MembershipEvent } from '../membership/types.ts';
+import { Connection, type ConnectionOwner, type PeerCounters } from './connection.ts';
+import {
+  CHECK_MS,
+  HANDSHAKE_MS,
+  HEARTBEAT_MS,
+  MAX_BUFFERED_BYTES,
+  MAX_FRAME_BYTES,
+  PROBE_MS,
+  RECONNECT_BASE_MS,
+  RECONNECT_MAX_MS,
+  SILENCE_MS,
+  SUPERSEDED_MS,
+} from './constants.ts';
+import { encodeFrame, FRAME } from './frames.ts';
+import { getSharedProtocol, type Hello } from './hello.ts';
+
+export type PeerEvent =
+  | Extract<MembershipEvent, { type: 'linkOpened' | 'linkClosed' }>
+  | { type: 'messageReceived'; from: string; message: Message };
+
+export interface PeerLinksOptions {
+  identity: HostIdentity;
+  listen: { host: string; port: number };
+  onEvent: (event: PeerEvent) => void;
+}
+
+interface Peer {
+  readonly host: string;
+  /** Empty until the address is known. */
+  address: string;
+  /** Whether the link is dialled again whenever it is lost. */
+  isWanted: boolean;
+  /** Connection in use. */
+  open: Connection | undefined;
+  /** Connection being dialled. */
+  dialling: Connection | undefined;
+  /** Whether `linkOpened` was reported and not yet `linkClosed`. */
+  isReported: boolean;
+  failures: number;
+  /** Time of the next dial. */
+  dialAt: number;
+}
+
+/** TCP links to the other hosts: at most one connection in use for each of them. */
+export class PeerLinks implements ConnectionOwner {
+  readonly counters: PeerCounters = {
+    sentBytes: 0,
+    receivedBytes: 0,
+    malformed: 0,
+    dropped: 0,
+    refused: 0,
+  };
+  readonly hello: Hello;
+  private readonly server: Server;
+  private readonly peers = new Map<string, Peer>();
+  private readonly connections = new Set<Connection>();
+  /** Times at which superseded connections are closed. */
+  private readonly superseded = new Map<Connection, number>();
+  private readonly random: Random;
+  private timer: NodeJS.Timeout | undefined;
+  private checkedAt = 0;
+  private isStopped = false;
+
+  private constructor(private readonly options: PeerLinksOptions) {
+    const { id: host, incarnation, zone, address } = options.identity;
+    this.hello = {
+      host,
+      incarnation,
+      zone,
+      address,
+      protocol: PROTOCOL,
+      minProtocol: MIN_PROTOCOL,
+    };
+    this.random = Random.create(incarnation);
+    this.server = createServer((socket) => {
+      this.connections.add(Connection.accept(socket, this));
+    });
+  }
+
+  static create(options: PeerLinksOptions): PeerLinks {
+    return new PeerLinks(options);
+  }
+
+  /** Listens and returns the port; rejects when the address cannot be bound. */
+  async start(): Promise<number> {
+    const { host, port } = this.options.listen;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+    const bound = (this.server.address() as AddressInfo).port;
+    // A settings port of 0 lets the system choose; peers must learn the real one.
+    if (port === 0) this.hello.address = `${host}:${bound}`;
+    this.checkedAt = performance.now();
+    this.timer = setInterval(() => this.check(), CHECK_MS);
+    return bound;
+  }
+
+  /** Closes all connections and the listener. No events are reported afterwards. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    clearInterval(this.timer);
+    for (const connection of [...this.connections]) connection.close('stopped');
+    this.peers.clear();
+    await new Promise<void>((resolve) => this.server.close(() => resolve()));
+  }
+
+  /** Keeps a link to `host` open until `close`; does nothing when it is open already. */
+  open(host: string, address: string): void {
+    if (host === this.hello.host) return;
+    const peer = this.getPeer(host);
+    peer.address = address;
+    peer.isWanted = true;
+    if (peer.open === undefined) this.dial(peer);
+  }
+
+  close(host: string): void {
+    const peer = this.peers.get(host);
+    if (peer === undefined) return;
+    this.peers.delete(host);
+    peer.open?.close('closed');
+    peer.dialling?.close('closed');
+    this.reportClosed(peer, 'closed');
+  }
+
+  /** Sends `message`; returns false when it was dropped. True does not mean that it arrives. */
+  send(host: string, message: Message): boolean {
+    const connection = this.peers.get(host)?.open;
+    const frame = connection === undefined ? undefined : encodeFrame(FRAME.message, message);
+    if (
+      connection === undefined ||
+      frame === undefined ||
+      frame.length > MAX_FRAME_BYTES ||
+      connection.bufferedBytes + frame.length > MAX_BUFFERED_BYTES
+    ) {
+      this.counters.dropped += 1;
+      return false;
+    }
+    connection.write(frame);
+    return true;
+  }
+
+  /** Returns the protocol version in use with `host`, or undefined without a link. */
+  getProtocol(host: string): number | undefined {
+    const hello = this.peers.get(host)?.open?.peer;
+    return hello === undefined ? undefined : getSharedProtocol(hello);
+  }
+
+  onHello(connection: Connection, hello: Hello): void {
+    const expected = connection.dialled ?? hello.host;
+    const known = this.peers.get(expected)?.open?.peer;
+    if (
+      hello.host === this.hello.host ||
+      hello.host !== expected ||
+      getSharedProtocol(hello) === undefined ||
+      (known !== undefined && known.incarnation > hello.incarnation)
+    ) {
+      this.counters.refused += 1;
+      connection.close('hello is refused');
+      return;
+    }
+    const peer = this.getPeer(expected);
+    if (peer.dialling === connection) peer.dialling = undefined;
+    if (known !== undefined && known.incarnation < hello.incarnation) {
+      const old = peer.open;
+      peer.open = undefined;
+      old?.close('restarted');
+      this.reportClosed(peer, 'restarted');
+    }
+    const current = this.getPeer(expected);
+    if (current.address === '') current.address = hello.address;
+    this.choose(current, connection);
+  }
+
+  onMessage(connection: Connection, content: unknown): void {
+    const from = connection.peer?.host;
+    const message = Message.safeParse(content);
+    if (from === undefined || !message.success) {
+      this.counters.malformed += 1;
+      return;
+    }
+    this.options.onEvent({ type: 'messageReceived', from, message: message.data });
+  }
+
+  onClosed(connection: Connection, reason: string): void {
+    this.connections.delete(connection);
+    this.superseded.delete(connection);
+    if (this.isStopped) return;
+    const host = connection.dialled ?? connection.peer?.host;
+    const peer = host === undefined ? undefined : this.peers.get(host);
+    if (peer === undefined) return;
+    if (peer.open === connection) {
+      peer.open = undefined;
+      // A peer counts as dead only after a fresh connection failed too. A silent one was probed
+      // already, and one that fails right after it opened must not be dialled without a pause.
+      if (peer.dialling !== undefined) return;
+      const isYoung = performance.now() - connection.createdAt < HANDSHAKE_MS;
+      if (peer.address === '' || reason === 'silent' || isYoung) this.endProbe(peer, reason);
+      else this.dial(peer);
+    } else if (peer.dialling === connection) {
+      peer.dialling = undefined;
+      if (peer.open === undefined) this.endProbe(peer, reason);
+    }
+  }
+
+  /** Uses `connection` unless the link in use was dialled at the same time by the smaller host id. */
+  private choose(peer: Peer, connection: Connection): void {
+    const old = peer.open;
+    const now = performance.now();
+    if (old !== undefined) {
+      const hasSameDialler = (old.dialled === undefined) === (connection.dialled === undefined);
+      const isCurrent = now - old.createdAt < SILENCE_MS && now - old.heardAt < PROBE_MS;
+      const oldDialler = old.dialled === undefined ? peer.host : this.hello.host;
+      const isOldKept =
+        !hasSameDialler && isCurrent && oldDialler < this.getOther(oldDialler, peer);
+      const loser = isOldKept ? connection : old;
+      this.superseded.set(loser, now + SUPERSEDED_MS);
+      if (isOldKept) return;
+    }
+    peer.open = connection;
+    peer.failures = 0;
+    if (peer.isReported) return;
+    peer.isReported = true;
+    this.options.onEvent({ type: 'linkOpened', host: peer.host });
+  }
+
+  private getOther(host: string, peer: Peer): string {
+    return host === peer.host ? this.hello.host : peer.host;
+  }
+
+  private dial(peer: Peer): void {
+    if (peer.dialling !== undefined || peer.address === '') return;
+    peer.dialling = Connection.dial(peer.host, peer.address, this);
+    this.connections.add(peer.dialling);
+  }
+
+  /** A fresh connection failed: reports the link as closed and schedules the next dial. */
+  private endProbe(peer: Peer, reason: string): void {
+    const limit = Math.min(RECONNECT_MAX_MS, RECONNECT_BASE_MS * 2 ** peer.failures);
+    peer.failures = Math.min(peer.failures + 1, 16);
+    peer.dialAt = performance.now() + limit * (0.5 + this.random.getFraction() / 2);
+    this.reportClosed(peer, reason);
+  }
+
+  private reportClosed(peer: Peer, reason: string): void {
+    if (!peer.isReported) return;
+    peer.isReported = false;
+    if (!peer.isWanted) this.peers.delete(peer.host);
+    this.options.onEvent({ type: 'linkClosed', host: peer.host, reason });
+  }
+
+  private check(): void {
+    const now = performance.now();
+    // After a pause of this process, what the peers sent is still unread: silence counts anew.
+    const wasPaused = now - this.checkedAt > HEARTBEAT_MS;
+    this.checkedAt = now;
+    for (const connection of [...this.connections]) {
+      if (wasPaused) connection.heardAt = now;
+      this.checkConnection(connection, now);
+    }
+    for (const peer of this.peers.values()) {
+      if (peer.isWanted && peer.open === undefined && peer.dialAt <= now) this.dial(peer);
+    }
+  }
+
+  private checkConnection(connection: Connection, now: number): void {
+    const { peer: hello } = connection;
+    if (hello === undefined) {
+      if (now - connection.createdAt > HANDSHAKE_MS) connection.close('silent');
+      return;
+    }
+    if ((this.superseded.get(connection) ?? Infinity) <= now) {
+      connection.close('superseded');
+      return;
+    }
+    const silence = now - connection.heardAt;
+    if (silence > SILENCE_MS) {
+      connection.close('silent');
+      return;
+    }
+    const peer = this.peers.get(hello.host);
+    if (silence > PROBE_MS && peer?.open === connection && peer.dialAt <= now) {
+      peer.dialAt = now + HANDSHAKE_MS;
+      this.dial(peer);
+    }
+    if (now - connection.sentAt >= HEARTBEAT_MS - CHECK_MS) {
+      connection.write(encodeFrame(FRAME.heartbeat, 0));
+    }
+  }
+
+  private getPeer(host: string): Peer {
+    const known = this.peers.get(host);
+    if (known !== undefined) return known;
+    const peer: Peer = {
+      host,
+      address: '',
+      isWanted: false,
+      open: undefined,
+      dialling: undefined,
+      isReported: false,
+      failures: 0,
+      dialAt: 0,
+    };
+    this.peers.set(host, peer);
+    return peer;
+  }
+}
--- /dev/null
+++ b/tests/helpers/silencingProxy.ts
@@ -0,0 +1,48 @@
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+
+/** Forwards TCP connections; those that are open when `silence` is called carry nothing any more. */
+export class SilencingProxy {
+  accepted = 0;
+  private readonly sockets = new Set<Socket>();
+  private readonly silenced = new Set<Socket>();
+
+  private constructor(private readonly server: Server) {}
+
+  static async create(targetPort: number): Promise<SilencingProxy> {
+    const server = createServer();
+    const proxy = new SilencingProxy(server);
+    server.on('connection', (near) => proxy.join(near, targetPort));
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', () => resolve()));
+    return proxy;
+  }
+
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  silence(): void {
+    for (const socket of this.sockets) this.silenced.add(socket);
+  }
+
+  async stop(): Promise<void> {
+    for (const socket of this.sockets) socket.destroy();
+    await new Promise<void>((resolve) => this.server.close(() => resolve()));
+  }
+
+  private join(near: Socket, targetPort: number): void {
+    this.accepted += 1;
+    const far = connect(targetPort, '127.0.0.1');
+    for (const [from, to] of [
+      [near, far],
+      [far, near],
+    ] as const) {
+      this.sockets.add(from);
+      from.on('data', (chunk) => this.silenced.has(from) || to.write(chunk));
+      from.on('error', () => from.destroy());
+      from.on('close', () => {
+        this.sockets.delete(from);
+        if (!this.silenced.has(from)) to.destroy();
+      });
+    }
+  }
+}
