Retry a link that fails right after it opened with a growing pause

A connection that the peer closed within a second of opening was reported as closed without a fresh connection, so a host that had just stopped was reported as 'ended' and not 'refused'.

--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -203,9 +203,13 @@
       // A peer counts as dead only after a fresh connection failed too. A silent one was probed
       // already, and one that fails right after it opened must not be dialled without a pause.
       if (peer.dialling !== undefined) return;
-      const isYoung = performance.now() - connection.createdAt < HANDSHAKE_MS;
-      if (peer.address === '' || reason === 'silent' || isYoung) this.endProbe(peer, reason);
-      else this.dial(peer);
+      const now = performance.now();
+      if (peer.address === '' || reason === 'silent') this.endProbe(peer, reason);
+      else if (now - connection.createdAt < HANDSHAKE_MS) this.delayDial(peer, now);
+      else {
+        peer.failures = 0;
+        this.dial(peer);
+      }
     } else if (peer.dialling === connection) {
       peer.dialling = undefined;
       if (peer.open === undefined) this.endProbe(peer, reason);
@@ -227,7 +231,6 @@
       if (isOldKept) return;
     }
     peer.open = connection;
-    peer.failures = 0;
     if (peer.isReported) return;
     peer.isReported = true;
     this.options.onEvent({ type: 'linkOpened', host: peer.host });
@@ -245,10 +248,14 @@
 
   /** A fresh connection failed: reports the link as closed and schedules the next dial. */
   private endProbe(peer: Peer, reason: string): void {
+    this.delayDial(peer, performance.now());
+    this.reportClosed(peer, reason);
+  }
+
+  private delayDial(peer: Peer, now: number): void {
     const limit = Math.min(RECONNECT_MAX_MS, RECONNECT_BASE_MS * 2 ** peer.failures);
     peer.failures = Math.min(peer.failures + 1, 16);
-    peer.dialAt = performance.now() + limit * (0.5 + this.random.getFraction() / 2);
-    this.reportClosed(peer, reason);
+    peer.dialAt = now + limit * (0.5 + this.random.getFraction() / 2);
   }
 
   private reportClosed(peer: Peer, reason: string): void {
@@ -268,7 +275,8 @@
       this.checkConnection(connection, now);
     }
     for (const peer of this.peers.values()) {
-      if (peer.isWanted && peer.open === undefined && peer.dialAt <= now) this.dial(peer);
+      const isNeeded = peer.isWanted || peer.isReported;
+      if (isNeeded && peer.open === undefined && peer.dialAt <= now) this.dial(peer);
     }
   }
 
