--- /dev/null
+++ b/src/http/keys.ts
@@ -0,0 +1,22 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+import type { AccessKey } from '../settings/accessKeys.ts';
+
+/**
+ * Returns the key of `role` that an `Authorization: Bearer` header carries, or undefined. Compares
+ * with every key in constant time, so that the time taken does not tell how much of a key matched.
+ */
+export function findKey(
+  keys: readonly AccessKey[],
+  authorization: string | undefined,
+  role: AccessKey['role'],
+): AccessKey | undefined {
+  const secret = /^Bearer (\S+)$/i.exec(authorization ?? '')?.[1];
+  if (secret === undefined) return undefined;
+  const digest = createHash('sha256').update(secret).digest();
+  let found: AccessKey | undefined;
+  for (const key of keys) {
+    const isEqual = timingSafeEqual(digest, Buffer.from(key.sha256, 'hex'));
+    if (isEqual && key.role === role) found = key;
+  }
+  return found;
+}
