Accept a fresh connection from either side in the test of a silent link

The test counted connections through the proxy, but the accepted side may probe first, and it dials around the proxy. What the test guards is that a message still arrives after all open connections went silent; that check stays.

--- a/tests/helpers/silencingProxy.ts
+++ b/tests/helpers/silencingProxy.ts
@@ -2,7 +2,6 @@
 
 /** Forwards TCP connections; those that are open when `silence` is called carry nothing any more. */
 export class SilencingProxy {
-  accepted = 0;
   private readonly sockets = new Set<Socket>();
   private readonly silenced = new Set<Socket>();
 
@@ -30,7 +29,6 @@
   }
 
   private join(near: Socket, targetPort: number): void {
-    this.accepted += 1;
     const far = connect(targetPort, '127.0.0.1');
     for (const [from, to] of [
       [near, far],
--- a/tests/peers/links.test.ts
+++ b/tests/peers/links.test.ts
@@ -63,12 +63,12 @@
     stops.push(() => proxy.stop());
     a.links.open('b', `127.0.0.1:${proxy.port}`);
     await vi.waitFor(() => expect(a.types()).toEqual(['linkOpened']), wait);
+    // From here on only a new connection, dialled by either side, can carry a message.
     proxy.silence();
     await vi.waitFor(() => {
       a.links.send('b', message);
       expect(b.types()).toContain('messageReceived');
     }, wait);
-    expect(proxy.accepted).toBeGreaterThan(1);
     expect(a.types()).not.toContain('linkClosed');
   });
 
