Add membership by gossip, and ownership by zone row, lease and promises

Every host needs one view of the hosts and engines, and each engine one host that decides for it.

Membership: entries merge by (incarnation, revision); own changes go to all links, relays carry them across zones, and digests repair what was lost. Owners tell changes of load and residents to their zone within a byte budget; relays send summaries that go down a tree of each zone.

Ownership: a lease counts from the sending of its renewal, and only once a read of the zone row after the renewal still names the host, because a removed host can renew its lease row without noticing the removal. A host that joins does not decide for an engine while another member may still act by an older row: that member could unload an adapter that the joined host has just granted.

--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -1,4 +1,24 @@
 import { z } from 'zod';
+import {
+  EndpointsLeaving,
+  EngineDelta,
+  EngineWanted,
+  HostRevision,
+  MembershipDelta,
+  MembershipDigest,
+  MembershipVersions,
+  MembershipWanted,
+} from '../membership/types.ts';
+import {
+  EpochSeen,
+  Handover,
+  HandoverAsked,
+  HandoverTaken,
+  PromiseAsked,
+  PromiseGiven,
+  PromiseRefused,
+  ZoneRowSeen,
+} from '../ownership/types.ts';
 import { GrantAsk, GrantGiven, GrantRefused, GrantReleased } from '../grants/types.ts';
 
 /** Every message between hosts, parsed at the link before it reaches the reducer. */
@@ -7,5 +27,21 @@
   GrantGiven,
   GrantRefused,
   GrantReleased,
+  MembershipDelta,
+  MembershipDigest,
+  MembershipVersions,
+  MembershipWanted,
+  HostRevision,
+  EndpointsLeaving,
+  EngineDelta,
+  EngineWanted,
+  ZoneRowSeen,
+  EpochSeen,
+  HandoverAsked,
+  Handover,
+  HandoverTaken,
+  PromiseAsked,
+  PromiseGiven,
+  PromiseRefused,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -5,7 +5,13 @@
 } from '../configuration/handlers.ts';
 import { engineEvents, engineTimers } from '../engines/handlers.ts';
 import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
-import { membershipEvents } from '../membership/handlers.ts';
+import { membershipEvents, membershipMessages, membershipTimers } from '../membership/handlers.ts';
+import {
+  noteTurn,
+  ownershipMessages,
+  ownershipTableHandlers,
+  ownershipTimers,
+} from '../ownership/handlers.ts';
 import { requestEvents, requestMessages, requestTimers } from '../requests/handlers.ts';
 import type { Effect } from './effects.ts';
 import type { Event } from './events.ts';
@@ -24,7 +30,12 @@
 
 type Untyped = (...args: unknown[]) => Effect[];
 
-const messages: MessageHandlers<Message['type']> = { ...grantMessages, ...requestMessages };
+const messages: MessageHandlers<Message['type']> = {
+  ...grantMessages,
+  ...requestMessages,
+  ...membershipMessages,
+  ...ownershipMessages,
+};
 
 const timers: TimerHandlers<Timer['type']> = {
   ...configurationTimers,
@@ -32,9 +43,14 @@
   ...grantTimers,
   ...requestTimers,
   ...hostTimers,
+  ...membershipTimers,
+  ...ownershipTimers,
 };
 
-const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = { ...configurationTableHandlers };
+const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = {
+  ...configurationTableHandlers,
+  ...ownershipTableHandlers,
+};
 
 const objectAnswers: ObjectAnswerHandlers<ObjectPurpose['type']> = {
   ...configurationObjectHandlers,
@@ -66,6 +82,7 @@
  * milliseconds and never smaller than in an earlier call.
  */
 export function reduce(state: State, event: Event, now: number): Effect[] {
+  noteTurn(state, now);
   const handler = events[event.type] as Untyped;
   return handler(state, event, now);
 }
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -35,12 +35,23 @@
   readonly maxRequests: number;
   /** Time for which a stopping host still takes new requests, in ms. */
   readonly lameDuckMs: number;
+  /** Whether this is the only host and no table is used; it then owns every engine. */
+  readonly isAlone?: boolean;
+}
+
+/** A host that is known from the settings. */
+export interface Seed {
+  readonly host: string;
+  /** `host:port` of its peer listener. */
+  readonly address: string;
 }
 
 export interface StateOptions {
   host: HostIdentity;
   policy: Policy;
   seed: number;
+  /** Hosts to contact first, beside those of the host list. */
+  seeds?: readonly Seed[];
 }
 
 /** The whole state of a host. Only `reduce` changes it. */
@@ -62,11 +73,12 @@
     readonly host: HostIdentity,
     readonly policy: Policy,
     seed: number,
+    readonly seeds: readonly Seed[],
   ) {
     this.random = Random.create(seed);
   }
 
-  static create({ host, policy, seed }: StateOptions): State {
-    return new State(host, policy, seed);
+  static create({ host, policy, seed, seeds = [] }: StateOptions): State {
+    return new State(host, policy, seed, seeds);
   }
 }
--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -1,12 +1,20 @@
 import type { EngineTimer } from '../engines/types.ts';
 import type { GrantTimer } from '../grants/types.ts';
+import type { MembershipTimer } from '../membership/types.ts';
+import type { OwnershipTimer } from '../ownership/types.ts';
 import type { RequestTimer } from '../requests/types.ts';
 import type { LifecycleTimer } from './lifecycle.ts';
 import type { State } from './state.ts';
 
 /** Every kind of timer. A handler checks that its timer still matters, so timers are never removed. */
 export type Timer =
-  EngineTimer | GrantTimer | RequestTimer | LifecycleTimer | { type: 'pollConfiguration' };
+  | EngineTimer
+  | GrantTimer
+  | RequestTimer
+  | LifecycleTimer
+  | MembershipTimer
+  | OwnershipTimer
+  | { type: 'pollConfiguration' };
 
 /** Schedules `timer` for monotonic time `at`. */
 export function schedule(state: State, at: number, timer: Timer): void {
--- a/src/grants/handlers.ts
+++ b/src/grants/handlers.ts
@@ -3,14 +3,16 @@
 import type { State } from '../core/state.ts';
 import type { Effect } from '../core/effects.ts';
 import { addResident, removeResident } from '../engines/views.ts';
+import { forwardRelease } from '../ownership/handover.ts';
 import { refuse, serveQueue } from './serve.ts';
 import type { GrantAsk, GrantEvent, GrantTimer, OwnedEngine } from './types.ts';
 
 export const grantMessages: MessageHandlers<'grantAsk' | 'grantReleased'> = {
   grantAsk: (state, ask, from, now) => handleAsk(state, ask, from, now),
-  grantReleased: (state, { engine, request, grant }, _from, now) => {
+  grantReleased: (state, released, from, now) => {
+    const { engine, request, grant } = released;
     const owned = state.grants.owned.get(engine);
-    if (owned === undefined) return [];
+    if (owned === undefined) return forwardRelease(state, released, from);
     owned.pins.delete(grant);
     owned.queue = owned.queue.filter((ask) => ask.request !== request);
     return serveQueue(state, owned, now);
--- a/src/host/runners/index.ts
+++ b/src/host/runners/index.ts
@@ -12,6 +12,7 @@
   gauge: (context, effect) => context.observer.observe(effect),
   openLink: () => undefined,
   closeLink: () => undefined,
+  readHostList: () => undefined,
   stopped: (context) => context.onStopped(),
 };
 
--- /dev/null
+++ b/src/membership/gossip.ts
@@ -0,0 +1,88 @@
+import { deliver } from '../core/deliver.ts';
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import { MAX_ENTRIES } from './constants.ts';
+import { getDigest, getForeignPeers, getRelays, getVersions, getZonePeers } from './hosts.ts';
+import type { HostEntry, MembershipVersions } from './types.ts';
+
+/** Passes changed entries on: own news to all links, others' across the border of the zone. */
+export function spreadEntries(state: State): Effect[] {
+  const { hosts, dirty } = state.membership;
+  if (dirty.size === 0) return [];
+  const isRelay = getRelays(state, state.host.zone).includes(state.host.id);
+  const own: HostEntry[] = [];
+  const inward: HostEntry[] = [];
+  const outward: HostEntry[] = [];
+  for (const [host, from] of dirty) {
+    const entry = hosts.get(host);
+    if (entry === undefined) continue;
+    if (from === state.host.id) own.push(entry);
+    else if (!isRelay) continue;
+    else if (hosts.get(from)?.zone === state.host.zone) outward.push(entry);
+    else inward.push(entry);
+  }
+  dirty.clear();
+  return [
+    ...sendEntries(state, getZonePeers(state), [...own, ...inward]),
+    ...sendEntries(state, getForeignPeers(state), [...own, ...outward]),
+  ];
+}
+
+/** Sends `entries` to each of `peers`. */
+export function sendEntries(state: State, peers: string[], entries: HostEntry[]): Effect[] {
+  const effects: Effect[] = [];
+  for (let at = 0; at < entries.length; at += MAX_ENTRIES) {
+    const part = entries.slice(at, at + MAX_ENTRIES);
+    for (const to of peers) {
+      effects.push(deliver(state, to, { type: 'membershipDelta', entries: part }));
+    }
+  }
+  return effects;
+}
+
+/** Compares all entries with one linked host, chosen at random. */
+export function sendDigest(state: State, now: number): Effect[] {
+  const peers = [...state.membership.linked];
+  const peer = peers[state.random.getInteger(Math.max(1, peers.length))];
+  if (peer === undefined) return [];
+  return [deliver(state, peer, { type: 'membershipDigest', hash: getDigest(state, now) })];
+}
+
+/** Answers a digest that differs from this host's with the versions of all entries. */
+export function answerDigest(state: State, hash: number, from: string, now: number): Effect[] {
+  if (getDigest(state, now) === hash) return [];
+  const versions = getVersions(state, now);
+  return [deliver(state, from, { type: 'membershipVersions', versions })];
+}
+
+/** Sends what is newer here and asks for what is newer there. */
+export function answerVersions(
+  state: State,
+  { versions }: MembershipVersions,
+  from: string,
+  now: number,
+): Effect[] {
+  const { hosts } = state.membership;
+  const theirs = new Map(
+    versions.map(([host, incarnation, revision]) => [host, [incarnation, revision]]),
+  );
+  const compare = (host: string, incarnation: number, revision: number): number => {
+    const [theirIncarnation = -1, theirRevision = -1] = theirs.get(host) ?? [];
+    return incarnation - theirIncarnation || revision - theirRevision;
+  };
+  const newer = getVersions(state, now)
+    .filter((version) => compare(...version) > 0)
+    .flatMap(([host]) => hosts.get(host) ?? []);
+  const wanted = versions
+    .filter(([host, incarnation, revision]) => {
+      const known = hosts.get(host);
+      if (known === undefined) return true;
+      return (incarnation - known.incarnation || revision - known.revision) > 0;
+    })
+    .map(([host]) => host);
+  const effects = sendEntries(state, [from], newer);
+  if (wanted.length > 0) {
+    effects.push(deliver(state, from, { type: 'membershipWanted', hosts: wanted }));
+  }
+  return effects;
+}
--- a/src/membership/handlers.ts
+++ b/src/membership/handlers.ts
@@ -1,13 +1,143 @@
-import type { EventHandlers } from '../core/handlers.ts';
-import type { MembershipEvent } from './types.ts';
+import { deliver } from '../core/deliver.ts';
+import type { Effect } from '../core/effects.ts';
+import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
+import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
+import { DIGEST_MS, GOSSIP_MS, MAX_ENTRIES, SUMMARY_MS } from './constants.ts';
+import { getHostListInterval, updateLeaving, updateLeavingFromList } from './endpoints.ts';
+import { answerDigest, answerVersions, sendDigest, sendEntries, spreadEntries } from './gossip.ts';
+import { getDigest, mergeHost, updateGone, updateOwnEntry } from './hosts.ts';
+import { updateHints, updateLinks } from './links.ts';
+import { applyDelta, askForMissing, getCompleteNews } from './news.ts';
+import { spreadOwned } from './spread.ts';
+import { forwardSummary, sendSummaries } from './summaries.ts';
+import type { HostState, MembershipEvent, MembershipTimer } from './types.ts';
+
+type MembershipMessage =
+  | 'membershipDelta'
+  | 'membershipDigest'
+  | 'membershipVersions'
+  | 'membershipWanted'
+  | 'hostRevision'
+  | 'endpointsLeaving'
+  | 'engineDelta'
+  | 'engineWanted';
+
+/** Writes the own entry, takes over the seeds and starts the rounds. */
+export function startMembership(state: State, now: number): Effect[] {
+  updateOwnEntry(state, getOwnState(state));
+  for (const { host, address } of state.seeds) {
+    state.membership.hints.set(host, { zone: state.host.zone, address });
+  }
+  // Hosts that start together must not run their rounds together.
+  const spread = (ms: number): number => now + state.random.getFraction() * ms;
+  schedule(state, spread(GOSSIP_MS), { type: 'gossipRound' });
+  schedule(state, spread(DIGEST_MS), { type: 'digestRound' });
+  schedule(state, spread(SUMMARY_MS), { type: 'summaryRound' });
+  schedule(state, now, { type: 'hostListRound' });
+  return updateLinks(state, now);
+}
 
 export const membershipEvents: EventHandlers<MembershipEvent['type']> = {
-  linkOpened: (state, { host }) => {
-    state.membership.linked.add(host);
-    return [];
+  linkOpened: (state, { host }, now) => {
+    const { linked, unlinkedSince, received, hosts } = state.membership;
+    linked.add(host);
+    unlinkedSince.delete(host);
+    // The host may have restarted and numbers its news anew.
+    for (const [engine, record] of received) if (record.from === host) received.delete(engine);
+    const own = hosts.get(state.host.id);
+    return [
+      ...sendEntries(state, [host], own === undefined ? [] : [own]),
+      deliver(state, host, { type: 'membershipDigest', hash: getDigest(state, now) }),
+      deliver(state, host, { type: 'engineWanted', engines: [] }),
+    ];
   },
-  linkClosed: (state, { host }) => {
+  linkClosed: (state, { host }, now) => {
     state.membership.linked.delete(host);
+    state.membership.unlinkedSince.set(host, now);
     return [];
   },
+  hostListRead: (state, { entries }, now) => {
+    state.membership.listedHosts = entries.length;
+    updateHints(state, entries);
+    return [...updateLeavingFromList(state, entries, now), ...updateLinks(state, now)];
+  },
 };
+
+export const membershipMessages: MessageHandlers<MembershipMessage> = {
+  membershipDelta: (state, { entries }, from, now) => {
+    let isChanged = false;
+    for (const entry of entries) {
+      if (mergeHost(state, entry, from, now)) isChanged = true;
+    }
+    return isChanged ? updateLinks(state, now) : [];
+  },
+  membershipDigest: (state, { hash }, from, now) => answerDigest(state, hash, from, now),
+  membershipVersions: (state, message, from, now) => answerVersions(state, message, from, now),
+  membershipWanted: (state, { hosts }, from) => {
+    const entries = hosts.flatMap((host) => state.membership.hosts.get(host) ?? []);
+    return sendEntries(state, [from], entries);
+  },
+  hostRevision: (state, { incarnation, configurationRevision }, from, now) => {
+    const known = state.membership.hosts.get(from);
+    if (known?.incarnation === incarnation) {
+      mergeHost(state, { ...known, configurationRevision }, from, now);
+    }
+    return [];
+  },
+  endpointsLeaving: (state, message, _from, now) => updateLeaving(state, message, now),
+  engineDelta: (state, delta, from, now) => [
+    ...applyDelta(state, delta, from, now),
+    ...forwardSummary(state, delta, from),
+  ],
+  engineWanted: (state, { engines }, from) => {
+    const wanted = engines.length === 0 ? [...state.grants.owned.keys()] : engines;
+    const news = wanted.slice(0, MAX_ENTRIES).flatMap((e) => getCompleteNews(state, e) ?? []);
+    return news.length === 0 ? [] : [deliver(state, from, { type: 'engineDelta', news })];
+  },
+};
+
+export const membershipTimers: TimerHandlers<MembershipTimer['type']> = {
+  gossipRound: (state, _timer, now) => {
+    schedule(state, now + GOSSIP_MS, { type: 'gossipRound' });
+    const before = state.membership.hosts.get(state.host.id)?.configurationRevision;
+    updateOwnEntry(state, getOwnState(state));
+    return [
+      ...updateGone(state, now),
+      ...spreadEntries(state),
+      ...spreadRevision(state, before),
+      ...spreadOwned(state, now),
+      ...askForMissing(state, now),
+      ...updateLinks(state, now),
+    ];
+  },
+  digestRound: (state, _timer, now) => {
+    schedule(state, now + DIGEST_MS, { type: 'digestRound' });
+    return sendDigest(state, now);
+  },
+  summaryRound: (state, _timer, now) => {
+    schedule(state, now + SUMMARY_MS, { type: 'summaryRound' });
+    return sendSummaries(state, now);
+  },
+  hostListRound: (state, _timer, now) => {
+    const interval = getHostListInterval(state.membership.listedHosts);
+    const jitter = 0.8 + 0.4 * state.random.getFraction();
+    schedule(state, now + interval * jitter, { type: 'hostListRound' });
+    return [{ type: 'readHostList' }];
+  },
+};
+
+function getOwnState(state: State): HostState {
+  if (state.phase === 'stopped') return 'gone';
+  if (state.phase !== 'running') return 'leaving';
+  return state.configuration.revision > 0 ? 'live' : 'joining';
+}
+
+function spreadRevision(state: State, before: number | undefined): Effect[] {
+  const { incarnation } = state.host;
+  const configurationRevision = state.configuration.revision;
+  if (before === configurationRevision) return [];
+  return [...state.membership.linked].map((to) =>
+    deliver(state, to, { type: 'hostRevision', incarnation, configurationRevision }),
+  );
+}
--- /dev/null
+++ b/src/ownership/adopt.ts
@@ -0,0 +1,91 @@
+import { deliver } from '../core/deliver.ts';
+import type { Effect } from '../core/effects.ts';
+import { newLog } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import { updateOwned } from '../grants/owned.ts';
+import { getForeignPeers, getRelays, getZonePeers } from '../membership/hosts.ts';
+import { captureLost, installHandover, sendHandovers } from './handover.ts';
+import { getMemberKey, updateHoldings } from './holdings.ts';
+import { addRow, newKnownRow, newRowMessage } from './rows.ts';
+import type { ZoneRow, ZoneRowSeen } from './types.ts';
+
+/** Acts by a row of this zone when its epoch is higher; `version` is empty when from a message. */
+export function adoptRow(state: State, row: ZoneRow, version: string, now: number): Effect[] {
+  const { ownership } = state;
+  const epoch = ownership.row?.epoch ?? 0;
+  if (row.epoch === epoch && version !== '') ownership.rowVersion = version;
+  if (row.epoch <= epoch) return [];
+  addRow(ownership, row, version, now);
+  captureLost(state, now);
+  // Another host may have owned an engine under a row that was missed.
+  if (epoch > 0 && row.epoch > epoch + 1) ownership.holdings.clear();
+  const members = new Set(row.members.map(getMemberKey));
+  for (const key of ownership.acknowledged.keys()) {
+    if (!members.has(key)) ownership.acknowledged.delete(key);
+  }
+  return [
+    newLog('info', 'zone row changed', { epoch: row.epoch, members: row.members.length }),
+    ...applyOwnership(state, now),
+    ...sendHandovers(state, now),
+    ...tellEpoch(state, now),
+  ];
+}
+
+/** Brings the owned engines in line with the rows, acknowledgements and handovers known. */
+export function applyOwnership(state: State, now: number): Effect[] {
+  const { ownership } = state;
+  const before = new Set(ownership.holdings.keys());
+  updateHoldings(state);
+  const effects = updateOwned(state, now);
+  for (const engine of ownership.holdings.keys()) {
+    const handover = ownership.received.get(engine);
+    if (!before.has(engine) && handover !== undefined) installHandover(state, handover, now);
+  }
+  return effects;
+}
+
+/** Tells the zone up to which epoch this host has given up what it lost. */
+export function tellEpoch(state: State, now: number): Effect[] {
+  const epoch = getGivenUpEpoch(state, now);
+  const { incarnation } = state.host;
+  return getZonePeers(state).map((to) =>
+    deliver(state, to, { type: 'epochSeen', incarnation, epoch }),
+  );
+}
+
+/** Returns the epoch that others may count as acknowledged; it waits for unload orders in flight. */
+export function getGivenUpEpoch({ ownership }: State, now: number): number {
+  if (ownership.drainUntil <= now) ownership.givenUpEpoch = ownership.row?.epoch ?? 0;
+  return ownership.givenUpEpoch;
+}
+
+/** Tells the hosts of the zone, and the relays of the others, of a row that this host wrote. */
+export function tellRow(state: State): Effect[] {
+  const peers = [...getZonePeers(state), ...getForeignPeers(state)];
+  return peers.map((to) => deliver(state, to, newRowMessage(state)));
+}
+
+/** Takes over rows that a message told of, and passes them on across the border of the zone. */
+export function hearRow(state: State, heard: ZoneRowSeen, from: string, now: number): Effect[] {
+  const { ownership, host, membership } = state;
+  const newest = heard.rows.at(-1);
+  if (ownership.mode === 'alone' || newest === undefined) return [];
+  const isOwnZone = heard.zone === host.zone;
+  const known = isOwnZone ? ownership.row : ownership.foreign.get(heard.zone)?.row;
+  const effects: Effect[] = [];
+  if ((known?.epoch ?? 0) < newest.epoch) {
+    const isFromZone = membership.hosts.get(from)?.zone === host.zone;
+    const isRelay = getRelays(state, host.zone).includes(host.id);
+    if (isRelay && isOwnZone === isFromZone) {
+      const peers = isFromZone ? getForeignPeers(state) : getZonePeers(state);
+      effects.push(...peers.map((to) => deliver(state, to, heard)));
+    }
+    if (!isOwnZone) ownership.foreign.set(heard.zone, newKnownRow(newest, now));
+    else for (const row of heard.rows) effects.push(...adoptRow(state, row, '', now));
+  }
+  if (!isOwnZone) return effects;
+  if ((known?.epoch ?? 0) > newest.epoch) effects.push(deliver(state, from, newRowMessage(state)));
+  const epoch = getGivenUpEpoch(state, now);
+  const { incarnation } = host;
+  return [...effects, deliver(state, from, { type: 'epochSeen', incarnation, epoch })];
+}
--- /dev/null
+++ b/src/ownership/lease.ts
@@ -0,0 +1,125 @@
+import type { Effect } from '../core/effects.ts';
+import { newLog } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import type { StoredRow, TableAnswer } from '../core/store.ts';
+import { getGivenUpEpoch } from './adopt.ts';
+import { LEASE_TTL_MS, RENEW_GIVE_UP_MS } from './constants.ts';
+import { getLeaseKey, getZoneKey, isMember } from './rows.ts';
+import { Lease, type OwnershipPurpose } from './types.ts';
+
+type ReadLease = Extract<OwnershipPurpose, { type: 'readLease' }>;
+type WriteLease = Extract<OwnershipPurpose, { type: 'writeLease' }>;
+
+/** Starts a renewal of the lease; does nothing while one is under way. */
+export function startRenewal(state: State, now: number): Effect[] {
+  const { ownership } = state;
+  if (ownership.phase === 'left' || ownership.phase === 'superseded') return [];
+  // A renewal from before a pause does not count after it.
+  const isUnderWay =
+    ownership.renewingSince + RENEW_GIVE_UP_MS > now &&
+    ownership.renewingSince >= ownership.resumedAt;
+  if (isUnderWay) return [];
+  ownership.renewingSince = now;
+  if (ownership.leaseVersion !== undefined) return writeLease(state, now, false);
+  return [readLease(state, { type: 'readLease', renewal: -1, sentAt: now, isRetry: false })];
+}
+
+/** Continues after a write of the lease. */
+export function continueWrite(
+  state: State,
+  purpose: WriteLease,
+  answer: TableAnswer,
+  sentAt: number,
+): Effect[] {
+  const { ownership } = state;
+  const { renewal, isRetry } = purpose;
+  if (answer.type === 'ok') {
+    if (renewal === ownership.renewal) ownership.leaseVersion = answer.rows[0]?.version;
+    return [readRow(state, sentAt)];
+  }
+  if (answer.type === 'unavailable') return endRenewal(state);
+  // The write may have taken effect: the row tells.
+  return [readLease(state, { type: 'readLease', renewal, sentAt, isRetry })];
+}
+
+/** Continues after a read of the own lease; the own renewal in it counts from its sending. */
+export function continueRead(
+  state: State,
+  purpose: ReadLease,
+  answer: TableAnswer,
+  now: number,
+): Effect[] {
+  const { ownership, host } = state;
+  if (answer.type === 'missing') {
+    ownership.leaseVersion = '';
+    return purpose.isRetry ? endRenewal(state) : writeLease(state, now, true);
+  }
+  const row = answer.type === 'ok' ? answer.rows[0] : undefined;
+  if (row === undefined) return endRenewal(state);
+  const lease = parseLease(row);
+  if (lease !== undefined && lease.incarnation > host.incarnation) {
+    ownership.phase = 'superseded';
+    ownership.holdings.clear();
+    return [newLog('error', 'a newer process runs under the id of this host', { host: host.id })];
+  }
+  ownership.leaseVersion = row.version;
+  const isOwn = lease?.incarnation === host.incarnation && lease.renewal === purpose.renewal;
+  if (isOwn) return [readRow(state, purpose.sentAt)];
+  return purpose.isRetry ? endRenewal(state) : writeLease(state, now, true);
+}
+
+/** Counts the lease from `renewedAt`, when the row read since then names this host. */
+export function confirmLease(state: State, renewedAt: number): void {
+  const { ownership } = state;
+  if (!isMember(state) || renewedAt <= ownership.confirmedAt) return;
+  ownership.confirmedAt = renewedAt;
+  ownership.leaseUntil = renewedAt + LEASE_TTL_MS;
+}
+
+/** Ends the renewal under way. */
+export function endRenewal({ ownership }: State): Effect[] {
+  ownership.renewingSince = -Infinity;
+  return [];
+}
+
+/** Returns the read of the zone row that confirms a renewal. */
+export function readRow(state: State, renewedAt: number): Effect {
+  return {
+    type: 'callTable',
+    call: { type: 'get', key: getZoneKey(state.host.zone) },
+    purpose: { type: 'readZoneRow', renewedAt },
+  };
+}
+
+/** Returns the lease of a row, or undefined when it is malformed. */
+export function parseLease(row: StoredRow): Lease | undefined {
+  return Lease.safeParse(row.value).data;
+}
+
+function readLease(state: State, purpose: ReadLease): Effect {
+  const key = getLeaseKey(state.host.zone, state.host.id);
+  return { type: 'callTable', call: { type: 'get', key }, purpose };
+}
+
+function writeLease(state: State, now: number, isRetry: boolean): Effect[] {
+  const { ownership, host } = state;
+  ownership.renewal += 1;
+  const lease: Lease = {
+    incarnation: host.incarnation,
+    renewal: ownership.renewal,
+    seenEpoch: getGivenUpEpoch(state, now),
+    address: host.address,
+    state: ownership.phase,
+  };
+  const version = ownership.leaseVersion ?? '';
+  const condition =
+    version === '' ? { type: 'absent' as const } : { type: 'version' as const, version };
+  const key = getLeaseKey(host.zone, host.id);
+  return [
+    {
+      type: 'callTable',
+      call: { type: 'write', writes: [{ type: 'put', key, value: lease, condition }] },
+      purpose: { type: 'writeLease', renewal: ownership.renewal, isRetry },
+    },
+  ];
+}
--- /dev/null
+++ b/src/ownership/promises.ts
@@ -0,0 +1,82 @@
+import { deliver } from '../core/deliver.ts';
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import { PROMISE_ASK_MS, PROMISE_BEFORE_MS, PROMISE_MS, WATCH_FACTOR } from './constants.ts';
+import { isMember, isSame, newRowMessage } from './rows.ts';
+import type { PromiseAsked } from './types.ts';
+
+const KEPT_ASKS = 16;
+
+/** Whether every other member of the last known row has promised not to remove this host. */
+export function hasPromises(state: State, now: number): boolean {
+  const { ownership, host } = state;
+  return (
+    ownership.row?.members.every((member) => {
+      if (member.host === host.id) return true;
+      const promise = ownership.held.get(member.host);
+      return (
+        promise?.epoch === ownership.row?.epoch &&
+        (promise?.until ?? 0) > now &&
+        (promise?.sentAt ?? 0) >= ownership.resumedAt
+      );
+    }) ?? false
+  );
+}
+
+/** Asks all other members for promises when the lease is about to end. */
+export function askForPromises(state: State, now: number): Effect[] {
+  const { ownership, host } = state;
+  const { row } = ownership;
+  const isNeeded = ownership.leaseUntil - PROMISE_BEFORE_MS <= now;
+  const isDue = ownership.promisesAskedAt + PROMISE_ASK_MS <= now;
+  if (row === undefined || !isNeeded || !isDue || !isMember(state)) return [];
+  if (ownership.phase !== 'active') return [];
+  ownership.promisesAskedAt = now;
+  const ask = ownership.nextAsk++;
+  ownership.asks.set(ask, now);
+  ownership.asks.delete(ask - KEPT_ASKS);
+  return row.members
+    .filter((member) => member.host !== host.id)
+    .map((member) =>
+      deliver(state, member.host, {
+        type: 'promiseAsked',
+        ask,
+        epoch: row.epoch,
+        incarnation: host.incarnation,
+      }),
+    );
+}
+
+/** Gives a promise, or refuses it where this host knows another row or is removing the asker. */
+export function answerAsk(state: State, asked: PromiseAsked, from: string, now: number): Effect[] {
+  const { ownership } = state;
+  const { ask, epoch, incarnation } = asked;
+  const { row, unsettled } = ownership;
+  const isAskerMember = row?.members.some((member) => isSame(member, { host: from, incarnation }));
+  if (row?.epoch === epoch && isAskerMember && unsettled?.removes.includes(from) !== true) {
+    // The asker counts from its sending; this side counts longer, for clocks of different speed.
+    ownership.given.set(from, now + PROMISE_MS * WATCH_FACTOR);
+    return [deliver(state, from, { type: 'promiseGiven', ask, epoch })];
+  }
+  const refusal = deliver(state, from, {
+    type: 'promiseRefused',
+    ask,
+    epoch: row?.epoch ?? 0,
+  });
+  if (row === undefined || row.epoch <= epoch) return [refusal];
+  return [refusal, deliver(state, from, newRowMessage(state))];
+}
+
+/** Keeps a promise; it holds from the time at which it was asked for. */
+export function keepPromise(state: State, from: string, ask: number, epoch: number): void {
+  const { ownership } = state;
+  const sentAt = ownership.asks.get(ask);
+  const kept = ownership.held.get(from);
+  if (sentAt === undefined || (kept !== undefined && kept.sentAt >= sentAt)) return;
+  ownership.held.set(from, { sentAt, until: sentAt + PROMISE_MS, epoch });
+}
+
+/** Whether this host has promised not to remove `host` now. */
+export function isPromised(state: State, host: string, now: number): boolean {
+  return (state.ownership.given.get(host) ?? -Infinity) > now;
+}
--- /dev/null
+++ b/src/ownership/watch.ts
@@ -0,0 +1,97 @@
+import { getRendezvousOrder } from '../base/hash.ts';
+import type { Effect } from '../core/effects.ts';
+import { newLog } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import type { StoredRow } from '../core/store.ts';
+import { applyOwnership } from './adopt.ts';
+import {
+  LEASE_FORGET_MS,
+  LEASE_RENEW_MS,
+  LEASE_TTL_MS,
+  WATCH_FACTOR,
+  WATCH_GAP_MS,
+} from './constants.ts';
+import { acknowledge } from './holdings.ts';
+import { parseLease } from './lease.ts';
+import { hasLease } from './owner.ts';
+import { isPromised } from './promises.ts';
+import { getLeaseKey } from './rows.ts';
+import type { Lease } from './types.ts';
+import { newRemoval } from './zoneRow.ts';
+
+/** Takes note of the renewals in the zone's leases and removes members that are silent. */
+export function watchLeases(state: State, rows: StoredRow[], now: number): Effect[] {
+  const { ownership, host, membership } = state;
+  // Silence counts only while this host can see renewals.
+  if (ownership.watchedAt + WATCH_GAP_MS < now) {
+    for (const watch of ownership.watches.values()) watch.firstSeenAt = now;
+  }
+  ownership.watchedAt = now;
+  const effects: Effect[] = [];
+  const members = new Set(ownership.row?.members.map((member) => member.host));
+  const prefix = getLeaseKey(host.zone, '');
+  let isChanged = false;
+  const seen = new Set(members);
+  for (const row of rows) {
+    const lease = parseLease(row);
+    const id = row.key.slice(prefix.length);
+    if (lease === undefined) continue;
+    seen.add(id);
+    noteRenewal(state, id, lease, now);
+    const { incarnation, seenEpoch, address } = lease;
+    if (acknowledge(state, { host: id, incarnation }, seenEpoch, now)) isChanged = true;
+    if (id !== host.id && !membership.hosts.has(id)) {
+      membership.hints.set(id, { zone: host.zone, address });
+    }
+    if (!members.has(id) && isForgotten(state, id, now)) effects.push(newForgetting(row));
+  }
+  for (const member of ownership.row?.members ?? []) {
+    if (!ownership.watches.has(member.host)) {
+      const { incarnation } = member;
+      ownership.watches.set(member.host, { incarnation, renewal: -1, firstSeenAt: now });
+    }
+  }
+  for (const id of ownership.watches.keys()) if (!seen.has(id)) ownership.watches.delete(id);
+  if (isChanged) effects.push(...applyOwnership(state, now));
+  return [...effects, ...removeSilent(state, now)];
+}
+
+/** Removes silent members; the survivors take turns, so that they do not all write at once. */
+function removeSilent(state: State, now: number): Effect[] {
+  const { ownership, host } = state;
+  const { row, phase } = ownership;
+  if (row === undefined || phase !== 'active' || !hasLease(state, now)) return [];
+  const others = row.members.map((member) => member.host).filter((id) => id !== host.id);
+  const getSilence = (id: string): number => now - (ownership.watches.get(id)?.firstSeenAt ?? now);
+  const silent = others.filter((id) => getSilence(id) >= LEASE_TTL_MS * WATCH_FACTOR);
+  if (silent.length === 0) return [];
+  const survivors = row.members.map((member) => member.host).filter((id) => !silent.includes(id));
+  const rank = getRendezvousOrder(`remove/${row.epoch}`, survivors).indexOf(host.id);
+  const wait = LEASE_TTL_MS * WATCH_FACTOR + rank * LEASE_RENEW_MS;
+  const removed = silent.filter((id) => getSilence(id) >= wait && !isPromised(state, id, now));
+  const removal = removed.length === 0 ? undefined : newRemoval(state, removed, -Infinity);
+  if (removal === undefined) return [];
+  return [newLog('warn', 'members are removed after lease silence', { removed }), removal];
+}
+
+function noteRenewal(state: State, id: string, lease: Lease, now: number): void {
+  const { watches } = state.ownership;
+  const { incarnation, renewal } = lease;
+  const known = watches.get(id);
+  if (known?.incarnation === incarnation && known.renewal === renewal) return;
+  watches.set(id, { incarnation, renewal, firstSeenAt: now });
+}
+
+function isForgotten(state: State, id: string, now: number): boolean {
+  const firstSeenAt = state.ownership.watches.get(id)?.firstSeenAt ?? now;
+  return firstSeenAt + LEASE_FORGET_MS <= now;
+}
+
+function newForgetting({ key, version }: StoredRow): Effect {
+  const condition = { type: 'version' as const, version };
+  return {
+    type: 'callTable',
+    call: { type: 'write', writes: [{ type: 'delete', key, condition }] },
+    purpose: { type: 'deleteLease' },
+  };
+}
--- /dev/null
+++ b/src/ownership/zoneRow.ts
@@ -0,0 +1,115 @@
+import type { Effect } from '../core/effects.ts';
+import { newLog } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import type { TableAnswer } from '../core/store.ts';
+import { schedule } from '../core/timers.ts';
+import { adoptRow, tellRow } from './adopt.ts';
+import { CONFLICT_PAUSE_MS, LEASE_SCAN_LIMIT } from './constants.ts';
+import { confirmLease, endRenewal } from './lease.ts';
+import { getSelf, getZoneKey, isMember } from './rows.ts';
+import { type Member, type OwnershipPurpose, ZoneRow } from './types.ts';
+
+type WriteRow = Extract<OwnershipPurpose, { type: 'writeZoneRow' }>;
+
+/** Continues after a read of the zone row: confirms the lease, or joins the zone. */
+export function continueRow(
+  state: State,
+  renewedAt: number,
+  answer: TableAnswer,
+  now: number,
+): Effect[] {
+  const { ownership, host } = state;
+  if (answer.type === 'missing') {
+    ownership.rowVersion = '';
+    // The first row of a zone. After a loss of the row the epoch still goes on.
+    if (ownership.phase !== 'active') return endRenewal(state);
+    return [newRowWrite(state, [getSelf(state)], 'absent', renewedAt, [])];
+  }
+  const row = answer.type === 'ok' ? answer.rows[0] : undefined;
+  if (row === undefined) return endRenewal(state);
+  const parsed = ZoneRow.safeParse(row.value);
+  if (!parsed.success) {
+    endRenewal(state);
+    return [newLog('error', `row ${row.key} is malformed`)];
+  }
+  const effects = adoptRow(state, parsed.data, row.version, now);
+  if (parsed.data.epoch < (ownership.row?.epoch ?? 0)) {
+    // Read before a row that a message has told of meanwhile.
+    return [...effects, ...readAgain(state, renewedAt, now)];
+  }
+  if (isMember(state)) {
+    confirmLease(state, renewedAt);
+    endRenewal(state);
+    return [...effects, newLeaseScan(state)];
+  }
+  if (ownership.phase !== 'active') {
+    endRenewal(state);
+    return effects;
+  }
+  const others = parsed.data.members.filter((member) => member.host !== host.id);
+  const members = [...others, getSelf(state)];
+  return [...effects, newRowWrite(state, members, row.version, renewedAt, [])];
+}
+
+/** Continues after a write of the zone row; a lost answer is settled by reading the row. */
+export function continueRowWrite(
+  state: State,
+  purpose: WriteRow,
+  answer: TableAnswer,
+  now: number,
+): Effect[] {
+  const { ownership } = state;
+  const version = answer.type === 'ok' ? answer.rows[0]?.version : undefined;
+  if (version !== undefined) {
+    const effects = adoptRow(state, purpose.row, version, now);
+    if (ownership.row?.epoch === purpose.row.epoch) confirmLease(state, purpose.renewedAt);
+    endRenewal(state);
+    return [...effects, ...tellRow(state), newLeaseScan(state)];
+  }
+  if (answer.type !== 'unknown') ownership.unsettled = undefined;
+  if (answer.type === 'unavailable') return endRenewal(state);
+  return readAgain(state, purpose.renewedAt, now);
+}
+
+/** Returns the write of a row without `removed`; undefined while an earlier write is unsettled. */
+export function newRemoval(state: State, removed: string[], renewedAt: number): Effect | undefined {
+  const { row, rowVersion, unsettled } = state.ownership;
+  if (row === undefined || rowVersion === '' || unsettled !== undefined) return undefined;
+  const members = row.members.filter(({ host }) => !removed.includes(host));
+  return newRowWrite(state, members, rowVersion, renewedAt, removed);
+}
+
+function newRowWrite(
+  state: State,
+  members: Member[],
+  version: string,
+  renewedAt: number,
+  removes: string[],
+): Effect {
+  const { ownership, host } = state;
+  const row: ZoneRow = { epoch: (ownership.row?.epoch ?? 0) + 1, members };
+  ownership.unsettled = { epoch: row.epoch, removes };
+  const condition =
+    version === 'absent' ? { type: 'absent' as const } : { type: 'version' as const, version };
+  const key = getZoneKey(host.zone);
+  return {
+    type: 'callTable',
+    call: { type: 'write', writes: [{ type: 'put', key, value: row, condition }] },
+    purpose: { type: 'writeZoneRow', row, renewedAt },
+  };
+}
+
+function readAgain(state: State, renewedAt: number, now: number): Effect[] {
+  const pause = CONFLICT_PAUSE_MS * state.random.getFraction();
+  schedule(state, now + pause, { type: 'readZoneRow', renewedAt });
+  return [];
+}
+
+function newLeaseScan(state: State): Effect {
+  const prefix = `host/${state.host.zone}/`;
+  return {
+    type: 'callTable',
+    call: { type: 'scan', prefix, after: '', limit: LEASE_SCAN_LIMIT },
+    purpose: { type: 'scanLeases' },
+  };
+}
