--- a/src/host/context.ts
+++ b/src/host/context.ts
@@ -1,11 +1,12 @@
 import type { Exchange } from '../callers/exchange.ts';
 import type { EngineClient } from '../clients/engineClient.ts';
+import type { HostListClient } from '../clients/hostListClient.ts';
 import type { ObjectClient } from '../clients/objectClient.ts';
 import type { TableClient } from '../clients/tableClient.ts';
 import type { Effect } from '../core/effects.ts';
 import type { Event } from '../core/events.ts';
-import type { Message } from '../core/messages.ts';
 import type { State } from '../core/state.ts';
+import type { PeerLinks } from '../peers/links.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
 import type { Observer } from './observer.ts';
 
@@ -21,12 +22,13 @@
   readonly table: TableClient;
   readonly objects: ObjectClient;
   readonly engines: EngineClient;
+  readonly hostList: HostListClient;
+  readonly links: PeerLinks;
   readonly exchanges: Map<string, Exchange>;
   readonly attempts: Map<string, RunningAttempt>;
   dispatch(event: Event): void;
   /** Hands the answer to an operator's question to the server that asked. */
   answerOperator(id: string, answer: OperatorAnswer): void;
-  send(to: string, message: Message): void;
   /** Called when the reducer has nothing left to do before the process ends. */
   onStopped(): void;
 }
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -2,13 +2,15 @@
 import type { Exchange } from '../callers/exchange.ts';
 import { CallerServer } from '../callers/server.ts';
 import { EngineClient } from '../clients/engineClient.ts';
+import { HostListClient } from '../clients/hostListClient.ts';
+import { Http } from '../clients/http.ts';
 import { ObjectClient } from '../clients/objectClient.ts';
 import { TableClient } from '../clients/tableClient.ts';
 import { hash32 } from '../base/hash.ts';
 import type { Event } from '../core/events.ts';
-import type { Message } from '../core/messages.ts';
 import { State } from '../core/state.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
+import { PeerLinks } from '../peers/links.ts';
 import type { Settings } from '../settings/groups.ts';
 import type { HostContext, RunningAttempt } from './context.ts';
 import { Loop } from './loop.ts';
@@ -23,7 +25,10 @@
   readonly observer: Observer;
   readonly table: TableClient;
   readonly objects: ObjectClient;
-  readonly engines = EngineClient.create();
+  readonly engines: EngineClient;
+  readonly hostList: HostListClient;
+  readonly links: PeerLinks;
+  private readonly http = Http.create();
   private readonly loop: Loop;
   private readonly callerServer: CallerServer;
   private readonly adminServer: AdminServer;
@@ -33,8 +38,17 @@
   private constructor(readonly settings: Settings) {
     this.state = newState(settings);
     this.observer = Observer.create(settings);
-    this.table = TableClient.create({ address: settings.platform.tableUrl });
-    this.objects = ObjectClient.create({ address: settings.platform.objectsUrl });
+    const { http } = this;
+    const { tableUrl, objectsUrl, hostsUrl } = settings.platform;
+    this.table = TableClient.create({ address: tableUrl, http });
+    this.objects = ObjectClient.create({ address: objectsUrl, http });
+    this.hostList = HostListClient.create({ address: hostsUrl, http });
+    this.engines = EngineClient.create({ http });
+    this.links = PeerLinks.create({
+      identity: this.state.host,
+      listen: settings.listen.peers,
+      onEvent: (event) => this.dispatch(event),
+    });
     this.loop = Loop.create(this.state, (effect) => runEffect(this, effect));
     this.callerServer = CallerServer.create(this);
     this.adminServer = AdminServer.create(this);
@@ -51,6 +65,7 @@
   async start(): Promise<{ callerPort: number; operatorPort: number }> {
     const callerPort = await this.callerServer.start();
     const operatorPort = await this.adminServer.start();
+    await this.links.start();
     this.dispatch({ type: 'started' });
     return { callerPort, operatorPort };
   }
@@ -62,7 +77,8 @@
     this.loop.stop();
     await this.callerServer.stop();
     await this.adminServer.stop();
-    await Promise.all([this.engines.close(), this.table.close(), this.objects.close()]);
+    await this.links.stop();
+    await this.http.close();
   }
 
   dispatch(event: Event): void {
@@ -73,10 +89,6 @@
     this.exchanges.set(id, exchange);
   }
 
-  send(to: string, message: Message): void {
-    if (to === this.state.host.id) this.dispatch({ type: 'messageReceived', from: to, message });
-  }
-
   answerOperator(id: string, answer: OperatorAnswer): void {
     this.adminServer.answer(id, answer);
   }
--- a/src/host/runners/outside.ts
+++ b/src/host/runners/outside.ts
@@ -1,6 +1,6 @@
 import type { EffectRunners, HostContext } from '../context.ts';
 
-type OutsideEffect = 'callTable' | 'callObjects' | 'readEngine' | 'orderEngine' | 'sendMessage';
+type OutsideEffect = 'callTable' | 'callObjects' | 'readEngine' | 'orderEngine' | 'readHostList';
 
 export const outsideRunners: EffectRunners<OutsideEffect> = {
   callTable: (context, { call, purpose }) => {
@@ -28,7 +28,11 @@
       context.dispatch({ type: 'orderAnswered', engine, epoch, order, answer });
     });
   },
-  sendMessage: (context, { to, message }) => context.send(to, message),
+  readHostList: (context) => {
+    void context.hostList.read().then((read) => {
+      if (read.ok) context.dispatch({ type: 'hostListRead', entries: read.val });
+    });
+  },
 };
 
 async function readEngine(context: HostContext, engine: string, address: string): Promise<void> {
