--- a/bench/policy/hosts.ts
+++ b/bench/policy/hosts.ts
@@ -4,10 +4,11 @@
 import type { Event } from '../../src/core/events.ts';
 import { reduce } from '../../src/core/reduce.ts';
 import { State } from '../../src/core/state.ts';
-import { updateOwned } from '../../src/grants/owned.ts';
+import { startMembership } from '../../src/membership/handlers.ts';
 import { getAdapters } from './arrivals.ts';
 import { BATCH, REPORT_LAG_MS, SAME_ZONE_LATENCY_MS } from './constants.ts';
 import type { EngineFake, RunEnd } from './engineFake.ts';
+import { setZoneRows } from './ownership.ts';
 import type { Policy, Simulation } from './simulation.ts';
 import type { Job, Scenario } from './types.ts';
 
@@ -50,7 +51,8 @@
       for (const other of this.hosts) {
         if (other !== host) this.feed(host, { type: 'linkOpened', host: other.id });
       }
-      this.run(host, updateOwned(host.state, 0));
+      this.run(host, startMembership(host.state, 0));
+      this.run(host, setZoneRows(host.state, this.hosts));
     }
   }
 
@@ -269,10 +271,6 @@
     confirmedAtUnixMs: 0,
     plan: 'bench',
   });
-  state.ownership.row = {
-    epoch: 1,
-    members: deployment.hosts.map(({ id }) => ({ host: id, incarnation: 1 })),
-  };
   return state;
 }
 
--- a/src/cli/quickstart.ts
+++ b/src/cli/quickstart.ts
@@ -10,6 +10,7 @@
 import { HEAD_KEY } from '../configuration/constants.ts';
 import { getRevisionKey } from '../configuration/keys.ts';
 import type { Change, Revision } from '../configuration/types.ts';
+import { waitForSignal } from '../host/entry.ts';
 import { EntryHost } from '../host/entryHost.ts';
 import { describeProblems, parseSettings } from '../settings/parse.ts';
 import { getEnvironmentName } from '../settings/types.ts';
@@ -179,9 +180,3 @@
     ].join('\n'),
   );
 }
-
-function waitForSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => resolve());
-  });
-}
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -1,5 +1,4 @@
 import { z } from 'zod';
-import { EnginesChanged, EngineViewsAsked } from '../engines/types.ts';
 import {
   GrantAsk,
   GrantGiven,
@@ -8,6 +7,32 @@
   LoadTokensAsked,
   LoadTokensLent,
 } from '../grants/types.ts';
+import {
+  RevisionAnnounced,
+  RevisionPushed,
+  RevisionsAsked,
+  SnapshotPushed,
+} from '../configuration/messages.ts';
+import {
+  EndpointsLeaving,
+  EngineDelta,
+  EngineWanted,
+  HostRevision,
+  MembershipDelta,
+  MembershipDigest,
+  MembershipVersions,
+  MembershipWanted,
+} from '../membership/types.ts';
+import {
+  EpochSeen,
+  Handover,
+  HandoverAsked,
+  HandoverTaken,
+  PromiseAsked,
+  PromiseGiven,
+  PromiseRefused,
+  ZoneRowSeen,
+} from '../ownership/types.ts';
 
 /** Every message between hosts, parsed at the link before it reaches the reducer. */
 export const Message = z.discriminatedUnion('type', [
@@ -17,7 +42,25 @@
   GrantReleased,
   LoadTokensAsked,
   LoadTokensLent,
-  EnginesChanged,
-  EngineViewsAsked,
+  RevisionPushed,
+  RevisionAnnounced,
+  RevisionsAsked,
+  SnapshotPushed,
+  MembershipDelta,
+  MembershipDigest,
+  MembershipVersions,
+  MembershipWanted,
+  HostRevision,
+  EndpointsLeaving,
+  EngineDelta,
+  EngineWanted,
+  ZoneRowSeen,
+  EpochSeen,
+  HandoverAsked,
+  Handover,
+  HandoverTaken,
+  PromiseAsked,
+  PromiseGiven,
+  PromiseRefused,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/core/purposes.ts
+++ b/src/core/purposes.ts
@@ -1,11 +1,15 @@
+import type { OperatorPurpose } from '../operators/types.ts';
+import type { OwnershipPurpose } from '../ownership/types.ts';
+
 /** Why a store call was made; the answer is handled by the table entry of its purpose. */
 export type TablePurpose =
+  | OwnershipPurpose
   /** Reads `configuration/head`. */
   | { type: 'readHead' }
   /** Reads the revisions after `after`. */
-  | { type: 'readRevisions'; after: number };
+  | { type: 'readRevisions'; after: number }
+  | OperatorPurpose;
 
-export interface ObjectPurpose {
-  type: 'readSnapshot';
-  revision: number;
-}
+export type ObjectPurpose =
+  | { type: 'readSnapshot'; revision: number }
+  | { type: 'writeSnapshot'; revision: number; body: string };
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -3,9 +3,19 @@
   configurationTableHandlers,
   configurationTimers,
 } from '../configuration/handlers.ts';
-import { engineEvents, engineMessages, engineTimers } from '../engines/handlers.ts';
+import { configurationMessages } from '../configuration/peerHandlers.ts';
+import { engineEvents, engineTimers } from '../engines/handlers.ts';
 import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
-import { membershipEvents } from '../membership/handlers.ts';
+import { operatorTableHandlers } from '../operators/actions/index.ts';
+import { confirmTimers } from '../operators/actions/confirmPlan.ts';
+import { operatorEvents } from '../operators/handlers.ts';
+import { membershipEvents, membershipMessages, membershipTimers } from '../membership/handlers.ts';
+import {
+  noteTurn,
+  ownershipMessages,
+  ownershipTableHandlers,
+  ownershipTimers,
+} from '../ownership/handlers.ts';
 import { requestEvents, requestMessages, requestTimers } from '../requests/handlers.ts';
 import type { Effect } from './effects.ts';
 import type { Event } from './events.ts';
@@ -25,9 +35,11 @@
 type Untyped = (...args: unknown[]) => Effect[];
 
 const messages: MessageHandlers<Message['type']> = {
-  ...engineMessages,
+  ...configurationMessages,
   ...grantMessages,
   ...requestMessages,
+  ...membershipMessages,
+  ...ownershipMessages,
 };
 
 const timers: TimerHandlers<Timer['type']> = {
@@ -36,9 +48,16 @@
   ...grantTimers,
   ...requestTimers,
   ...hostTimers,
+  ...confirmTimers,
+  ...membershipTimers,
+  ...ownershipTimers,
 };
 
-const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = { ...configurationTableHandlers };
+const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = {
+  ...configurationTableHandlers,
+  ...operatorTableHandlers,
+  ...ownershipTableHandlers,
+};
 
 const objectAnswers: ObjectAnswerHandlers<ObjectPurpose['type']> = {
   ...configurationObjectHandlers,
@@ -50,6 +69,7 @@
   ...engineEvents,
   ...grantEvents,
   ...membershipEvents,
+  ...operatorEvents,
   tick: (state, _event, now) => runDueTimers(state, now),
   messageReceived: (state, { from, message }, now) => {
     const handler = messages[message.type] as Untyped;
@@ -70,6 +90,7 @@
  * milliseconds and never smaller than in an earlier call.
  */
 export function reduce(state: State, event: Event, now: number): Effect[] {
+  noteTurn(state, now);
   const handler = events[event.type] as Untyped;
   return handler(state, event, now);
 }
--- a/src/engines/views.ts
+++ b/src/engines/views.ts
@@ -32,6 +32,19 @@
   view.sentSince = Math.max(0, view.sentSince + by);
 }
 
+/** Records the load of an engine that this host owns and therefore knows exactly. */
+export function updateLoad(
+  engines: Engines,
+  engine: string,
+  running: number,
+  waiting: number,
+): void {
+  const view = getView(engines, engine);
+  view.running = running;
+  view.waiting = waiting;
+  view.sentSince = 0;
+}
+
 /** Returns the requests that run or wait at `engine`, as far as this host knows. */
 export function getLoad(engines: Engines, engine: string): number {
   const view = engines.views.get(engine);
--- a/src/grants/constants.ts
+++ b/src/grants/constants.ts
@@ -4,6 +4,16 @@
 export const ENGINE_CANCEL_MS = 2_000;
 /** Time a freshly loaded adapter stays before it may be evicted. */
 export const MIN_RESIDENCY_MS = 2_000;
+/** Half-life of the demand that evictions are decided by. */
+export const POPULARITY_HALF_LIFE_MS = 120_000;
+/** Adapters of which an owner remembers the demand; about 100 bytes each. */
+export const MAX_POPULARITIES = 4_096;
+/** What one miss costs by request kind: `base` for the load, `stall` times the stall weight. */
+export const MISS_VALUES = {
+  urgent: { base: 1, stall: 1 },
+  ordinary: { base: 1, stall: 0 },
+  draft: { base: 0.5, stall: 0 },
+} as const;
 /** Greatest age of an engine's report; later changes by orders are not in it yet. */
 export const REPORT_LAG_MS = 3_000;
 /** Loads that may start at once in the whole deployment: the weight store runs 8 at full speed. */
@@ -24,5 +34,5 @@
 export const URGENT_RANK = 1_000_000;
 /** Value of a waiting request of the other kinds for the order of loads. */
 export const WAITING_VALUES = { ordinary: 4, draft: 1 } as const;
-/** Age of the oldest ask that counts as much as one more waiting draft. */
-export const AGE_PER_ASK_MS = 2_000;
+/** Age of an ask that counts as much as one more waiting draft, so that each comes to its turn. */
+export const AGE_PER_VALUE_MS = { urgent: 100, ordinary: 250, draft: 5_000 } as const;
--- a/src/grants/eviction.ts
+++ b/src/grants/eviction.ts
@@ -1,10 +1,30 @@
 import { MIN_RESIDENCY_MS } from './constants.ts';
 import { isInUse } from './pins.ts';
+import type { Popularity } from './popularity.ts';
 import type { OwnedEngine, Resident } from './types.ts';
 
-/** Returns the resident whose eviction costs least; undefined while each one is in use or new. */
-export function getVictim(owned: OwnedEngine, now: number): Resident | undefined {
-  return [...owned.residents.values()]
-    .filter(({ model, loadedAt }) => !isInUse(owned, model) && loadedAt + MIN_RESIDENCY_MS <= now)
-    .sort((a, b) => a.lastUsedAt - b.lastUsedAt)[0];
+/**
+ * Returns the resident whose next miss costs least, the least recently used among equals; undefined
+ * while each one is in use, wanted by a waiting ask, or new.
+ */
+export function getVictim(
+  owned: OwnedEngine,
+  popularity: Popularity,
+  now: number,
+): Resident | undefined {
+  const wanted = new Set(owned.queue.map(({ model }) => model));
+  let victim: Resident | undefined;
+  let least = Infinity;
+  for (const resident of owned.residents.values()) {
+    const { model, loadedAt } = resident;
+    if (isInUse(owned, model) || wanted.has(model)) continue;
+    if (loadedAt + MIN_RESIDENCY_MS > now) continue;
+    const value = popularity.get(model, now);
+    if (value > least) continue;
+    if (value === least && victim !== undefined && resident.lastUsedAt >= victim.lastUsedAt)
+      continue;
+    victim = resident;
+    least = value;
+  }
+  return victim;
 }
--- a/src/grants/handlers.ts
+++ b/src/grants/handlers.ts
@@ -4,8 +4,9 @@
 import type { Effect } from '../core/effects.ts';
 import { addResident, removeResident } from '../engines/views.ts';
 import { addBorrowed, lendTokens } from './budget.ts';
-import { removePin } from './pins.ts';
-import { refuse, serveQueue } from './serve.ts';
+import { getPinOf, removePin } from './pins.ts';
+import { forwardRelease } from '../ownership/handover.ts';
+import { refuse, repeatGrant, serveQueue } from './serve.ts';
 import type { GrantAsk, GrantEvent, GrantTimer, OwnedEngine } from './types.ts';
 
 export const grantMessages: MessageHandlers<
@@ -17,9 +18,10 @@
     return serveMostPressing(state, now);
   },
   grantAsk: (state, ask, from, now) => handleAsk(state, ask, from, now),
-  grantReleased: (state, { engine, request, grant }, _from, now) => {
+  grantReleased: (state, released, from, now) => {
+    const { engine, request, grant } = released;
     const owned = state.grants.owned.get(engine);
-    if (owned === undefined) return [];
+    if (owned === undefined) return forwardRelease(state, released, from);
     removePin(owned, grant, now);
     owned.queue = owned.queue.filter((ask) => ask.request !== request);
     return serveQueue(state, owned, now);
@@ -72,6 +74,15 @@
   const asked = { ...ask, from };
   if (owned === undefined) return refuse(state, asked, 'notOwner');
   if (state.configuration.leaving.has(ask.engine)) return refuse(state, asked, 'leaving');
+  const pin = getPinOf(owned, ask.request);
+  if (pin?.ask === ask.ask) return repeatGrant(state, owned, asked, pin);
+  if (owned.queue.some(({ request }) => request === ask.request)) {
+    owned.queue = owned.queue.map((queued) =>
+      queued.request === ask.request ? { ...queued, ask: ask.ask, from } : queued,
+    );
+    return [];
+  }
+  state.grants.popularity.note(ask.model, ask.kind, state.policy.stallWeight, now);
   owned.queue.push({ ...asked, arrivedAt: now, residentAt: undefined });
   return serveQueue(state, owned, now);
 }
--- a/src/grants/loadChoice.ts
+++ b/src/grants/loadChoice.ts
@@ -1,4 +1,4 @@
-import { AGE_PER_ASK_MS, URGENT_RANK, WAITING_VALUES } from './constants.ts';
+import { AGE_PER_VALUE_MS, URGENT_RANK, WAITING_VALUES } from './constants.ts';
 import type { OwnedEngine, QueuedAsk } from './types.ts';
 
 /** An adapter that asks of one engine wait for. */
@@ -22,11 +22,11 @@
     if (owned.unloading.has(ask.model)) continue;
     const wanted = byModel.get(ask.model) ?? { model: ask.model, rank: 0, waiting: 0, ageMs: 0 };
     wanted.waiting += 1;
-    wanted.ageMs = Math.max(wanted.ageMs, now - ask.arrivedAt);
-    wanted.rank += getValue(ask);
+    const ageMs = now - ask.arrivedAt;
+    wanted.ageMs = Math.max(wanted.ageMs, ageMs);
+    wanted.rank += getValue(ask) + ageMs / AGE_PER_VALUE_MS[ask.kind];
     byModel.set(ask.model, wanted);
   }
-  for (const wanted of byModel.values()) wanted.rank += wanted.ageMs / AGE_PER_ASK_MS;
   return [...byModel.values()].sort((a, b) => b.rank - a.rank || (a.model < b.model ? -1 : 1));
 }
 
--- a/src/grants/orders.ts
+++ b/src/grants/orders.ts
@@ -65,8 +65,9 @@
 }
 
 function orderEviction(state: State, owned: OwnedEngine, engine: Engine, now: number): Effect[] {
-  const victim = getVictim(owned, now);
-  if (victim === undefined || !canOrderDestructively(state, owned.id, now)) {
+  const victim = getVictim(owned, state.grants.popularity, now);
+  const running = owned.reported.get(victim?.model ?? '') ?? 0;
+  if (victim === undefined || !canOrderDestructively(state, owned.id, now, running)) {
     wakeAt(state, owned, now + EVICT_RETRY_MS, now);
     return [];
   }
--- a/src/grants/pins.ts
+++ b/src/grants/pins.ts
@@ -4,6 +4,7 @@
 
 export function addPin(owned: OwnedEngine, pin: Pin): void {
   owned.pins.set(pin.grant, pin);
+  owned.grantOf.set(pin.request, pin.grant);
   addTo(owned.pinned, pin.model, 1);
   addTo(owned.pinsByFirm, pin.firm, 1);
 }
@@ -13,12 +14,19 @@
   const pin = owned.pins.get(grant);
   if (pin === undefined) return false;
   owned.pins.delete(grant);
+  if (owned.grantOf.get(pin.request) === grant) owned.grantOf.delete(pin.request);
   addTo(owned.pinned, pin.model, -1);
   addTo(owned.pinsByFirm, pin.firm, -1);
   owned.released.push({ model: pin.model, at: now });
   return true;
 }
 
+/** Returns the last pin of `request`, or undefined when it has none. */
+export function getPinOf(owned: OwnedEngine, request: string): Pin | undefined {
+  const grant = owned.grantOf.get(request);
+  return grant === undefined ? undefined : owned.pins.get(grant);
+}
+
 /** Whether a grant pins `model`, or the engine reported requests for it that no grant explains. */
 export function isInUse(owned: OwnedEngine, model: string): boolean {
   return owned.pinned.has(model) || owned.unexplained.has(model);
@@ -33,8 +41,9 @@
   owned.released = owned.released.filter(({ at }) => at + REPORT_LAG_MS > now);
   const explained = new Map(owned.pinned);
   for (const { model } of owned.released) addTo(explained, model, 1);
+  owned.reported = new Map(Object.entries(report.running));
   owned.unexplained.clear();
-  for (const [model, running] of Object.entries(report.running)) {
+  for (const [model, running] of owned.reported) {
     if (running > (explained.get(model) ?? 0)) owned.unexplained.add(model);
   }
 }
--- a/src/grants/serve.ts
+++ b/src/grants/serve.ts
@@ -3,11 +3,11 @@
 import { newCount } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
-import { noteChanged } from '../engines/gossip.ts';
+import { updateLoad } from '../engines/views.ts';
 import { ENGINE_CANCEL_MS } from './constants.ts';
 import { orderLoads } from './orders.ts';
 import { addPin } from './pins.ts';
-import type { OwnedEngine, QueuedAsk, RefusalReason } from './types.ts';
+import type { OwnedEngine, Pin, QueuedAsk, RefusalReason } from './types.ts';
 
 const KIND_ORDER = { urgent: 0, ordinary: 1, draft: 2 } as const;
 
@@ -28,7 +28,7 @@
   }
   owned.queue = left;
   effects.push(...orderLoads(state, owned, engine, now));
-  noteChanged(state, owned, now);
+  updateLoad(state.engines, owned.id, owned.pins.size, owned.queue.length);
   return effects;
 }
 
@@ -45,6 +45,19 @@
   ];
 }
 
+/** Sends a grant again to a host that asked again; its first message may have been lost. */
+export function repeatGrant(
+  state: State,
+  owned: OwnedEngine,
+  { from, request, ask }: { from: string; request: string; ask: number },
+  { grant }: Pin,
+): Effect[] {
+  const { id: engine, epoch } = owned;
+  return [
+    deliver(state, from, { type: 'grantGiven', request, ask, engine, grant, epoch, stallMs: 0 }),
+  ];
+}
+
 function compareAsks(a: QueuedAsk, b: QueuedAsk): number {
   return (
     KIND_ORDER[a.kind] - KIND_ORDER[b.kind] || a.priority - b.priority || a.arrivedAt - b.arrivedAt
@@ -57,6 +70,7 @@
   addPin(owned, {
     grant,
     request: ask.request,
+    ask: ask.ask,
     host: ask.from,
     model: ask.model,
     firm: ask.firm,
--- a/src/grants/types.ts
+++ b/src/grants/types.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import type { TokenBucket } from '../base/tokenBucket.ts';
 import type { EngineRole } from '../configuration/types.ts';
+import { Popularity } from './popularity.ts';
 import { Name } from '../configuration/types.ts';
 
 const Id = z.string().min(1).max(128);
@@ -96,6 +97,8 @@
 export interface Pin {
   grant: string;
   request: string;
+  /** Ask that the grant answered; absent when the pin was handed over. */
+  ask?: number;
   host: string;
   model: string;
   firm: string;
@@ -121,11 +124,15 @@
   pins: Map<string, Pin>;
   /** Number of pins by `adapter@version`. */
   pinned: Map<string, number>;
+  /** Last grant of each request. */
+  grantOf: Map<string, string>;
   pinsByFirm: Map<string, number>;
   /** Grants released within the lag of a report. */
   released: { model: string; at: number }[];
   /** Adapters that the engine runs requests of which no grant explains. */
   unexplained: Set<string>;
+  /** Requests that the engine's last report shows, by `adapter@version`. */
+  reported: Map<string, number>;
   residents: Map<string, Resident>;
   /** Load orders without an answer, by model, with the time of the order. */
   loading: Map<string, number>;
@@ -154,6 +161,7 @@
 
 export class Grants {
   readonly owned = new Map<string, OwnedEngine>();
+  readonly popularity = Popularity.create();
   readonly lending: Lending = {
     borrowed: 0,
     borrowedUntil: -Infinity,
--- a/src/host/runners/index.ts
+++ b/src/host/runners/index.ts
@@ -2,16 +2,17 @@
 import type { EffectRunners, HostContext } from '../context.ts';
 import { attemptRunners } from './attempts.ts';
 import { outsideRunners } from './outside.ts';
+import { peerRunners } from './peers.ts';
 
 const runners: EffectRunners<Effect['type']> = {
   ...attemptRunners,
   ...outsideRunners,
+  ...peerRunners,
   log: (context, effect) => context.observer.observe(effect),
   count: (context, effect) => context.observer.observe(effect),
   observe: (context, effect) => context.observer.observe(effect),
   gauge: (context, effect) => context.observer.observe(effect),
-  openLink: () => undefined,
-  closeLink: () => undefined,
+  answerOperator: (context, effect) => context.answerOperator(effect.id, effect.answer),
   stopped: (context) => context.onStopped(),
 };
 
--- a/src/requests/asking.ts
+++ b/src/requests/asking.ts
@@ -20,13 +20,26 @@
   request.ask += 1;
   request.asked = { engine: placement.engine, owner: placement.owner.host };
   updateSent(state.engines, placement.engine, 1);
+  return sendAsk(state, request, request.asked, now);
+}
+
+/**
+ * Sends the current ask to the owner; sending it again keeps its place in the owner's queue, and
+ * has the owner repeat a grant whose message was lost.
+ */
+export function sendAsk(
+  state: State,
+  request: Request,
+  { engine, owner }: { engine: string; owner: string },
+  now: number,
+): Effect[] {
   schedule(state, now + ASK_TIMEOUT_MS, { type: 'askTimeout', id: request.id, ask: request.ask });
   return [
-    deliver(state, placement.owner.host, {
+    deliver(state, owner, {
       type: 'grantAsk',
       request: request.id,
       ask: request.ask,
-      engine: placement.engine,
+      engine,
       model: request.model,
       firm: request.firm,
       kind: request.kind,
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -7,7 +7,8 @@
   MAX_RING_STEPS,
   RING_CANDIDATES,
   RING_OVERFLOW,
-  SECOND_COPY_BACKLOG,
+  SECOND_COPY_MAX_LOAD,
+  SECOND_COPY_MIN_LOAD,
 } from './constants.ts';
 import { getRing } from './rings.ts';
 
@@ -28,9 +29,10 @@
 export function choosePlacement(state: State, request: Request): Placement | undefined {
   const holder = getLeastLoaded(state, getHolders(state, request));
   if (holder !== undefined && !isWorthSecondCopy(holder)) return holder;
-  const cold = getRingChoice(state, request);
-  if (holder === undefined) return cold;
-  return cold !== undefined && cold.load < cold.batch / 2 ? cold : holder;
+  const candidates = getRingCandidates(state, request);
+  if (holder === undefined) return getRingChoice(state, candidates);
+  const other = getLeastLoaded(state, candidates);
+  return other !== undefined && other.load < other.batch * SECOND_COPY_MAX_LOAD ? other : holder;
 }
 
 function getHolders(state: State, request: Request): Candidate[] {
@@ -42,7 +44,7 @@
     .flatMap((engine) => newCandidate(state, request, engine) ?? []);
 }
 
-function getRingChoice(state: State, request: Request): Candidate | undefined {
+function getRingCandidates(state: State, request: Request): Candidate[] {
   const model = state.configuration.adapters.get(request.adapter)?.model ?? '';
   const found: Candidate[] = [];
   getRing(state, model)?.find(
@@ -55,15 +57,20 @@
     },
     MAX_RING_STEPS,
   );
+  return found;
+}
+
+/** Returns the first engine on the ring, so that all hosts agree, unless its queue is long. */
+function getRingChoice(state: State, candidates: Candidate[]): Candidate | undefined {
   return (
-    found.find(({ load, batch }) => load < batch * (1 + RING_OVERFLOW)) ??
-    getLeastLoaded(state, found)
+    candidates.find(({ load, batch }) => load < batch * RING_OVERFLOW) ??
+    getLeastLoaded(state, candidates)
   );
 }
 
 /** A full batch with a queue behind it is shorter served by a second copy. */
 function isWorthSecondCopy({ load, batch }: Candidate): boolean {
-  return load >= batch * (1 + SECOND_COPY_BACKLOG);
+  return load >= batch * SECOND_COPY_MIN_LOAD;
 }
 
 function newCandidate(state: State, request: Request, engine: string): Candidate | undefined {
--- a/tests/grants/budget.test.ts
+++ b/tests/grants/budget.test.ts
@@ -47,7 +47,8 @@
   };
   for (const current of steps) {
     if (current.type === 'wait') now += current.ms;
-    if (current.type === 'die') alive.delete(hosts[current.host]!);
+    const dead = current.type === 'die' ? hosts[current.host] : undefined;
+    if (dead !== undefined) alive.delete(dead);
     if (current.type === 'load') {
       const state = hosts[current.host];
       if (state === undefined || !alive.has(state)) continue;
--- a/tests/grants/fleet.ts
+++ b/tests/grants/fleet.ts
@@ -2,7 +2,7 @@
 import type { Change } from '../../src/configuration/types.ts';
 import { reduce } from '../../src/core/reduce.ts';
 import { State } from '../../src/core/state.ts';
-import { updateOwned } from '../../src/grants/owned.ts';
+import { setZoneRows } from '../../bench/policy/ownership.ts';
 
 interface FleetOptions {
   hosts: number;
@@ -38,14 +38,16 @@
       confirmedAtUnixMs: 0,
       changes,
     });
-    state.ownership.row = { epoch: 1, members: ids.map((host) => ({ host, incarnation: 1 })) };
     return state;
   });
   for (const state of states) {
     for (const host of ids) {
       if (host !== state.host.id) reduce(state, { type: 'linkOpened', host }, 0);
     }
-    updateOwned(state, 0);
+    setZoneRows(
+      state,
+      ids.map((id) => ({ id, zone: 'z' })),
+    );
   }
   return states;
 }
