Keep places and slots for urgent asks, honour shares, intents, roles and leaving

Cause: drafts could fill every place and pin every slot, so that an urgent read for another adapter had no victim; warm intents and roles were not enforced; an owner kept the queue of an engine that left or failed. The owner now reconciles its engines with the accepted configuration once a second and after an empty restart. A failed request's pin stays for the engine's cancel time.

--- a/src/grants/constants.ts
+++ b/src/grants/constants.ts
@@ -4,6 +4,15 @@
 export const ENGINE_CANCEL_MS = 2_000;
 /** Time a freshly loaded adapter stays before it may be evicted. */
 export const MIN_RESIDENCY_MS = 2_000;
+/** Interval of comparing owned engines with the accepted configuration. */
+export const RECONCILE_MS = 1_000;
+/** Rank of a load that an intent wants: before small groups of drafts, after older ordinary asks. */
+export const WARM_RANK = 50;
+/** Age from which a draft is served like an ordinary request. */
+export const DRAFT_AGED_MS = 30_000;
+/** Parts of the batch and of the slots kept back for urgent asks at a stall weight of 1. */
+export const URGENT_PLACES = 0.125;
+export const URGENT_SLOTS = 0.25;
 /** Half-life of the demand that evictions are decided by. */
 export const POPULARITY_HALF_LIFE_MS = 120_000;
 /** Adapters of which an owner remembers the demand; about 100 bytes each. */
--- a/src/grants/eviction.ts
+++ b/src/grants/eviction.ts
@@ -5,19 +5,23 @@
 
 /**
  * Returns the resident whose next miss costs least, the least recently used among equals; undefined
- * while each one is in use, wanted by a waiting ask, or new.
+ * while each one is in use, warm by intent, wanted by a waiting ask, or new. For an urgent load, only
+ * urgent asks hold an idle adapter.
  */
 export function getVictim(
   owned: OwnedEngine,
   popularity: Popularity,
+  isUrgent: boolean,
   now: number,
 ): Resident | undefined {
-  const wanted = new Set(owned.queue.map(({ model }) => model));
+  const wanted = new Set(
+    owned.queue.filter(({ kind }) => !isUrgent || kind === 'urgent').map(({ model }) => model),
+  );
   let victim: Resident | undefined;
   let least = Infinity;
   for (const resident of owned.residents.values()) {
     const { model, loadedAt } = resident;
-    if (isInUse(owned, model) || wanted.has(model)) continue;
+    if (isInUse(owned, model) || wanted.has(model) || owned.warm.has(model)) continue;
     if (loadedAt + MIN_RESIDENCY_MS > now) continue;
     const value = popularity.get(model, now);
     if (value > least) continue;
--- a/src/grants/handlers.ts
+++ b/src/grants/handlers.ts
@@ -3,11 +3,14 @@
 import type { State } from '../core/state.ts';
 import type { Effect } from '../core/effects.ts';
 import { addResident, removeResident } from '../engines/views.ts';
+import { schedule } from '../core/timers.ts';
+import { ENGINE_CANCEL_MS } from './constants.ts';
 import { addBorrowed, lendTokens } from './budget.ts';
-import { getPinOf, removePin } from './pins.ts';
+import { endPin, getPinOf, removePin } from './pins.ts';
 import { forwardRelease } from '../ownership/handover.ts';
-import { refuse, repeatGrant, serveQueue } from './serve.ts';
-import type { GrantAsk, GrantEvent, GrantTimer, OwnedEngine } from './types.ts';
+import { reconcileOwned } from './reconcile.ts';
+import { getQueueRefusal, refuse, repeatGrant, serveQueue } from './serve.ts';
+import type { GrantAsk, GrantEvent, GrantReleased, GrantTimer, OwnedEngine } from './types.ts';
 
 export const grantMessages: MessageHandlers<
   'grantAsk' | 'grantReleased' | 'loadTokensAsked' | 'loadTokensLent'
@@ -19,10 +22,10 @@
   },
   grantAsk: (state, ask, from, now) => handleAsk(state, ask, from, now),
   grantReleased: (state, released, from, now) => {
-    const { engine, request, grant } = released;
+    const { engine, request } = released;
     const owned = state.grants.owned.get(engine);
     if (owned === undefined) return forwardRelease(state, released, from);
-    removePin(owned, grant, now);
+    endGrant(state, owned, released, now);
     owned.queue = owned.queue.filter((ask) => ask.request !== request);
     return serveQueue(state, owned, now);
   },
@@ -35,7 +38,12 @@
       order: order.type,
       answer: answer.type,
     });
-    if (owned === undefined || order.type === 'role') return [counted];
+    if (owned === undefined) return [counted];
+    if (order.type === 'role') {
+      owned.isRoleOrdered = false;
+      if (answer.type === 'done') owned.role = order.role;
+      return [counted];
+    }
     const effects =
       order.type === 'load'
         ? endLoad(state, owned, order.model, answer.type === 'done', now)
@@ -51,9 +59,10 @@
 export const grantTimers: TimerHandlers<GrantTimer['type']> = {
   pinExpiry: (state, { engine, grant }, now) => {
     const owned = state.grants.owned.get(engine);
-    if (owned === undefined || !removePin(owned, grant, now)) return [];
+    if (owned === undefined || !removePin(owned, grant)) return [];
     return serveQueue(state, owned, now);
   },
+  reconcile: (state, _timer, now) => reconcileOwned(state, now),
   serveQueue: (state, { engine }, now) => {
     const owned = state.grants.owned.get(engine);
     return owned === undefined ? [] : serveQueue(state, owned, now);
@@ -69,11 +78,24 @@
   return best === undefined ? [] : serveQueue(state, best, now);
 }
 
+/** Ends a grant; an engine may go on with a request that broke or was cancelled for a short time. */
+function endGrant(state: State, owned: OwnedEngine, released: GrantReleased, now: number): void {
+  const { grant, engine, result } = released;
+  const mayRun = result === 'failed' || result === 'crashed';
+  if (!mayRun) {
+    removePin(owned, grant, now);
+    return;
+  }
+  endPin(owned, grant);
+  schedule(state, now + ENGINE_CANCEL_MS, { type: 'pinExpiry', engine, grant });
+}
+
 function handleAsk(state: State, ask: GrantAsk, from: string, now: number): Effect[] {
   const owned = state.grants.owned.get(ask.engine);
   const asked = { ...ask, from };
   if (owned === undefined) return refuse(state, asked, 'notOwner');
-  if (state.configuration.leaving.has(ask.engine)) return refuse(state, asked, 'leaving');
+  const refusal = getQueueRefusal(state, owned);
+  if (refusal !== undefined) return refuse(state, asked, refusal);
   const pin = getPinOf(owned, ask.request);
   if (pin?.ask === ask.ask) return repeatGrant(state, owned, asked, pin);
   if (owned.queue.some(({ request }) => request === ask.request)) {
@@ -94,7 +116,8 @@
   isDone: boolean,
   now: number,
 ): Effect[] {
-  owned.loading.delete(model);
+  // After a restart of the engine, an answer from before says nothing of it.
+  if (!owned.loading.delete(model)) return [];
   if (!isDone) {
     const failed = owned.queue.filter((ask) => ask.model === model);
     owned.queue = owned.queue.filter((ask) => ask.model !== model);
--- a/src/grants/loadChoice.ts
+++ b/src/grants/loadChoice.ts
@@ -1,4 +1,4 @@
-import { AGE_PER_VALUE_MS, URGENT_RANK, WAITING_VALUES } from './constants.ts';
+import { AGE_PER_VALUE_MS, URGENT_RANK, WAITING_VALUES, WARM_RANK } from './constants.ts';
 import type { OwnedEngine, QueuedAsk } from './types.ts';
 
 /** An adapter that asks of one engine wait for. */
@@ -12,7 +12,7 @@
 }
 
 /**
- * Returns the missing adapters that asks of `owned` wait for, most pressing first: urgent requests,
+ * Returns the missing adapters that asks of `owned` wait for or intents want, most pressing first: urgent requests,
  * then by number of waiting requests and age. Age lets every draft come to its turn.
  */
 export function getWantedLoads(owned: OwnedEngine, now: number): WantedLoad[] {
@@ -27,6 +27,12 @@
     wanted.rank += getValue(ask) + ageMs / AGE_PER_VALUE_MS[ask.kind];
     byModel.set(ask.model, wanted);
   }
+  for (const model of owned.warm) {
+    if (owned.residents.has(model) || owned.loading.has(model)) continue;
+    const wanted = byModel.get(model) ?? { model, rank: 0, waiting: 0, ageMs: 0 };
+    wanted.rank += WARM_RANK;
+    byModel.set(model, wanted);
+  }
   return [...byModel.values()].sort((a, b) => b.rank - a.rank || (a.model < b.model ? -1 : 1));
 }
 
--- a/src/grants/orders.ts
+++ b/src/grants/orders.ts
@@ -4,7 +4,7 @@
 import { schedule } from '../core/timers.ts';
 import { canOrderDestructively } from '../ownership/owner.ts';
 import { borrowTokens, getNeed, getTokens, getTokenWaitMs, takeToken } from './budget.ts';
-import { BORROW_AGAIN_MS, EVICT_RETRY_MS } from './constants.ts';
+import { BORROW_AGAIN_MS, EVICT_RETRY_MS, URGENT_RANK } from './constants.ts';
 import { getVictim } from './eviction.ts';
 import { getWantedLoads, type WantedLoad } from './loadChoice.ts';
 import type { Order, OwnedEngine } from './types.ts';
@@ -27,7 +27,7 @@
   if (getTokens(state, now) < getNeed(state, wanted.rank))
     return waitForToken(state, owned, wanted, now);
   if (owned.residents.size + owned.unloading.size >= engine.slots) {
-    return owned.unloading.size > 0 ? [] : orderEviction(state, owned, engine, now);
+    return owned.unloading.size > 0 ? [] : orderEviction(state, owned, engine, wanted.rank, now);
   }
   return orderLoad(state, owned, engine, wanted.model, now);
 }
@@ -64,8 +64,14 @@
   return [newOrder(owned, engine, { type: 'load', model, source })];
 }
 
-function orderEviction(state: State, owned: OwnedEngine, engine: Engine, now: number): Effect[] {
-  const victim = getVictim(owned, state.grants.popularity, now);
+function orderEviction(
+  state: State,
+  owned: OwnedEngine,
+  engine: Engine,
+  rank: number,
+  now: number,
+): Effect[] {
+  const victim = getVictim(owned, state.grants.popularity, rank >= URGENT_RANK, now);
   const running = owned.reported.get(victim?.model ?? '') ?? 0;
   if (victim === undefined || !canOrderDestructively(state, owned.id, now, running)) {
     wakeAt(state, owned, now + EVICT_RETRY_MS, now);
@@ -76,7 +82,8 @@
   return [newOrder(owned, engine, { type: 'unload', model: victim.model })];
 }
 
-function newOrder(owned: OwnedEngine, engine: Engine, order: Order): Effect {
+/** Returns the effect that gives an order to an owned engine. */
+export function newOrder(owned: OwnedEngine, engine: Engine, order: Order): Effect {
   return {
     type: 'orderEngine',
     engine: owned.id,
--- a/src/grants/owned.ts
+++ b/src/grants/owned.ts
@@ -3,32 +3,41 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import type { EngineReport } from '../engines/types.ts';
-import { getOwner } from '../ownership/owner.ts';
+import { getOwner, isOwner } from '../ownership/owner.ts';
 import { getEngineShare } from './budget.ts';
 import { REPORT_LAG_MS } from './constants.ts';
 import { updateUnexplained } from './pins.ts';
-import { serveQueue } from './serve.ts';
+import { getQueueRefusal, refuseQueue, serveQueue } from './serve.ts';
 import type { OwnedEngine } from './types.ts';
 
 /** Takes up the engines that this host owns now and drops those that it no longer owns. */
 export function updateOwned(state: State, now: number): Effect[] {
-  for (const engine of state.configuration.engines.keys()) {
+  const { grants, configuration } = state;
+  const effects: Effect[] = [];
+  for (const owned of [...grants.owned.values()]) {
+    if (configuration.engines.has(owned.id) && isOwner(state, owned.id)) continue;
+    grants.owned.delete(owned.id);
+    effects.push(...refuseQueue(state, owned, 'notOwner'));
+  }
+  for (const engine of configuration.engines.keys()) {
     const owner = getOwner(state, engine);
-    const owned = state.grants.owned.get(engine);
-    if (owner?.host !== state.host.id) {
-      state.grants.owned.delete(engine);
-    } else if (owned === undefined) {
-      state.grants.owned.set(engine, newOwnedEngine(state, engine, owner.epoch, now));
+    if (owner?.host !== state.host.id) continue;
+    const owned = grants.owned.get(engine);
+    if (owned === undefined) {
+      grants.owned.set(engine, newOwnedEngine(state, engine, owner.epoch, now));
       schedule(state, now, { type: 'pollEngine', engine });
-    } else {
-      owned.epoch = owner.epoch;
-      owned.budget = updateBudget(state, owned.budget, now);
+      continue;
     }
+    owned.epoch = owner.epoch;
+    owned.budget = updateBudget(state, owned.budget, now);
+    const refusal = getQueueRefusal(state, owned);
+    if (refusal !== undefined) effects.push(...refuseQueue(state, owned, refusal));
   }
-  for (const engine of state.grants.owned.keys()) {
-    if (!state.configuration.engines.has(engine)) state.grants.owned.delete(engine);
+  if (grants.owned.size > 0 && !grants.isReconciling) {
+    grants.isReconciling = true;
+    schedule(state, now, { type: 'reconcile' });
   }
-  return [];
+  return effects;
 }
 
 /** Brings the residents of an owned engine in line with its report. */
@@ -74,6 +83,9 @@
 /** The engine started again and holds nothing. */
 function forgetEngine(owned: OwnedEngine): void {
   owned.residents.clear();
+  // Engines start in their default role.
+  owned.role = 'mixed';
+  owned.isRoleOrdered = false;
   owned.unloadedAt.clear();
   owned.loading.clear();
   owned.unloading.clear();
@@ -96,6 +108,10 @@
     loading: new Map(),
     unloading: new Map(),
     unloadedAt: new Map(),
+    warm: new Set(),
+    role: 'mixed',
+    isRoleChanging: false,
+    isRoleOrdered: false,
     bootId: '',
     budget: newBudget(state, now),
     wantedRank: -1,
--- a/src/grants/pins.ts
+++ b/src/grants/pins.ts
@@ -9,18 +9,27 @@
   addTo(owned.pinsByFirm, pin.firm, 1);
 }
 
-/** Removes a pin; returns whether it existed. */
-export function removePin(owned: OwnedEngine, grant: string, now: number): boolean {
+/**
+ * Removes a pin; returns whether it existed. With `endedAt`, the request has ended by then, and an
+ * older report that still shows it is no reason to keep the adapter.
+ */
+export function removePin(owned: OwnedEngine, grant: string, endedAt?: number): boolean {
   const pin = owned.pins.get(grant);
   if (pin === undefined) return false;
+  endPin(owned, grant);
   owned.pins.delete(grant);
-  if (owned.grantOf.get(pin.request) === grant) owned.grantOf.delete(pin.request);
   addTo(owned.pinned, pin.model, -1);
   addTo(owned.pinsByFirm, pin.firm, -1);
-  owned.released.push({ model: pin.model, at: now });
+  if (endedAt !== undefined) owned.released.push({ model: pin.model, at: endedAt });
   return true;
 }
 
+/** Keeps a released grant from being given again; its pin stays until it expires. */
+export function endPin(owned: OwnedEngine, grant: string): void {
+  const request = owned.pins.get(grant)?.request;
+  if (request !== undefined && owned.grantOf.get(request) === grant) owned.grantOf.delete(request);
+}
+
 /** Returns the last pin of `request`, or undefined when it has none. */
 export function getPinOf(owned: OwnedEngine, request: string): Pin | undefined {
   const grant = owned.grantOf.get(request);
--- /dev/null
+++ b/src/grants/reconcile.ts
@@ -0,0 +1,81 @@
+import type { WarmIntent } from '../configuration/types.ts';
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
+import { canOrderDestructively } from '../ownership/owner.ts';
+import { getRing } from '../routing/rings.ts';
+import { RECONCILE_MS } from './constants.ts';
+import { newOrder } from './orders.ts';
+import { refuseQueue, serveQueue } from './serve.ts';
+import type { OwnedEngine } from './types.ts';
+
+const MINUTE_MS = 60_000;
+const DAY_MINUTES = 1_440;
+
+/** Compares every owned engine with the accepted configuration and orders what differs. */
+export function reconcileOwned(state: State, now: number): Effect[] {
+  schedule(state, now + RECONCILE_MS, { type: 'reconcile' });
+  updateWarm(state, now);
+  return [...state.grants.owned.values()].flatMap((owned) => [
+    ...reconcileRole(state, owned, now),
+    ...serveQueue(state, owned, now),
+  ]);
+}
+
+/**
+ * Assigns the warm intents to engines: in each zone of the pool the first engines on the ring that
+ * can be used, so that a copy moves on when its engine leaves or fails. One slot of each engine
+ * stays free of intents.
+ */
+export function updateWarm(state: State, now: number): void {
+  const { grants, configuration, host } = state;
+  for (const owned of grants.owned.values()) owned.warm.clear();
+  if (grants.owned.size === 0) return;
+  for (const intent of configuration.warm.values()) {
+    if (!isInWindow(state, intent, now)) continue;
+    const adapter = configuration.adapters.get(intent.adapter);
+    if (adapter === undefined) continue;
+    const model = `${adapter.name}@${adapter.inForce}`;
+    const chosen = getRing(state, adapter.model)?.find(model, intent.copies, (id) => {
+      const engine = configuration.engines.get(id);
+      return engine?.zone === host.zone && engine.pool === intent.pool && isUsable(state, id);
+    });
+    for (const id of chosen ?? []) {
+      const owned = grants.owned.get(id);
+      const slots = configuration.engines.get(id)?.slots ?? 0;
+      if (owned !== undefined && owned.warm.size < slots - 1) owned.warm.add(model);
+    }
+  }
+}
+
+/** Whether `engine` may get new work: it is not leaving and it answers. */
+export function isUsable(state: State, engine: string): boolean {
+  const view = state.engines.views.get(engine)?.state;
+  return !state.configuration.leaving.has(engine) && view !== 'leaving' && view !== 'unreachable';
+}
+
+/** Orders the configured role once nothing runs; until then the engine gets no new requests. */
+function reconcileRole(state: State, owned: OwnedEngine, now: number): Effect[] {
+  const engine = state.configuration.engines.get(owned.id);
+  const role = state.configuration.roles.get(owned.id) ?? 'mixed';
+  owned.isRoleChanging = role !== owned.role;
+  if (engine === undefined || !owned.isRoleChanging) return [];
+  const refused = refuseQueue(state, owned, 'full');
+  const reported = [...owned.reported.values()].reduce((sum, count) => sum + count, 0);
+  const isIdle = owned.pins.size === 0 && owned.unexplained.size === 0;
+  if (!isIdle || owned.isRoleOrdered) return refused;
+  if (!canOrderDestructively(state, owned.id, now, reported)) return refused;
+  owned.isRoleOrdered = true;
+  return [...refused, newOrder(owned, engine, { type: 'role', role })];
+}
+
+function isInWindow(state: State, { window }: WarmIntent, now: number): boolean {
+  const { unixOffsetMs } = state.grants;
+  // Without a wall clock, an adapter that is warm too long does less harm than one that is cold.
+  if (window === undefined || unixOffsetMs === undefined) return true;
+  const minute = Math.floor((now + unixOffsetMs) / MINUTE_MS) % DAY_MINUTES;
+  const { fromMinute, untilMinute } = window;
+  return fromMinute <= untilMinute
+    ? minute >= fromMinute && minute < untilMinute
+    : minute >= fromMinute || minute < untilMinute;
+}
--- a/src/grants/serve.ts
+++ b/src/grants/serve.ts
@@ -7,31 +7,47 @@
 import { ENGINE_CANCEL_MS } from './constants.ts';
 import { orderLoads } from './orders.ts';
 import { addPin } from './pins.ts';
+import { canRun, sortQueue } from './queueOrder.ts';
 import type { OwnedEngine, Pin, QueuedAsk, RefusalReason } from './types.ts';
 
-const KIND_ORDER = { urgent: 0, ordinary: 1, draft: 2 } as const;
-
 /** Grants what can run now and orders the loads that the others wait for. */
 export function serveQueue(state: State, owned: OwnedEngine, now: number): Effect[] {
   const engine = state.configuration.engines.get(owned.id);
   if (engine === undefined) return [];
   const effects: Effect[] = [];
-  owned.queue.sort(compareAsks);
+  const refusal = getQueueRefusal(state, owned);
+  if (refusal !== undefined) effects.push(...refuseQueue(state, owned, refusal));
+  sortQueue(state, owned, engine, now);
   const left: QueuedAsk[] = [];
   for (const ask of owned.queue) {
     if (ask.arrivedAt + ask.remainingMs <= now) continue;
-    if (owned.residents.has(ask.model) && owned.pins.size < engine.batch) {
+    if (canRun(state, owned, engine, ask)) {
       effects.push(...giveGrant(state, owned, ask, now));
     } else {
       left.push(ask);
     }
   }
   owned.queue = left;
-  effects.push(...orderLoads(state, owned, engine, now));
+  if (refusal === undefined) effects.push(...orderLoads(state, owned, engine, now));
   updateLoad(state.engines, owned.id, owned.pins.size, owned.queue.length);
   return effects;
 }
 
+/** Why an engine takes no asks at all; undefined when it does. */
+export function getQueueRefusal(state: State, owned: OwnedEngine): RefusalReason | undefined {
+  const view = state.engines.views.get(owned.id)?.state;
+  if (state.configuration.leaving.has(owned.id) || view === 'leaving') return 'leaving';
+  if (view === 'unreachable') return 'unreachable';
+  return owned.isRoleChanging ? 'full' : undefined;
+}
+
+/** Refuses every waiting ask, so that the askers go elsewhere. */
+export function refuseQueue(state: State, owned: OwnedEngine, reason: RefusalReason): Effect[] {
+  const refused = owned.queue;
+  owned.queue = [];
+  return refused.flatMap((ask) => refuse(state, ask, reason));
+}
+
 /** Returns the message that refuses `ask`. */
 export function refuse(
   state: State,
@@ -58,12 +74,6 @@
   ];
 }
 
-function compareAsks(a: QueuedAsk, b: QueuedAsk): number {
-  return (
-    KIND_ORDER[a.kind] - KIND_ORDER[b.kind] || a.priority - b.priority || a.arrivedAt - b.arrivedAt
-  );
-}
-
 function giveGrant(state: State, owned: OwnedEngine, ask: QueuedAsk, now: number): Effect[] {
   const grant = `${state.host.id}-${state.random.getHex(8)}`;
   const expiresAt = ask.arrivedAt + ask.remainingMs + ENGINE_CANCEL_MS;
--- a/src/grants/types.ts
+++ b/src/grants/types.ts
@@ -139,6 +139,12 @@
   unloading: Map<string, number>;
   /** Times of unloads within the lag of a report. */
   unloadedAt: Map<string, number>;
+  /** Adapters that intents want resident here. */
+  warm: Set<string>;
+  /** Role that the engine was last ordered to take, and whether another one is due or ordered. */
+  role: EngineRole;
+  isRoleChanging: boolean;
+  isRoleOrdered: boolean;
   /** Boot id of the last report. */
   bootId: string;
   budget: TokenBucket;
@@ -161,6 +167,9 @@
 
 export class Grants {
   readonly owned = new Map<string, OwnedEngine>();
+  /** Unix ms minus monotonic ms, set by the host; undefined while it is not known. */
+  unixOffsetMs: number | undefined;
+  isReconciling = false;
   readonly popularity = Popularity.create();
   readonly lending: Lending = {
     borrowed: 0,
@@ -207,4 +216,6 @@
 }
 
 export type GrantTimer =
-  { type: 'pinExpiry'; engine: string; grant: string } | { type: 'serveQueue'; engine: string };
+  | { type: 'pinExpiry'; engine: string; grant: string }
+  | { type: 'reconcile' }
+  | { type: 'serveQueue'; engine: string };
--- /dev/null
+++ b/tests/grants/owner.test.ts
@@ -0,0 +1,154 @@
+import { describe, expect, it } from 'vitest';
+import type { Change } from '../../src/configuration/types.ts';
+import type { Effect } from '../../src/core/effects.ts';
+import { reduce } from '../../src/core/reduce.ts';
+import type { State } from '../../src/core/state.ts';
+import { applyChange } from '../../src/configuration/apply.ts';
+import { updateOwned } from '../../src/grants/owned.ts';
+import type { GrantAsk } from '../../src/grants/types.ts';
+import { newFleet } from './fleet.ts';
+
+function newOwner(changes: Change[] = [], slots = 3): State {
+  const [state] = newFleet({ hosts: 1, engines: 1, slots, changes });
+  if (state === undefined) throw new Error('the fleet is empty');
+  return state;
+}
+
+function ask(state: State, change: Partial<GrantAsk>, now: number): Effect[] {
+  const message: GrantAsk = {
+    type: 'grantAsk',
+    request: 'r1',
+    ask: 1,
+    engine: 'e0',
+    model: 'a0@v1',
+    firm: 'f',
+    kind: 'ordinary',
+    priority: 5,
+    remainingMs: 60_000,
+    fingerprint: 'x',
+    maxTokens: 8,
+    ...change,
+  };
+  return reduce(state, { type: 'messageReceived', from: 'h9', message }, now);
+}
+
+function report(state: State, now: number, bootId: string, residents: string[]): Effect[] {
+  const one = { bootId, running: {}, waiting: 0, slots: 3, residents };
+  return reduce(state, { type: 'engineReported', engine: 'e0', report: one }, now);
+}
+
+function getOrders(effects: Effect[]): string[] {
+  return effects.flatMap((effect) => {
+    if (effect.type !== 'orderEngine') return [];
+    const { order } = effect;
+    return [`${order.type} ${order.type === 'role' ? order.role : order.model}`];
+  });
+}
+
+function getMessages(effects: Effect[]): string[] {
+  return effects.flatMap((effect) => {
+    if (effect.type !== 'sendMessage') return [];
+    const { message } = effect;
+    return [message.type === 'grantRefused' ? `refused ${message.reason}` : message.type];
+  });
+}
+
+const warm: Change = { type: 'putWarm', warm: { adapter: 'a2', pool: 'p', copies: 1 } };
+
+describe('the owner of an engine', () => {
+  // Guards against an intent that is forgotten when the engine restarts empty (F2).
+  it('loads a warm adapter, and again after the engine restarted empty', () => {
+    const state = newOwner([warm]);
+    expect(getOrders(reduce(state, { type: 'tick' }, 1_000))).toEqual(['load a2@v1']);
+    const order = { type: 'load' as const, model: 'a2@v1', source: 's' };
+    const answered = { engine: 'e0', epoch: 1, order, answer: { type: 'done' as const } };
+    reduce(state, { type: 'orderAnswered', ...answered }, 1_250);
+    report(state, 5_000, '1', ['a2@v1']);
+    expect(getOrders(reduce(state, { type: 'tick' }, 6_000))).toEqual([]);
+    expect(getOrders(report(state, 7_000, '2', []))).toEqual(['load a2@v1']);
+  });
+
+  it.each([
+    { name: 'a warm adapter', changes: [warm], residents: ['a1@v1', 'a2@v1'], unload: 'a1@v1' },
+    {
+      name: 'the adapter that is asked for most',
+      changes: [],
+      residents: ['a1@v1', 'a0@v1'],
+      unload: 'a1@v1',
+    },
+  ])('keeps $name when it evicts', ({ changes, residents, unload }) => {
+    const state = newOwner(changes, 2);
+    report(state, 0, '1', residents);
+    if (residents.includes('a0@v1')) {
+      ask(state, { model: 'a0@v1' }, 2_000);
+      const grant = [...(state.grants.owned.get('e0')?.pins.keys() ?? [])][0] ?? '';
+      const message = { type: 'grantReleased' as const, request: 'r1', engine: 'e0', grant };
+      const released = { ...message, result: 'completed' as const };
+      reduce(state, { type: 'messageReceived', from: 'h9', message: released }, 3_000);
+    }
+    const effects = ask(state, { request: 'r2', model: 'a3@v1', kind: 'urgent' }, 9_000);
+    expect(getOrders(effects)).toContain(`unload ${unload}`);
+  });
+
+  // Guards against new work on an endpoint that leaves (G6), and askers that wait for it in vain.
+  it('refuses waiting and new asks of an engine that leaves', () => {
+    const state = newOwner();
+    ask(state, {}, 10);
+    applyChange(state.configuration, { type: 'putLeaving', endpoint: 'e0' });
+    expect(getMessages(updateOwned(state, 20))).toEqual(['refused leaving']);
+    expect(getMessages(ask(state, { request: 'r2' }, 30))).toEqual(['refused leaving']);
+  });
+
+  // Guards against a second grant, or a second place in the queue, for an ask sent twice.
+  it('repeats the grant of an ask that is sent again', () => {
+    const state = newOwner();
+    report(state, 0, '1', ['a0@v1']);
+    expect(getMessages(ask(state, {}, 10))).toEqual(['grantGiven']);
+    expect(getMessages(ask(state, {}, 20))).toEqual(['grantGiven']);
+    expect(state.grants.owned.get('e0')?.pins.size).toBe(1);
+  });
+
+  it('orders a role once nothing runs and refuses asks until it is taken', () => {
+    const state = newOwner();
+    report(state, 0, '1', ['a0@v1']);
+    ask(state, {}, 10);
+    applyChange(state.configuration, { type: 'putRole', engine: 'e0', role: 'decode' });
+    expect(getOrders(reduce(state, { type: 'tick' }, 1_100))).toEqual([]);
+    expect(getMessages(ask(state, { request: 'r2' }, 1_200))).toEqual(['refused full']);
+    const grant = [...(state.grants.owned.get('e0')?.pins.keys() ?? [])][0] ?? '';
+    const message = { type: 'grantReleased' as const, request: 'r1', engine: 'e0', grant };
+    const released = { ...message, result: 'completed' as const };
+    reduce(state, { type: 'messageReceived', from: 'h9', message: released }, 1_300);
+    expect(getOrders(reduce(state, { type: 'tick' }, 2_200))).toEqual(['role decode']);
+  });
+});
+
+describe('the order of grants', () => {
+  const shares: Change[] = [
+    { type: 'putShare', firm: 'f', share: 0.5 },
+    { type: 'putShare', firm: 'g', share: 0.5 },
+  ];
+  it.each([
+    {
+      name: 'urgent before ordinary',
+      first: { kind: 'draft' as const },
+      second: { kind: 'urgent' as const },
+    },
+    {
+      name: "a firm below its share before one that uses the other's",
+      first: { firm: 'f' },
+      second: { firm: 'g' },
+    },
+    { name: 'the callers’ order', first: { priority: 7 }, second: { priority: 1 } },
+  ])('puts $name', ({ first, second }) => {
+    const state = newOwner(shares);
+    report(state, 0, '1', ['a0@v1']);
+    for (let used = 0; used < 4; used++) ask(state, { request: `u${used}`, kind: 'urgent' }, 10);
+    ask(state, { request: 'first', ...first }, 20);
+    ask(state, { request: 'second', ...second }, 30);
+    expect(state.grants.owned.get('e0')?.queue.map(({ request }) => request)).toEqual([
+      'second',
+      'first',
+    ]);
+  });
+});
