Measure decisions at 1, 10 and 100 times today's size and update rings in place

Cause: the scale bench showed that one added engine at 2,500 engines kept the loop busy for 460 ms, as every ring was rebuilt and sorted.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,6 @@
 import meow from 'meow';
 import { runPolicy } from './policy/run.ts';
+import { runScale } from './scale/run.ts';
 
 const cli = meow(
   `
@@ -8,6 +9,7 @@
 
   Benches
     policy      decisions under load, against baselines and a clairvoyant bound
+    scale       processor time and memory at 1, 10 and 100 times today's size
 
   Options
     --scenario NAME     one scenario of the policy bench; all when absent
@@ -36,6 +38,7 @@
 
 const BENCHES: Record<string, (flags: Flags) => number | Promise<number>> = {
   policy: runPolicy,
+  scale: runScale,
 };
 
 const bench = BENCHES[cli.input[0] ?? ''];
--- /dev/null
+++ b/bench/scale/measure.ts
@@ -0,0 +1,156 @@
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import { acceptRevisions } from '../../src/configuration/accept.ts';
+import type { Change } from '../../src/configuration/types.ts';
+import { reduce } from '../../src/core/reduce.ts';
+import { choosePlacement } from '../../src/routing/placement.ts';
+import type { Request } from '../../src/requests/types.ts';
+import { Random } from '../../src/base/random.ts';
+import type { Size } from './sizes.ts';
+import { getResidents, newAdapter, newReportEvent, newWorld, type World } from './world.ts';
+
+/** Processor time of one call in microseconds, and heap of one host in MB. */
+export interface ScaleResult extends Size {
+  decisionResidentUs: number;
+  decisionColdUs: number;
+  loadReportUs: number;
+  engineNewsUs: number;
+  membershipRoundUs: number;
+  adapterChangeUs: number;
+  engineChangeUs: number;
+  heapMb: number;
+}
+
+const ROUNDS = 5;
+const SOURCE = { type: 'table' } as const;
+
+export function measureScale(size: Size): ScaleResult {
+  const before = getHeapMb();
+  const world = newWorld(size);
+  const heapMb = getHeapMb() - before;
+  return {
+    ...size,
+    decisionResidentUs: measure(newDecisions(world, size, true), 4_000),
+    decisionColdUs: measure(newDecisions(world, size, false), 4_000),
+    loadReportUs: measure(newReports(world, size), 1_000),
+    engineNewsUs: measure(newNews(world), 1_000),
+    membershipRoundUs: measure(newRounds(world), 20),
+    adapterChangeUs: measure(newChanges(world, newAdapterChange), 20),
+    engineChangeUs: measure(newChanges(world, newEngineChange), 3),
+    heapMb,
+  };
+}
+
+/** Returns the least of several means, which is least disturbed by the rest of the machine. */
+function measure(call: () => void, calls: number): number {
+  for (let index = 0; index < calls; index++) call();
+  const means = Array.from({ length: ROUNDS }, () => {
+    const start = process.cpuUsage();
+    for (let index = 0; index < calls; index++) call();
+    const { user, system } = process.cpuUsage(start);
+    return (user + system) / calls;
+  });
+  return Math.min(...means);
+}
+
+function newDecisions({ state }: World, size: Size, isResident: boolean): () => void {
+  const random = Random.create(1);
+  return () => {
+    const engine = random.getInteger(size.engines);
+    const resident = getResidents(size, engine)[random.getInteger(8)] ?? '';
+    const model = isResident ? resident : `adapter-${random.getInteger(size.adapters)}@v0`;
+    choosePlacement(state, newRequest(model));
+  };
+}
+
+function newRequest(model: string): Request {
+  return {
+    id: 'r',
+    firm: 'atlas',
+    caller: 'c',
+    kind: 'ordinary',
+    adapter: model.split('@')[0] ?? '',
+    version: 'v1',
+    model,
+    deadline: 60_000,
+    fingerprint: 'x',
+    promptBlocks: [],
+    maxTokens: 8,
+    draft: undefined,
+    priority: 5,
+    arrivedAt: 0,
+    phase: 'backoff',
+    ask: 0,
+    asked: undefined,
+    attempt: undefined,
+    attempts: 0,
+    excluded: new Set(),
+    loadStallMs: 0,
+    mayHaveRun: false,
+    lastRefusal: undefined,
+  };
+}
+
+function newReports({ state, owned }: World, size: Size): () => void {
+  let index = 0;
+  return () => {
+    const engine = owned[index++ % owned.length] ?? '';
+    const residents = getResidents(size, Number(engine.split('-')[1]));
+    reduce(state, newReportEvent(engine, residents), 2);
+  };
+}
+
+function newNews({ state, foreign }: World): () => void {
+  return () => {
+    const { engine: e, owner, sequence: b } = foreign;
+    foreign.sequence += 1;
+    const news = { e, p: 1, s: b + 1, b, l: [b % 7, 0] as [number, number] };
+    const message = { type: 'engineDelta' as const, news: [news] };
+    reduce(state, { type: 'messageReceived', from: owner, message }, 2);
+  };
+}
+
+/** One second of all periodic work: gossip, reconciling and polls. */
+function newRounds({ state }: World): () => void {
+  let now = 10;
+  return () => {
+    now += 1_000;
+    reduce(state, { type: 'tick' }, now);
+  };
+}
+
+function newChanges({ state }: World, newChange: (nth: number) => Change): () => void {
+  return () => {
+    const revision = state.configuration.revision + 1;
+    const change = newChange(revision);
+    const base = { operator: 'bench', confirmedAtUnixMs: 0, plan: 'bench' };
+    acceptRevisions(state, [{ revision, changes: [change], ...base }], SOURCE, 3);
+    // The rings are rebuilt with the first decision after a change of engines.
+    choosePlacement(state, newRequest('adapter-1@v0'));
+  };
+}
+
+const newAdapterChange = (nth: number): Change => ({
+  type: 'putAdapter',
+  adapter: newAdapter(nth % 100),
+});
+
+const newEngineChange = (nth: number): Change => ({
+  type: 'putEngine',
+  engine: {
+    id: `extra-${nth}`,
+    address: '127.0.0.1:9',
+    zone: 'zone-1',
+    pool: 'pool-1',
+    model: 'model-1',
+    slots: 8,
+    batch: 32,
+    checksFencing: true,
+  },
+});
+
+function getHeapMb(): number {
+  setFlagsFromString('--expose-gc');
+  (runInNewContext('gc') as () => void)();
+  return process.memoryUsage().heapUsed / 2 ** 20;
+}
--- /dev/null
+++ b/bench/scale/sizes.ts
@@ -0,0 +1,18 @@
+/** Sizes that the scale bench runs at; the last one is the size in two years (design 1.7). */
+export interface Size {
+  readonly factor: number;
+  readonly engines: number;
+  readonly hosts: number;
+  readonly adapters: number;
+}
+
+export const SIZES: readonly Size[] = [
+  { factor: 1, engines: 25, hosts: 16, adapters: 3_000 },
+  { factor: 10, engines: 250, hosts: 78, adapters: 10_000 },
+  { factor: 100, engines: 2_500, hosts: 390, adapters: 34_000 },
+];
+
+export const ZONES = 8;
+export const SLOTS = 8;
+export const BATCH = 32;
+export const MODELS = 5;
--- /dev/null
+++ b/bench/scale/world.ts
@@ -0,0 +1,148 @@
+import { applyRevision } from '../../src/configuration/apply.ts';
+import type { Change } from '../../src/configuration/types.ts';
+import type { Event } from '../../src/core/events.ts';
+import { reduce } from '../../src/core/reduce.ts';
+import { State } from '../../src/core/state.ts';
+import { startMembership } from '../../src/membership/handlers.ts';
+import type { EngineNews, HostEntry } from '../../src/membership/types.ts';
+import { getOwner } from '../../src/ownership/owner.ts';
+import { setZoneRows } from '../policy/ownership.ts';
+import type { HostLayout } from '../policy/types.ts';
+import { BATCH, MODELS, type Size, SLOTS, ZONES } from './sizes.ts';
+
+/** One host of a deployment of `size` that knows all hosts, engines and residents. */
+export interface World {
+  readonly state: State;
+  readonly owned: string[];
+  /** Engine of the same zone with another owner, and that owner. */
+  readonly foreign: { engine: string; owner: string; sequence: number };
+}
+
+export function newWorld(size: Size): World {
+  const hosts = Array.from({ length: size.hosts }, (_, index) => ({
+    id: `host-${index}`,
+    zone: `zone-${index % ZONES}`,
+  }));
+  const state = newState();
+  applyRevision(state.configuration, {
+    revision: 1,
+    changes: getChanges(size),
+    operator: 'bench',
+    confirmedAtUnixMs: 0,
+    plan: 'bench',
+  });
+  startMembership(state, 0);
+  feedHosts(state, hosts);
+  setZoneRows(state, hosts);
+  feedReports(state);
+  const foreign = feedNews(state);
+  return { state, owned: [...state.grants.owned.keys()], foreign };
+}
+
+/** Residents of the engine with `index`, spread over the adapters of its model. */
+export function getResidents(size: { adapters: number }, index: number): string[] {
+  return Array.from({ length: SLOTS }, (_, slot) => {
+    const nth = (index * SLOTS + slot) * MODELS + (index % MODELS);
+    return `adapter-${nth % size.adapters}@v1`;
+  });
+}
+
+export function newReportEvent(engine: string, residents: string[]): Event {
+  const running = Object.fromEntries(residents.map((model) => [model, 2]));
+  const report = { bootId: '1', running, waiting: 0, slots: SLOTS, residents };
+  return { type: 'engineReported', engine, report };
+}
+
+function newState(): State {
+  return State.create({
+    host: {
+      id: 'host-0',
+      zone: 'zone-0',
+      region: 'region',
+      address: '127.0.0.1:1',
+      incarnation: 1,
+    },
+    policy: {
+      stallWeight: 0.5,
+      loadsPerS: 1_000,
+      maxRequestsPerCaller: 1_000,
+      maxRequests: 10_000,
+      lameDuckMs: 0,
+    },
+    seed: 1,
+  });
+}
+
+function getChanges(size: Size): Change[] {
+  const engines = Array.from({ length: size.engines }, (_, index): Change => ({
+    type: 'putEngine',
+    engine: {
+      id: `engine-${index}`,
+      address: `127.0.0.1:${10_000 + index}`,
+      zone: `zone-${index % ZONES}`,
+      pool: `pool-${index % MODELS}`,
+      model: `model-${index % MODELS}`,
+      slots: SLOTS,
+      batch: BATCH,
+      checksFencing: true,
+    },
+  }));
+  const adapters = Array.from({ length: size.adapters }, (_, index): Change => ({
+    type: 'putAdapter',
+    adapter: newAdapter(index),
+  }));
+  return [...engines, ...adapters];
+}
+
+export function newAdapter(index: number): Extract<Change, { type: 'putAdapter' }>['adapter'] {
+  return {
+    name: `adapter-${index}`,
+    firm: index % 2 === 0 ? 'atlas' : 'corail',
+    model: `model-${index % MODELS}`,
+    versions: { v1: { source: `http://127.0.0.1/weights/${index}` } },
+    inForce: 'v1',
+  };
+}
+
+function feedHosts(state: State, hosts: readonly HostLayout[]): void {
+  const entries = hosts.map(({ id, zone }, index): HostEntry => ({
+    host: id,
+    zone,
+    region: 'region',
+    address: `127.0.0.1:${2_000 + index}`,
+    incarnation: 1,
+    revision: 1,
+    state: 'live',
+    protocol: 1,
+    configurationRevision: 1,
+  }));
+  const others = entries.filter(({ host }) => host !== state.host.id);
+  for (const { host } of others) reduce(state, { type: 'linkOpened', host }, 0);
+  const message = { type: 'membershipDelta' as const, entries: others };
+  reduce(state, { type: 'messageReceived', from: 'host-1', message }, 0);
+}
+
+function feedReports(state: State): void {
+  for (const engine of state.grants.owned.keys()) {
+    const index = Number(engine.split('-')[1]);
+    const residents = getResidents({ adapters: state.configuration.adapters.size }, index);
+    reduce(state, newReportEvent(engine, residents), 1);
+  }
+}
+
+function feedNews(state: State): World['foreign'] {
+  let foreign: World['foreign'] | undefined;
+  const { adapters, engines } = state.configuration;
+  let index = 0;
+  for (const { id, zone } of engines.values()) {
+    const residents = getResidents({ adapters: adapters.size }, index++);
+    const owner = getOwner(state, id)?.host ?? '';
+    if (owner === state.host.id) continue;
+    const news: EngineNews = { e: id, p: 1, s: 0, b: -1, state: 'live', l: [8, 0], add: residents };
+    const message = { type: 'engineDelta' as const, news: [news] };
+    reduce(state, { type: 'messageReceived', from: owner, message }, 1);
+    if (zone === state.host.zone) foreign = { engine: id, owner, sequence: 0 };
+  }
+  if (foreign === undefined) throw new Error('host-0 owns every engine of its zone');
+  return foreign;
+}
--- a/src/routing/ring.ts
+++ b/src/routing/ring.ts
@@ -1,9 +1,7 @@
 import { hash32 } from '../base/hash.ts';
 
-/** Points of one engine on the ring; with 64 the largest arc sum of 13 engines is about 1.3 times the mean. */
-const POINTS_PER_ENGINE = 64;
-/** Points of all engines together, so that a ring of thousands of engines stays small. */
-const MAX_POINTS = 40_000;
+/** Points of one engine on the ring; with 32 the busiest of 13 engines gets about 1.4 times the mean. */
+const POINTS_PER_ENGINE = 32;
 
 interface Point {
   hash: number;
@@ -12,21 +10,35 @@
 
 /** Consistent hash ring of engines. */
 export class Ring {
-  private constructor(private readonly points: readonly Point[]) {}
+  private constructor(private points: Point[]) {}
 
   static create(engines: readonly string[]): Ring {
-    const perEngine = Math.min(
-      POINTS_PER_ENGINE,
-      Math.max(8, Math.floor(MAX_POINTS / Math.max(1, engines.length))),
-    );
-    const points: Point[] = [];
-    for (const engine of engines) {
-      for (let index = 0; index < perEngine; index++) {
-        points.push({ hash: hash32(`${engine}#${index}`), engine });
+    return new Ring(engines.flatMap(newPoints).sort(comparePoints));
+  }
+
+  get isEmpty(): boolean {
+    return this.points.length === 0;
+  }
+
+  /** Adds an engine. Costs a merge, not a sort: a change of one engine must not stop the loop. */
+  add(engine: string): void {
+    const added = newPoints(engine).sort(comparePoints);
+    const merged: Point[] = [];
+    let next = 0;
+    for (const point of this.points) {
+      for (; next < added.length; next++) {
+        const candidate = added[next];
+        if (candidate === undefined || comparePoints(candidate, point) > 0) break;
+        merged.push(candidate);
       }
+      merged.push(point);
     }
-    points.sort((a, b) => a.hash - b.hash || (a.engine < b.engine ? -1 : 1));
-    return new Ring(points);
+    merged.push(...added.slice(next));
+    this.points = merged;
+  }
+
+  remove(engine: string): void {
+    this.points = this.points.filter((point) => point.engine !== engine);
   }
 
   /**
@@ -43,12 +55,11 @@
     const seen = new Set<string>();
     const start = this.getStart(hash32(key));
     for (let step = 0; step < Math.min(maxSteps, this.points.length); step++) {
+      if (found.length === count) break;
       const engine = this.points[(start + step) % this.points.length]?.engine;
       if (engine === undefined || seen.has(engine)) continue;
       seen.add(engine);
-      if (!isUsable(engine)) continue;
-      found.push(engine);
-      if (found.length === count) break;
+      if (isUsable(engine)) found.push(engine);
     }
     return found;
   }
@@ -64,3 +75,14 @@
     return low;
   }
 }
+
+function newPoints(engine: string): Point[] {
+  return Array.from({ length: POINTS_PER_ENGINE }, (_, index) => ({
+    hash: hash32(`${engine}#${index}`),
+    engine,
+  }));
+}
+
+function comparePoints(a: Point, b: Point): number {
+  return a.hash - b.hash || (a.engine < b.engine ? -1 : 1);
+}
--- a/src/routing/rings.ts
+++ b/src/routing/rings.ts
@@ -1,28 +1,19 @@
 import type { State } from '../core/state.ts';
 import { Ring } from './ring.ts';
 
-/** Returns the ring of the engines that run `model`; rebuilds the rings when the set of engines changed. */
+/** Returns the ring of the engines that run `model`, in line with the configuration in force. */
 export function getRing(state: State, model: string): Ring | undefined {
   const { routing, configuration } = state;
   if (routing.revision !== configuration.revision) {
     routing.revision = configuration.revision;
-    if (hasChanged(state)) rebuild(state);
+    if (routing.rings.size === 0) buildRings(state);
+    else updateRings(state);
   }
   return routing.rings.get(model);
 }
 
-function hasChanged({ routing, configuration }: State): boolean {
-  if (routing.members.size !== configuration.engines.size) return true;
-  for (const { id, model } of configuration.engines.values()) {
-    if (routing.members.get(id) !== model) return true;
-  }
-  return false;
-}
-
-function rebuild({ routing, configuration }: State): void {
+function buildRings({ routing, configuration }: State): void {
   const byModel = new Map<string, string[]>();
-  routing.members.clear();
-  routing.rings.clear();
   for (const { id, model } of configuration.engines.values()) {
     routing.members.set(id, model);
     const engines = byModel.get(model);
@@ -31,3 +22,20 @@
   }
   for (const [model, engines] of byModel) routing.rings.set(model, Ring.create(engines));
 }
+
+function updateRings({ routing, configuration }: State): void {
+  for (const [id, model] of routing.members) {
+    if (configuration.engines.get(id)?.model === model) continue;
+    routing.members.delete(id);
+    const ring = routing.rings.get(model);
+    ring?.remove(id);
+    if (ring?.isEmpty === true) routing.rings.delete(model);
+  }
+  for (const { id, model } of configuration.engines.values()) {
+    if (routing.members.has(id)) continue;
+    routing.members.set(id, model);
+    const ring = routing.rings.get(model);
+    if (ring === undefined) routing.rings.set(model, Ring.create([id]));
+    else ring.add(id);
+  }
+}
--- a/tests/routing/ring.test.ts
+++ b/tests/routing/ring.test.ts
@@ -25,6 +25,18 @@
     }
   });
 
+  // Guards against hosts that disagree because one saw the engines come one by one.
+  it('is the same after changes as when built at once', () => {
+    const changed = Ring.create(engines.slice(0, 5));
+    for (const engine of engines.slice(5)) changed.add(engine);
+    changed.add('other');
+    changed.remove('other');
+    const ring = Ring.create(engines);
+    for (const key of keys) {
+      expect(changed.find(key, 3, anyEngine)).toEqual(ring.find(key, 3, anyEngine));
+    }
+  });
+
   it.each([
     { name: 'skips engines that cannot be used', usable: (e: string) => e !== 'e1', count: 19 },
     { name: 'finds nothing without a usable engine', usable: () => false, count: 0 },
