Run service calls at most once with claims in the table

Two hosts, or a host and a late write of its own, could otherwise run one booking twice. A claim is created by conditional write before the first byte is sent, a lost answer is settled by reading, and the ending is recorded until the table has it. Rows expire by a retention hour that one host raises on its own clock, because the clocks of two hosts are never compared.

The retry budget comes with it, since repeatable calls draw on it.

--- /dev/null
+++ b/src/actions/answering.ts
@@ -0,0 +1,37 @@
+import type { Effect } from '../core/effects.ts';
+import { newCount } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import type { Failure } from '../errors/failure.ts';
+import type { Action, ActionAnswer, CallAnswer } from './types.ts';
+
+/** Answers the caller with a failure, unless it has an answer already. */
+export function failAction(state: State, action: Action, failure: Failure): Effect[] {
+  return answerOnce(state, action, failure.kind, { type: 'failed', failure });
+}
+
+/** Answers the caller with the answer of the service, unless it has an answer already. */
+export function passAnswer(
+  state: State,
+  action: Action,
+  { status, headers, body }: CallAnswer,
+  isReplay = false,
+): Effect[] {
+  const answer: ActionAnswer = { type: 'answered', status, headers, body, isReplay };
+  return answerOnce(state, action, isReplay ? 'replayed' : 'completed', answer);
+}
+
+/** Forgets an action whose claim, if any, is settled. */
+export function removeAction(state: State, action: Action): void {
+  const { inFlight, byRow } = state.actions;
+  inFlight.delete(action.id);
+  if (byRow.get(action.rowKey) === action.id) byRow.delete(action.rowKey);
+}
+
+function answerOnce(_state: State, action: Action, result: string, answer: ActionAnswer): Effect[] {
+  if (action.isAnswered) return [];
+  action.isAnswered = true;
+  return [
+    newCount('fireflywick_requests_total', { firm: action.firm, kind: 'action', result }),
+    { type: 'answerAction', id: action.id, answer },
+  ];
+}
--- /dev/null
+++ b/src/actions/arrival.ts
@@ -0,0 +1,97 @@
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
+import { Failure } from '../errors/failure.ts';
+import { failAction } from './answering.ts';
+import { claim } from './claiming.ts';
+import { MAX_KEY_LENGTH } from './constants.ts';
+import { chooseEndpoint, isRepeatableCall } from './endpoints.ts';
+import { getCallHash, getRowKey } from './rows.ts';
+import { send } from './sending.ts';
+import type { Action, NewAction } from './types.ts';
+
+const PRINTABLE = /^[\x20-\x7e]+$/;
+
+/** Checks a service call on arrival; sends it when it is repeatable and claims its key otherwise. */
+export function admitAction(state: State, arrival: NewAction, now: number): Effect[] {
+  state.requests.retries.addRequest(now);
+  const action = newAction(state, arrival);
+  const failure = checkAction(state, action, now);
+  if (failure !== undefined) return failAction(state, action, failure);
+  state.actions.inFlight.set(action.id, action);
+  schedule(state, action.deadline, { type: 'actionDeadline', id: action.id });
+  if (action.isRepeatable) return send(state, action, now);
+  state.actions.byRow.set(action.rowKey, action.id);
+  return claim(state, action);
+}
+
+function newAction(state: State, arrival: NewAction): Action {
+  const service = state.configuration.services.get(arrival.service);
+  const { id, incarnation } = state.host;
+  return {
+    ...arrival,
+    phase: 'claiming',
+    isRepeatable: service !== undefined && isRepeatableCall(service, arrival),
+    rowKey: getRowKey(arrival),
+    // Unique without relying on two hosts having different seeds.
+    token: `${id}.${incarnation}.${arrival.id}.${state.random.getHex(8)}`,
+    callHash: getCallHash(arrival),
+    rowVersion: undefined,
+    claims: 0,
+    mayHoldClaim: false,
+    hasRival: false,
+    endpoint: '',
+    calls: 0,
+    tried: new Set(),
+    mayHaveRun: false,
+    isAnswered: false,
+    settlement: undefined,
+  };
+}
+
+function checkAction(state: State, action: Action, now: number): Failure | undefined {
+  const { requests, policy, configuration, actions } = state;
+  if (!requests.isAccepting) return Failure.create('shutting_down', 'this host is shutting down');
+  if (configuration.revision === 0) {
+    return Failure.create('not_ready', 'this host has no configuration yet');
+  }
+  const service = configuration.services.get(action.service);
+  if (service === undefined) {
+    return Failure.create('unknown_service', `service "${action.service}" does not exist`);
+  }
+  if (action.deadline <= now) {
+    return Failure.create('deadline_passed', 'the deadline had passed when the call arrived');
+  }
+  if (!action.isRepeatable) {
+    const keyed = checkKey(state, action);
+    if (keyed !== undefined) return keyed;
+  }
+  if (actions.inFlight.size >= policy.maxRequests) {
+    const count = actions.inFlight.size;
+    return Failure.create('overloaded', `this host runs ${count} service calls already`);
+  }
+  if (chooseEndpoint(state, service, action.tried, now) === undefined) {
+    const message = `service "${action.service}" has no endpoint that takes calls`;
+    return Failure.create('service_unavailable', message);
+  }
+  return undefined;
+}
+
+function checkKey(state: State, action: Action): Failure | undefined {
+  const { key, rowKey, callHash } = action;
+  if (key === undefined || key === '') {
+    const message = 'a call that may not be repeated needs an Idempotency-Key';
+    return Failure.create('key_missing', message, { param: 'Idempotency-Key' });
+  }
+  if (key.length > MAX_KEY_LENGTH || !PRINTABLE.test(key)) {
+    const message = `an Idempotency-Key has at most ${MAX_KEY_LENGTH} printable ASCII characters`;
+    return Failure.create('bad_request', message, { param: 'Idempotency-Key' });
+  }
+  // Without this check, a repeat could be told "not run" because the table is down while this host runs it.
+  const rival = state.actions.inFlight.get(state.actions.byRow.get(rowKey) ?? '');
+  if (rival === undefined) return undefined;
+  if (rival.callHash !== callHash) {
+    return Failure.create('key_reused', `key "${key}" was used for another call`);
+  }
+  return Failure.create('in_progress', `the call with key "${key}" is in progress`);
+}
--- /dev/null
+++ b/src/actions/claiming.ts
@@ -0,0 +1,174 @@
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import type { ObjectAnswer, TableAnswer } from '../core/store.ts';
+import { Failure } from '../errors/failure.ts';
+import { failAction, passAnswer, removeAction } from './answering.ts';
+import { MAX_CLAIM_TRIES } from './constants.ts';
+import { isHolderGone, newClaim, newRowWrites } from './rows.ts';
+import { send } from './sending.ts';
+import { settle } from './settling.ts';
+import { type Action, ActionRow } from './types.ts';
+
+/** Writes the claim of the key under the condition that no other claim is in force. */
+export function claim(state: State, action: Action): Effect[] {
+  action.phase = 'claiming';
+  action.claims += 1;
+  const writes = newRowWrites(action.rowKey, newClaim(state, action), action.rowVersion);
+  return [
+    {
+      type: 'callTable',
+      call: { type: 'write', writes },
+      purpose: { type: 'claimAction', id: action.id },
+    },
+  ];
+}
+
+/** Continues after the answer to a claim. */
+export function continueClaim(
+  state: State,
+  action: Action,
+  answer: TableAnswer,
+  now: number,
+): Effect[] {
+  switch (answer.type) {
+    case 'ok':
+      return holdClaim(state, action, answer.rows[0]?.version, now);
+    case 'unavailable':
+      return giveUpClaim(state, action, now, `the table service is down: ${answer.reason}`);
+    case 'conflict':
+    case 'missing':
+      action.hasRival ||= !action.mayHoldClaim;
+      return readClaim(action);
+    case 'unknown':
+      action.mayHoldClaim = true;
+      return readClaim(action);
+  }
+}
+
+/** Continues after the row was read, because the claim met another row or its answer was lost. */
+export function continueRead(
+  state: State,
+  action: Action,
+  answer: TableAnswer,
+  now: number,
+): Effect[] {
+  if (answer.type === 'missing') {
+    action.rowVersion = undefined;
+    return claimAgain(state, action, now);
+  }
+  const stored = answer.type === 'ok' ? answer.rows[0] : undefined;
+  if (stored === undefined) {
+    const reason = 'reason' in answer ? answer.reason : answer.type;
+    return giveUpClaim(state, action, now, `the claim could not be read: ${reason}`);
+  }
+  const row = ActionRow.safeParse(stored.value);
+  if (!row.success) {
+    action.hasRival = true;
+    return giveUpClaim(state, action, now, `row ${stored.key} is malformed`);
+  }
+  if (row.data.token === action.token) {
+    action.hasRival = false;
+    // A sweep of a host that did not know this one may have given the claim up.
+    if (row.data.state === 'claimed') return holdClaim(state, action, stored.version, now);
+    action.rowVersion = stored.version;
+    return giveUpClaim(state, action, now, 'the claim was given up meanwhile');
+  }
+  if (row.data.state === 'released') {
+    action.hasRival = false;
+    action.rowVersion = stored.version;
+    return claimAgain(state, action, now);
+  }
+  return answerFromRival(state, action, row.data);
+}
+
+/** Answers a repeat with the body that was in the object store. */
+export function continueReplay(
+  state: State,
+  action: Action,
+  row: ActionRow,
+  answer: ObjectAnswer,
+): Effect[] {
+  removeAction(state, action);
+  if (answer.type !== 'ok' || row.answer === undefined) {
+    const message = 'the call ran, but its recorded answer cannot be read now';
+    const failure = Failure.create('outcome_unknown', message, { retryAfterS: 1 });
+    return failAction(state, action, failure);
+  }
+  const { status, headers } = row.answer;
+  return passAnswer(state, action, { status, headers, body: answer.body }, true);
+}
+
+function readClaim(action: Action): Effect[] {
+  action.phase = 'reading';
+  return [
+    {
+      type: 'callTable',
+      call: { type: 'get', key: action.rowKey },
+      purpose: { type: 'readClaim', id: action.id },
+    },
+  ];
+}
+
+function claimAgain(state: State, action: Action, now: number): Effect[] {
+  if (action.isAnswered || action.claims >= MAX_CLAIM_TRIES) {
+    return giveUpClaim(state, action, now, 'the claim could not be settled');
+  }
+  return claim(state, action);
+}
+
+function holdClaim(
+  state: State,
+  action: Action,
+  version: string | undefined,
+  now: number,
+): Effect[] {
+  action.rowVersion = version;
+  action.mayHoldClaim = true;
+  action.hasRival = false;
+  if (action.isAnswered) return settle(state, action, { state: 'released' }, now);
+  return send(state, action, now);
+}
+
+/** Answers that this call was not sent, and releases a claim that may be in force. */
+function giveUpClaim(state: State, action: Action, now: number, reason: string): Effect[] {
+  const message = `the call was not sent: ${reason}`;
+  const failure = action.hasRival
+    ? Failure.create('outcome_unknown', `${message}; an earlier call with the key exists`, {
+        retryAfterS: 1,
+      })
+    : Failure.create('store_unavailable', message);
+  const effects = failAction(state, action, failure);
+  if (action.mayHoldClaim)
+    return [...effects, ...settle(state, action, { state: 'released' }, now)];
+  removeAction(state, action);
+  return effects;
+}
+
+function answerFromRival(state: State, action: Action, row: ActionRow): Effect[] {
+  const { key = '' } = action;
+  if (row.bodyHash !== action.callHash) {
+    removeAction(state, action);
+    const message = `key "${key}" was used for another call`;
+    return failAction(state, action, Failure.create('key_reused', message));
+  }
+  if (row.state === 'done' && row.answer?.object !== undefined) {
+    action.phase = 'replaying';
+    return [
+      {
+        type: 'callObjects',
+        call: { type: 'get', key: row.answer.object },
+        purpose: { type: 'readAnswer', id: action.id, row },
+      },
+    ];
+  }
+  removeAction(state, action);
+  if (row.state === 'done' && row.answer !== undefined) {
+    const { status, headers, body = '' } = row.answer;
+    return passAnswer(state, action, { status, headers, body }, true);
+  }
+  const isInProgress = row.state === 'claimed' && !isHolderGone(state, row);
+  const failure = isInProgress
+    ? Failure.create('in_progress', `the call with key "${key}" is in progress`)
+    : Failure.create('outcome_unknown', `the call with key "${key}" may have run`);
+  return failAction(state, action, failure);
+}
--- /dev/null
+++ b/src/actions/endpoints.ts
@@ -0,0 +1,68 @@
+import type { Service } from '../configuration/types.ts';
+import type { State } from '../core/state.ts';
+import { AVOID_ENDPOINT_MS } from './constants.ts';
+import type { NewAction } from './types.ts';
+
+type ServiceEndpoint = Service['endpoints'][number];
+
+/** Whether the configuration allows the call to be repeated. */
+export function isRepeatableCall(service: Service, { method, path }: NewAction): boolean {
+  const plain = path.split('?')[0] ?? path;
+  return service.repeatable.some((call) => {
+    if (call.method !== method) return false;
+    if (!call.path.endsWith('*')) return call.path === plain;
+    // Dot segments could leave the part of the service that the pattern covers.
+    return plain.startsWith(call.path.slice(0, -1)) && !hasDotSegment(plain);
+  });
+}
+
+function hasDotSegment(path: string): boolean {
+  return path
+    .replace(/%2e/gi, '.')
+    .replace(/%2f|%5c|\\/gi, '/')
+    .split('/')
+    .some((segment) => segment === '.' || segment === '..');
+}
+
+/**
+ * Returns the endpoint for the next call: not leaving, not tried, not avoided, in the own zone, with
+ * the fewest calls in progress. An avoided endpoint is chosen only when all others are out.
+ */
+export function chooseEndpoint(
+  state: State,
+  service: Service,
+  tried: ReadonlySet<string>,
+  now: number,
+): ServiceEndpoint | undefined {
+  const { outstanding, avoidUntil } = state.actions;
+  const getRank = ({ id, zone }: ServiceEndpoint) => [
+    (avoidUntil.get(id) ?? -Infinity) > now ? 1 : 0,
+    zone === state.host.zone ? 0 : 1,
+    outstanding.get(id) ?? 0,
+  ];
+  return service.endpoints
+    .filter(({ id }) => !tried.has(id) && !state.configuration.leaving.has(id))
+    .map((endpoint) => ({ endpoint, rank: getRank(endpoint) }))
+    .sort((a, b) => compareRanks(a.rank, b.rank))[0]?.endpoint;
+}
+
+/** Chooses `endpoint` last for a while. */
+export function avoidEndpoint(state: State, endpoint: string, now: number): void {
+  state.actions.avoidUntil.set(endpoint, now + AVOID_ENDPOINT_MS);
+}
+
+/** Changes the number of calls in progress at `endpoint`. */
+export function addOutstanding(state: State, endpoint: string, change: 1 | -1): void {
+  const { outstanding } = state.actions;
+  const count = (outstanding.get(endpoint) ?? 0) + change;
+  if (count > 0) outstanding.set(endpoint, count);
+  else outstanding.delete(endpoint);
+}
+
+function compareRanks(a: number[], b: number[]): number {
+  for (const [index, value] of a.entries()) {
+    const difference = value - (b[index] ?? 0);
+    if (difference !== 0) return difference;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/actions/retention.ts
@@ -0,0 +1,193 @@
+import { z } from 'zod';
+import { getRendezvousChoice } from '../base/hash.ts';
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import type { TableAnswer } from '../core/store.ts';
+import { schedule } from '../core/timers.ts';
+import {
+  ENDED_PREFIX,
+  HOUR_KEY,
+  HOUR_MS,
+  HOUR_POLL_MS,
+  OPEN_PREFIX,
+  RETENTION_HOURS,
+  SWEEP_BUSY_MS,
+  SWEEP_MS,
+  SWEEP_PAGE,
+} from './constants.ts';
+import {
+  getEndedKey,
+  getIndexedKey,
+  getOpenKey,
+  getStampHour,
+  isHolderGone,
+  newRowWrites,
+} from './rows.ts';
+import { ActionRow, type Sweep } from './types.ts';
+
+const Hour = z.object({ hour: z.int().min(0) });
+
+/** Starts to read the retention hour and, on the one host that does it, to sweep. */
+export function startRetention(state: State, now: number): Effect[] {
+  schedule(state, now, { type: 'pollRetention' });
+  scheduleSweep(state, now + SWEEP_MS);
+  return [];
+}
+
+function scheduleSweep(state: State, at: number): void {
+  state.actions.nextSweepAt = at;
+  schedule(state, at, { type: 'sweepActions' });
+}
+
+/** Whether this host sweeps; a second sweeper does no harm, since all writes are conditional. */
+function isSweeper(state: State): boolean {
+  const live = [...state.membership.hosts.values()].filter((entry) => entry.state === 'live');
+  const hosts = new Set([state.host.id, ...live.map(({ host }) => host)]);
+  return getRendezvousChoice('sweep/actions', [...hosts]) === state.host.id;
+}
+
+export function pollHour(state: State, now: number): Effect[] {
+  schedule(state, now + HOUR_POLL_MS, { type: 'pollRetention' });
+  return [
+    { type: 'callTable', call: { type: 'get', key: HOUR_KEY }, purpose: { type: 'readHour' } },
+  ];
+}
+
+/** Takes over the hour that was read; raises it when it stood for an hour on this host's clock. */
+export function takeHour(
+  state: State,
+  answer: TableAnswer,
+  times: { sentAt: number; now: number },
+): Effect[] {
+  if (answer.type === 'missing' && isSweeper(state)) return [newHourWrite(0, undefined)];
+  const row = answer.type === 'ok' ? answer.rows[0] : undefined;
+  const parsed = Hour.safeParse(row?.value);
+  if (row === undefined || !parsed.success) return [];
+  const { hour } = parsed.data;
+  if (hour > state.actions.hour) {
+    state.actions.hour = hour;
+    state.actions.hourSeenAt = times.now;
+  }
+  state.actions.hourReadAt = Math.max(state.actions.hourReadAt, times.sentAt);
+  const isDue = times.sentAt - state.actions.hourSeenAt >= HOUR_MS;
+  return isDue && isSweeper(state) ? [newHourWrite(hour + 1, row.version)] : [];
+}
+
+/** Starts one bounded pass over each index. */
+export function startSweep(state: State, now: number): Effect[] {
+  if (now < state.actions.nextSweepAt) return [];
+  scheduleSweep(state, now + SWEEP_MS);
+  if (!isSweeper(state)) return [];
+  state.actions.sweep = undefined;
+  const limit = SWEEP_PAGE;
+  return [
+    {
+      type: 'callTable',
+      call: { type: 'scan', prefix: ENDED_PREFIX, after: '', limit },
+      purpose: { type: 'scanEndedActions' },
+    },
+    {
+      type: 'callTable',
+      call: { type: 'scan', prefix: OPEN_PREFIX, after: state.actions.openCursor, limit },
+      purpose: { type: 'scanOpenActions' },
+    },
+  ];
+}
+
+/** Takes a page of open claims and moves on to the next one. */
+export function sweepOpenPage(state: State, answer: TableAnswer): Effect[] {
+  if (answer.type !== 'ok') return [];
+  const last = answer.rows.length === SWEEP_PAGE ? answer.rows[SWEEP_PAGE - 1] : undefined;
+  state.actions.openCursor = last?.key ?? '';
+  return sweepPage(state, answer);
+}
+
+/** Reads the rows that a page of an index stands for, when they are due. */
+export function sweepPage(state: State, answer: TableAnswer): Effect[] {
+  if (answer.type !== 'ok') return [];
+  const due = answer.rows
+    .map(({ key }) => key)
+    .filter((index) => index.startsWith(OPEN_PREFIX) || isDue(state, index));
+  if (due.length === 0) return [];
+  const sweep = (state.actions.sweep ??= { pending: 0, writes: [], isFull: false });
+  sweep.pending += due.length;
+  sweep.isFull ||= due.length === SWEEP_PAGE && due.every((key) => key.startsWith(ENDED_PREFIX));
+  return due.map((index) => ({
+    type: 'callTable',
+    call: { type: 'get', key: getIndexedKey(index) },
+    purpose: { type: 'readSwept', index },
+  }));
+}
+
+/** Collects the writes for one row; writes them all after the last row was read. */
+export function sweepRow(state: State, index: string, answer: TableAnswer, now: number): Effect[] {
+  const { sweep } = state.actions;
+  if (sweep === undefined) return [];
+  collectWrites(state, sweep, index, answer, now);
+  sweep.pending -= 1;
+  if (sweep.pending > 0) return [];
+  state.actions.sweep = undefined;
+  if (sweep.isFull) scheduleSweep(state, now + SWEEP_BUSY_MS);
+  if (sweep.writes.length === 0) return [];
+  return [
+    {
+      type: 'callTable',
+      call: { type: 'write', writes: sweep.writes },
+      purpose: { type: 'writeSwept' },
+    },
+  ];
+}
+
+function collectWrites(
+  state: State,
+  { writes }: Sweep,
+  index: string,
+  answer: TableAnswer,
+  now: number,
+): void {
+  if (answer.type === 'missing') {
+    writes.push({ type: 'delete', key: index, condition: { type: 'any' } });
+    return;
+  }
+  const stored = answer.type === 'ok' ? answer.rows[0] : undefined;
+  const row = ActionRow.safeParse(stored?.value);
+  if (stored === undefined || !row.success) return;
+  const { key, version } = stored;
+  if (index.startsWith(ENDED_PREFIX)) {
+    writes.push({ type: 'delete', key: index, condition: { type: 'any' } });
+    // A row that was claimed again after a release ends later, under another index key.
+    const { endedHour } = row.data;
+    if (endedHour === undefined || getEndedKey(key, endedHour) !== index) return;
+    writes.push({ type: 'delete', key, condition: { type: 'version', version } });
+    return;
+  }
+  const hour = getStampHour(state, now);
+  if (hour === undefined || index !== getOpenKey(key)) return;
+  const isOpen = row.data.state === 'claimed';
+  if (isOpen && !isHolderGone(state, row.data)) return;
+  const ended: ActionRow = { ...row.data, state: isOpen ? 'unknown' : row.data.state };
+  writes.push(...newRowWrites(key, { ...ended, endedHour: ended.endedHour ?? hour }, version));
+}
+
+function isDue(state: State, index: string): boolean {
+  const hour = Number(index.slice(ENDED_PREFIX.length).split('/')[0]);
+  return Number.isInteger(hour) && hour + RETENTION_HOURS <= state.actions.hour;
+}
+
+function newHourWrite(hour: number, version: string | undefined): Effect {
+  return {
+    type: 'callTable',
+    call: {
+      type: 'write',
+      writes: [
+        {
+          type: 'put',
+          key: HOUR_KEY,
+          value: { hour },
+          condition: version === undefined ? { type: 'absent' } : { type: 'version', version },
+        },
+      ],
+    },
+    purpose: { type: 'raiseHour', hour },
+  };
+}
--- a/src/actions/types.ts
+++ b/src/actions/types.ts
@@ -1,7 +1,164 @@
+import { z } from 'zod';
+import type { RowWrite } from '../core/store.ts';
+import type { Failure } from '../errors/failure.ts';
+
+/** A call of a plain service; the host runtime keeps the body under the same id. */
+export interface NewAction {
+  id: string;
+  firm: string;
+  caller: string;
+  service: string;
+  method: string;
+  path: string;
+  /** `Idempotency-Key` of the caller. */
+  key: string | undefined;
+  bodyHash: string;
+  /** Monotonic ms by which the answer must be there. */
+  deadline: number;
+}
+
+/** Answer of a service; `body` is an opaque string that the host runtime encodes and decodes. */
+export interface CallAnswer {
+  status: number;
+  headers: Record<string, string>;
+  body: string;
+}
+
+/** Row `action/FIRM/CALLER/SERVICE/KEY`. */
+export const ActionRow = z.object({
+  /** Identifies the claim. */
+  token: z.string(),
+  /** Hash of method, path and body. */
+  bodyHash: z.string(),
+  host: z.string(),
+  incarnation: z.int().min(0),
+  state: z.enum(['claimed', 'done', 'released', 'unknown']),
+  answer: z
+    .object({
+      status: z.int(),
+      headers: z.record(z.string(), z.string()),
+      /** Absent when the body is in the object store. */
+      body: z.string().optional(),
+      object: z.string().optional(),
+    })
+    .optional(),
+  /** Retention hour at which the row ended. */
+  endedHour: z.int().optional(),
+});
+export type ActionRow = z.infer<typeof ActionRow>;
+
+/** How a claim ended and what its row has to say. */
+export interface Settlement {
+  state: 'done' | 'released' | 'unknown';
+  answer: CallAnswer | undefined;
+  /** Whether the body of a large answer is in the object store. */
+  isStored: boolean;
+  tries: number;
+}
+
+export type ActionPhase = 'claiming' | 'reading' | 'replaying' | 'sending' | 'settling';
+
+/** A service call in progress on this host. */
+export interface Action extends NewAction {
+  phase: ActionPhase;
+  isRepeatable: boolean;
+  rowKey: string;
+  token: string;
+  callHash: string;
+  /** Version of the row that the next conditional write expects; undefined when there is none. */
+  rowVersion: string | undefined;
+  claims: number;
+  /** Whether the answer to a claim was lost, so that the claim may be in force. */
+  mayHoldClaim: boolean;
+  /** Whether another claim with the same key is known to exist or to have existed. */
+  hasRival: boolean;
+  endpoint: string;
+  calls: number;
+  tried: Set<string>;
+  /** Whether a byte may have reached a service. */
+  mayHaveRun: boolean;
+  isAnswered: boolean;
+  settlement: Settlement | undefined;
+}
+
+export interface Sweep {
+  /** Rows of the page that are not read yet. */
+  pending: number;
+  writes: RowWrite[];
+  isFull: boolean;
+}
+
 export class Actions {
+  /** Actions until they are answered and their claims settled. */
+  readonly inFlight = new Map<string, Action>();
+  /** Ids of the actions in flight that claim a key, by row key. */
+  readonly byRow = new Map<string, string>();
+  /** Calls in progress by endpoint. */
+  readonly outstanding = new Map<string, number>();
+  /** Monotonic ms until which an endpoint is chosen last. */
+  readonly avoidUntil = new Map<string, number>();
+  /** Retention hour; it grows by one at most once an hour, so no wall clocks are compared. */
+  hour = -1;
+  hourSeenAt = -Infinity;
+  hourReadAt = -Infinity;
+  sweep: Sweep | undefined;
+  nextSweepAt = -Infinity;
+  /** Last key of the previous page of open claims; empty at the start of a pass. */
+  openCursor = '';
+
   private constructor() {}
 
   static create(): Actions {
     return new Actions();
   }
 }
+
+export type ServiceAnswer =
+  /** No byte was written to the endpoint. */
+  | { type: 'notSent' }
+  | ({ type: 'answered' } & CallAnswer)
+  /** At least one byte may have been written, and there is no whole answer. */
+  | { type: 'lost'; reason: string };
+
+export type ActionAnswer =
+  ({ type: 'answered'; isReplay: boolean } & CallAnswer) | { type: 'failed'; failure: Failure };
+
+export type ActionEvent =
+  | { type: 'actionArrived'; action: NewAction }
+  /** Ends every `callService`, at the latest at the action's deadline. */
+  | { type: 'serviceAnswered'; id: string; answer: ServiceAnswer };
+
+export type ActionEffect =
+  /** A call that is not repeatable needs a connection that is new or proven alive. */
+  | {
+      type: 'callService';
+      id: string;
+      endpoint: string;
+      address: string;
+      isRepeatable: boolean;
+      deadline: number;
+    }
+  | { type: 'answerAction'; id: string; answer: ActionAnswer };
+
+export type ActionTimer =
+  | { type: 'actionDeadline'; id: string }
+  /** The caller waited long enough for its answer to be recorded. */
+  | { type: 'actionAnswerDue'; id: string }
+  | { type: 'settleAction'; id: string }
+  | { type: 'pollRetention' }
+  | { type: 'sweepActions' };
+
+export type ActionTablePurpose =
+  | { type: 'claimAction'; id: string }
+  | { type: 'readClaim'; id: string }
+  | { type: 'settleAction'; id: string }
+  | { type: 'readSettlement'; id: string }
+  | { type: 'readHour' }
+  | { type: 'raiseHour'; hour: number }
+  | { type: 'scanEndedActions' }
+  | { type: 'scanOpenActions' }
+  | { type: 'readSwept'; index: string }
+  | { type: 'writeSwept' };
+
+export type ActionObjectPurpose =
+  { type: 'storeAnswer'; id: string } | { type: 'readAnswer'; id: string; row: ActionRow };
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,3 +1,4 @@
+import type { ActionEffect } from '../actions/types.ts';
 import type { EngineEffect } from '../engines/types.ts';
 import type { GrantEffect } from '../grants/types.ts';
 import type { MembershipEffect } from '../membership/types.ts';
@@ -21,4 +22,5 @@
   | RequestEffect
   | EngineEffect
   | GrantEffect
-  | MembershipEffect;
+  | MembershipEffect
+  | ActionEffect;
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -1,3 +1,4 @@
+import type { ActionEvent } from '../actions/types.ts';
 import type { EngineEvent } from '../engines/types.ts';
 import type { GrantEvent } from '../grants/types.ts';
 import type { MembershipEvent } from '../membership/types.ts';
@@ -20,4 +21,5 @@
   | RequestEvent
   | EngineEvent
   | GrantEvent
-  | MembershipEvent;
+  | MembershipEvent
+  | ActionEvent;
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -1,3 +1,9 @@
+import {
+  actionEvents,
+  actionObjectHandlers,
+  actionTableHandlers,
+  actionTimers,
+} from '../actions/handlers.ts';
 import {
   configurationObjectHandlers,
   configurationTableHandlers,
@@ -31,12 +37,17 @@
   ...engineTimers,
   ...grantTimers,
   ...requestTimers,
+  ...actionTimers,
 };
 
-const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = { ...configurationTableHandlers };
+const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = {
+  ...configurationTableHandlers,
+  ...actionTableHandlers,
+};
 
 const objectAnswers: ObjectAnswerHandlers<ObjectPurpose['type']> = {
   ...configurationObjectHandlers,
+  ...actionObjectHandlers,
 };
 
 const events: EventHandlers<Event['type']> = {
@@ -45,6 +56,7 @@
   ...engineEvents,
   ...grantEvents,
   ...membershipEvents,
+  ...actionEvents,
   tick: (state, _event, now) => runDueTimers(state, now),
   messageReceived: (state, { from, message }, now) => {
     const handler = messages[message.type] as Untyped;
--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -1,10 +1,12 @@
+import type { ActionTimer } from '../actions/types.ts';
 import type { EngineTimer } from '../engines/types.ts';
 import type { GrantTimer } from '../grants/types.ts';
 import type { RequestTimer } from '../requests/types.ts';
 import type { State } from './state.ts';
 
 /** Every kind of timer. A handler checks that its timer still matters, so timers are never removed. */
-export type Timer = EngineTimer | GrantTimer | RequestTimer | { type: 'pollConfiguration' };
+export type Timer =
+  EngineTimer | GrantTimer | RequestTimer | ActionTimer | { type: 'pollConfiguration' };
 
 /** Schedules `timer` for monotonic time `at`. */
 export function schedule(state: State, at: number, timer: Timer): void {
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -1,5 +1,6 @@
 import type { Failure } from '../errors/failure.ts';
 import type { RefusalReason } from '../grants/types.ts';
+import { RetryBudget } from './retryBudget.ts';
 
 export type RequestKind = 'urgent' | 'ordinary' | 'draft';
 
@@ -63,6 +64,7 @@
   readonly inFlight = new Map<string, Request>();
   /** Requests in flight by caller. */
   readonly byCaller = new Map<string, number>();
+  readonly retries = RetryBudget.create();
   /** False once the host is shutting down. */
   isAccepting = true;
 
--- /dev/null
+++ b/tests/actions/actions.property.test.ts
@@ -0,0 +1,159 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import type { ActionAnswer, NewAction, ServiceAnswer } from '../../src/actions/types.ts';
+import { type Host, Simulation } from '../helpers/simulation.ts';
+
+const HOSTS = ['h1', 'h2', 'h3'];
+const ENDPOINTS = ['s1', 's2', 's3'].map((id) => ({ id, address: `${id}:1`, zone: 'z' }));
+
+interface World {
+  simulation: Simulation;
+  actions: Map<string, NewAction & { host: Host }>;
+  answers: Map<string, ActionAnswer[]>;
+  /** Ids of the actions that ran, with the body that the service answered. */
+  runs: { id: string; body: string }[];
+}
+
+function newWorld(seed: number): World {
+  const actions: World['actions'] = new Map();
+  const answers: World['answers'] = new Map();
+  const runs: World['runs'] = [];
+  const simulation = Simulation.create({
+    seed,
+    hosts: HOSTS,
+    changes: [
+      {
+        type: 'putService',
+        service: {
+          name: 'desk',
+          endpoints: ENDPOINTS,
+          repeatable: [{ method: 'GET', path: '/status/*' }],
+        },
+      },
+    ],
+    onEffect: (world, host, effect) => {
+      if (effect.type === 'answerAction') {
+        answers.set(effect.id, [...(answers.get(effect.id) ?? []), effect.answer]);
+      }
+      if (effect.type !== 'callService') return;
+      const { id } = effect;
+      const fault = world.chance(world.faultRate)
+        ? world.choose(['notSent', 'lostBefore', 'lostAfter'] as const)
+        : 'none';
+      const answer = (): ServiceAnswer => {
+        if (fault === 'notSent') return { type: 'notSent' };
+        if (fault === 'lostBefore') return { type: 'lost', reason: 'reset' };
+        const body = `${id}/${runs.length}${'x'.repeat(world.chance(0.3) ? 20_000 : 0)}`;
+        runs.push({ id, body });
+        if (fault === 'lostAfter') return { type: 'lost', reason: 'reset' };
+        return { type: 'answered', status: 201, headers: { a: 'b' }, body };
+      };
+      world.feedLater(
+        host,
+        () => {
+          const made = answer();
+          world.feedLater(host, () => ({ type: 'serviceAnswered', id, answer: made }));
+          return undefined;
+        },
+        true,
+      );
+    },
+  });
+  return { simulation, actions, answers, runs };
+}
+
+function arrive({ simulation, actions }: World, id: string, parts: Partial<NewAction> = {}): void {
+  const host = simulation.choose(simulation.alive().filter(({ isPaused }) => !isPaused));
+  const action: NewAction = {
+    id,
+    firm: 'atlas',
+    caller: 'c',
+    service: 'desk',
+    method: 'POST',
+    path: '/book',
+    key: `k${simulation.random.getInteger(3)}`,
+    bodyHash: simulation.chance(0.1) ? 'other' : 'body',
+    deadline: simulation.now + 60_000,
+    ...parts,
+  };
+  actions.set(id, { ...action, host });
+  simulation.feed(host, { type: 'actionArrived', action });
+}
+
+function disturb({ simulation }: World): void {
+  const host = simulation.choose(simulation.alive());
+  if (simulation.chance(0.3)) simulation.startHost(host.id);
+  else host.isPaused = !host.isPaused && simulation.alive().some((h) => h !== host && !h.isPaused);
+}
+
+function check({ simulation, actions, answers, runs }: World): void {
+  const runsByKey = new Map<string, typeof runs>();
+  for (const run of runs) {
+    const { key, method } = actions.get(run.id) ?? {};
+    if (method !== 'POST' || key === undefined) continue;
+    runsByKey.set(key, [...(runsByKey.get(key) ?? []), run]);
+  }
+  for (const list of runsByKey.values()) expect(list).toHaveLength(1);
+  for (const [id, action] of actions) {
+    const given = answers.get(id) ?? [];
+    expect(given.length).toBeLessThanOrEqual(1);
+    const answer = given[0];
+    if (answer === undefined) {
+      // Only a host that ended may leave its caller without an answer.
+      expect(action.host.isAlive).toBe(false);
+      continue;
+    }
+    const own = runs.filter((run) => run.id === id);
+    if (answer.type === 'failed') {
+      if (answer.failure.outcome === 'not_run') expect(own).toEqual([]);
+      continue;
+    }
+    const candidates = answer.isReplay ? (runsByKey.get(action.key ?? '') ?? []) : own;
+    expect(candidates.map(({ body }) => body)).toContain(answer.body);
+  }
+  for (const { state } of simulation.alive()) {
+    expect(state.actions.outstanding.size).toBe(0);
+    expect(state.actions.byRow.size).toBe(0);
+  }
+}
+
+function run(seed: number): World {
+  const world = newWorld(seed);
+  const { simulation } = world;
+  simulation.faultRate = simulation.choose([0, 0.1, 0.4]);
+  for (let i = 0; i < 120; i++) {
+    const kind = simulation.random.getInteger(20);
+    if (kind < 2) arrive(world, `a${i}`);
+    else if (kind === 2) arrive(world, `a${i}`, { method: 'GET', path: '/status/7' });
+    else if (kind === 3 && simulation.chance(0.3)) disturb(world);
+    else simulation.step();
+  }
+  simulation.settle(() =>
+    simulation.alive().every(({ state }) => state.actions.inFlight.size === 0),
+  );
+  check(world);
+  return world;
+}
+
+describe('actions on several hosts', () => {
+  it('runs at most once, never says "not run" wrongly, replays the own answer and leaves nothing open', () => {
+    fc.assert(
+      fc.property(fc.nat(), (seed) => void run(seed)),
+      { seed: 20261203, numRuns: 400 },
+    );
+  });
+
+  it('answers a repeat of a recorded call with its answer on every host', () => {
+    const world = newWorld(1);
+    const { simulation, answers } = world;
+    arrive(world, 'first', { key: 'k', bodyHash: 'body' });
+    simulation.settle(() => answers.has('first'));
+    simulation.stopHost(world.actions.get('first')?.host.id ?? '');
+    for (const { id } of simulation.alive()) {
+      arrive(world, `repeat-${id}`, { key: 'k', bodyHash: 'body' });
+      simulation.settle(() => answers.has(`repeat-${id}`));
+      expect(answers.get(`repeat-${id}`)?.[0]).toMatchObject({ isReplay: true, status: 201 });
+    }
+    expect(world.runs).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/tests/actions/actions.test.ts
@@ -0,0 +1,213 @@
+import { describe, expect, it } from 'vitest';
+import { HOUR_KEY, HOUR_MS, RETENTION_HOURS } from '../../src/actions/constants.ts';
+import { chooseEndpoint, isRepeatableCall } from '../../src/actions/endpoints.ts';
+import { getRowKey } from '../../src/actions/rows.ts';
+import type { ActionRow, NewAction } from '../../src/actions/types.ts';
+import type { Change, Service } from '../../src/configuration/types.ts';
+import type { Effect } from '../../src/core/effects.ts';
+import { Simulation } from '../helpers/simulation.ts';
+
+const SERVICE: Service = {
+  name: 'desk',
+  endpoints: [
+    { id: 's1', address: 's1:1', zone: 'z' },
+    { id: 's2', address: 's2:1', zone: 'z' },
+    { id: 's3', address: 's3:1', zone: 'y' },
+  ],
+  repeatable: [
+    { method: 'GET', path: '/status/*' },
+    { method: 'GET', path: '/health' },
+  ],
+};
+const ACTION: NewAction = {
+  id: 'a',
+  firm: 'atlas',
+  caller: 'c',
+  service: 'desk',
+  method: 'POST',
+  path: '/book',
+  key: 'k',
+  bodyHash: 'b',
+  deadline: 60_000,
+};
+
+function newSimulation(changes: Change[] = [], hosts = ['h1']) {
+  const seen: Effect[] = [];
+  const simulation = Simulation.create({
+    seed: 1,
+    hosts,
+    changes: [{ type: 'putService', service: SERVICE }, ...changes],
+    onEffect: (_simulation, _host, effect) => void seen.push(effect),
+  });
+  const answer = () => seen.find((effect) => effect.type === 'answerAction')?.answer;
+  const call = () => seen.findLast((effect) => effect.type === 'callService');
+  return { simulation, seen, answer, call };
+}
+
+function putRow(simulation: Simulation, row: Partial<ActionRow>): void {
+  const value = { token: 't', bodyHash: 'x', host: 'h9', incarnation: 1, state: 'claimed', ...row };
+  simulation.table.apply({
+    type: 'write',
+    writes: [{ type: 'put', key: getRowKey(ACTION), value, condition: { type: 'any' } }],
+  });
+}
+
+describe('a call on arrival', () => {
+  it.each([
+    { name: 'without a key', parts: { key: undefined }, kind: 'key_missing' },
+    { name: 'with a key too long', parts: { key: 'k'.repeat(256) }, kind: 'bad_request' },
+    { name: 'with a malformed key', parts: { key: '\ud800' }, kind: 'bad_request' },
+    { name: 'to an unknown service', parts: { service: 'none' }, kind: 'unknown_service' },
+    { name: 'after its deadline', parts: { deadline: 0 }, kind: 'deadline_passed' },
+  ])('$name is not run', ({ parts, kind }) => {
+    const { simulation, answer, call } = newSimulation();
+    const action = { ...ACTION, ...parts };
+    simulation.feed(simulation.get('h1'), { type: 'actionArrived', action });
+    expect(answer()).toMatchObject({ failure: { kind, outcome: 'not_run' } });
+    expect(call()).toBeUndefined();
+  });
+
+  it('that may be repeated runs without a key and without the table', () => {
+    const { simulation, call } = newSimulation();
+    const action = { ...ACTION, method: 'GET', path: '/status/7?x=1', key: undefined };
+    simulation.feed(simulation.get('h1'), { type: 'actionArrived', action });
+    expect(call()).toMatchObject({ endpoint: 's1', isRepeatable: true });
+  });
+});
+
+describe('a row of an earlier call', () => {
+  it.each([
+    { name: 'of another call', row: { bodyHash: 'other' }, kind: 'key_reused', outcome: 'not_run' },
+    { name: 'of a host that is gone', row: {}, kind: 'outcome_unknown', outcome: 'unknown' },
+    {
+      name: 'of a live host',
+      row: { host: 'h2', incarnation: 2 },
+      kind: 'in_progress',
+      outcome: 'unknown',
+    },
+    {
+      name: 'of an earlier incarnation',
+      row: { host: 'h2', incarnation: 1 },
+      kind: 'outcome_unknown',
+      outcome: 'unknown',
+    },
+    {
+      name: 'that is unknown',
+      row: { state: 'unknown' as const },
+      kind: 'outcome_unknown',
+      outcome: 'unknown',
+    },
+  ])('$name answers a repeat with $kind', ({ row, kind, outcome }) => {
+    const { simulation, answer, call } = newSimulation([], ['h1', 'h2']);
+    const { bodyHash } = { bodyHash: getHash(), ...row };
+    putRow(simulation, { ...row, bodyHash });
+    simulation.feed(simulation.get('h1'), { type: 'actionArrived', action: ACTION });
+    simulation.settle(() => answer() !== undefined);
+    expect(answer()).toMatchObject({ failure: { kind, outcome } });
+    expect(call()).toBeUndefined();
+  });
+
+  it('that was released is claimed again', () => {
+    const { simulation, call } = newSimulation();
+    putRow(simulation, { state: 'released' });
+    simulation.feed(simulation.get('h1'), { type: 'actionArrived', action: ACTION });
+    simulation.settle(() => call() !== undefined);
+    expect(call()).toMatchObject({ isRepeatable: false });
+  });
+});
+
+function getHash(): string {
+  const { simulation, call } = newSimulation();
+  simulation.feed(simulation.get('h1'), { type: 'actionArrived', action: ACTION });
+  simulation.settle(() => call() !== undefined);
+  const row = simulation.table.rows.get(getRowKey(ACTION))?.value as ActionRow;
+  return row.bodyHash;
+}
+
+interface Choice {
+  name: string;
+  busy?: Record<string, number>;
+  leaving?: string[];
+  avoided?: string[];
+  expected: string | undefined;
+}
+
+describe('the choice of an endpoint', () => {
+  it.each<Choice>([
+    { name: 'takes the fewest calls of the own zone', busy: { s1: 1 }, expected: 's2' },
+    {
+      name: 'prefers a busy one of the own zone to another zone',
+      busy: { s1: 4, s2: 3 },
+      expected: 's2',
+    },
+    { name: 'skips a leaving one (G6)', leaving: ['s1', 's2'], expected: 's3' },
+    { name: 'avoids one that refused a connection', avoided: ['s1', 's2'], expected: 's3' },
+    {
+      name: 'takes an avoided one rather than none',
+      avoided: ['s1', 's2'],
+      leaving: ['s3'],
+      expected: 's1',
+    },
+    { name: 'never takes a leaving one', leaving: ['s1', 's2', 's3'], expected: undefined },
+  ])('$name', ({ busy = {}, leaving = [], avoided = [], expected }) => {
+    const { simulation } = newSimulation();
+    const { state } = simulation.get('h1');
+    for (const [id, count] of Object.entries(busy)) state.actions.outstanding.set(id, count);
+    for (const id of leaving) state.configuration.leaving.add(id);
+    for (const id of avoided) state.actions.avoidUntil.set(id, 10);
+    expect(chooseEndpoint(state, SERVICE, new Set(), 5)?.id).toBe(expected);
+  });
+
+  it.each([
+    { method: 'GET', path: '/status/7', expected: true },
+    { method: 'POST', path: '/status/7', expected: false },
+    { method: 'GET', path: '/health/x', expected: false },
+    // A dot segment could reach a call that may not be repeated.
+    { method: 'GET', path: '/status/../book', expected: false },
+    { method: 'GET', path: '/status/%2e%2E/book', expected: false },
+    { method: 'GET', path: '/status/..%2Fbook', expected: false },
+  ])('$method $path is repeatable: $expected', ({ method, path, expected }) => {
+    expect(isRepeatableCall(SERVICE, { ...ACTION, method, path })).toBe(expected);
+  });
+});
+
+describe('retention', () => {
+  it('raises the hour at most once an hour, and deletes a row only when 7 days have passed', () => {
+    const { simulation, call, answer } = newSimulation();
+    const { table } = simulation;
+    const host = simulation.get('h1');
+    const getHour = () => (table.rows.get(HOUR_KEY)?.value as { hour?: number } | undefined)?.hour;
+    simulation.settle(() => host.state.actions.hour === 1, 100_000);
+    expect(simulation.now).toBeGreaterThanOrEqual(HOUR_MS);
+
+    const action = { ...ACTION, deadline: simulation.now + 1000 };
+    simulation.feed(host, { type: 'actionArrived', action });
+    simulation.settle(() => call() !== undefined);
+    const served = { type: 'answered', status: 200, headers: {}, body: '' } as const;
+    simulation.feed(host, { type: 'serviceAnswered', id: 'a', answer: served });
+    simulation.settle(() => answer() !== undefined && host.state.actions.inFlight.size === 0);
+    const setHour = (hour: number) => {
+      const value = { hour };
+      const condition = { type: 'any' } as const;
+      table.apply({ type: 'write', writes: [{ type: 'put', key: HOUR_KEY, value, condition }] });
+      const sweptAt = simulation.now + 1_800_000;
+      simulation.settle(() => simulation.now > sweptAt, 100_000);
+    };
+    setHour(RETENTION_HOURS);
+    expect(getHour()).toBe(RETENTION_HOURS);
+    expect(table.rows.has(getRowKey(ACTION))).toBe(true);
+    setHour(RETENTION_HOURS + 1);
+    expect([...table.rows.keys()]).toEqual([HOUR_KEY]);
+  });
+
+  it('turns the claim of a host that is gone into "unknown"', () => {
+    const { simulation, call } = newSimulation([], ['h1', 'h2']);
+    const action = { ...ACTION, deadline: 1000 };
+    simulation.feed(simulation.get('h2'), { type: 'actionArrived', action });
+    simulation.settle(() => call() !== undefined);
+    simulation.stopHost('h2');
+    const getRow = () => simulation.table.rows.get(getRowKey(ACTION))?.value;
+    simulation.settle(() => (getRow() as ActionRow).state !== 'claimed');
+    expect(getRow()).toMatchObject({ state: 'unknown', endedHour: 0 });
+  });
+});
--- /dev/null
+++ b/tests/helpers/memoryTable.ts
@@ -0,0 +1,51 @@
+import type { Condition, StoredRow, TableAnswer, TableCall } from '../../src/core/store.ts';
+
+/** Transactional table in memory; without faults, the caller adds them. */
+export class MemoryTable {
+  readonly rows = new Map<string, StoredRow>();
+  private version = 0;
+
+  private constructor() {}
+
+  static create(): MemoryTable {
+    return new MemoryTable();
+  }
+
+  apply(call: TableCall): TableAnswer {
+    switch (call.type) {
+      case 'get': {
+        const row = this.rows.get(call.key);
+        return row === undefined ? { type: 'missing' } : { type: 'ok', rows: [row] };
+      }
+      case 'scan': {
+        const keys = [...this.rows.keys()]
+          .filter((key) => key.startsWith(call.prefix) && key > call.after)
+          .sort()
+          .slice(0, call.limit);
+        return { type: 'ok', rows: keys.flatMap((key) => this.rows.get(key) ?? []) };
+      }
+      case 'write': {
+        if (!call.writes.every(({ key, condition }) => this.holds(key, condition))) {
+          return { type: 'conflict' };
+        }
+        const rows = call.writes.flatMap((write): StoredRow[] => {
+          if (write.type === 'delete') {
+            this.rows.delete(write.key);
+            return [];
+          }
+          const value: unknown = JSON.parse(JSON.stringify(write.value));
+          const row = { key: write.key, value, version: String(++this.version) };
+          this.rows.set(write.key, row);
+          return [row];
+        });
+        return { type: 'ok', rows };
+      }
+    }
+  }
+
+  private holds(key: string, condition: Condition): boolean {
+    const row = this.rows.get(key);
+    if (condition.type === 'any') return true;
+    return condition.type === 'absent' ? row === undefined : row?.version === condition.version;
+  }
+}
