--- a/src/actions/arrival.ts
+++ b/src/actions/arrival.ts
@@ -50,8 +50,10 @@
 }
 
 function checkAction(state: State, action: Action, now: number): Failure | undefined {
-  const { requests, policy, configuration, actions } = state;
-  if (!requests.isAccepting) return Failure.create('shutting_down', 'this host is shutting down');
+  const { phase, policy, configuration, actions } = state;
+  if (phase === 'draining' || phase === 'stopped') {
+    return Failure.create('shutting_down', 'this host is shutting down');
+  }
   if (configuration.revision === 0) {
     return Failure.create('not_ready', 'this host has no configuration yet');
   }
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -22,7 +22,7 @@
   TableAnswerHandlers,
   TimerHandlers,
 } from './handlers.ts';
-import { hostEvents } from './hostHandlers.ts';
+import { hostEvents, hostTimers } from './hostHandlers.ts';
 import type { Message } from './messages.ts';
 import type { ObjectPurpose, TablePurpose } from './purposes.ts';
 import type { State } from './state.ts';
@@ -38,6 +38,7 @@
   ...grantTimers,
   ...requestTimers,
   ...actionTimers,
+  ...hostTimers,
 };
 
 const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = {
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -65,8 +65,6 @@
   /** Requests in flight by caller. */
   readonly byCaller = new Map<string, number>();
   readonly retries = RetryBudget.create();
-  /** False once the host is shutting down. */
-  isAccepting = true;
 
   private constructor() {}
 
