--- a/src/actions/handlers.ts
+++ b/src/actions/handlers.ts
@@ -71,7 +71,7 @@
   raiseHour: () => [],
   scanEndedActions: (state, _purpose, answer) => sweepPage(state, answer),
   scanOpenActions: (state, _purpose, answer) => sweepOpenPage(state, answer),
-  readSwept: (state, { index }, answer, { now }) => sweepRow(state, index, answer, now),
+  readSwept: (state, purpose, answer, { now }) => sweepRow(state, purpose, answer, now),
   writeSwept: () => [],
 };
 
--- a/src/actions/retention.ts
+++ b/src/actions/retention.ts
@@ -106,24 +106,30 @@
 export function sweepPage(state: State, answer: TableAnswer): Effect[] {
   if (answer.type !== 'ok') return [];
   const due = answer.rows
-    .map(({ key }) => key)
-    .filter((index) => index.startsWith(OPEN_PREFIX) || isDue(state, index));
+    .map(({ key, version }) => ({ index: key, version }))
+    .filter(({ index }) => index.startsWith(OPEN_PREFIX) || isDue(state, index));
   if (due.length === 0) return [];
   const sweep = (state.actions.sweep ??= { pending: 0, writes: [], isFull: false });
   sweep.pending += due.length;
-  sweep.isFull ||= due.length === SWEEP_PAGE && due.every((key) => key.startsWith(ENDED_PREFIX));
-  return due.map((index) => ({
+  sweep.isFull ||=
+    due.length === SWEEP_PAGE && due.every(({ index }) => index.startsWith(ENDED_PREFIX));
+  return due.map(({ index, version }) => ({
     type: 'callTable',
     call: { type: 'get', key: getIndexedKey(index) },
-    purpose: { type: 'readSwept', index },
+    purpose: { type: 'readSwept', index, version },
   }));
 }
 
 /** Collects the writes for one row; writes them all after the last row was read. */
-export function sweepRow(state: State, index: string, answer: TableAnswer, now: number): Effect[] {
+export function sweepRow(
+  state: State,
+  { index, version }: { index: string; version: string },
+  answer: TableAnswer,
+  now: number,
+): Effect[] {
   const { sweep } = state.actions;
   if (sweep === undefined) return [];
-  collectWrites(state, sweep, index, answer, now);
+  collectWrites(state, sweep, { index, indexVersion: version }, answer, now);
   sweep.pending -= 1;
   if (sweep.pending > 0) return [];
   state.actions.sweep = undefined;
@@ -141,12 +147,14 @@
 function collectWrites(
   state: State,
   { writes }: Sweep,
-  index: string,
+  { index, indexVersion }: { index: string; indexVersion: string },
   answer: TableAnswer,
   now: number,
 ): void {
+  // The version keeps a late delete from removing an entry that was put again meanwhile.
+  const condition = { type: 'version', version: indexVersion } as const;
   if (answer.type === 'missing') {
-    writes.push({ type: 'delete', key: index, condition: { type: 'any' } });
+    writes.push({ type: 'delete', key: index, condition });
     return;
   }
   const stored = answer.type === 'ok' ? answer.rows[0] : undefined;
@@ -154,7 +162,7 @@
   if (stored === undefined || !row.success) return;
   const { key, version } = stored;
   if (index.startsWith(ENDED_PREFIX)) {
-    writes.push({ type: 'delete', key: index, condition: { type: 'any' } });
+    writes.push({ type: 'delete', key: index, condition });
     // A row that was claimed again after a release ends later, under another index key.
     const { endedHour } = row.data;
     if (endedHour === undefined || getEndedKey(key, endedHour) !== index) return;
--- a/src/actions/types.ts
+++ b/src/actions/types.ts
@@ -157,7 +157,8 @@
   | { type: 'raiseHour'; hour: number }
   | { type: 'scanEndedActions' }
   | { type: 'scanOpenActions' }
-  | { type: 'readSwept'; index: string }
+  /** `version` is that of the index entry. */
+  | { type: 'readSwept'; index: string; version: string }
   | { type: 'writeSwept' };
 
 export type ActionObjectPurpose =
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,4 +1,5 @@
 import type { ActionEffect } from '../actions/types.ts';
+import type { DraftEffect } from '../drafts/types.ts';
 import type { EngineEffect } from '../engines/types.ts';
 import type { GrantEffect } from '../grants/types.ts';
 import type { MembershipEffect } from '../membership/types.ts';
@@ -23,4 +24,5 @@
   | EngineEffect
   | GrantEffect
   | MembershipEffect
-  | ActionEffect;
+  | ActionEffect
+  | DraftEffect;
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -1,4 +1,5 @@
 import type { ActionEvent } from '../actions/types.ts';
+import type { DraftEvent } from '../drafts/types.ts';
 import type { EngineEvent } from '../engines/types.ts';
 import type { GrantEvent } from '../grants/types.ts';
 import type { MembershipEvent } from '../membership/types.ts';
@@ -22,4 +23,5 @@
   | EngineEvent
   | GrantEvent
   | MembershipEvent
-  | ActionEvent;
+  | ActionEvent
+  | DraftEvent;
--- a/src/core/hostHandlers.ts
+++ b/src/core/hostHandlers.ts
@@ -1,4 +1,6 @@
 import { startRetention } from '../actions/retention.ts';
+import { startDrafts } from '../drafts/takeover.ts';
+import { startSuspects } from '../suspects/table.ts';
 import { startConfiguration } from '../configuration/handlers.ts';
 import type { EventHandlers, TimerHandlers } from './handlers.ts';
 import { checkDrained, type LifecycleTimer, startDraining, startShutdown } from './lifecycle.ts';
@@ -7,6 +9,8 @@
   started: (state, _event, now) => [
     ...startConfiguration(state, now),
     ...startRetention(state, now),
+    ...startSuspects(state, now),
+    ...startDrafts(state, now),
   ],
   stopRequested: (state, _event, now) => startShutdown(state, now),
 };
--- a/src/core/lifecycle.ts
+++ b/src/core/lifecycle.ts
@@ -1,3 +1,4 @@
+import { hasDraftWork } from '../drafts/queue.ts';
 import type { Effect } from './effects.ts';
 import { newLog } from './observations.ts';
 import type { State } from './state.ts';
@@ -34,7 +35,7 @@
 /** Ends the host once nothing is in flight. */
 export function checkDrained(state: State, now: number): Effect[] {
   if (state.phase !== 'draining') return [];
-  if (state.requests.inFlight.size + state.actions.inFlight.size > 0) {
+  if (state.requests.inFlight.size + state.actions.inFlight.size > 0 || hasDraftWork(state)) {
     schedule(state, now + DRAIN_CHECK_MS, { type: 'checkDrained' });
     return [];
   }
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -1,3 +1,4 @@
+import { SuspectReported } from '../suspects/types.ts';
 import { z } from 'zod';
 import { GrantAsk, GrantGiven, GrantRefused, GrantReleased } from '../grants/types.ts';
 
@@ -7,5 +8,6 @@
   GrantGiven,
   GrantRefused,
   GrantReleased,
+  SuspectReported,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/core/purposes.ts
+++ b/src/core/purposes.ts
@@ -1,11 +1,16 @@
+import type { DraftObjectPurpose, DraftTablePurpose } from '../drafts/types.ts';
+import type { SuspectTablePurpose } from '../suspects/types.ts';
 import type { ActionObjectPurpose, ActionTablePurpose } from '../actions/types.ts';
 
 /** Why a store call was made; the answer is handled by the table entry of its purpose. */
 export type TablePurpose =
   | ActionTablePurpose
+  | DraftTablePurpose
+  | SuspectTablePurpose
   /** Reads `configuration/head`. */
   | { type: 'readHead' }
   /** Reads the revisions after `after`. */
   | { type: 'readRevisions'; after: number };
 
-export type ObjectPurpose = { type: 'readSnapshot'; revision: number } | ActionObjectPurpose;
+export type ObjectPurpose =
+  { type: 'readSnapshot'; revision: number } | ActionObjectPurpose | DraftObjectPurpose;
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -9,6 +9,13 @@
   configurationTableHandlers,
   configurationTimers,
 } from '../configuration/handlers.ts';
+import {
+  draftEvents,
+  draftObjectHandlers,
+  draftTableHandlers,
+  draftTimers,
+} from '../drafts/handlers.ts';
+import { suspectMessages, suspectTableHandlers, suspectTimers } from '../suspects/handlers.ts';
 import { engineEvents, engineTimers } from '../engines/handlers.ts';
 import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
 import { membershipEvents } from '../membership/handlers.ts';
@@ -30,7 +37,11 @@
 
 type Untyped = (...args: unknown[]) => Effect[];
 
-const messages: MessageHandlers<Message['type']> = { ...grantMessages, ...requestMessages };
+const messages: MessageHandlers<Message['type']> = {
+  ...grantMessages,
+  ...requestMessages,
+  ...suspectMessages,
+};
 
 const timers: TimerHandlers<Timer['type']> = {
   ...configurationTimers,
@@ -38,17 +49,22 @@
   ...grantTimers,
   ...requestTimers,
   ...actionTimers,
+  ...draftTimers,
+  ...suspectTimers,
   ...hostTimers,
 };
 
 const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = {
   ...configurationTableHandlers,
   ...actionTableHandlers,
+  ...draftTableHandlers,
+  ...suspectTableHandlers,
 };
 
 const objectAnswers: ObjectAnswerHandlers<ObjectPurpose['type']> = {
   ...configurationObjectHandlers,
   ...actionObjectHandlers,
+  ...draftObjectHandlers,
 };
 
 const events: EventHandlers<Event['type']> = {
@@ -58,6 +74,7 @@
   ...grantEvents,
   ...membershipEvents,
   ...actionEvents,
+  ...draftEvents,
   tick: (state, _event, now) => runDueTimers(state, now),
   messageReceived: (state, { from, message }, now) => {
     const handler = messages[message.type] as Untyped;
--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -1,4 +1,6 @@
 import type { ActionTimer } from '../actions/types.ts';
+import type { DraftTimer } from '../drafts/types.ts';
+import type { SuspectTimer } from '../suspects/types.ts';
 import type { EngineTimer } from '../engines/types.ts';
 import type { GrantTimer } from '../grants/types.ts';
 import type { RequestTimer } from '../requests/types.ts';
@@ -11,6 +13,8 @@
   | GrantTimer
   | RequestTimer
   | ActionTimer
+  | DraftTimer
+  | SuspectTimer
   | LifecycleTimer
   | { type: 'pollConfiguration' };
 
--- /dev/null
+++ b/src/drafts/accepting.ts
@@ -0,0 +1,239 @@
+import type { Effect } from '../core/effects.ts';
+import { newCount } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import type { ObjectAnswer, TableAnswer } from '../core/store.ts';
+import { schedule } from '../core/timers.ts';
+import { Failure } from '../errors/failure.ts';
+import { resolveVersion } from '../requests/resolving.ts';
+import { getFingerprint } from '../suspects/fingerprint.ts';
+import { checkQuarantine } from '../suspects/suspicion.ts';
+import { ACCEPT_WAIT_MS, GROUP_COMMIT_DRAFTS, GROUP_COMMIT_MS, MAX_DRAFTS } from './constants.ts';
+import { addOwnDraft, pumpDrafts } from './queue.ts';
+import {
+  getDraftKey,
+  getStoreRetryAt,
+  isLargeText,
+  isOwnRow,
+  newDraftRead,
+  newDraftWrites,
+} from './rows.ts';
+import { type Batch, DraftRow, type NewDraft } from './types.ts';
+
+/** Checks a draft on arrival and makes it durable before it is acknowledged. */
+export function admitDraft(state: State, draft: NewDraft, now: number): Effect[] {
+  const version = checkDraft(state, draft, now);
+  if (version instanceof Failure) return [newAnswer(draft.id, version)];
+  const row = newRow(state, draft, version);
+  state.drafts.arriving.set(draft.id, row);
+  schedule(state, now + ACCEPT_WAIT_MS, { type: 'draftAcceptLimit', draft: draft.id });
+  if (row.body.type === 'inline') return addToBatch(state, row, now);
+  const call = { type: 'put', key: row.body.key, body: draft.body } as const;
+  return [{ type: 'callObjects', call, purpose: { type: 'storeDraftBody', draft: draft.id } }];
+}
+
+/** Continues after the body of a large draft was written. */
+export function continueBody(
+  state: State,
+  id: string,
+  answer: ObjectAnswer,
+  now: number,
+): Effect[] {
+  const row = state.drafts.arriving.get(id);
+  if (row === undefined) return [];
+  if (answer.type === 'ok') return addToBatch(state, row, now);
+  // Without a row, nothing refers to the object and the draft never runs.
+  return answerArrival(
+    state,
+    id,
+    Failure.create('store_unavailable', 'the object store did not take the body of the draft'),
+  );
+}
+
+/** Sends the open batch as one transaction. */
+export function commitBatch(state: State, id: number): Effect[] {
+  const batch = state.drafts.open;
+  if (batch?.id !== id) return [];
+  state.drafts.open = undefined;
+  state.drafts.committing.set(id, batch);
+  return [writeBatch(batch)];
+}
+
+/** Continues after the transaction of a batch. */
+export function continueCommit(
+  state: State,
+  id: number,
+  answer: TableAnswer,
+  now: number,
+): Effect[] {
+  const batch = state.drafts.committing.get(id);
+  if (batch === undefined) return [];
+  switch (answer.type) {
+    case 'ok':
+      return acceptBatch(state, batch, now);
+    case 'unavailable':
+      return batch.mayBeApplied
+        ? retryBatchLater(state, batch, now)
+        : refuseBatch(state, batch, `the table service is down: ${answer.reason}`);
+    case 'unknown':
+      batch.mayBeApplied = true;
+      return [readBatch(batch)];
+    case 'conflict':
+    case 'missing':
+      return [readBatch(batch)];
+  }
+}
+
+/** Continues after the first row of a batch was read; the rows of a batch exist all or none. */
+export function continueBatchRead(
+  state: State,
+  id: number,
+  answer: TableAnswer,
+  now: number,
+): Effect[] {
+  const batch = state.drafts.committing.get(id);
+  if (batch === undefined) return [];
+  const row = DraftRow.safeParse(answer.type === 'ok' ? answer.rows[0]?.value : undefined);
+  const own = `${state.host.id}/${state.host.incarnation}`;
+  if (row.success && row.data.acceptedBy === own) {
+    return acceptBatch(state, batch, now, isOwnRow(state, row.data));
+  }
+  if (answer.type === 'missing' && batch.mayBeApplied) return retryBatchLater(state, batch, now);
+  if (answer.type !== 'ok' && answer.type !== 'missing') return retryBatchLater(state, batch, now);
+  return splitBatch(state, batch);
+}
+
+/** Sends a batch again; its conditions keep it from being applied twice. */
+export function retryBatch(state: State, id: number): Effect[] {
+  const batch = state.drafts.committing.get(id);
+  return batch === undefined ? [] : [writeBatch(batch)];
+}
+
+/** Tells a caller that waited too long that its draft may or may not have been accepted. */
+export function endAcceptWait(state: State, id: string): Effect[] {
+  const message = `the table service did not confirm draft ${id} in time; it may be accepted`;
+  return answerArrival(
+    state,
+    id,
+    Failure.create('store_unavailable', message, { outcome: 'unknown' }),
+  );
+}
+
+function checkDraft(state: State, draft: NewDraft, now: number): string | Failure {
+  const { phase, configuration, drafts } = state;
+  if (phase === 'draining' || phase === 'stopped') {
+    return Failure.create('shutting_down', 'this host is shutting down');
+  }
+  if (configuration.revision === 0) {
+    return Failure.create('not_ready', 'this host has no configuration yet');
+  }
+  if (drafts.own.size + drafts.arriving.size >= MAX_DRAFTS) {
+    return Failure.create('overloaded', `this host keeps ${drafts.own.size} drafts already`);
+  }
+  const version = resolveVersion(state, draft);
+  if (version instanceof Failure) return version;
+  const fingerprint = getFingerprint(`${draft.adapter}@${version}`, draft.bodyHash);
+  return checkQuarantine(state, fingerprint, now) ?? version;
+}
+
+function newRow(state: State, draft: NewDraft, version: string): DraftRow {
+  const { body, ...fields } = draft;
+  const { id: host, incarnation } = state.host;
+  return {
+    ...fields,
+    version,
+    body: isLargeText(body)
+      ? { type: 'object', key: `draft-body/${encodeURIComponent(draft.id)}` }
+      : { type: 'inline', text: body },
+    state: 'queued',
+    attempts: 0,
+    fence: 1,
+    host,
+    incarnation,
+    acceptedBy: `${host}/${incarnation}`,
+  };
+}
+
+function addToBatch(state: State, row: DraftRow, now: number): Effect[] {
+  const { drafts } = state;
+  if (drafts.open === undefined) {
+    drafts.open = newBatch(state);
+    schedule(state, now + GROUP_COMMIT_MS, { type: 'commitDrafts', batch: drafts.open.id });
+  }
+  const batch = drafts.open;
+  batch.drafts.push(row.id);
+  batch.writes.push(...newDraftWrites(row, undefined));
+  return batch.drafts.length < GROUP_COMMIT_DRAFTS ? [] : commitBatch(state, batch.id);
+}
+
+function newBatch(state: State): Batch {
+  const id = state.drafts.nextBatch++;
+  return { id, drafts: [], writes: [], mayBeApplied: false, tries: 0 };
+}
+
+function writeBatch({ id, writes }: Batch): Effect {
+  const call = { type: 'write', writes } as const;
+  return { type: 'callTable', call, purpose: { type: 'commitDrafts', batch: id } };
+}
+
+function readBatch({ id, drafts }: Batch): Effect {
+  return newDraftRead(drafts[0] ?? '', { type: 'readBatch', batch: id });
+}
+
+function retryBatchLater(state: State, batch: Batch, now: number): Effect[] {
+  const at = getStoreRetryAt(state, batch.tries, now);
+  batch.tries += 1;
+  schedule(state, at, { type: 'retryBatch', batch: batch.id });
+  return [];
+}
+
+function acceptBatch(state: State, batch: Batch, now: number, isOwn = true): Effect[] {
+  state.drafts.committing.delete(batch.id);
+  const answers = batch.drafts.flatMap((id) => answerArrival(state, id, undefined));
+  // Rows that another host took over meanwhile are durable, but run there.
+  if (isOwn) for (const id of batch.drafts) addOwnDraft(state, id);
+  return [...answers, ...pumpDrafts(state, now)];
+}
+
+function refuseBatch(state: State, batch: Batch, reason: string): Effect[] {
+  state.drafts.committing.delete(batch.id);
+  return batch.drafts.flatMap((id) =>
+    answerArrival(state, id, Failure.create('store_unavailable', reason)),
+  );
+}
+
+/** Writes the drafts of a refused batch one by one, so that one taken id does not fail the others. */
+function splitBatch(state: State, batch: Batch): Effect[] {
+  if (batch.drafts.length === 1) {
+    return refuseBatch(state, batch, `draft ${batch.drafts[0] ?? ''} exists already`);
+  }
+  state.drafts.committing.delete(batch.id);
+  return batch.drafts.map((id) => {
+    const key = getDraftKey(id);
+    const start = batch.writes.findIndex((write) => write.key === key);
+    const single = newBatch(state);
+    single.drafts.push(id);
+    single.writes.push(...batch.writes.slice(start, start + 2));
+    single.mayBeApplied = batch.mayBeApplied;
+    state.drafts.committing.set(single.id, single);
+    return writeBatch(single);
+  });
+}
+
+function answerArrival(state: State, id: string, failure: Failure | undefined): Effect[] {
+  if (!state.drafts.arriving.delete(id)) return [];
+  return [
+    newAnswer(id, failure),
+    newCount('fireflywick_decisions_total', {
+      decision: 'draft',
+      reason: failure?.kind ?? 'accepted',
+    }),
+  ];
+}
+
+function newAnswer(id: string, failure: Failure | undefined): Effect {
+  const answer =
+    failure === undefined
+      ? ({ type: 'accepted' } as const)
+      : ({ type: 'failed', failure } as const);
+  return { type: 'answerDraft', id, answer };
+}
--- /dev/null
+++ b/src/drafts/queue.ts
@@ -0,0 +1,90 @@
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
+import { DRAFT_ROOM, MAX_ACTIVE_DRAFTS, RETRY_BASE_MS, RETRY_MAX_MS } from './constants.ts';
+import { newDraftRead } from './rows.ts';
+import type { OwnDraft } from './types.ts';
+
+/** Pause before the queue is looked at again when the host has no room for drafts. */
+const ROOM_CHECK_MS = 200;
+const STORE_PAUSE_MS = 1_000;
+
+/** Adds a durable draft that this host has to run. */
+export function addOwnDraft(state: State, id: string): void {
+  if (state.drafts.own.has(id)) return;
+  state.drafts.own.set(id, {
+    id,
+    phase: 'queued',
+    row: undefined,
+    version: '',
+    record: undefined,
+    largeResult: undefined,
+    request: '',
+    tries: 0,
+  });
+  state.drafts.ready.add(id);
+}
+
+/** Forgets a draft that ended, was deleted or belongs to another host. */
+export function removeOwnDraft(state: State, id: string, now: number): Effect[] {
+  const { own, ready, active } = state.drafts;
+  own.delete(id);
+  ready.delete(id);
+  active.delete(id);
+  return pumpDrafts(state, now);
+}
+
+/** Puts a draft back into the queue after a backoff with jitter. */
+export function requeueDraft(state: State, draft: OwnDraft, now: number): Effect[] {
+  const limit = Math.min(RETRY_MAX_MS, RETRY_BASE_MS * 2 ** draft.tries);
+  draft.tries += 1;
+  draft.phase = 'queued';
+  draft.row = undefined;
+  draft.record = undefined;
+  draft.largeResult = undefined;
+  state.drafts.active.delete(draft.id);
+  const at = now + limit * (0.5 + state.random.getFraction() / 2);
+  schedule(state, at, { type: 'draftDue', draft: draft.id });
+  return pumpDrafts(state, now);
+}
+
+/** Puts a draft back and waits a while: without the table, no draft can start. */
+export function pauseDrafts(state: State, draft: OwnDraft, now: number): Effect[] {
+  const { active, ready } = state.drafts;
+  draft.phase = 'queued';
+  active.delete(draft.id);
+  ready.add(draft.id);
+  state.drafts.pausedUntil = now + STORE_PAUSE_MS;
+  schedule(state, state.drafts.pausedUntil, { type: 'pumpDrafts' });
+  return [];
+}
+
+/** Starts the drafts that are due, up to the limits of this host. */
+export function pumpDrafts(state: State, now: number): Effect[] {
+  if (state.phase === 'draining' || state.phase === 'stopped') return [];
+  if (now < state.drafts.pausedUntil) return [];
+  const effects: Effect[] = [];
+  for (const id of state.drafts.ready) {
+    if (state.drafts.active.size >= MAX_ACTIVE_DRAFTS) break;
+    if (!hasRoom(state)) {
+      schedule(state, now + ROOM_CHECK_MS, { type: 'pumpDrafts' });
+      break;
+    }
+    state.drafts.ready.delete(id);
+    const draft = state.drafts.own.get(id);
+    if (draft?.phase !== 'queued') continue;
+    draft.phase = 'reading';
+    state.drafts.active.add(id);
+    effects.push(newDraftRead(id, { type: 'readDraftToRun', draft: id }));
+  }
+  return effects;
+}
+
+/** Whether anything has to end before the host may stop; waiting drafts go to other hosts. */
+export function hasDraftWork({ drafts }: State): boolean {
+  return drafts.active.size > 0 || drafts.open !== undefined || drafts.committing.size > 0;
+}
+
+function hasRoom({ requests, policy }: State): boolean {
+  return requests.inFlight.size < policy.maxRequests * DRAFT_ROOM;
+}
--- /dev/null
+++ b/src/drafts/rows.ts
@@ -0,0 +1,81 @@
+import type { Effect } from '../core/effects.ts';
+import type { TablePurpose } from '../core/purposes.ts';
+import type { State } from '../core/state.ts';
+import type { RowWrite } from '../core/store.ts';
+import {
+  DRAFT_OF_PREFIX,
+  DRAFT_PREFIX,
+  DRAFT_STATE_PREFIX,
+  MAX_INLINE_BYTES,
+  STORE_RETRY_BASE_MS,
+  STORE_RETRY_MAX_MS,
+} from './constants.ts';
+import type { DraftRow, DraftState, DraftSummary } from './types.ts';
+
+export function getDraftKey(id: string): string {
+  return DRAFT_PREFIX + encodeURIComponent(id);
+}
+
+export function getDraftOfKey(host: string, id: string): string {
+  return `${DRAFT_OF_PREFIX}${host}/${encodeURIComponent(id)}`;
+}
+
+export function getStateKey(state: DraftState, id: string): string {
+  return `${DRAFT_STATE_PREFIX}${state}/${encodeURIComponent(id)}`;
+}
+
+/** Returns the id of the draft that a key of any of the prefixes stands for. */
+export function getDraftId(key: string): string {
+  return decodeURIComponent(key.slice(key.lastIndexOf('/') + 1));
+}
+
+export function isLargeText(text: string): boolean {
+  return Buffer.byteLength(text) > MAX_INLINE_BYTES;
+}
+
+/** Whether the row says that this incarnation of this host runs the draft. */
+export function isOwnRow(state: State, { host, incarnation }: DraftRow): boolean {
+  return host === state.host.id && incarnation === state.host.incarnation;
+}
+
+/** Returns the writes that change a draft's row and its entries in the indexes. */
+export function newDraftWrites(row: DraftRow, version: string | undefined): RowWrite[] {
+  const { id, host } = row;
+  const any = { type: 'any' } as const;
+  const writes: RowWrite[] = [
+    {
+      type: 'put',
+      key: getDraftKey(id),
+      value: row,
+      condition: version === undefined ? { type: 'absent' } : { type: 'version', version },
+    },
+  ];
+  const index = getDraftOfKey(host, id);
+  writes.push(
+    row.state === 'queued'
+      ? { type: 'put', key: index, value: {}, condition: any }
+      : { type: 'delete', key: index, condition: any },
+  );
+  if (row.state === 'failed' || row.state === 'poison') {
+    const value = getSummary(row);
+    writes.push({ type: 'put', key: getStateKey(row.state, id), value, condition: any });
+  }
+  return writes;
+}
+
+/** Returns what callers and operators see of a row. */
+export function getSummary(row: DraftRow): DraftSummary {
+  const { id, firm, caller, adapter, version, state, attempts, failure } = row;
+  return { id, firm, caller, adapter, version, state, attempts, failure };
+}
+
+/** Returns the effect that reads the row of a draft. */
+export function newDraftRead(id: string, purpose: TablePurpose): Effect {
+  return { type: 'callTable', call: { type: 'get', key: getDraftKey(id) }, purpose };
+}
+
+/** Returns the time of the next try of a store call, with jitter. */
+export function getStoreRetryAt(state: State, tries: number, now: number): number {
+  const limit = Math.min(STORE_RETRY_MAX_MS, STORE_RETRY_BASE_MS * 2 ** tries);
+  return now + limit * (0.5 + state.random.getFraction() / 2);
+}
--- /dev/null
+++ b/src/drafts/running.ts
@@ -0,0 +1,124 @@
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import type { ObjectAnswer, TableAnswer } from '../core/store.ts';
+import type { Failure } from '../errors/failure.ts';
+import type { ErrorKind } from '../errors/kinds.ts';
+import { admitRequest } from '../requests/admission.ts';
+import { MAX_REQUEST_MS } from '../requests/constants.ts';
+import { MAX_FAILURES } from './constants.ts';
+import { pauseDrafts, removeOwnDraft, requeueDraft } from './queue.ts';
+import { recordDraft } from './recording.ts';
+import { isLargeText, isOwnRow } from './rows.ts';
+import { DraftRow, type OwnDraft } from './types.ts';
+
+/** Failures that every later attempt would meet as well. */
+const FINAL: ReadonlySet<ErrorKind> = new Set([
+  'bad_request',
+  'unknown_adapter',
+  'unknown_version',
+  'body_too_large',
+]);
+
+/** Continues after the row of a draft was read in order to run it. */
+export function continueDraftRead(
+  state: State,
+  draft: OwnDraft,
+  answer: TableAnswer,
+  now: number,
+): Effect[] {
+  if (answer.type === 'missing') return removeOwnDraft(state, draft.id, now);
+  const stored = answer.type === 'ok' ? answer.rows[0] : undefined;
+  if (stored === undefined) return pauseDrafts(state, draft, now);
+  const row = DraftRow.safeParse(stored.value);
+  if (!row.success || !isOwnRow(state, row.data) || row.data.state !== 'queued') {
+    return removeOwnDraft(state, draft.id, now);
+  }
+  draft.row = row.data;
+  draft.version = stored.version;
+  const { body } = row.data;
+  if (body.type === 'inline') return runDraft(state, draft, row.data, body.text, now);
+  return [
+    {
+      type: 'callObjects',
+      call: { type: 'get', key: body.key },
+      purpose: { type: 'readDraftBody', draft: draft.id },
+    },
+  ];
+}
+
+/** Continues after the body of a large draft was read. */
+export function continueDraftBody(
+  state: State,
+  draft: OwnDraft,
+  answer: ObjectAnswer,
+  now: number,
+): Effect[] {
+  if (draft.row === undefined || answer.type !== 'ok') return requeueDraft(state, draft, now);
+  return runDraft(state, draft, draft.row, answer.body, now);
+}
+
+/** Records the result of a draft. */
+export function finishDraft(state: State, draft: OwnDraft, body: string, now: number): Effect[] {
+  const { row } = draft;
+  if (row === undefined) return [];
+  const key = `draft-result/${encodeURIComponent(row.id)}/${row.fence}`;
+  const isLarge = isLargeText(body);
+  if (isLarge) draft.largeResult = body;
+  const result = isLarge
+    ? ({ type: 'object', key } as const)
+    : ({ type: 'inline', text: body } as const);
+  return recordDraft(state, draft, { ...row, state: 'done', result }, now);
+}
+
+/** Decides what the failure of a draft's request means for the draft. */
+export function failDraft(state: State, draft: OwnDraft, failure: Failure, now: number): Effect[] {
+  const { row } = draft;
+  if (row === undefined) return [];
+  const { kind, message, outcome } = failure;
+  const isQuarantined = kind === 'request_quarantined';
+  // The draft is not to blame for what did not run, such as an engine that is full for an hour.
+  if (outcome === 'not_run' && !isQuarantined && !FINAL.has(kind)) {
+    return requeueDraft(state, draft, now);
+  }
+  const attempts = row.attempts + 1;
+  const isPoison = isQuarantined || attempts >= MAX_FAILURES;
+  const next: DraftRow = {
+    ...row,
+    attempts,
+    state: FINAL.has(kind) ? 'failed' : isPoison ? 'poison' : 'queued',
+    failure: { kind, message },
+  };
+  return recordDraft(state, draft, next, now);
+}
+
+function runDraft(
+  state: State,
+  draft: OwnDraft,
+  row: DraftRow,
+  body: string,
+  now: number,
+): Effect[] {
+  draft.phase = 'running';
+  const id = `draft-${row.id}-${row.fence}-${state.drafts.nextRun++}`;
+  draft.request = id;
+  return [
+    { type: 'prepareDraft', id, draft: row.id, path: row.path, body },
+    ...admitRequest(
+      state,
+      {
+        id,
+        firm: row.firm,
+        caller: row.caller,
+        kind: 'draft',
+        adapter: row.adapter,
+        version: row.version,
+        deadline: now + MAX_REQUEST_MS,
+        fingerprint: row.bodyHash,
+        promptBlocks: row.promptBlocks,
+        maxTokens: row.maxTokens,
+        draft: row.id,
+      },
+      now,
+    ),
+  ];
+}
--- /dev/null
+++ b/src/drafts/takeover.ts
@@ -0,0 +1,152 @@
+import { getRendezvousChoice } from '../base/hash.ts';
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import type { TableAnswer } from '../core/store.ts';
+import { schedule } from '../core/timers.ts';
+import { DRAFT_OF_PREFIX, SWEEP_MS, TAKEOVER_PAGE, TAKEOVER_PAUSE_MS } from './constants.ts';
+import { addOwnDraft, pumpDrafts } from './queue.ts';
+import { getDraftId, getDraftOfKey, isOwnRow, newDraftRead, newDraftWrites } from './rows.ts';
+import { DraftRow } from './types.ts';
+
+/** Continues the drafts of an earlier incarnation and starts the sweep. */
+export function startDrafts(state: State, now: number): Effect[] {
+  schedule(state, now + SWEEP_MS, { type: 'sweepDrafts' });
+  return takeOverDrafts(state, state.host.id, now);
+}
+
+/**
+ * Takes over the drafts of a host that is gone, by conditional writes with a higher fence. Harmless
+ * when the host is alive: it drops what it no longer owns.
+ */
+export function takeOverDrafts(state: State, host: string, _now: number): Effect[] {
+  return [newScan(host, '')];
+}
+
+/** Whether this host takes over from `host`: chosen in its zone, or in the next zone with hosts. */
+export function isDraftSuccessor(state: State, host: string): boolean {
+  const live = [...state.membership.hosts.values()].filter(
+    (entry) => entry.state === 'live' && entry.host !== host,
+  );
+  const own = { host: state.host.id, zone: state.host.zone };
+  const others = [...live.filter((entry) => entry.host !== own.host), own];
+  const zone = state.membership.hosts.get(host)?.zone;
+  const zones = [...new Set(others.map((entry) => entry.zone))];
+  const chosen =
+    zone !== undefined && zones.includes(zone) ? zone : getRendezvousChoice(zone ?? host, zones);
+  const candidates = others.filter((entry) => entry.zone === chosen).map((entry) => entry.host);
+  return getRendezvousChoice(`drafts/${host}`, candidates) === own.host;
+}
+
+/** Reads the drafts of one page and goes on with the next one after a pause. */
+export function takePage(state: State, host: string, answer: TableAnswer, now: number): Effect[] {
+  // A scan that failed is repeated by the sweep.
+  if (answer.type !== 'ok') return [];
+  const last = answer.rows[TAKEOVER_PAGE - 1];
+  if (last !== undefined) {
+    const timer = { type: 'continueTakeover', host, after: last.key } as const;
+    schedule(state, now + TAKEOVER_PAUSE_MS, timer);
+  }
+  return answer.rows
+    .map(({ key, version }) => ({ draft: getDraftId(key), version }))
+    .filter(({ draft }) => host !== state.host.id || !state.drafts.own.has(draft))
+    .map(({ draft, version }) =>
+      newDraftRead(draft, { type: 'readDraftOf', host, draft, version }),
+    );
+}
+
+/** Continues a takeover with the next page. */
+export function continueTakeover(host: string, after: string): Effect[] {
+  return [newScan(host, after)];
+}
+
+/** Takes over one draft that was read. */
+export function takeDraft(
+  state: State,
+  { host, draft: id, version }: { host: string; draft: string; version: string },
+  answer: TableAnswer,
+  now: number,
+): Effect[] {
+  const stored = answer.type === 'ok' ? answer.rows[0] : undefined;
+  const row = DraftRow.safeParse(stored?.value);
+  if (answer.type === 'missing') return [deleteIndex(host, id, version)];
+  if (stored === undefined || !row.success) return [];
+  if (row.data.state !== 'queued' || row.data.host !== host)
+    return [deleteIndex(host, id, version)];
+  if (isOwnRow(state, row.data)) return adopt(state, id, now);
+  const { id: own, incarnation } = state.host;
+  const next: DraftRow = { ...row.data, host: own, incarnation, fence: row.data.fence + 1 };
+  const writes = newDraftWrites(next, stored.version);
+  if (host !== own) {
+    writes.push({ type: 'delete', key: getDraftOfKey(host, id), condition: { type: 'any' } });
+  }
+  const call = { type: 'write', writes } as const;
+  return [{ type: 'callTable', call, purpose: { type: 'takeDraft', draft: id } }];
+}
+
+/** Queues a draft whose takeover was written; after a lost answer, the sweep finds it. */
+export function continueTake(state: State, id: string, answer: TableAnswer, now: number): Effect[] {
+  return answer.type === 'ok' ? adopt(state, id, now) : [];
+}
+
+/** Looks for own drafts that this host does not know and, on one host, for orphaned ones. */
+export function sweepDrafts(state: State, now: number): Effect[] {
+  schedule(state, now + SWEEP_MS, { type: 'sweepDrafts' });
+  const effects = takeOverDrafts(state, state.host.id, now);
+  if (!isSweeper(state)) return effects;
+  state.drafts.orphans = state.drafts.orphansSeen;
+  state.drafts.orphansSeen = new Set();
+  return [...effects, newHostScan(DRAFT_OF_PREFIX)];
+}
+
+/** Takes one host found by the sweep and goes on behind its drafts. */
+export function sweepHost(state: State, answer: TableAnswer, now: number): Effect[] {
+  const key = answer.type === 'ok' ? answer.rows[0]?.key : undefined;
+  const host = key?.slice(DRAFT_OF_PREFIX.length).split('/')[0];
+  if (host === undefined || host === '') return [];
+  // "0" follows "/", so the scan goes on behind all drafts of the host.
+  const next = newHostScan(`${DRAFT_OF_PREFIX}${host}0`);
+  const entry = state.membership.hosts.get(host);
+  if (host === state.host.id || (entry !== undefined && entry.state !== 'gone')) return [next];
+  state.drafts.orphansSeen.add(host);
+  // A host that was missing a minute ago as well is not just late in the membership.
+  if (!state.drafts.orphans.has(host)) return [next];
+  return [next, ...takeOverDrafts(state, host, now)];
+}
+
+function adopt(state: State, id: string, now: number): Effect[] {
+  addOwnDraft(state, id);
+  return pumpDrafts(state, now);
+}
+
+function isSweeper(state: State): boolean {
+  const live = [...state.membership.hosts.values()].filter((entry) => entry.state === 'live');
+  const hosts = new Set([state.host.id, ...live.map(({ host }) => host)]);
+  return getRendezvousChoice('sweep/drafts', [...hosts]) === state.host.id;
+}
+
+function newScan(host: string, after: string): Effect {
+  return {
+    type: 'callTable',
+    call: { type: 'scan', prefix: `${DRAFT_OF_PREFIX}${host}/`, after, limit: TAKEOVER_PAGE },
+    purpose: { type: 'scanDraftsOf', host },
+  };
+}
+
+function newHostScan(after: string): Effect {
+  return {
+    type: 'callTable',
+    call: { type: 'scan', prefix: DRAFT_OF_PREFIX, after, limit: 1 },
+    purpose: { type: 'findDraftHosts' },
+  };
+}
+
+// The version keeps a late delete from removing an entry that was put again meanwhile.
+function deleteIndex(host: string, id: string, version: string): Effect {
+  const key = getDraftOfKey(host, id);
+  const writes = [{ type: 'delete', key, condition: { type: 'version', version } } as const];
+  return {
+    type: 'callTable',
+    call: { type: 'write', writes },
+    purpose: { type: 'deleteDraftIndex' },
+  };
+}
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -2,20 +2,26 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { Failure } from '../errors/failure.ts';
+import { getFingerprint } from '../suspects/fingerprint.ts';
+import { passFailure } from './ending.ts';
 import { askForGrant } from './asking.ts';
+import { resolveVersion } from './resolving.ts';
 import { DEFAULT_PRIORITY } from './constants.ts';
 import type { NewRequest, Request } from './types.ts';
 
 /** Checks a request on arrival; asks for a grant when it may run, refuses it at once otherwise. */
 export function admitRequest(state: State, arrival: NewRequest, now: number): Effect[] {
+  state.requests.retries.addRequest(now);
   const failure = checkLimits(state, arrival, now);
-  if (failure !== undefined) return refuseArrival(arrival, failure);
+  if (failure !== undefined) return refuseArrival(state, arrival, failure, now);
   const version = resolveVersion(state, arrival);
-  if (version instanceof Failure) return refuseArrival(arrival, version);
+  if (version instanceof Failure) return refuseArrival(state, arrival, version, now);
   const request = newRequest(state, arrival, version, now);
   state.requests.inFlight.set(request.id, request);
-  const running = state.requests.byCaller.get(request.caller) ?? 0;
-  state.requests.byCaller.set(request.caller, running + 1);
+  if (request.draft === undefined) {
+    const running = state.requests.byCaller.get(request.caller) ?? 0;
+    state.requests.byCaller.set(request.caller, running + 1);
+  }
   schedule(state, request.deadline, { type: 'requestDeadline', id: request.id });
   return askForGrant(state, request, now);
 }
@@ -37,7 +43,8 @@
     );
   }
   const running = requests.byCaller.get(arrival.caller) ?? 0;
-  if (running >= policy.maxRequestsPerCaller) {
+  // Drafts have their own limit and must not use up what the caller may ask at once.
+  if (arrival.draft === undefined && running >= policy.maxRequestsPerCaller) {
     return Failure.create(
       'too_many_requests',
       `caller "${arrival.caller}" has ${running} requests in flight, at most ${policy.maxRequestsPerCaller} are allowed`,
@@ -46,28 +53,11 @@
   return undefined;
 }
 
-function resolveVersion(state: State, arrival: NewRequest): string | Failure {
-  const adapter = state.configuration.adapters.get(arrival.adapter);
-  if (adapter === undefined) {
-    return Failure.create('unknown_adapter', `adapter "${arrival.adapter}" does not exist`, {
-      param: 'model',
-    });
-  }
-  const version = arrival.version ?? adapter.inForce;
-  if (adapter.versions[version] === undefined) {
-    return Failure.create(
-      'unknown_version',
-      `adapter "${arrival.adapter}" has no version "${version}"`,
-      { param: 'model' },
-    );
-  }
-  return version;
-}
-
 function newRequest(state: State, arrival: NewRequest, version: string, now: number): Request {
   return {
     ...arrival,
     version,
+    fingerprint: getFingerprint(`${arrival.adapter}@${version}`, arrival.fingerprint),
     model: `${arrival.adapter}@${version}`,
     priority: state.configuration.callerOrder.get(arrival.caller) ?? DEFAULT_PRIORITY,
     arrivedAt: now,
@@ -83,7 +73,7 @@
   };
 }
 
-function refuseArrival(arrival: NewRequest, failure: Failure): Effect[] {
+function refuseArrival(state: State, arrival: NewRequest, failure: Failure, now: number): Effect[] {
   return [
     {
       type: 'count',
@@ -91,6 +81,6 @@
       labels: { firm: arrival.firm, kind: arrival.kind, result: failure.kind },
       by: 1,
     },
-    { type: 'failRequest', id: arrival.id, failure },
+    ...passFailure(state, arrival, failure, now),
   ];
 }
--- a/src/requests/ending.ts
+++ b/src/requests/ending.ts
@@ -2,6 +2,7 @@
 import type { Effect } from '../core/effects.ts';
 import { newCount, newObserve } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
 import type { Failure } from '../errors/failure.ts';
 import type { Request } from './types.ts';
 
@@ -12,10 +13,22 @@
   return [
     ...effects,
     newCount('fireflywick_requests_total', getLabels(request, failure.kind)),
-    { type: 'failRequest', id: request.id, failure },
+    ...passFailure(state, request, failure),
   ];
 }
 
+/** Tells who waits for a request that it failed: the caller, or the draft that it runs for. */
+export function passFailure(
+  state: State,
+  { id, draft }: Pick<Request, 'id' | 'draft'>,
+  failure: Failure,
+  now = 0,
+): Effect[] {
+  if (draft === undefined) return [{ type: 'failRequest', id, failure }];
+  schedule(state, now, { type: 'draftRequestFailed', id, draft, failure });
+  return [];
+}
+
 /** Ends a request whose answer was passed on whole. */
 export function finishRequest(state: State, request: Request, now: number): Effect[] {
   removeRequest(state, request);
@@ -46,7 +59,7 @@
 
 function removeRequest(state: State, request: Request): void {
   const { inFlight, byCaller } = state.requests;
-  if (!inFlight.delete(request.id)) return;
+  if (!inFlight.delete(request.id) || request.draft !== undefined) return;
   const running = (byCaller.get(request.caller) ?? 1) - 1;
   if (running > 0) byCaller.set(request.caller, running);
   else byCaller.delete(request.caller);
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -15,7 +15,7 @@
   version: string | undefined;
   /** Monotonic ms by which the answer must be complete. */
   deadline: number;
-  /** Hash of adapter, version and normalized body. */
+  /** Hash of the normalized body on arrival; of adapter, version and body once admitted. */
   fingerprint: string;
   /** Hash chain of the prompt's blocks, for prefix-cache routing. */
   promptBlocks: number[];
--- /dev/null
+++ b/src/suspects/constants.ts
@@ -0,0 +1,11 @@
+/** Time after its last crash for which a suspect is remembered. */
+export const SUSPECT_TTL_MS = 24 * 3_600_000;
+/** Retention hours after which a row is out of date; one more than 24, since the hour may be stale. */
+export const SUSPECT_TTL_HOURS = 25;
+/** Time for which an attempt that broke is blamed for a crash that is noticed later. */
+export const BROKEN_MS = 10_000;
+/** Interval between reads of the rows, for hosts that no peer can reach. */
+export const SUSPECT_POLL_MS = 5_000;
+export const SUSPECT_RETRY_MS = 2_000;
+export const SUSPECT_PAGE = 200;
+export const SUSPECT_PREFIX = 'suspect/';
--- /dev/null
+++ b/src/suspects/merge.ts
@@ -0,0 +1,23 @@
+import type { Suspect } from './types.ts';
+
+/** Merges what two hosts know of a suspect; commutative, associative and idempotent. */
+export function mergeSuspects(a: Suspect, b: Suspect): Suspect {
+  if (a.generation !== b.generation) return a.generation > b.generation ? a : b;
+  return {
+    ...a,
+    crashes: [...new Set([...a.crashes, ...b.crashes])].sort(),
+    isCondemned: a.isCondemned || b.isCondemned,
+    hour: Math.max(a.hour, b.hour),
+  };
+}
+
+/** Whether two records say the same. */
+export function isSameSuspect(a: Suspect, b: Suspect): boolean {
+  return (
+    a.generation === b.generation &&
+    a.isCondemned === b.isCondemned &&
+    a.hour === b.hour &&
+    a.crashes.length === b.crashes.length &&
+    a.crashes.every((crash) => b.crashes.includes(crash))
+  );
+}
--- /dev/null
+++ b/src/suspects/suspicion.ts
@@ -0,0 +1,51 @@
+import { getRendezvousOrder } from '../base/hash.ts';
+import type { State } from '../core/state.ts';
+import { Failure } from '../errors/failure.ts';
+import type { OwnedEngine } from '../grants/types.ts';
+import type { Suspicion } from './types.ts';
+
+/** Returns what is known of a fingerprint. */
+export function getSuspicion(state: State, fingerprint: string): Suspicion {
+  const suspect = state.suspects.byFingerprint.get(fingerprint);
+  if (suspect === undefined || suspect.crashes.length === 0) return 'clear';
+  return suspect.isCondemned ? 'quarantined' : 'suspect';
+}
+
+/** Returns the failure of a request that is quarantined, or undefined when it may run. */
+export function checkQuarantine(
+  state: State,
+  fingerprint: string,
+  _now: number,
+): Failure | undefined {
+  if (getSuspicion(state, fingerprint) !== 'quarantined') return undefined;
+  const message = `the request crashed engines and is quarantined as ${fingerprint}`;
+  return Failure.create('request_quarantined', message);
+}
+
+/** Whether the owner may let `ask` run now: a suspect runs with no other suspect on the engine. */
+export function canRunWithSuspects(
+  state: State,
+  owned: OwnedEngine,
+  { fingerprint }: { fingerprint: string },
+): boolean {
+  const suspicion = getSuspicion(state, fingerprint);
+  if (suspicion !== 'suspect') return suspicion === 'clear';
+  return [...owned.pins.values()].every(
+    (pin) => pin.fingerprint === fingerprint || getSuspicion(state, pin.fingerprint) === 'clear',
+  );
+}
+
+/**
+ * Returns the engine that runs a suspect: the same on all hosts, so that copies of one suspect do
+ * not crash several engines at once, and not one that it crashed when there is another.
+ */
+export function chooseSuspectEngine(
+  state: State,
+  fingerprint: string,
+  engines: readonly string[],
+): string | undefined {
+  const crashes = state.suspects.byFingerprint.get(fingerprint)?.crashes ?? [];
+  const crashed = new Set(crashes.map((crash) => crash.split('@')[0]));
+  const order = getRendezvousOrder(fingerprint, engines);
+  return order.find((engine) => !crashed.has(engine)) ?? order[0];
+}
--- a/src/suspects/types.ts
+++ b/src/suspects/types.ts
@@ -1,15 +1,37 @@
-/** What is known of a request that may crash engines. */
-export interface Suspect {
-  fingerprint: string;
-  strikes: number;
+import { z } from 'zod';
+
+/** What is known of a request that may crash engines; also row `suspect/F`. */
+export const Suspect = z.object({
+  fingerprint: z.string().min(1).max(128),
+  /** Grows when the suspect is cleared; a higher generation replaces all that was known. */
+  generation: z.int().min(0),
+  /** Crashes under the request, as `ENGINE@BOOT`; two reports of one crash count once. */
+  crashes: z.array(z.string().max(256)).max(64),
   /** Whether it crashed an engine as the only suspect there. */
-  isCondemned: boolean;
-  /** Engines that crashed while it ran. */
-  engines: string[];
+  isCondemned: z.boolean(),
+  /** Retention hour of the last crash, or -1 when it was not known. */
+  hour: z.int().min(-1),
+});
+export type Suspect = z.infer<typeof Suspect>;
+
+export type Suspicion = 'clear' | 'suspect' | 'quarantined';
+
+export const SuspectReported = z.object({ type: z.literal('suspectReported'), suspect: Suspect });
+export type SuspectReported = z.infer<typeof SuspectReported>;
+
+/** A request that ran on an engine. */
+export interface Culprit {
+  fingerprint: string;
 }
 
 export class Suspects {
   readonly byFingerprint = new Map<string, Suspect>();
+  /** Monotonic ms at which a suspect is forgotten. */
+  readonly expiresAt = new Map<string, number>();
+  /** Attempts that broke lately, by engine. */
+  readonly broken = new Map<string, { fingerprint: string; at: number }[]>();
+  /** Pins that were blamed for a crash, so that a second report does not blame them again. */
+  readonly blamed = new WeakSet();
 
   private constructor() {}
 
@@ -17,3 +39,14 @@
     return new Suspects();
   }
 }
+
+export type SuspectTimer =
+  | { type: 'suspectExpiry'; fingerprint: string }
+  | { type: 'syncSuspect'; fingerprint: string }
+  | { type: 'pollSuspects' };
+
+export type SuspectTablePurpose =
+  | { type: 'scanSuspects' }
+  | { type: 'readSuspect'; fingerprint: string }
+  | { type: 'writeSuspect'; fingerprint: string }
+  | { type: 'deleteSuspect' };
--- /dev/null
+++ b/tests/drafts/drafts.property.test.ts
@@ -0,0 +1,206 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { applyRevision } from '../../src/configuration/apply.ts';
+import type { Effect } from '../../src/core/effects.ts';
+import { MAX_FAILURES } from '../../src/drafts/constants.ts';
+import { getDraftKey } from '../../src/drafts/rows.ts';
+import { isDraftSuccessor, takeOverDrafts } from '../../src/drafts/takeover.ts';
+import { DraftRow, type NewDraft } from '../../src/drafts/types.ts';
+import type { AttemptOutcome } from '../../src/requests/types.ts';
+import {
+  answerOrder,
+  getCompleted,
+  newAdapterChange,
+  newEngineChanges,
+} from '../helpers/engines.ts';
+import { type Host, Simulation } from '../helpers/simulation.ts';
+
+type Answer = Extract<Effect, { type: 'answerDraft' }>['answer'];
+
+interface World {
+  simulation: Simulation;
+  /** Drafts with the version that they mean on arrival. */
+  drafts: Map<string, { draft: NewDraft; version: string; host: Host }>;
+  answers: Map<string, Answer[]>;
+  /** Bodies that ran, with the model. */
+  runs: { body: string; model: string }[];
+}
+
+function getResult(body: string, model: string): string {
+  return `${model}: ${body}`;
+}
+
+function newWorld(seed: number): World {
+  const world: Omit<World, 'simulation'> = { drafts: new Map(), answers: new Map(), runs: [] };
+  const bodies = new Map<string, { draft: string; body: string; result: string }>();
+  const simulation = Simulation.create({
+    seed,
+    hosts: ['h1', 'h2', 'h3'],
+    changes: newEngineChanges(2),
+    onEffect: (sim, host, effect) => {
+      answerOrder(sim, host, effect);
+      if (effect.type === 'answerDraft') {
+        const given = world.answers.get(effect.id) ?? [];
+        world.answers.set(effect.id, [...given, effect.answer]);
+      } else if (effect.type === 'prepareDraft') {
+        const { id, draft, body } = effect;
+        bodies.set(`${host.id}/${id}`, { draft, body, result: '' });
+      } else if (effect.type === 'startAttempt') {
+        startAttempt(sim, host, effect);
+      } else if (effect.type === 'finishRequest') {
+        const kept = bodies.get(`${host.id}/${effect.id}`);
+        if (kept === undefined) return;
+        const { draft, result } = kept;
+        sim.feedLater(host, () => ({ type: 'draftResultCollected', draft, body: result }));
+      }
+    },
+  });
+  const startAttempt = (
+    sim: Simulation,
+    host: Host,
+    { order }: Extract<Effect, { type: 'startAttempt' }>,
+  ) => {
+    const kept = bodies.get(`${host.id}/${order.id}`);
+    if (kept === undefined) throw new Error(`request ${order.id} was not prepared`);
+    const fault = sim.chance(sim.faultRate) ? sim.choose(['broken', 'unreachable'] as const) : '';
+    const { id, attempt, model } = order;
+    sim.feedLater(host, () => {
+      if (fault !== 'unreachable') world.runs.push({ body: kept.body, model });
+      kept.result = getResult(kept.body, model);
+      const outcome: AttemptOutcome =
+        fault === 'broken'
+          ? { type: 'broken', reason: 'reset' }
+          : fault === 'unreachable'
+            ? { type: 'unreachable' }
+            : getCompleted(model);
+      return { type: 'attemptEnded', id, attempt, outcome };
+    });
+  };
+  simulation.table.watch = (before, after) => {
+    const [old, next] = [DraftRow.safeParse(before).data, DraftRow.safeParse(after).data];
+    if (old === undefined || next === undefined) return;
+    // A host that lost the draft must not write over what the new host wrote.
+    expect(next.fence).toBeGreaterThanOrEqual(old.fence);
+    expect(old.state).toBe('queued');
+  };
+  return { ...world, simulation };
+}
+
+function arrive({ simulation, drafts }: World, id: string): void {
+  const running = simulation.alive().filter(({ isPaused }) => !isPaused);
+  if (running.length === 0) return;
+  const host = simulation.choose(running);
+  const version = [undefined, 'v1', 'v2'][simulation.random.getInteger(3)];
+  const size = simulation.chance(0.2) ? 20_000 : 0;
+  const draft: NewDraft = {
+    id,
+    firm: 'f',
+    caller: 'c',
+    path: '/v1/completions',
+    adapter: 'a',
+    version,
+    bodyHash: id,
+    promptBlocks: [],
+    maxTokens: 8,
+    body: `body of ${id}${'x'.repeat(size)}`,
+  };
+  const inForce = host.state.configuration.adapters.get('a')?.inForce ?? '';
+  drafts.set(id, { draft, version: version ?? inForce, host });
+  simulation.feed(host, { type: 'draftArrived', draft });
+}
+
+function disturb({ simulation }: World): void {
+  const host = simulation.choose(simulation.alive());
+  const kind = simulation.random.getInteger(4);
+  if (kind === 0) {
+    host.isPaused = !host.isPaused && simulation.alive().some((h) => h !== host && !h.isPaused);
+  } else if (kind === 1) {
+    applyRevision(host.state.configuration, {
+      revision: host.state.configuration.revision + 1,
+      operator: 'o',
+      plan: 'p',
+      confirmedAtUnixMs: 0,
+      changes: [newAdapterChange(simulation.choose(['v1', 'v2']))],
+    });
+  } else if (kind === 2) {
+    simulation.startHost(host.id);
+  } else if (simulation.alive().length > 1) {
+    simulation.stopHost(host.id);
+    takeOver(simulation, host.id);
+  }
+}
+
+/** As the membership code does when a host is gone; a false alarm must do no harm. */
+function takeOver(simulation: Simulation, id: string): void {
+  for (const host of simulation.alive()) {
+    if (!isDraftSuccessor(host.state, id)) continue;
+    simulation.act(host, (state, now) => takeOverDrafts(state, id, now));
+  }
+}
+
+function getRow({ simulation }: World, id: string): DraftRow | undefined {
+  return DraftRow.safeParse(simulation.table.rows.get(getDraftKey(id))?.value).data;
+}
+
+function isSettled(world: World): boolean {
+  const { table } = world.simulation;
+  return (
+    ![...table.rows.keys()].some((key) => key.startsWith('draft-of/')) &&
+    world.simulation.alive().every(({ state: { drafts } }) => {
+      return drafts.own.size + drafts.arriving.size + drafts.committing.size === 0 && !drafts.open;
+    })
+  );
+}
+
+function check(world: World): void {
+  const { simulation, drafts, answers, runs } = world;
+  for (const [id, { draft, version, host }] of drafts) {
+    const given = answers.get(id) ?? [];
+    expect(given.length).toBeLessThanOrEqual(1);
+    if (given.length === 0) expect(host.isAlive).toBe(false);
+    const row = getRow(world, id);
+    const answer = given[0];
+    if (answer?.type === 'failed' && answer.failure.outcome === 'not_run') {
+      expect(row).toBeUndefined();
+      expect(runs.filter(({ body }) => body === draft.body)).toEqual([]);
+    }
+    if (answer?.type === 'accepted') expect(row).toBeDefined();
+    if (row === undefined) continue;
+    expect(row).toMatchObject({ adapter: 'a', version });
+    const models = new Set(runs.filter((r) => r.body === draft.body).map((r) => r.model));
+    expect([...models].filter((model) => model !== `a@${version}`)).toEqual([]);
+    if (row.state === 'done') {
+      const { result } = row;
+      const text = result?.type === 'object' ? simulation.objects.get(result.key) : result?.text;
+      expect(text).toBe(getResult(draft.body, `a@${version}`));
+    } else {
+      expect(row).toMatchObject({ state: 'poison', attempts: MAX_FAILURES });
+    }
+  }
+}
+
+function run(seed: number): World {
+  const world = newWorld(seed);
+  const { simulation } = world;
+  simulation.faultRate = simulation.choose([0, 0.1, 0.3]);
+  for (let i = 0; i < 200; i++) {
+    const kind = simulation.random.getInteger(20);
+    if (kind < 2) arrive(world, `d${i}`);
+    else if (kind === 2 && simulation.chance(0.5)) disturb(world);
+    else if (kind === 3 && simulation.chance(0.1)) {
+      takeOver(simulation, simulation.choose(['h1', 'h2', 'h3']));
+    } else simulation.step();
+  }
+  simulation.settle(() => isSettled(world), 200_000);
+  check(world);
+  return world;
+}
+
+describe('drafts on several hosts', () => {
+  it('ends every acknowledged draft with its own result on the named version', () => {
+    fc.assert(
+      fc.property(fc.nat(), (seed) => void run(seed)),
+      { seed: 20261203, numRuns: 150 },
+    );
+  });
+});
--- /dev/null
+++ b/tests/drafts/drafts.test.ts
@@ -0,0 +1,169 @@
+import { describe, expect, it } from 'vitest';
+import type { Effect } from '../../src/core/effects.ts';
+import { MAX_ACTIVE_DRAFTS, MAX_FAILURES } from '../../src/drafts/constants.ts';
+import { getDraftKey } from '../../src/drafts/rows.ts';
+import { DraftRow, type NewDraft } from '../../src/drafts/types.ts';
+import type { AttemptOutcome } from '../../src/requests/types.ts';
+import { answerOrder, getCompleted, newEngineChanges } from '../helpers/engines.ts';
+import { Simulation } from '../helpers/simulation.ts';
+
+function newDraft(id: string, parts: Partial<NewDraft> = {}): NewDraft {
+  return {
+    id,
+    firm: 'f',
+    caller: 'c',
+    path: '/v1/completions',
+    adapter: 'a',
+    version: undefined,
+    bodyHash: id,
+    promptBlocks: [],
+    maxTokens: 8,
+    body: `body of ${id}`,
+    ...parts,
+  };
+}
+
+/** A host whose engines end each attempt as `getOutcome` says; attempts stay open without one. */
+function newSimulation(getOutcome: (model: string) => AttemptOutcome | undefined, hosts = ['h1']) {
+  const seen: Effect[] = [];
+  const prepared = new Map<string, string>();
+  const simulation = Simulation.create({
+    seed: 1,
+    hosts,
+    changes: newEngineChanges(2),
+    onEffect: (sim, host, effect) => {
+      seen.push(effect);
+      answerOrder(sim, host, effect);
+      if (effect.type === 'prepareDraft') prepared.set(effect.id, effect.draft);
+      if (effect.type === 'finishRequest') {
+        const draft = prepared.get(effect.id) ?? '';
+        sim.feedLater(host, () => ({ type: 'draftResultCollected', draft, body: 'result' }));
+      }
+      if (effect.type !== 'startAttempt') return;
+      const { id, attempt, model } = effect.order;
+      const outcome = getOutcome(model);
+      if (outcome === undefined) return;
+      sim.feedLater(host, () => ({ type: 'attemptEnded', id, attempt, outcome }));
+    },
+  });
+  const getRow = (id: string) =>
+    DraftRow.safeParse(simulation.table.rows.get(getDraftKey(id))?.value).data;
+  const getAnswer = <T extends Effect['type']>(type: T) =>
+    seen.findLast((effect): effect is Extract<Effect, { type: T }> => effect.type === type);
+  return { simulation, seen, getRow, getAnswer };
+}
+
+const broken: AttemptOutcome = { type: 'broken', reason: 'reset' };
+
+describe('a draft', () => {
+  it.each([
+    { name: 'for an unknown adapter', parts: { adapter: 'none' }, kind: 'unknown_adapter' },
+    { name: 'for an unknown version', parts: { version: 'v9' }, kind: 'unknown_version' },
+  ])('$name is refused as not run', ({ parts, kind }) => {
+    const { simulation, getAnswer } = newSimulation(getCompleted);
+    const draft = newDraft('d', parts);
+    simulation.feed(simulation.get('h1'), { type: 'draftArrived', draft });
+    expect(getAnswer('answerDraft')?.answer).toMatchObject({
+      failure: { kind, outcome: 'not_run' },
+    });
+  });
+
+  it('is acknowledged with the others of its group by one write', () => {
+    const { simulation, seen } = newSimulation(() => undefined);
+    const host = simulation.get('h1');
+    for (let i = 0; i < 60; i++) {
+      simulation.feed(host, { type: 'draftArrived', draft: newDraft(`d${i}`) });
+    }
+    const getAccepted = () => seen.filter(({ type }) => type === 'answerDraft').length;
+    simulation.settle(() => getAccepted() >= 50);
+    expect(getAccepted()).toBe(50);
+    simulation.settle(() => getAccepted() === 60);
+  });
+
+  it('waits in the table while the host runs as many as it may', () => {
+    const { simulation, seen } = newSimulation(() => undefined);
+    const host = simulation.get('h1');
+    for (let i = 0; i < 2 * MAX_ACTIVE_DRAFTS; i++) {
+      simulation.feed(host, { type: 'draftArrived', draft: newDraft(`d${i}`) });
+    }
+    simulation.settle(() => simulation.now > 5_000);
+    const prepared = seen.filter(({ type }) => type === 'prepareDraft');
+    expect(prepared).toHaveLength(MAX_ACTIVE_DRAFTS);
+  });
+
+  it('leaves the places of its caller to other requests', () => {
+    const { simulation } = newSimulation(() => undefined);
+    const host = simulation.get('h1');
+    simulation.feed(host, { type: 'draftArrived', draft: newDraft('d') });
+    simulation.settle(() => host.state.requests.inFlight.size === 1);
+    expect(host.state.requests.byCaller.size).toBe(0);
+  });
+
+  it('is poison after its failures, visible to operators, and queued again by a retry', () => {
+    let outcome: AttemptOutcome | undefined = broken;
+    const { simulation, getRow, getAnswer } = newSimulation(
+      (model) => outcome ?? getCompleted(model),
+    );
+    const host = simulation.get('h1');
+    simulation.feed(host, { type: 'draftArrived', draft: newDraft('d') });
+    simulation.settle(() => getRow('d')?.state === 'poison', 100_000);
+    expect(getRow('d')).toMatchObject({ attempts: MAX_FAILURES });
+
+    simulation.feed(host, { type: 'draftListAsked', id: 'q1', state: 'poison', after: '' });
+    simulation.settle(() => getAnswer('answerDraftList') !== undefined);
+    expect(getAnswer('answerDraftList')?.answer).toMatchObject({
+      drafts: [{ id: 'd', state: 'poison' }],
+    });
+
+    outcome = undefined;
+    const ask = { id: 'q2', draft: 'd', firm: undefined, caller: 'operator' };
+    simulation.feed(host, { type: 'draftRetryAsked', ...ask });
+    simulation.settle(() => getRow('d')?.state === 'done');
+    expect([...simulation.table.rows.keys()]).not.toContain('draft-state/poison/d');
+  });
+
+  it('is not poison because nothing could run it for long', () => {
+    let outcome: AttemptOutcome | undefined = { type: 'unreachable' };
+    const { simulation, getRow } = newSimulation((model) => outcome ?? getCompleted(model));
+    simulation.feed(simulation.get('h1'), { type: 'draftArrived', draft: newDraft('d') });
+    simulation.settle(() => simulation.now > 600_000, 100_000);
+    expect(getRow('d')).toMatchObject({ state: 'queued', attempts: 0 });
+    outcome = undefined;
+    simulation.settle(() => getRow('d')?.state === 'done');
+  });
+
+  it('fails at once when the engine refuses the request itself', () => {
+    const refused: AttemptOutcome = { type: 'refused', status: 400, message: 'too long' };
+    const { simulation, getRow } = newSimulation(() => refused);
+    simulation.feed(simulation.get('h1'), { type: 'draftArrived', draft: newDraft('d') });
+    simulation.settle(() => getRow('d')?.state === 'failed');
+    expect(getRow('d')?.failure?.kind).toBe('bad_request');
+  });
+
+  it('of a host that is gone is found by the sweep when nobody took it over', () => {
+    const { simulation, getRow } = newSimulation(getCompleted, ['h1', 'h2']);
+    const draft = newDraft('d');
+    simulation.feed(simulation.get('h1'), { type: 'draftArrived', draft });
+    simulation.settle(() => getRow('d') !== undefined);
+    simulation.stopHost('h1');
+    simulation.settle(() => getRow('d')?.state === 'done');
+    expect(getRow('d')).toMatchObject({ host: 'h2', fence: 2 });
+  });
+
+  it.each([
+    { name: 'its own firm', firm: 'f', expected: { type: 'found', result: 'result' } },
+    { name: 'an operator', firm: undefined, expected: { type: 'found', result: 'result' } },
+    { name: 'the other firm', firm: 'g', expected: { failure: { kind: 'not_found' } } },
+  ])('answers $name', ({ firm, expected }) => {
+    const { simulation, getRow, getAnswer } = newSimulation(getCompleted, ['h1', 'h2']);
+    simulation.feed(simulation.get('h1'), { type: 'draftArrived', draft: newDraft('d') });
+    simulation.settle(() => getRow('d')?.state === 'done');
+    const ask = { id: 'q', draft: 'd', firm, caller: 'c' };
+    simulation.feed(simulation.get('h2'), { type: 'draftAsked', ...ask });
+    simulation.settle(() => getAnswer('answerDraftRead') !== undefined);
+    expect(getAnswer('answerDraftRead')?.answer).toMatchObject(expected);
+    simulation.feed(simulation.get('h2'), { type: 'draftDeleteAsked', ...ask });
+    simulation.settle(() => getAnswer('answerDraftRead')?.answer.type !== 'found');
+    expect(getRow('d') === undefined).toBe(firm !== 'g');
+  });
+});
--- /dev/null
+++ b/tests/helpers/engines.ts
@@ -0,0 +1,46 @@
+import type { Change } from '../../src/configuration/types.ts';
+import type { Effect } from '../../src/core/effects.ts';
+import type { AttemptOutcome } from '../../src/requests/types.ts';
+import type { Host, Simulation } from './simulation.ts';
+
+/** Configuration of `count` engines with room for the adapter `a` in two versions. */
+export function newEngineChanges(count: number, inForce = 'v1'): Change[] {
+  const engines = Array.from({ length: count }, (_, index): Change => ({
+    type: 'putEngine',
+    engine: {
+      id: `e${index + 1}`,
+      address: `e${index + 1}:1`,
+      zone: 'z',
+      pool: 'p',
+      model: 'm',
+      slots: 4,
+      batch: 8,
+      checksFencing: true,
+    },
+  }));
+  return [...engines, newAdapterChange(inForce)];
+}
+
+export function newAdapterChange(inForce: string): Change {
+  const versions = { v1: { source: 's1' }, v2: { source: 's2' } };
+  return { type: 'putAdapter', adapter: { name: 'a', firm: 'f', model: 'm', versions, inForce } };
+}
+
+/** Answers an order of an engine that loads and unloads at once. */
+export function answerOrder(simulation: Simulation, host: Host, effect: Effect): void {
+  if (effect.type !== 'orderEngine') return;
+  const { engine, epoch, order } = effect;
+  simulation.feedLater(host, () => ({
+    type: 'orderAnswered',
+    engine,
+    epoch,
+    order,
+    answer: { type: 'done' },
+  }));
+}
+
+/** Returns the outcome of an attempt that ran whole. */
+export function getCompleted(model: string): AttemptOutcome {
+  const [adapter = '', version = ''] = model.split('@');
+  return { type: 'completed', adapter, version, tokens: 1 };
+}
--- a/tests/helpers/memoryTable.ts
+++ b/tests/helpers/memoryTable.ts
@@ -3,6 +3,8 @@
 /** Transactional table in memory; without faults, the caller adds them. */
 export class MemoryTable {
   readonly rows = new Map<string, StoredRow>();
+  /** Called with each change of a row. */
+  watch: (before: unknown, after: unknown) => void = () => undefined;
   private version = 0;
 
   private constructor() {}
@@ -35,6 +37,7 @@
           }
           const value: unknown = JSON.parse(JSON.stringify(write.value));
           const row = { key: write.key, value, version: String(++this.version) };
+          this.watch(this.rows.get(write.key)?.value, value);
           this.rows.set(write.key, row);
           return [row];
         });
--- a/tests/helpers/simulation.ts
+++ b/tests/helpers/simulation.ts
@@ -6,6 +6,7 @@
 import { reduce } from '../../src/core/reduce.ts';
 import { State } from '../../src/core/state.ts';
 import type { ObjectAnswer, ObjectCall } from '../../src/core/store.ts';
+import { updateOwned } from '../../src/grants/owned.ts';
 import { MemoryTable } from './memoryTable.ts';
 
 export interface Host {
@@ -71,6 +72,7 @@
       confirmedAtUnixMs: 0,
       changes,
     });
+    updateOwned(state, this.now);
     const host: Host = { id, state, isAlive: true, isPaused: false };
     this.hosts.set(id, host);
     for (const other of this.alive()) this.introduce(other);
@@ -100,8 +102,13 @@
   }
 
   feed(host: Host, event: Event): void {
+    this.act(host, (state) => reduce(state, event, this.now));
+  }
+
+  /** Calls a function of the reducer on a host and handles its effects. */
+  act(host: Host, decide: (state: State, now: number) => Effect[]): void {
     if (!host.isAlive) return;
-    for (const effect of reduce(host.state, event, this.now)) this.handle(host, effect);
+    for (const effect of decide(host.state, this.now)) this.handle(host, effect);
   }
 
   /** Adds a step that feeds `event` to `host` later. */
