--- a/tests/helpers/simulation.ts
+++ b/tests/helpers/simulation.ts
@@ -60,7 +60,13 @@
     this.started += 1;
     const state = State.create({
       host: { id, zone: 'z', region: 'r', address: `${id}:1`, incarnation: this.started },
-      policy: { stallWeight: 0.5, loadsPerS: 1000, maxRequestsPerCaller: 500, maxRequests: 500 },
+      policy: {
+        stallWeight: 0.5,
+        loadsPerS: 1000,
+        maxRequestsPerCaller: 500,
+        maxRequests: 500,
+        lameDuckMs: 3_000,
+      },
       // The same seed everywhere: nothing may rely on different random numbers.
       seed: 1,
     });
