--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -1,5 +1,6 @@
 import type { Failure } from '../errors/failure.ts';
 import type { RefusalReason } from '../grants/types.ts';
+import { RetryBudget } from './retryBudget.ts';
 
 export type RequestKind = 'urgent' | 'ordinary' | 'draft';
 
@@ -14,7 +15,7 @@
   version: string | undefined;
   /** Monotonic ms by which the answer must be complete. */
   deadline: number;
-  /** Hash of adapter, version and normalized body. */
+  /** Hash of the normalized body on arrival; of adapter, version and body once admitted. */
   fingerprint: string;
   /** Hash chain of the prompt's blocks, for prefix-cache routing. */
   promptBlocks: number[];
@@ -63,6 +64,7 @@
   readonly inFlight = new Map<string, Request>();
   /** Requests in flight by caller. */
   readonly byCaller = new Map<string, number>();
+  readonly retries = RetryBudget.create();
 
   private constructor() {}
 
