Serve drafts and calls of plain services

A completion with Prefer: respond-async is answered once it is durable and its result is read from its Location; a call of a service runs under its claim and a repeat with the same key gets the recorded answer.

--- a/src/callers/routes/complete.ts
+++ b/src/callers/routes/complete.ts
@@ -1,11 +1,11 @@
 import { Failure } from '../../errors/failure.ts';
 import { readBody } from '../../http/body.ts';
-import { sendFailure } from '../../http/reply.ts';
+import { sendFailure, sendJson } from '../../http/reply.ts';
 import type { Call, Route } from '../context.ts';
 import { ChatBody, type Completion, CompletionBody, parseCompletion } from '../completionBody.ts';
 import type { CompletionPath } from '../exchange.ts';
 import { HttpSink } from '../httpSink.ts';
-import { parseRequestHeaders, type RequestHeaders } from '../requestHeaders.ts';
+import { isAsync, parseRequestHeaders, type RequestHeaders } from '../requestHeaders.ts';
 
 /** `POST /v1/completions` */
 export const completions: Route = {
@@ -47,7 +47,38 @@
     sendFailure(call.response, completion.val);
     return;
   }
-  startRequest(call, path, completion.val, headers.val, arrivedAt);
+  if (isAsync(call.request.headers)) startDraft(call, path, completion.val);
+  else startRequest(call, path, completion.val, headers.val, arrivedAt);
+}
+
+/** Answers 202 once the draft is durable. */
+function startDraft(call: Call, path: CompletionPath, completion: Completion): void {
+  const { id, host, key, response } = call;
+  host.addDraftWaiter(id, (failure) => {
+    if (failure === undefined) {
+      const location = `/v1/drafts/${id}`;
+      const headers = { location, 'preference-applied': 'respond-async' };
+      sendJson(response, 202, { id, object: 'draft', state: 'queued' }, headers);
+    } else {
+      sendFailure(response, failure);
+    }
+  });
+  host.dispatch({
+    type: 'draftArrived',
+    draft: {
+      id,
+      firm: key.firm,
+      caller: key.name,
+      path,
+      adapter: completion.adapter,
+      version: completion.version,
+      bodyHash: completion.bodyHash,
+      promptBlocks: completion.promptBlocks,
+      maxTokens: completion.maxTokens,
+      // The result is fetched whole, whatever the caller said about streaming.
+      body: JSON.stringify({ ...completion.body, stream: undefined, stream_options: undefined }),
+    },
+  });
 }
 
 function startRequest(
--- a/src/callers/routes/index.ts
+++ b/src/callers/routes/index.ts
@@ -1,6 +1,15 @@
 import type { Route } from '../context.ts';
 import { chatCompletions, completions } from './complete.ts';
+import { deleteDraft, readDraft } from './drafts.ts';
 import { models } from './models.ts';
+import { services } from './services.ts';
 
 /** Every route of the callers' API. */
-export const routes: readonly Route[] = [chatCompletions, completions, models];
+export const routes: readonly Route[] = [
+  chatCompletions,
+  completions,
+  models,
+  readDraft,
+  deleteDraft,
+  services,
+];
--- /dev/null
+++ b/src/callers/routes/services.ts
@@ -0,0 +1,99 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import type { ActionAnswer } from '../../actions/types.ts';
+import { sha256 } from '../../base/hash.ts';
+import { Failure } from '../../errors/failure.ts';
+import { readBody } from '../../http/body.ts';
+import { sendFailure } from '../../http/reply.ts';
+import type { Call, Route } from '../context.ts';
+import { parseRequestHeaders } from '../requestHeaders.ts';
+
+/** Headers of the caller that a service receives. */
+const FORWARDED_HEADERS = [
+  'content-type',
+  'accept',
+  'accept-language',
+  'idempotency-key',
+  'traceparent',
+];
+const KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
+
+/** `ANY /services/NAME/...`: a call of a plain service. */
+export const services: Route = {
+  method: ['GET', 'POST', 'PUT', 'PATCH', 'DELETE'],
+  path: '/services/:service/*',
+  handle: (call) => callService(call),
+};
+
+async function callService(call: Call): Promise<void> {
+  const { id, request, response, host, key, params, url } = call;
+  const { limits } = host.settings;
+  const headers = parseRequestHeaders(request.headers, limits);
+  if (headers.err) {
+    sendFailure(response, headers.val);
+    return;
+  }
+  const idempotencyKey = request.headers['idempotency-key'];
+  if (idempotencyKey !== undefined && !KEY_PATTERN.test(String(idempotencyKey))) {
+    const message = 'header Idempotency-Key must be 1 to 255 printable ASCII characters';
+    sendFailure(response, Failure.create('bad_request', message, { param: 'Idempotency-Key' }));
+    return;
+  }
+  const arrivedAt = performance.now();
+  const body = await readBody(request, {
+    maxBytes: limits.bodyBytes,
+    timeoutMs: limits.slowSenderMs,
+  });
+  if (body.err) {
+    response.setHeader('connection', 'close');
+    sendFailure(response, body.val);
+    return;
+  }
+  const method = request.method ?? 'GET';
+  const path = `/${params['*'] ?? ''}`;
+  host.addServiceExchange(id, {
+    method,
+    path: path + url.search,
+    headers: { ...getForwarded(request.headers), 'x-request-id': id },
+    body: body.val,
+    answer: (answer) => sendAnswer(call, answer),
+  });
+  host.dispatch({
+    type: 'actionArrived',
+    action: {
+      id,
+      firm: key.firm,
+      caller: key.name,
+      service: params.service ?? '',
+      method,
+      path,
+      key: idempotencyKey === undefined ? undefined : String(idempotencyKey),
+      bodyHash: sha256(Buffer.concat([Buffer.from(`${url.search}\n`), body.val])),
+      deadline: arrivedAt + headers.val.remainingMs,
+    },
+  });
+}
+
+function getForwarded(headers: IncomingHttpHeaders): Record<string, string> {
+  const forwarded: Record<string, string> = {};
+  for (const name of FORWARDED_HEADERS) {
+    const value = headers[name];
+    if (typeof value === 'string') forwarded[name] = value;
+  }
+  return forwarded;
+}
+
+function sendAnswer({ response }: Call, answer: ActionAnswer): void {
+  if (response.destroyed) return;
+  if (answer.type === 'failed') {
+    sendFailure(response, answer.failure);
+    return;
+  }
+  const body = Buffer.from(answer.body, 'base64');
+  const replayed = answer.isReplay ? { 'idempotency-replayed': 'true' } : {};
+  response.writeHead(answer.status, {
+    ...answer.headers,
+    ...replayed,
+    'content-length': body.length,
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/src/callers/serviceExchange.ts
@@ -0,0 +1,12 @@
+import type { ActionAnswer } from '../actions/types.ts';
+
+/** A call of a plain service, kept by the host while the reducer decides. */
+export interface ServiceExchange {
+  method: string;
+  /** Path and query below the service. */
+  path: string;
+  headers: Record<string, string>;
+  body: Buffer;
+  /** Called once. */
+  answer: (answer: ActionAnswer) => void;
+}
--- a/src/errors/kinds.ts
+++ b/src/errors/kinds.ts
@@ -54,6 +54,11 @@
 
 export type ErrorKind = keyof typeof ANSWERS;
 
+/** Whether `text` is a kind of the closed list. */
+export function isErrorKind(text: string): text is ErrorKind {
+  return Object.hasOwn(ANSWERS, text);
+}
+
 /** Returns the table entry for `kind`. */
 export function getAnswer(kind: ErrorKind): Answer {
   return ANSWERS[kind];
--- a/src/host/context.ts
+++ b/src/host/context.ts
@@ -1,7 +1,10 @@
+import type { DraftReader, DraftWaiter } from '../callers/context.ts';
 import type { Exchange } from '../callers/exchange.ts';
+import type { ServiceExchange } from '../callers/serviceExchange.ts';
 import type { EngineClient } from '../clients/engineClient.ts';
 import type { HostListClient } from '../clients/hostListClient.ts';
 import type { ObjectClient } from '../clients/objectClient.ts';
+import type { ServiceClient } from '../clients/serviceClient.ts';
 import type { TableClient } from '../clients/tableClient.ts';
 import type { Effect } from '../core/effects.ts';
 import type { Event } from '../core/events.ts';
@@ -25,6 +28,10 @@
   readonly hostList: HostListClient;
   readonly links: PeerLinks;
   readonly exchanges: Map<string, Exchange>;
+  readonly serviceExchanges: Map<string, ServiceExchange>;
+  readonly draftWaiters: Map<string, DraftWaiter>;
+  readonly draftReaders: Map<string, DraftReader>;
+  readonly services: ServiceClient;
   readonly attempts: Map<string, RunningAttempt>;
   dispatch(event: Event): void;
   /** Hands the answer to an operator's question to the server that asked. */
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -1,10 +1,13 @@
 import { AdminServer } from '../admin/server.ts';
+import type { DraftReader, DraftWaiter } from '../callers/context.ts';
 import type { Exchange } from '../callers/exchange.ts';
+import type { ServiceExchange } from '../callers/serviceExchange.ts';
 import { CallerServer } from '../callers/server.ts';
 import { EngineClient } from '../clients/engineClient.ts';
 import { HostListClient } from '../clients/hostListClient.ts';
 import { Http } from '../clients/http.ts';
 import { ObjectClient } from '../clients/objectClient.ts';
+import { ServiceClient } from '../clients/serviceClient.ts';
 import { TableClient } from '../clients/tableClient.ts';
 import { hash32 } from '../base/hash.ts';
 import type { Event } from '../core/events.ts';
@@ -20,12 +23,16 @@
 /** One entry host: the loop, its clients and its servers. */
 export class EntryHost implements HostContext {
   readonly exchanges = new Map<string, Exchange>();
+  readonly serviceExchanges = new Map<string, ServiceExchange>();
+  readonly draftWaiters = new Map<string, DraftWaiter>();
+  readonly draftReaders = new Map<string, DraftReader>();
   readonly attempts = new Map<string, RunningAttempt>();
   readonly state: State;
   readonly observer: Observer;
   readonly table: TableClient;
   readonly objects: ObjectClient;
   readonly engines: EngineClient;
+  readonly services: ServiceClient;
   readonly hostList: HostListClient;
   readonly links: PeerLinks;
   private readonly http = Http.create();
@@ -43,6 +50,7 @@
     this.table = TableClient.create({ address: tableUrl, http });
     this.objects = ObjectClient.create({ address: objectsUrl, http });
     this.hostList = HostListClient.create({ address: hostsUrl, http });
+    this.services = ServiceClient.create({ http });
     this.engines = EngineClient.create({ http });
     this.links = PeerLinks.create({
       identity: this.state.host,
@@ -89,6 +97,18 @@
     this.exchanges.set(id, exchange);
   }
 
+  addServiceExchange(id: string, exchange: ServiceExchange): void {
+    this.serviceExchanges.set(id, exchange);
+  }
+
+  addDraftWaiter(id: string, waiter: DraftWaiter): void {
+    this.draftWaiters.set(id, waiter);
+  }
+
+  addDraftReader(id: string, reader: DraftReader): void {
+    this.draftReaders.set(id, reader);
+  }
+
   answerOperator(id: string, answer: OperatorAnswer): void {
     this.adminServer.answer(id, answer);
   }
--- a/src/host/runners/durable.ts
+++ b/src/host/runners/durable.ts
@@ -1,4 +1,10 @@
-import type { EffectRunners } from '../context.ts';
+import type { ServiceAnswer } from '../../actions/types.ts';
+import { DraftSink } from '../../callers/draftSink.ts';
+import type { CompletionPath } from '../../callers/exchange.ts';
+import type { ServiceExchange } from '../../callers/serviceExchange.ts';
+import type { HttpAnswer, HttpCall } from '../../clients/http.ts';
+import type { Effect } from '../../core/effects.ts';
+import type { EffectRunners, HostContext } from '../context.ts';
 
 type DurableEffect =
   | 'callService'
@@ -9,14 +15,74 @@
   | 'answerDraftRead'
   | 'answerDraftList';
 
+/** Headers of a service's answer that its caller receives, now and in a replay. */
+const KEPT_HEADERS = ['content-type', 'content-language', 'location', 'etag', 'retry-after'];
+
 export const durableRunners: EffectRunners<DurableEffect> = {
-  // No route for services creates actions yet; nothing is written, so "not sent" is true.
-  callService: (context, { id }) =>
-    context.dispatch({ type: 'serviceAnswered', id, answer: { type: 'notSent' } }),
-  answerAction: () => undefined,
-  answerDraft: () => undefined,
-  prepareDraft: () => undefined,
-  dropDraftRequest: () => undefined,
-  answerDraftRead: () => undefined,
+  callService: (context, effect) => {
+    const exchange = context.serviceExchanges.get(effect.id);
+    if (exchange === undefined) {
+      // Nothing was written, so the reducer may say so.
+      context.dispatch({ type: 'serviceAnswered', id: effect.id, answer: { type: 'notSent' } });
+      return;
+    }
+    void callService(context, effect, exchange);
+  },
+  answerAction: (context, { id, answer }) => {
+    context.serviceExchanges.get(id)?.answer(answer);
+    context.serviceExchanges.delete(id);
+  },
+  answerDraft: (context, { id, answer }) => {
+    context.draftWaiters.get(id)?.(answer.type === 'failed' ? answer.failure : undefined);
+    context.draftWaiters.delete(id);
+  },
+  prepareDraft: (context, { id, draft, path, body }) => {
+    context.exchanges.set(id, {
+      path: path as CompletionPath,
+      body: JSON.parse(body) as Record<string, unknown>,
+      sink: DraftSink.create(draft, (event) => context.dispatch(event)),
+    });
+  },
+  dropDraftRequest: (context, { id }) => void context.exchanges.delete(id),
+  answerDraftRead: (context, { id, answer }) => {
+    context.draftReaders.get(id)?.(answer);
+    context.draftReaders.delete(id);
+  },
   answerDraftList: () => undefined,
 };
+
+async function callService(
+  context: HostContext,
+  effect: Extract<Effect, { type: 'callService' }>,
+  exchange: ServiceExchange,
+): Promise<void> {
+  const { method, path, headers, body } = exchange;
+  const remainingMs = Math.max(1, Math.ceil(effect.deadline - performance.now()));
+  const answer = await context.services.call({
+    address: effect.address,
+    method: method as HttpCall['method'],
+    path,
+    headers: { ...headers, 'x-request-deadline-ms': String(remainingMs) },
+    body: body.length === 0 ? undefined : body,
+    timeoutMs: remainingMs,
+    mustNotRepeat: !effect.isRepeatable,
+  });
+  context.dispatch({ type: 'serviceAnswered', id: effect.id, answer: getServiceAnswer(answer) });
+}
+
+function getServiceAnswer(answer: HttpAnswer): ServiceAnswer {
+  if (answer.type === 'notSent') return { type: 'notSent' };
+  if (answer.type === 'lost') return { type: 'lost', reason: answer.reason };
+  const headers: Record<string, string> = {};
+  for (const name of KEPT_HEADERS) {
+    const value = answer.headers[name];
+    if (typeof value === 'string') headers[name] = value;
+  }
+  return {
+    type: 'answered',
+    status: answer.status,
+    headers,
+    // Bodies may be binary; rows of the table hold JSON.
+    body: answer.body.toString('base64'),
+  };
+}
