--- a/bench/overhead/forwarder.ts
+++ b/bench/overhead/forwarder.ts
@@ -3,7 +3,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { pipeline } from 'node:stream/promises';
-import createRouter, { type HTTPVersion } from 'find-my-way';
+import createRouter from 'find-my-way';
 import { Agent } from 'undici';
 
 const origin = `http://${process.argv[2] ?? ''}`;
@@ -24,7 +24,7 @@
   await pipeline(answer.body, response);
 }
 
-const router = createRouter<HTTPVersion.V1>();
+const router = createRouter();
 router.on('POST', '/v1/completions', (request, response) => {
   forward(request, response).catch(() => response.destroy());
 });
--- a/src/clients/http.ts
+++ b/src/clients/http.ts
@@ -83,10 +83,11 @@
 export class Http {
   private readonly pools = new Map<string, Agent>();
 
-  private constructor() {}
+  private constructor(private readonly options: typeof OPTIONS & { localAddress?: string }) {}
 
-  static create(): Http {
-    return new Http();
+  /** `localAddress` is the IP number that connections are opened from. */
+  static create({ localAddress }: { localAddress?: string } = {}): Http {
+    return new Http({ ...OPTIONS, localAddress });
   }
 
   /** Makes a call and reads the whole answer. */
@@ -114,7 +115,7 @@
   /** Makes a call and returns once the head of the answer has arrived. */
   async open(call: HttpCall): Promise<OpenAnswer | HttpFailure> {
     const origin = getOrigin(call.address);
-    const client = call.isFresh === true ? new Client(origin, OPTIONS) : undefined;
+    const client = call.isFresh === true ? new Client(origin, this.options) : undefined;
     const dispatcher: Dispatcher = client ?? this.getPool(origin);
     const close = () => {
       client?.destroy().catch(() => undefined);
@@ -175,7 +176,7 @@
   private getPool(origin: string): Agent {
     let pool = this.pools.get(origin);
     if (pool === undefined) {
-      pool = new Agent({ ...OPTIONS, connections: CONNECTIONS_PER_ADDRESS });
+      pool = new Agent({ ...this.options, connections: CONNECTIONS_PER_ADDRESS });
       this.pools.set(origin, pool);
     }
     return pool;
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -1,6 +1,7 @@
 import type { Exchange } from '../callers/exchange.ts';
 import { CallerServer } from '../callers/server.ts';
 import { EngineClient } from '../clients/engineClient.ts';
+import { Http } from '../clients/http.ts';
 import { ObjectClient } from '../clients/objectClient.ts';
 import { TableClient } from '../clients/tableClient.ts';
 import { hash32 } from '../base/hash.ts';
@@ -21,7 +22,8 @@
   readonly observer: Observer;
   readonly table: TableClient;
   readonly objects: ObjectClient;
-  readonly engines = EngineClient.create();
+  readonly engines: EngineClient;
+  private readonly http: Http;
   private readonly loop: Loop;
   private readonly callerServer: CallerServer;
   private readonly stopped: Promise<void>;
@@ -30,8 +32,11 @@
   private constructor(readonly settings: Settings) {
     this.state = newState(settings);
     this.observer = Observer.create(settings);
-    this.table = TableClient.create({ address: settings.platform.tableUrl });
-    this.objects = ObjectClient.create({ address: settings.platform.objectsUrl });
+    const http = Http.create({ localAddress: settings.host.sourceAddress });
+    this.http = http;
+    this.engines = EngineClient.create({ http });
+    this.table = TableClient.create({ address: settings.platform.tableUrl, http });
+    this.objects = ObjectClient.create({ address: settings.platform.objectsUrl, http });
     this.loop = Loop.create(this.state, (effect) => runEffect(this, effect));
     this.callerServer = CallerServer.create(this);
     this.stopped = new Promise((resolve) => {
@@ -56,7 +61,7 @@
     await this.stopped;
     this.loop.stop();
     await this.callerServer.stop();
-    await Promise.all([this.engines.close(), this.table.close(), this.objects.close()]);
+    await this.http.close();
   }
 
   dispatch(event: Event): void {
--- a/src/settings/groups.ts
+++ b/src/settings/groups.ts
@@ -6,6 +6,7 @@
   newChoice,
   newDuration,
   newInteger,
+  newIp,
   newListenAddress,
   newMatch,
   newNumber,
@@ -47,6 +48,12 @@
     default: () => String(Math.floor(Date.now() / 1_000)),
     defaultText: 'start time in Unix seconds',
   }),
+  sourceAddress: newSetting(newOptional(newIp()), {
+    name: 'source-address',
+    help: 'IP number that outgoing connections are opened from; the system chooses by default.',
+    allowed: 'a specific IP number of this host',
+    isOptional: true,
+  }),
 });
 
 /** Where the host listens. */
--- a/src/settings/values.ts
+++ b/src/settings/values.ts
@@ -43,12 +43,17 @@
   return newText(parseAddress);
 }
 
+/** IP number of one interface. */
+export function newIp(): Text<string> {
+  return newText((text) => (isIP(text) === 0 || isUnspecified(text) ? undefined : text));
+}
+
 /** `IP:PORT` that other hosts connect to. */
 export function newPeerAddress(): Text<string> {
   return newText((text) => {
     const address = parseAddress(text);
     if (address === undefined || address.port === 0) return undefined;
-    return /^(0\.0\.0\.0|[0:]+)$/.test(address.host) ? undefined : text;
+    return isUnspecified(address.host) ? undefined : text;
   });
 }
 
@@ -111,6 +116,10 @@
   return z.union([z.undefined(), schema]);
 }
 
+function isUnspecified(host: string): boolean {
+  return /^(0\.0\.0\.0|[0:]+)$/.test(host);
+}
+
 function getInRange(value: number, min: number, max: number): number | undefined {
   return value >= min && value <= max ? value : undefined;
 }
--- a/stand-ins/proxy/proxy.ts
+++ b/stand-ins/proxy/proxy.ts
@@ -27,6 +27,7 @@
 export type ProxyFaults = z.infer<typeof ProxyFaults>;
 
 interface Link {
+  source: string;
   client: Socket;
   server: Socket;
   toServer: Direction;
@@ -37,6 +38,7 @@
 /** TCP proxy that injects faults between a client and a server. */
 export class Proxy implements StandIn {
   faults = ProxyFaults.parse({});
+  private readonly sourceFaults = new Map<string, Partial<ProxyFaults>>();
   private readonly links = new Set<Link>();
   private listener: Server | undefined;
   private boundPort: number | undefined;
@@ -76,17 +78,28 @@
     this.control?.closeAllConnections();
   }
 
-  /** Changes the named switches, also for open connections. */
-  setFaults(change: Partial<ProxyFaults>): Promise<void> {
-    this.faults = { ...this.faults, ...change };
+  /**
+   * Changes the named switches, also for open connections; with `source` only for connections from that
+   * IP number, where they go before the common ones.
+   */
+  setFaults(change: Partial<ProxyFaults>, source?: string): Promise<void> {
+    if (source === undefined) this.faults = { ...this.faults, ...change };
+    else this.sourceFaults.set(source, { ...this.sourceFaults.get(source), ...change });
     for (const link of this.links) this.apply(link);
     this.changes = this.changes.then(() => (this.faults.refuse ? this.shut() : this.open()));
     return this.changes;
   }
 
-  /** Makes all open connections silent for good; new ones work. */
-  silence(): void {
+  /** Removes all switches of connections from the IP number `source`. */
+  clearFaults(source: string): Promise<void> {
+    this.sourceFaults.delete(source);
+    return this.setFaults({});
+  }
+
+  /** Makes all open connections, or those from `source`, silent for good; new ones work. */
+  silence(source?: string): void {
     for (const link of this.links) {
+      if (source !== undefined && link.source !== source) continue;
       link.isSilent = true;
       this.apply(link);
     }
@@ -108,6 +121,12 @@
   }
 
   private accept(client: Socket): void {
+    const source = client.remoteAddress ?? '';
+    // The listener is shared by all sources, so that a refusal for one of them is a reset.
+    if (this.getFaults(source).refuse) {
+      client.resetAndDestroy();
+      return;
+    }
     const at = this.options.target.lastIndexOf(':');
     const host = this.options.target.slice(0, at);
     const port = Number(this.options.target.slice(at + 1));
@@ -115,6 +134,7 @@
     client.setNoDelay(true);
     server.setNoDelay(true);
     const link: Link = {
+      source,
       client,
       server,
       toServer: Direction.create(client, server, () => true),
@@ -131,7 +151,7 @@
       socket.on('close', (hadError) => {
         // A silent connection must look open to both sides, and a held-back end is not lost.
         const mayEnd = hadError || !socket.readableEnded;
-        if (mayEnd && !link.isSilent && !this.isCut()) other.destroy();
+        if (mayEnd && !link.isSilent && !this.isCut(link)) other.destroy();
         if (!client.destroyed || !server.destroyed) return;
         link.toServer.stop();
         link.toClient.stop();
@@ -140,20 +160,27 @@
     }
   }
 
-  private isCut(): boolean {
-    return this.faults.cutToServer || this.faults.cutToClient;
+  private getFaults(source: string): ProxyFaults {
+    return { ...this.faults, ...this.sourceFaults.get(source) };
+  }
+
+  private isCut({ source }: Link): boolean {
+    const { cutToServer, cutToClient } = this.getFaults(source);
+    return cutToServer || cutToClient;
   }
 
   private losesAnswer(link: Link): boolean {
-    if (link.isSilent || this.faults.loseAnswers === 0) return false;
-    this.faults.loseAnswers--;
+    const own = this.sourceFaults.get(link.source);
+    const faults = own?.loseAnswers === undefined ? this.faults : own;
+    if (link.isSilent || !faults.loseAnswers) return false;
+    faults.loseAnswers--;
     link.client.destroy();
     link.server.destroy();
     return true;
   }
 
-  private apply({ toServer, toClient, isSilent }: Link): void {
-    const { delayMs, cutToServer, cutToClient } = this.faults;
+  private apply({ source, toServer, toClient, isSilent }: Link): void {
+    const { delayMs, cutToServer, cutToClient } = this.getFaults(source);
     toServer.isCut = isSilent || cutToServer;
     toClient.isCut = isSilent || cutToClient;
     for (const direction of [toServer, toClient]) {
--- a/tests/settings/parse.test.ts
+++ b/tests/settings/parse.test.ts
@@ -49,6 +49,7 @@
     ['caller-listen', 'localhost:80', 'IP:PORT'],
     ['caller-listen', '1.2.3.4:70000', 'IP:PORT'],
     ['peer-address', '0.0.0.0:8082', 'specific IP'],
+    ['source-address', '0.0.0.0', 'specific IP'],
     ['table-url', 'ftp://127.0.0.1', 'http or https'],
     ['log-level', 'loud', 'debug, info'],
     ['shutdown-limit', '60s', 'longest request'],
