--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -4,8 +4,8 @@
 import { chmodSync, copyFileSync, readFileSync, renameSync, rmSync, writeFileSync } from 'node:fs';
 import console from 'node:console';
 import process from 'node:process';
-import { build } from 'esbuild';
 import { inject } from 'postject';
+import { buildBundle } from './bundle.mjs';
 
 const BUNDLE = 'dist/fireflywick.cjs';
 const BINARY = 'dist/fireflywick';
@@ -13,19 +13,7 @@
 const CONFIG = 'dist/sea.json';
 const UNFINISHED = 'dist/fireflywick.unfinished';
 
-await build({
-  entryPoints: ['src/main.ts'],
-  outfile: BUNDLE,
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  // The UMD file of ts-results fails at run time once bundled.
-  mainFields: ['module', 'main'],
-  define: { 'import.meta.url': 'importMetaUrl' },
-  banner: { js: "const importMetaUrl = require('node:url').pathToFileURL(__filename).href;" },
-  logLevel: 'warning',
-});
+await buildBundle(BUNDLE);
 
 // Without the binary the bundle still runs, so a failure here is reported and leaves the bundle.
 try {
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,18 @@
+import { build } from 'esbuild';
+
+/** Bundles the program into the file `outfile`. */
+export async function buildBundle(outfile) {
+  await build({
+    entryPoints: ['src/main.ts'],
+    outfile,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    // The UMD file of ts-results fails at run time once bundled.
+    mainFields: ['module', 'main'],
+    define: { 'import.meta.url': 'importMetaUrl' },
+    banner: { js: "const importMetaUrl = require('node:url').pathToFileURL(__filename).href;" },
+    logLevel: 'warning',
+  });
+}
--- a/stand-ins/engine/engine.ts
+++ b/stand-ins/engine/engine.ts
@@ -113,7 +113,14 @@
       return newFailure(404, `the model "${model}" does not exist`);
     }
     const job = Job.create(id, parsed.data, call.path.includes('/chat/'), this.faults);
-    const run = { request: id, model, bootId: this.bootId, state: job.state, tokens: 0 };
+    const run = {
+      request: id,
+      model,
+      bootId: this.bootId,
+      state: job.state,
+      tokens: 0,
+      arrivedAt: performance.now(),
+    };
     this.records.runs.push(run);
     this.runs.set(job, run);
     this.remember(job);
--- a/stand-ins/service.ts
+++ b/stand-ins/service.ts
@@ -15,6 +15,8 @@
   /** Its `Idempotency-Key`; the service itself does not look at it. */
   key: string | undefined;
   body: string;
+  /** Monotonic ms at which the call arrived. */
+  arrivedAt: number;
 }
 
 /** Plain service that executes each call it gets, repeated or not, and records it. */
@@ -46,7 +48,7 @@
     if (path === '/records') return { status: 200, body: this.records };
     const header = headers['idempotency-key'];
     const key = Array.isArray(header) ? header[0] : header;
-    this.records.push({ method, path, key, body });
+    this.records.push({ method, path, key, body, arrivedAt: performance.now() });
     return { status: 200, body: { execution: this.records.length, method, path, key, body } };
   }
 }
--- /dev/null
+++ b/tests/faults/checker.ts
@@ -0,0 +1,130 @@
+import { getExpectedText } from '../../stand-ins/engine/answer.ts';
+import type { ExecutedCall } from '../../stand-ins/service.ts';
+import type { CompletionRecord, ServiceRecord } from '../helpers/callers.ts';
+import type { Deployment } from '../helpers/deployment.ts';
+
+/** Time after which an endpoint that all hosts know to be leaving gets no new work (G6). */
+const LEAVING_MS = 3_000;
+
+type Check = (deployment: Deployment) => string[];
+
+const CHECKS: Record<string, Check> = {
+  'G1 G3 mixed up': ({ callers }) => callers.completions.flatMap(checkAnswer),
+  'G2 evicted in use': ({ platform }) =>
+    platform.engines.flatMap(({ id, standIn }) =>
+      standIn.records.evictions
+        .filter(({ inUseBy }) => inUseBy.length > 0)
+        .map(({ model, inUseBy }) => `${model} on ${id} while ${inUseBy.join(', ')} used it`),
+    ),
+  'G3 no answer': (deployment) =>
+    [...deployment.callers.completions, ...deployment.callers.calls]
+      .filter((record) => isLost(deployment, record))
+      .map((record) => `${describe(record)}: ${record.error ?? 'connection closed'}`),
+  'G4 wrongly not run': (deployment) => [
+    ...deployment.callers.completions.flatMap((record) => checkNotRun(deployment, record)),
+    ...getExecuted(deployment).flatMap((call) => checkCallNotRun(deployment, call)),
+  ],
+  'G5 doubled': (deployment) => {
+    const counts = new Map<string, number>();
+    for (const { key = '', method } of getExecuted(deployment)) {
+      if (method !== 'GET') counts.set(key, (counts.get(key) ?? 0) + 1);
+    }
+    return [...counts].filter(([, count]) => count > 1).map(([key, n]) => `${key} ran ${n} times`);
+  },
+  'G6 work on a leaving endpoint': ({ platform, leaving }) =>
+    [...platform.engines, ...platform.endpoints].flatMap(({ id, standIn }) => {
+      const until = (leaving.get(id) ?? Infinity) + LEAVING_MS;
+      const records = 'runs' in standIn.records ? standIn.records.runs : standIn.records;
+      return records
+        .filter(({ arrivedAt }) => arrivedAt > until)
+        .map(({ arrivedAt }) => `${id} got work ${Math.round(arrivedAt - until)} ms too late`);
+    }),
+  'G7 cut off by a planned stop': checkStops,
+  'G8 configuration went back': ({ revisions }) =>
+    [...revisions].flatMap(([{ place }, seen]) =>
+      seen
+        .filter((revision, index) => revision < (seen[index - 1] ?? 0))
+        .map((revision) => `${place.id} went back to ${revision}`),
+    ),
+};
+
+/** Returns what the records of callers, services and engines say against the guarantees. */
+export function findViolations(deployment: Deployment): string[] {
+  return Object.entries(CHECKS).flatMap(([name, check]) =>
+    check(deployment).map((violation) => `${name}: ${violation}`),
+  );
+}
+
+function checkAnswer(record: CompletionRecord): string[] {
+  const { adapter, version, prompt, maxTokens, status, text, isComplete } = record;
+  if (status !== 200) return [];
+  const model = `${adapter}@${version}`;
+  const expected = getExpectedText({ model, prompt, max_tokens: maxTokens, priority: 0 });
+  const reported = `${String(record.headers['x-adapter'])}@${String(record.headers['x-adapter-version'])}`;
+  if (reported !== model) return [`${describe(record)} came from ${reported}`];
+  const isRight = isComplete ? text === expected : expected.startsWith(text);
+  return isRight ? [] : [`${describe(record)} got ${JSON.stringify(text)}`];
+}
+
+function getId(record: CompletionRecord | ServiceRecord): string {
+  return String(record.headers['x-request-id']);
+}
+
+function describe(record: CompletionRecord | ServiceRecord): string {
+  const what =
+    record.type === 'completion'
+      ? `${record.adapter}@${record.version} "${record.prompt}"`
+      : `${record.method} ${record.key}`;
+  return `${what} through ${record.host} (${getId(record)})`;
+}
+
+function checkNotRun({ platform }: Deployment, record: CompletionRecord): string[] {
+  if (record.failure?.outcome !== 'not_run') return [];
+  return platform.engines.flatMap(({ id, standIn }) =>
+    standIn.records.runs
+      .filter(({ request }) => request.startsWith(`${getId(record)}.`))
+      .map(({ state }) => `${describe(record)}: ${record.failure?.kind ?? ''}, ${state} on ${id}`),
+  );
+}
+
+/** An action that ran before an answer "not run" to any of its requests was given. */
+function checkCallNotRun({ callers }: Deployment, { key, arrivedAt }: ExecutedCall): string[] {
+  return callers.calls
+    .filter((record) => record.key === key && record.failure?.outcome === 'not_run')
+    .filter(({ endedAt }) => endedAt > arrivedAt)
+    .map((record) => `${describe(record)}: ${record.failure?.kind ?? ''}`);
+}
+
+function getExecuted({ platform }: Deployment): ExecutedCall[] {
+  return platform.endpoints.flatMap(({ standIn }) => standIn.records);
+}
+
+function getRun(deployment: Deployment, { address }: CompletionRecord | ServiceRecord) {
+  return deployment.runs.find(({ callers }) => callers === address);
+}
+
+/** Whether a host that was not killed left its caller without an answer. */
+function isLost(deployment: Deployment, record: CompletionRecord | ServiceRecord): boolean {
+  if (record.status !== undefined || record.error === 'ECONNREFUSED') return false;
+  if (record.type === 'completion' && record.isCancelled) return false;
+  const run = getRun(deployment, record);
+  return run === undefined || run.isRunning || run.stoppedAt !== Infinity;
+}
+
+function checkStops(deployment: Deployment): string[] {
+  const stopped = deployment.runs.filter(({ stoppedAt }) => stoppedAt !== Infinity);
+  const hasCrash = deployment.platform.engines.some(
+    ({ standIn }) => standIn.records.crashes.length > 0,
+  );
+  return stopped.flatMap(({ place, callers, stoppedAt, exitCode }) => [
+    ...(exitCode === 0 ? [] : [`${place.id} ended with exit code ${exitCode ?? 'none'}`]),
+    ...deployment.callers.completions
+      .filter(({ address, endedAt }) => address === callers && endedAt >= stoppedAt)
+      .filter(
+        ({ status, isComplete, isCancelled }) => status === 200 && !isComplete && !isCancelled,
+      )
+      // A stream may also break because its engine crashed.
+      .filter(() => !hasCrash)
+      .map(describe),
+  ]);
+}
--- /dev/null
+++ b/tests/helpers/callers.ts
@@ -0,0 +1,185 @@
+import { z } from 'zod';
+import { type Firm, FIRMS } from './layouts.ts';
+import { type Received, send } from './send.ts';
+
+export const OPERATOR_KEY = 'tests-operator';
+
+const FailureBody = z.object({
+  error: z.object({ kind: z.string(), outcome: z.enum(['not_run', 'unknown']) }),
+});
+const Text = z.object({
+  choices: z.array(
+    z.object({
+      text: z.string().optional(),
+      message: z.object({ content: z.string() }).optional(),
+      delta: z.object({ content: z.string().optional() }).optional(),
+    }),
+  ),
+});
+
+export interface CompletionRecord extends Received {
+  type: 'completion';
+  host: string;
+  /** Listener of the run of the host that was asked. */
+  address: string;
+  adapter: string;
+  /** Version that the caller named. */
+  version: string;
+  prompt: string;
+  maxTokens: number;
+  isStream: boolean;
+  failure: z.infer<typeof FailureBody>['error'] | undefined;
+  text: string;
+  /** Whether the caller has the whole answer and its end mark. */
+  isComplete: boolean;
+  /** Whether the caller itself closed the connection. */
+  isCancelled: boolean;
+}
+
+export interface ServiceRecord extends Received {
+  type: 'service';
+  host: string;
+  address: string;
+  key: string;
+  method: string;
+  path: string;
+  sentBody: string;
+  failure: z.infer<typeof FailureBody>['error'] | undefined;
+}
+
+export interface CompletionCall {
+  host: { callers: string; place: { id: string } };
+  adapter: string;
+  version?: string;
+  prompt: string;
+  maxTokens?: number;
+  isStream?: boolean;
+  headers?: Record<string, string>;
+  signal?: AbortSignal;
+  onData?: (text: string) => void;
+}
+
+export interface ServiceCall {
+  host: { callers: string; place: { id: string } };
+  service: string;
+  key: string;
+  path?: string;
+  method?: string;
+  body?: string;
+  headers?: Record<string, string>;
+}
+
+/** Returns the key of the caller of `firm`. */
+export function getCallerKey(firm: Firm): string {
+  return `tests-${firm}`;
+}
+
+/** Callers of all firms; they record what they sent and got. */
+export class Callers {
+  readonly completions: CompletionRecord[] = [];
+  readonly calls: ServiceRecord[] = [];
+
+  private constructor() {}
+
+  static create(): Callers {
+    return new Callers();
+  }
+
+  /** Sends a completion request as the firm of the adapter. */
+  async complete(call: CompletionCall): Promise<CompletionRecord> {
+    const { host, adapter, version = 'v2', prompt, maxTokens = 8, isStream = false } = call;
+    const body = { model: `${adapter}@${version}`, prompt, max_tokens: maxTokens };
+    const received = await send({
+      address: host.callers,
+      method: 'POST',
+      path: '/v1/completions',
+      headers: { ...getHeaders(adapter), ...call.headers },
+      body: JSON.stringify({ ...body, stream: isStream }),
+      signal: call.signal,
+      onData: call.onData,
+    });
+    const record: CompletionRecord = {
+      ...received,
+      type: 'completion',
+      host: host.place.id,
+      address: host.callers,
+      adapter,
+      version,
+      prompt,
+      maxTokens,
+      isStream,
+      ...readAnswer(received, isStream),
+      isCancelled: call.signal?.aborted ?? false,
+    };
+    this.completions.push(record);
+    return record;
+  }
+
+  /** Calls a service as the firm that `key` begins with. */
+  async call(call: ServiceCall): Promise<ServiceRecord> {
+    const { host, service, key, path = '/bookings', method = 'POST', body = key } = call;
+    const received = await send({
+      address: host.callers,
+      method,
+      path: `/services/${service}${path}`,
+      headers: { ...getHeaders(key), 'idempotency-key': key, ...call.headers },
+      body: method === 'GET' ? undefined : JSON.stringify({ body }),
+    });
+    const failure = getFailure(received.body);
+    const place = host.place.id;
+    const record: ServiceRecord = {
+      ...received,
+      type: 'service',
+      host: place,
+      address: host.callers,
+      key,
+      method,
+      path,
+      sentBody: body,
+      failure,
+    };
+    this.calls.push(record);
+    return record;
+  }
+}
+
+function getHeaders(name: string): Record<string, string> {
+  const firm = FIRMS.find((known) => name.startsWith(known)) ?? 'atlas';
+  return {
+    authorization: `Bearer ${getCallerKey(firm)}`,
+    'content-type': 'application/json',
+  };
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function getFailure(text: string) {
+  return FailureBody.safeParse(parse(text)).data?.error;
+}
+
+function getText(json: string): string {
+  const choice = Text.safeParse(parse(json)).data?.choices[0];
+  return choice?.text ?? choice?.message?.content ?? choice?.delta?.content ?? '';
+}
+
+function readAnswer({ status, body, isWhole }: Received, isStream: boolean) {
+  if (status !== 200 || !isStream) {
+    const failure = getFailure(body);
+    return { failure, text: getText(body), isComplete: status === 200 && isWhole };
+  }
+  const events = body
+    .split('\n\n')
+    .filter((event) => event.startsWith('data: '))
+    .map((event) => event.slice('data: '.length));
+  return {
+    failure: events.map(getFailure).find((failure) => failure !== undefined),
+    text: events.map(getText).join(''),
+    isComplete: isWhole && events.at(-1) === '[DONE]',
+  };
+}
--- /dev/null
+++ b/tests/helpers/hostProcess.ts
@@ -0,0 +1,125 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { createInterface } from 'node:readline';
+import { BUNDLE } from './buildBundle.ts';
+
+const MAX_LOG_LINES = 2_000;
+
+export interface HostPlace {
+  id: string;
+  zone: string;
+  region: string;
+  /** Loopback IP number of the host. */
+  ip: string;
+  /** Port of its peer listener, which it keeps over restarts. */
+  peerPort: number;
+  /** Address of the proxy before its peer listener. */
+  peerAddress: string;
+}
+
+/** What the ready line tells. */
+interface Ports {
+  callerPort: number;
+  operatorPort?: number;
+}
+
+/** One run of an entry host as a child process. */
+export class HostProcess {
+  /** Standard output and error, for the message of a failed test. */
+  readonly log: string[] = [];
+  callers = '';
+  operators = '';
+  /** Monotonic ms at which SIGTERM was sent. */
+  stoppedAt = Infinity;
+  /** Monotonic ms at which the process ended. */
+  endedAt = Infinity;
+  exitCode: number | null = null;
+  private readonly ended: Promise<void>;
+
+  private constructor(
+    readonly place: HostPlace,
+    readonly incarnation: number,
+    private readonly child: ChildProcess,
+  ) {
+    this.ended = once(child, 'exit').then(([code]) => {
+      this.exitCode = code as number | null;
+      this.endedAt = performance.now();
+    });
+  }
+
+  /** Starts the process and resolves when it listens. */
+  static async start(
+    place: HostPlace,
+    incarnation: number,
+    settings: Record<string, string>,
+  ): Promise<HostProcess> {
+    const flags = Object.entries({
+      'host-id': place.id,
+      zone: place.zone,
+      region: place.region,
+      incarnation: String(incarnation),
+      'caller-listen': `${place.ip}:0`,
+      'operator-listen': `${place.ip}:0`,
+      'peer-listen': `${place.ip}:${place.peerPort}`,
+      'peer-address': place.peerAddress,
+      'source-address': place.ip,
+      ...settings,
+    }).map(([name, value]) => `--${name}=${value}`);
+    const child = spawn(process.execPath, [BUNDLE, 'entry', ...flags], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: {},
+    });
+    const host = new HostProcess(place, incarnation, child);
+    const ports = await host.readPorts();
+    host.callers = `${place.ip}:${ports.callerPort}`;
+    host.operators = `${place.ip}:${ports.operatorPort ?? 0}`;
+    return host;
+  }
+
+  get isRunning(): boolean {
+    return this.endedAt === Infinity;
+  }
+
+  pause(): void {
+    this.child.kill('SIGSTOP');
+  }
+
+  resume(): void {
+    this.child.kill('SIGCONT');
+  }
+
+  async kill(): Promise<void> {
+    if (this.isRunning) this.child.kill('SIGKILL');
+    await this.ended;
+  }
+
+  /** Stops gracefully; resolves with the exit code. */
+  async stop(): Promise<number | null> {
+    this.stoppedAt = performance.now();
+    this.child.kill('SIGTERM');
+    await this.ended;
+    return this.exitCode;
+  }
+
+  private async readPorts(): Promise<Ports> {
+    const { stdout, stderr } = this.child;
+    if (stdout === null || stderr === null) throw new Error('the process has no output');
+    const ready = new Promise<Ports>((resolve) => {
+      createInterface({ input: stdout }).on('line', (line) => {
+        this.addLine(line);
+        if (line.includes('"ready":true')) resolve(JSON.parse(line) as Ports);
+      });
+    });
+    createInterface({ input: stderr }).on('line', (line) => this.addLine(line));
+    const failed = this.ended.then(() => {
+      throw new Error(`host ${this.place.id} ended early: ${this.log.join('\n')}`);
+    });
+    failed.catch(() => undefined);
+    return Promise.race([ready, failed]);
+  }
+
+  private addLine(line: string): void {
+    this.log.push(line);
+    if (this.log.length > MAX_LOG_LINES) this.log.shift();
+  }
+}
--- /dev/null
+++ b/tests/helpers/layouts.ts
@@ -0,0 +1,57 @@
+/** Hosts and endpoints of one availability zone. */
+export interface ZoneLayout {
+  name: string;
+  hosts: number;
+  engines: number;
+  endpoints: number;
+}
+
+/** Sizes of a deployment. */
+export interface Layout {
+  name: string;
+  region: string;
+  pool: string;
+  service: string;
+  loadsPerS: number;
+  zones: readonly ZoneLayout[];
+}
+
+export const ATLAS: Layout = {
+  name: 'atlas',
+  region: 'ma-north',
+  pool: 'koji-llm',
+  service: 'order-desk',
+  loadsPerS: 2.5,
+  zones: [
+    { name: 'casa-a', hosts: 2, engines: 2, endpoints: 1 },
+    { name: 'casa-b', hosts: 2, engines: 2, endpoints: 1 },
+    { name: 'rabat-a', hosts: 2, engines: 1, endpoints: 1 },
+    { name: 'tanger-a', hosts: 2, engines: 1, endpoints: 1 },
+  ],
+};
+
+export const CORAIL: Layout = {
+  name: 'corail',
+  region: 'mu-north',
+  pool: 'programme-llm',
+  service: 'congress-app',
+  loadsPerS: 4,
+  zones: [
+    { name: 'pamplemousses', hosts: 3, engines: 5, endpoints: 1 },
+    { name: 'port-louis', hosts: 3, engines: 4, endpoints: 1 },
+    { name: 'grand-baie', hosts: 2, engines: 4, endpoints: 1 },
+  ],
+};
+
+export const MODEL = 'base';
+export const FIRMS = ['atlas', 'corail'] as const;
+export type Firm = (typeof FIRMS)[number];
+export const VERSIONS = ['v1', 'v2'] as const;
+export const ENGINE_SLOTS = 4;
+export const ENGINE_BATCH = 16;
+const ADAPTERS_PER_FIRM = 6;
+
+/** Adapters of `firm` in the first configuration. */
+export function getAdapters(firm: Firm): string[] {
+  return Array.from({ length: ADAPTERS_PER_FIRM }, (_, index) => `${firm}-${index}`);
+}
--- /dev/null
+++ b/tests/helpers/operators.ts
@@ -0,0 +1,67 @@
+import { z } from 'zod';
+import { OPERATOR_KEY } from './callers.ts';
+import { send } from './send.ts';
+
+const Plan = z.object({ id: z.string() });
+const Confirmed = z.object({ revision: z.int() });
+const Shown = z.object({ revision: z.int() });
+
+export interface OperatorAnswer {
+  status: number | undefined;
+  body: unknown;
+}
+
+/** Makes a call to a host's listener for operators. */
+export async function ask(
+  operators: string,
+  method: string,
+  path: string,
+  body?: unknown,
+): Promise<OperatorAnswer> {
+  const received = await send({
+    address: operators,
+    method,
+    path,
+    headers: { authorization: `Bearer ${OPERATOR_KEY}`, 'content-type': 'application/json' },
+    body: body === undefined ? undefined : JSON.stringify(body),
+    signal: AbortSignal.timeout(10_000),
+  });
+  let parsed: unknown;
+  try {
+    parsed = JSON.parse(received.body);
+  } catch {
+    parsed = received.body;
+  }
+  return { status: received.status, body: parsed };
+}
+
+/** Returns the revision in force on a host, or undefined when it does not answer. */
+export async function getRevision(operators: string): Promise<number | undefined> {
+  const { body } = await ask(operators, 'GET', '/v1/configuration');
+  return Shown.safeParse(body).data?.revision;
+}
+
+/** Whether the load balancer would send callers to the host. */
+export async function isReady(operators: string): Promise<boolean> {
+  return (await ask(operators, 'GET', '/readyz')).status === 200;
+}
+
+/** Submits an intent; returns the plan's id. */
+export async function plan(operators: string, intent: unknown): Promise<string> {
+  const answer = await ask(operators, 'POST', '/v1/plans', intent);
+  const parsed = Plan.safeParse(answer.body);
+  if (!parsed.success) throw new Error(`no plan was made: ${JSON.stringify(answer)}`);
+  return parsed.data.id;
+}
+
+export function confirm(operators: string, id: string): Promise<OperatorAnswer> {
+  return ask(operators, 'POST', `/v1/plans/${id}/confirm`);
+}
+
+/** Submits and confirms an intent; returns the new revision. */
+export async function change(operators: string, intent: unknown): Promise<number> {
+  const answer = await confirm(operators, await plan(operators, intent));
+  const parsed = Confirmed.safeParse(answer.body);
+  if (!parsed.success) throw new Error(`the plan was not confirmed: ${JSON.stringify(answer)}`);
+  return parsed.data.revision;
+}
--- /dev/null
+++ b/tests/helpers/send.ts
@@ -0,0 +1,65 @@
+import { type IncomingHttpHeaders, request } from 'node:http';
+
+export interface Sent {
+  address: string;
+  method: string;
+  path: string;
+  headers?: Record<string, string>;
+  body?: string;
+  /** Ends the connection, as a caller that goes away does. */
+  signal?: AbortSignal;
+  /** Called with each part of the answer. */
+  onData?: (text: string) => void;
+}
+
+/** Answer as far as it arrived; without a status no byte of it did. */
+export interface Received {
+  status: number | undefined;
+  headers: IncomingHttpHeaders;
+  body: string;
+  /** Whether the answer ended as HTTP says it must. */
+  isWhole: boolean;
+  /** Code of the error that ended the connection. */
+  error: string | undefined;
+  sentAt: number;
+  endedAt: number;
+}
+
+/** Sends one request over a connection of its own. Never rejects. */
+export function send({ address, method, path, headers, body, signal, onData }: Sent) {
+  return new Promise<Received>((resolve) => {
+    const received: Received = {
+      status: undefined,
+      headers: {},
+      body: '',
+      isWhole: false,
+      error: undefined,
+      sentAt: performance.now(),
+      endedAt: Infinity,
+    };
+    const end = (error?: NodeJS.ErrnoException) => {
+      if (received.endedAt !== Infinity) return;
+      received.endedAt = performance.now();
+      received.error = error?.code ?? error?.message;
+      resolve(received);
+    };
+    const [host, port] = address.split(':');
+    const call = request({ host, port, method, path, headers, agent: false, signal }, (answer) => {
+      received.status = answer.statusCode;
+      received.headers = answer.headers;
+      answer.setEncoding('utf8');
+      answer.on('data', (text: string) => {
+        received.body += text;
+        onData?.(text);
+      });
+      answer.on('end', () => {
+        received.isWhole = answer.complete;
+        end();
+      });
+      answer.on('error', end);
+      answer.on('close', () => end());
+    });
+    call.on('error', end);
+    call.end(body);
+  });
+}
--- a/tests/support.ts
+++ b/tests/support.ts
@@ -19,6 +19,11 @@
   return address;
 }
 
+/** Runs `cleanup` at the end of the test, also when it fails. */
+export function cleanAfter(cleanup: () => Promise<void>): void {
+  cleanups.push(cleanup);
+}
+
 /** Closes `client` at the end of the test. */
 export function closeAfter<T extends { close: () => Promise<void> }>(client: T): T {
   cleanups.push(() => client.close());
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,11 +1,32 @@
 import { defineConfig } from 'vitest/config';
 
+const shared = { testTimeout: 60_000, hookTimeout: 60_000, pool: 'forks' as const };
+
 export default defineConfig({
   test: {
-    include: ['tests/**/*.test.ts'],
-    testTimeout: 60_000,
-    hookTimeout: 60_000,
-    pool: 'forks',
-    maxWorkers: 4,
+    projects: [
+      {
+        test: {
+          ...shared,
+          name: 'modules',
+          include: ['tests/**/*.test.ts'],
+          exclude: ['tests/faults/**'],
+          maxWorkers: 4,
+          sequence: { groupOrder: 0 },
+        },
+      },
+      {
+        test: {
+          ...shared,
+          name: 'faults',
+          include: ['tests/faults/**/*.test.ts'],
+          globalSetup: 'tests/helpers/buildBundle.ts',
+          testTimeout: 120_000,
+          // Each file runs a whole deployment.
+          maxWorkers: 2,
+          sequence: { groupOrder: 1 },
+        },
+      },
+    ],
   },
 });
