--- a/src/core/lifecycle.ts
+++ b/src/core/lifecycle.ts
@@ -1,3 +1,4 @@
+import { hasLeft, leaveOwnership } from '../ownership/leave.ts';
 import type { Effect } from './effects.ts';
 import { newLog } from './observations.ts';
 import type { State } from './state.ts';
@@ -26,13 +27,14 @@
 /** Refuses new requests from now on and waits for those in flight. */
 export function startDraining(state: State, now: number): Effect[] {
   state.phase = 'draining';
-  return checkDrained(state, now);
+  return [...leaveOwnership(state), ...checkDrained(state, now)];
 }
 
-/** Ends the host once nothing is in flight. */
+/** Ends the host once nothing is in flight and its engines are handed over. */
 export function checkDrained(state: State, now: number): Effect[] {
   if (state.phase !== 'draining') return [];
-  if (state.requests.inFlight.size + state.operators.asks.size > 0) {
+  const inFlight = state.requests.inFlight.size + state.operators.asks.size;
+  if (inFlight > 0 || !hasLeft(state, now)) {
     schedule(state, now + DRAIN_CHECK_MS, { type: 'checkDrained' });
     return [];
   }
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -2,14 +2,15 @@
 import type { Exchange } from '../callers/exchange.ts';
 import { CallerServer } from '../callers/server.ts';
 import { EngineClient } from '../clients/engineClient.ts';
+import { HostListClient } from '../clients/hostListClient.ts';
 import { Http } from '../clients/http.ts';
 import { ObjectClient } from '../clients/objectClient.ts';
 import { TableClient } from '../clients/tableClient.ts';
 import { hash32 } from '../base/hash.ts';
 import type { Event } from '../core/events.ts';
-import type { Message } from '../core/messages.ts';
 import { State } from '../core/state.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
+import { PeerLinks } from '../peers/links.ts';
 import type { Settings } from '../settings/groups.ts';
 import type { HostContext, RunningAttempt } from './context.ts';
 import { Loop } from './loop.ts';
@@ -25,6 +26,8 @@
   readonly table: TableClient;
   readonly objects: ObjectClient;
   readonly engines: EngineClient;
+  readonly hostList: HostListClient;
+  readonly links: PeerLinks;
   private readonly http: Http;
   private readonly loop: Loop;
   private readonly callerServer: CallerServer;
@@ -37,9 +40,17 @@
     this.observer = Observer.create(settings);
     const http = Http.create({ localAddress: settings.host.sourceAddress });
     this.http = http;
+    const { tableUrl, objectsUrl, hostsUrl } = settings.platform;
+    this.table = TableClient.create({ address: tableUrl, http });
+    this.objects = ObjectClient.create({ address: objectsUrl, http });
+    this.hostList = HostListClient.create({ address: hostsUrl, http });
     this.engines = EngineClient.create({ http });
-    this.table = TableClient.create({ address: settings.platform.tableUrl, http });
-    this.objects = ObjectClient.create({ address: settings.platform.objectsUrl, http });
+    this.links = PeerLinks.create({
+      identity: this.state.host,
+      listen: settings.listen.peers,
+      localAddress: settings.host.sourceAddress,
+      onEvent: (event) => this.dispatch(event),
+    });
     this.loop = Loop.create(this.state, (effect) => runEffect(this, effect));
     this.callerServer = CallerServer.create(this);
     this.adminServer = AdminServer.create(this);
@@ -56,6 +67,7 @@
   async start(): Promise<{ callerPort: number; operatorPort: number }> {
     const callerPort = await this.callerServer.start();
     const operatorPort = await this.adminServer.start();
+    await this.links.start();
     this.dispatch({ type: 'started' });
     return { callerPort, operatorPort };
   }
@@ -67,6 +79,7 @@
     this.loop.stop();
     await this.callerServer.stop();
     await this.adminServer.stop();
+    await this.links.stop();
     await this.http.close();
   }
 
@@ -78,10 +91,6 @@
     this.exchanges.set(id, exchange);
   }
 
-  send(to: string, message: Message): void {
-    if (to === this.state.host.id) this.dispatch({ type: 'messageReceived', from: to, message });
-  }
-
   answerOperator(id: string, answer: OperatorAnswer): void {
     this.adminServer.answer(id, answer);
   }
--- a/tests/cli/run.test.ts
+++ b/tests/cli/run.test.ts
@@ -67,7 +67,7 @@
 
   it.each([
     [['configuration'], 'revision 1\nshares:\n  {"firm":"atlas","share":0.5}'],
-    [['hosts'], /HOST +ZONE.*\nh1 +z +live +yes +1 /],
+    [['hosts'], /HOST +ZONE.*\nh1 +z +joining +yes +1 /],
     [['engines'], 'ENGINE'],
     [['audit', '--limit=1'], /revision 1 by olga: confirm .*\n {2}set share of firm atlas: 0.5/],
     [['audit', '--json'], /"revision": 1/],
