--- a/src/clients/http.ts
+++ b/src/clients/http.ts
@@ -97,10 +97,11 @@
 export class Http {
   private readonly pools = new Map<string, Connections>();
 
-  private constructor() {}
+  private constructor(private readonly options: typeof OPTIONS & { localAddress?: string }) {}
 
-  static create(): Http {
-    return new Http();
+  /** `localAddress` is the IP number that connections are opened from. */
+  static create({ localAddress }: { localAddress?: string } = {}): Http {
+    return new Http({ ...OPTIONS, localAddress });
   }
 
   /** Makes a call and reads the whole answer. */
@@ -128,7 +129,7 @@
   /** Makes a call and returns once the head of the answer has arrived. */
   async open(call: HttpCall): Promise<OpenAnswer | HttpFailure> {
     const origin = getOrigin(call.address);
-    const client = call.isFresh === true ? new Client(origin, OPTIONS) : undefined;
+    const client = call.isFresh === true ? new Client(origin, this.options) : undefined;
     const dispatcher = client?.compose(markSent) ?? this.getPool(origin).marked;
     const close = () => {
       client?.destroy().catch(() => undefined);
@@ -183,7 +184,7 @@
   private getPool(origin: string): Connections {
     let pool = this.pools.get(origin);
     if (pool === undefined) {
-      const agent = new Agent({ ...OPTIONS, connections: CONNECTIONS_PER_ADDRESS });
+      const agent = new Agent({ ...this.options, connections: CONNECTIONS_PER_ADDRESS });
       pool = { agent, marked: agent.compose(markSent) };
       this.pools.set(origin, pool);
     }
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -35,7 +35,7 @@
   readonly services: ServiceClient;
   readonly hostList: HostListClient;
   readonly links: PeerLinks;
-  private readonly http = Http.create();
+  private readonly http: Http;
   private readonly loop: Loop;
   private readonly callerServer: CallerServer;
   private readonly adminServer: AdminServer;
@@ -45,7 +45,8 @@
   private constructor(readonly settings: Settings) {
     this.state = newState(settings);
     this.observer = Observer.create(settings);
-    const { http } = this;
+    const http = Http.create({ localAddress: settings.host.sourceAddress });
+    this.http = http;
     const { tableUrl, objectsUrl, hostsUrl } = settings.platform;
     this.table = TableClient.create({ address: tableUrl, http });
     this.objects = ObjectClient.create({ address: objectsUrl, http });
@@ -55,6 +56,7 @@
     this.links = PeerLinks.create({
       identity: this.state.host,
       listen: settings.listen.peers,
+      localAddress: settings.host.sourceAddress,
       onEvent: (event) => this.dispatch(event),
     });
     this.loop = Loop.create(this.state, (effect) => runEffect(this, effect));
--- a/src/peers/connection.ts
+++ b/src/peers/connection.ts
@@ -16,6 +16,8 @@
 }
 
 export interface ConnectionOwner {
+  /** IP number that connections are dialled from; the system chooses when there is none. */
+  readonly localAddress: string | undefined;
   readonly counters: PeerCounters;
   readonly hello: Hello;
   onHello(connection: Connection, hello: Hello): void;
@@ -51,6 +53,7 @@
     const socket = connect({
       host: address.slice(0, separator),
       port: Number(address.slice(separator + 1)),
+      localAddress: owner.localAddress,
     });
     const connection = new Connection(socket, owner, host);
     connection.attach();
