Test confirms of several hosts with interleaved, lost and delayed writes

A host that is far behind now reads from the table instead of asking a peer for its whole configuration again at every poll.

--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -36,7 +36,10 @@
     }
     for (const route of commandRoutes) {
       router.on(route.method, route.path, (request, response, params) => {
-        void server.handle(route, request, response, params);
+        server.handle(route, request, response, params).catch((error: unknown) => {
+          const reason = error instanceof Error ? error.message : String(error);
+          sendFailure(response, Failure.create('internal', `the request failed: ${reason}`));
+        });
       });
     }
     return server;
--- a/src/configuration/constants.ts
+++ b/src/configuration/constants.ts
@@ -15,6 +15,8 @@
 export const POLLERS = 2;
 /** Time after which an unanswered read of the configuration is sent again. */
 export const READ_TIMEOUT_MS = 10_000;
+/** Time between two questions to peers; a whole configuration may be on its way meanwhile. */
+export const PEER_ASK_MS = 2_000;
 /** Revisions kept in memory for peers that are behind. */
 export const RECENT_REVISIONS = 200;
 /** Changes that one message between hosts may carry; keeps messages well under 1 MiB. */
--- a/src/configuration/handlers.ts
+++ b/src/configuration/handlers.ts
@@ -35,7 +35,7 @@
 export const configurationTimers: TimerHandlers<ConfigurationTimer['type']> = {
   pollConfiguration: (state, _timer, now) => {
     schedule(state, now + getPollInterval(state), { type: 'pollConfiguration' });
-    return [...readHead(state, now), ...askPeer(state)];
+    return [...readHead(state, now), ...askPeer(state, now)];
   },
   writeSnapshot: (state, { revision, body }) => {
     // Once the next snapshot is due, this one saves nobody a read.
@@ -57,7 +57,7 @@
       sync.headRevision = Math.max(sync.headRevision ?? 0, head.data.revision);
     }
     updateIsCurrent(state);
-    return sync.isTableSilent ? askPeer(state) : loadRevisions(state, now);
+    return sync.isTableSilent ? askPeer(state, now) : loadRevisions(state, now);
   },
   readRevisions: (state, _purpose, answer, { now }) => {
     state.sync.loadingSince = -Infinity;
--- a/src/configuration/intent.ts
+++ b/src/configuration/intent.ts
@@ -9,7 +9,7 @@
 const Role = z.strictObject({ engine: Name, role: EngineRole });
 
 /** Returns the schema of a section: entries to put, and names with `absent: true` to remove. */
-function newSection<P extends z.ZodType, I extends z.ZodType>(put: P, identity: I) {
+function newSection<P extends z.ZodType<object>, I extends z.ZodObject>(put: P, identity: I) {
   const Entry = z
     .unknown()
     .transform((value, context): { put: z.output<P> } | { absent: z.output<I> } => {
@@ -28,7 +28,23 @@
       }
       return z.NEVER;
     });
-  return z.array(Entry).default([]);
+  const fields = Object.keys(identity.shape);
+  const getName = (entry: z.output<typeof Entry>) => {
+    const values = ('put' in entry ? entry.put : entry.absent) as Record<string, unknown>;
+    return fields.map((field) => String(values[field])).join('/');
+  };
+  return z
+    .array(Entry)
+    .superRefine((entries, context) => {
+      const seen = new Set<string>();
+      entries.map(getName).forEach((name, index) => {
+        if (seen.has(name)) {
+          context.addIssue({ code: 'custom', path: [index], message: `${name} is named twice` });
+        }
+        seen.add(name);
+      });
+    })
+    .default([]);
 }
 
 /** What an operator wants: entries to put or to remove, by section. What is not named stays. */
--- a/src/configuration/peerHandlers.ts
+++ b/src/configuration/peerHandlers.ts
@@ -1,6 +1,9 @@
+import { deliver } from '../core/deliver.ts';
+import type { Effect } from '../core/effects.ts';
 import type { MessageHandlers } from '../core/handlers.ts';
 import type { State } from '../core/state.ts';
 import { acceptRevisions, acceptSnapshot } from './accept.ts';
+import { RECENT_REVISIONS } from './constants.ts';
 import type { ConfigurationMessage } from './messages.ts';
 import { loadRevisions } from './polling.ts';
 import { getPeerRevision, newCatchUp } from './spread.ts';
@@ -11,19 +14,15 @@
     updatePeerRevision(state, from, revision.revision);
     const { configuration } = state;
     if (revision.revision <= configuration.revision) return [];
-    // The sender sends what lies between as well, so that no revision is skipped.
     if (revision.revision > configuration.revision + 1) {
-      const after = configuration.revision;
-      return [{ type: 'sendMessage', to: from, message: { type: 'revisionsAsked', after } }];
+      return catchUp(state, from, revision.revision, now);
     }
     return acceptRevisions(state, [revision], { type: 'peer', host: from }, now);
   },
   revisionAnnounced: (state, { revision }, from, now) => {
     updatePeerRevision(state, from, revision);
     if (revision <= state.configuration.revision) return [];
-    // Only accepted revisions are announced, so the head row has at least this one.
-    state.sync.headRevision = Math.max(state.sync.headRevision ?? 0, revision);
-    return loadRevisions(state, now);
+    return readFromTable(state, revision, now);
   },
   revisionsAsked: (state, { after }, from) => {
     // A restarted peer has less than it had before.
@@ -37,6 +36,23 @@
   },
 };
 
+/**
+ * Gets what lies before `revision`, so that none is skipped: a few revisions from the sender, many
+ * from the table, because a whole configuration is large for a link between hosts.
+ */
+function catchUp(state: State, from: string, revision: number, now: number): Effect[] {
+  const after = state.configuration.revision;
+  const isFar = revision - after > RECENT_REVISIONS || after === 0;
+  if (isFar && !state.sync.isTableSilent) return readFromTable(state, revision, now);
+  return [deliver(state, from, { type: 'revisionsAsked', after })];
+}
+
+/** Only accepted revisions reach other hosts, so the head row has at least `revision`. */
+function readFromTable(state: State, revision: number, now: number): Effect[] {
+  state.sync.headRevision = Math.max(state.sync.headRevision ?? 0, revision);
+  return loadRevisions(state, now);
+}
+
 interface Part {
   revision: number;
   part: number;
--- a/src/configuration/polling.ts
+++ b/src/configuration/polling.ts
@@ -6,6 +6,7 @@
   HEAD_BACKUP_POLL_MS,
   HEAD_KEY,
   HEAD_POLL_MS,
+  PEER_ASK_MS,
   POLLERS,
   READ_TIMEOUT_MS,
   REVISION_PREFIX,
@@ -37,8 +38,9 @@
 }
 
 /** Asks the linked peer with the highest revision for what this host lacks. */
-export function askPeer(state: State): Effect[] {
+export function askPeer(state: State, now: number): Effect[] {
   const { configuration, membership, sync, host } = state;
+  if (now - sync.peerAskedAt < PEER_ASK_MS) return [];
   const isFirst = configuration.revision === 0;
   const peers = [...membership.linked].filter((id) => id !== host.id);
   const [best] = peers
@@ -48,6 +50,7 @@
   // The table is the normal way; a peer is asked while the table is silent, and by a new host.
   const isNeeded = best.revision > configuration.revision && (sync.isTableSilent || isFirst);
   if (!isNeeded && !(isFirst && sync.isTableSilent)) return [];
+  sync.peerAskedAt = now;
   return [deliver(state, best.id, { type: 'revisionsAsked', after: configuration.revision })];
 }
 
--- a/src/configuration/sync.ts
+++ b/src/configuration/sync.ts
@@ -18,6 +18,8 @@
   headAskedAt = -Infinity;
   /** Monotonic ms at which the unanswered read of revisions or of a snapshot was sent. */
   loadingSince = -Infinity;
+  /** Monotonic ms at which a peer was last asked for what this host lacks. */
+  peerAskedAt = -Infinity;
   /** Last revisions, oldest first and without gaps, for peers that are behind. */
   recent: Revision[] = [];
   /** Highest revision that each peer is known to have. */
--- a/tests/configuration/cluster.ts
+++ b/tests/configuration/cluster.ts
@@ -6,8 +6,11 @@
 import type { Message } from '../../src/core/messages.ts';
 import type { OperatorAnswer, OperatorCommand } from '../../src/operators/types.ts';
 
-/** Decides what a call meets; undefined lets it through. `late` applies a write and loses the answer. */
-export type Fault = (call: TableCall) => 'down' | 'lost' | 'late' | undefined;
+/**
+ * Decides what a call meets; undefined lets it through. `late` applies a write and loses the answer,
+ * `delayed` loses the answer and applies the write at `applyDelayed`, if its conditions hold then.
+ */
+export type Fault = (call: TableCall) => 'down' | 'lost' | 'late' | 'delayed' | undefined;
 
 /** Several hosts' reducers over one table in memory; messages arrive at once and in order. */
 export class Cluster {
@@ -15,10 +18,16 @@
   readonly objects = new Map<string, string>();
   readonly states = new Map<string, State>();
   readonly answers = new Map<string, OperatorAnswer>();
+  readonly commands = new Map<string, OperatorCommand>();
   fault: Fault = () => undefined;
+  /** While true, calls of the table wait for `release`, so that those of several hosts interleave. */
+  isHolding = false;
+  private readonly held: { host: string; effect: Extract<Effect, { type: 'callTable' }> }[] = [];
+  private readonly delayed: RowWrite[][] = [];
   dropsMessages = false;
   now = 0;
   private version = 0;
+  private asked = 0;
 
   private constructor() {}
 
@@ -56,7 +65,9 @@
   }
 
   ask(host: string, command: OperatorCommand, operator = 'op'): OperatorAnswer | undefined {
-    const id = `ask-${this.answers.size}-${operator}`;
+    this.asked += 1;
+    const id = `ask-${this.asked}`;
+    this.commands.set(id, command);
     this.feed(host, { type: 'operatorAsked', id, operator, command, atUnixMs: 1 });
     return this.answers.get(id);
   }
@@ -83,9 +94,8 @@
       this.send(host, effect.to, effect.message);
     }
     if (effect.type === 'callTable') {
-      const answer = this.answerTable(effect.call);
-      const { purpose } = effect;
-      this.feed(host, { type: 'tableAnswered', purpose, answer, sentAt: this.now });
+      if (this.isHolding) this.held.push({ host, effect });
+      else this.callTable(host, effect);
     }
     if (effect.type === 'callObjects') {
       const { purpose, call } = effect;
@@ -96,10 +106,34 @@
     }
   }
 
+  /** Carries out one held call. */
+  release(pick: number): void {
+    const [call] = this.held.splice(pick % Math.max(1, this.held.length), 1);
+    if (call !== undefined) this.callTable(call.host, call.effect);
+  }
+
+  releaseAll(): void {
+    this.isHolding = false;
+    while (this.held.length > 0) this.release(0);
+  }
+
+  applyDelayed(): void {
+    for (const writes of this.delayed.splice(0)) this.write(writes);
+  }
+
+  private callTable(host: string, { call, purpose }: Extract<Effect, { type: 'callTable' }>): void {
+    const answer = this.answerTable(call);
+    this.feed(host, { type: 'tableAnswered', purpose, answer, sentAt: this.now });
+  }
+
   private answerTable(call: TableCall): TableAnswer {
     const fault = this.fault(call);
     if (fault === 'down') return { type: 'unavailable', reason: 'down' };
     if (fault === 'lost') return { type: 'unknown', reason: 'lost' };
+    if (fault === 'delayed' && call.type === 'write') {
+      this.delayed.push(call.writes);
+      return { type: 'unknown', reason: 'delayed' };
+    }
     const answer = this.getAnswer(call);
     return fault === 'late' ? { type: 'unknown', reason: 'late' } : answer;
   }
--- a/tests/configuration/plan.test.ts
+++ b/tests/configuration/plan.test.ts
@@ -36,6 +36,7 @@
     ['warm: [{ adapter: a, pool: p, absent: true, copies: 1 }]', 'warm[0]: Unrecognized key'],
     ['engine: []', 'intent: Unrecognized key'],
     ['leaving: [e1]', 'leaving[0]: '],
+    ['shares: [{ firm: a, share: 0 }, { firm: a, absent: true }]', 'shares[1]: a is named twice'],
     ['shares: [', 'not valid YAML or JSON'],
     ['- 1', 'intent: '],
   ])('names the path of the problem in %s', (text, problem) => {
