--- a/tests/configuration/confirm.test.ts
+++ b/tests/configuration/confirm.test.ts
@@ -104,7 +104,7 @@
     cluster.dropsMessages = true;
     const scans: string[] = [];
     cluster.fault = (call) => {
-      if (call.type === 'scan') scans.push(call.after);
+      if (call.type === 'scan' && call.prefix === 'configuration/change/') scans.push(call.after);
       return undefined;
     };
     const late = cluster.addHost('h2');
