--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -6,10 +6,16 @@
 import { configurationMessages } from '../configuration/peerHandlers.ts';
 import { engineEvents, engineTimers } from '../engines/handlers.ts';
 import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
-import { membershipEvents } from '../membership/handlers.ts';
 import { operatorTableHandlers } from '../operators/actions/index.ts';
 import { confirmTimers } from '../operators/actions/confirmPlan.ts';
 import { operatorEvents } from '../operators/handlers.ts';
+import { membershipEvents, membershipMessages, membershipTimers } from '../membership/handlers.ts';
+import {
+  noteTurn,
+  ownershipMessages,
+  ownershipTableHandlers,
+  ownershipTimers,
+} from '../ownership/handlers.ts';
 import { requestEvents, requestMessages, requestTimers } from '../requests/handlers.ts';
 import type { Effect } from './effects.ts';
 import type { Event } from './events.ts';
@@ -32,6 +38,8 @@
   ...configurationMessages,
   ...grantMessages,
   ...requestMessages,
+  ...membershipMessages,
+  ...ownershipMessages,
 };
 
 const timers: TimerHandlers<Timer['type']> = {
@@ -41,11 +49,14 @@
   ...requestTimers,
   ...hostTimers,
   ...confirmTimers,
+  ...membershipTimers,
+  ...ownershipTimers,
 };
 
 const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = {
   ...configurationTableHandlers,
   ...operatorTableHandlers,
+  ...ownershipTableHandlers,
 };
 
 const objectAnswers: ObjectAnswerHandlers<ObjectPurpose['type']> = {
@@ -79,6 +90,7 @@
  * milliseconds and never smaller than in an earlier call.
  */
 export function reduce(state: State, event: Event, now: number): Effect[] {
+  noteTurn(state, now);
   const handler = events[event.type] as Untyped;
   return handler(state, event, now);
 }
--- a/tests/configuration/confirm.test.ts
+++ b/tests/configuration/confirm.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { parseIntent } from '../../src/configuration/intent.ts';
 import type { Plan } from '../../src/configuration/plan.ts';
+import { REVISION_PREFIX } from '../../src/configuration/constants.ts';
 import { isReady } from '../../src/core/lifecycle.ts';
 import type { OperatorAnswer } from '../../src/operators/types.ts';
 import { Cluster, type Fault } from './cluster.ts';
@@ -104,7 +105,7 @@
     cluster.dropsMessages = true;
     const scans: string[] = [];
     cluster.fault = (call) => {
-      if (call.type === 'scan' && call.prefix === 'configuration/change/') scans.push(call.after);
+      if (call.type === 'scan' && call.prefix === REVISION_PREFIX) scans.push(call.after);
       return undefined;
     };
     const late = cluster.addHost('h2');
