--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -1,3 +1,4 @@
+import { SuspectReported } from '../suspects/types.ts';
 import { z } from 'zod';
 import {
   RevisionAnnounced,
@@ -53,5 +54,6 @@
   PromiseAsked,
   PromiseGiven,
   PromiseRefused,
+  SuspectReported,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/host/runners/index.ts
+++ b/src/host/runners/index.ts
@@ -1,6 +1,7 @@
 import type { Effect } from '../../core/effects.ts';
 import type { EffectRunners, HostContext } from '../context.ts';
 import { attemptRunners } from './attempts.ts';
+import { durableRunners } from './durable.ts';
 import { outsideRunners } from './outside.ts';
 import { peerRunners } from './peers.ts';
 
@@ -8,6 +9,7 @@
   ...attemptRunners,
   ...outsideRunners,
   ...peerRunners,
+  ...durableRunners,
   log: (context, effect) => context.observer.observe(effect),
   count: (context, effect) => context.observer.observe(effect),
   observe: (context, effect) => context.observer.observe(effect),
--- a/tests/helpers/cluster.ts
+++ b/tests/helpers/cluster.ts
@@ -238,7 +238,7 @@
       // A write may be cut off on its way, which the caller cannot tell from a lost answer.
       const isLost = this.hits(this.faults.lostAnswer);
       const isApplied = !isLost || this.hits(0.5);
-      const value = isApplied ? this.table.call(call) : undefined;
+      const value = isApplied ? this.table.apply(call) : undefined;
       if (value === undefined || isLost) answer(500, { type: 'unknown', reason: 'lost' });
       else answer(2, structuredClone(value));
     });
--- a/tests/helpers/memoryTable.ts
+++ b/tests/helpers/memoryTable.ts
@@ -1,9 +1,11 @@
 import type { Condition, StoredRow, TableAnswer, TableCall } from '../../src/core/store.ts';
 
-/** The table service in memory. */
+/** Transactional table in memory; without faults, the caller adds them. */
 export class MemoryTable {
-  private readonly rows = new Map<string, StoredRow>();
-  private nextVersion = 1;
+  readonly rows = new Map<string, StoredRow>();
+  /** Called with each change of a row. */
+  watch: (before: unknown, after: unknown) => void = () => undefined;
+  private version = 0;
 
   private constructor() {}
 
@@ -11,39 +13,45 @@
     return new MemoryTable();
   }
 
+  /** Returns the value of a row. */
   get(key: string): unknown {
     return this.rows.get(key)?.value;
   }
 
-  call(call: TableCall): TableAnswer {
-    if (call.type === 'get') {
-      const row = this.rows.get(call.key);
-      return row === undefined ? { type: 'missing' } : { type: 'ok', rows: [row] };
-    }
-    if (call.type === 'scan') {
-      const keys = [...this.rows.keys()].sort();
-      const found = keys.filter((key) => key.startsWith(call.prefix) && key > call.after);
-      const rows = found.slice(0, call.limit).flatMap((key) => this.rows.get(key) ?? []);
-      return { type: 'ok', rows };
-    }
-    if (!call.writes.every((write) => this.isMet(write.key, write.condition))) {
-      return { type: 'conflict' };
-    }
-    const written: StoredRow[] = [];
-    for (const write of call.writes) {
-      if (write.type === 'delete') {
-        this.rows.delete(write.key);
-        continue;
+  apply(call: TableCall): TableAnswer {
+    switch (call.type) {
+      case 'get': {
+        const row = this.rows.get(call.key);
+        return row === undefined ? { type: 'missing' } : { type: 'ok', rows: [row] };
+      }
+      case 'scan': {
+        const keys = [...this.rows.keys()]
+          .filter((key) => key.startsWith(call.prefix) && key > call.after)
+          .sort()
+          .slice(0, call.limit);
+        return { type: 'ok', rows: keys.flatMap((key) => this.rows.get(key) ?? []) };
+      }
+      case 'write': {
+        if (!call.writes.every(({ key, condition }) => this.holds(key, condition))) {
+          return { type: 'conflict' };
+        }
+        const rows = call.writes.flatMap((write): StoredRow[] => {
+          if (write.type === 'delete') {
+            this.rows.delete(write.key);
+            return [];
+          }
+          const value: unknown = JSON.parse(JSON.stringify(write.value));
+          const row = { key: write.key, value, version: String(++this.version) };
+          this.watch(this.rows.get(write.key)?.value, value);
+          this.rows.set(write.key, row);
+          return [row];
+        });
+        return { type: 'ok', rows };
       }
-      const version = String(this.nextVersion++);
-      const row = { key: write.key, value: structuredClone(write.value), version };
-      this.rows.set(write.key, row);
-      written.push(row);
     }
-    return { type: 'ok', rows: written };
   }
 
-  private isMet(key: string, condition: Condition): boolean {
+  private holds(key: string, condition: Condition): boolean {
     const row = this.rows.get(key);
     if (condition.type === 'any') return true;
     return condition.type === 'absent' ? row === undefined : row?.version === condition.version;
