--- a/src/callers/context.ts
+++ b/src/callers/context.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Event } from '../core/events.ts';
 import type { State } from '../core/state.ts';
+import type { TraceContext } from '../observe/traceparent.ts';
 import type { AccessKey } from '../settings/accessKeys.ts';
 import type { Settings } from '../settings/groups.ts';
 import type { DraftReadAnswer } from '../drafts/types.ts';
@@ -32,6 +33,8 @@
 export interface Call {
   /** Also the `X-Request-Id` of the answer. */
   id: string;
+  /** Child of the caller's context, or the root of a new trace. */
+  trace: TraceContext;
   request: IncomingMessage;
   response: ServerResponse;
   key: AccessKey;
--- a/src/callers/exchange.ts
+++ b/src/callers/exchange.ts
@@ -1,4 +1,5 @@
 import type { Failure } from '../errors/failure.ts';
+import type { RequestFields } from '../observe/logger.ts';
 
 export interface AnswerHead {
   adapter: string;
@@ -23,4 +24,10 @@
   /** Parsed body; `model` is replaced by the resolved one when it is sent. */
   body: Record<string, unknown>;
   sink: AnswerSink;
+  /** Context that the engine receives. */
+  traceparent: string | undefined;
+  /** Fields of the request's log line. */
+  log: RequestFields;
+  /** Monotonic ms. */
+  arrivedAt: number;
 }
--- a/src/callers/routes/services.ts
+++ b/src/callers/routes/services.ts
@@ -4,17 +4,12 @@
 import { Failure } from '../../errors/failure.ts';
 import { readBody } from '../../http/body.ts';
 import { sendFailure } from '../../http/reply.ts';
+import { getTraceparent } from '../../observe/traceparent.ts';
 import type { Call, Route } from '../context.ts';
 import { parseRequestHeaders } from '../requestHeaders.ts';
 
 /** Headers of the caller that a service receives. */
-const FORWARDED_HEADERS = [
-  'content-type',
-  'accept',
-  'accept-language',
-  'idempotency-key',
-  'traceparent',
-];
+const FORWARDED_HEADERS = ['content-type', 'accept', 'accept-language', 'idempotency-key'];
 const KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
 
 /** `ANY /services/NAME/...`: a call of a plain service. */
@@ -53,7 +48,11 @@
   host.addServiceExchange(id, {
     method,
     path: path + url.search,
-    headers: { ...getForwarded(request.headers), 'x-request-id': id },
+    headers: {
+      ...getForwarded(request.headers),
+      'x-request-id': id,
+      traceparent: getTraceparent(call.trace),
+    },
     body: body.val,
     answer: (answer) => sendAnswer(call, answer),
   });
--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -5,6 +5,7 @@
 import { findKey } from '../http/keys.ts';
 import { getPort, startServer, stopServer } from '../http/listen.ts';
 import { sendFailure } from '../http/reply.ts';
+import { newTraceContext, parseTraceparent } from '../observe/traceparent.ts';
 import type { CallerHost, Route } from './context.ts';
 import { routes } from './routes/index.ts';
 
@@ -66,9 +67,10 @@
       sendFailure(response, Failure.create('unauthorized', message));
       return;
     }
+    const trace = newTraceContext(parseTraceparent(getTraceHeader(request)));
     const url = new URL(request.url ?? '/', 'http://localhost');
     try {
-      await route.handle({ id, request, response, key, params, url, host: this.host });
+      await route.handle({ id, trace, request, response, key, params, url, host: this.host });
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       sendFailure(response, Failure.create('internal', `request ${id} failed: ${reason}`));
@@ -76,6 +78,10 @@
   }
 }
 
+function getTraceHeader({ headers }: IncomingMessage): string | undefined {
+  return typeof headers.traceparent === 'string' ? headers.traceparent : undefined;
+}
+
 function answerUnknownRoute(
   router: Router,
   request: IncomingMessage,
--- a/src/clients/completion.ts
+++ b/src/clients/completion.ts
@@ -12,6 +12,8 @@
   /** Body of the caller's request; `stream: true` makes it a stream. */
   body: Record<string, unknown>;
   requestId: string;
+  /** Trace context that the engine receives. */
+  traceparent?: string;
   /** `adapter@version` */
   model: string;
   priority: number;
@@ -120,13 +122,14 @@
   }
 
   private open(isResume: boolean): Promise<OpenAnswer | HttpFailure> {
-    const { address, path, body, model, priority, requestId, deadline } = this.options;
+    const { address, path, body, model, priority, requestId, traceparent, deadline } = this.options;
     const remainingMs = Math.max(1, Math.ceil(deadline - performance.now()));
     const headers: Record<string, string> = {
       'content-type': 'application/json',
       'x-request-id': requestId,
       'x-request-deadline-ms': String(remainingMs),
     };
+    if (traceparent !== undefined) headers.traceparent = traceparent;
     if (isResume) headers['last-event-id'] = String(this.order.position);
     return this.http.open({
       address,
--- a/src/host/runners/attempts.ts
+++ b/src/host/runners/attempts.ts
@@ -1,3 +1,4 @@
+import type { Exchange } from '../../callers/exchange.ts';
 import type { AttemptOutcome } from '../../requests/types.ts';
 import type { EffectRunners, HostContext } from '../context.ts';
 
@@ -17,6 +18,7 @@
       path,
       body,
       requestId: order.attempt,
+      traceparent: exchange.traceparent,
       model: order.model,
       priority: order.priority,
       deadline: order.deadline,
@@ -31,15 +33,36 @@
   },
   cancelAttempt: (context, { attempt }) => context.attempts.get(attempt)?.cancel(),
   failRequest: (context, { id, failure }) => {
-    context.exchanges.get(id)?.sink.fail(failure);
-    context.exchanges.delete(id);
+    const exchange = takeExchange(context, id);
+    if (exchange === undefined) return;
+    exchange.sink.fail(failure);
+    const { kind, message, outcome } = failure;
+    logEnd(context, exchange, kind, { failure: message, outcome });
   },
   finishRequest: (context, { id }) => {
-    context.exchanges.get(id)?.sink.finish();
-    context.exchanges.delete(id);
+    const exchange = takeExchange(context, id);
+    if (exchange === undefined) return;
+    exchange.sink.finish();
+    logEnd(context, exchange, 'completed');
   },
 };
 
+function takeExchange(context: HostContext, id: string): Exchange | undefined {
+  const exchange = context.exchanges.get(id);
+  context.exchanges.delete(id);
+  return exchange;
+}
+
+function logEnd(
+  context: HostContext,
+  { log, arrivedAt }: Exchange,
+  result: string,
+  fields: Record<string, unknown> = {},
+): void {
+  const durationMs = Math.round(performance.now() - arrivedAt);
+  context.observer.logger.write('info', 'request ended', { ...log, result, durationMs, ...fields });
+}
+
 function end(context: HostContext, id: string, attempt: string, outcome: AttemptOutcome): void {
   context.attempts.delete(attempt);
   context.dispatch({ type: 'attemptEnded', id, attempt, outcome });
--- a/src/host/runners/durable.ts
+++ b/src/host/runners/durable.ts
@@ -41,6 +41,9 @@
       path: path as CompletionPath,
       body: JSON.parse(body) as Record<string, unknown>,
       sink: DraftSink.create(draft, (event) => context.dispatch(event)),
+      traceparent: undefined,
+      log: { requestId: id, draft, kind: 'draft' },
+      arrivedAt: performance.now(),
     });
   },
   dropDraftRequest: (context, { id }) => void context.exchanges.delete(id),
--- a/src/observe/logger.ts
+++ b/src/observe/logger.ts
@@ -14,6 +14,11 @@
 export interface RequestFields {
   requestId: string;
   traceId?: string;
+  firm?: string;
+  caller?: string;
+  kind?: string;
+  model?: string;
+  draft?: string;
 }
 
 /** Writes JSON lines: `time`, `level`, `message`, then the fields. */
