--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -11,6 +11,7 @@
 import { TableClient } from '../clients/tableClient.ts';
 import { hash32 } from '../base/hash.ts';
 import type { Event } from '../core/events.ts';
+import { newObserve } from '../core/observations.ts';
 import { State } from '../core/state.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
 import { PeerLinks } from '../peers/links.ts';
@@ -59,7 +60,15 @@
       localAddress: settings.host.sourceAddress,
       onEvent: (event) => this.dispatch(event),
     });
-    this.loop = Loop.create(this.state, (effect) => runEffect(this, effect));
+    this.loop = Loop.create({
+      state: this.state,
+      runEffect: (effect) => runEffect(this, effect),
+      onTurn: (turnMs) => this.observer.observe(newObserve('fireflywick_loop_turn_ms', {}, turnMs)),
+      onError: (event, error) => {
+        const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+        this.observer.logger.write('error', 'an event failed', { event: event.type, reason });
+      },
+    });
     this.callerServer = CallerServer.create(this);
     this.adminServer = AdminServer.create(this);
     this.stopped = new Promise((resolve) => {
--- a/src/host/loop.ts
+++ b/src/host/loop.ts
@@ -13,10 +13,18 @@
   private constructor(
     private readonly state: State,
     private readonly runEffect: (effect: Effect) => void,
+    private readonly onTurn: (turnMs: number) => void,
+    private readonly onError: (event: Event, error: unknown) => void,
   ) {}
 
-  static create(state: State, runEffect: (effect: Effect) => void): Loop {
-    return new Loop(state, runEffect);
+  static create(options: {
+    state: State;
+    runEffect: (effect: Effect) => void;
+    /** Receives the time that a turn took, in ms. */
+    onTurn: (turnMs: number) => void;
+    onError: (event: Event, error: unknown) => void;
+  }): Loop {
+    return new Loop(options.state, options.runEffect, options.onTurn, options.onError);
   }
 
   /** Handles `event`, or queues it when it comes from within an effect. */
@@ -24,11 +32,10 @@
     this.queue.push(event);
     if (this.isDraining) return;
     this.isDraining = true;
-    try {
-      this.drain();
-    } finally {
-      this.isDraining = false;
-    }
+    const startedAt = performance.now();
+    this.drain();
+    this.isDraining = false;
+    this.onTurn(performance.now() - startedAt);
     this.arm();
   }
 
@@ -38,7 +45,16 @@
 
   private drain(): void {
     for (let event = this.queue.shift(); event !== undefined; event = this.queue.shift()) {
+      this.handle(event);
+    }
+  }
+
+  /** An event whose handler fails is dropped: every other request on the host goes on. */
+  private handle(event: Event): void {
+    try {
       for (const effect of reduce(this.state, event, performance.now())) this.runEffect(effect);
+    } catch (error) {
+      this.onError(event, error);
     }
   }
 
