--- a/src/configuration/accept.ts
+++ b/src/configuration/accept.ts
@@ -60,10 +60,9 @@
 }
 
 function getNewestPeerRevision(state: State): number {
-  const { host, membership, sync } = state;
-  const peers = new Set([...membership.hosts.keys(), ...sync.peerRevisions.keys()]);
-  peers.delete(host.id);
-  return [...peers].reduce((newest, peer) => Math.max(newest, getPeerRevision(state, peer)), 0);
+  // A host that cannot be reached may have been the only one with its revision.
+  const peers = [...state.membership.linked].filter((peer) => peer !== state.host.id);
+  return peers.reduce((newest, peer) => Math.max(newest, getPeerRevision(state, peer)), 0);
 }
 
 function updateInForce(state: State, now: number): Effect[] {
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -1,3 +1,5 @@
+import type { ActionEvent } from '../actions/types.ts';
+import type { DraftEvent } from '../drafts/types.ts';
 import type { EngineEvent } from '../engines/types.ts';
 import type { GrantEvent } from '../grants/types.ts';
 import type { MembershipEvent } from '../membership/types.ts';
@@ -22,4 +24,6 @@
   | EngineEvent
   | GrantEvent
   | MembershipEvent
-  | OperatorEvent;
+  | OperatorEvent
+  | ActionEvent
+  | DraftEvent;
--- a/src/core/hostHandlers.ts
+++ b/src/core/hostHandlers.ts
@@ -1,3 +1,6 @@
+import { startRetention } from '../actions/retention.ts';
+import { startDrafts } from '../drafts/takeover.ts';
+import { startSuspects } from '../suspects/table.ts';
 import { startConfiguration } from '../configuration/handlers.ts';
 import { startMembership } from '../membership/handlers.ts';
 import { startOwnership } from '../ownership/handlers.ts';
@@ -9,6 +12,9 @@
     ...startConfiguration(state, now),
     ...startMembership(state, now),
     ...startOwnership(state, now),
+    ...startRetention(state, now),
+    ...startSuspects(state, now),
+    ...startDrafts(state, now),
   ],
   stopRequested: (state, _event, now) => startShutdown(state, now),
 };
--- a/src/core/lifecycle.ts
+++ b/src/core/lifecycle.ts
@@ -1,4 +1,5 @@
 import { hasLeft, leaveOwnership } from '../ownership/leave.ts';
+import { hasDraftWork } from '../drafts/queue.ts';
 import type { Effect } from './effects.ts';
 import { newLog } from './observations.ts';
 import type { State } from './state.ts';
@@ -33,8 +34,9 @@
 /** Ends the host once nothing is in flight and its engines are handed over. */
 export function checkDrained(state: State, now: number): Effect[] {
   if (state.phase !== 'draining') return [];
-  const inFlight = state.requests.inFlight.size + state.operators.asks.size;
-  if (inFlight > 0 || !hasLeft(state, now)) {
+  const { requests, actions, operators } = state;
+  const inFlight = requests.inFlight.size + actions.inFlight.size + operators.asks.size;
+  if (inFlight > 0 || hasDraftWork(state) || !hasLeft(state, now)) {
     schedule(state, now + DRAIN_CHECK_MS, { type: 'checkDrained' });
     return [];
   }
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -1,9 +1,22 @@
+import {
+  actionEvents,
+  actionObjectHandlers,
+  actionTableHandlers,
+  actionTimers,
+} from '../actions/handlers.ts';
 import {
   configurationObjectHandlers,
   configurationTableHandlers,
   configurationTimers,
 } from '../configuration/handlers.ts';
 import { configurationMessages } from '../configuration/peerHandlers.ts';
+import {
+  draftEvents,
+  draftObjectHandlers,
+  draftTableHandlers,
+  draftTimers,
+} from '../drafts/handlers.ts';
+import { suspectMessages, suspectTableHandlers, suspectTimers } from '../suspects/handlers.ts';
 import { engineEvents, engineTimers } from '../engines/handlers.ts';
 import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
 import { operatorTableHandlers } from '../operators/actions/index.ts';
@@ -40,6 +53,7 @@
   ...requestMessages,
   ...membershipMessages,
   ...ownershipMessages,
+  ...suspectMessages,
 };
 
 const timers: TimerHandlers<Timer['type']> = {
@@ -47,6 +61,9 @@
   ...engineTimers,
   ...grantTimers,
   ...requestTimers,
+  ...actionTimers,
+  ...draftTimers,
+  ...suspectTimers,
   ...hostTimers,
   ...confirmTimers,
   ...membershipTimers,
@@ -57,10 +74,15 @@
   ...configurationTableHandlers,
   ...operatorTableHandlers,
   ...ownershipTableHandlers,
+  ...actionTableHandlers,
+  ...draftTableHandlers,
+  ...suspectTableHandlers,
 };
 
 const objectAnswers: ObjectAnswerHandlers<ObjectPurpose['type']> = {
   ...configurationObjectHandlers,
+  ...actionObjectHandlers,
+  ...draftObjectHandlers,
 };
 
 const events: EventHandlers<Event['type']> = {
@@ -70,6 +92,8 @@
   ...grantEvents,
   ...membershipEvents,
   ...operatorEvents,
+  ...actionEvents,
+  ...draftEvents,
   tick: (state, _event, now) => runDueTimers(state, now),
   messageReceived: (state, { from, message }, now) => {
     const handler = messages[message.type] as Untyped;
--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -1,4 +1,7 @@
 import type { ConfigurationTimer } from '../configuration/handlers.ts';
+import type { ActionTimer } from '../actions/types.ts';
+import type { DraftTimer } from '../drafts/types.ts';
+import type { SuspectTimer } from '../suspects/types.ts';
 import type { EngineTimer } from '../engines/types.ts';
 import type { GrantTimer } from '../grants/types.ts';
 import type { OperatorTimer } from '../operators/types.ts';
@@ -17,7 +20,10 @@
   | RequestTimer
   | LifecycleTimer
   | MembershipTimer
-  | OwnershipTimer;
+  | OwnershipTimer
+  | ActionTimer
+  | DraftTimer
+  | SuspectTimer;
 
 /** Schedules `timer` for monotonic time `at`. */
 export function schedule(state: State, at: number, timer: Timer): void {
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -1,13 +1,17 @@
 import { AdminServer } from '../admin/server.ts';
+import type { DraftReader, DraftWaiter } from '../callers/context.ts';
 import type { Exchange } from '../callers/exchange.ts';
+import type { ServiceExchange } from '../callers/serviceExchange.ts';
 import { CallerServer } from '../callers/server.ts';
 import { EngineClient } from '../clients/engineClient.ts';
 import { HostListClient } from '../clients/hostListClient.ts';
 import { Http } from '../clients/http.ts';
 import { ObjectClient } from '../clients/objectClient.ts';
+import { ServiceClient } from '../clients/serviceClient.ts';
 import { TableClient } from '../clients/tableClient.ts';
 import { hash32 } from '../base/hash.ts';
 import type { Event } from '../core/events.ts';
+import { newObserve } from '../core/observations.ts';
 import { State } from '../core/state.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
 import { PeerLinks } from '../peers/links.ts';
@@ -20,15 +24,19 @@
 /** One entry host: the loop, its clients and its servers. */
 export class EntryHost implements HostContext {
   readonly exchanges = new Map<string, Exchange>();
+  readonly serviceExchanges = new Map<string, ServiceExchange>();
+  readonly draftWaiters = new Map<string, DraftWaiter>();
+  readonly draftReaders = new Map<string, DraftReader>();
   readonly attempts = new Map<string, RunningAttempt>();
   readonly state: State;
   readonly observer: Observer;
   readonly table: TableClient;
   readonly objects: ObjectClient;
   readonly engines: EngineClient;
+  readonly services: ServiceClient;
   readonly hostList: HostListClient;
   readonly links: PeerLinks;
-  private readonly http = Http.create();
+  private readonly http: Http;
   private readonly loop: Loop;
   private readonly callerServer: CallerServer;
   private readonly adminServer: AdminServer;
@@ -38,18 +46,29 @@
   private constructor(readonly settings: Settings) {
     this.state = newState(settings);
     this.observer = Observer.create(settings);
-    const { http } = this;
+    const http = Http.create({ localAddress: settings.host.sourceAddress });
+    this.http = http;
     const { tableUrl, objectsUrl, hostsUrl } = settings.platform;
     this.table = TableClient.create({ address: tableUrl, http });
     this.objects = ObjectClient.create({ address: objectsUrl, http });
     this.hostList = HostListClient.create({ address: hostsUrl, http });
+    this.services = ServiceClient.create({ http });
     this.engines = EngineClient.create({ http });
     this.links = PeerLinks.create({
       identity: this.state.host,
       listen: settings.listen.peers,
+      localAddress: settings.host.sourceAddress,
       onEvent: (event) => this.dispatch(event),
     });
-    this.loop = Loop.create(this.state, (effect) => runEffect(this, effect));
+    this.loop = Loop.create({
+      state: this.state,
+      runEffect: (effect) => runEffect(this, effect),
+      onTurn: (turnMs) => this.observer.observe(newObserve('fireflywick_loop_turn_ms', {}, turnMs)),
+      onError: (event, error) => {
+        const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+        this.observer.logger.write('error', 'an event failed', { event: event.type, reason });
+      },
+    });
     this.callerServer = CallerServer.create(this);
     this.adminServer = AdminServer.create(this);
     this.stopped = new Promise((resolve) => {
@@ -89,6 +108,18 @@
     this.exchanges.set(id, exchange);
   }
 
+  addServiceExchange(id: string, exchange: ServiceExchange): void {
+    this.serviceExchanges.set(id, exchange);
+  }
+
+  addDraftWaiter(id: string, waiter: DraftWaiter): void {
+    this.draftWaiters.set(id, waiter);
+  }
+
+  addDraftReader(id: string, reader: DraftReader): void {
+    this.draftReaders.set(id, reader);
+  }
+
   answerOperator(id: string, answer: OperatorAnswer): void {
     this.adminServer.answer(id, answer);
   }
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -27,6 +27,8 @@
 export interface PeerLinksOptions {
   identity: HostIdentity;
   listen: { host: string; port: number };
+  /** IP number that links are dialled from; the system chooses when there is none. */
+  localAddress?: string;
   onEvent: (event: PeerEvent) => void;
 }
 
@@ -57,6 +59,7 @@
     refused: 0,
   };
   readonly hello: Hello;
+  readonly localAddress: string | undefined;
   private readonly server: Server;
   private readonly peers = new Map<string, Peer>();
   private readonly connections = new Set<Connection>();
@@ -68,6 +71,7 @@
   private isStopped = false;
 
   private constructor(private readonly options: PeerLinksOptions) {
+    this.localAddress = options.localAddress;
     const { id: host, incarnation, zone, address } = options.identity;
     this.hello = {
       host,
