--- a/bench/main.ts
+++ b/bench/main.ts
@@ -18,6 +18,7 @@
     --slots N           adapter slots of an engine (8)
     --zipf X            exponent of the adapters' popularity
     --stall-weight X    0 weighs batch efficiency only, 1 load stalls only
+    --report FILE.html  draws the results of the policy bench into one file
     --json              one JSON line for each scenario
 `,
   {
@@ -29,6 +30,7 @@
       slots: { type: 'number', default: 8 },
       zipf: { type: 'number' },
       stallWeight: { type: 'number' },
+      report: { type: 'string' },
       json: { type: 'boolean', default: false },
     },
   },
--- a/bench/policy/run.ts
+++ b/bench/policy/run.ts
@@ -1,5 +1,7 @@
-import { compare, type Comparison, HELD_OUT_SEEDS, type Ratios, TUNING_SEEDS } from './compare.ts';
+import { compare, type Comparison, HELD_OUT_SEEDS, TUNING_SEEDS } from './compare.ts';
+import { writeReport } from './report.ts';
 import { getScenario, type ScenarioName, SCENARIOS } from './scenarios.ts';
+import { getSpread, summarize, type Summary } from './summary.ts';
 
 export interface PolicyOptions {
   scenario: string | undefined;
@@ -9,14 +11,8 @@
   zipf: number | undefined;
   stallWeight: number | undefined;
   json: boolean;
-}
-
-interface Summary {
-  scenario: string;
-  slots: number;
-  seeds: number[];
-  /** Median, least and greatest over the seeds. */
-  ratios: Record<string, [number, number, number]>;
+  /** HTML file to draw the results into. */
+  report: string | undefined;
 }
 
 /** Runs the policy bench and prints it; returns the exit code. */
@@ -28,6 +24,7 @@
     );
     return 2;
   }
+  const summaries: Summary[] = [];
   for (const name of names) {
     const comparisons = getSeeds(options).map((seed) =>
       compare(getScenario(name), {
@@ -38,9 +35,11 @@
       }),
     );
     const summary = summarize(comparisons);
+    summaries.push(summary);
     if (options.json) console.log(JSON.stringify({ ...summary, runs: comparisons }));
     else printSummary(summary, comparisons);
   }
+  if (options.report !== undefined) writeReport(options.report, summaries, options.zipf);
   return 0;
 }
 
@@ -56,27 +55,6 @@
   return heldOut ? HELD_OUT_SEEDS : TUNING_SEEDS;
 }
 
-function summarize(comparisons: Comparison[]): Summary {
-  const [first] = comparisons;
-  const keys = Object.keys(first?.ratios ?? {}) as (keyof Ratios)[];
-  return {
-    scenario: first?.scenario ?? '',
-    slots: first?.slots ?? 0,
-    seeds: comparisons.map(({ seed }) => seed),
-    ratios: Object.fromEntries(
-      keys.map((key) => [key, getSpread(comparisons.map(({ ratios }) => ratios[key]))]),
-    ),
-  };
-}
-
-/** Returns median, least and greatest value. */
-export function getSpread(values: number[]): [number, number, number] {
-  const sorted = [...values].sort((a, b) => a - b);
-  const low = sorted[Math.floor((sorted.length - 1) / 2)] ?? NaN;
-  const high = sorted[Math.ceil((sorted.length - 1) / 2)] ?? NaN;
-  return [(low + high) / 2, sorted[0] ?? NaN, sorted.at(-1) ?? NaN];
-}
-
 function printSummary({ scenario, slots, seeds, ratios }: Summary, runs: Comparison[]): void {
   console.log(`\n${scenario}, ${slots} slots, seeds ${seeds.join(' ')}`);
   for (const [name, [median, least, most]] of Object.entries(ratios)) {
