Keep cold adapters on one engine, keep more tokens for urgent loads

Cause: under a burst, hosts passed the first engine on the ring at a load of 2 batches and one adapter was loaded by several engines; an urgent load waited for its token with a full engine and evicted only afterwards. Ruled out with figures in docs/measures.md: prefetch, other weights, more ring candidates, more ring points, shorter minimum residency.

--- a/src/grants/constants.ts
+++ b/src/grants/constants.ts
@@ -28,7 +28,7 @@
 /** Loads that may start at once in the whole deployment: the weight store runs 8 at full speed. */
 export const STORE_BURST = 8;
 /** Share of its token limit that a host keeps for urgent loads at a stall weight of 1. */
-export const URGENT_RESERVE = 0.4;
+export const URGENT_RESERVE = 0.8;
 /** Greatest share of its token limit that a host wants to have before a load that is not urgent. */
 export const MAX_NEED_SHARE = 0.85;
 /** Time within which borrowed tokens must be used. */
--- a/src/grants/orders.ts
+++ b/src/grants/orders.ts
@@ -24,9 +24,14 @@
   );
   if (wanted === undefined) return [];
   owned.wantedRank = wanted.rank;
-  if (getTokens(state, now) < getNeed(state, wanted.rank))
-    return waitForToken(state, owned, wanted, now);
-  if (owned.residents.size + owned.unloading.size >= engine.slots) {
+  const isFull = owned.residents.size + owned.unloading.size >= engine.slots;
+  if (getTokens(state, now) < getNeed(state, wanted.rank)) {
+    const waiting = waitForToken(state, owned, wanted, now);
+    // The slot is made free while an urgent request waits for its token.
+    if (wanted.rank < URGENT_RANK || !isFull || owned.unloading.size > 0) return waiting;
+    return [...waiting, ...orderEviction(state, owned, engine, wanted.rank, now)];
+  }
+  if (isFull) {
     return owned.unloading.size > 0 ? [] : orderEviction(state, owned, engine, wanted.rank, now);
   }
   return orderLoad(state, owned, engine, wanted.model, now);
--- a/src/grants/popularity.ts
+++ b/src/grants/popularity.ts
@@ -27,11 +27,6 @@
     return this.counters.get(model)?.getValue(now) ?? 0;
   }
 
-  /** Returns all adapters that are known, in no order. */
-  getModels(): Iterable<string> {
-    return this.counters.keys();
-  }
-
   /** Forgets the less popular half. */
   private prune(now: number): void {
     const values = [...this.counters].map(([model, counter]) => ({
--- a/src/routing/constants.ts
+++ b/src/routing/constants.ts
@@ -8,5 +8,8 @@
 export const SECOND_COPY_MIN_LOAD = 1.25;
 /** Load of an engine, in batches, below which it may take a second copy. */
 export const SECOND_COPY_MAX_LOAD = 0.75;
-/** Load in batches from which the first engine on the ring is passed over. */
-export const RING_OVERFLOW = 2;
+/**
+ * Load in batches from which the first engine on the ring is passed over. At 2, hosts sent one cold
+ * adapter to several engines under a burst and paid a load for each (docs/measures.md).
+ */
+export const RING_OVERFLOW = 5;
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -1,4 +1,5 @@
 import type { State } from '../core/state.ts';
+import { isUsable } from '../engines/usable.ts';
 import { getLoad } from '../engines/views.ts';
 import { getOwner, isReachable, type Owner } from '../ownership/owner.ts';
 import type { Request } from '../requests/types.ts';
@@ -77,10 +78,7 @@
   const { configuration, engines } = state;
   const known = configuration.engines.get(engine);
   if (known === undefined || request.excluded.has(engine)) return undefined;
-  const view = engines.views.get(engine)?.state;
-  if (configuration.leaving.has(engine) || view === 'leaving' || view === 'unreachable') {
-    return undefined;
-  }
+  if (!isUsable(state, engine)) return undefined;
   const owner = getOwner(state, engine);
   if (owner === undefined || !isReachable(state, owner.host)) return undefined;
   return { engine, owner, load: getLoad(engines, engine), batch: known.batch };
