--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import createRouter, { type HTTPVersion, type Instance } from 'find-my-way';
+import type { DraftListAnswer, DraftReadAnswer } from '../drafts/types.ts';
 import { Failure, getFailureBody } from '../errors/failure.ts';
 import { getAnswer } from '../errors/kinds.ts';
 import { findKey } from '../http/keys.ts';
@@ -70,6 +71,20 @@
     else sendRefusal(response, answer.failure, answer.details);
   }
 
+  /** Passes on what became of one draft; ids of callers are not known here and ignored. */
+  answerDraftRead(id: string, answer: DraftReadAnswer): void {
+    if (answer.type === 'failed') this.answer(id, newRefusal(answer.failure));
+    else this.answer(id, { type: 'done', status: 200, body: answer });
+  }
+
+  answerDraftList(id: string, answer: DraftListAnswer): void {
+    if (answer.type === 'failed') this.answer(id, newRefusal(answer.failure));
+    else {
+      const { drafts, next } = answer;
+      this.answer(id, { type: 'done', status: 200, body: { drafts, next } });
+    }
+  }
+
   private async handle(
     route: CommandRoute,
     request: IncomingMessage,
@@ -103,6 +118,10 @@
   }
 }
 
+function newRefusal(failure: Failure): OperatorAnswer {
+  return { type: 'refused', failure, details: [] };
+}
+
 function sendRefusal(response: ServerResponse, failure: Failure, details: string[]): void {
   if (details.length === 0) {
     sendFailure(response, failure);
--- a/src/core/lifecycle.ts
+++ b/src/core/lifecycle.ts
@@ -1,3 +1,4 @@
+import { hasDraftWork } from '../drafts/queue.ts';
 import type { Effect } from './effects.ts';
 import { newLog } from './observations.ts';
 import type { State } from './state.ts';
@@ -32,7 +33,9 @@
 /** Ends the host once nothing is in flight. */
 export function checkDrained(state: State, now: number): Effect[] {
   if (state.phase !== 'draining') return [];
-  if (state.requests.inFlight.size + state.operators.asks.size > 0) {
+  const { requests, actions, operators } = state;
+  const inFlight = requests.inFlight.size + actions.inFlight.size + operators.asks.size;
+  if (inFlight > 0 || hasDraftWork(state)) {
     schedule(state, now + DRAIN_CHECK_MS, { type: 'checkDrained' });
     return [];
   }
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -1,3 +1,4 @@
+import { SuspectReported } from '../suspects/types.ts';
 import { z } from 'zod';
 import {
   RevisionAnnounced,
@@ -17,5 +18,6 @@
   RevisionAnnounced,
   RevisionsAsked,
   SnapshotPushed,
+  SuspectReported,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -1,9 +1,22 @@
+import {
+  actionEvents,
+  actionObjectHandlers,
+  actionTableHandlers,
+  actionTimers,
+} from '../actions/handlers.ts';
 import {
   configurationObjectHandlers,
   configurationTableHandlers,
   configurationTimers,
 } from '../configuration/handlers.ts';
 import { configurationMessages } from '../configuration/peerHandlers.ts';
+import {
+  draftEvents,
+  draftObjectHandlers,
+  draftTableHandlers,
+  draftTimers,
+} from '../drafts/handlers.ts';
+import { suspectMessages, suspectTableHandlers, suspectTimers } from '../suspects/handlers.ts';
 import { engineEvents, engineTimers } from '../engines/handlers.ts';
 import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
 import { membershipEvents } from '../membership/handlers.ts';
@@ -32,6 +45,7 @@
   ...configurationMessages,
   ...grantMessages,
   ...requestMessages,
+  ...suspectMessages,
 };
 
 const timers: TimerHandlers<Timer['type']> = {
@@ -39,6 +53,9 @@
   ...engineTimers,
   ...grantTimers,
   ...requestTimers,
+  ...actionTimers,
+  ...draftTimers,
+  ...suspectTimers,
   ...hostTimers,
   ...confirmTimers,
 };
@@ -46,10 +63,15 @@
 const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = {
   ...configurationTableHandlers,
   ...operatorTableHandlers,
+  ...actionTableHandlers,
+  ...draftTableHandlers,
+  ...suspectTableHandlers,
 };
 
 const objectAnswers: ObjectAnswerHandlers<ObjectPurpose['type']> = {
   ...configurationObjectHandlers,
+  ...actionObjectHandlers,
+  ...draftObjectHandlers,
 };
 
 const events: EventHandlers<Event['type']> = {
@@ -59,6 +81,8 @@
   ...grantEvents,
   ...membershipEvents,
   ...operatorEvents,
+  ...actionEvents,
+  ...draftEvents,
   tick: (state, _event, now) => runDueTimers(state, now),
   messageReceived: (state, { from, message }, now) => {
     const handler = messages[message.type] as Untyped;
--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -1,4 +1,7 @@
 import type { ConfigurationTimer } from '../configuration/handlers.ts';
+import type { ActionTimer } from '../actions/types.ts';
+import type { DraftTimer } from '../drafts/types.ts';
+import type { SuspectTimer } from '../suspects/types.ts';
 import type { EngineTimer } from '../engines/types.ts';
 import type { GrantTimer } from '../grants/types.ts';
 import type { OperatorTimer } from '../operators/types.ts';
@@ -8,7 +11,15 @@
 
 /** Every kind of timer. A handler checks that its timer still matters, so timers are never removed. */
 export type Timer =
-  EngineTimer | GrantTimer | RequestTimer | LifecycleTimer | ConfigurationTimer | OperatorTimer;
+  | EngineTimer
+  | GrantTimer
+  | RequestTimer
+  | ActionTimer
+  | DraftTimer
+  | SuspectTimer
+  | LifecycleTimer
+  | ConfigurationTimer
+  | OperatorTimer;
 
 /** Schedules `timer` for monotonic time `at`. */
 export function schedule(state: State, at: number, timer: Timer): void {
--- a/src/host/context.ts
+++ b/src/host/context.ts
@@ -6,6 +6,7 @@
 import type { Event } from '../core/events.ts';
 import type { Message } from '../core/messages.ts';
 import type { State } from '../core/state.ts';
+import type { DraftListAnswer, DraftReadAnswer } from '../drafts/types.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
 import type { Observer } from './observer.ts';
 
@@ -25,6 +26,8 @@
   readonly attempts: Map<string, RunningAttempt>;
   dispatch(event: Event): void;
   /** Hands the answer to an operator's question to the server that asked. */
+  answerDraftRead(id: string, answer: DraftReadAnswer): void;
+  answerDraftList(id: string, answer: DraftListAnswer): void;
   answerOperator(id: string, answer: OperatorAnswer): void;
   send(to: string, message: Message): void;
   /** Called when the reducer has nothing left to do before the process ends. */
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -8,6 +8,7 @@
 import type { Event } from '../core/events.ts';
 import type { Message } from '../core/messages.ts';
 import { State } from '../core/state.ts';
+import type { DraftListAnswer, DraftReadAnswer } from '../drafts/types.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
 import type { Settings } from '../settings/groups.ts';
 import type { HostContext, RunningAttempt } from './context.ts';
@@ -81,6 +82,14 @@
     this.adminServer.answer(id, answer);
   }
 
+  answerDraftRead(id: string, answer: DraftReadAnswer): void {
+    this.adminServer.answerDraftRead(id, answer);
+  }
+
+  answerDraftList(id: string, answer: DraftListAnswer): void {
+    this.adminServer.answerDraftList(id, answer);
+  }
+
   onStopped(): void {
     this.resolveStopped();
   }
--- a/src/host/runners/index.ts
+++ b/src/host/runners/index.ts
@@ -1,11 +1,13 @@
 import type { Effect } from '../../core/effects.ts';
 import type { EffectRunners, HostContext } from '../context.ts';
 import { attemptRunners } from './attempts.ts';
+import { durableRunners } from './durable.ts';
 import { outsideRunners } from './outside.ts';
 
 const runners: EffectRunners<Effect['type']> = {
   ...attemptRunners,
   ...outsideRunners,
+  ...durableRunners,
   log: (context, effect) => context.observer.observe(effect),
   count: (context, effect) => context.observer.observe(effect),
   observe: (context, effect) => context.observer.observe(effect),
--- a/src/operators/actions/index.ts
+++ b/src/operators/actions/index.ts
@@ -1,8 +1,10 @@
 import type { TableAnswerHandlers } from '../../core/handlers.ts';
 import type { OperatorAction } from '../answer.ts';
 import type { OperatorCommand, OperatorPurpose } from '../types.ts';
+import { clearSuspectAction, deleteDraft, recordedAnswers, retryDraft } from './recorded.ts';
 import { confirmPlan, confirmPlanAnswers } from './confirmPlan.ts';
 import { listAudit, listAuditAnswers } from './listAudit.ts';
+import { listDrafts } from './listDrafts.ts';
 import { listEngines } from './listEngines.ts';
 import { listHosts } from './listHosts.ts';
 import { listSuspects } from './listSuspects.ts';
@@ -18,7 +20,11 @@
   listAudit,
   listHosts,
   listEngines,
+  listDrafts,
+  retryDraft,
+  deleteDraft,
   listSuspects,
+  clearSuspect: clearSuspectAction,
 };
 
 export const operatorTableHandlers: TableAnswerHandlers<OperatorPurpose['type']> = {
@@ -26,4 +32,5 @@
   ...showPlanAnswers,
   ...confirmPlanAnswers,
   ...listAuditAnswers,
+  ...recordedAnswers,
 };
