--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -9,6 +9,7 @@
 import { hash32 } from '../base/hash.ts';
 import type { Event } from '../core/events.ts';
 import { State } from '../core/state.ts';
+import type { DraftListAnswer, DraftReadAnswer } from '../drafts/types.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
 import { PeerLinks } from '../peers/links.ts';
 import type { Settings } from '../settings/groups.ts';
@@ -93,6 +94,14 @@
     this.adminServer.answer(id, answer);
   }
 
+  answerDraftRead(id: string, answer: DraftReadAnswer): void {
+    this.adminServer.answerDraftRead(id, answer);
+  }
+
+  answerDraftList(id: string, answer: DraftListAnswer): void {
+    this.adminServer.answerDraftList(id, answer);
+  }
+
   onStopped(): void {
     this.resolveStopped();
   }
--- a/src/host/runners/durable.ts
+++ b/src/host/runners/durable.ts
@@ -17,6 +17,6 @@
   answerDraft: () => undefined,
   prepareDraft: () => undefined,
   dropDraftRequest: () => undefined,
-  answerDraftRead: () => undefined,
-  answerDraftList: () => undefined,
+  answerDraftRead: (context, { id, answer }) => context.answerDraftRead(id, answer),
+  answerDraftList: (context, { id, answer }) => context.answerDraftList(id, answer),
 };
