--- a/tests/cli/docs.test.ts
+++ b/tests/cli/docs.test.ts
@@ -1,4 +1,5 @@
-import { readFileSync } from 'node:fs';
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
 import { describe, expect, it } from 'vitest';
 import { COMMANDS } from '../../src/cli/commands/index.ts';
 import { METRICS } from '../../src/core/metricNames.ts';
@@ -12,6 +13,17 @@
   return text.split('\n').map((line) => line.replace(/\s+/g, ' ').replace(/-{3,}/g, '---').trim());
 }
 
+/** Returns a pattern for the message of each `newLog` call; what a template fills in matches any word. */
+function getLogPatterns(): RegExp[] {
+  const files = readdirSync('src', { recursive: true, encoding: 'utf8' });
+  return files
+    .filter((file) => file.endsWith('.ts'))
+    .flatMap((file) => [
+      ...readFileSync(join('src', file), 'utf8').matchAll(/newLog\(\s*'\w+',\s*(['`])(.*?)\1/gs),
+    ])
+    .map(([, , message = '']) => new RegExp(`\`${message.replace(/\$\{.*?\}/g, '\\S+')}\``));
+}
+
 // Documents that tell of settings, commands or metrics that do not exist, or leave some out.
 describe('docs/operations.md', () => {
   it.each([
@@ -32,4 +44,11 @@
   ])('lists all %s', (_name, rows) => {
     expect(OPERATIONS).toEqual(expect.arrayContaining(rows));
   });
+
+  it('tells what each line of the log means', () => {
+    const patterns = getLogPatterns();
+    const unknown = patterns.filter((pattern) => !OPERATIONS.some((line) => pattern.test(line)));
+    expect(patterns.length).toBeGreaterThan(10);
+    expect(unknown).toEqual([]);
+  });
 });
