--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -3,6 +3,7 @@
 import { checkSettings } from './checkSettings.ts';
 import { configuration } from './configuration.ts';
 import { confirm } from './confirm.ts';
+import { drafts } from './drafts.ts';
 import { engines } from './engines.ts';
 import { entry } from './entry.ts';
 import { hosts } from './hosts.ts';
@@ -21,6 +22,7 @@
     audit,
     hosts,
     engines,
+    drafts,
     suspects,
     'check-settings': checkSettings,
   }),
--- a/src/host/context.ts
+++ b/src/host/context.ts
@@ -10,6 +10,7 @@
 import type { Event } from '../core/events.ts';
 import type { State } from '../core/state.ts';
 import type { PeerLinks } from '../peers/links.ts';
+import type { DraftListAnswer, DraftReadAnswer } from '../drafts/types.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
 import type { Observer } from './observer.ts';
 
@@ -34,6 +35,9 @@
   readonly services: ServiceClient;
   readonly attempts: Map<string, RunningAttempt>;
   dispatch(event: Event): void;
+  /** Hands the answer to a question about drafts to the server that asked. */
+  answerDraftRead(id: string, answer: DraftReadAnswer): void;
+  answerDraftList(id: string, answer: DraftListAnswer): void;
   /** Hands the answer to an operator's question to the server that asked. */
   answerOperator(id: string, answer: OperatorAnswer): void;
   /** Called when the reducer has nothing left to do before the process ends. */
--- a/tests/admin/server.test.ts
+++ b/tests/admin/server.test.ts
@@ -1,4 +1,6 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { getSummary } from '../../src/drafts/rows.ts';
+import type { DraftRow } from '../../src/drafts/types.ts';
 import { newAdminServer } from './fixture.ts';
 
 const INTENT = 'shares: [{ firm: atlas, share: 0.5 }]';
@@ -30,6 +32,7 @@
     ['POST', '/v1/plans', 'leaving: [{ endpoint: e }]', 'op-key', 422, 'does not exist'],
     ['GET', '/v1/plans/none', undefined, 'op-key', 404, 'not_found'],
     ['GET', '/v1/plans/%2e%2e%2fhead', undefined, 'op-key', 400, 'bad_request'],
+    ['GET', '/v1/drafts?state=lost', undefined, 'op-key', 400, 'queued, running'],
     ['GET', '/v1/audit?limit=1000', undefined, 'op-key', 400, 'from 1 to 200'],
     ['DELETE', '/v1/configuration', undefined, 'op-key', 405, 'method_not_allowed'],
     ['GET', '/v1/none', undefined, 'op-key', 404, 'not_found'],
@@ -69,6 +72,72 @@
   });
 });
 
+describe('drafts and suspects', () => {
+  const draft: DraftRow = {
+    id: 'd1',
+    firm: 'atlas',
+    caller: 'desk',
+    path: '/v1/completions',
+    adapter: 'a',
+    version: 'v1',
+    bodyHash: 'x',
+    promptBlocks: [],
+    maxTokens: 1,
+    body: { type: 'inline', text: '{}' },
+    state: 'poison',
+    attempts: 5,
+    fence: 1,
+    host: 'h9',
+    incarnation: 1,
+    acceptedBy: 'h9/1',
+  };
+
+  it('lists, retries and deletes drafts and records who did it', async () => {
+    cluster.rows.set('draft/d1', { value: draft, version: 'x' });
+    cluster.rows.set('draft-state/poison/d1', { value: getSummary(draft), version: 'y' });
+    const poison = '/v1/drafts?state=poison';
+    expect(await callJson('GET', poison)).toMatchObject({ drafts: [{ id: 'd1', attempts: 5 }] });
+    expect(await callJson('POST', '/v1/drafts/d1/retry')).toEqual({ type: 'queued' });
+    expect(await callJson('GET', poison)).toEqual({ drafts: [] });
+    expect(await callJson('DELETE', '/v1/drafts/d1')).toEqual({ type: 'deleted' });
+    expect((await call('DELETE', '/v1/drafts/d1')).status).toBe(404);
+    const { entries } = await callJson<{ entries: unknown[] }>(
+      'GET',
+      '/v1/audit?after=000000000002',
+    );
+    expect(entries.slice(0, 2)).toMatchObject([
+      { operator: 'olga', lines: ['retry draft d1'] },
+      { operator: 'olga', lines: ['delete draft d1'] },
+    ]);
+  });
+
+  it('clears a suspect, so that its request may run again', async () => {
+    const { suspects } = cluster.getState('h1');
+    suspects.byFingerprint.set('f1', {
+      fingerprint: 'f1',
+      generation: 0,
+      crashes: ['e1@b1'],
+      isCondemned: true,
+      hour: -1,
+    });
+    expect(await callJson('GET', '/v1/suspects')).toMatchObject({
+      suspects: [{ fingerprint: 'f1', isCondemned: true }],
+    });
+    expect(await callJson('DELETE', '/v1/suspects/f1')).toEqual({ fingerprint: 'f1' });
+    expect(await callJson('GET', '/v1/suspects')).toEqual({ suspects: [] });
+    expect((await call('DELETE', '/v1/suspects/f2')).status).toBe(404);
+  });
+
+  // A command that leaves no trace because the audit trail could not be written.
+  it('carries nothing out that cannot be recorded', async () => {
+    cluster.rows.set('draft/d2', { value: { ...draft, id: 'd2' }, version: 'x' });
+    cluster.fault = (request) => (request.type === 'write' ? 'down' : undefined);
+    expect((await call('DELETE', '/v1/drafts/d2')).status).toBe(503);
+    cluster.fault = () => undefined;
+    expect(cluster.rows.has('draft/d2')).toBe(true);
+  });
+});
+
 function newPlan(share: number): Promise<{ id: string }> {
   return callJson('POST', '/v1/plans', INTENT.replace('0.5', String(share)));
 }
