--- a/src/engines/handlers.ts
+++ b/src/engines/handlers.ts
@@ -4,20 +4,28 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { syncOwned } from '../grants/owned.ts';
+import { serveQueue } from '../grants/serve.ts';
 import { ENGINE_POLL_MS } from './constants.ts';
 import type { EngineEvent, EngineTimer } from './types.ts';
 import { getView, updateFromReport } from './views.ts';
 
 export const engineEvents: EventHandlers<EngineEvent['type']> = {
   engineReported: (state, { engine, report }, now) => {
-    updateFromReport(state.engines, engine, report, now);
-    return syncOwned(state, engine, report, now);
+    const effects = syncOwned(state, engine, report, now);
+    const owned = state.grants.owned.get(engine);
+    // The owner's own orders are newer than the report, which lags.
+    const residents = owned === undefined ? report.residents : [...owned.residents.keys()];
+    updateFromReport(state.engines, engine, { ...report, residents }, now);
+    return effects;
   },
-  engineSilent: (state, { engine, refused }) => {
+  engineSilent: (state, { engine, refused }, now) => {
     const view = getView(state.engines, engine);
     const wasReachable = view.state !== 'unreachable';
     view.state = 'unreachable';
-    return wasReachable ? [newLog('warn', 'engine does not answer', { engine, refused })] : [];
+    if (!wasReachable) return [];
+    const owned = state.grants.owned.get(engine);
+    const effects = owned === undefined ? [] : serveQueue(state, owned, now);
+    return [newLog('warn', 'engine does not answer', { engine, refused }), ...effects];
   },
 };
 
--- a/src/grants/owned.ts
+++ b/src/grants/owned.ts
@@ -3,29 +3,41 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import type { EngineReport } from '../engines/types.ts';
-import { getOwner } from '../ownership/owner.ts';
-import { LOAD_BURST } from './constants.ts';
-import { serveQueue } from './serve.ts';
+import { getOwner, isOwner } from '../ownership/owner.ts';
+import { getEngineShare } from './budget.ts';
+import { REPORT_LAG_MS } from './constants.ts';
+import { updateUnexplained } from './pins.ts';
+import { getQueueRefusal, refuseQueue, serveQueue } from './serve.ts';
 import type { OwnedEngine } from './types.ts';
 
 /** Takes up the engines that this host owns now and drops those that it no longer owns. */
 export function updateOwned(state: State, now: number): Effect[] {
-  for (const engine of state.configuration.engines.keys()) {
+  const { grants, configuration } = state;
+  const effects: Effect[] = [];
+  for (const owned of [...grants.owned.values()]) {
+    if (configuration.engines.has(owned.id) && isOwner(state, owned.id)) continue;
+    grants.owned.delete(owned.id);
+    effects.push(...refuseQueue(state, owned, 'notOwner'));
+  }
+  for (const engine of configuration.engines.keys()) {
     const owner = getOwner(state, engine);
-    const owned = state.grants.owned.get(engine);
-    if (owner?.host !== state.host.id) {
-      state.grants.owned.delete(engine);
-    } else if (owned === undefined) {
-      state.grants.owned.set(engine, newOwnedEngine(state, engine, owner.epoch, now));
+    if (owner?.host !== state.host.id) continue;
+    const owned = grants.owned.get(engine);
+    if (owned === undefined) {
+      grants.owned.set(engine, newOwnedEngine(state, engine, owner.epoch, now));
       schedule(state, now, { type: 'pollEngine', engine });
-    } else {
-      owned.epoch = owner.epoch;
+      continue;
     }
+    owned.epoch = owner.epoch;
+    owned.budget = updateBudget(state, owned.budget, now);
+    const refusal = getQueueRefusal(state, owned);
+    if (refusal !== undefined) effects.push(...refuseQueue(state, owned, refusal));
   }
-  for (const engine of state.grants.owned.keys()) {
-    if (!state.configuration.engines.has(engine)) state.grants.owned.delete(engine);
+  if (grants.owned.size > 0 && !grants.isReconciling) {
+    grants.isReconciling = true;
+    schedule(state, now, { type: 'reconcile' });
   }
-  return [];
+  return effects;
 }
 
 /** Brings the residents of an owned engine in line with its report. */
@@ -37,28 +49,72 @@
 ): Effect[] {
   const owned = state.grants.owned.get(engine);
   if (owned === undefined) return [];
+  if (owned.bootId !== '' && owned.bootId !== report.bootId) forgetEngine(owned);
+  owned.bootId = report.bootId;
+  updateUnexplained(owned, report, now);
+  const isRecent = (at: number | undefined) => at !== undefined && at + REPORT_LAG_MS > now;
+  for (const [model, at] of owned.unloadedAt) if (!isRecent(at)) owned.unloadedAt.delete(model);
   const reported = new Set(report.residents);
-  for (const model of [...owned.residents.keys()]) {
-    if (!reported.has(model)) owned.residents.delete(model);
+  for (const [model, { loadedAt }] of [...owned.residents]) {
+    if (!reported.has(model) && !isRecent(loadedAt)) owned.residents.delete(model);
   }
   for (const model of reported) {
     if (owned.unloading.has(model) || owned.residents.has(model)) continue;
+    if (isRecent(owned.unloadedAt.get(model))) continue;
     owned.residents.set(model, { model, loadedAt: now, lastUsedAt: now });
   }
   return serveQueue(state, owned, now);
 }
 
+/** A successor starts with no tokens, so that takeovers never add to the sum. */
+function newBudget(state: State, now: number): TokenBucket {
+  const { ratePerS, limit } = getEngineShare(state);
+  return TokenBucket.create(ratePerS, limit, now);
+}
+
+/** Adapts a bucket to a changed number of engines; tokens beyond the new limit are lost. */
+function updateBudget(state: State, budget: TokenBucket, now: number): TokenBucket {
+  const { ratePerS, limit } = getEngineShare(state);
+  if (budget.ratePerS === ratePerS && budget.limit === limit) return budget;
+  const tokens = Math.min(limit, budget.getTokens(now));
+  return TokenBucket.create(ratePerS, limit, now, tokens);
+}
+
+/** The engine started again and holds nothing. */
+function forgetEngine(owned: OwnedEngine): void {
+  owned.residents.clear();
+  // Engines start in their default role.
+  owned.role = 'mixed';
+  owned.isRoleOrdered = false;
+  owned.unloadedAt.clear();
+  owned.loading.clear();
+  owned.unloading.clear();
+}
+
 function newOwnedEngine(state: State, id: string, epoch: number, now: number): OwnedEngine {
-  const engines = Math.max(1, state.configuration.engines.size);
   return {
     id,
     epoch,
     ownedSince: now,
     queue: [],
     pins: new Map(),
+    pinned: new Map(),
+    grantOf: new Map(),
+    pinsByFirm: new Map(),
+    released: [],
+    unexplained: new Set(),
+    reported: new Map(),
     residents: new Map(),
     loading: new Map(),
     unloading: new Map(),
-    budget: TokenBucket.create(state.policy.loadsPerS / engines, LOAD_BURST, now),
+    unloadedAt: new Map(),
+    warm: new Set(),
+    role: 'mixed',
+    isRoleChanging: false,
+    isRoleOrdered: false,
+    bootId: '',
+    budget: newBudget(state, now),
+    wantedRank: -1,
+    wakeAt: -Infinity,
   };
 }
--- /dev/null
+++ b/src/grants/popularity.ts
@@ -0,0 +1,44 @@
+import { DecayingCounter } from '../base/decayingCounter.ts';
+import type { RequestKind } from '../requests/types.ts';
+import { MAX_POPULARITIES, MISS_VALUES, POPULARITY_HALF_LIFE_MS } from './constants.ts';
+
+/** Decayed demand for adapters at one owner, weighted by what a miss of each request costs. */
+export class Popularity {
+  private readonly counters = new Map<string, DecayingCounter>();
+
+  private constructor() {}
+
+  static create(): Popularity {
+    return new Popularity();
+  }
+
+  /** Counts an ask. A draft waits for its load anyway, so a miss costs it less than an urgent read. */
+  note(model: string, kind: RequestKind, stallWeight: number, now: number): void {
+    const known = this.counters.get(model);
+    const counter = known ?? DecayingCounter.create(POPULARITY_HALF_LIFE_MS, now);
+    if (known === undefined) this.counters.set(model, counter);
+    const { base, stall } = MISS_VALUES[kind];
+    counter.add(now, base + stall * stallWeight);
+    if (this.counters.size > MAX_POPULARITIES) this.prune(now);
+  }
+
+  /** Returns the weighted, decayed number of asks for `model`. */
+  get(model: string, now: number): number {
+    return this.counters.get(model)?.getValue(now) ?? 0;
+  }
+
+  /** Returns all adapters that are known, in no order. */
+  getModels(): Iterable<string> {
+    return this.counters.keys();
+  }
+
+  /** Forgets the less popular half. */
+  private prune(now: number): void {
+    const values = [...this.counters].map(([model, counter]) => ({
+      model,
+      value: counter.getValue(now),
+    }));
+    values.sort((a, b) => a.value - b.value);
+    for (const { model } of values.slice(0, values.length / 2)) this.counters.delete(model);
+  }
+}
--- a/src/grants/serve.ts
+++ b/src/grants/serve.ts
@@ -3,30 +3,49 @@
 import { newCount } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
-import type { Engine } from '../configuration/types.ts';
-import { canOrderDestructively } from '../ownership/owner.ts';
-import { ENGINE_CANCEL_MS, MIN_RESIDENCY_MS } from './constants.ts';
-import type { OwnedEngine, QueuedAsk, RefusalReason, Resident } from './types.ts';
-
-const KIND_ORDER = { urgent: 0, ordinary: 1, draft: 2 } as const;
+import { updateLoad } from '../engines/views.ts';
+import { ENGINE_CANCEL_MS } from './constants.ts';
+import { orderLoads } from './orders.ts';
+import { addPin } from './pins.ts';
+import { canRun, sortQueue } from './queueOrder.ts';
+import type { OwnedEngine, Pin, QueuedAsk, RefusalReason } from './types.ts';
 
 /** Grants what can run now and orders the loads that the others wait for. */
 export function serveQueue(state: State, owned: OwnedEngine, now: number): Effect[] {
   const engine = state.configuration.engines.get(owned.id);
   if (engine === undefined) return [];
   const effects: Effect[] = [];
-  owned.queue.sort(compareAsks);
+  const refusal = getQueueRefusal(state, owned);
+  if (refusal !== undefined) effects.push(...refuseQueue(state, owned, refusal));
+  sortQueue(state, owned, engine, now);
   const left: QueuedAsk[] = [];
   for (const ask of owned.queue) {
     if (ask.arrivedAt + ask.remainingMs <= now) continue;
-    if (owned.residents.has(ask.model) && owned.pins.size < engine.batch) {
+    if (canRun(state, owned, engine, ask)) {
       effects.push(...giveGrant(state, owned, ask, now));
     } else {
       left.push(ask);
     }
   }
   owned.queue = left;
-  return [...effects, ...orderLoads(state, owned, engine, now)];
+  if (refusal === undefined) effects.push(...orderLoads(state, owned, engine, now));
+  updateLoad(state.engines, owned.id, owned.pins.size, owned.queue.length);
+  return effects;
+}
+
+/** Why an engine takes no asks at all; undefined when it does. */
+export function getQueueRefusal(state: State, owned: OwnedEngine): RefusalReason | undefined {
+  const view = state.engines.views.get(owned.id)?.state;
+  if (state.configuration.leaving.has(owned.id) || view === 'leaving') return 'leaving';
+  if (view === 'unreachable') return 'unreachable';
+  return owned.isRoleChanging ? 'full' : undefined;
+}
+
+/** Refuses every waiting ask, so that the askers go elsewhere. */
+export function refuseQueue(state: State, owned: OwnedEngine, reason: RefusalReason): Effect[] {
+  const refused = owned.queue;
+  owned.queue = [];
+  return refused.flatMap((ask) => refuse(state, ask, reason));
 }
 
 /** Returns the message that refuses `ask`. */
@@ -42,18 +61,26 @@
   ];
 }
 
-function compareAsks(a: QueuedAsk, b: QueuedAsk): number {
-  return (
-    KIND_ORDER[a.kind] - KIND_ORDER[b.kind] || a.priority - b.priority || a.arrivedAt - b.arrivedAt
-  );
+/** Sends a grant again to a host that asked again; its first message may have been lost. */
+export function repeatGrant(
+  state: State,
+  owned: OwnedEngine,
+  { from, request, ask }: { from: string; request: string; ask: number },
+  { grant }: Pin,
+): Effect[] {
+  const { id: engine, epoch } = owned;
+  return [
+    deliver(state, from, { type: 'grantGiven', request, ask, engine, grant, epoch, stallMs: 0 }),
+  ];
 }
 
 function giveGrant(state: State, owned: OwnedEngine, ask: QueuedAsk, now: number): Effect[] {
   const grant = `${state.host.id}-${state.random.getHex(8)}`;
   const expiresAt = ask.arrivedAt + ask.remainingMs + ENGINE_CANCEL_MS;
-  owned.pins.set(grant, {
+  addPin(owned, {
     grant,
     request: ask.request,
+    ask: ask.ask,
     host: ask.from,
     model: ask.model,
     firm: ask.firm,
@@ -77,58 +104,3 @@
     }),
   ];
 }
-
-function orderLoads(state: State, owned: OwnedEngine, engine: Engine, now: number): Effect[] {
-  const wanted = owned.queue.find(({ model }) => !owned.residents.has(model));
-  if (wanted === undefined || owned.loading.size > 0 || owned.unloading.size > 0) return [];
-  if (owned.residents.size >= engine.slots) return orderEviction(state, owned, engine, now);
-  const source = getSource(state, wanted.model);
-  if (source === undefined) return [];
-  if (!owned.budget.take(now)) {
-    schedule(state, now + owned.budget.getWaitMs(now), { type: 'serveQueue', engine: owned.id });
-    return [];
-  }
-  owned.loading.set(wanted.model, now);
-  return [
-    {
-      type: 'orderEngine',
-      engine: owned.id,
-      address: engine.address,
-      epoch: owned.epoch,
-      order: { type: 'load', model: wanted.model, source },
-    },
-  ];
-}
-
-function orderEviction(state: State, owned: OwnedEngine, engine: Engine, now: number): Effect[] {
-  const victim = getVictim(owned, now);
-  if (victim === undefined || !canOrderDestructively(state, owned.id, now)) {
-    schedule(state, now + MIN_RESIDENCY_MS, { type: 'serveQueue', engine: owned.id });
-    return [];
-  }
-  owned.residents.delete(victim.model);
-  owned.unloading.set(victim.model, now);
-  return [
-    {
-      type: 'orderEngine',
-      engine: owned.id,
-      address: engine.address,
-      epoch: owned.epoch,
-      order: { type: 'unload', model: victim.model },
-    },
-  ];
-}
-
-/** Returns the least recently used resident that no grant pins. */
-function getVictim(owned: OwnedEngine, now: number): Resident | undefined {
-  const pinned = new Set([...owned.pins.values()].map((pin) => pin.model));
-  return [...owned.residents.values()]
-    .filter(({ model, loadedAt }) => !pinned.has(model) && loadedAt + MIN_RESIDENCY_MS <= now)
-    .sort((a, b) => a.lastUsedAt - b.lastUsedAt)[0];
-}
-
-/** Returns the source of `adapter@version`, or undefined when the configuration does not have it. */
-export function getSource(state: State, model: string): string | undefined {
-  const [adapter = '', version = ''] = model.split('@');
-  return state.configuration.adapters.get(adapter)?.versions[version]?.source;
-}
--- a/src/grants/types.ts
+++ b/src/grants/types.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import type { TokenBucket } from '../base/tokenBucket.ts';
 import type { EngineRole } from '../configuration/types.ts';
+import { Popularity } from './popularity.ts';
 import { Name } from '../configuration/types.ts';
 
 const Id = z.string().min(1).max(128);
@@ -67,6 +68,24 @@
 });
 export type GrantReleased = z.infer<typeof GrantReleased>;
 
+/** Asks another owner for load tokens. */
+export const LoadTokensAsked = z.object({
+  type: z.literal('loadTokensAsked'),
+  need: z.number().min(0).max(1),
+  /** Rank of the load that waits; the lender keeps what a load of its own needs more. */
+  rank: z.number(),
+});
+export type LoadTokensAsked = z.infer<typeof LoadTokensAsked>;
+
+/** Load tokens that the lender has already deducted; lost with this message. */
+export const LoadTokensLent = z.object({
+  type: z.literal('loadTokensLent'),
+  count: z.number().min(0).max(1),
+  /** What the lender could still lend. */
+  left: z.number(),
+});
+export type LoadTokensLent = z.infer<typeof LoadTokensLent>;
+
 export interface QueuedAsk extends GrantAsk {
   from: string;
   arrivedAt: number;
@@ -78,6 +97,8 @@
 export interface Pin {
   grant: string;
   request: string;
+  /** Ask that the grant answered; absent when the pin was handed over. */
+  ask?: number;
   host: string;
   model: string;
   firm: string;
@@ -99,16 +120,64 @@
   epoch: number;
   ownedSince: number;
   queue: QueuedAsk[];
+  /** Changes only through pins.ts, which keeps the counts below. */
   pins: Map<string, Pin>;
+  /** Number of pins by `adapter@version`. */
+  pinned: Map<string, number>;
+  /** Last grant of each request. */
+  grantOf: Map<string, string>;
+  pinsByFirm: Map<string, number>;
+  /** Grants released within the lag of a report. */
+  released: { model: string; at: number }[];
+  /** Adapters that the engine runs requests of which no grant explains. */
+  unexplained: Set<string>;
+  /** Requests that the engine's last report shows, by `adapter@version`. */
+  reported: Map<string, number>;
   residents: Map<string, Resident>;
   /** Load orders without an answer, by model, with the time of the order. */
   loading: Map<string, number>;
   unloading: Map<string, number>;
+  /** Times of unloads within the lag of a report. */
+  unloadedAt: Map<string, number>;
+  /** Adapters that intents want resident here. */
+  warm: Set<string>;
+  /** Role that the engine was last ordered to take, and whether another one is due or ordered. */
+  role: EngineRole;
+  isRoleChanging: boolean;
+  isRoleOrdered: boolean;
+  /** Boot id of the last report. */
+  bootId: string;
   budget: TokenBucket;
+  /** Rank of the load that waits for a token or a slot; -1 when none does. */
+  wantedRank: number;
+  /** Time of the next scheduled `serveQueue`. */
+  wakeAt: number;
+}
+
+/** Load tokens on loan from other owners. */
+export interface Lending {
+  borrowed: number;
+  borrowedUntil: number;
+  /** Time until which an answer of a lender is awaited. */
+  askedUntil: number;
+  /** Time of the last question to each host, and what it then had left. */
+  asked: Map<string, number>;
+  left: Map<string, number>;
 }
 
 export class Grants {
   readonly owned = new Map<string, OwnedEngine>();
+  /** Unix ms minus monotonic ms, set by the host; undefined while it is not known. */
+  unixOffsetMs: number | undefined;
+  isReconciling = false;
+  readonly popularity = Popularity.create();
+  readonly lending: Lending = {
+    borrowed: 0,
+    borrowedUntil: -Infinity,
+    askedUntil: -Infinity,
+    asked: new Map(),
+    left: new Map(),
+  };
 
   private constructor() {}
 
@@ -147,4 +216,6 @@
 }
 
 export type GrantTimer =
-  { type: 'pinExpiry'; engine: string; grant: string } | { type: 'serveQueue'; engine: string };
+  | { type: 'pinExpiry'; engine: string; grant: string }
+  | { type: 'reconcile' }
+  | { type: 'serveQueue'; engine: string };
--- a/src/ownership/handover.ts
+++ b/src/ownership/handover.ts
@@ -2,6 +2,7 @@
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
+import { addPin } from '../grants/pins.ts';
 import type { GrantReleased, OwnedEngine } from '../grants/types.ts';
 import { HANDOVER_ASK_MS, HANDOVER_KEEP_MS, LONGEST_ORDER_MS } from './constants.ts';
 import { isComplete } from './holdings.ts';
@@ -79,7 +80,7 @@
   for (const { remainingMs, ...pin } of handover.pins) {
     if (owned.pins.has(pin.grant)) continue;
     const expiresAt = now + remainingMs;
-    owned.pins.set(pin.grant, { ...pin, grantedAt: now, expiresAt });
+    addPin(owned, { ...pin, grantedAt: now, expiresAt });
     schedule(state, expiresAt, { type: 'pinExpiry', engine: owned.id, grant: pin.grant });
   }
   for (const model of handover.unloading) holdUnloading(state, owned, model, now);
