--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,6 +1,9 @@
+import type { ActionEffect } from '../actions/types.ts';
+import type { DraftEffect } from '../drafts/types.ts';
 import type { EngineEffect } from '../engines/types.ts';
 import type { GrantEffect } from '../grants/types.ts';
 import type { MembershipEffect } from '../membership/types.ts';
+import type { OperatorEffect } from '../operators/types.ts';
 import type { RequestEffect } from '../requests/types.ts';
 import type { Message } from './messages.ts';
 import type { Observation } from './observations.ts';
@@ -21,4 +24,7 @@
   | RequestEffect
   | EngineEffect
   | GrantEffect
-  | MembershipEffect;
+  | MembershipEffect
+  | OperatorEffect
+  | ActionEffect
+  | DraftEffect;
--- a/src/core/lifecycle.ts
+++ b/src/core/lifecycle.ts
@@ -1,3 +1,5 @@
+import { hasLeft, leaveOwnership } from '../ownership/leave.ts';
+import { hasDraftWork } from '../drafts/queue.ts';
 import type { Effect } from './effects.ts';
 import { newLog } from './observations.ts';
 import type { State } from './state.ts';
@@ -12,7 +14,7 @@
 
 /** Whether the host wants new requests from the balancer. */
 export function isReady(state: State): boolean {
-  return state.phase === 'running' && state.configuration.revision > 0;
+  return state.phase === 'running' && state.sync.isCurrent;
 }
 
 /** Starts a graceful shutdown; a second request to stop changes nothing. */
@@ -26,13 +28,15 @@
 /** Refuses new requests from now on and waits for those in flight. */
 export function startDraining(state: State, now: number): Effect[] {
   state.phase = 'draining';
-  return checkDrained(state, now);
+  return [...leaveOwnership(state), ...checkDrained(state, now)];
 }
 
-/** Ends the host once nothing is in flight. */
+/** Ends the host once nothing is in flight and its engines are handed over. */
 export function checkDrained(state: State, now: number): Effect[] {
   if (state.phase !== 'draining') return [];
-  if (state.requests.inFlight.size > 0) {
+  const { requests, actions, operators } = state;
+  const inFlight = requests.inFlight.size + actions.inFlight.size + operators.asks.size;
+  if (inFlight > 0 || hasDraftWork(state) || !hasLeft(state, now)) {
     schedule(state, now + DRAIN_CHECK_MS, { type: 'checkDrained' });
     return [];
   }
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -1,4 +1,11 @@
+import { SuspectReported } from '../suspects/types.ts';
 import { z } from 'zod';
+import {
+  RevisionAnnounced,
+  RevisionPushed,
+  RevisionsAsked,
+  SnapshotPushed,
+} from '../configuration/messages.ts';
 import {
   EndpointsLeaving,
   EngineDelta,
@@ -27,6 +34,10 @@
   GrantGiven,
   GrantRefused,
   GrantReleased,
+  RevisionPushed,
+  RevisionAnnounced,
+  RevisionsAsked,
+  SnapshotPushed,
   MembershipDelta,
   MembershipDigest,
   MembershipVersions,
@@ -43,5 +54,6 @@
   PromiseAsked,
   PromiseGiven,
   PromiseRefused,
+  SuspectReported,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -1,10 +1,27 @@
+import {
+  actionEvents,
+  actionObjectHandlers,
+  actionTableHandlers,
+  actionTimers,
+} from '../actions/handlers.ts';
 import {
   configurationObjectHandlers,
   configurationTableHandlers,
   configurationTimers,
 } from '../configuration/handlers.ts';
+import { configurationMessages } from '../configuration/peerHandlers.ts';
+import {
+  draftEvents,
+  draftObjectHandlers,
+  draftTableHandlers,
+  draftTimers,
+} from '../drafts/handlers.ts';
+import { suspectMessages, suspectTableHandlers, suspectTimers } from '../suspects/handlers.ts';
 import { engineEvents, engineTimers } from '../engines/handlers.ts';
 import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
+import { operatorTableHandlers } from '../operators/actions/index.ts';
+import { confirmTimers } from '../operators/actions/confirmPlan.ts';
+import { operatorEvents } from '../operators/handlers.ts';
 import { membershipEvents, membershipMessages, membershipTimers } from '../membership/handlers.ts';
 import {
   noteTurn,
@@ -31,10 +48,12 @@
 type Untyped = (...args: unknown[]) => Effect[];
 
 const messages: MessageHandlers<Message['type']> = {
+  ...configurationMessages,
   ...grantMessages,
   ...requestMessages,
   ...membershipMessages,
   ...ownershipMessages,
+  ...suspectMessages,
 };
 
 const timers: TimerHandlers<Timer['type']> = {
@@ -42,18 +61,28 @@
   ...engineTimers,
   ...grantTimers,
   ...requestTimers,
+  ...actionTimers,
+  ...draftTimers,
+  ...suspectTimers,
   ...hostTimers,
+  ...confirmTimers,
   ...membershipTimers,
   ...ownershipTimers,
 };
 
 const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = {
   ...configurationTableHandlers,
+  ...operatorTableHandlers,
   ...ownershipTableHandlers,
+  ...actionTableHandlers,
+  ...draftTableHandlers,
+  ...suspectTableHandlers,
 };
 
 const objectAnswers: ObjectAnswerHandlers<ObjectPurpose['type']> = {
   ...configurationObjectHandlers,
+  ...actionObjectHandlers,
+  ...draftObjectHandlers,
 };
 
 const events: EventHandlers<Event['type']> = {
@@ -62,6 +91,9 @@
   ...engineEvents,
   ...grantEvents,
   ...membershipEvents,
+  ...operatorEvents,
+  ...actionEvents,
+  ...draftEvents,
   tick: (state, _event, now) => runDueTimers(state, now),
   messageReceived: (state, { from, message }, now) => {
     const handler = messages[message.type] as Untyped;
--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -1,5 +1,10 @@
+import type { ConfigurationTimer } from '../configuration/handlers.ts';
+import type { ActionTimer } from '../actions/types.ts';
+import type { DraftTimer } from '../drafts/types.ts';
+import type { SuspectTimer } from '../suspects/types.ts';
 import type { EngineTimer } from '../engines/types.ts';
 import type { GrantTimer } from '../grants/types.ts';
+import type { OperatorTimer } from '../operators/types.ts';
 import type { MembershipTimer } from '../membership/types.ts';
 import type { OwnershipTimer } from '../ownership/types.ts';
 import type { RequestTimer } from '../requests/types.ts';
@@ -8,13 +13,17 @@
 
 /** Every kind of timer. A handler checks that its timer still matters, so timers are never removed. */
 export type Timer =
+  | ConfigurationTimer
+  | OperatorTimer
   | EngineTimer
   | GrantTimer
   | RequestTimer
   | LifecycleTimer
   | MembershipTimer
   | OwnershipTimer
-  | { type: 'pollConfiguration' };
+  | ActionTimer
+  | DraftTimer
+  | SuspectTimer;
 
 /** Schedules `timer` for monotonic time `at`. */
 export function schedule(state: State, at: number, timer: Timer): void {
--- a/src/host/context.ts
+++ b/src/host/context.ts
@@ -1,11 +1,16 @@
+import type { DraftReader, DraftWaiter } from '../callers/context.ts';
 import type { Exchange } from '../callers/exchange.ts';
+import type { ServiceExchange } from '../callers/serviceExchange.ts';
 import type { EngineClient } from '../clients/engineClient.ts';
+import type { HostListClient } from '../clients/hostListClient.ts';
 import type { ObjectClient } from '../clients/objectClient.ts';
+import type { ServiceClient } from '../clients/serviceClient.ts';
 import type { TableClient } from '../clients/tableClient.ts';
 import type { Effect } from '../core/effects.ts';
 import type { Event } from '../core/events.ts';
-import type { Message } from '../core/messages.ts';
 import type { State } from '../core/state.ts';
+import type { PeerLinks } from '../peers/links.ts';
+import type { OperatorAnswer } from '../operators/types.ts';
 import type { Observer } from './observer.ts';
 
 /** An attempt that the host relays. */
@@ -20,10 +25,17 @@
   readonly table: TableClient;
   readonly objects: ObjectClient;
   readonly engines: EngineClient;
+  readonly hostList: HostListClient;
+  readonly links: PeerLinks;
   readonly exchanges: Map<string, Exchange>;
+  readonly serviceExchanges: Map<string, ServiceExchange>;
+  readonly draftWaiters: Map<string, DraftWaiter>;
+  readonly draftReaders: Map<string, DraftReader>;
+  readonly services: ServiceClient;
   readonly attempts: Map<string, RunningAttempt>;
   dispatch(event: Event): void;
-  send(to: string, message: Message): void;
+  /** Hands the answer to an operator's question to the server that asked. */
+  answerOperator(id: string, answer: OperatorAnswer): void;
   /** Called when the reducer has nothing left to do before the process ends. */
   onStopped(): void;
 }
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -1,12 +1,19 @@
+import { AdminServer } from '../admin/server.ts';
+import type { DraftReader, DraftWaiter } from '../callers/context.ts';
 import type { Exchange } from '../callers/exchange.ts';
+import type { ServiceExchange } from '../callers/serviceExchange.ts';
 import { CallerServer } from '../callers/server.ts';
 import { EngineClient } from '../clients/engineClient.ts';
+import { HostListClient } from '../clients/hostListClient.ts';
+import { Http } from '../clients/http.ts';
 import { ObjectClient } from '../clients/objectClient.ts';
+import { ServiceClient } from '../clients/serviceClient.ts';
 import { TableClient } from '../clients/tableClient.ts';
 import { hash32 } from '../base/hash.ts';
 import type { Event } from '../core/events.ts';
-import type { Message } from '../core/messages.ts';
 import { State } from '../core/state.ts';
+import type { OperatorAnswer } from '../operators/types.ts';
+import { PeerLinks } from '../peers/links.ts';
 import type { Settings } from '../settings/groups.ts';
 import type { HostContext, RunningAttempt } from './context.ts';
 import { Loop } from './loop.ts';
@@ -16,24 +23,45 @@
 /** One entry host: the loop, its clients and its servers. */
 export class EntryHost implements HostContext {
   readonly exchanges = new Map<string, Exchange>();
+  readonly serviceExchanges = new Map<string, ServiceExchange>();
+  readonly draftWaiters = new Map<string, DraftWaiter>();
+  readonly draftReaders = new Map<string, DraftReader>();
   readonly attempts = new Map<string, RunningAttempt>();
   readonly state: State;
   readonly observer: Observer;
   readonly table: TableClient;
   readonly objects: ObjectClient;
-  readonly engines = EngineClient.create();
+  readonly engines: EngineClient;
+  readonly services: ServiceClient;
+  readonly hostList: HostListClient;
+  readonly links: PeerLinks;
+  private readonly http: Http;
   private readonly loop: Loop;
   private readonly callerServer: CallerServer;
+  private readonly adminServer: AdminServer;
   private readonly stopped: Promise<void>;
   private resolveStopped: () => void = () => undefined;
 
   private constructor(readonly settings: Settings) {
     this.state = newState(settings);
     this.observer = Observer.create(settings);
-    this.table = TableClient.create({ address: settings.platform.tableUrl });
-    this.objects = ObjectClient.create({ address: settings.platform.objectsUrl });
+    const http = Http.create({ localAddress: settings.host.sourceAddress });
+    this.http = http;
+    const { tableUrl, objectsUrl, hostsUrl } = settings.platform;
+    this.table = TableClient.create({ address: tableUrl, http });
+    this.objects = ObjectClient.create({ address: objectsUrl, http });
+    this.hostList = HostListClient.create({ address: hostsUrl, http });
+    this.services = ServiceClient.create({ http });
+    this.engines = EngineClient.create({ http });
+    this.links = PeerLinks.create({
+      identity: this.state.host,
+      listen: settings.listen.peers,
+      localAddress: settings.host.sourceAddress,
+      onEvent: (event) => this.dispatch(event),
+    });
     this.loop = Loop.create(this.state, (effect) => runEffect(this, effect));
     this.callerServer = CallerServer.create(this);
+    this.adminServer = AdminServer.create(this);
     this.stopped = new Promise((resolve) => {
       this.resolveStopped = resolve;
     });
@@ -43,11 +71,13 @@
     return new EntryHost(settings);
   }
 
-  /** Starts the servers and the loop; returns the callers' port. */
-  async start(): Promise<{ callerPort: number }> {
+  /** Starts the servers and the loop; returns the ports of the servers. */
+  async start(): Promise<{ callerPort: number; operatorPort: number }> {
     const callerPort = await this.callerServer.start();
+    const operatorPort = await this.adminServer.start();
+    await this.links.start();
     this.dispatch({ type: 'started' });
-    return { callerPort };
+    return { callerPort, operatorPort };
   }
 
   /** Stops gracefully: takes no new work and resolves when nothing is in flight. */
@@ -56,7 +86,9 @@
     await this.stopped;
     this.loop.stop();
     await this.callerServer.stop();
-    await Promise.all([this.engines.close(), this.table.close(), this.objects.close()]);
+    await this.adminServer.stop();
+    await this.links.stop();
+    await this.http.close();
   }
 
   dispatch(event: Event): void {
@@ -67,8 +99,20 @@
     this.exchanges.set(id, exchange);
   }
 
-  send(to: string, message: Message): void {
-    if (to === this.state.host.id) this.dispatch({ type: 'messageReceived', from: to, message });
+  addServiceExchange(id: string, exchange: ServiceExchange): void {
+    this.serviceExchanges.set(id, exchange);
+  }
+
+  addDraftWaiter(id: string, waiter: DraftWaiter): void {
+    this.draftWaiters.set(id, waiter);
+  }
+
+  addDraftReader(id: string, reader: DraftReader): void {
+    this.draftReaders.set(id, reader);
+  }
+
+  answerOperator(id: string, answer: OperatorAnswer): void {
+    this.adminServer.answer(id, answer);
   }
 
   onStopped(): void {
