--- a/src/core/lifecycle.ts
+++ b/src/core/lifecycle.ts
@@ -1,3 +1,4 @@
+import { announceEnd } from '../membership/gossip.ts';
 import { hasLeft, leaveOwnership } from '../ownership/leave.ts';
 import { hasDraftWork } from '../drafts/queue.ts';
 import type { Effect } from './effects.ts';
@@ -41,5 +42,5 @@
     return [];
   }
   state.phase = 'stopped';
-  return [newLog('info', 'graceful shutdown complete'), { type: 'stopped' }];
+  return [...announceEnd(state), newLog('info', 'graceful shutdown complete'), { type: 'stopped' }];
 }
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -2,9 +2,22 @@
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
 import { MAX_ENTRIES } from './constants.ts';
-import { getDigest, getForeignPeers, getRelays, getVersions, getZonePeers } from './hosts.ts';
+import {
+  getDigest,
+  getForeignPeers,
+  getRelays,
+  getVersions,
+  getZonePeers,
+  updateOwnEntry,
+} from './hosts.ts';
 import type { HostEntry, MembershipVersions } from './types.ts';
 
+/** Tells all links that this host is gone; for the end of a graceful shutdown. */
+export function announceEnd(state: State): Effect[] {
+  updateOwnEntry(state, 'gone');
+  return spreadEntries(state);
+}
+
 /** Passes changed entries on: own news to all links, others' across the border of the zone. */
 export function spreadEntries(state: State): Effect[] {
   const { hosts, dirty } = state.membership;
--- a/src/peers/connection.ts
+++ b/src/peers/connection.ts
@@ -71,6 +71,19 @@
     this.socket.write(frame);
   }
 
+  /** Closes the socket once what was written is sent, or after `limitMs`. */
+  async flush(limitMs: number): Promise<void> {
+    if (this.isClosed) return;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, limitMs);
+      this.socket.end(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+    this.close('stopped');
+  }
+
   /** Closes the socket; `onClosed` is called once with the first reason. */
   close(reason: string): void {
     if (this.isClosed) return;
--- a/src/peers/constants.ts
+++ b/src/peers/constants.ts
@@ -7,6 +7,8 @@
 export const HANDSHAKE_MS = 1_000;
 /** Time that a superseded connection still delivers what is on its way. */
 export const SUPERSEDED_MS = 1_000;
+/** Time that a stopping host gives its last messages. */
+export const FLUSH_MS = 500;
 export const RECONNECT_BASE_MS = 200;
 export const RECONNECT_MAX_MS = 5_000;
 /** Interval between checks of all connections. */
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -7,6 +7,7 @@
 import { Connection, type ConnectionOwner, type PeerCounters } from './connection.ts';
 import {
   CHECK_MS,
+  FLUSH_MS,
   HANDSHAKE_MS,
   HEARTBEAT_MS,
   MAX_BUFFERED_BYTES,
@@ -109,13 +110,15 @@
     return bound;
   }
 
-  /** Closes all connections and the listener. No events are reported afterwards. */
+  /** Sends what waits, closes all connections and the listener. No events are reported afterwards. */
   async stop(): Promise<void> {
     this.isStopped = true;
     clearInterval(this.timer);
+    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
+    await Promise.all([...this.connections].map((connection) => connection.flush(FLUSH_MS)));
     for (const connection of [...this.connections]) connection.close('stopped');
     this.peers.clear();
-    await new Promise<void>((resolve) => this.server.close(() => resolve()));
+    await closed;
   }
 
   /** Keeps a link to `host` open until `close`; does nothing when it is open already. */
--- /dev/null
+++ b/tests/ownership/rules.test.ts
@@ -0,0 +1,164 @@
+import { describe, expect, it } from 'vitest';
+import { applyRevision } from '../../src/configuration/apply.ts';
+import type { Effect } from '../../src/core/effects.ts';
+import type { Message } from '../../src/core/messages.ts';
+import { reduce } from '../../src/core/reduce.ts';
+import { State } from '../../src/core/state.ts';
+import {
+  canOrderDestructively,
+  getOwner,
+  isStaleEpoch,
+  noteEpoch,
+} from '../../src/ownership/owner.ts';
+import { getView } from '../../src/engines/views.ts';
+import { PROMISE_MS } from '../../src/ownership/constants.ts';
+import { Cluster, newEngines } from '../helpers/cluster.ts';
+
+const ENGINE = 'engine-z-0';
+
+function newState(isAlone = false): State {
+  const state = State.create({
+    host: { id: 'h0', zone: 'z', region: 'r', address: '127.0.0.1:1', incarnation: 1 },
+    policy: {
+      stallWeight: 0.5,
+      loadsPerS: 100,
+      maxRequestsPerCaller: 10,
+      maxRequests: 10,
+      lameDuckMs: 0,
+      isAlone,
+    },
+    seed: 1,
+  });
+  applyRevision(state.configuration, {
+    revision: 1,
+    operator: 'o',
+    plan: 'p',
+    confirmedAtUnixMs: 0,
+    changes: newEngines(['z'], 4),
+  });
+  reduce(state, { type: 'started' }, 0);
+  return state;
+}
+
+function hear(state: State, message: Message, from: string, now: number): Message[] {
+  const effects = reduce(state, { type: 'messageReceived', from, message }, now);
+  return getSent(effects).filter(({ type }) => type.startsWith('promise'));
+}
+
+function getSent(effects: Effect[]): Message[] {
+  return effects.flatMap((effect) => (effect.type === 'sendMessage' ? [effect.message] : []));
+}
+
+function newRows(epoch: number): Message {
+  const members = ['h0', 'h1'].map((host) => ({ host, incarnation: 1 }));
+  return { type: 'zoneRowSeen', zone: 'z', rows: [{ epoch, members }] };
+}
+
+function tick(state: State, from: number, until: number): Effect[] {
+  const effects: Effect[] = [];
+  for (let at = from; at <= until; at += 250) effects.push(...reduce(state, { type: 'tick' }, at));
+  return effects;
+}
+
+describe('a host without a table', () => {
+  it('owns every engine and may evict, when the settings say that it is alone', () => {
+    const state = newState(true);
+    expect(getOwner(state, ENGINE)).toEqual({ host: 'h0', epoch: 1 });
+    expect(canOrderDestructively(state, ENGINE, 10)).toBe(true);
+  });
+
+  it('owns nothing before it has read the zone row, so that two new hosts cannot both own', () => {
+    const state = newState();
+    tick(state, 0, 60_000);
+    expect(getOwner(state, ENGINE)).toBeUndefined();
+    expect(canOrderDestructively(state, ENGINE, 60_000)).toBe(false);
+  });
+});
+
+describe('a promise', () => {
+  it.each([
+    {
+      name: 'given to a member at the same epoch',
+      own: 5,
+      asked: 5,
+      incarnation: 1,
+      answer: 'promiseGiven',
+    },
+    {
+      name: 'refused where the giver knows a newer epoch',
+      own: 6,
+      asked: 5,
+      incarnation: 1,
+      answer: 'promiseRefused',
+    },
+    {
+      name: 'refused where the giver knows an older epoch only',
+      own: 4,
+      asked: 5,
+      incarnation: 1,
+      answer: 'promiseRefused',
+    },
+    {
+      name: 'refused to a process that is no member',
+      own: 5,
+      asked: 5,
+      incarnation: 2,
+      answer: 'promiseRefused',
+    },
+  ])('is $name', ({ own, asked, incarnation, answer }) => {
+    const state = newState();
+    hear(state, newRows(own), 'h1', 10);
+    const ask = { type: 'promiseAsked' as const, ask: 0, epoch: asked, incarnation };
+    expect(hear(state, ask, 'h1', 20).map(({ type }) => type)).toEqual([answer]);
+  });
+
+  it.each([
+    { name: 'counts from the sending of the ask', epoch: 5, after: PROMISE_MS - 1, isValid: true },
+    { name: 'ends after its time', epoch: 5, after: PROMISE_MS, isValid: false },
+    { name: 'does not count for another epoch', epoch: 6, after: 1, isValid: false },
+  ])('$name', ({ epoch, after, isValid }) => {
+    const state = newState();
+    hear(state, newRows(5), 'h1', 0);
+    hear(state, { type: 'epochSeen', incarnation: 1, epoch: 5 }, 'h1', 0);
+    // The handover completes the takeover, so that only the promise decides.
+    const [engine = ''] = state.ownership.holdings.keys();
+    const holding = state.ownership.holdings.get(engine);
+    expect(holding).toBeDefined();
+    if (holding !== undefined) holding.isHandedOver = true;
+    const ask = getSent(tick(state, 0, 1_000)).find(({ type }) => type === 'promiseAsked');
+    const number = ask?.type === 'promiseAsked' ? ask.ask : -1;
+    const sentAt = state.ownership.promisesAskedAt;
+    hear(state, { type: 'promiseGiven', ask: number, epoch }, 'h1', 1_000);
+    expect(canOrderDestructively(state, engine, sentAt + after)).toBe(isValid);
+  });
+});
+
+describe('a paused host', () => {
+  it('does not evict before it has renewed, although its lease still holds', () => {
+    const cluster = Cluster.create(1, newEngines(['z'], 1));
+    const node = cluster.start('h0', 'z');
+    cluster.run(20_000);
+    const may = (): boolean => canOrderDestructively(node.state, ENGINE, cluster.getClock(node));
+    expect(may()).toBe(true);
+    node.isTableCut = true;
+    cluster.start('h1', 'z');
+    cluster.pause('h0', 2_000);
+    cluster.run(2_100);
+    expect(node.state.ownership.leaseUntil).toBeGreaterThan(cluster.getClock(node));
+    expect(may()).toBe(false);
+  });
+});
+
+describe('epochs of grants', () => {
+  it.each([
+    { epoch: 6, isStale: true },
+    { epoch: 7, isStale: false },
+    { epoch: 8, isStale: false },
+  ])('of $epoch after one of 7 are stale: $isStale', ({ epoch, isStale }) => {
+    const state = newState();
+    getView(state.engines, ENGINE);
+    noteEpoch(state, ENGINE, 7);
+    noteEpoch(state, ENGINE, 3);
+    expect(isStaleEpoch(state, ENGINE, epoch)).toBe(isStale);
+  });
+});
