--- /dev/null
+++ b/tests/ownership/handover.test.ts
@@ -0,0 +1,114 @@
+import { describe, expect, it } from 'vitest';
+import type { OwnedEngine, Pin } from '../../src/grants/types.ts';
+import { hasLeft, leaveOwnership } from '../../src/ownership/leave.ts';
+import { canOrderDestructively, getOwner } from '../../src/ownership/owner.ts';
+import { Cluster, newEngines, type Node } from '../helpers/cluster.ts';
+
+const MODEL = 'a@1';
+
+function newPin(grant: string, expiresAt: number): Pin {
+  return {
+    grant,
+    request: `request-${grant}`,
+    host: 'h1',
+    model: MODEL,
+    firm: 'f',
+    fingerprint: '',
+    grantedAt: 0,
+    expiresAt,
+  };
+}
+
+/** Starts two hosts; returns the cluster, the owner of an engine and the other host. */
+function newPair(): { cluster: Cluster; engine: string; owner: Node; other: Node } {
+  const cluster = Cluster.create(4, newEngines(['z'], 6));
+  const nodes = [cluster.start('h0', 'z'), cluster.start('h1', 'z')];
+  cluster.run(90_000);
+  const owner = nodes.find(({ state }) => state.grants.owned.size > 0);
+  const other = nodes.find((node) => node !== owner);
+  const [engine] = owner?.state.grants.owned.keys() ?? [];
+  if (owner === undefined || other === undefined || engine === undefined) {
+    throw new Error('no host owns an engine');
+  }
+  return { cluster, engine, owner, other };
+}
+
+function getOwned(node: Node, engine: string): OwnedEngine {
+  const owned = node.state.grants.owned.get(engine);
+  if (owned === undefined) throw new Error(`${node.id} does not own ${engine}`);
+  return owned;
+}
+
+function leave(cluster: Cluster, node: Node): void {
+  leaveOwnership(node.state);
+  for (let step = 0; step < 100; step++) {
+    if (hasLeft(node.state, cluster.getClock(node))) return;
+    cluster.run(50);
+  }
+  throw new Error(`${node.id} did not leave`);
+}
+
+describe('a host that leaves', () => {
+  it('hands its pins over, and the successor may evict at once but keeps what is pinned', () => {
+    const { cluster, engine, owner, other } = newPair();
+    const now = cluster.getClock(owner);
+    getOwned(owner, engine).pins.set('g1', newPin('g1', now + 60_000));
+    getOwned(owner, engine).pins.set('g2', newPin('g2', now + 500));
+    leave(cluster, owner);
+    cluster.run(1_000);
+    expect(getOwner(other.state, engine)?.host).toBe(other.id);
+    expect([...getOwned(other, engine).pins.keys()]).toEqual(['g1']);
+    expect(canOrderDestructively(other.state, engine, cluster.getClock(other), 1)).toBe(true);
+  });
+
+  it('passes the end of a grant on to the successor, so that the pin does not stay', () => {
+    const { cluster, engine, owner, other } = newPair();
+    const pin = newPin('g1', cluster.getClock(owner) + 60_000);
+    getOwned(owner, engine).pins.set('g1', pin);
+    leave(cluster, owner);
+    cluster.feed(owner, {
+      type: 'messageReceived',
+      from: 'h9',
+      message: {
+        type: 'grantReleased',
+        request: pin.request,
+        engine,
+        grant: 'g1',
+        result: 'completed',
+      },
+    });
+    cluster.run(100);
+    expect(getOwned(other, engine).pins.size).toBe(0);
+  });
+
+  it('waits for an unload order in flight before it gives the engine up', () => {
+    const { cluster, engine, owner, other } = newPair();
+    getOwned(owner, engine).unloading.set(MODEL, cluster.getClock(owner));
+    leaveOwnership(owner.state);
+    cluster.run(5_000);
+    expect(other.state.grants.owned.has(engine)).toBe(false);
+    getOwned(owner, engine).unloading.delete(MODEL);
+    cluster.run(2_000);
+    expect(other.state.grants.owned.has(engine)).toBe(true);
+  });
+});
+
+describe('a host that joins', () => {
+  it('does not grant an adapter that its predecessor is unloading', () => {
+    const cluster = Cluster.create(4, newEngines(['z'], 6));
+    const first = cluster.start('h0', 'z');
+    for (let index = 0; index < 6; index++) cluster.residents.set(`engine-z-${index}`, [MODEL]);
+    cluster.run(60_000);
+    for (const owned of first.state.grants.owned.values()) owned.unloading.set(MODEL, 0);
+    const second = cluster.start('h1', 'z');
+    cluster.run(10_000);
+    expect(second.state.grants.owned.size).toBeGreaterThan(0);
+    for (const owned of second.state.grants.owned.values()) {
+      expect(owned.residents.has(MODEL)).toBe(false);
+    }
+    cluster.run(30_000);
+    for (const owned of second.state.grants.owned.values()) {
+      expect(owned.residents.has(MODEL)).toBe(true);
+    }
+  });
+});
