Test that a removal fails after a renewal, and that a missed row makes a host wait again

Changed copies of the reducer showed that nothing failed without the deletion of the lease in the removal, without dropping holdings after a missed row, or without the pause detection. Each of the three now has a case that fails without it.

--- a/tests/ownership/rules.test.ts
+++ b/tests/ownership/rules.test.ts
@@ -3,6 +3,7 @@
 import type { Effect } from '../../src/core/effects.ts';
 import type { Message } from '../../src/core/messages.ts';
 import { reduce } from '../../src/core/reduce.ts';
+import type { TableCall } from '../../src/core/store.ts';
 import { State } from '../../src/core/state.ts';
 import {
   canOrderDestructively,
@@ -15,6 +16,7 @@
 import { Cluster, newEngines } from '../helpers/cluster.ts';
 
 const ENGINE = 'engine-z-0';
+const ANY = { type: 'any' as const };
 
 function newState(isAlone = false): State {
   const state = State.create({
@@ -135,13 +137,14 @@
 
 describe('a paused host', () => {
   it('does not evict before it has renewed, although its lease still holds', () => {
-    const cluster = Cluster.create(1, newEngines(['z'], 1));
+    const cluster = Cluster.create(1, newEngines(['z'], 4));
     const node = cluster.start('h0', 'z');
-    cluster.run(20_000);
-    const may = (): boolean => canOrderDestructively(node.state, ENGINE, cluster.getClock(node));
+    cluster.start('h1', 'z');
+    cluster.run(120_000);
+    const [engine = ''] = node.state.grants.owned.keys();
+    const may = (): boolean => canOrderDestructively(node.state, engine, cluster.getClock(node));
     expect(may()).toBe(true);
     node.isTableCut = true;
-    cluster.start('h1', 'z');
     cluster.pause('h0', 2_000);
     cluster.run(2_100);
     expect(node.state.ownership.leaseUntil).toBeGreaterThan(cluster.getClock(node));
@@ -162,3 +165,43 @@
     expect(isStaleEpoch(state, ENGINE, epoch)).toBe(isStale);
   });
 });
+
+describe('a removal', () => {
+  it('fails when the member has renewed since it was seen silent', () => {
+    const cluster = Cluster.create(1, newEngines(['z'], 1));
+    cluster.start('h0', 'z');
+    cluster.start('h1', 'z');
+    cluster.run(20_000);
+    let removal: TableCall | undefined;
+    cluster.onTurn = (_node, effects) => {
+      for (const effect of effects) {
+        if (effect.type !== 'callTable' || effect.purpose.type !== 'writeZoneRow') continue;
+        removal ??= effect.call;
+        // The renewal reaches the table before the removal does.
+        const write = { type: 'put' as const, key: 'host/z/h0', value: {}, condition: ANY };
+        cluster.table.apply({ type: 'write', writes: [write] });
+      }
+    };
+    cluster.pause('h0', 40_000);
+    cluster.run(22_000);
+    expect(removal).toBeDefined();
+    expect(cluster.table.get('zone/z')).toMatchObject({ members: [{}, {}] });
+  });
+});
+
+describe('a zone row that was missed', () => {
+  it('makes a host wait again, as another one may have owned its engines in between', () => {
+    const state = newState();
+    hear(state, newRows(5), 'h1', 0);
+    hear(state, { type: 'epochSeen', incarnation: 1, epoch: 5 }, 'h1', 0);
+    const [engine = ''] = state.ownership.holdings.keys();
+    const before = state.ownership.holdings.get(engine);
+    expect(before).toBeDefined();
+    hear(state, newRows(6), 'h1', 100);
+    expect(state.ownership.holdings.get(engine)).toBe(before);
+    // The acknowledgement overtakes the row, so that no member holds the takeover up.
+    hear(state, { type: 'epochSeen', incarnation: 1, epoch: 8 }, 'h1', 150);
+    hear(state, newRows(8), 'h1', 200);
+    expect(state.ownership.holdings.get(engine)).toMatchObject({ since: 200, epoch: 8 });
+  });
+});
