--- a/src/drafts/accepting.ts
+++ b/src/drafts/accepting.ts
@@ -21,7 +21,7 @@
 
 /** Checks a draft on arrival and makes it durable before it is acknowledged. */
 export function admitDraft(state: State, draft: NewDraft, now: number): Effect[] {
-  const version = checkDraft(state, draft, now);
+  const version = checkDraft(state, draft);
   if (version instanceof Failure) return [newAnswer(draft.id, version)];
   const row = newRow(state, draft, version);
   state.drafts.arriving.set(draft.id, row);
@@ -118,7 +118,7 @@
   );
 }
 
-function checkDraft(state: State, draft: NewDraft, now: number): string | Failure {
+function checkDraft(state: State, draft: NewDraft): string | Failure {
   const { phase, configuration, drafts } = state;
   if (phase === 'draining' || phase === 'stopped') {
     return Failure.create('shutting_down', 'this host is shutting down');
@@ -132,7 +132,7 @@
   const version = resolveVersion(state, draft);
   if (version instanceof Failure) return version;
   const fingerprint = getFingerprint(`${draft.adapter}@${version}`, draft.bodyHash);
-  return checkQuarantine(state, fingerprint, now) ?? version;
+  return checkQuarantine(state, fingerprint) ?? version;
 }
 
 function newRow(state: State, draft: NewDraft, version: string): DraftRow {
--- a/src/engines/handlers.ts
+++ b/src/engines/handlers.ts
@@ -4,20 +4,28 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { syncOwned } from '../grants/owned.ts';
+import { endVerification } from '../requests/verifying.ts';
+import { checkBoot, checkRefused } from '../suspects/crashes.ts';
 import { ENGINE_POLL_MS } from './constants.ts';
 import type { EngineEvent, EngineTimer } from './types.ts';
 import { getView, updateFromReport } from './views.ts';
 
 export const engineEvents: EventHandlers<EngineEvent['type']> = {
   engineReported: (state, { engine, report }, now) => {
+    const crashed = checkBoot(state, engine, report.bootId, now);
     updateFromReport(state.engines, engine, report, now);
-    return syncOwned(state, engine, report, now);
+    const synced = syncOwned(state, engine, report, now);
+    return [...crashed, ...synced, ...endVerification(state, engine, now)];
   },
-  engineSilent: (state, { engine, refused }) => {
+  engineSilent: (state, { engine, refused }, now) => {
+    const crashed = refused ? checkRefused(state, engine, now) : [];
     const view = getView(state.engines, engine);
     const wasReachable = view.state !== 'unreachable';
     view.state = 'unreachable';
-    return wasReachable ? [newLog('warn', 'engine does not answer', { engine, refused })] : [];
+    const logged = wasReachable
+      ? [newLog('warn', 'engine does not answer', { engine, refused })]
+      : [];
+    return [...crashed, ...logged, ...endVerification(state, engine, now)];
   },
 };
 
--- a/src/grants/handlers.ts
+++ b/src/grants/handlers.ts
@@ -3,17 +3,20 @@
 import type { State } from '../core/state.ts';
 import type { Effect } from '../core/effects.ts';
 import { addResident, removeResident } from '../engines/views.ts';
+import { noteReleased } from '../suspects/crashes.ts';
+import { receiveSuspect } from '../suspects/table.ts';
 import { refuse, serveQueue } from './serve.ts';
 import type { GrantAsk, GrantEvent, GrantTimer, OwnedEngine } from './types.ts';
 
 export const grantMessages: MessageHandlers<'grantAsk' | 'grantReleased'> = {
   grantAsk: (state, ask, from, now) => handleAsk(state, ask, from, now),
-  grantReleased: (state, { engine, request, grant }, _from, now) => {
+  grantReleased: (state, { engine, request, grant, result, bootId }, _from, now) => {
     const owned = state.grants.owned.get(engine);
     if (owned === undefined) return [];
+    const noted = noteReleased(state, engine, owned.pins.get(grant), { result, bootId }, now);
     owned.pins.delete(grant);
     owned.queue = owned.queue.filter((ask) => ask.request !== request);
-    return serveQueue(state, owned, now);
+    return [...noted, ...serveQueue(state, owned, now)];
   },
 };
 
@@ -55,7 +58,8 @@
   if (owned === undefined) return refuse(state, asked, 'notOwner');
   if (state.configuration.leaving.has(ask.engine)) return refuse(state, asked, 'leaving');
   owned.queue.push({ ...asked, arrivedAt: now, residentAt: undefined });
-  return serveQueue(state, owned, now);
+  const learned = ask.suspect === undefined ? [] : receiveSuspect(state, ask.suspect, from, now);
+  return [...learned, ...serveQueue(state, owned, now)];
 }
 
 function endLoad(
--- a/src/grants/serve.ts
+++ b/src/grants/serve.ts
@@ -4,6 +4,7 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import type { Engine } from '../configuration/types.ts';
+import { canRunWithSuspects, getSuspicion } from '../suspects/suspicion.ts';
 import { canOrderDestructively } from '../ownership/owner.ts';
 import { ENGINE_CANCEL_MS, MIN_RESIDENCY_MS } from './constants.ts';
 import type { OwnedEngine, QueuedAsk, RefusalReason, Resident } from './types.ts';
@@ -19,7 +20,13 @@
   const left: QueuedAsk[] = [];
   for (const ask of owned.queue) {
     if (ask.arrivedAt + ask.remainingMs <= now) continue;
-    if (owned.residents.has(ask.model) && owned.pins.size < engine.batch) {
+    if (getSuspicion(state, ask.fingerprint) === 'quarantined') {
+      effects.push(...refuse(state, ask, 'suspect'));
+    } else if (
+      owned.residents.has(ask.model) &&
+      owned.pins.size < engine.batch &&
+      canRunWithSuspects(state, owned, ask)
+    ) {
       effects.push(...giveGrant(state, owned, ask, now));
     } else {
       left.push(ask);
@@ -73,6 +80,7 @@
       engine: owned.id,
       grant,
       epoch: owned.epoch,
+      bootId: state.engines.views.get(owned.id)?.bootId ?? '',
       stallMs,
     }),
   ];
--- a/src/grants/types.ts
+++ b/src/grants/types.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import type { TokenBucket } from '../base/tokenBucket.ts';
 import type { EngineRole } from '../configuration/types.ts';
+import { Suspect } from '../suspects/types.ts';
 import { Name } from '../configuration/types.ts';
 
 const Id = z.string().min(1).max(128);
@@ -19,6 +20,8 @@
   /** Milliseconds until the request's deadline. */
   remainingMs: z.number(),
   fingerprint: z.string(),
+  /** What the asking host knows of the fingerprint; its report may still be on its way. */
+  suspect: Suspect.optional(),
   maxTokens: z.int().min(0),
 });
 export type GrantAsk = z.infer<typeof GrantAsk>;
@@ -30,6 +33,8 @@
   engine: Name,
   grant: Id,
   epoch: z.int().min(0),
+  /** Boot id of the engine in its last report; empty when there is none. */
+  bootId: z.string().default(''),
   /** Time the ask waited for the adapter to arrive, in ms. */
   stallMs: z.number(),
 });
@@ -62,6 +67,8 @@
   request: Id,
   engine: Name,
   grant: z.string(),
+  /** Boot id of the engine that the attempt was granted for. */
+  bootId: z.string().default(''),
   /** Whether the engine completed the request, failed it, or crashed under it. */
   result: z.enum(['completed', 'failed', 'crashed', 'unused']),
 });
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -7,6 +7,7 @@
 import { askForGrant } from './asking.ts';
 import { resolveVersion } from './resolving.ts';
 import { DEFAULT_PRIORITY } from './constants.ts';
+import { checkLoad } from './shedding.ts';
 import type { NewRequest, Request } from './types.ts';
 
 /** Checks a request on arrival; asks for a grant when it may run, refuses it at once otherwise. */
@@ -18,6 +19,8 @@
   if (version instanceof Failure) return refuseArrival(state, arrival, version, now);
   const request = newRequest(state, arrival, version, now);
   state.requests.inFlight.set(request.id, request);
+  const ofFirm = state.requests.byFirm.get(request.firm) ?? 0;
+  state.requests.byFirm.set(request.firm, ofFirm + 1);
   if (request.draft === undefined) {
     const running = state.requests.byCaller.get(request.caller) ?? 0;
     state.requests.byCaller.set(request.caller, running + 1);
@@ -36,12 +39,8 @@
   if (arrival.deadline <= now) {
     return Failure.create('deadline_passed', 'the deadline had passed when the request arrived');
   }
-  if (requests.inFlight.size >= policy.maxRequests) {
-    return Failure.create(
-      'overloaded',
-      `this host runs ${requests.inFlight.size} requests already`,
-    );
-  }
+  const overload = checkLoad(state, arrival);
+  if (overload !== undefined) return overload;
   const running = requests.byCaller.get(arrival.caller) ?? 0;
   // Drafts have their own limit and must not use up what the caller may ask at once.
   if (arrival.draft === undefined && running >= policy.maxRequestsPerCaller) {
@@ -66,6 +65,7 @@
     asked: undefined,
     attempt: undefined,
     attempts: 0,
+    verifying: undefined,
     excluded: new Set(),
     loadStallMs: 0,
     mayHaveRun: false,
--- a/src/requests/asking.ts
+++ b/src/requests/asking.ts
@@ -4,6 +4,8 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { Failure } from '../errors/failure.ts';
+import { chooseSuspectPlacement } from '../suspects/placement.ts';
+import { checkQuarantine, getSuspicion } from '../suspects/suspicion.ts';
 import { choosePlacement } from '../routing/placement.ts';
 import { ASK_TIMEOUT_MS, MAX_ATTEMPTS, RETRY_BASE_MS, RETRY_MAX_MS } from './constants.ts';
 import { failRequest } from './ending.ts';
@@ -11,7 +13,13 @@
 
 /** Asks the owner of the best engine for a grant; fails the request when no engine can take it. */
 export function askForGrant(state: State, request: Request, now: number): Effect[] {
-  const placement = choosePlacement(state, request);
+  const { fingerprint } = request;
+  const quarantine = checkQuarantine(state, fingerprint, request.mayHaveRun);
+  if (quarantine !== undefined) return failRequest(state, request, quarantine);
+  const isSuspect = getSuspicion(state, fingerprint) === 'suspect';
+  const placement = isSuspect
+    ? chooseSuspectPlacement(state, request)
+    : choosePlacement(state, request);
   if (placement === undefined) {
     return failRequest(state, request, getUnavailableFailure(request));
   }
@@ -30,26 +38,47 @@
       kind: request.kind,
       priority: request.priority,
       remainingMs: request.deadline - now,
-      fingerprint: request.fingerprint,
+      fingerprint,
+      suspect: state.suspects.byFingerprint.get(fingerprint),
       maxTokens: request.maxTokens,
     }),
   ];
 }
 
-/** Asks again after a backoff with full jitter, or fails the request when its attempts are used up. */
+/** Retries after a failed attempt; fails the request when its attempts or the budget are used up. */
 export function retryLater(state: State, request: Request, now: number): Effect[] {
+  if (request.attempts < MAX_ATTEMPTS && !state.requests.retries.takeRetry(now)) {
+    const message = `request ${request.id} failed and the retry budget is used up`;
+    const outcome = request.mayHaveRun ? 'unknown' : 'not_run';
+    return failRequest(state, request, Failure.create('overloaded', message, { outcome }));
+  }
+  return retryUnsent(state, request, now);
+}
+
+/** Retries after an attempt that put no load on an engine, which needs no retry budget. */
+export function retryUnsent(state: State, request: Request, now: number): Effect[] {
   request.attempt = undefined;
   request.asked = undefined;
   if (request.attempts >= MAX_ATTEMPTS) {
     const message = `request ${request.id} failed ${request.attempts} times`;
-    return failRequest(state, request, Failure.create('engine_failed', message));
+    const outcome = request.mayHaveRun ? 'unknown' : 'not_run';
+    return failRequest(state, request, Failure.create('engine_failed', message, { outcome }));
   }
+  return [
+    ...askLater(state, request, now),
+    newCount('fireflywick_decisions_total', { decision: 'retried', reason: 'failed' }),
+  ];
+}
+
+/** Asks again after a backoff with full jitter. An owner's refusal is no attempt. */
+export function askLater(state: State, request: Request, now: number): Effect[] {
+  request.asked = undefined;
   request.phase = 'backoff';
   const tries = request.attempts + request.excluded.size;
   const limit = Math.min(RETRY_MAX_MS, RETRY_BASE_MS * 2 ** tries);
   const at = now + state.random.getFraction() * limit;
   schedule(state, at, { type: 'requestRetry', id: request.id });
-  return [newCount('fireflywick_decisions_total', { decision: 'retried', reason: 'failed' })];
+  return [];
 }
 
 function getUnavailableFailure(request: Request): Failure {
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -3,8 +3,10 @@
 import { newCount } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
-import { retryLater } from './asking.ts';
+import { retryLater, retryUnsent } from './asking.ts';
 import { failRequest, finishRequest } from './ending.ts';
+import { noteBroken } from '../suspects/crashes.ts';
+import { verifyEngine } from './verifying.ts';
 import type { Attempt, AttemptOutcome, Request } from './types.ts';
 
 type GrantResult = 'completed' | 'failed' | 'crashed' | 'unused';
@@ -31,18 +33,21 @@
 
 const endings: EndingTable = {
   completed: () => ({ result: 'completed', mayHaveRun: true, next: finishRequest }),
-  notResident: () => ({ result: 'unused', mayHaveRun: false, next: retryLater }),
-  unreachable: () => ({ result: 'unused', mayHaveRun: false, next: retryLater }),
+  notResident: () => ({ result: 'unused', mayHaveRun: false, next: retryUnsent }),
+  unreachable: () => ({ result: 'unused', mayHaveRun: false, next: retryUnsent }),
   cancelled: () => ({ result: 'failed', mayHaveRun: true, next: () => [] }),
   refused: ({ status, message }) => ({
     result: 'failed',
-    mayHaveRun: false,
+    // A server error may come from the middle of the run.
+    mayHaveRun: status >= 500,
     next: isFinalRefusal(status)
       ? (state, request) =>
           failRequest(
             state,
             request,
-            Failure.create('bad_request', `the engine refused the request: ${message}`),
+            Failure.create('bad_request', `the engine refused the request: ${message}`, {
+              outcome: request.mayHaveRun ? 'unknown' : 'not_run',
+            }),
           )
       : retryLater,
   }),
@@ -61,14 +66,13 @@
   broken: ({ reason }, attempt) => ({
     result: 'crashed',
     mayHaveRun: true,
-    next: attempt.hasStarted
-      ? (state, request) =>
-          failRequest(
-            state,
-            request,
-            Failure.create('stream_broken', `the answer ended early: ${reason}`),
-          )
-      : retryLater,
+    next: (state, request, now) => {
+      const failure = attempt.hasStarted
+        ? Failure.create('stream_broken', `the answer ended early: ${reason}`)
+        : undefined;
+      noteBroken(state, attempt.engine, { ...request, bootId: attempt.bootId }, now);
+      return verifyEngine(state, request, attempt.engine, failure, now);
+    },
   }),
 };
 
@@ -93,6 +97,7 @@
       request: request.id,
       engine: attempt.engine,
       grant: attempt.grant,
+      bootId: attempt.bootId,
       result: ending.result,
     }),
     ...ending.next(state, request, now),
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -9,6 +9,12 @@
 export const ASK_TIMEOUT_MS = 10_000;
 /** Priority of a caller that no intent names, 0 (first) to 9 (last). */
 export const DEFAULT_PRIORITY = 5;
+/** Time within which a probe tells whether an engine crashed, after an attempt broke. */
+export const VERIFY_MS = 2_500;
+/** Share of the host's requests at which arrivals of each kind are refused. */
+export const KIND_LIMITS = { urgent: 1, ordinary: 0.9, draft: 0.6 } as const;
+/** Share of a limit up to which a firm may use more than its own share. */
+export const LENDING_LIMIT = 0.8;
 /** Retries allowed for each recent request, and the rate that is always allowed. */
 export const RETRY_SHARE = 0.1;
 export const RETRY_MIN_PER_S = 3;
--- a/src/requests/ending.ts
+++ b/src/requests/ending.ts
@@ -4,6 +4,7 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import type { Failure } from '../errors/failure.ts';
+import { clearCompleted } from '../suspects/crashes.ts';
 import type { Request } from './types.ts';
 
 /** Ends a request with a failure and releases what it holds. */
@@ -37,6 +38,7 @@
     newCount('fireflywick_requests_total', getLabels(request, 'completed')),
     newObserve('fireflywick_load_stall_ms', labels, request.loadStallMs),
     newObserve('fireflywick_request_duration_ms', labels, now - request.arrivedAt),
+    ...clearCompleted(state, request.fingerprint, now),
     { type: 'finishRequest', id: request.id },
   ];
 }
@@ -52,17 +54,23 @@
       request: request.id,
       engine: held.engine,
       grant,
+      bootId: request.attempt?.bootId ?? '',
       result: grant === '' ? 'unused' : 'failed',
     }),
   ];
 }
 
 function removeRequest(state: State, request: Request): void {
-  const { inFlight, byCaller } = state.requests;
-  if (!inFlight.delete(request.id) || request.draft !== undefined) return;
-  const running = (byCaller.get(request.caller) ?? 1) - 1;
-  if (running > 0) byCaller.set(request.caller, running);
-  else byCaller.delete(request.caller);
+  const { inFlight, byCaller, byFirm } = state.requests;
+  if (!inFlight.delete(request.id)) return;
+  removeOne(byFirm, request.firm);
+  if (request.draft === undefined) removeOne(byCaller, request.caller);
+}
+
+function removeOne(counts: Map<string, number>, key: string): void {
+  const count = (counts.get(key) ?? 1) - 1;
+  if (count > 0) counts.set(key, count);
+  else counts.delete(key);
 }
 
 function getLabels(request: Request, result: string): Record<string, string> {
--- a/src/requests/handlers.ts
+++ b/src/requests/handlers.ts
@@ -5,8 +5,9 @@
 import { Failure } from '../errors/failure.ts';
 import { admitRequest } from './admission.ts';
 import { endAttempt } from './attempts.ts';
-import { askForGrant, retryLater } from './asking.ts';
+import { askForGrant, askLater } from './asking.ts';
 import { failRequest, releaseAsk } from './ending.ts';
+import { continueVerified } from './verifying.ts';
 import type { Request, RequestEvent, RequestTimer } from './types.ts';
 
 export const requestEvents: EventHandlers<RequestEvent['type']> = {
@@ -31,7 +32,7 @@
 
 export const requestMessages: MessageHandlers<'grantGiven' | 'grantRefused'> = {
   grantGiven: (state, message, from) => {
-    const { request: id, ask, engine, grant, epoch, stallMs } = message;
+    const { request: id, ask, engine, grant, epoch, stallMs, bootId } = message;
     const request = state.requests.inFlight.get(id);
     const address = state.configuration.engines.get(engine)?.address;
     if (request?.phase !== 'asking' || request.ask !== ask || address === undefined) {
@@ -41,18 +42,20 @@
           request: id,
           engine,
           grant,
+          bootId,
           result: 'unused',
         }),
       ];
     }
-    return startAttempt(state, request, { engine, owner: from, grant, epoch, stallMs, address });
+    const given = { engine, owner: from, grant, epoch, stallMs, bootId, address };
+    return startAttempt(state, request, given);
   },
   grantRefused: (state, { request: id, ask, engine, reason }, _from, now) => {
     const request = state.requests.inFlight.get(id);
     if (request?.phase !== 'asking' || request.ask !== ask) return [];
     request.excluded.add(engine);
     request.lastRefusal = reason;
-    return retryLater(state, request, now);
+    return askLater(state, request, now);
   },
 };
 
@@ -72,12 +75,17 @@
     const request = state.requests.inFlight.get(id);
     return request?.phase === 'backoff' ? askForGrant(state, request, now) : [];
   },
+  verifyTimeout: (state, { id, attempts }, now) => {
+    const request = state.requests.inFlight.get(id);
+    const isCurrent = request?.verifying !== undefined && request.attempts === attempts;
+    return !isCurrent ? [] : continueVerified(state, request, now);
+  },
   askTimeout: (state, { id, ask }, now) => {
     const request = state.requests.inFlight.get(id);
     if (request?.phase !== 'asking' || request.ask !== ask) return [];
     const effects = releaseAsk(state, request);
     if (request.asked !== undefined) request.excluded.add(request.asked.engine);
-    return [...effects, ...retryLater(state, request, now)];
+    return [...effects, ...askLater(state, request, now)];
   },
 };
 
@@ -90,10 +98,11 @@
     grant: string;
     epoch: number;
     stallMs: number;
+    bootId: string;
     address: string;
   },
 ): Effect[] {
-  const { engine, owner, grant, epoch, stallMs, address } = given;
+  const { engine, owner, grant, epoch, stallMs, bootId, address } = given;
   request.phase = 'running';
   request.attempts += 1;
   request.loadStallMs += stallMs;
@@ -103,6 +112,7 @@
     owner,
     grant,
     epoch,
+    bootId,
     hasStarted: false,
   };
   const view = state.engines.views.get(engine);
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -24,7 +24,7 @@
   draft: string | undefined;
 }
 
-export type RequestPhase = 'asking' | 'running' | 'backoff';
+export type RequestPhase = 'asking' | 'running' | 'verifying' | 'backoff';
 
 export interface Attempt {
   id: string;
@@ -33,6 +33,8 @@
   grant: string;
   /** Ownership epoch of the grant. */
   epoch: number;
+  /** Boot id of the engine as its owner knew it; empty when it had no report. */
+  bootId: string;
   /** Whether a byte of the answer was passed on. */
   hasStarted: boolean;
 }
@@ -52,6 +54,8 @@
   asked: { engine: string; owner: string } | undefined;
   attempt: Attempt | undefined;
   attempts: number;
+  /** Engine whose crash is being checked, and the failure that follows unless it is retried. */
+  verifying: { engine: string; failure: Failure | undefined } | undefined;
   /** Engines that failed this request. */
   excluded: Set<string>;
   loadStallMs: number;
@@ -64,6 +68,8 @@
   readonly inFlight = new Map<string, Request>();
   /** Requests in flight by caller. */
   readonly byCaller = new Map<string, number>();
+  /** Requests in flight by firm. */
+  readonly byFirm = new Map<string, number>();
   readonly retries = RetryBudget.create();
 
   private constructor() {}
@@ -119,5 +125,7 @@
 export type RequestTimer =
   | { type: 'requestDeadline'; id: string }
   | { type: 'requestRetry'; id: string }
+  /** The probe after attempt number `attempts` took too long. */
+  | { type: 'verifyTimeout'; id: string; attempts: number }
   /** The owner did not answer an ask. */
   | { type: 'askTimeout'; id: string; ask: number };
--- /dev/null
+++ b/src/requests/verifying.ts
@@ -0,0 +1,43 @@
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
+import type { Failure } from '../errors/failure.ts';
+import { retryLater } from './asking.ts';
+import { VERIFY_MS } from './constants.ts';
+import { failRequest } from './ending.ts';
+import type { Request } from './types.ts';
+
+/**
+ * Holds a request whose attempt broke until a probe tells whether the engine crashed. Without the
+ * wait, a request that crashes engines would reach the next ones before anybody suspects it.
+ */
+export function verifyEngine(
+  state: State,
+  request: Request,
+  engine: string,
+  failure: Failure | undefined,
+  now: number,
+): Effect[] {
+  request.phase = 'verifying';
+  request.verifying = { engine, failure };
+  const { id, attempts } = request;
+  schedule(state, now + VERIFY_MS, { type: 'verifyTimeout', id, attempts });
+  const address = state.configuration.engines.get(engine)?.address;
+  return address === undefined ? [] : [{ type: 'readEngine', engine, address }];
+}
+
+/** Continues the requests that waited for news of `engine`. */
+export function endVerification(state: State, engine: string, now: number): Effect[] {
+  return [...state.requests.inFlight.values()]
+    .filter((request) => request.verifying?.engine === engine)
+    .flatMap((request) => continueVerified(state, request, now));
+}
+
+/** Retries or fails a request after the probe of its engine was answered or took too long. */
+export function continueVerified(state: State, request: Request, now: number): Effect[] {
+  const failure = request.verifying?.failure;
+  request.verifying = undefined;
+  return failure === undefined
+    ? retryLater(state, request, now)
+    : failRequest(state, request, failure);
+}
--- a/src/suspects/constants.ts
+++ b/src/suspects/constants.ts
@@ -4,6 +4,12 @@
 export const SUSPECT_TTL_HOURS = 25;
 /** Time for which an attempt that broke is blamed for a crash that is noticed later. */
 export const BROKEN_MS = 10_000;
+/** Age at which a broken attempt is cleared by a report under the same boot id. */
+export const PROOF_MS = 1_000;
+/** Time within which hosts release their grants after an engine crashed. */
+export const RELEASE_MS = 2_000;
+/** Crashes kept for one suspect. */
+export const MAX_CRASHES = 32;
 /** Interval between reads of the rows, for hosts that no peer can reach. */
 export const SUSPECT_POLL_MS = 5_000;
 export const SUSPECT_RETRY_MS = 2_000;
--- a/src/suspects/crashes.ts
+++ b/src/suspects/crashes.ts
@@ -1,28 +1,75 @@
+import { getStampHour } from '../actions/rows.ts';
 import type { Effect } from '../core/effects.ts';
 import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
-import { getStampHour } from '../actions/rows.ts';
-import { BROKEN_MS } from './constants.ts';
+import { schedule } from '../core/timers.ts';
+import { BROKEN_MS, MAX_CRASHES, PROOF_MS, RELEASE_MS } from './constants.ts';
 import { changeSuspect } from './table.ts';
 import type { Culprit, Suspect } from './types.ts';
 
 /** Remembers an attempt that broke on an engine, in case the engine turns out to have crashed. */
-export function noteBroken(state: State, engine: string, fingerprint: string, now: number): void {
+export function noteBroken(state: State, engine: string, culprit: Culprit, now: number): void {
   const known = state.suspects.broken.get(engine) ?? [];
   const recent = known.filter(({ at }) => at + BROKEN_MS > now);
-  state.suspects.broken.set(engine, [...recent, { fingerprint, at: now }]);
+  const { fingerprint, bootId } = culprit;
+  state.suspects.broken.set(engine, [...recent, { fingerprint, bootId, at: now }]);
+}
+
+/** Takes over how a granted attempt ended; a late "completed" clears a pin that was blamed. */
+export function noteReleased(
+  state: State,
+  engine: string,
+  pin: Culprit | undefined,
+  { result, bootId }: { result: string; bootId: string },
+  now: number,
+): Effect[] {
+  if (pin === undefined) return [];
+  if (result === 'crashed')
+    noteBroken(state, engine, { fingerprint: pin.fingerprint, bootId }, now);
+  return result === 'completed' ? clearCompleted(state, pin.fingerprint, now) : [];
 }
 
-/** Checks the boot id of a report against the last one; call before the report is taken over. */
+/** Checks the boot id of a report against what ran; call before the report is taken over. */
 export function checkBoot(state: State, engine: string, bootId: string, now: number): Effect[] {
   const known = state.engines.views.get(engine)?.bootId ?? '';
-  if (known === '' || known === bootId) return [];
-  return recordCrash(state, engine, getRunning(state, engine, now), now);
+  const isDown = state.suspects.down.delete(engine);
+  if (known !== '' && known !== bootId && !isDown) blamePinsLater(state, engine, known, now);
+  const broken = state.suspects.broken.get(engine) ?? [];
+  const crashed = broken.filter((entry) => entry.bootId !== '' && entry.bootId !== bootId);
+  // A report may have left the engine before the attempt broke, so it clears older ones only.
+  const open = broken.filter((entry) => !crashed.includes(entry) && entry.at + PROOF_MS > now);
+  if (open.length > 0) state.suspects.broken.set(engine, open);
+  else state.suspects.broken.delete(engine);
+  return recordCrash(state, engine, crashed, now);
 }
 
-/** Takes a refused connection as a crash of what ran on the engine. */
+/** Takes a refused connection as a crash of what broke on the engine. */
 export function checkRefused(state: State, engine: string, now: number): Effect[] {
-  return recordCrash(state, engine, getRunning(state, engine, now), now);
+  const { broken, down } = state.suspects;
+  const known = state.engines.views.get(engine)?.bootId ?? '';
+  if (!down.has(engine)) blamePinsLater(state, engine, known, now);
+  down.add(engine);
+  const crashed = broken.get(engine) ?? [];
+  broken.delete(engine);
+  return recordCrash(state, engine, crashed, now);
+}
+
+/**
+ * Blames the grants whose hosts did not say how their attempts ended. All others were released as
+ * crashed, or as unused when the engine was down already.
+ */
+export function blamePins(
+  state: State,
+  { engine, bootId, before }: { engine: string; bootId: string; before: number },
+  now: number,
+): Effect[] {
+  const pins = [...(state.grants.owned.get(engine)?.pins.values() ?? [])]
+    .filter((pin) => pin.grantedAt < before && !state.suspects.blamed.has(pin))
+    .map((pin) => {
+      state.suspects.blamed.add(pin);
+      return { fingerprint: pin.fingerprint, bootId };
+    });
+  return recordCrash(state, engine, pins, now);
 }
 
 /**
@@ -35,26 +82,29 @@
   pins: readonly Culprit[],
   now: number,
 ): Effect[] {
-  const crash = `${engine}@${state.engines.views.get(engine)?.bootId ?? ''}`;
+  if (pins.length === 0) return [];
   const { byFingerprint } = state.suspects;
-  const fingerprints = [...new Set(pins.map(({ fingerprint }) => fingerprint))];
-  if (fingerprints.length === 0) return [];
-  const earlier = fingerprints.filter((fingerprint) =>
+  const view = state.engines.views.get(engine)?.bootId ?? '';
+  const crashes = new Map(
+    pins.map(({ fingerprint, bootId = view }) => [fingerprint, `${engine}@${bootId}`]),
+  );
+  const earlier = [...crashes].filter(([fingerprint, crash]) =>
     byFingerprint.get(fingerprint)?.crashes.some((known) => !isSameCrash(known, crash)),
   );
-  const effects = fingerprints.flatMap((fingerprint) => {
+  const culprit = earlier.length === 1 ? earlier[0]?.[0] : undefined;
+  const effects = [...crashes].flatMap(([fingerprint, crash]) => {
     const known = byFingerprint.get(fingerprint) ?? newSuspect(fingerprint);
-    const isCounted = known.crashes.some((other) => isSameCrash(other, crash));
-    const isCulprit = earlier.length === 1 && earlier[0] === fingerprint;
+    const counted = [...known.crashes, ...known.cleared];
+    const isCounted = counted.some((other) => isSameCrash(other, crash));
     const next: Suspect = {
       ...known,
-      crashes: isCounted ? known.crashes : [...known.crashes, crash].sort(),
-      isCondemned: known.isCondemned || isCulprit,
+      crashes: isCounted ? known.crashes : [...known.crashes, crash].slice(-MAX_CRASHES).sort(),
+      isCondemned: known.isCondemned || culprit === fingerprint,
       hour: Math.max(known.hour, getStampHour(state, now) ?? -1),
     };
     return changeSuspect(state, next, now);
   });
-  const fields = { engine, suspects: fingerprints.length, quarantined: earlier.length === 1 };
+  const fields = { engine, suspects: crashes.size, quarantined: culprit };
   return [newLog('warn', 'engine crashed under requests', fields), ...effects];
 }
 
@@ -70,12 +120,13 @@
   const known = state.suspects.byFingerprint.get(fingerprint);
   if (known === undefined) return [];
   const { generation, hour } = known;
-  const next = { ...newSuspect(fingerprint), generation: generation + 1, hour };
+  const cleared = [...known.cleared, ...known.crashes].slice(-MAX_CRASHES);
+  const next = { ...newSuspect(fingerprint), generation: generation + 1, cleared, hour };
   return changeSuspect(state, next, now);
 }
 
 function newSuspect(fingerprint: string): Suspect {
-  return { fingerprint, generation: 0, crashes: [], isCondemned: false, hour: -1 };
+  return { fingerprint, generation: 0, crashes: [], cleared: [], isCondemned: false, hour: -1 };
 }
 
 /** An observer that had no report of the engine yet does not know its boot id. */
@@ -85,21 +136,7 @@
   return engineA === engineB && (bootA === bootB || bootA === '' || bootB === '');
 }
 
-/** Returns what this host knows to have run on the engine and did not blame yet. */
-function getRunning(state: State, engine: string, now: number): Culprit[] {
-  const { broken, blamed } = state.suspects;
-  const pins = [...(state.grants.owned.get(engine)?.pins.values() ?? [])];
-  const attempts = [...state.requests.inFlight.values()].flatMap(({ fingerprint, attempt }) =>
-    attempt?.engine === engine ? [{ fingerprint, attempt }] : [],
-  );
-  const recent = (broken.get(engine) ?? []).filter(({ at }) => at + BROKEN_MS > now);
-  broken.delete(engine);
-  const running = [
-    ...pins.filter((pin) => !blamed.has(pin)),
-    ...attempts.filter(({ attempt }) => !blamed.has(attempt)),
-    ...recent,
-  ];
-  for (const pin of pins) blamed.add(pin);
-  for (const { attempt } of attempts) blamed.add(attempt);
-  return running;
+function blamePinsLater(state: State, engine: string, bootId: string, now: number): void {
+  if (!state.grants.owned.has(engine)) return;
+  schedule(state, now + RELEASE_MS, { type: 'blamePins', engine, bootId, before: now });
 }
--- a/src/suspects/handlers.ts
+++ b/src/suspects/handlers.ts
@@ -1,4 +1,5 @@
 import type { MessageHandlers, TableAnswerHandlers, TimerHandlers } from '../core/handlers.ts';
+import { blamePins } from './crashes.ts';
 import {
   continueWrite,
   expireSuspect,
@@ -17,6 +18,7 @@
 export const suspectTimers: TimerHandlers<SuspectTimer['type']> = {
   suspectExpiry: (state, { fingerprint }, now) => expireSuspect(state, fingerprint, now),
   syncSuspect: (_state, { fingerprint }) => [readRow(fingerprint)],
+  blamePins: (state, timer, now) => blamePins(state, timer, now),
   pollSuspects: (state, _timer, now) => pollSuspects(state, now),
 };
 
--- a/src/suspects/merge.ts
+++ b/src/suspects/merge.ts
@@ -6,6 +6,7 @@
   return {
     ...a,
     crashes: [...new Set([...a.crashes, ...b.crashes])].sort(),
+    cleared: [...new Set([...a.cleared, ...b.cleared])].sort(),
     isCondemned: a.isCondemned || b.isCondemned,
     hour: Math.max(a.hour, b.hour),
   };
@@ -17,7 +18,11 @@
     a.generation === b.generation &&
     a.isCondemned === b.isCondemned &&
     a.hour === b.hour &&
-    a.crashes.length === b.crashes.length &&
-    a.crashes.every((crash) => b.crashes.includes(crash))
+    isSameSet(a.crashes, b.crashes) &&
+    isSameSet(a.cleared, b.cleared)
   );
 }
+
+function isSameSet(a: readonly string[], b: readonly string[]): boolean {
+  return a.length === b.length && a.every((item) => b.includes(item));
+}
--- /dev/null
+++ b/src/suspects/placement.ts
@@ -0,0 +1,30 @@
+import type { State } from '../core/state.ts';
+import { getOwner, isReachable } from '../ownership/owner.ts';
+import type { Placement } from '../routing/placement.ts';
+import { chooseSuspectEngine } from './suspicion.ts';
+
+/** Returns where a suspect runs: the same engine for all hosts that see the same engines. */
+export function chooseSuspectPlacement(
+  state: State,
+  request: { adapter: string; fingerprint: string; excluded: ReadonlySet<string> },
+): Placement | undefined {
+  const model = state.configuration.adapters.get(request.adapter)?.model;
+  const candidates = [...state.configuration.engines.values()]
+    .filter((engine) => engine.model === model && !request.excluded.has(engine.id))
+    .map(({ id }) => id)
+    .filter((id) => canRun(state, id));
+  const engine = chooseSuspectEngine(state, request.fingerprint, candidates);
+  const owner = engine === undefined ? undefined : getOwner(state, engine);
+  if (engine === undefined || owner === undefined) return undefined;
+  return { engine, owner };
+}
+
+function canRun(state: State, engine: string): boolean {
+  const owner = getOwner(state, engine);
+  return (
+    !state.configuration.leaving.has(engine) &&
+    state.engines.views.get(engine)?.state !== 'unreachable' &&
+    owner !== undefined &&
+    isReachable(state, owner.host)
+  );
+}
--- a/src/suspects/suspicion.ts
+++ b/src/suspects/suspicion.ts
@@ -15,11 +15,13 @@
 export function checkQuarantine(
   state: State,
   fingerprint: string,
-  _now: number,
+  mayHaveRun = false,
 ): Failure | undefined {
   if (getSuspicion(state, fingerprint) !== 'quarantined') return undefined;
   const message = `the request crashed engines and is quarantined as ${fingerprint}`;
-  return Failure.create('request_quarantined', message);
+  return Failure.create('request_quarantined', message, {
+    outcome: mayHaveRun ? 'unknown' : 'not_run',
+  });
 }
 
 /** Whether the owner may let `ask` run now: a suspect runs with no other suspect on the engine. */
@@ -30,6 +32,9 @@
 ): boolean {
   const suspicion = getSuspicion(state, fingerprint);
   if (suspicion !== 'suspect') return suspicion === 'clear';
+  // Until a broken attempt is explained, it may be the one that crashed the engine.
+  const broken = state.suspects.broken.get(owned.id) ?? [];
+  if (broken.some((entry) => entry.fingerprint !== fingerprint)) return false;
   return [...owned.pins.values()].every(
     (pin) => pin.fingerprint === fingerprint || getSuspicion(state, pin.fingerprint) === 'clear',
   );
--- a/src/suspects/types.ts
+++ b/src/suspects/types.ts
@@ -7,6 +7,8 @@
   generation: z.int().min(0),
   /** Crashes under the request, as `ENGINE@BOOT`; two reports of one crash count once. */
   crashes: z.array(z.string().max(256)).max(64),
+  /** Crashes before it was cleared; late reports of them do not count again. */
+  cleared: z.array(z.string().max(256)).max(64),
   /** Whether it crashed an engine as the only suspect there. */
   isCondemned: z.boolean(),
   /** Retention hour of the last crash, or -1 when it was not known. */
@@ -22,15 +24,19 @@
 /** A request that ran on an engine. */
 export interface Culprit {
   fingerprint: string;
+  /** Boot id of the engine when the grant was given; the last known one when absent. */
+  bootId?: string;
 }
 
 export class Suspects {
   readonly byFingerprint = new Map<string, Suspect>();
   /** Monotonic ms at which a suspect is forgotten. */
   readonly expiresAt = new Map<string, number>();
-  /** Attempts that broke lately, by engine. */
-  readonly broken = new Map<string, { fingerprint: string; at: number }[]>();
-  /** Pins that were blamed for a crash, so that a second report does not blame them again. */
+  /** Attempts that broke, by engine, until it is known whether the engine crashed. */
+  readonly broken = new Map<string, (Culprit & { at: number })[]>();
+  /** Engines that refuse connections since their last report. */
+  readonly down = new Set<string>();
+  /** Pins that were blamed, so that a second report does not blame them again. */
   readonly blamed = new WeakSet();
 
   private constructor() {}
@@ -43,7 +49,8 @@
 export type SuspectTimer =
   | { type: 'suspectExpiry'; fingerprint: string }
   | { type: 'syncSuspect'; fingerprint: string }
-  | { type: 'pollSuspects' };
+  | { type: 'pollSuspects' }
+  | { type: 'blamePins'; engine: string; bootId: string; before: number };
 
 export type SuspectTablePurpose =
   | { type: 'scanSuspects' }
--- a/tests/helpers/simulation.ts
+++ b/tests/helpers/simulation.ts
@@ -22,6 +22,8 @@
   /** Whether the step belongs to the store or an endpoint and outlives the host. */
   isOutside: boolean;
   run: () => void;
+  /** Steps of one link run in order, as over TCP. */
+  link: string | undefined;
 }
 
 export interface SimulationOptions {
@@ -118,12 +120,12 @@
   }
 
   /** Adds a step that feeds `event` to `host` later. */
-  feedLater(host: Host, event: () => Event | undefined, isOutside = false): void {
+  feedLater(host: Host, event: () => Event | undefined, isOutside = false, link?: string): void {
     const run = () => {
       const made = event();
       if (made !== undefined) this.feed(host, made);
     };
-    this.steps.push({ host, isOutside, run });
+    this.steps.push({ host, isOutside, run, link });
   }
 
   chance(probability: number): boolean {
@@ -139,7 +141,12 @@
   /** Runs one pending step or, when there is none or by chance, moves on to the next timer. */
   step(): void {
     this.steps = this.steps.filter(({ host, isOutside }) => isOutside || host.isAlive);
-    const ready = this.steps.filter(({ host, isOutside }) => isOutside || !host.isPaused);
+    const links = new Set<string>();
+    const ready = this.steps.filter(({ host, isOutside, link }) => {
+      if (link !== undefined && links.has(link)) return false;
+      if (link !== undefined) links.add(link);
+      return isOutside || !host.isPaused;
+    });
     if (ready.length === 0 || this.chance(0.05)) {
       this.advance();
       return;
@@ -149,6 +156,11 @@
     chosen.run();
   }
 
+  /** Whether a message between hosts is still on its way. */
+  hasMessages(): boolean {
+    return this.steps.some(({ host, link }) => link !== undefined && host.isAlive);
+  }
+
   /** Runs steps without faults until `isDone` holds; throws after `limit` steps. */
   settle(isDone: () => boolean, limit = 20_000): void {
     this.faultRate = 0;
@@ -199,7 +211,8 @@
         const { message } = effect;
         const to = this.hosts.get(effect.to);
         if (to === undefined) return;
-        this.feedLater(to, () => ({ type: 'messageReceived', from: host.id, message }));
+        const event: Event = { type: 'messageReceived', from: host.id, message };
+        this.feedLater(to, () => event, false, `${host.id}>${to.id}`);
         return;
       }
       case 'callTable': {
@@ -260,7 +273,7 @@
   }
 
   private addOutside(host: Host, run: () => void): void {
-    this.steps.push({ host, isOutside: true, run });
+    this.steps.push({ host, isOutside: true, run, link: undefined });
   }
 
   private applyObjectCall(call: ObjectCall): ObjectAnswer {
--- /dev/null
+++ b/tests/requests/limits.test.ts
@@ -0,0 +1,116 @@
+import { describe, expect, it } from 'vitest';
+import type { Effect } from '../../src/core/effects.ts';
+import { RetryBudget } from '../../src/requests/retryBudget.ts';
+import { checkLoad } from '../../src/requests/shedding.ts';
+import type { AttemptOutcome, NewRequest, RequestKind } from '../../src/requests/types.ts';
+import { answerOrder, newEngineChanges } from '../helpers/engines.ts';
+import { Simulation } from '../helpers/simulation.ts';
+
+function newRequest(id: string, parts: Partial<NewRequest> = {}): NewRequest {
+  return {
+    id,
+    firm: 'f',
+    caller: 'c',
+    kind: 'ordinary',
+    adapter: 'a',
+    version: undefined,
+    deadline: 60_000,
+    fingerprint: id,
+    promptBlocks: [],
+    maxTokens: 8,
+    draft: undefined,
+    ...parts,
+  };
+}
+
+function newSimulation(outcome?: AttemptOutcome) {
+  const seen: Effect[] = [];
+  const simulation = Simulation.create({
+    seed: 1,
+    hosts: ['h1'],
+    changes: newEngineChanges(2),
+    onEffect: (sim, host, effect) => {
+      seen.push(effect);
+      answerOrder(sim, host, effect);
+      if (effect.type !== 'startAttempt' || outcome === undefined) return;
+      const { id, attempt } = effect.order;
+      sim.feedLater(host, () => ({ type: 'attemptEnded', id, attempt, outcome }));
+    },
+  });
+  return { simulation, seen, host: simulation.get('h1') };
+}
+
+describe('RetryBudget', () => {
+  it.each([
+    { name: 'the least rate without requests', requestsPerS: 0, expectedPerS: 3 },
+    { name: 'the least rate under few requests', requestsPerS: 10, expectedPerS: 3 },
+    { name: 'a tenth of many requests', requestsPerS: 200, expectedPerS: 20 },
+  ])('allows $name', ({ requestsPerS, expectedPerS }) => {
+    const budget = RetryBudget.create();
+    let taken = 0;
+    for (let ms = 0; ms < 60_000; ms += 5) {
+      if (ms % 1000 < requestsPerS * 5) budget.addRequest(ms);
+      // The first half lets the rates settle.
+      if (budget.takeRetry(ms) && ms >= 30_000) taken += 1;
+    }
+    expect(Math.abs(taken / 30 - expectedPerS)).toBeLessThan(0.1 * expectedPerS);
+  });
+
+  it('fails a retry beyond the budget at once, with advice when to repeat', () => {
+    const { simulation, seen, host } = newSimulation({ type: 'refused', status: 503, message: '' });
+    const request = newRequest('r');
+    simulation.feed(host, { type: 'requestArrived', request });
+    simulation.settle(() => seen.some(({ type }) => type === 'startAttempt'));
+    while (host.state.requests.retries.takeRetry(simulation.now));
+    simulation.settle(() => seen.some(({ type }) => type === 'failRequest'));
+    const failed = seen.find((effect) => effect.type === 'failRequest');
+    expect(failed?.failure).toMatchObject({
+      kind: 'overloaded',
+      outcome: 'unknown',
+      retryAfterS: 1,
+    });
+    expect(seen.filter(({ type }) => type === 'startAttempt')).toHaveLength(1);
+  });
+});
+
+describe('load shedding', () => {
+  it.each<{ name: string; running: number; kind: RequestKind; isShed: boolean }>([
+    { name: 'a draft at 60%', running: 300, kind: 'draft', isShed: true },
+    { name: 'an ordinary request at 60%', running: 300, kind: 'ordinary', isShed: false },
+    { name: 'an ordinary request at 90%', running: 450, kind: 'ordinary', isShed: true },
+    { name: 'an urgent request at 90%', running: 450, kind: 'urgent', isShed: false },
+    { name: 'an urgent request on a full host', running: 500, kind: 'urgent', isShed: true },
+  ])('of $name: $isShed', ({ running, kind, isShed }) => {
+    const { simulation, host } = newSimulation();
+    for (let i = 0; i < running; i++) {
+      const request = newRequest(`r${i}`, { kind: 'urgent', caller: `c${i}` });
+      simulation.feed(host, { type: 'requestArrived', request });
+    }
+    expect(host.state.requests.inFlight.size).toBe(running);
+    const failure = checkLoad(host.state, newRequest('x', { kind }));
+    expect(failure?.kind).toBe(isShed ? 'overloaded' : undefined);
+  });
+
+  it.each([
+    { name: 'that lends from the other', firm: 'f', running: 380, isShed: false },
+    { name: 'over its share of a nearly full host', firm: 'f', running: 400, isShed: true },
+    { name: 'under its share of a nearly full host', firm: 'g', running: 400, isShed: false },
+  ])('of a firm $name: $isShed', ({ firm, running, isShed }) => {
+    const { simulation, host } = newSimulation();
+    host.state.configuration.shares.set('f', 0.5);
+    host.state.configuration.shares.set('g', 0.5);
+    for (let i = 0; i < running; i++) {
+      const request = newRequest(`r${i}`, { caller: `c${i}`, kind: 'urgent' });
+      simulation.feed(host, { type: 'requestArrived', request });
+    }
+    const failure = checkLoad(host.state, newRequest('x', { firm, kind: 'urgent' }));
+    expect(failure?.kind).toBe(isShed ? 'overloaded' : undefined);
+  });
+
+  it('forgets the requests of a firm when they end', () => {
+    const { simulation, host } = newSimulation();
+    simulation.feed(host, { type: 'requestArrived', request: newRequest('r') });
+    simulation.feed(host, { type: 'requestCancelled', id: 'r' });
+    expect([host.state.requests.byFirm.size, host.state.requests.byCaller.size]).toEqual([0, 0]);
+  });
+});
--- /dev/null
+++ b/tests/suspects/suspects.property.test.ts
@@ -0,0 +1,190 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { sha256 } from '../../src/base/hash.ts';
+import type { Effect } from '../../src/core/effects.ts';
+import type { Failure } from '../../src/errors/failure.ts';
+import { updateOwned } from '../../src/grants/owned.ts';
+import { getFingerprint } from '../../src/suspects/fingerprint.ts';
+import { getSuspicion } from '../../src/suspects/suspicion.ts';
+import { answerOrder, getCompleted, newEngineChanges } from '../helpers/engines.ts';
+import { type Host, Simulation } from '../helpers/simulation.ts';
+
+const HOSTS = ['h1', 'h2', 'h3'];
+const ENGINES = 5;
+
+interface Engine {
+  boot: number;
+  isDown: boolean;
+  /** Running attempts; the crash of the engine ends them all. */
+  running: Map<string, { host: Host; id: string; attempt: string }>;
+}
+
+interface World {
+  simulation: Simulation;
+  engines: Map<string, Engine>;
+  crashes: string[];
+  ended: Map<string, 'finished' | Failure>;
+}
+
+/** Hosts that share one zone row, and engines that crash under each request with body `bad`. */
+function newWorld(seed: number): World {
+  const engines = new Map<string, Engine>();
+  const crashes: string[] = [];
+  const ended: World['ended'] = new Map();
+  const getEngine = (id: string): Engine => {
+    const engine = engines.get(id) ?? { boot: 1, isDown: false, running: new Map() };
+    engines.set(id, engine);
+    return engine;
+  };
+  const crash = (sim: Simulation, id: string) => {
+    const engine = getEngine(id);
+    crashes.push(id);
+    engine.isDown = true;
+    engine.boot += 1;
+    for (const { host, id: request, attempt } of engine.running.values()) {
+      const outcome = { type: 'broken', reason: 'reset' } as const;
+      sim.feedLater(host, () => ({ type: 'attemptEnded', id: request, attempt, outcome }));
+    }
+    engine.running.clear();
+  };
+  const start = (sim: Simulation, host: Host, effect: Effect) => {
+    if (effect.type !== 'startAttempt') return;
+    const { id, attempt, engine: engineId, model } = effect.order;
+    const unreachable = { type: 'unreachable' } as const;
+    sim.feedLater(host, () => {
+      const engine = getEngine(engineId);
+      if (engine.isDown) return { type: 'attemptEnded', id, attempt, outcome: unreachable };
+      engine.running.set(attempt, { host, id, attempt });
+      sim.feedLater(host, () => {
+        if (!engine.running.has(attempt)) return undefined;
+        if (id.startsWith('bad')) {
+          crash(sim, engineId);
+          return undefined;
+        }
+        engine.running.delete(attempt);
+        return { type: 'attemptEnded', id, attempt, outcome: getCompleted(model) };
+      });
+      return undefined;
+    });
+  };
+  const simulation = Simulation.create({
+    seed,
+    hosts: HOSTS,
+    changes: newEngineChanges(ENGINES),
+    onEffect: (sim, host, effect) => {
+      answerOrder(sim, host, effect);
+      start(sim, host, effect);
+      if (effect.type === 'failRequest') ended.set(effect.id, effect.failure);
+      if (effect.type === 'finishRequest') ended.set(effect.id, 'finished');
+      if (effect.type !== 'readEngine') return;
+      const engine = effect.engine;
+      sim.feedLater(host, () => {
+        const { isDown, boot } = getEngine(engine);
+        if (isDown) return { type: 'engineSilent', engine, refused: true };
+        const residents = [...(host.state.grants.owned.get(engine)?.residents.keys() ?? [])];
+        const report = { bootId: `b${boot}`, running: {}, waiting: 0, slots: 4, residents };
+        return { type: 'engineReported', engine, report };
+      });
+    },
+  });
+  for (const host of simulation.alive()) {
+    const members = HOSTS.map((id) => ({ host: id, incarnation: 1 }));
+    host.state.ownership.row = { epoch: 1, members };
+    simulation.act(host, (state, now) => updateOwned(state, now));
+  }
+  return { simulation, engines, crashes, ended };
+}
+
+function arrive({ simulation }: World, id: string, host: Host): void {
+  const body = id.split('-')[0] ?? '';
+  simulation.feed(host, {
+    type: 'requestArrived',
+    request: {
+      id,
+      firm: 'f',
+      caller: 'c',
+      kind: 'ordinary',
+      adapter: 'a',
+      version: 'v1',
+      deadline: simulation.now + 60_000,
+      fingerprint: sha256(body),
+      promptBlocks: [],
+      maxTokens: 8,
+      draft: undefined,
+    },
+  });
+}
+
+function getFingerprintOf(body: string): string {
+  return getFingerprint('a@v1', sha256(body));
+}
+
+/** Lets every owner read its engines, so that boot ids are known before the first crash. */
+function warmUp({ simulation }: World): void {
+  simulation.settle(() =>
+    simulation
+      .alive()
+      .every(({ state }) =>
+        [...state.grants.owned.keys()].every((id) => state.engines.views.get(id)?.bootId !== ''),
+      ),
+  );
+}
+
+/** Sends `bad` again and again to random hosts, among requests that are innocent. */
+function run(seed: number): World {
+  const world = newWorld(seed);
+  const { simulation, ended, engines } = world;
+  warmUp(world);
+  let good = 0;
+  for (let repeat = 0; repeat < 6; repeat++) {
+    const innocents: string[] = [];
+    for (let i = 0; i < 6; i++) {
+      const id = `good${good++}-1`;
+      innocents.push(id);
+      arrive(world, id, simulation.choose(simulation.alive()));
+      if (i === 3) arrive(world, `bad-${repeat}`, simulation.choose(simulation.alive()));
+    }
+    simulation.settle(() => ended.has(`bad-${repeat}`) && innocents.every((id) => ended.has(id)));
+    // The repeat takes longer from the caller to a host than the news from host to host.
+    simulation.settle(() => !simulation.hasMessages());
+    // The caller repeats after its answer; an engine that crashed comes back empty.
+    if (simulation.chance(0.5)) for (const engine of engines.values()) engine.isDown = false;
+  }
+  return world;
+}
+
+describe('a request that crashes each engine that runs it', () => {
+  it('costs at most two engines, also when its caller repeats it on other hosts', () => {
+    fc.assert(
+      fc.property(fc.nat(), (seed) => {
+        const { crashes, ended, simulation } = run(seed);
+        expect(crashes.length).toBeLessThanOrEqual(2);
+        expect(ended.get('bad-5')).toMatchObject({
+          kind: 'request_quarantined',
+          outcome: 'not_run',
+        });
+        for (const { state } of simulation.alive()) {
+          expect(getSuspicion(state, getFingerprintOf('bad'))).toBe('quarantined');
+        }
+      }),
+      { seed: 20261203, numRuns: 150 },
+    );
+  });
+
+  it('does not take the innocent requests beside it with it', () => {
+    fc.assert(
+      fc.property(fc.nat(), (seed) => {
+        const { ended, simulation } = run(seed);
+        for (const [id, end] of ended) {
+          if (!id.startsWith('good')) continue;
+          expect(end).toBe('finished');
+          const fingerprint = getFingerprintOf(id.split('-')[0] ?? '');
+          for (const { state } of simulation.alive()) {
+            expect(getSuspicion(state, fingerprint)).toBe('clear');
+          }
+        }
+      }),
+      { seed: 20261203, numRuns: 150 },
+    );
+  });
+});
--- /dev/null
+++ b/tests/suspects/suspects.test.ts
@@ -0,0 +1,182 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { HOUR_KEY } from '../../src/actions/constants.ts';
+import {
+  checkBoot,
+  checkRefused,
+  clearCompleted,
+  clearSuspect,
+  noteBroken,
+  recordCrash,
+} from '../../src/suspects/crashes.ts';
+import { SUSPECT_TTL_HOURS, SUSPECT_TTL_MS } from '../../src/suspects/constants.ts';
+import { isSameSuspect, mergeSuspects } from '../../src/suspects/merge.ts';
+import { chooseSuspectEngine, getSuspicion } from '../../src/suspects/suspicion.ts';
+import type { Suspect } from '../../src/suspects/types.ts';
+import { newEngineChanges } from '../helpers/engines.ts';
+import { Simulation } from '../helpers/simulation.ts';
+
+function newSimulation(hosts = ['h1']) {
+  const onEffect = () => undefined;
+  const simulation = Simulation.create({ seed: 1, hosts, changes: newEngineChanges(3), onEffect });
+  const host = simulation.get('h1');
+  /** Blames `fingerprints` for the crash of `engine` under `bootId`. */
+  const crash = (engine: string, bootId: string, ...fingerprints: string[]) => {
+    const pins = fingerprints.map((fingerprint) => ({ fingerprint, bootId }));
+    simulation.act(host, (state, now) => recordCrash(state, engine, pins, now));
+  };
+  const get = (fingerprint: string, id = 'h1') =>
+    getSuspicion(simulation.get(id).state, fingerprint);
+  return { simulation, host, crash, get };
+}
+
+describe('the crash of an engine', () => {
+  it.each([
+    { name: 'once', crashes: [['e1', 'b1']], expected: 'suspect' },
+    {
+      name: 'reported twice',
+      crashes: [
+        ['e1', 'b1'],
+        ['e1', 'b1'],
+      ],
+      expected: 'suspect',
+    },
+    {
+      name: 'reported with and without boot id',
+      crashes: [
+        ['e1', 'b1'],
+        ['e1', ''],
+      ],
+      expected: 'suspect',
+    },
+    {
+      name: 'on two engines',
+      crashes: [
+        ['e1', 'b1'],
+        ['e2', 'b1'],
+      ],
+      expected: 'quarantined',
+    },
+    {
+      name: 'on one engine before and after a restart',
+      crashes: [
+        ['e1', 'b1'],
+        ['e1', 'b2'],
+      ],
+      expected: 'quarantined',
+    },
+  ])('under one request $name makes it $expected', ({ crashes, expected }) => {
+    const { crash, get } = newSimulation();
+    for (const [engine = '', boot = ''] of crashes) crash(engine, boot, 'x');
+    expect(get('x')).toBe(expected);
+  });
+
+  it('quarantines the only earlier suspect and makes the others suspects', () => {
+    const { crash, get } = newSimulation();
+    crash('e1', 'b1', 'bad', 'good');
+    crash('e2', 'b1', 'bad', 'other');
+    expect([get('bad'), get('good'), get('other')]).toEqual(['quarantined', 'suspect', 'suspect']);
+  });
+
+  it('quarantines none when two earlier suspects ran', () => {
+    const { crash, get } = newSimulation();
+    crash('e1', 'b1', 'a', 'b');
+    crash('e2', 'b1', 'a', 'b');
+    expect([get('a'), get('b')]).toEqual(['suspect', 'suspect']);
+  });
+
+  it.each([
+    { name: 'under the same boot id', bootId: 'b1', expected: 'clear' },
+    { name: 'under another boot id', bootId: 'b2', expected: 'suspect' },
+  ])('is told from a broken connection by a report $name', ({ bootId, expected }) => {
+    const { simulation, host, get } = newSimulation();
+    noteBroken(host.state, 'e1', { fingerprint: 'x', bootId: 'b1' }, 0);
+    simulation.act(host, (state) => checkBoot(state, 'e1', bootId, 5_000));
+    simulation.act(host, (state) => checkRefused(state, 'e1', 6_000));
+    expect(get('x')).toBe(expected);
+  });
+});
+
+describe('a suspect', () => {
+  // A second report of the crash reached the owner after the request had completed elsewhere.
+  it('is not blamed again for a crash from before it was cleared', () => {
+    const { simulation, host, crash, get } = newSimulation();
+    crash('e1', 'b1', 'x');
+    simulation.act(host, (state, now) => clearCompleted(state, 'x', now));
+    crash('e1', 'b1', 'x');
+    expect(get('x')).toBe('clear');
+  });
+
+  it('is cleared by completing, but not once it is quarantined', () => {
+    const { simulation, host, crash, get } = newSimulation();
+    crash('e1', 'b1', 'good', 'bad');
+    crash('e2', 'b1', 'bad');
+    for (const fingerprint of ['good', 'bad']) {
+      simulation.act(host, (state, now) => clearCompleted(state, fingerprint, now));
+    }
+    expect([get('good'), get('bad')]).toEqual(['clear', 'quarantined']);
+    simulation.act(host, (state, now) => clearSuspect(state, 'bad', now));
+    expect(get('bad')).toBe('clear');
+  });
+
+  it('reaches a host that no peer can reach, and one that starts later, through the table', () => {
+    const { simulation, host, crash, get } = newSimulation(['h1', 'h2']);
+    host.state.membership.linked.clear();
+    crash('e1', 'b1', 'x');
+    simulation.settle(() => get('x', 'h2') === 'suspect');
+    simulation.startHost('h3');
+    simulation.settle(() => get('x', 'h3') === 'suspect');
+  });
+
+  it('is forgotten a day after its last crash, also by a host that reads its row later', () => {
+    const { simulation, host, crash, get } = newSimulation();
+    simulation.settle(() => host.state.actions.hour === 0);
+    crash('e1', 'b1', 'x');
+    simulation.settle(() => simulation.table.rows.has('suspect/x'));
+    const value = { hour: SUSPECT_TTL_HOURS };
+    const condition = { type: 'any' } as const;
+    simulation.table.apply({
+      type: 'write',
+      writes: [{ type: 'put', key: HOUR_KEY, value, condition }],
+    });
+    simulation.startHost('h2');
+    simulation.settle(() => !simulation.table.rows.has('suspect/x'), 100_000);
+    simulation.now += SUSPECT_TTL_MS;
+    simulation.feed(host, { type: 'tick' });
+    expect(get('x')).toBe('clear');
+  });
+
+  it('goes to the same engine from every host, and not to one that it crashed', () => {
+    const { host, crash } = newSimulation();
+    const engines = ['e1', 'e2', 'e3'];
+    const first = chooseSuspectEngine(host.state, 'x', engines) ?? '';
+    expect(chooseSuspectEngine(host.state, 'x', [...engines].reverse())).toBe(first);
+    crash(first, 'b1', 'x');
+    expect(chooseSuspectEngine(host.state, 'x', engines)).not.toBe(first);
+    expect(chooseSuspectEngine(host.state, 'x', [first])).toBe(first);
+  });
+});
+
+describe('mergeSuspects', () => {
+  const suspect = fc.record<Suspect>({
+    fingerprint: fc.constant('x'),
+    generation: fc.nat(2),
+    crashes: fc.uniqueArray(fc.constantFrom('e1@b1', 'e1@b2', 'e2@b1')),
+    cleared: fc.uniqueArray(fc.constantFrom('e3@b1', 'e3@b2')),
+    isCondemned: fc.boolean(),
+    hour: fc.nat(3),
+  });
+
+  it('gives the same result in every order, and for repeated messages', () => {
+    fc.assert(
+      fc.property(suspect, suspect, suspect, (a, b, c) => {
+        const left = mergeSuspects(mergeSuspects(a, b), c);
+        const right = mergeSuspects(a, mergeSuspects(c, b));
+        // Equal generations with different contents are merged, so the order cannot matter.
+        expect(isSameSuspect(left, right)).toBe(true);
+        expect(isSameSuspect(mergeSuspects(left, b), left)).toBe(true);
+      }),
+      { seed: 20261203, numRuns: 500 },
+    );
+  });
+});
