--- a/src/drafts/handlers.ts
+++ b/src/drafts/handlers.ts
@@ -34,6 +34,7 @@
   takeDraft,
   takePage,
 } from './takeover.ts';
+import { watchHosts } from './watch.ts';
 import type {
   DraftEvent,
   DraftObjectPurpose,
@@ -70,6 +71,7 @@
       draft.request === request ? failDraft(state, draft, failure, now) : [],
     ),
   ],
+  watchDraftHosts: (state, _timer, now) => watchHosts(state, now),
   sweepDrafts: (state, _timer, now) => sweepDrafts(state, now),
   continueTakeover: (_state, { host, after }) => continueTakeover(host, after),
   pumpDrafts: (state, _timer, now) => pumpDrafts(state, now),
--- a/src/drafts/takeover.ts
+++ b/src/drafts/takeover.ts
@@ -3,7 +3,14 @@
 import type { State } from '../core/state.ts';
 import type { TableAnswer } from '../core/store.ts';
 import { schedule } from '../core/timers.ts';
-import { DRAFT_OF_PREFIX, SWEEP_MS, TAKEOVER_PAGE, TAKEOVER_PAUSE_MS } from './constants.ts';
+import { getRelays, isFullMesh } from '../membership/hosts.ts';
+import {
+  DRAFT_OF_PREFIX,
+  SWEEP_MS,
+  TAKEOVER_PAGE,
+  TAKEOVER_PAUSE_MS,
+  WATCH_MS,
+} from './constants.ts';
 import { addOwnDraft, pumpDrafts } from './queue.ts';
 import { getDraftId, getDraftOfKey, isOwnRow, newDraftRead, newDraftWrites } from './rows.ts';
 import { DraftRow } from './types.ts';
@@ -11,6 +18,7 @@
 /** Continues the drafts of an earlier incarnation and starts the sweep. */
 export function startDrafts(state: State, now: number): Effect[] {
   schedule(state, now + SWEEP_MS, { type: 'sweepDrafts' });
+  schedule(state, now + WATCH_MS, { type: 'watchDraftHosts' });
   return takeOverDrafts(state, state.host.id, now);
 }
 
@@ -24,16 +32,22 @@
 
 /** Whether this host takes over from `host`: chosen in its zone, or in the next zone with hosts. */
 export function isDraftSuccessor(state: State, host: string): boolean {
-  const live = [...state.membership.hosts.values()].filter(
-    (entry) => entry.state === 'live' && entry.host !== host,
-  );
+  const { hosts, linked } = state.membership;
   const own = { host: state.host.id, zone: state.host.zone };
-  const others = [...live.filter((entry) => entry.host !== own.host), own];
-  const zone = state.membership.hosts.get(host)?.zone;
-  const zones = [...new Set(others.map((entry) => entry.zone))];
-  const chosen =
-    zone !== undefined && zones.includes(zone) ? zone : getRendezvousChoice(zone ?? host, zones);
-  const candidates = others.filter((entry) => entry.zone === chosen).map((entry) => entry.host);
+  // A host without a link may have died together with the other one.
+  const others = [...hosts.values()].filter(
+    (entry) => entry.state === 'live' && linked.has(entry.host) && entry.host !== host,
+  );
+  const live = [...others.filter((entry) => entry.host !== own.host), own];
+  const zone = hosts.get(host)?.zone;
+  const zones = [...new Set(live.map((entry) => entry.zone))].sort();
+  const isZoneLive = zone !== undefined && zones.includes(zone);
+  const chosen = isZoneLive ? zone : getRendezvousChoice(zone ?? host, zones);
+  // Of a zone that is gone, only relays know where the mesh is not full.
+  const relays = isZoneLive || isFullMesh(state) ? undefined : getRelays(state, chosen ?? '');
+  const candidates = live
+    .filter((entry) => entry.zone === chosen && (relays?.includes(entry.host) ?? true))
+    .map((entry) => entry.host);
   return getRendezvousChoice(`drafts/${host}`, candidates) === own.host;
 }
 
--- a/src/drafts/types.ts
+++ b/src/drafts/types.ts
@@ -106,6 +106,8 @@
   /** Hosts without a membership entry at the last sweep. */
   orphans = new Set<string>();
   orphansSeen = new Set<string>();
+  /** Monotonic ms at which drafts of a silent host were taken over last. */
+  readonly takenAt = new Map<string, number>();
 
   private constructor() {}
 
@@ -177,6 +179,7 @@
   /** Due at once; lets the end of a request reach this domain without a call between handlers. */
   | { type: 'draftRequestFailed'; id: string; draft: string; failure: Failure }
   | { type: 'sweepDrafts' }
+  | { type: 'watchDraftHosts' }
   | { type: 'continueTakeover'; host: string; after: string }
   | { type: 'pumpDrafts' };
 
--- a/tests/drafts/drafts.test.ts
+++ b/tests/drafts/drafts.test.ts
@@ -150,6 +150,26 @@
     expect(getRow('d')).toMatchObject({ host: 'h2', fence: 2 });
   });
 
+  it.each([
+    { name: 'that has no link', zone: 'z', within: 6_000 },
+    { name: 'of a zone that is gone', zone: 'y', within: 13_000 },
+  ])('of a host $name is taken over within seconds', ({ zone, within }) => {
+    const { simulation, getRow } = newSimulation(getCompleted, ['h1', 'h2', 'h3']);
+    simulation.settle(() => simulation.now >= 1_000);
+    simulation.feed(simulation.get('h1'), { type: 'draftArrived', draft: newDraft('d') });
+    simulation.settle(() => getRow('d') !== undefined);
+    const entry = simulation.get('h2').state.membership.hosts.get('h1');
+    if (entry === undefined) throw new Error('host h1 is not known');
+    const diedAt = simulation.now;
+    simulation.stopHost('h1');
+    for (const { state } of simulation.alive()) {
+      state.membership.hosts.set('h1', { ...entry, zone });
+      state.membership.unlinkedSince.set('h1', diedAt);
+    }
+    simulation.settle(() => getRow('d')?.state === 'done');
+    expect(simulation.now - diedAt).toBeLessThan(within);
+  });
+
   it.each([
     { name: 'its own firm', firm: 'f', expected: { type: 'found', result: 'result' } },
     { name: 'an operator', firm: undefined, expected: { type: 'found', result: 'result' } },
