--- /dev/null
+++ b/tests/requests/verifying.test.ts
@@ -0,0 +1,85 @@
+import { describe, expect, it } from 'vitest';
+import type { Effect } from '../../src/core/effects.ts';
+import { VERIFY_MS } from '../../src/requests/constants.ts';
+import { answerOrder, newEngineChanges } from '../helpers/engines.ts';
+import { Simulation } from '../helpers/simulation.ts';
+
+/** A request whose first attempt broke; nothing answers the probe of its engine. */
+function breakFirstAttempt(hasStarted: boolean) {
+  const seen: Effect[] = [];
+  const simulation = Simulation.create({
+    seed: 1,
+    hosts: ['h1'],
+    changes: newEngineChanges(3),
+    onEffect: (sim, host, effect) => {
+      seen.push(effect);
+      answerOrder(sim, host, effect);
+    },
+  });
+  const host = simulation.get('h1');
+  const request = {
+    id: 'r',
+    firm: 'f',
+    caller: 'c',
+    kind: 'ordinary' as const,
+    adapter: 'a',
+    version: undefined,
+    deadline: 60_000,
+    fingerprint: 'x',
+    promptBlocks: [],
+    maxTokens: 8,
+    draft: undefined,
+  };
+  simulation.feed(host, { type: 'requestArrived', request });
+  const breakAttempt = (number: number) => {
+    const attempt = `r.${number}`;
+    const isStarted = (effect: Effect) =>
+      effect.type === 'startAttempt' && effect.order.attempt === attempt;
+    simulation.settle(() => seen.some(isStarted));
+    if (hasStarted) simulation.feed(host, { type: 'attemptProgressed', id: 'r', attempt });
+    const outcome = { type: 'broken', reason: 'reset' } as const;
+    simulation.feed(host, { type: 'attemptEnded', id: 'r', attempt, outcome });
+  };
+  breakAttempt(1);
+  const get = () => host.state.requests.inFlight.get('r');
+  const starts = () => seen.filter(({ type }) => type === 'startAttempt').length;
+  const failure = () => seen.find((effect) => effect.type === 'failRequest')?.failure;
+  return { simulation, host, get, starts, failure, breakAttempt };
+}
+
+describe('a request whose attempt broke', () => {
+  it('is retried after the engine was probed', () => {
+    const { simulation, host, get, starts } = breakFirstAttempt(false);
+    expect(get()).toMatchObject({ phase: 'verifying' });
+    const engine = get()?.verifying?.engine ?? '';
+    simulation.feed(host, { type: 'engineSilent', engine, refused: true });
+    simulation.settle(() => starts() === 2);
+  });
+
+  it('is retried when the probe takes too long', () => {
+    const { simulation, starts } = breakFirstAttempt(false);
+    const brokenAt = simulation.now;
+    simulation.settle(() => starts() === 2);
+    expect(simulation.now).toBeGreaterThanOrEqual(brokenAt + VERIFY_MS);
+  });
+
+  it('fails with stream_broken once a part of the answer was passed on', () => {
+    const { simulation, host, get, failure } = breakFirstAttempt(true);
+    const engine = get()?.verifying?.engine ?? '';
+    simulation.feed(host, { type: 'engineSilent', engine, refused: true });
+    expect(failure()).toMatchObject({ kind: 'stream_broken', outcome: 'unknown' });
+  });
+
+  // The timer of the first probe let a request that crashes engines go to a third one.
+  it('is not released by the time limit of an earlier probe', () => {
+    const { simulation, host, get, breakAttempt } = breakFirstAttempt(false);
+    const firstAt = simulation.now;
+    simulation.now += 1_000;
+    const engine = get()?.verifying?.engine ?? '';
+    simulation.feed(host, { type: 'engineSilent', engine, refused: true });
+    breakAttempt(2);
+    simulation.now = firstAt + VERIFY_MS;
+    simulation.feed(host, { type: 'tick' });
+    expect(get()).toMatchObject({ phase: 'verifying', attempts: 2 });
+  });
+});
--- a/tests/suspects/suspects.test.ts
+++ b/tests/suspects/suspects.test.ts
@@ -11,7 +11,11 @@
 } from '../../src/suspects/crashes.ts';
 import { SUSPECT_TTL_HOURS, SUSPECT_TTL_MS } from '../../src/suspects/constants.ts';
 import { isSameSuspect, mergeSuspects } from '../../src/suspects/merge.ts';
-import { chooseSuspectEngine, getSuspicion } from '../../src/suspects/suspicion.ts';
+import {
+  canRunWithSuspects,
+  chooseSuspectEngine,
+  getSuspicion,
+} from '../../src/suspects/suspicion.ts';
 import type { Suspect } from '../../src/suspects/types.ts';
 import { newEngineChanges } from '../helpers/engines.ts';
 import { Simulation } from '../helpers/simulation.ts';
@@ -97,6 +101,73 @@
   });
 });
 
+describe('the grants of an engine that is down', () => {
+  const newPin = (fingerprint: string, grantedAt: number) => ({
+    grant: `g-${fingerprint}`,
+    request: `r-${fingerprint}`,
+    host: 'h9',
+    model: 'a@v1',
+    firm: 'f',
+    fingerprint,
+    grantedAt,
+    expiresAt: Infinity,
+  });
+
+  /** An owner whose engine refuses connections from 100 ms on. */
+  function newOwner() {
+    const { simulation, host, get } = newSimulation();
+    const owned = host.state.grants.owned.get('e1');
+    if (owned === undefined) throw new Error('engine e1 is not owned');
+    owned.pins.set('g-before', newPin('before', 50));
+    simulation.act(host, (state) => checkRefused(state, 'e1', 100));
+    owned.pins.set('g-after', newPin('after', 150));
+    simulation.act(host, (state) => checkRefused(state, 'e1', 200));
+    return { simulation, host, get, owned };
+  }
+
+  // Every refused poll blamed the grants given since, so innocent requests were quarantined.
+  it('are blamed when they were given before, not after', () => {
+    const { simulation, host, get } = newOwner();
+    expect(get('before')).toBe('clear');
+    simulation.now = 3_000;
+    simulation.feed(host, { type: 'tick' });
+    expect([get('before'), get('after')]).toEqual(['suspect', 'clear']);
+  });
+
+  it('are not blamed when they were released in time', () => {
+    const { simulation, host, get, owned } = newOwner();
+    owned.pins.delete('g-before');
+    simulation.now = 3_000;
+    simulation.feed(host, { type: 'tick' });
+    expect(get('before')).toBe('clear');
+  });
+
+  // The release of a request that had completed before the crash came seconds late.
+  it('are cleared by a late release as completed', () => {
+    const { simulation, host, get } = newOwner();
+    simulation.now = 3_000;
+    simulation.feed(host, { type: 'tick' });
+    const message = {
+      type: 'grantReleased',
+      request: 'r-before',
+      engine: 'e1',
+      grant: 'g-before',
+      result: 'completed',
+    } as const;
+    simulation.feed(host, { type: 'messageReceived', from: 'h9', message });
+    expect(get('before')).toBe('clear');
+  });
+
+  // A second suspect was granted while the crash under the first was not confirmed yet.
+  it('are not given to a suspect while a broken attempt is not explained', () => {
+    const { host, crash, owned } = { ...newOwner(), ...newSimulation() };
+    crash('e2', 'b1', 'x');
+    noteBroken(host.state, owned.id, { fingerprint: 'y', bootId: 'b1' }, 0);
+    expect(canRunWithSuspects(host.state, owned, { fingerprint: 'x' })).toBe(false);
+    expect(canRunWithSuspects(host.state, owned, { fingerprint: 'z' })).toBe(true);
+  });
+});
+
 describe('a suspect', () => {
   // A second report of the crash reached the owner after the request had completed elsewhere.
   it('is not blamed again for a crash from before it was cleared', () => {
