--- a/tests/helpers/engines.ts
+++ b/tests/helpers/engines.ts
@@ -1,6 +1,6 @@
 import type { Change } from '../../src/configuration/types.ts';
 import type { Effect } from '../../src/core/effects.ts';
-import type { AttemptOutcome } from '../../src/requests/types.ts';
+import type { AttemptOutcome, NewRequest } from '../../src/requests/types.ts';
 import type { Host, Simulation } from './simulation.ts';
 
 /** Configuration of `count` engines with room for the adapter `a` in two versions. */
@@ -44,3 +44,12 @@
   const [adapter = '', version = ''] = model.split('@');
   return { type: 'completed', adapter, version, tokens: 1 };
 }
+
+/** Returns a request for the adapter `a` with a deadline of a minute. */
+export function newRequest(id: string, parts: Partial<NewRequest> = {}): NewRequest {
+  return {
+    ...{ id, firm: 'f', caller: 'c', kind: 'ordinary', adapter: 'a', version: undefined },
+    ...{ deadline: 60_000, fingerprint: id, promptBlocks: [], maxTokens: 8, draft: undefined },
+    ...parts,
+  };
+}
--- a/tests/helpers/simulation.ts
+++ b/tests/helpers/simulation.ts
@@ -185,26 +185,9 @@
   }
 
   private introduce(host: Host): void {
-    const { state } = host;
     for (const other of this.alive()) {
-      const { id, zone, region, address, incarnation } = other.state.host;
-      for (const [target, entry] of [
-        [state, { host: id, zone, region, address, incarnation }],
-        [other.state, { ...state.host, host: state.host.id }],
-      ] as const) {
-        target.membership.hosts.set(entry.host, {
-          host: entry.host,
-          zone: entry.zone,
-          region: entry.region,
-          address: entry.address,
-          incarnation: entry.incarnation,
-          revision: 1,
-          state: 'live',
-          protocol: 1,
-          configurationRevision: 1,
-        });
-        target.membership.linked.add(entry.host);
-      }
+      addPeer(host.state, other.state);
+      addPeer(other.state, host.state);
     }
   }
 
@@ -286,3 +269,10 @@
     return body === undefined ? { type: 'missing' } : { type: 'ok', body };
   }
 }
+
+function addPeer({ membership }: State, peer: State): void {
+  const { id, ...fields } = peer.host;
+  const known = { revision: 1, state: 'live', protocol: 1, configurationRevision: 1 } as const;
+  membership.hosts.set(id, { host: id, ...fields, ...known });
+  membership.linked.add(id);
+}
--- a/tests/requests/limits.test.ts
+++ b/tests/requests/limits.test.ts
@@ -2,27 +2,10 @@
 import type { Effect } from '../../src/core/effects.ts';
 import { RetryBudget } from '../../src/requests/retryBudget.ts';
 import { checkLoad } from '../../src/requests/shedding.ts';
-import type { AttemptOutcome, NewRequest, RequestKind } from '../../src/requests/types.ts';
-import { answerOrder, newEngineChanges } from '../helpers/engines.ts';
+import type { AttemptOutcome, RequestKind } from '../../src/requests/types.ts';
+import { answerOrder, newEngineChanges, newRequest } from '../helpers/engines.ts';
 import { Simulation } from '../helpers/simulation.ts';
 
-function newRequest(id: string, parts: Partial<NewRequest> = {}): NewRequest {
-  return {
-    id,
-    firm: 'f',
-    caller: 'c',
-    kind: 'ordinary',
-    adapter: 'a',
-    version: undefined,
-    deadline: 60_000,
-    fingerprint: id,
-    promptBlocks: [],
-    maxTokens: 8,
-    draft: undefined,
-    ...parts,
-  };
-}
-
 function newSimulation(outcome?: AttemptOutcome) {
   const seen: Effect[] = [];
   const simulation = Simulation.create({
--- a/tests/requests/verifying.test.ts
+++ b/tests/requests/verifying.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { Effect } from '../../src/core/effects.ts';
 import { VERIFY_MS } from '../../src/requests/constants.ts';
-import { answerOrder, newEngineChanges } from '../helpers/engines.ts';
+import { answerOrder, newEngineChanges, newRequest } from '../helpers/engines.ts';
 import { Simulation } from '../helpers/simulation.ts';
 
 /** A request whose first attempt broke; nothing answers the probe of its engine. */
@@ -17,20 +17,7 @@
     },
   });
   const host = simulation.get('h1');
-  const request = {
-    id: 'r',
-    firm: 'f',
-    caller: 'c',
-    kind: 'ordinary' as const,
-    adapter: 'a',
-    version: undefined,
-    deadline: 60_000,
-    fingerprint: 'x',
-    promptBlocks: [],
-    maxTokens: 8,
-    draft: undefined,
-  };
-  simulation.feed(host, { type: 'requestArrived', request });
+  simulation.feed(host, { type: 'requestArrived', request: newRequest('r') });
   const breakAttempt = (number: number) => {
     const attempt = `r.${number}`;
     const isStarted = (effect: Effect) =>
--- a/tests/suspects/suspects.property.test.ts
+++ b/tests/suspects/suspects.property.test.ts
@@ -5,7 +5,7 @@
 import type { Failure } from '../../src/errors/failure.ts';
 import { getFingerprint } from '../../src/suspects/fingerprint.ts';
 import { getSuspicion } from '../../src/suspects/suspicion.ts';
-import { answerOrder, getCompleted, newEngineChanges } from '../helpers/engines.ts';
+import { answerOrder, getCompleted, newEngineChanges, newRequest } from '../helpers/engines.ts';
 import { type Host, Simulation } from '../helpers/simulation.ts';
 
 const HOSTS = ['h1', 'h2', 'h3'];
@@ -91,23 +91,10 @@
 }
 
 function arrive({ simulation }: World, id: string, host: Host): void {
-  const body = id.split('-')[0] ?? '';
-  simulation.feed(host, {
-    type: 'requestArrived',
-    request: {
-      id,
-      firm: 'f',
-      caller: 'c',
-      kind: 'ordinary',
-      adapter: 'a',
-      version: 'v1',
-      deadline: simulation.now + 60_000,
-      fingerprint: sha256(body),
-      promptBlocks: [],
-      maxTokens: 8,
-      draft: undefined,
-    },
-  });
+  const fingerprint = sha256(id.split('-')[0] ?? '');
+  const deadline = simulation.now + 60_000;
+  const request = newRequest(id, { version: 'v1', deadline, fingerprint });
+  simulation.feed(host, { type: 'requestArrived', request });
 }
 
 function getFingerprintOf(body: string): string {
