--- a/bench/scale/measure.ts
+++ b/bench/scale/measure.ts
@@ -88,6 +88,7 @@
     loadStallMs: 0,
     mayHaveRun: false,
     lastRefusal: undefined,
+    verifying: undefined,
   };
 }
 
--- a/src/actions/endpoints.ts
+++ b/src/actions/endpoints.ts
@@ -1,5 +1,6 @@
 import type { Service } from '../configuration/types.ts';
 import type { State } from '../core/state.ts';
+import { isEndpointLeaving } from '../membership/endpoints.ts';
 import { AVOID_ENDPOINT_MS } from './constants.ts';
 import type { NewAction } from './types.ts';
 
@@ -41,7 +42,7 @@
     outstanding.get(id) ?? 0,
   ];
   return service.endpoints
-    .filter(({ id }) => !tried.has(id) && !state.configuration.leaving.has(id))
+    .filter(({ id }) => !tried.has(id) && !isEndpointLeaving(state, id))
     .map((endpoint) => ({ endpoint, rank: getRank(endpoint) }))
     .sort((a, b) => compareRanks(a.rank, b.rank))[0]?.endpoint;
 }
--- a/src/grants/handlers.ts
+++ b/src/grants/handlers.ts
@@ -7,6 +7,8 @@
 import { ENGINE_CANCEL_MS } from './constants.ts';
 import { addBorrowed, lendTokens } from './budget.ts';
 import { endPin, getPinOf, removePin } from './pins.ts';
+import { noteReleased } from '../suspects/crashes.ts';
+import { receiveSuspect } from '../suspects/table.ts';
 import { forwardRelease } from '../ownership/handover.ts';
 import { reconcileOwned } from './reconcile.ts';
 import { getQueueRefusal, refuse, repeatGrant, serveQueue } from './serve.ts';
@@ -25,9 +27,10 @@
     const { engine, request } = released;
     const owned = state.grants.owned.get(engine);
     if (owned === undefined) return forwardRelease(state, released, from);
+    const noted = noteReleased(state, engine, owned.pins.get(released.grant), released, now);
     endGrant(state, owned, released, now);
     owned.queue = owned.queue.filter((ask) => ask.request !== request);
-    return serveQueue(state, owned, now);
+    return [...noted, ...serveQueue(state, owned, now)];
   },
 };
 
@@ -106,7 +109,8 @@
   }
   state.grants.popularity.note(ask.model, ask.kind, state.policy.stallWeight, now);
   owned.queue.push({ ...asked, arrivedAt: now, residentAt: undefined });
-  return serveQueue(state, owned, now);
+  const learned = ask.suspect === undefined ? [] : receiveSuspect(state, ask.suspect, from, now);
+  return [...learned, ...serveQueue(state, owned, now)];
 }
 
 function endLoad(
--- a/tests/admin/server.test.ts
+++ b/tests/admin/server.test.ts
@@ -117,6 +117,7 @@
       fingerprint: 'f1',
       generation: 0,
       crashes: ['e1@b1'],
+      cleared: [],
       isCondemned: true,
       hour: -1,
     });
