--- a/stand-ins/proxy/proxy.ts
+++ b/stand-ins/proxy/proxy.ts
@@ -26,6 +26,9 @@
 });
 export type ProxyFaults = z.infer<typeof ProxyFaults>;
 
+/** Interval of the connections that tell whether the server listens again. */
+const TARGET_CHECK_MS = 20;
+
 interface Link {
   source: string;
   client: Socket;
@@ -42,6 +45,9 @@
   private readonly links = new Set<Link>();
   private listener: Server | undefined;
   private boundPort: number | undefined;
+  /** Runs while the server refuses connections; the proxy refuses them too. */
+  private targetCheck: NodeJS.Timeout | undefined;
+  private isStopped = false;
   private control: HttpServer | undefined;
   private changes: Promise<void> = Promise.resolve();
 
@@ -68,6 +74,8 @@
   }
 
   async stop(): Promise<void> {
+    this.isStopped = true;
+    clearTimeout(this.targetCheck);
     await this.changes;
     await this.shut();
     for (const { client, server } of this.links) {
@@ -86,7 +94,13 @@
     if (source === undefined) this.faults = { ...this.faults, ...change };
     else this.sourceFaults.set(source, { ...this.sourceFaults.get(source), ...change });
     for (const link of this.links) this.apply(link);
-    this.changes = this.changes.then(() => (this.faults.refuse ? this.shut() : this.open()));
+    return this.update();
+  }
+
+  /** Listens or refuses connections, as the switches and the server say. */
+  private update(): Promise<void> {
+    const isRefused = () => this.faults.refuse || this.targetCheck !== undefined || this.isStopped;
+    this.changes = this.changes.then(() => (isRefused() ? this.shut() : this.open()));
     return this.changes;
   }
 
@@ -127,10 +141,12 @@
       client.resetAndDestroy();
       return;
     }
-    const at = this.options.target.lastIndexOf(':');
-    const host = this.options.target.slice(0, at);
-    const port = Number(this.options.target.slice(at + 1));
-    const server = connect({ host, port, allowHalfOpen: true });
+    const server = this.connectTarget();
+    server.once('error', (error: NodeJS.ErrnoException) => {
+      if (error.code !== 'ECONNREFUSED') return;
+      client.resetAndDestroy();
+      this.refuseWithTarget();
+    });
     client.setNoDelay(true);
     server.setNoDelay(true);
     const link: Link = {
@@ -160,6 +176,30 @@
     }
   }
 
+  private connectTarget(): Socket {
+    const at = this.options.target.lastIndexOf(':');
+    const host = this.options.target.slice(0, at);
+    return connect({ host, port: Number(this.options.target.slice(at + 1)), allowHalfOpen: true });
+  }
+
+  /** Refuses connections until the server accepts them again. */
+  private refuseWithTarget(): void {
+    if (this.targetCheck !== undefined || this.isStopped) return;
+    const check = () => {
+      const probe = this.connectTarget();
+      probe.once('connect', () => {
+        probe.destroy();
+        this.targetCheck = undefined;
+        void this.update();
+      });
+      probe.once('error', () => {
+        if (!this.isStopped) this.targetCheck = setTimeout(check, TARGET_CHECK_MS);
+      });
+    };
+    this.targetCheck = setTimeout(check, TARGET_CHECK_MS);
+    void this.update();
+  }
+
   private getFaults(source: string): ProxyFaults {
     return { ...this.faults, ...this.sourceFaults.get(source) };
   }
--- /dev/null
+++ b/tests/faults/runCase.ts
@@ -0,0 +1,56 @@
+import { expect } from 'vitest';
+import { until } from '../support.ts';
+import { Deployment } from '../helpers/deployment.ts';
+import { FIRMS, getAdapters, type Layout } from '../helpers/layouts.ts';
+import { Workload, type WorkloadOptions } from '../helpers/workload.ts';
+import { findViolations } from './checker.ts';
+
+export interface FaultCase {
+  /** Failures that the case injects. */
+  failures: string;
+  name: string;
+  seed: number;
+  workload?: Partial<WorkloadOptions>;
+  settings?: Record<string, string>;
+  /** Injects the failures while the callers send, and heals what does not heal by itself. */
+  run: (deployment: Deployment, workload: Workload) => Promise<void>;
+}
+
+/** Complete answers before the failure, so that adapters are resident and requests in flight. */
+const WARM_UP_ANSWERS = 30;
+/** Time within which every host serves again once nothing fails any more. */
+const RECOVERY_MS = 45_000;
+
+/** Runs one case over a deployment of its own and checks all guarantees afterwards. */
+export async function runCase(layout: Layout, fault: FaultCase): Promise<void> {
+  const deployment = await Deployment.start(layout, fault.settings);
+  const workload = Workload.start(deployment, { seed: fault.seed, ...fault.workload });
+  await until(() => workload.completed >= WARM_UP_ANSWERS);
+  await fault.run(deployment, workload);
+  await workload.stop();
+  await expectRecovery(deployment);
+  await deployment.collectDrafts();
+  expect(findViolations(deployment)).toEqual([]);
+}
+
+/** Waits until `count` more answers are complete. */
+export function moreAnswers(workload: Workload, count: number): Promise<void> {
+  const target = workload.completed + count;
+  return until(() => workload.completed >= target, 30_000);
+}
+
+/** Every running host must answer a request of each firm again. */
+async function expectRecovery(deployment: Deployment): Promise<void> {
+  await Promise.all(
+    deployment.running.flatMap((host) =>
+      FIRMS.map((firm) =>
+        until(async () => {
+          const adapter = getAdapters(firm)[0] ?? '';
+          const prompt = `recovery of ${host.place.id}`;
+          const { isComplete } = await deployment.callers.complete({ host, adapter, prompt });
+          return isComplete;
+        }, RECOVERY_MS),
+      ),
+    ),
+  );
+}
--- /dev/null
+++ b/tests/faults/singles.ts
@@ -0,0 +1,225 @@
+import { expect } from 'vitest';
+import type { Deployment } from '../helpers/deployment.ts';
+import { getAdapters } from '../helpers/layouts.ts';
+import { confirm, plan } from '../helpers/operators.ts';
+import { until } from '../support.ts';
+import { type FaultCase, moreAnswers } from './runCase.ts';
+
+/** More adapters than the slots hold, so that owners must evict. */
+const MANY_ADAPTERS = 20;
+
+function getZone({ layout }: Deployment, index: number): string {
+  return layout.zones[index]?.name ?? '';
+}
+
+/** Each failure alone. */
+export const SINGLES: FaultCase[] = [
+  {
+    failures: 'F1',
+    name: 'all callers turn to cold adapters',
+    seed: 1,
+    workload: { adapters: MANY_ADAPTERS },
+    run: async (_deployment, workload) => {
+      await moreAnswers(workload, 150);
+    },
+  },
+  {
+    failures: 'F2',
+    name: 'engines restart empty',
+    seed: 2,
+    run: async (deployment, workload) => {
+      for (const { id, standIn } of deployment.platform.engines.slice(0, 3)) {
+        standIn.crash();
+        await moreAnswers(workload, 20);
+        await deployment.waitUntilLive(id);
+      }
+    },
+  },
+  {
+    failures: 'F3',
+    name: 'loads of an adapter and all loads of an engine fail',
+    seed: 3,
+    run: async (deployment, workload) => {
+      const { platform } = deployment;
+      const failLoadsOf = getAdapters('atlas').map((name) => `${name}@v1`);
+      platform.weights.setFaults({ failLoadsOf });
+      const [engine] = platform.engines;
+      engine?.standIn.setFaults({
+        failLoadsOf: getAdapters('corail').flatMap((name) => [`${name}@v1`, `${name}@v2`]),
+      });
+      engine?.standIn.crash();
+      await moreAnswers(workload, 60);
+      platform.weights.setFaults({ failLoadsOf: [] });
+      engine?.standIn.setFaults({ failLoadsOf: [] });
+      await moreAnswers(workload, 20);
+    },
+  },
+  {
+    failures: 'F4',
+    name: 'the table service and the object store are down past the leases, then slow',
+    seed: 4,
+    workload: { adapters: 6 },
+    run: async (deployment, workload) => {
+      deployment.platform.setDown(true);
+      const until20s = performance.now() + 20_000;
+      while (performance.now() < until20s) await moreAnswers(workload, 10);
+      deployment.platform.setDown(false);
+      deployment.platform.setSlow(1_500);
+      await moreAnswers(workload, 30);
+      deployment.platform.setSlow(0);
+    },
+  },
+  {
+    failures: 'F5',
+    name: 'writes to the table take effect without an answer',
+    seed: 5,
+    run: async (deployment, workload) => {
+      const { platform } = deployment;
+      for (let n = 0; n < 3; n++) {
+        platform.loseWrites(6);
+        await moreAnswers(workload, 30);
+      }
+      const [host] = deployment.running;
+      // The writes of running requests use up the rest of the lost answers.
+      platform.loseWrites(0);
+      const id = await plan(host?.operators ?? '', {
+        callers: [{ caller: 'atlas', priority: 1 }],
+      });
+      platform.loseWrites(2);
+      await confirm(host?.operators ?? '', id);
+      platform.loseWrites(0);
+      // A confirmation is repeatable, so that the outcome is known in the end.
+      const { status } = await confirm(host?.operators ?? '', id);
+      expect(status).toBe(200);
+      await deployment.waitForRevision(2);
+    },
+  },
+  {
+    failures: 'F6',
+    name: 'an owner is paused past its lease and goes on',
+    seed: 6,
+    workload: { adapters: MANY_ADAPTERS },
+    run: async (deployment, workload) => {
+      const [engine] = deployment.platform.engines;
+      const owner = deployment.getHost(await deployment.getOwner(engine?.id ?? ''));
+      owner.pause();
+      try {
+        await deployment.waitForOtherOwner(engine?.id ?? '', owner);
+        await moreAnswers(workload, 20);
+      } finally {
+        owner.resume();
+      }
+      await moreAnswers(workload, 30);
+      await deployment.waitForOwners();
+    },
+  },
+  {
+    failures: 'F7',
+    name: 'operators confirm conflicting plans at the same time',
+    seed: 7,
+    run: async (deployment) => {
+      const [first, second] = deployment.running;
+      const ids = await Promise.all(
+        [first, second].map((host, priority) =>
+          plan(host?.operators ?? '', { callers: [{ caller: 'atlas', priority }] }),
+        ),
+      );
+      const answers = await Promise.all(
+        [first, second].map((host, n) => confirm(host?.operators ?? '', ids[n] ?? '')),
+      );
+      expect(answers.map(({ status }) => status).sort()).toEqual([200, 409]);
+      const refused = answers.find(({ status }) => status === 409)?.body;
+      expect(refused).toMatchObject({ error: { kind: 'stale_plan' } });
+      expect(JSON.stringify(refused)).toContain('atlas');
+      await deployment.waitForRevision(2);
+    },
+  },
+  {
+    failures: 'F9',
+    name: 'all open connections go silent for good',
+    seed: 9,
+    run: async (deployment, workload) => {
+      for (const { proxy } of deployment.network.getPlaces()) proxy.silence();
+      await moreAnswers(workload, 40);
+      await deployment.waitForOwners();
+    },
+  },
+  {
+    failures: 'F10',
+    name: 'a zone is cut off from the other zones',
+    seed: 10,
+    run: async (deployment, workload) => {
+      const zone = getZone(deployment, 0);
+      await deployment.network.cutZone(zone, 'zones');
+      const inside = deployment.getHostsOf(zone);
+      const before = performance.now();
+      await until(() => hasAnswered(deployment, inside, before + 4_000, 10));
+      await deployment.network.heal();
+      await moreAnswers(workload, 20);
+    },
+  },
+  {
+    failures: 'F10',
+    name: 'a zone is cut off from the platform and from other zones in one direction',
+    seed: 11,
+    run: async (deployment, workload) => {
+      const zone = getZone(deployment, 1);
+      await deployment.network.cutZone(zone, 'platform');
+      await moreAnswers(workload, 30);
+      await deployment.network.cutZone(zone, 'zones', { inward: true, outward: false });
+      const inside = deployment.getHostsOf(zone);
+      const before = performance.now();
+      await until(() => hasAnswered(deployment, inside, before + 4_000, 10));
+      await deployment.network.heal();
+      await moreAnswers(workload, 20);
+    },
+  },
+  {
+    failures: 'F11',
+    name: 'hosts are killed, restarted and replaced',
+    seed: 12,
+    run: async (deployment, workload) => {
+      const [first = '', second = ''] = deployment.getHostsOf(getZone(deployment, 0)).map(getId);
+      await deployment.getHost(first).kill();
+      await moreAnswers(workload, 15);
+      await deployment.startHost(first);
+      await moreAnswers(workload, 15);
+      const next = await deployment.replace(second);
+      await deployment.waitUntilReady([next]);
+      await moreAnswers(workload, 15);
+    },
+  },
+  {
+    failures: 'F12',
+    name: 'the host list names hosts that are gone and misses those that run',
+    seed: 13,
+    run: async (deployment, workload) => {
+      const gone = { kind: 'entry', address: '127.0.0.1:9', state: 'live' as const };
+      const zone = getZone(deployment, 0);
+      deployment.platform.hostList.standIn.setHosts([{ ...gone, id: 'gone-1', zone }]);
+      const [id = ''] = deployment.getHostsOf(zone).map(getId);
+      await deployment.getHost(id).kill();
+      const next = await deployment.startHost(id);
+      await deployment.waitUntilReady([next]);
+      await moreAnswers(workload, 40);
+    },
+  },
+];
+
+function getId({ place }: { place: { id: string } }): string {
+  return place.id;
+}
+
+/** Whether `hosts` completed `count` requests that arrived after `since`. */
+export function hasAnswered(
+  { callers }: Deployment,
+  hosts: { callers: string }[],
+  since: number,
+  count: number,
+): boolean {
+  const addresses = new Set(hosts.map((host) => host.callers));
+  const answered = callers.completions.filter(
+    ({ address, sentAt, isComplete }) => addresses.has(address) && sentAt >= since && isComplete,
+  );
+  return answered.length >= count;
+}
--- a/tests/helpers/callers.ts
+++ b/tests/helpers/callers.ts
@@ -47,6 +47,23 @@
   failure: z.infer<typeof FailureBody>['error'] | undefined;
 }
 
+/** A draft that a host accepted, or refused. */
+export interface DraftRecord extends Received {
+  type: 'draft';
+  host: string;
+  address: string;
+  adapter: string;
+  version: string;
+  prompt: string;
+  maxTokens: number;
+  failure: z.infer<typeof FailureBody>['error'] | undefined;
+  /** Path of an accepted draft. */
+  location: string | undefined;
+  /** State and text when it was last read. */
+  state: string;
+  text: string;
+}
+
 export interface CompletionCall {
   host: { callers: string; place: { id: string } };
   adapter: string;
@@ -78,6 +95,7 @@
 export class Callers {
   readonly completions: CompletionRecord[] = [];
   readonly calls: ServiceRecord[] = [];
+  readonly drafts: DraftRecord[] = [];
 
   private constructor() {}
 
@@ -115,6 +133,48 @@
     return record;
   }
 
+  /** Submits a draft as the firm of the adapter. */
+  async submit(call: CompletionCall): Promise<DraftRecord> {
+    const { host, adapter, version = 'v2', prompt, maxTokens = 8 } = call;
+    const received = await send({
+      address: host.callers,
+      method: 'POST',
+      path: '/v1/completions',
+      headers: { ...getHeaders(adapter), prefer: 'respond-async' },
+      body: JSON.stringify({ model: `${adapter}@${version}`, prompt, max_tokens: maxTokens }),
+    });
+    const { status, headers, body } = received;
+    const record: DraftRecord = {
+      ...received,
+      type: 'draft',
+      host: host.place.id,
+      address: host.callers,
+      adapter,
+      version,
+      prompt,
+      maxTokens,
+      failure: getFailure(body),
+      location: status === 202 ? headers.location : undefined,
+      state: 'queued',
+      text: '',
+    };
+    this.drafts.push(record);
+    return record;
+  }
+
+  /** Reads an accepted draft through any host; returns whether its text is there. */
+  async read(draft: DraftRecord, host: { callers: string }): Promise<boolean> {
+    const { status, body } = await send({
+      address: host.callers,
+      method: 'GET',
+      path: draft.location ?? '',
+      headers: getHeaders(draft.adapter),
+    });
+    if (status === 200) draft.text = getText(body);
+    draft.state = status === 200 ? 'done' : `${status ?? 'no answer'} ${body.slice(0, 200)}`;
+    return status === 200;
+  }
+
   /** Calls a service as the firm that `key` begins with. */
   async call(call: ServiceCall): Promise<ServiceRecord> {
     const { host, service, key, path = '/bookings', method = 'POST', body = key } = call;
--- a/tests/helpers/hostProcess.ts
+++ b/tests/helpers/hostProcess.ts
@@ -34,6 +34,9 @@
   /** Monotonic ms at which the process ended. */
   endedAt = Infinity;
   exitCode: number | null = null;
+  isPaused = false;
+  /** Whether it was paused at some time, so that callers may have given up on it. */
+  wasPaused = false;
   private readonly ended: Promise<void>;
 
   private constructor(
@@ -81,10 +84,13 @@
   }
 
   pause(): void {
+    this.isPaused = true;
+    this.wasPaused = true;
     this.child.kill('SIGSTOP');
   }
 
   resume(): void {
+    this.isPaused = false;
     this.child.kill('SIGCONT');
   }
 
--- a/tests/helpers/operators.ts
+++ b/tests/helpers/operators.ts
@@ -4,6 +4,9 @@
 
 const Plan = z.object({ id: z.string() });
 const Confirmed = z.object({ revision: z.int() });
+const Engines = z.object({
+  engines: z.array(z.object({ id: z.string(), owner: z.string().nullable(), state: z.string() })),
+});
 const Shown = z.object({ revision: z.int() });
 
 export interface OperatorAnswer {
@@ -41,6 +44,21 @@
   return Shown.safeParse(body).data?.revision;
 }
 
+/** Returns the host that `operators` takes for the owner of `engine`; null when it knows none. */
+export async function getOwner(operators: string, engine: string): Promise<string | null> {
+  return (await getEngine(operators, engine))?.owner ?? null;
+}
+
+/** Returns the state that a host sees an engine in. */
+export async function getState(operators: string, engine: string): Promise<string | undefined> {
+  return (await getEngine(operators, engine))?.state;
+}
+
+async function getEngine(operators: string, engine: string) {
+  const { body } = await ask(operators, 'GET', '/v1/engines');
+  return Engines.safeParse(body).data?.engines.find(({ id }) => id === engine);
+}
+
 /** Whether the load balancer would send callers to the host. */
 export async function isReady(operators: string): Promise<boolean> {
   return (await ask(operators, 'GET', '/readyz')).status === 200;
