--- a/tests/helpers/layouts.ts
+++ b/tests/helpers/layouts.ts
@@ -54,3 +54,12 @@
 export function getAdapters(firm: Firm): string[] {
   return Array.from({ length: ADAPTERS_PER_FIRM }, (_, index) => `${firm}-${index}`);
 }
+
+/** One host, for cases that are not about several. */
+export const SMALL: Layout = {
+  name: 'small',
+  region: 'local',
+  pool: 'small-llm',
+  service: 'desk',
+  zones: [{ name: 'local', hosts: 1, engines: 2, endpoints: 1 }],
+};
--- a/tests/helpers/platform.ts
+++ b/tests/helpers/platform.ts
@@ -1,7 +1,7 @@
 import { TableClient } from '../../src/clients/tableClient.ts';
 import { HEAD_KEY } from '../../src/configuration/constants.ts';
 import { getRevisionKey } from '../../src/configuration/keys.ts';
-import type { Change } from '../../src/configuration/types.ts';
+import type { Adapter, Change } from '../../src/configuration/types.ts';
 import { Engine } from '../../stand-ins/engine/engine.ts';
 import { HostList } from '../../stand-ins/hostList.ts';
 import { Objects } from '../../stand-ins/objects.ts';
@@ -108,15 +108,15 @@
     if (answer.type !== 'ok') throw new Error(`the configuration was not written: ${answer.type}`);
   }
 
-  /** Returns the change that adds `name`, or that puts `inForce` into force. */
-  newAdapterChange(name: string, firm: string, inForce: string): Change {
+  /** Returns an adapter with the versions of the layout and `inForce`. */
+  newAdapter(name: string, firm: string, inForce: string): Adapter {
     const versions = Object.fromEntries(
       [...VERSIONS, inForce].map((version) => [
         version,
         { source: `http://${this.weightsAddress}/weights/${name}@${version}` },
       ]),
     );
-    return { type: 'putAdapter', adapter: { name, firm, model: MODEL, versions, inForce } };
+    return { name, firm, model: MODEL, versions, inForce };
   }
 
   async stop(): Promise<void> {
@@ -146,7 +146,10 @@
       ...engines,
       { type: 'putService', service: { name: service, endpoints, repeatable } },
       ...FIRMS.flatMap((firm) =>
-        getAdapters(firm).map((name) => this.newAdapterChange(name, firm, 'v2')),
+        getAdapters(firm).map((name): Change => ({
+          type: 'putAdapter',
+          adapter: this.newAdapter(name, firm, 'v2'),
+        })),
       ),
     ];
   }
