--- a/src/admin/routes/commands.ts
+++ b/src/admin/routes/commands.ts
@@ -1,5 +1,6 @@
 import { Err, Ok, type Result } from '../../base/result.ts';
 import { parseIntent } from '../../configuration/intent.ts';
+import { DraftState } from '../../drafts/types.ts';
 import { Failure } from '../../errors/failure.ts';
 import { readBody } from '../../http/body.ts';
 import { MAX_AUDIT_PAGE } from '../../operators/constants.ts';
@@ -8,7 +9,7 @@
 
 const DEFAULT_AUDIT_PAGE = 50;
 /** Ids that operators send become parts of row keys. */
-const ID_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+const ID_PATTERN = /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,127}$/;
 
 /** Routes that need an operator's key. */
 export const commandRoutes: readonly CommandRoute[] = [
@@ -28,6 +29,22 @@
   { method: 'GET', path: '/v1/hosts', getCommand: () => Ok({ type: 'listHosts' }) },
   { method: 'GET', path: '/v1/engines', getCommand: () => Ok({ type: 'listEngines' }) },
   { method: 'GET', path: '/v1/suspects', getCommand: () => Ok({ type: 'listSuspects' }) },
+  {
+    method: 'DELETE',
+    path: '/v1/suspects/:id',
+    getCommand: (call) => getId(call).map((fingerprint) => ({ type: 'clearSuspect', fingerprint })),
+  },
+  { method: 'GET', path: '/v1/drafts', getCommand: (call) => getDraftsCommand(call) },
+  {
+    method: 'POST',
+    path: '/v1/drafts/:id/retry',
+    getCommand: (call) => getId(call).map((draft) => ({ type: 'retryDraft', draft })),
+  },
+  {
+    method: 'DELETE',
+    path: '/v1/drafts/:id',
+    getCommand: (call) => getId(call).map((draft) => ({ type: 'deleteDraft', draft })),
+  },
 ];
 
 async function getPlanCommand({
@@ -57,9 +74,21 @@
   return Ok({ type: 'listAudit', after, limit: Number(limit) });
 }
 
+function getDraftsCommand({ query }: Call): Result<OperatorCommand, Refusal> {
+  const state = DraftState.safeParse(query.get('state') ?? 'poison');
+  if (!state.success) {
+    return refuse('state', query.get('state') ?? '', DraftState.options.join(', '));
+  }
+  const after = query.get('after') ?? '';
+  if (!/^[a-zA-Z0-9/%._-]{0,512}$/.test(after)) {
+    return refuse('after', after, 'the next of a page before');
+  }
+  return Ok({ type: 'listDrafts', state: state.data, after });
+}
+
 function getId({ params }: Call): Result<string, Refusal> {
   const id = params.id ?? '';
-  return ID_PATTERN.test(id) ? Ok(id) : refuse('id', id, 'the id of a plan');
+  return ID_PATTERN.test(id) ? Ok(id) : refuse('id', id, 'an id');
 }
 
 function refuse(param: string, value: string, allowed: string): Result<never, Refusal> {
--- a/src/cli/commands/audit.ts
+++ b/src/cli/commands/audit.ts
@@ -25,7 +25,7 @@
   },
   getText: ({ entries, next }) => {
     const lines = entries.flatMap((entry) => [
-      `${getTimeText(entry.atUnixMs)} revision ${entry.revision} by ${entry.operator}: ${entry.action} ${entry.plan}`,
+      `${getTimeText(entry.atUnixMs)} revision ${entry.revision} by ${entry.operator}: ${[entry.action, entry.plan ?? ''].join(' ').trimEnd()}`,
       getIndented(entry.lines),
     ]);
     return [...lines, next === undefined ? 'No entries.' : `Next: --after ${next}`].join('\n');
--- a/src/cli/commands/suspects.ts
+++ b/src/cli/commands/suspects.ts
@@ -1,21 +1,38 @@
 import { z } from 'zod';
-import { getIndented } from '../format.ts';
+import { getTable } from '../format.ts';
 import { newQueryCommand } from '../operatorCommand.ts';
 
 const SuspectsAnswer = z.looseObject({
-  suspects: z.array(z.looseObject({ fingerprint: z.string() })),
+  fingerprint: z.string().optional(),
+  suspects: z
+    .array(
+      z.looseObject({
+        fingerprint: z.string(),
+        crashes: z.array(z.string()),
+        isCondemned: z.boolean(),
+      }),
+    )
+    .default([]),
 });
 
 export const suspects = newQueryCommand({
-  summary: 'List requests that are suspected of crashing endpoints.',
+  summary: 'List requests that are suspected of crashing endpoints, or clear one.',
+  flags: [{ name: 'clear', help: 'Fingerprint of a suspect that may run again.' }],
   schema: SuspectsAnswer,
-  getCall: () => ({ method: 'GET', path: '/v1/suspects' }),
-  getText: (answer) =>
-    answer.suspects.length === 0
-      ? 'No suspects.'
-      : answer.suspects
-          .map(
-            ({ fingerprint, ...rest }) => `${fingerprint}\n${getIndented([JSON.stringify(rest)])}`,
-          )
-          .join('\n'),
+  getCall: ({ flags }) => {
+    const clear = flags.values.get('clear');
+    return clear === undefined
+      ? { method: 'GET', path: '/v1/suspects' }
+      : { method: 'DELETE', path: `/v1/suspects/${encodeURIComponent(clear)}` };
+  },
+  getText: ({ fingerprint, suspects }) => {
+    if (fingerprint !== undefined) return `The suspect ${fingerprint} is cleared.`;
+    if (suspects.length === 0) return 'No suspects.';
+    const rows = suspects.map((suspect) => [
+      suspect.fingerprint,
+      suspect.isCondemned ? 'quarantined' : 'suspect',
+      suspect.crashes.join(', '),
+    ]);
+    return getTable(['FINGERPRINT', 'STATE', 'CRASHES'], rows);
+  },
 });
--- a/src/configuration/keys.ts
+++ b/src/configuration/keys.ts
@@ -17,6 +17,11 @@
   return AUDIT_PREFIX + getDigits(revision);
 }
 
+/** Returns the row key of an audit entry that makes no revision; it follows that of `revision`. */
+export function getActionAuditKey(revision: number, atUnixMs: number, id: string): string {
+  return `${getAuditKey(revision)}.${atUnixMs}.${id}`;
+}
+
 /** Returns the row key of a plan. */
 export function getPlanKey(id: string): string {
   return PLAN_PREFIX + id;
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -1,5 +1,13 @@
 import { SuspectReported } from '../suspects/types.ts';
 import { z } from 'zod';
+import {
+  GrantAsk,
+  GrantGiven,
+  GrantRefused,
+  GrantReleased,
+  LoadTokensAsked,
+  LoadTokensLent,
+} from '../grants/types.ts';
 import {
   RevisionAnnounced,
   RevisionPushed,
@@ -26,7 +34,6 @@
   PromiseRefused,
   ZoneRowSeen,
 } from '../ownership/types.ts';
-import { GrantAsk, GrantGiven, GrantRefused, GrantReleased } from '../grants/types.ts';
 
 /** Every message between hosts, parsed at the link before it reaches the reducer. */
 export const Message = z.discriminatedUnion('type', [
@@ -34,6 +41,8 @@
   GrantGiven,
   GrantRefused,
   GrantReleased,
+  LoadTokensAsked,
+  LoadTokensLent,
   RevisionPushed,
   RevisionAnnounced,
   RevisionsAsked,
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import type { HolderList } from './holderList.ts';
 
 /** Load report of an engine as the engine publishes it, with a lag. */
 export const EngineReport = z.object({
@@ -25,7 +26,7 @@
   /** Requests running at the time of the report. */
   running = 0;
   waiting = 0;
-  /** Requests that this host sent since the report and that have not ended. */
+  /** Asks that this host sent since the report and that have not ended. */
   sentSince = 0;
   /** Sequence number of the owner's last delta. */
   sequence = 0;
@@ -42,7 +43,7 @@
 /** Views of all engines, with an index from `adapter@version` to the engines that hold it. */
 export class Engines {
   readonly views = new Map<string, EngineView>();
-  readonly holders = new Map<string, Set<string>>();
+  readonly holders = new Map<string, HolderList>();
 
   private constructor() {}
 
--- a/src/host/runners/durable.ts
+++ b/src/host/runners/durable.ts
@@ -48,10 +48,13 @@
   },
   dropDraftRequest: (context, { id }) => void context.exchanges.delete(id),
   answerDraftRead: (context, { id, answer }) => {
-    context.draftReaders.get(id)?.(answer);
+    const reader = context.draftReaders.get(id);
     context.draftReaders.delete(id);
+    // Questions that no caller asked come from operators.
+    if (reader === undefined) context.answerDraftRead(id, answer);
+    else reader(answer);
   },
-  answerDraftList: () => undefined,
+  answerDraftList: (context, { id, answer }) => context.answerDraftList(id, answer),
 };
 
 async function callService(
--- /dev/null
+++ b/src/operators/actions/recorded.ts
@@ -0,0 +1,104 @@
+import { sha256 } from '../../base/hash.ts';
+import { getActionAuditKey } from '../../configuration/keys.ts';
+import type { Effect } from '../../core/effects.ts';
+import type { TableAnswerHandlers } from '../../core/handlers.ts';
+import type { State } from '../../core/state.ts';
+import { askDraft } from '../../drafts/asking.ts';
+import { Failure } from '../../errors/failure.ts';
+import { clearSuspect } from '../../suspects/crashes.ts';
+import { answerDone, answerRefused, type OperatorAction } from '../answer.ts';
+import type { Ask, AuditEntry, OperatorCommand } from '../types.ts';
+
+type Recorded = 'retryDraft' | 'deleteDraft' | 'clearSuspect';
+
+const KEY_DIGITS = 8;
+
+export const retryDraft: OperatorAction<'retryDraft'> = (state, ask, { draft }) =>
+  record(state, ask, 'retry draft', draft);
+
+export const deleteDraft: OperatorAction<'deleteDraft'> = (state, ask, { draft }) =>
+  record(state, ask, 'delete draft', draft);
+
+export const clearSuspectAction: OperatorAction<'clearSuspect'> = (state, ask, command) => {
+  const { fingerprint } = command;
+  if (state.suspects.byFingerprint.has(fingerprint)) {
+    return record(state, ask, 'clear suspect', fingerprint);
+  }
+  const message = `suspect "${fingerprint}" does not exist`;
+  return answerRefused(state, ask, Failure.create('not_found', message));
+};
+
+export const recordedAnswers: TableAnswerHandlers<'writeAudit'> = {
+  writeAudit: (state, { ask: id }, answer, { now }) => {
+    const ask = state.operators.asks.get(id);
+    if (ask === undefined) return [];
+    if (answer.type !== 'ok') {
+      const message =
+        'the command could not be recorded in the audit trail and was not carried out';
+      return answerRefused(state, ask, Failure.create('store_unavailable', message));
+    }
+    const { command } = ask;
+    return isRecorded(command) ? carryOut(state, ask, command, now) : [];
+  },
+};
+
+/** Writes the audit entry; the command is carried out once that is durable. */
+function record(state: State, ask: Ask, action: string, subject: string): Effect[] {
+  const { revision } = state.configuration;
+  const { operator, atUnixMs } = ask;
+  const id = sha256(`${state.host.id}/${ask.id}`).slice(0, KEY_DIGITS);
+  const key = getActionAuditKey(revision, atUnixMs, id);
+  const value: AuditEntry = {
+    action,
+    operator,
+    atUnixMs,
+    revision,
+    lines: [`${action} ${subject}`],
+  };
+  const condition = { type: 'absent' } as const;
+  return [
+    {
+      type: 'callTable',
+      call: { type: 'write', writes: [{ type: 'put', key, value, condition }] },
+      purpose: { type: 'writeAudit', ask: ask.id },
+    },
+  ];
+}
+
+type RecordedCommand = Extract<OperatorCommand, { type: Recorded }>;
+
+function isRecorded(command: OperatorCommand): command is RecordedCommand {
+  return Object.hasOwn(CARRY_OUT, command.type);
+}
+
+const CARRY_OUT: {
+  [T in Recorded]: (
+    state: State,
+    ask: Ask,
+    command: Extract<OperatorCommand, { type: T }>,
+    now: number,
+  ) => Effect[];
+} = {
+  // The answer comes as `answerDraftRead` with the id of the question.
+  retryDraft: (state, ask, { draft }) => passToDrafts(state, ask, draft, 'retry'),
+  deleteDraft: (state, ask, { draft }) => passToDrafts(state, ask, draft, 'delete'),
+  clearSuspect: (state, ask, { fingerprint }, now) => [
+    ...clearSuspect(state, fingerprint, now),
+    ...answerDone(state, ask, { fingerprint }),
+  ],
+};
+
+function carryOut(state: State, ask: Ask, command: RecordedCommand, now: number): Effect[] {
+  const run = CARRY_OUT[command.type] as (
+    state: State,
+    ask: Ask,
+    command: RecordedCommand,
+    now: number,
+  ) => Effect[];
+  return run(state, ask, command, now);
+}
+
+function passToDrafts(state: State, ask: Ask, draft: string, action: 'retry' | 'delete'): Effect[] {
+  state.operators.asks.delete(ask.id);
+  return askDraft({ id: ask.id, draft, firm: undefined, caller: ask.operator }, action);
+}
--- a/src/requests/handlers.ts
+++ b/src/requests/handlers.ts
@@ -3,9 +3,11 @@
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
+import { isReachable } from '../ownership/owner.ts';
+import { updateSent } from '../engines/views.ts';
 import { admitRequest } from './admission.ts';
 import { endAttempt } from './attempts.ts';
-import { askForGrant, retryLater } from './asking.ts';
+import { askForGrant, retryLater, sendAsk } from './asking.ts';
 import { failRequest, releaseAsk } from './ending.ts';
 import type { Request, RequestEvent, RequestTimer } from './types.ts';
 
@@ -34,6 +36,8 @@
     const { request: id, ask, engine, grant, epoch, stallMs } = message;
     const request = state.requests.inFlight.get(id);
     const address = state.configuration.engines.get(engine)?.address;
+    // The owner repeats a grant for an ask that was sent again; this one is in use.
+    if (request?.attempt?.grant === grant) return [];
     if (request?.phase !== 'asking' || request.ask !== ask || address === undefined) {
       return [
         deliver(state, from, {
@@ -51,6 +55,7 @@
     const request = state.requests.inFlight.get(id);
     if (request?.phase !== 'asking' || request.ask !== ask) return [];
     request.excluded.add(engine);
+    updateSent(state.engines, engine, -1);
     request.lastRefusal = reason;
     return retryLater(state, request, now);
   },
@@ -75,8 +80,13 @@
   askTimeout: (state, { id, ask }, now) => {
     const request = state.requests.inFlight.get(id);
     if (request?.phase !== 'asking' || request.ask !== ask) return [];
+    const { asked } = request;
+    // Moving a request that can wait to another engine would cost a second load.
+    if (request.kind !== 'urgent' && asked !== undefined && isReachable(state, asked.owner)) {
+      return sendAsk(state, request, asked, now);
+    }
     const effects = releaseAsk(state, request);
-    if (request.asked !== undefined) request.excluded.add(request.asked.engine);
+    if (asked !== undefined) request.excluded.add(asked.engine);
     return [...effects, ...retryLater(state, request, now)];
   },
 };
@@ -105,8 +115,6 @@
     epoch,
     hasStarted: false,
   };
-  const view = state.engines.views.get(engine);
-  if (view !== undefined) view.sentSince += 1;
   return [
     {
       type: 'startAttempt',
