--- a/src/grants/serve.ts
+++ b/src/grants/serve.ts
@@ -9,6 +9,7 @@
 import { addPin } from './pins.ts';
 import { canRun, sortQueue } from './queueOrder.ts';
 import type { OwnedEngine, Pin, QueuedAsk, RefusalReason } from './types.ts';
+import { canRunWithSuspects, getSuspicion } from '../suspects/suspicion.ts';
 
 /** Grants what can run now and orders the loads that the others wait for. */
 export function serveQueue(state: State, owned: OwnedEngine, now: number): Effect[] {
@@ -21,7 +22,9 @@
   const left: QueuedAsk[] = [];
   for (const ask of owned.queue) {
     if (ask.arrivedAt + ask.remainingMs <= now) continue;
-    if (canRun(state, owned, engine, ask)) {
+    if (getSuspicion(state, ask.fingerprint) === 'quarantined') {
+      effects.push(...refuse(state, ask, 'suspect'));
+    } else if (canRun(state, owned, engine, ask) && canRunWithSuspects(state, owned, ask)) {
       effects.push(...giveGrant(state, owned, ask, now));
     } else {
       left.push(ask);
@@ -69,11 +72,25 @@
   { grant }: Pin,
 ): Effect[] {
   const { id: engine, epoch } = owned;
+  const bootId = getBootId(state, engine);
   return [
-    deliver(state, from, { type: 'grantGiven', request, ask, engine, grant, epoch, stallMs: 0 }),
+    deliver(state, from, {
+      type: 'grantGiven',
+      request,
+      ask,
+      engine,
+      grant,
+      epoch,
+      bootId,
+      stallMs: 0,
+    }),
   ];
 }
 
+function getBootId(state: State, engine: string): string {
+  return state.engines.views.get(engine)?.bootId ?? '';
+}
+
 function giveGrant(state: State, owned: OwnedEngine, ask: QueuedAsk, now: number): Effect[] {
   const grant = `${state.host.id}-${state.random.getHex(8)}`;
   const expiresAt = ask.arrivedAt + ask.remainingMs + ENGINE_CANCEL_MS;
@@ -100,6 +117,7 @@
       engine: owned.id,
       grant,
       epoch: owned.epoch,
+      bootId: getBootId(state, owned.id),
       stallMs,
     }),
   ];
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -13,6 +13,7 @@
 import type { Event } from '../core/events.ts';
 import { newObserve } from '../core/observations.ts';
 import { State } from '../core/state.ts';
+import type { DraftListAnswer, DraftReadAnswer } from '../drafts/types.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
 import { PeerLinks } from '../peers/links.ts';
 import type { Settings } from '../settings/groups.ts';
@@ -124,6 +125,14 @@
     this.adminServer.answer(id, answer);
   }
 
+  answerDraftRead(id: string, answer: DraftReadAnswer): void {
+    this.adminServer.answerDraftRead(id, answer);
+  }
+
+  answerDraftList(id: string, answer: DraftListAnswer): void {
+    this.adminServer.answerDraftList(id, answer);
+  }
+
   onStopped(): void {
     this.resolveStopped();
   }
--- a/src/operators/types.ts
+++ b/src/operators/types.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import type { Intent } from '../configuration/intent.ts';
 import type { Plan } from '../configuration/plan.ts';
+import type { DraftState } from '../drafts/types.ts';
 import type { Failure } from '../errors/failure.ts';
 
 /** What an operator asks a host to do. */
@@ -13,7 +14,12 @@
   | { type: 'listAudit'; after: string | undefined; limit: number }
   | { type: 'listHosts' }
   | { type: 'listEngines' }
-  | { type: 'listSuspects' };
+  /** Drafts after the key `after`, which is empty for the first page. */
+  | { type: 'listDrafts'; state: DraftState; after: string }
+  | { type: 'retryDraft'; draft: string }
+  | { type: 'deleteDraft'; draft: string }
+  | { type: 'listSuspects' }
+  | { type: 'clearSuspect'; fingerprint: string };
 
 export interface OperatorEvent {
   type: 'operatorAsked';
@@ -53,6 +59,8 @@
   | { type: 'writePlan'; ask: string; plan: Plan }
   | { type: 'readPlan'; ask: string }
   | { type: 'readAudit'; ask: string }
+  /** Records a command before it is carried out. */
+  | { type: 'writeAudit'; ask: string }
   /** Steps of a confirm, in their order. */
   | { type: 'confirmReadPlan'; ask: string }
   | { type: 'confirmReadHead'; ask: string }
@@ -70,11 +78,11 @@
   action: z.string(),
   operator: z.string(),
   atUnixMs: z.int(),
-  /** Revision that the action made. */
+  /** Revision that the action made, or that was in force. */
   revision: z.int().min(0),
   /** Plan that was confirmed. */
-  plan: z.string(),
-  /** The changes in words. */
+  plan: z.string().optional(),
+  /** What was changed, in words. */
   lines: z.array(z.string()),
 });
 export type AuditEntry = z.infer<typeof AuditEntry>;
--- a/tests/admin/fixture.ts
+++ b/tests/admin/fixture.ts
@@ -33,6 +33,10 @@
     dispatch: (event) => {
       cluster.feed('h1', event);
       for (const [id, answer] of cluster.answers) server.answer(id, answer);
+      for (const effect of cluster.draftAnswers.splice(0)) {
+        if (effect.type === 'answerDraftRead') server.answerDraftRead(effect.id, effect.answer);
+        else server.answerDraftList(effect.id, effect.answer);
+      }
     },
   });
   return { cluster, server };
--- a/tests/configuration/cluster.ts
+++ b/tests/configuration/cluster.ts
@@ -18,6 +18,8 @@
   readonly objects = new Map<string, string>();
   readonly states = new Map<string, State>();
   readonly answers = new Map<string, OperatorAnswer>();
+  /** Answers about drafts, which go to the servers directly. */
+  readonly draftAnswers: Extract<Effect, { type: 'answerDraftRead' | 'answerDraftList' }>[] = [];
   readonly commands = new Map<string, OperatorCommand>();
   fault: Fault = () => undefined;
   /** While true, calls of the table wait for `release`, so that those of several hosts interleave. */
@@ -90,6 +92,9 @@
 
   private run(host: string, effect: Effect): void {
     if (effect.type === 'answerOperator') this.answers.set(effect.id, effect.answer);
+    if (effect.type === 'answerDraftRead' || effect.type === 'answerDraftList') {
+      this.draftAnswers.push(effect);
+    }
     if (effect.type === 'sendMessage' && !this.dropsMessages) {
       this.send(host, effect.to, effect.message);
     }
--- a/tests/helpers/simulation.ts
+++ b/tests/helpers/simulation.ts
@@ -22,12 +22,16 @@
   /** Whether the step belongs to the store or an endpoint and outlives the host. */
   isOutside: boolean;
   run: () => void;
+  /** Steps of one link run in order, as over TCP. */
+  link: string | undefined;
 }
 
 export interface SimulationOptions {
   seed: number;
   hosts: string[];
   changes: Change[];
+  /** Whether each host owns all engines; otherwise the hosts agree on owners in the table. */
+  isAlone?: boolean;
   /** Handles the effects that the simulation does not handle itself. */
   onEffect: (simulation: Simulation, host: Host, effect: Effect) => void;
 }
@@ -61,8 +65,7 @@
     const state = State.create({
       host: { id, zone: 'z', region: 'r', address: `${id}:1`, incarnation: this.started },
       policy: {
-        // The engines of these tests need no owner in the table.
-        isAlone: true,
+        isAlone: this.options.isAlone ?? true,
         stallWeight: 0.5,
         loadsPerS: 1000,
         maxRequestsPerCaller: 500,
@@ -120,12 +123,12 @@
   }
 
   /** Adds a step that feeds `event` to `host` later. */
-  feedLater(host: Host, event: () => Event | undefined, isOutside = false): void {
+  feedLater(host: Host, event: () => Event | undefined, isOutside = false, link?: string): void {
     const run = () => {
       const made = event();
       if (made !== undefined) this.feed(host, made);
     };
-    this.steps.push({ host, isOutside, run });
+    this.steps.push({ host, isOutside, run, link });
   }
 
   chance(probability: number): boolean {
@@ -141,7 +144,12 @@
   /** Runs one pending step or, when there is none or by chance, moves on to the next timer. */
   step(): void {
     this.steps = this.steps.filter(({ host, isOutside }) => isOutside || host.isAlive);
-    const ready = this.steps.filter(({ host, isOutside }) => isOutside || !host.isPaused);
+    const links = new Set<string>();
+    const ready = this.steps.filter(({ host, isOutside, link }) => {
+      if (link !== undefined && links.has(link)) return false;
+      if (link !== undefined) links.add(link);
+      return isOutside || !host.isPaused;
+    });
     if (ready.length === 0 || this.chance(0.05)) {
       this.advance();
       return;
@@ -151,6 +159,11 @@
     chosen.run();
   }
 
+  /** Whether a message between hosts is still on its way. */
+  hasMessages(): boolean {
+    return this.steps.some(({ host, link }) => link !== undefined && host.isAlive);
+  }
+
   /** Runs steps without faults until `isDone` holds; throws after `limit` steps. */
   settle(isDone: () => boolean, limit = 20_000): void {
     this.faultRate = 0;
@@ -172,26 +185,9 @@
   }
 
   private introduce(host: Host): void {
-    const { state } = host;
     for (const other of this.alive()) {
-      const { id, zone, region, address, incarnation } = other.state.host;
-      for (const [target, entry] of [
-        [state, { host: id, zone, region, address, incarnation }],
-        [other.state, { ...state.host, host: state.host.id }],
-      ] as const) {
-        target.membership.hosts.set(entry.host, {
-          host: entry.host,
-          zone: entry.zone,
-          region: entry.region,
-          address: entry.address,
-          incarnation: entry.incarnation,
-          revision: 1,
-          state: 'live',
-          protocol: 1,
-          configurationRevision: 1,
-        });
-        target.membership.linked.add(entry.host);
-      }
+      addPeer(host.state, other.state);
+      addPeer(other.state, host.state);
     }
   }
 
@@ -201,7 +197,8 @@
         const { message } = effect;
         const to = this.hosts.get(effect.to);
         if (to === undefined) return;
-        this.feedLater(to, () => ({ type: 'messageReceived', from: host.id, message }));
+        const event: Event = { type: 'messageReceived', from: host.id, message };
+        this.feedLater(to, () => event, false, `${host.id}>${to.id}`);
         return;
       }
       case 'callTable': {
@@ -262,7 +259,7 @@
   }
 
   private addOutside(host: Host, run: () => void): void {
-    this.steps.push({ host, isOutside: true, run });
+    this.steps.push({ host, isOutside: true, run, link: undefined });
   }
 
   private applyObjectCall(call: ObjectCall): ObjectAnswer {
@@ -272,3 +269,10 @@
     return body === undefined ? { type: 'missing' } : { type: 'ok', body };
   }
 }
+
+function addPeer({ membership }: State, peer: State): void {
+  const { id, ...fields } = peer.host;
+  const known = { revision: 1, state: 'live', protocol: 1, configurationRevision: 1 } as const;
+  membership.hosts.set(id, { host: id, ...fields, ...known });
+  membership.linked.add(id);
+}
