--- a/src/requests/handlers.ts
+++ b/src/requests/handlers.ts
@@ -7,8 +7,9 @@
 import { updateSent } from '../engines/views.ts';
 import { admitRequest } from './admission.ts';
 import { endAttempt } from './attempts.ts';
-import { askForGrant, retryLater, sendAsk } from './asking.ts';
+import { askForGrant, askLater, sendAsk } from './asking.ts';
 import { failRequest, releaseAsk } from './ending.ts';
+import { continueVerified } from './verifying.ts';
 import type { Request, RequestEvent, RequestTimer } from './types.ts';
 
 export const requestEvents: EventHandlers<RequestEvent['type']> = {
@@ -33,7 +34,7 @@
 
 export const requestMessages: MessageHandlers<'grantGiven' | 'grantRefused'> = {
   grantGiven: (state, message, from) => {
-    const { request: id, ask, engine, grant, epoch, stallMs } = message;
+    const { request: id, ask, engine, grant, epoch, stallMs, bootId } = message;
     const request = state.requests.inFlight.get(id);
     const address = state.configuration.engines.get(engine)?.address;
     // The owner repeats a grant for an ask that was sent again; this one is in use.
@@ -45,11 +46,13 @@
           request: id,
           engine,
           grant,
+          bootId,
           result: 'unused',
         }),
       ];
     }
-    return startAttempt(state, request, { engine, owner: from, grant, epoch, stallMs, address });
+    const given = { engine, owner: from, grant, epoch, stallMs, bootId, address };
+    return startAttempt(state, request, given);
   },
   grantRefused: (state, { request: id, ask, engine, reason }, _from, now) => {
     const request = state.requests.inFlight.get(id);
@@ -57,7 +60,7 @@
     request.excluded.add(engine);
     updateSent(state.engines, engine, -1);
     request.lastRefusal = reason;
-    return retryLater(state, request, now);
+    return askLater(state, request, now);
   },
 };
 
@@ -77,6 +80,11 @@
     const request = state.requests.inFlight.get(id);
     return request?.phase === 'backoff' ? askForGrant(state, request, now) : [];
   },
+  verifyTimeout: (state, { id, attempts }, now) => {
+    const request = state.requests.inFlight.get(id);
+    const isCurrent = request?.verifying !== undefined && request.attempts === attempts;
+    return !isCurrent ? [] : continueVerified(state, request, now);
+  },
   askTimeout: (state, { id, ask }, now) => {
     const request = state.requests.inFlight.get(id);
     if (request?.phase !== 'asking' || request.ask !== ask) return [];
@@ -87,7 +95,7 @@
     }
     const effects = releaseAsk(state, request);
     if (asked !== undefined) request.excluded.add(asked.engine);
-    return [...effects, ...retryLater(state, request, now)];
+    return [...effects, ...askLater(state, request, now)];
   },
 };
 
@@ -100,10 +108,11 @@
     grant: string;
     epoch: number;
     stallMs: number;
+    bootId: string;
     address: string;
   },
 ): Effect[] {
-  const { engine, owner, grant, epoch, stallMs, address } = given;
+  const { engine, owner, grant, epoch, stallMs, bootId, address } = given;
   request.phase = 'running';
   request.attempts += 1;
   request.loadStallMs += stallMs;
@@ -113,6 +122,7 @@
     owner,
     grant,
     epoch,
+    bootId,
     hasStarted: false,
   };
   return [
