--- a/tests/faults/runCase.ts
+++ b/tests/faults/runCase.ts
@@ -10,6 +10,8 @@
   failures: string;
   name: string;
   seed: number;
+  /** Runs in one layout only, because it waits for leases or timeouts. */
+  isLong?: boolean;
   workload?: Partial<WorkloadOptions>;
   settings?: Record<string, string>;
   /** Injects the failures while the callers send, and heals what does not heal by itself. */
--- a/tests/faults/singles.ts
+++ b/tests/faults/singles.ts
@@ -58,6 +58,7 @@
     failures: 'F4',
     name: 'the table service and the object store are down past the leases, then slow',
     seed: 4,
+    isLong: true,
     workload: { adapters: 6 },
     run: async (deployment, workload) => {
       deployment.platform.setDown(true);
@@ -98,6 +99,7 @@
     failures: 'F6',
     name: 'an owner is paused past its lease and goes on',
     seed: 6,
+    isLong: true,
     workload: { adapters: MANY_ADAPTERS },
     run: async (deployment, workload) => {
       const [engine] = deployment.platform.engines;
@@ -138,6 +140,7 @@
     failures: 'F9',
     name: 'all open connections go silent for good',
     seed: 9,
+    isLong: true,
     run: async (deployment, workload) => {
       for (const { proxy } of deployment.network.getPlaces()) proxy.silence();
       await moreAnswers(workload, 40);
@@ -162,6 +165,7 @@
     failures: 'F10',
     name: 'a zone is cut off from the platform and from other zones in one direction',
     seed: 11,
+    isLong: true,
     run: async (deployment, workload) => {
       const zone = getZone(deployment, 1);
       await deployment.network.cutZone(zone, 'platform');
