--- a/tests/faults/runCase.ts
+++ b/tests/faults/runCase.ts
@@ -18,6 +18,11 @@
   run: (deployment: Deployment, workload: Workload) => Promise<void>;
 }
 
+/** Returns the rows of `it.each`; a title with `%s` is not shortened, as one with `$name` is. */
+export function getRows(cases: readonly FaultCase[]): [string, FaultCase][] {
+  return cases.map((fault) => [`${fault.failures}: ${fault.name}`, fault]);
+}
+
 /** Complete answers before the failure, so that adapters are resident and requests in flight. */
 const WARM_UP_ANSWERS = 30;
 /** Time within which every host serves again once nothing fails any more. */
--- a/tests/faults/singles.ts
+++ b/tests/faults/singles.ts
@@ -18,6 +18,7 @@
     failures: 'F1',
     name: 'all callers turn to cold adapters',
     seed: 1,
+    isLong: true,
     workload: { adapters: MANY_ADAPTERS },
     run: async (_deployment, workload) => {
       await moreAnswers(workload, 60);
@@ -39,6 +40,7 @@
     failures: 'F3',
     name: 'loads of an adapter and all loads of an engine fail',
     seed: 3,
+    isLong: true,
     run: async (deployment, workload) => {
       const { platform } = deployment;
       const failLoadsOf = getAdapters('atlas').map((name) => `${name}@v1`);
