Refuse grants of an older epoch than the highest seen

Ruled out: the check of the request's current ask; the ask is still current when the former owner answers it late. Checking at the owner: it does not know yet that it lost the engine. Change: grantGiven releases a stale grant as unused and places the request anew after a backoff, counting no attempt; it notes the epoch of a grant that it uses. A grant for an engine that was removed is placed anew in the same way instead of waiting for the ask timeout.

--- a/src/requests/handlers.ts
+++ b/src/requests/handlers.ts
@@ -3,7 +3,7 @@
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
-import { isReachable } from '../ownership/owner.ts';
+import { isReachable, isStaleEpoch, noteEpoch } from '../ownership/owner.ts';
 import { updateSent } from '../engines/views.ts';
 import { admitRequest } from './admission.ts';
 import { endAttempt } from './attempts.ts';
@@ -33,24 +33,23 @@
 };
 
 export const requestMessages: MessageHandlers<'grantGiven' | 'grantRefused'> = {
-  grantGiven: (state, message, from) => {
+  grantGiven: (state, message, from, now) => {
     const { request: id, ask, engine, grant, epoch, stallMs, bootId } = message;
     const request = state.requests.inFlight.get(id);
     const address = state.configuration.engines.get(engine)?.address;
     // The owner repeats a grant for an ask that was sent again; this one is in use.
     if (request?.attempt?.grant === grant) return [];
-    if (request?.phase !== 'asking' || request.ask !== ask || address === undefined) {
-      return [
-        deliver(state, from, {
-          type: 'grantReleased',
-          request: id,
-          engine,
-          grant,
-          bootId,
-          result: 'unused',
-        }),
-      ];
+    const isAsked = request?.phase === 'asking' && request.ask === ask;
+    const isStale = isStaleEpoch(state, engine, epoch);
+    if (!isAsked || address === undefined || isStale) {
+      const released = { request: id, engine, grant, bootId, result: 'unused' as const };
+      const effects = [deliver(state, from, { type: 'grantReleased', ...released })];
+      if (!isAsked) return effects;
+      // The engine was removed, or another host owns it by now and may evict the adapter.
+      updateSent(state.engines, engine, -1);
+      return [...effects, ...askLater(state, request, now)];
     }
+    noteEpoch(state, engine, epoch);
     const given = { engine, owner: from, grant, epoch, stallMs, bootId, address };
     return startAttempt(state, request, given);
   },
