Use the host list's word on leaving endpoints wherever the intent counts

Ruled out: writing the host list's word into the configuration, which is durable and belongs to operators. Refusing inside updateLeaving, which would make membership import the owner's queue; a due timer is enough. Change: these places call isEndpointLeaving. When an owned engine starts leaving, its queue is served at once, which refuses the waiting asks. A host that knows that the engine leaves gives a grant for it back unused. src/actions and the placement of suspects asked isEndpointLeaving already; a case for service endpoints is added. Conclusion: an intent and the host list have the same effect.

--- a/src/grants/reconcile.ts
+++ b/src/grants/reconcile.ts
@@ -2,6 +2,7 @@
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
+import { isEndpointLeaving } from '../membership/endpoints.ts';
 import { canOrderDestructively } from '../ownership/owner.ts';
 import { getRing } from '../routing/rings.ts';
 import { RECONCILE_MS } from './constants.ts';
@@ -51,7 +52,7 @@
 /** Whether `engine` may get new work: it is not leaving and it answers. */
 export function isUsable(state: State, engine: string): boolean {
   const view = state.engines.views.get(engine)?.state;
-  return !state.configuration.leaving.has(engine) && view !== 'leaving' && view !== 'unreachable';
+  return !isEndpointLeaving(state, engine) && view !== 'leaving' && view !== 'unreachable';
 }
 
 /** Orders the configured role once nothing runs; until then the engine gets no new requests. */
--- a/src/grants/serve.ts
+++ b/src/grants/serve.ts
@@ -4,6 +4,7 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { updateLoad } from '../engines/views.ts';
+import { isEndpointLeaving } from '../membership/endpoints.ts';
 import { ENGINE_CANCEL_MS } from './constants.ts';
 import { orderLoads } from './orders.ts';
 import { addPin } from './pins.ts';
@@ -39,7 +40,7 @@
 /** Why an engine takes no asks at all; undefined when it does. */
 export function getQueueRefusal(state: State, owned: OwnedEngine): RefusalReason | undefined {
   const view = state.engines.views.get(owned.id)?.state;
-  if (state.configuration.leaving.has(owned.id) || view === 'leaving') return 'leaving';
+  if (isEndpointLeaving(state, owned.id) || view === 'leaving') return 'leaving';
   if (view === 'unreachable') return 'unreachable';
   return owned.isRoleChanging ? 'full' : undefined;
 }
--- a/src/membership/endpoints.ts
+++ b/src/membership/endpoints.ts
@@ -2,6 +2,7 @@
 import type { Effect } from '../core/effects.ts';
 import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
 import {
   HOST_LIST_BYTES_PER_S,
   HOST_LIST_MS,
@@ -47,6 +48,8 @@
     if (!leavingEndpoints.has(id))
       effects.push(newLog('info', 'endpoint leaves', { endpoint: id }));
     leavingEndpoints.set(id, now);
+    // Refuses the asks that wait there, so that their hosts place them elsewhere.
+    if (state.grants.owned.has(id)) schedule(state, now, { type: 'serveQueue', engine: id });
   }
   for (const id of live) leavingEndpoints.delete(id);
   return effects;
--- a/src/operators/actions/listEngines.ts
+++ b/src/operators/actions/listEngines.ts
@@ -1,3 +1,4 @@
+import { isEndpointLeaving } from '../../membership/endpoints.ts';
 import { getOwner } from '../../ownership/owner.ts';
 import { answerDone, type OperatorAction } from '../answer.ts';
 
@@ -9,7 +10,7 @@
     return {
       ...engine,
       owner: getOwner(state, engine.id)?.host ?? null,
-      isLeaving: configuration.leaving.has(engine.id),
+      isLeaving: isEndpointLeaving(state, engine.id),
       role: configuration.roles.get(engine.id) ?? 'mixed',
       state: view?.state ?? 'unknown',
       residents: [...(view?.residents ?? [])],
--- a/src/requests/handlers.ts
+++ b/src/requests/handlers.ts
@@ -3,6 +3,7 @@
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
+import { isEndpointLeaving } from '../membership/endpoints.ts';
 import { isReachable, isStaleEpoch, noteEpoch } from '../ownership/owner.ts';
 import { updateSent } from '../engines/views.ts';
 import { admitRequest } from './admission.ts';
@@ -40,12 +41,12 @@
     // The owner repeats a grant for an ask that was sent again; this one is in use.
     if (request?.attempt?.grant === grant) return [];
     const isAsked = request?.phase === 'asking' && request.ask === ask;
-    const isStale = isStaleEpoch(state, engine, epoch);
-    if (!isAsked || address === undefined || isStale) {
+    const isRefused = isStaleEpoch(state, engine, epoch) || isEndpointLeaving(state, engine);
+    if (!isAsked || address === undefined || isRefused) {
       const released = { request: id, engine, grant, bootId, result: 'unused' as const };
       const effects = [deliver(state, from, { type: 'grantReleased', ...released })];
       if (!isAsked) return effects;
-      // The engine was removed, or another host owns it by now and may evict the adapter.
+      // The engine was removed or leaves, or another host owns it and may evict the adapter.
       updateSent(state.engines, engine, -1);
       return [...effects, ...askLater(state, request, now)];
     }
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -1,5 +1,6 @@
 import type { State } from '../core/state.ts';
 import { getLoad } from '../engines/views.ts';
+import { isEndpointLeaving } from '../membership/endpoints.ts';
 import { getOwner, isReachable, type Owner } from '../ownership/owner.ts';
 import type { Request } from '../requests/types.ts';
 import {
@@ -78,7 +79,7 @@
   const known = configuration.engines.get(engine);
   if (known === undefined || request.excluded.has(engine)) return undefined;
   const view = engines.views.get(engine)?.state;
-  if (configuration.leaving.has(engine) || view === 'leaving' || view === 'unreachable') {
+  if (isEndpointLeaving(state, engine) || view === 'leaving' || view === 'unreachable') {
     return undefined;
   }
   const owner = getOwner(state, engine);
--- a/tests/actions/actions.test.ts
+++ b/tests/actions/actions.test.ts
@@ -128,6 +128,8 @@
   name: string;
   busy?: Record<string, number>;
   leaving?: string[];
+  /** Endpoints that leave by the host list. */
+  listed?: string[];
   avoided?: string[];
   expected: string | undefined;
 }
@@ -149,11 +151,13 @@
       expected: 's1',
     },
     { name: 'never takes a leaving one', leaving: ['s1', 's2', 's3'], expected: undefined },
-  ])('$name', ({ busy = {}, leaving = [], avoided = [], expected }) => {
+    { name: 'skips one that only the host list says is leaving', listed: ['s1'], expected: 's2' },
+  ])('$name', ({ busy = {}, leaving = [], listed = [], avoided = [], expected }) => {
     const { simulation } = newSimulation();
     const { state } = simulation.get('h1');
     for (const [id, count] of Object.entries(busy)) state.actions.outstanding.set(id, count);
     for (const id of leaving) state.configuration.leaving.add(id);
+    for (const id of listed) state.membership.leavingEndpoints.set(id, 0);
     for (const id of avoided) state.actions.avoidUntil.set(id, 10);
     expect(chooseEndpoint(state, SERVICE, new Set(), 5)?.id).toBe(expected);
   });
--- a/tests/grants/owner.test.ts
+++ b/tests/grants/owner.test.ts
@@ -53,6 +53,11 @@
   });
 }
 
+const LEAVING = {
+  ...{ id: 'e0', kind: 'engine', address: '127.0.0.1:9000', zone: 'z' },
+  state: 'leaving' as const,
+};
+
 const warm: Change = { type: 'putWarm', warm: { adapter: 'a2', pool: 'p', copies: 1 } };
 
 describe('the owner of an engine', () => {
@@ -91,12 +96,36 @@
   });
 
   // Guards against new work on an endpoint that leaves (G6), and askers that wait for it in vain.
-  it('refuses waiting and new asks of an engine that leaves', () => {
-    const state = newOwner();
+  it.each([
+    {
+      name: 'by intent',
+      leave: (state: State) => {
+        applyChange(state.configuration, { type: 'putLeaving', endpoint: 'e0' });
+        return updateOwned(state, 20);
+      },
+    },
+    {
+      name: 'by the host list',
+      leave: (state: State) => [
+        ...reduce(state, { type: 'hostListRead', entries: [LEAVING] }, 20),
+        ...reduce(state, { type: 'tick' }, 20),
+      ],
+    },
+    {
+      name: 'by word of another host',
+      leave: (state: State) => {
+        const message = { type: 'endpointsLeaving' as const, leaving: ['e0'], live: [] };
+        reduce(state, { type: 'messageReceived', from: 'h9', message }, 20);
+        return reduce(state, { type: 'tick' }, 20);
+      },
+    },
+  ])('refuses waiting and new asks of an engine that leaves $name', ({ leave }) => {
+    const state = newOwner([warm]);
+    reduce(state, { type: 'tick' }, 0);
     ask(state, {}, 10);
-    applyChange(state.configuration, { type: 'putLeaving', endpoint: 'e0' });
-    expect(getMessages(updateOwned(state, 20))).toEqual(['refused leaving']);
+    expect(getMessages(leave(state))).toEqual(['refused leaving']);
     expect(getMessages(ask(state, { request: 'r2' }, 30))).toEqual(['refused leaving']);
+    expect(getOrders(reduce(state, { type: 'tick' }, 2_000))).toEqual([]);
   });
 
   // Guards against a second grant, or a second place in the queue, for an ask sent twice.
--- a/tests/requests/grants.test.ts
+++ b/tests/requests/grants.test.ts
@@ -52,4 +52,30 @@
     });
     expect(state.engines.views.get('e0')?.epoch).toBe(Math.max(5, epoch));
   });
+
+  // Guards against new work on an endpoint that leaves (G6) when its owner learns of it later.
+  it('is given back when only this host knows that the engine leaves', () => {
+    const { state, owner, ask } = newAsker();
+    state.membership.leavingEndpoints.set('e0', 5);
+    const effects = giveGrant(state, owner, ask, 5);
+    expect(effects.some(({ type }) => type === 'startAttempt')).toBe(false);
+    expect(getSent(effects)).toMatchObject([{ type: 'grantReleased', result: 'unused' }]);
+    expect(state.requests.inFlight.get('r')).toMatchObject({ phase: 'backoff', attempts: 0 });
+  });
+});
+
+describe('placement', () => {
+  // Guards against new work on an endpoint that leaves (G6) when no intent says so.
+  it('passes over an engine that leaves by the host list', () => {
+    const [state] = newFleet({ hosts: 1, engines: 2 });
+    if (state === undefined) throw new Error('the fleet is empty');
+    for (const engine of ['e0', 'e1']) {
+      state.membership.leavingEndpoints.clear();
+      state.membership.leavingEndpoints.set(engine, 0);
+      const request = newRequest(`not-${engine}`, { adapter: 'a0' });
+      reduce(state, { type: 'requestArrived', request }, 10);
+      const asked = state.requests.inFlight.get(request.id)?.asked?.engine;
+      expect(asked).toBe(engine === 'e0' ? 'e1' : 'e0');
+    }
+  });
 });
