Keep an adapter that the engine's own report shows as running

Ruled out: passing the count to canOrderDestructively, which the callers did already: it looks at it only during a takeover. Change: isInUse and the change of a role ask the last report alone; the list of released grants and the set of unexplained adapters are gone. Measured: the new case in tests/grants/owner.test.ts failed before and passes now; tests/grants, ownership, core and suspects pass (67 tests).

--- a/src/grants/handlers.ts
+++ b/src/grants/handlers.ts
@@ -86,7 +86,7 @@
   const { grant, engine, result } = released;
   const mayRun = result === 'failed' || result === 'crashed';
   if (!mayRun) {
-    removePin(owned, grant, now);
+    removePin(owned, grant);
     return;
   }
   endPin(owned, grant);
--- a/src/grants/owned.ts
+++ b/src/grants/owned.ts
@@ -6,7 +6,6 @@
 import { getOwner, isOwner } from '../ownership/owner.ts';
 import { getEngineShare } from './budget.ts';
 import { REPORT_LAG_MS } from './constants.ts';
-import { updateUnexplained } from './pins.ts';
 import { getQueueRefusal, refuseQueue, serveQueue } from './serve.ts';
 import type { OwnedEngine } from './types.ts';
 
@@ -51,7 +50,7 @@
   if (owned === undefined) return [];
   if (owned.bootId !== '' && owned.bootId !== report.bootId) forgetEngine(owned);
   owned.bootId = report.bootId;
-  updateUnexplained(owned, report, now);
+  owned.reported = new Map(Object.entries(report.running));
   const isRecent = (at: number | undefined) => at !== undefined && at + REPORT_LAG_MS > now;
   for (const [model, at] of owned.unloadedAt) if (!isRecent(at)) owned.unloadedAt.delete(model);
   const reported = new Set(report.residents);
@@ -101,8 +100,6 @@
     pinned: new Map(),
     grantOf: new Map(),
     pinsByFirm: new Map(),
-    released: [],
-    unexplained: new Set(),
     reported: new Map(),
     residents: new Map(),
     loading: new Map(),
--- a/src/grants/pins.ts
+++ b/src/grants/pins.ts
@@ -1,5 +1,3 @@
-import type { EngineReport } from '../engines/types.ts';
-import { REPORT_LAG_MS } from './constants.ts';
 import type { OwnedEngine, Pin } from './types.ts';
 
 export function addPin(owned: OwnedEngine, pin: Pin): void {
@@ -9,18 +7,14 @@
   addTo(owned.pinsByFirm, pin.firm, 1);
 }
 
-/**
- * Removes a pin; returns whether it existed. With `endedAt`, the request has ended by then, and an
- * older report that still shows it is no reason to keep the adapter.
- */
-export function removePin(owned: OwnedEngine, grant: string, endedAt?: number): boolean {
+/** Removes a pin; returns whether it existed. */
+export function removePin(owned: OwnedEngine, grant: string): boolean {
   const pin = owned.pins.get(grant);
   if (pin === undefined) return false;
   endPin(owned, grant);
   owned.pins.delete(grant);
   addTo(owned.pinned, pin.model, -1);
   addTo(owned.pinsByFirm, pin.firm, -1);
-  if (endedAt !== undefined) owned.released.push({ model: pin.model, at: endedAt });
   return true;
 }
 
@@ -36,25 +30,12 @@
   return grant === undefined ? undefined : owned.pins.get(grant);
 }
 
-/** Whether a grant pins `model`, or the engine reported requests for it that no grant explains. */
-export function isInUse(owned: OwnedEngine, model: string): boolean {
-  return owned.pinned.has(model) || owned.unexplained.has(model);
-}
-
 /**
- * Records which adapters the engine runs beyond this host's grants: requests that a predecessor
- * granted, or whose pin expired. A report lags, so requests released shortly before count as
- * explained.
+ * Whether a grant pins `model` or the engine's last report shows requests for it: some of a
+ * predecessor, some whose pin expired, or some whose release came before the report changed.
  */
-export function updateUnexplained(owned: OwnedEngine, report: EngineReport, now: number): void {
-  owned.released = owned.released.filter(({ at }) => at + REPORT_LAG_MS > now);
-  const explained = new Map(owned.pinned);
-  for (const { model } of owned.released) addTo(explained, model, 1);
-  owned.reported = new Map(Object.entries(report.running));
-  owned.unexplained.clear();
-  for (const [model, running] of owned.reported) {
-    if (running > (explained.get(model) ?? 0)) owned.unexplained.add(model);
-  }
+export function isInUse(owned: OwnedEngine, model: string): boolean {
+  return owned.pinned.has(model) || (owned.reported.get(model) ?? 0) > 0;
 }
 
 function addTo(counts: Map<string, number>, key: string, by: number): void {
--- a/src/grants/reconcile.ts
+++ b/src/grants/reconcile.ts
@@ -63,7 +63,7 @@
   if (engine === undefined || !owned.isRoleChanging) return [];
   const refused = refuseQueue(state, owned, 'full');
   const reported = [...owned.reported.values()].reduce((sum, count) => sum + count, 0);
-  const isIdle = owned.pins.size === 0 && owned.unexplained.size === 0;
+  const isIdle = owned.pins.size === 0 && reported === 0;
   if (!isIdle || owned.isRoleOrdered) return refused;
   if (!canOrderDestructively(state, owned.id, now, reported)) return refused;
   owned.isRoleOrdered = true;
--- a/src/grants/types.ts
+++ b/src/grants/types.ts
@@ -134,10 +134,6 @@
   /** Last grant of each request. */
   grantOf: Map<string, string>;
   pinsByFirm: Map<string, number>;
-  /** Grants released within the lag of a report. */
-  released: { model: string; at: number }[];
-  /** Adapters that the engine runs requests of which no grant explains. */
-  unexplained: Set<string>;
   /** Requests that the engine's last report shows, by `adapter@version`. */
   reported: Map<string, number>;
   residents: Map<string, Resident>;
--- a/tests/grants/owner.test.ts
+++ b/tests/grants/owner.test.ts
@@ -32,8 +32,14 @@
   return reduce(state, { type: 'messageReceived', from: 'h9', message }, now);
 }
 
-function report(state: State, now: number, bootId: string, residents: string[]): Effect[] {
-  const one = { bootId, running: {}, waiting: 0, slots: 3, residents };
+function report(
+  state: State,
+  now: number,
+  bootId: string,
+  residents: string[],
+  running: Record<string, number> = {},
+): Effect[] {
+  const one = { bootId, running, waiting: 0, slots: 3, residents };
   return reduce(state, { type: 'engineReported', engine: 'e0', report: one }, now);
 }
 
@@ -95,6 +101,25 @@
     expect(getOrders(effects)).toContain(`unload ${unload}`);
   });
 
+  // Guards against the eviction of an adapter in use (G2), also when no grant explains the use or
+  // when a grant was released that the engine still shows as running.
+  it.each([
+    { name: 'without a grant', isGranted: false },
+    { name: 'after its grant was released', isGranted: true },
+  ])('unloads no adapter that the engine reports as running $name', ({ isGranted }) => {
+    const state = newOwner([], 1);
+    report(state, 0, '1', ['a0@v1']);
+    if (isGranted) ask(state, {}, 2_500);
+    report(state, 2_600, '1', ['a0@v1'], { 'a0@v1': 1 });
+    const grant = [...(state.grants.owned.get('e0')?.pins.keys() ?? [])][0] ?? '';
+    const message = { type: 'grantReleased' as const, request: 'r1', engine: 'e0', grant };
+    const released = { ...message, result: 'completed' as const };
+    reduce(state, { type: 'messageReceived', from: 'h9', message: released }, 2_700);
+    const effects = ask(state, { request: 'r2', model: 'a3@v1', kind: 'urgent' }, 9_000);
+    expect(getOrders(effects)).toEqual([]);
+    expect(getOrders(report(state, 9_500, '1', ['a0@v1']))).toEqual(['unload a0@v1']);
+  });
+
   // Guards against new work on an endpoint that leaves (G6), and askers that wait for it in vain.
   it.each([
     {
