Place asks anew when their owner changes or cannot be reached

Cause: an ask whose owner's link closed waited for the ask timeout (10 s); after a refusal as notOwner the engine was never used again for that request; engines whose owner is in another zone outside the mesh could not be used, as nothing opened a link. Ruled out: asks left in the queue of an owner that loses the engine: updateOwned refuses them in the same turn, which three new cases (leaving, new members, removal while paused) confirm; they passed before. Change: on linkClosed the receiving host places such requests anew at once, without an attempt or a retry counted, and the owner drops the waiting asks of that host. A notOwner refusal excludes the engine from the third one on only, and lengthens the backoff. Where no engine can be asked, a link to the owner of the best other one is opened and awaited for up to 1 s; a link outside the mesh that is used is kept. Conclusion: a request moves in the turn in which its host learns that the owner is lost.

--- a/bench/scale/measure.ts
+++ b/bench/scale/measure.ts
@@ -85,6 +85,8 @@
     attempt: undefined,
     attempts: 0,
     excluded: new Set(),
+    moves: 0,
+    linkedTo: new Set(),
     loadStallMs: 0,
     mayHaveRun: false,
     lastRefusal: undefined,
--- a/src/grants/serve.ts
+++ b/src/grants/serve.ts
@@ -52,6 +52,17 @@
   return refused.flatMap((ask) => refuse(state, ask, reason));
 }
 
+/** Drops the waiting asks of a host whose link closed; it places them anew. */
+export function dropAsks(state: State, host: string, now: number): Effect[] {
+  const effects: Effect[] = [];
+  for (const owned of state.grants.owned.values()) {
+    if (!owned.queue.some(({ from }) => from === host)) continue;
+    owned.queue = owned.queue.filter(({ from }) => from !== host);
+    effects.push(...serveQueue(state, owned, now));
+  }
+  return effects;
+}
+
 /** Returns the message that refuses `ask`. */
 export function refuse(
   state: State,
--- a/src/membership/handlers.ts
+++ b/src/membership/handlers.ts
@@ -4,6 +4,8 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { DIGEST_MS, GOSSIP_MS, MAX_ENTRIES, SUMMARY_MS } from './constants.ts';
+import { dropAsks } from '../grants/serve.ts';
+import { continueLinked, moveAsks } from '../requests/asking.ts';
 import { getHostListInterval, updateLeaving, updateLeavingFromList } from './endpoints.ts';
 import { answerDigest, answerVersions, sendDigest, sendEntries, spreadEntries } from './gossip.ts';
 import { getDigest, mergeHost, updateGone, updateOwnEntry } from './hosts.ts';
@@ -50,12 +52,13 @@
       ...sendEntries(state, [host], own === undefined ? [] : [own]),
       deliver(state, host, { type: 'membershipDigest', hash: getDigest(state, now) }),
       deliver(state, host, { type: 'engineWanted', engines: [] }),
+      ...continueLinked(state, host, now),
     ];
   },
   linkClosed: (state, { host }, now) => {
     state.membership.linked.delete(host);
     state.membership.unlinkedSince.set(host, now);
-    return [];
+    return [...dropAsks(state, host, now), ...moveAsks(state, host, now)];
   },
   hostListRead: (state, { entries }, now) => {
     state.membership.listedHosts = entries.length;
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -76,6 +76,8 @@
     attempts: 0,
     verifying: undefined,
     excluded: new Set(),
+    moves: 0,
+    linkedTo: new Set(),
     loadStallMs: 0,
     mayHaveRun: false,
     lastRefusal: undefined,
--- a/src/requests/asking.ts
+++ b/src/requests/asking.ts
@@ -4,11 +4,19 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { Failure } from '../errors/failure.ts';
+import { isFullMesh } from '../membership/hosts.ts';
+import { wantLink } from '../membership/links.ts';
 import { updateSent } from '../engines/views.ts';
 import { chooseSuspectPlacement } from '../suspects/placement.ts';
 import { checkQuarantine, getSuspicion } from '../suspects/suspicion.ts';
 import { choosePlacement } from '../routing/placement.ts';
-import { ASK_TIMEOUT_MS, MAX_ATTEMPTS, RETRY_BASE_MS, RETRY_MAX_MS } from './constants.ts';
+import {
+  ASK_TIMEOUT_MS,
+  LINK_WAIT_MS,
+  MAX_ATTEMPTS,
+  RETRY_BASE_MS,
+  RETRY_MAX_MS,
+} from './constants.ts';
 import { failRequest } from './ending.ts';
 import type { Request } from './types.ts';
 
@@ -18,17 +26,58 @@
   const quarantine = checkQuarantine(state, fingerprint, request.mayHaveRun);
   if (quarantine !== undefined) return failRequest(state, request, quarantine);
   const isSuspect = getSuspicion(state, fingerprint) === 'suspect';
-  const placement = isSuspect
-    ? chooseSuspectPlacement(state, request)
-    : choosePlacement(state, request);
+  const choose = isSuspect ? chooseSuspectPlacement : choosePlacement;
+  const placement = choose(state, request);
   if (placement === undefined) {
-    return failRequest(state, request, getUnavailableFailure(request));
+    const linked = choose(state, request, (owner) => canLink(state, request, owner));
+    if (linked === undefined) return failRequest(state, request, getUnavailableFailure(request));
+    return waitForLink(state, request, linked.owner.host, now);
   }
+  const owner = placement.owner.host;
   request.phase = 'asking';
   request.ask += 1;
-  request.asked = { engine: placement.engine, owner: placement.owner.host };
+  request.asked = { engine: placement.engine, owner };
   updateSent(state.engines, placement.engine, 1);
-  return sendAsk(state, request, request.asked, now);
+  const isInMesh = isFullMesh(state) || getZone(state, owner) === state.host.zone;
+  const kept = isInMesh ? [] : wantLink(state, owner, now);
+  return [...kept, ...sendAsk(state, request, request.asked, now)];
+}
+
+/** Places the requests anew that wait for a grant of `host`, whose link closed. */
+export function moveAsks(state: State, host: string, now: number): Effect[] {
+  const effects: Effect[] = [];
+  for (const request of [...state.requests.inFlight.values()]) {
+    if (request.phase !== 'asking' || request.asked?.owner !== host) continue;
+    updateSent(state.engines, request.asked.engine, -1);
+    request.asked = undefined;
+    effects.push(...askForGrant(state, request, now));
+  }
+  return effects;
+}
+
+/** Places the requests that wait for a link to `host`, which is open now. */
+export function continueLinked(state: State, host: string, now: number): Effect[] {
+  return [...state.requests.inFlight.values()]
+    .filter(({ phase, linkedTo }) => phase === 'backoff' && linkedTo.has(host))
+    .flatMap((request) => askForGrant(state, request, now));
+}
+
+/** Whether a link to an owner of another zone can be opened that was not tried for the request. */
+function canLink(state: State, request: Request, owner: string): boolean {
+  const entry = state.membership.hosts.get(owner);
+  if (entry === undefined || entry.state === 'gone' || isFullMesh(state)) return false;
+  return entry.zone !== state.host.zone && !request.linkedTo.has(owner);
+}
+
+function waitForLink(state: State, request: Request, owner: string, now: number): Effect[] {
+  request.phase = 'backoff';
+  request.linkedTo.add(owner);
+  schedule(state, now + LINK_WAIT_MS, { type: 'requestRetry', id: request.id });
+  return wantLink(state, owner, now);
+}
+
+function getZone(state: State, host: string): string | undefined {
+  return host === state.host.id ? state.host.zone : state.membership.hosts.get(host)?.zone;
 }
 
 /**
@@ -90,7 +139,7 @@
 export function askLater(state: State, request: Request, now: number): Effect[] {
   request.asked = undefined;
   request.phase = 'backoff';
-  const tries = request.attempts + request.excluded.size;
+  const tries = request.attempts + request.excluded.size + request.moves;
   const limit = Math.min(RETRY_MAX_MS, RETRY_BASE_MS * 2 ** tries);
   const at = now + state.random.getFraction() * limit;
   schedule(state, at, { type: 'requestRetry', id: request.id });
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -7,6 +7,10 @@
 export const RETRY_MAX_MS = 1_000;
 /** Time after which an owner that did not answer an ask is given up on. */
 export const ASK_TIMEOUT_MS = 10_000;
+/** Time that a request waits for a new link to the owner of an engine in another zone. */
+export const LINK_WAIT_MS = 1_000;
+/** Refusals by hosts that do not own an engine any more, after which a request goes elsewhere. */
+export const MAX_MOVES = 3;
 /** Priority of a caller that no intent names, 0 (first) to 9 (last). */
 export const DEFAULT_PRIORITY = 5;
 /** Time within which a probe tells whether an engine crashed, after an attempt broke. */
--- a/src/requests/handlers.ts
+++ b/src/requests/handlers.ts
@@ -7,6 +7,7 @@
 import { isReachable, isStaleEpoch, noteEpoch } from '../ownership/owner.ts';
 import { updateSent } from '../engines/views.ts';
 import { admitRequest } from './admission.ts';
+import { MAX_MOVES } from './constants.ts';
 import { endAttempt } from './attempts.ts';
 import { askForGrant, askLater, sendAsk } from './asking.ts';
 import { failRequest, releaseAsk } from './ending.ts';
@@ -57,7 +58,9 @@
   grantRefused: (state, { request: id, ask, engine, reason }, _from, now) => {
     const request = state.requests.inFlight.get(id);
     if (request?.phase !== 'asking' || request.ask !== ask) return [];
-    request.excluded.add(engine);
+    if (reason === 'notOwner') request.moves += 1;
+    // The engine itself can run the request; only its owner changed.
+    if (reason !== 'notOwner' || request.moves >= MAX_MOVES) request.excluded.add(engine);
     updateSent(state.engines, engine, -1);
     request.lastRefusal = reason;
     return askLater(state, request, now);
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -58,6 +58,10 @@
   verifying: { engine: string; failure: Failure | undefined } | undefined;
   /** Engines that failed this request. */
   excluded: Set<string>;
+  /** Refusals by hosts that did not own the engine any more. */
+  moves: number;
+  /** Owners to which a link was opened for this request. */
+  linkedTo: Set<string>;
   loadStallMs: number;
   /** Whether an attempt ended without proof that nothing ran. */
   mayHaveRun: boolean;
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -18,6 +18,9 @@
   owner: Owner;
 }
 
+/** Whether the owner of an engine can be asked for a grant. */
+export type CanAsk = (owner: string) => boolean;
+
 interface Candidate extends Placement {
   load: number;
   batch: number;
@@ -27,32 +30,36 @@
  * Chooses the engine that `request` is sent to; undefined when none can take it. A resident copy
  * with room comes first, then the engine that all hosts choose for the adapter on the ring.
  */
-export function choosePlacement(state: State, request: Request): Placement | undefined {
-  const holder = getLeastLoaded(state, getHolders(state, request));
+export function choosePlacement(
+  state: State,
+  request: Request,
+  canAsk: CanAsk = (owner) => isReachable(state, owner),
+): Placement | undefined {
+  const holder = getLeastLoaded(state, getHolders(state, request, canAsk));
   if (holder !== undefined && !isWorthSecondCopy(holder)) return holder;
-  const candidates = getRingCandidates(state, request);
+  const candidates = getRingCandidates(state, request, canAsk);
   if (holder === undefined) return getRingChoice(state, candidates);
   const other = getLeastLoaded(state, candidates);
   return other !== undefined && other.load < other.batch * SECOND_COPY_MAX_LOAD ? other : holder;
 }
 
-function getHolders(state: State, request: Request): Candidate[] {
+function getHolders(state: State, request: Request, canAsk: CanAsk): Candidate[] {
   const holders = state.engines.holders.get(request.model);
   if (holders === undefined) return [];
   const start = holders.size > MAX_HOLDERS_COMPARED ? state.random.getInteger(holders.size) : 0;
   return holders
     .take(start, MAX_HOLDERS_COMPARED)
-    .flatMap((engine) => newCandidate(state, request, engine) ?? []);
+    .flatMap((engine) => newCandidate(state, request, engine, canAsk) ?? []);
 }
 
-function getRingCandidates(state: State, request: Request): Candidate[] {
+function getRingCandidates(state: State, request: Request, canAsk: CanAsk): Candidate[] {
   const model = state.configuration.adapters.get(request.adapter)?.model ?? '';
   const found: Candidate[] = [];
   getRing(state, model)?.find(
     request.model,
     RING_CANDIDATES,
     (engine) => {
-      const candidate = newCandidate(state, request, engine);
+      const candidate = newCandidate(state, request, engine, canAsk);
       if (candidate !== undefined) found.push(candidate);
       return candidate !== undefined;
     },
@@ -74,7 +81,12 @@
   return load >= batch * SECOND_COPY_MIN_LOAD;
 }
 
-function newCandidate(state: State, request: Request, engine: string): Candidate | undefined {
+function newCandidate(
+  state: State,
+  request: Request,
+  engine: string,
+  canAsk: CanAsk,
+): Candidate | undefined {
   const { configuration, engines } = state;
   const known = configuration.engines.get(engine);
   if (known === undefined || request.excluded.has(engine)) return undefined;
@@ -83,7 +95,7 @@
     return undefined;
   }
   const owner = getOwner(state, engine);
-  if (owner === undefined || !isReachable(state, owner.host)) return undefined;
+  if (owner === undefined || !canAsk(owner.host)) return undefined;
   return { engine, owner, load: getLoad(engines, engine), batch: known.batch };
 }
 
--- a/src/suspects/placement.ts
+++ b/src/suspects/placement.ts
@@ -1,31 +1,32 @@
 import type { State } from '../core/state.ts';
 import { isEndpointLeaving } from '../membership/endpoints.ts';
 import { getOwner, isReachable } from '../ownership/owner.ts';
-import type { Placement } from '../routing/placement.ts';
+import type { CanAsk, Placement } from '../routing/placement.ts';
 import { chooseSuspectEngine } from './suspicion.ts';
 
 /** Returns where a suspect runs: the same engine for all hosts that see the same engines. */
 export function chooseSuspectPlacement(
   state: State,
   request: { adapter: string; fingerprint: string; excluded: ReadonlySet<string> },
+  canAsk: CanAsk = (owner) => isReachable(state, owner),
 ): Placement | undefined {
   const model = state.configuration.adapters.get(request.adapter)?.model;
   const candidates = [...state.configuration.engines.values()]
     .filter((engine) => engine.model === model && !request.excluded.has(engine.id))
     .map(({ id }) => id)
-    .filter((id) => canRun(state, id));
+    .filter((id) => canRun(state, id, canAsk));
   const engine = chooseSuspectEngine(state, request.fingerprint, candidates);
   const owner = engine === undefined ? undefined : getOwner(state, engine);
   if (engine === undefined || owner === undefined) return undefined;
   return { engine, owner };
 }
 
-function canRun(state: State, engine: string): boolean {
+function canRun(state: State, engine: string, canAsk: CanAsk): boolean {
   const owner = getOwner(state, engine);
   return (
     !isEndpointLeaving(state, engine) &&
     state.engines.views.get(engine)?.state !== 'unreachable' &&
     owner !== undefined &&
-    isReachable(state, owner.host)
+    canAsk(owner.host)
   );
 }
--- a/tests/grants/fleet.ts
+++ b/tests/grants/fleet.ts
@@ -12,11 +12,15 @@
   batch?: number;
   adapters?: number;
   changes?: Change[];
+  /** Zone of the engines, and its hosts when they are others. */
+  zone?: string;
+  owners?: string[];
 }
 
 /** Returns the states of linked hosts `h0`, `h1`, ... that own engines `e0`, ... of one zone. */
 export function newFleet(options: FleetOptions): State[] {
   const { hosts, engines, loadsPerS = 100, slots = 2, batch = 4, adapters = 4 } = options;
+  const { zone = 'z', owners = [] } = options;
   const ids = Array.from({ length: hosts }, (_, index) => `h${index}`);
   const states = ids.map((id, index) => {
     const state = State.create({
@@ -30,7 +34,10 @@
       },
       seed: index,
     });
-    const changes = [...getChanges(engines, adapters, slots, batch), ...(options.changes ?? [])];
+    const changes = [
+      ...getChanges(engines, adapters, slots, batch, zone),
+      ...(options.changes ?? []),
+    ];
     applyRevision(state.configuration, {
       revision: 1,
       operator: 'o',
@@ -44,22 +51,28 @@
     for (const host of ids) {
       if (host !== state.host.id) reduce(state, { type: 'linkOpened', host }, 0);
     }
-    setZoneRows(
-      state,
-      ids.map((id) => ({ id, zone: 'z' })),
-    );
+    setZoneRows(state, [
+      ...ids.map((id) => ({ id, zone: 'z' })),
+      ...owners.map((id) => ({ id, zone })),
+    ]);
   }
   return states;
 }
 
-function getChanges(engines: number, adapters: number, slots: number, batch: number): Change[] {
+function getChanges(
+  engines: number,
+  adapters: number,
+  slots: number,
+  batch: number,
+  zone: string,
+): Change[] {
   return [
     ...Array.from({ length: engines }, (_, index): Change => ({
       type: 'putEngine',
       engine: {
         id: `e${index}`,
         address: `127.0.0.1:${9_000 + index}`,
-        zone: 'z',
+        zone,
         pool: 'p',
         model: 'm',
         slots,
--- a/tests/ownership/handover.test.ts
+++ b/tests/ownership/handover.test.ts
@@ -93,6 +93,56 @@
   });
 });
 
+// Guards against asks that wait at a former owner until their hosts give up on it (10 s).
+describe('the asks that wait at an owner', () => {
+  it.each([
+    { name: 'leaves', change: leave },
+    {
+      name: 'gives engines up to a new member',
+      change: (cluster: Cluster) => {
+        for (const id of ['h2', 'h3', 'h4']) cluster.start(id, 'z');
+      },
+    },
+    {
+      name: 'was removed while it was paused',
+      change: (cluster: Cluster, owner: Node) => {
+        cluster.pause(owner.id, 60_000);
+        cluster.run(61_000);
+      },
+    },
+  ])('are refused as soon as it loses the engine when it $name', ({ change }) => {
+    const { cluster, owner, other } = newPair();
+    const before = [owner, other].map(
+      (node) => [node, [...node.state.grants.owned.keys()]] as const,
+    );
+    const asked = new Map(before);
+    const late: string[] = [];
+    const refused = new Set<string>();
+    cluster.onTurn = (node, effects) => {
+      const engines = asked.get(node) ?? [];
+      for (const effect of effects) {
+        if (effect.type !== 'sendMessage' || effect.message.type !== 'grantRefused') continue;
+        if (effect.message.reason === 'notOwner') refused.add(effect.message.engine);
+      }
+      const lost = engines.filter((engine) => !node.state.grants.owned.has(engine));
+      late.push(...lost.filter((engine) => !refused.has(engine)));
+    };
+    for (const [node, engines] of before)
+      for (const engine of engines) {
+        const message = {
+          ...{ type: 'grantAsk' as const, request: `r-${engine}`, ask: 1, engine, model: MODEL },
+          ...{ firm: 'f', kind: 'ordinary' as const, priority: 5, remainingMs: 300_000 },
+          ...{ fingerprint: 'x', maxTokens: 8 },
+        };
+        cluster.feed(node, { type: 'messageReceived', from: 'h9', message });
+      }
+    change(cluster, owner);
+    cluster.run(30_000);
+    expect(refused.size).toBeGreaterThan(0);
+    expect(late).toEqual([]);
+  });
+});
+
 describe('a host that joins', () => {
   it('does not grant an adapter that its predecessor is unloading', () => {
     const cluster = Cluster.create(4, newEngines(['z'], 6));
