--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -139,10 +139,12 @@
 }
 
 function newState({ host, listen, policy, limits }: Settings): State {
+  const { id, zone, region, incarnation, seeds } = host;
   return State.create({
-    host: { ...host, address: listen.advertised },
+    host: { id, zone, region, incarnation, address: listen.advertised },
+    seeds,
     policy: { ...policy, ...limits },
     // Hosts draw different numbers, and so does the same host after a restart.
-    seed: hash32(`${host.id}/${host.incarnation}`),
+    seed: hash32(`${id}/${incarnation}`),
   });
 }
--- a/src/settings/groups.ts
+++ b/src/settings/groups.ts
@@ -12,6 +12,7 @@
   newNumber,
   newOptional,
   newPeerAddress,
+  newSeedList,
   newSetting,
   newSize,
   newUrl,
@@ -54,6 +55,12 @@
     allowed: 'a specific IP number of this host',
     isOptional: true,
   }),
+  seeds: newSetting(newOptional(newSeedList()), {
+    name: 'seeds',
+    help: 'Hosts to contact at the start, beside those of the host list.',
+    allowed: 'HOST=IP:PORT by specific IP numbers, separated by commas, no host twice',
+    isOptional: true,
+  }),
 });
 
 /** Where the host listens. */
--- a/src/settings/values.ts
+++ b/src/settings/values.ts
@@ -1,5 +1,7 @@
 import { isIP } from 'node:net';
 import { z } from 'zod';
+import { Name } from '../configuration/types.ts';
+import type { Seed } from '../core/state.ts';
 import { type SettingMeta, settingRegistry } from './types.ts';
 
 const MAX_PORT = 65_535;
@@ -50,10 +52,21 @@
 
 /** `IP:PORT` that other hosts connect to. */
 export function newPeerAddress(): Text<string> {
+  return newText((text) => (isPeerAddress(text) ? text : undefined));
+}
+
+/** Hosts and their peer addresses, `HOST=IP:PORT` separated by commas; no host twice. */
+export function newSeedList(): Text<Seed[]> {
   return newText((text) => {
-    const address = parseAddress(text);
-    if (address === undefined || address.port === 0) return undefined;
-    return isUnspecified(address.host) ? undefined : text;
+    const seeds = text.split(',').map((part) => {
+      const [host = '', address = ''] = part.trim().split('=');
+      return { host, address };
+    });
+    const hosts = new Set(seeds.map(({ host }) => host));
+    const areValid = seeds.every(
+      ({ host, address }) => Name.safeParse(host).success && isPeerAddress(address),
+    );
+    return areValid && hosts.size === seeds.length ? seeds : undefined;
   });
 }
 
@@ -116,6 +129,11 @@
   return z.union([z.undefined(), schema], { error: 'is not allowed' });
 }
 
+function isPeerAddress(text: string): boolean {
+  const address = parseAddress(text);
+  return address !== undefined && address.port !== 0 && !isUnspecified(address.host);
+}
+
 function isUnspecified(host: string): boolean {
   return /^(0\.0\.0\.0|[0:]+)$/.test(host);
 }
