Compare loads of other zones only while they are known

Cause: REPORT_MAX_AGE_MS (5 s) was the age of a load report for all zones, shorter than the interval at which relays tell of other zones, and nothing used it: a load of any age competed with the own zone's. Ruled out: leaving out far engines of unknown load from the choice on the ring; hosts then disagree on the engine of a cold adapter. Change: REMOTE_REPORT_MAX_AGE_MS, 15.5 s, replaces it: two of three messages may be lost. Engines of other zones whose load is older are chosen among holders, and for second copies, only when no other is left; at equal loads the own zone was preferred already. Conclusion: requests stay in their zone when nothing is known elsewhere.

--- a/bench/scale/measure.ts
+++ b/bench/scale/measure.ts
@@ -59,7 +59,7 @@
     const engine = random.getInteger(size.engines);
     const resident = getResidents(size, engine)[random.getInteger(8)] ?? '';
     const model = isResident ? resident : `adapter-${random.getInteger(size.adapters)}@v0`;
-    choosePlacement(state, newRequest(model));
+    choosePlacement(state, newRequest(model), 0);
   };
 }
 
@@ -129,7 +129,7 @@
     const base = { operator: 'bench', confirmedAtUnixMs: 0, plan: 'bench' };
     acceptRevisions(state, [{ revision, changes: [change], ...base }], SOURCE, 3);
     // The rings are rebuilt with the first decision after a change of engines.
-    choosePlacement(state, newRequest('adapter-1@v0'));
+    choosePlacement(state, newRequest('adapter-1@v0'), 0);
   };
 }
 
--- a/src/engines/constants.ts
+++ b/src/engines/constants.ts
@@ -1,4 +1,7 @@
 /** Interval between reads of the load report of an owned engine. */
 export const ENGINE_POLL_MS = 500;
-/** Age after which a load report no longer counts. */
-export const REPORT_MAX_AGE_MS = 5_000;
+/**
+ * Age after which the load of an engine of another zone is unknown. Relays send every 5 s, and two
+ * of three messages may be lost.
+ */
+export const REMOTE_REPORT_MAX_AGE_MS = 15_500;
--- a/src/engines/views.ts
+++ b/src/engines/views.ts
@@ -51,6 +51,16 @@
   return view === undefined ? 0 : view.running + view.waiting + view.sentSince;
 }
 
+/** Whether the last word on the load of `engine` is younger than `maxAgeMs`. */
+export function isLoadKnown(
+  engines: Engines,
+  engine: string,
+  maxAgeMs: number,
+  now: number,
+): boolean {
+  return (engines.views.get(engine)?.reportedAt ?? -Infinity) + maxAgeMs >= now;
+}
+
 /** Takes over a load report; residents of the view become those of the report. */
 export function updateFromReport(
   engines: Engines,
--- a/src/requests/asking.ts
+++ b/src/requests/asking.ts
@@ -9,7 +9,7 @@
 import { updateSent } from '../engines/views.ts';
 import { chooseSuspectPlacement } from '../suspects/placement.ts';
 import { checkQuarantine, getSuspicion } from '../suspects/suspicion.ts';
-import { choosePlacement } from '../routing/placement.ts';
+import { type CanAsk, choosePlacement } from '../routing/placement.ts';
 import {
   ASK_TIMEOUT_MS,
   LINK_WAIT_MS,
@@ -26,10 +26,13 @@
   const quarantine = checkQuarantine(state, fingerprint, request.mayHaveRun);
   if (quarantine !== undefined) return failRequest(state, request, quarantine);
   const isSuspect = getSuspicion(state, fingerprint) === 'suspect';
-  const choose = isSuspect ? chooseSuspectPlacement : choosePlacement;
-  const placement = choose(state, request);
+  const choose = (canAsk?: CanAsk) =>
+    isSuspect
+      ? chooseSuspectPlacement(state, request, canAsk)
+      : choosePlacement(state, request, now, canAsk);
+  const placement = choose();
   if (placement === undefined) {
-    const linked = choose(state, request, (owner) => canLink(state, request, owner));
+    const linked = choose((owner) => canLink(state, request, owner));
     if (linked === undefined) return failRequest(state, request, getUnavailableFailure(request));
     return waitForLink(state, request, linked.owner.host, now);
   }
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -1,5 +1,6 @@
 import type { State } from '../core/state.ts';
-import { getLoad } from '../engines/views.ts';
+import { REMOTE_REPORT_MAX_AGE_MS } from '../engines/constants.ts';
+import { getLoad, isLoadKnown } from '../engines/views.ts';
 import { isEndpointLeaving } from '../membership/endpoints.ts';
 import { getOwner, isReachable, type Owner } from '../ownership/owner.ts';
 import type { Request } from '../requests/types.ts';
@@ -33,13 +34,15 @@
 export function choosePlacement(
   state: State,
   request: Request,
+  now: number,
   canAsk: CanAsk = (owner) => isReachable(state, owner),
 ): Placement | undefined {
-  const holder = getLeastLoaded(state, getHolders(state, request, canAsk));
+  const holders = getHolders(state, request, canAsk);
+  const holder = getLeastLoaded(state, getCurrent(state, holders, now));
   if (holder !== undefined && !isWorthSecondCopy(holder)) return holder;
   const candidates = getRingCandidates(state, request, canAsk);
   if (holder === undefined) return getRingChoice(state, candidates);
-  const other = getLeastLoaded(state, candidates);
+  const other = getLeastLoaded(state, getCurrent(state, candidates, now));
   return other !== undefined && other.load < other.batch * SECOND_COPY_MAX_LOAD ? other : holder;
 }
 
@@ -99,6 +102,15 @@
   return { engine, owner, load: getLoad(engines, engine), batch: known.batch };
 }
 
+/** Leaves out engines of other zones whose load is not known, while others can be chosen. */
+function getCurrent(state: State, candidates: Candidate[], now: number): Candidate[] {
+  const current = candidates.filter(({ engine }) => {
+    const isNear = state.configuration.engines.get(engine)?.zone === state.host.zone;
+    return isNear || isLoadKnown(state.engines, engine, REMOTE_REPORT_MAX_AGE_MS, now);
+  });
+  return current.length === 0 ? candidates : current;
+}
+
 /** Returns the candidate with the lowest load for its size; at equal loads one in this zone. */
 function getLeastLoaded(state: State, candidates: Candidate[]): Candidate | undefined {
   const isFar = ({ engine }: Candidate) =>
--- a/tests/grants/fleet.ts
+++ b/tests/grants/fleet.ts
@@ -15,12 +15,14 @@
   /** Zone of the engines, and its hosts when they are others. */
   zone?: string;
   owners?: string[];
+  /** Hosts of the zone `y`. */
+  far?: string[];
 }
 
 /** Returns the states of linked hosts `h0`, `h1`, ... that own engines `e0`, ... of one zone. */
 export function newFleet(options: FleetOptions): State[] {
   const { hosts, engines, loadsPerS = 100, slots = 2, batch = 4, adapters = 4 } = options;
-  const { zone = 'z', owners = [] } = options;
+  const { zone = 'z', owners = [], far = [] } = options;
   const ids = Array.from({ length: hosts }, (_, index) => `h${index}`);
   const states = ids.map((id, index) => {
     const state = State.create({
@@ -54,6 +56,7 @@
     setZoneRows(state, [
       ...ids.map((id) => ({ id, zone: 'z' })),
       ...owners.map((id) => ({ id, zone })),
+      ...far.map((id) => ({ id, zone: 'y' })),
     ]);
   }
   return states;
