--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -1,7 +1,7 @@
 import type { State } from '../core/state.ts';
 import { REMOTE_REPORT_MAX_AGE_MS } from '../engines/constants.ts';
+import { isUsable } from '../engines/usable.ts';
 import { getLoad, isLoadKnown } from '../engines/views.ts';
-import { isEndpointLeaving } from '../membership/endpoints.ts';
 import { getOwner, isReachable, type Owner } from '../ownership/owner.ts';
 import type { Request } from '../requests/types.ts';
 import {
@@ -93,10 +93,7 @@
   const { configuration, engines } = state;
   const known = configuration.engines.get(engine);
   if (known === undefined || request.excluded.has(engine)) return undefined;
-  const view = engines.views.get(engine)?.state;
-  if (isEndpointLeaving(state, engine) || view === 'leaving' || view === 'unreachable') {
-    return undefined;
-  }
+  if (!isUsable(state, engine)) return undefined;
   const owner = getOwner(state, engine);
   if (owner === undefined || !canAsk(owner.host)) return undefined;
   return { engine, owner, load: getLoad(engines, engine), batch: known.batch };
