Read claims of a lost zone's hosts as outcome_unknown

Cause: entries of hosts of a zone that is lost as a whole are never marked as gone, so a claim of such a host answered in_progress for ever; that of a host of the own zone did so for 30 s, while its drafts were taken over after 3 s. Ruled out: marking the entries as gone, which would have a partition of an hour forget a whole zone after ten minutes. Giving claims up in the table as early: a holder that is only cut off could not record its answer. Change: src/membership/silence.ts holds the check that drafts used: 3 s without a link for the own zone, 10 s without any for another one; claims are read by it too. In the table a claim of a silent holder is given up after 10 minutes. Engines need no wait: owners without a link are not asked. No test covers the 10 minutes. Conclusion: a repeat learns that the outcome is unknown within 10 s. Where the mesh is not full, only relays see that another zone is lost; other hosts still answer in_progress.

--- a/src/actions/claiming.ts
+++ b/src/actions/claiming.ts
@@ -78,7 +78,7 @@
     action.rowVersion = stored.version;
     return claimAgain(state, action, now);
   }
-  return answerFromRival(state, action, row.data);
+  return answerFromRival(state, action, row.data, now);
 }
 
 /** Answers a repeat with the body that was in the object store. */
@@ -144,7 +144,7 @@
   return effects;
 }
 
-function answerFromRival(state: State, action: Action, row: ActionRow): Effect[] {
+function answerFromRival(state: State, action: Action, row: ActionRow, now: number): Effect[] {
   const { key = '' } = action;
   if (row.bodyHash !== action.callHash) {
     removeAction(state, action);
@@ -166,7 +166,7 @@
     const { status, headers, body = '' } = row.answer;
     return passAnswer(state, action, { status, headers, body }, true);
   }
-  const isInProgress = row.state === 'claimed' && !isHolderGone(state, row);
+  const isInProgress = row.state === 'claimed' && !isHolderGone(state, row, now);
   const failure = isInProgress
     ? Failure.create('in_progress', `the call with key "${key}" is in progress`)
     : Failure.create('outcome_unknown', `the call with key "${key}" may have run`);
--- a/src/actions/constants.ts
+++ b/src/actions/constants.ts
@@ -30,3 +30,8 @@
 export const SWEEP_MS = 60_000;
 /** Pause between two pages when the last one was full. */
 export const SWEEP_BUSY_MS = 1_000;
+/**
+ * Time without a link to the holder of a claim after which the claim is given up in the table. A
+ * holder that is only cut off ends its call (at most 120 s) and records the answer before that.
+ */
+export const CLAIM_SILENT_MS = 600_000;
--- a/src/actions/retention.ts
+++ b/src/actions/retention.ts
@@ -5,6 +5,7 @@
 import type { TableAnswer } from '../core/store.ts';
 import { schedule } from '../core/timers.ts';
 import {
+  CLAIM_SILENT_MS,
   ENDED_PREFIX,
   HOUR_KEY,
   HOUR_MS,
@@ -172,7 +173,8 @@
   const hour = getStampHour(state, now);
   if (hour === undefined || index !== getOpenKey(key)) return;
   const isOpen = row.data.state === 'claimed';
-  if (isOpen && !isHolderGone(state, row.data)) return;
+  const limits = { hostMs: CLAIM_SILENT_MS, zoneMs: CLAIM_SILENT_MS };
+  if (isOpen && !isHolderGone(state, row.data, now, limits)) return;
   const ended: ActionRow = { ...row.data, state: isOpen ? 'unknown' : row.data.state };
   writes.push(...newRowWrites(key, { ...ended, endedHour: ended.endedHour ?? hour }, version));
 }
--- a/src/actions/rows.ts
+++ b/src/actions/rows.ts
@@ -1,6 +1,7 @@
 import { sha256 } from '../base/hash.ts';
 import type { State } from '../core/state.ts';
 import type { RowWrite } from '../core/store.ts';
+import { isHostSilent, type SilenceLimits } from '../membership/silence.ts';
 import { ACTION_PREFIX, ENDED_PREFIX, HOUR_FRESH_MS, OPEN_PREFIX } from './constants.ts';
 import type { Action, ActionRow, NewAction } from './types.ts';
 
@@ -74,12 +75,21 @@
   return { token, bodyHash: callHash, host, incarnation, state: 'claimed' };
 }
 
-/** Whether the holder of a claim cannot be working on it any more, as far as this host knows. */
-export function isHolderGone(state: State, row: ActionRow): boolean {
+/**
+ * Whether the holder of a claim is not working on it any more, as far as this host knows. A holder
+ * that is only cut off still records its answer, which a later repeat gets.
+ */
+export function isHolderGone(
+  state: State,
+  row: ActionRow,
+  now: number,
+  limits?: SilenceLimits,
+): boolean {
   if (row.host === state.host.id) {
     if (row.incarnation !== state.host.incarnation) return true;
     return ![...state.actions.inFlight.values()].some(({ token }) => token === row.token);
   }
   const entry = state.membership.hosts.get(row.host);
-  return entry === undefined || entry.state === 'gone' || entry.incarnation > row.incarnation;
+  if (entry === undefined || entry.incarnation > row.incarnation) return true;
+  return isHostSilent(state, entry, now, limits);
 }
--- a/src/drafts/constants.ts
+++ b/src/drafts/constants.ts
@@ -20,9 +20,6 @@
 export const SWEEP_MS = 60_000;
 /** Interval between checks of the links to other hosts. */
 export const WATCH_MS = 1_000;
-/** Time without a link after which the drafts of a host, or of a zone's hosts, are taken over. */
-export const HOST_SILENT_MS = 3_000;
-export const ZONE_SILENT_MS = 10_000;
 /** Interval between takeovers from a host that stays silent, for scans that failed. */
 export const TAKEOVER_AGAIN_MS = 10_000;
 /** Drafts taken over with one scan, and the pause before the next one. */
--- a/src/membership/constants.ts
+++ b/src/membership/constants.ts
@@ -50,3 +50,9 @@
 export const MISSING_ASK_MS = 30_000;
 /** Engines asked for in one round when nothing is known of them. */
 export const MISSING_ENGINES = 40;
+/**
+ * Time without a link after which a host, or each host of another zone, counts as silent: its drafts
+ * are taken over and its claims read as unknown.
+ */
+export const HOST_SILENT_MS = 3_000;
+export const ZONE_SILENT_MS = 10_000;
--- /dev/null
+++ b/src/membership/silence.ts
@@ -0,0 +1,48 @@
+import type { State } from '../core/state.ts';
+import { HOST_SILENT_MS, ZONE_SILENT_MS } from './constants.ts';
+import { getRelays, isFullMesh } from './hosts.ts';
+import type { HostEntry } from './types.ts';
+
+/** Ms without a link after which a host of this zone, or another zone, is silent. */
+export interface SilenceLimits {
+  hostMs: number;
+  zoneMs: number;
+}
+
+const SILENCE_LIMITS: SilenceLimits = { hostMs: HOST_SILENT_MS, zoneMs: ZONE_SILENT_MS };
+
+/**
+ * Whether a host is gone or has had no link for a while. Entries of a zone that is lost as a whole
+ * are never marked as gone; all its hosts are silent then. Where the mesh is not full, only relays
+ * can tell that of another zone.
+ */
+export function isHostSilent(
+  state: State,
+  { host, zone, state: known }: HostEntry,
+  now: number,
+  { hostMs, zoneMs }: SilenceLimits = SILENCE_LIMITS,
+): boolean {
+  if (host === state.host.id) return false;
+  if (known === 'gone') return true;
+  if (zone === state.host.zone) return getSilence(state, host, now) >= hostMs;
+  return isZoneSilent(state, zone, now, zoneMs);
+}
+
+/** Whether this host should have links to the zone and has had none for a while. */
+function isZoneSilent(state: State, zone: string, now: number, limitMs: number): boolean {
+  const { id, zone: own } = state.host;
+  if (!isFullMesh(state) && !getRelays(state, own).includes(id)) return false;
+  const hosts = [...state.membership.hosts.values()].filter((entry) => entry.zone === zone);
+  const silences = hosts.map(({ host }) => getSilence(state, host, now));
+  // Relays have links to some hosts of the zone only; those without one say nothing.
+  const linkable = isFullMesh(state) ? silences : silences.filter((silence) => silence >= 0);
+  return linkable.length > 0 && linkable.every((silence) => silence >= limitMs);
+}
+
+/** Returns ms since the link to `host` closed; 0 while it is open, -1 when there never was one. */
+function getSilence(state: State, host: string, now: number): number {
+  const { linked, unlinkedSince } = state.membership;
+  if (linked.has(host)) return 0;
+  const since = unlinkedSince.get(host);
+  return since === undefined ? -1 : now - since;
+}
--- a/tests/actions/actions.test.ts
+++ b/tests/actions/actions.test.ts
@@ -5,6 +5,7 @@
 import type { ActionRow, NewAction } from '../../src/actions/types.ts';
 import type { Change, Service } from '../../src/configuration/types.ts';
 import type { Effect } from '../../src/core/effects.ts';
+import { HOST_SILENT_MS, ZONE_SILENT_MS } from '../../src/membership/constants.ts';
 import { Simulation } from '../helpers/simulation.ts';
 
 const SERVICE: Service = {
@@ -85,6 +86,34 @@
       kind: 'in_progress',
       outcome: 'unknown',
     },
+    {
+      name: 'of a host whose link just closed',
+      row: { host: 'h2', incarnation: 2 },
+      silent: { zone: 'z', ms: HOST_SILENT_MS - 1 },
+      kind: 'in_progress',
+      outcome: 'unknown',
+    },
+    {
+      name: 'of a host of this zone that has had no link for long',
+      row: { host: 'h2', incarnation: 2 },
+      silent: { zone: 'z', ms: HOST_SILENT_MS },
+      kind: 'outcome_unknown',
+      outcome: 'unknown',
+    },
+    {
+      name: 'of a zone that was cut off a moment ago',
+      row: { host: 'h2', incarnation: 2 },
+      silent: { zone: 'y', ms: ZONE_SILENT_MS - 1 },
+      kind: 'in_progress',
+      outcome: 'unknown',
+    },
+    {
+      name: 'of a zone that is lost as a whole',
+      row: { host: 'h2', incarnation: 2 },
+      silent: { zone: 'y', ms: ZONE_SILENT_MS },
+      kind: 'outcome_unknown',
+      outcome: 'unknown',
+    },
     {
       name: 'of an earlier incarnation',
       row: { host: 'h2', incarnation: 1 },
@@ -97,11 +126,20 @@
       kind: 'outcome_unknown',
       outcome: 'unknown',
     },
-  ])('$name answers a repeat with $kind', ({ row, kind, outcome }) => {
+  ])('$name answers a repeat with $kind', ({ row, silent, kind, outcome }) => {
     const { simulation, answer, call } = newSimulation([], ['h1', 'h2']);
+    if (silent !== undefined) {
+      simulation.now = 1_000_000;
+      const { hosts, linked, unlinkedSince } = simulation.get('h1').state.membership;
+      const entry = hosts.get('h2');
+      if (entry !== undefined) hosts.set('h2', { ...entry, zone: silent.zone });
+      linked.delete('h2');
+      unlinkedSince.set('h2', simulation.now - silent.ms);
+    }
     const { bodyHash } = { bodyHash: getHash(), ...row };
     putRow(simulation, { ...row, bodyHash });
-    simulation.feed(simulation.get('h1'), { type: 'actionArrived', action: ACTION });
+    const action = { ...ACTION, deadline: simulation.now + 60_000 };
+    simulation.feed(simulation.get('h1'), { type: 'actionArrived', action });
     simulation.settle(() => answer() !== undefined);
     expect(answer()).toMatchObject({ failure: { kind, outcome } });
     expect(call()).toBeUndefined();
