--- a/src/requests/handlers.ts
+++ b/src/requests/handlers.ts
@@ -3,9 +3,11 @@
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
-import { isReachable } from '../ownership/owner.ts';
+import { isEndpointLeaving } from '../membership/endpoints.ts';
+import { isReachable, isStaleEpoch, noteEpoch } from '../ownership/owner.ts';
 import { updateSent } from '../engines/views.ts';
 import { admitRequest } from './admission.ts';
+import { MAX_MOVES } from './constants.ts';
 import { endAttempt } from './attempts.ts';
 import { askForGrant, askLater, sendAsk } from './asking.ts';
 import { failRequest, releaseAsk } from './ending.ts';
@@ -33,31 +35,32 @@
 };
 
 export const requestMessages: MessageHandlers<'grantGiven' | 'grantRefused'> = {
-  grantGiven: (state, message, from) => {
+  grantGiven: (state, message, from, now) => {
     const { request: id, ask, engine, grant, epoch, stallMs, bootId } = message;
     const request = state.requests.inFlight.get(id);
     const address = state.configuration.engines.get(engine)?.address;
     // The owner repeats a grant for an ask that was sent again; this one is in use.
     if (request?.attempt?.grant === grant) return [];
-    if (request?.phase !== 'asking' || request.ask !== ask || address === undefined) {
-      return [
-        deliver(state, from, {
-          type: 'grantReleased',
-          request: id,
-          engine,
-          grant,
-          bootId,
-          result: 'unused',
-        }),
-      ];
+    const isAsked = request?.phase === 'asking' && request.ask === ask;
+    const isRefused = isStaleEpoch(state, engine, epoch) || isEndpointLeaving(state, engine);
+    if (!isAsked || address === undefined || isRefused) {
+      const released = { request: id, engine, grant, bootId, result: 'unused' as const };
+      const effects = [deliver(state, from, { type: 'grantReleased', ...released })];
+      if (!isAsked) return effects;
+      // The engine was removed or leaves, or another host owns it and may evict the adapter.
+      updateSent(state.engines, engine, -1);
+      return [...effects, ...askLater(state, request, now)];
     }
+    noteEpoch(state, engine, epoch);
     const given = { engine, owner: from, grant, epoch, stallMs, bootId, address };
     return startAttempt(state, request, given);
   },
   grantRefused: (state, { request: id, ask, engine, reason }, _from, now) => {
     const request = state.requests.inFlight.get(id);
     if (request?.phase !== 'asking' || request.ask !== ask) return [];
-    request.excluded.add(engine);
+    if (reason === 'notOwner') request.moves += 1;
+    // The engine itself can run the request; only its owner changed.
+    if (reason !== 'notOwner' || request.moves >= MAX_MOVES) request.excluded.add(engine);
     updateSent(state.engines, engine, -1);
     request.lastRefusal = reason;
     return askLater(state, request, now);
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -1,6 +1,7 @@
 import type { State } from '../core/state.ts';
+import { REMOTE_REPORT_MAX_AGE_MS } from '../engines/constants.ts';
 import { isUsable } from '../engines/usable.ts';
-import { getLoad } from '../engines/views.ts';
+import { getLoad, isLoadKnown } from '../engines/views.ts';
 import { getOwner, isReachable, type Owner } from '../ownership/owner.ts';
 import type { Request } from '../requests/types.ts';
 import {
@@ -18,6 +19,9 @@
   owner: Owner;
 }
 
+/** Whether the owner of an engine can be asked for a grant. */
+export type CanAsk = (owner: string) => boolean;
+
 interface Candidate extends Placement {
   load: number;
   batch: number;
@@ -27,32 +31,38 @@
  * Chooses the engine that `request` is sent to; undefined when none can take it. A resident copy
  * with room comes first, then the engine that all hosts choose for the adapter on the ring.
  */
-export function choosePlacement(state: State, request: Request): Placement | undefined {
-  const holder = getLeastLoaded(state, getHolders(state, request));
+export function choosePlacement(
+  state: State,
+  request: Request,
+  now: number,
+  canAsk: CanAsk = (owner) => isReachable(state, owner),
+): Placement | undefined {
+  const holders = getHolders(state, request, canAsk);
+  const holder = getLeastLoaded(state, getCurrent(state, holders, now));
   if (holder !== undefined && !isWorthSecondCopy(holder)) return holder;
-  const candidates = getRingCandidates(state, request);
+  const candidates = getRingCandidates(state, request, canAsk);
   if (holder === undefined) return getRingChoice(state, candidates);
-  const other = getLeastLoaded(state, candidates);
+  const other = getLeastLoaded(state, getCurrent(state, candidates, now));
   return other !== undefined && other.load < other.batch * SECOND_COPY_MAX_LOAD ? other : holder;
 }
 
-function getHolders(state: State, request: Request): Candidate[] {
+function getHolders(state: State, request: Request, canAsk: CanAsk): Candidate[] {
   const holders = state.engines.holders.get(request.model);
   if (holders === undefined) return [];
   const start = holders.size > MAX_HOLDERS_COMPARED ? state.random.getInteger(holders.size) : 0;
   return holders
     .take(start, MAX_HOLDERS_COMPARED)
-    .flatMap((engine) => newCandidate(state, request, engine) ?? []);
+    .flatMap((engine) => newCandidate(state, request, engine, canAsk) ?? []);
 }
 
-function getRingCandidates(state: State, request: Request): Candidate[] {
+function getRingCandidates(state: State, request: Request, canAsk: CanAsk): Candidate[] {
   const model = state.configuration.adapters.get(request.adapter)?.model ?? '';
   const found: Candidate[] = [];
   getRing(state, model)?.find(
     request.model,
     RING_CANDIDATES,
     (engine) => {
-      const candidate = newCandidate(state, request, engine);
+      const candidate = newCandidate(state, request, engine, canAsk);
       if (candidate !== undefined) found.push(candidate);
       return candidate !== undefined;
     },
@@ -74,16 +84,30 @@
   return load >= batch * SECOND_COPY_MIN_LOAD;
 }
 
-function newCandidate(state: State, request: Request, engine: string): Candidate | undefined {
+function newCandidate(
+  state: State,
+  request: Request,
+  engine: string,
+  canAsk: CanAsk,
+): Candidate | undefined {
   const { configuration, engines } = state;
   const known = configuration.engines.get(engine);
   if (known === undefined || request.excluded.has(engine)) return undefined;
   if (!isUsable(state, engine)) return undefined;
   const owner = getOwner(state, engine);
-  if (owner === undefined || !isReachable(state, owner.host)) return undefined;
+  if (owner === undefined || !canAsk(owner.host)) return undefined;
   return { engine, owner, load: getLoad(engines, engine), batch: known.batch };
 }
 
+/** Leaves out engines of other zones whose load is not known, while others can be chosen. */
+function getCurrent(state: State, candidates: Candidate[], now: number): Candidate[] {
+  const current = candidates.filter(({ engine }) => {
+    const isNear = state.configuration.engines.get(engine)?.zone === state.host.zone;
+    return isNear || isLoadKnown(state.engines, engine, REMOTE_REPORT_MAX_AGE_MS, now);
+  });
+  return current.length === 0 ? candidates : current;
+}
+
 /** Returns the candidate with the lowest load for its size; at equal loads one in this zone. */
 function getLeastLoaded(state: State, candidates: Candidate[]): Candidate | undefined {
   const isFar = ({ engine }: Candidate) =>
--- /dev/null
+++ b/tests/requests/grants.test.ts
@@ -0,0 +1,81 @@
+import { describe, expect, it } from 'vitest';
+import type { Effect } from '../../src/core/effects.ts';
+import { reduce } from '../../src/core/reduce.ts';
+import type { State } from '../../src/core/state.ts';
+import { noteEpoch } from '../../src/ownership/owner.ts';
+import { newFleet } from '../grants/fleet.ts';
+import { newRequest } from '../helpers/engines.ts';
+
+type Sent = Extract<Effect, { type: 'sendMessage' }>;
+
+/** A host that waits for the grant of its request `r` for engine `e0`, of another host. */
+function newAsker(): { state: State; owner: string; ask: number } {
+  for (const state of newFleet({ hosts: 2, engines: 1 })) {
+    const request = newRequest('r', { adapter: 'a0' });
+    const effects = reduce(state, { type: 'requestArrived', request }, 0);
+    const sent = effects.find((effect): effect is Sent => effect.type === 'sendMessage');
+    if (sent?.message.type !== 'grantAsk' || sent.to === state.host.id) continue;
+    return { state, owner: sent.to, ask: sent.message.ask };
+  }
+  throw new Error('no host asked another one');
+}
+
+function giveGrant(state: State, owner: string, ask: number, epoch: number): Effect[] {
+  const message = {
+    ...{ type: 'grantGiven' as const, request: 'r', ask, engine: 'e0', grant: 'g', epoch },
+    ...{ bootId: '', stallMs: 0 },
+  };
+  return reduce(state, { type: 'messageReceived', from: owner, message }, 10);
+}
+
+function getSent(effects: Effect[]) {
+  return effects.flatMap((effect) => (effect.type === 'sendMessage' ? [effect.message] : []));
+}
+
+describe('a grant', () => {
+  // Guards against work that a former owner admits while its successor evicts the adapter (G2).
+  it.each([
+    { name: 'an older epoch', epoch: 4, isUsed: false },
+    { name: 'the highest epoch seen', epoch: 5, isUsed: true },
+    { name: 'a newer epoch', epoch: 6, isUsed: true },
+  ])('of $name is used: $isUsed', ({ epoch, isUsed }) => {
+    const { state, owner, ask } = newAsker();
+    noteEpoch(state, 'e0', 5);
+    const effects = giveGrant(state, owner, ask, epoch);
+    const { inFlight } = state.requests;
+    const released = { type: 'grantReleased', grant: 'g', result: 'unused' };
+    expect(effects.some(({ type }) => type === 'startAttempt')).toBe(isUsed);
+    expect(getSent(effects)).toMatchObject(isUsed ? [] : [released]);
+    expect(inFlight.get('r')).toMatchObject({
+      phase: isUsed ? 'running' : 'backoff',
+      attempts: isUsed ? 1 : 0,
+    });
+    expect(state.engines.views.get('e0')?.epoch).toBe(Math.max(5, epoch));
+  });
+
+  // Guards against new work on an endpoint that leaves (G6) when its owner learns of it later.
+  it('is given back when only this host knows that the engine leaves', () => {
+    const { state, owner, ask } = newAsker();
+    state.membership.leavingEndpoints.set('e0', 5);
+    const effects = giveGrant(state, owner, ask, 5);
+    expect(effects.some(({ type }) => type === 'startAttempt')).toBe(false);
+    expect(getSent(effects)).toMatchObject([{ type: 'grantReleased', result: 'unused' }]);
+    expect(state.requests.inFlight.get('r')).toMatchObject({ phase: 'backoff', attempts: 0 });
+  });
+});
+
+describe('placement', () => {
+  // Guards against new work on an endpoint that leaves (G6) when no intent says so.
+  it('passes over an engine that leaves by the host list', () => {
+    const [state] = newFleet({ hosts: 1, engines: 2 });
+    if (state === undefined) throw new Error('the fleet is empty');
+    for (const engine of ['e0', 'e1']) {
+      state.membership.leavingEndpoints.clear();
+      state.membership.leavingEndpoints.set(engine, 0);
+      const request = newRequest(`not-${engine}`, { adapter: 'a0' });
+      reduce(state, { type: 'requestArrived', request }, 10);
+      const asked = state.requests.inFlight.get(request.id)?.asked?.engine;
+      expect(asked).toBe(engine === 'e0' ? 'e1' : 'e0');
+    }
+  });
+});
