Renew the lease once in its interval

Cause: the timer of a renewal ran 5 s after the last one, when the renewal was just due, started it and came back after the 1 s meant for a failed renewal; a second condition then renewed again although the lease had just been confirmed. Found in the table calls of an idle host: writeLease at 0.33 a second, 0.2 was designed. Ruled out: renewals after a pause; the host never paused. Change: the timer is set to the time at which the next renewal is due, and only a lease that is due is renewed.

--- a/src/ownership/handlers.ts
+++ b/src/ownership/handlers.ts
@@ -69,10 +69,10 @@
     ];
   },
   renewLease: (state, _timer, now) => {
-    const isRenewed = state.ownership.confirmedAt + LEASE_RENEW_MS > now;
-    const isDue = !isRenewed || state.ownership.renewingSince === -Infinity;
-    schedule(state, now + (isRenewed ? LEASE_RENEW_MS : RENEW_RETRY_MS), { type: 'renewLease' });
-    return isDue ? startRenewal(state, now) : [];
+    const dueAt = state.ownership.confirmedAt + LEASE_RENEW_MS;
+    const isRenewed = dueAt > now;
+    schedule(state, isRenewed ? dueAt : now + RENEW_RETRY_MS, { type: 'renewLease' });
+    return isRenewed ? [] : startRenewal(state, now);
   },
   readZoneRow: (state, { renewedAt }) => [readRow(state, renewedAt)],
   scanZones: (state, _timer, now) => {
--- a/tests/ownership/rules.test.ts
+++ b/tests/ownership/rules.test.ts
@@ -12,7 +12,8 @@
   noteEpoch,
 } from '../../src/ownership/owner.ts';
 import { getView } from '../../src/engines/views.ts';
-import { PROMISE_MS } from '../../src/ownership/constants.ts';
+import { LEASE_RENEW_MS, PROMISE_MS } from '../../src/ownership/constants.ts';
+import type { Lease } from '../../src/ownership/types.ts';
 import { Cluster, newEngines } from '../helpers/cluster.ts';
 
 const ENGINE = 'engine-z-0';
@@ -205,3 +206,17 @@
     expect(state.ownership.holdings.get(engine)).toMatchObject({ since: 200, epoch: 8 });
   });
 });
+
+describe('the lease', () => {
+  it('is renewed once in an interval, so that 390 hosts stay within the rate of the table', () => {
+    const cluster = Cluster.create(1, newEngines(['z'], 1));
+    cluster.start('h0', 'z');
+    const getRenewal = (): number => (cluster.table.get('host/z/h0') as Lease).renewal;
+    cluster.run(10_000);
+    const before = getRenewal();
+    cluster.run(20 * LEASE_RENEW_MS);
+    // The clock of a simulated host is up to 4% off.
+    expect(getRenewal() - before).toBeGreaterThanOrEqual(19);
+    expect(getRenewal() - before).toBeLessThanOrEqual(21);
+  });
+});
