Forward service paths and queries as sent

The router's decoded path reached the service, so an encoded slash became a separator and two calls that differ in encoding shared one body hash. Paths with a ".." segment in any encoding are refused. HEAD is forwarded and repeatable where GET is; OPTIONS is answered with the methods of the path.

--- a/src/actions/endpoints.ts
+++ b/src/actions/endpoints.ts
@@ -9,8 +9,10 @@
 /** Whether the configuration allows the call to be repeated. */
 export function isRepeatableCall(service: Service, { method, path }: NewAction): boolean {
   const plain = path.split('?')[0] ?? path;
+  // HTTP defines HEAD as GET without the body.
+  const methods = method === 'HEAD' ? ['HEAD', 'GET'] : [method];
   return service.repeatable.some((call) => {
-    if (call.method !== method) return false;
+    if (!methods.includes(call.method)) return false;
     if (!call.path.endsWith('*')) return call.path === plain;
     // Dot segments could leave the part of the service that the pattern covers.
     return plain.startsWith(call.path.slice(0, -1)) && !hasDotSegment(plain);
--- a/src/callers/context.ts
+++ b/src/callers/context.ts
@@ -39,19 +39,14 @@
   response: ServerResponse;
   key: AccessKey;
   params: Record<string, string | undefined>;
-  url: URL;
   host: CallerHost;
 }
 
-/** A route of the callers' API. */
+type Method = 'GET' | 'HEAD' | 'POST' | 'PUT' | 'PATCH' | 'DELETE';
+
+/** A route of the callers' API; `HEAD` is answered wherever `GET` is. */
 export interface Route {
-  method:
-    | 'GET'
-    | 'POST'
-    | 'PUT'
-    | 'PATCH'
-    | 'DELETE'
-    | readonly ('GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE')[];
+  method: Method | readonly Method[];
   path: string;
   handle: (call: Call) => Promise<void> | void;
 }
--- a/src/callers/routes/index.ts
+++ b/src/callers/routes/index.ts
@@ -2,7 +2,7 @@
 import { chatCompletions, completions } from './complete.ts';
 import { deleteDraft, readDraft } from './drafts.ts';
 import { models } from './models.ts';
-import { services } from './services.ts';
+import { serviceRoot, services } from './services.ts';
 
 /** Every route of the callers' API. */
 export const routes: readonly Route[] = [
@@ -12,4 +12,5 @@
   readDraft,
   deleteDraft,
   services,
+  serviceRoot,
 ];
--- a/src/callers/routes/services.ts
+++ b/src/callers/routes/services.ts
@@ -7,26 +7,39 @@
 import { getTraceparent } from '../../observe/traceparent.ts';
 import type { Call, Route } from '../context.ts';
 import { parseRequestHeaders } from '../requestHeaders.ts';
+import { parseTarget } from '../serviceTarget.ts';
 
 /** Headers of the caller that a service receives. */
 const FORWARDED_HEADERS = ['content-type', 'accept', 'accept-language', 'idempotency-key'];
 const KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
 
+const METHODS = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'] as const;
+/** Answers that HTTP allows no `Content-Length` of (RFC 9110, 8.6). */
+const STATUSES_WITHOUT_LENGTH = new Set([204, 304]);
+
 /** `ANY /services/NAME/...`: a call of a plain service. */
 export const services: Route = {
-  method: ['GET', 'POST', 'PUT', 'PATCH', 'DELETE'],
+  method: METHODS,
   path: '/services/:service/*',
   handle: (call) => callService(call),
 };
 
+/** `ANY /services/NAME`: the root of a service, with or without a slash. */
+export const serviceRoot: Route = { ...services, path: '/services/:service' };
+
 async function callService(call: Call): Promise<void> {
-  const { id, request, response, host, key, params, url } = call;
+  const { id, request, response, host, key, params } = call;
   const { limits } = host.settings;
   const headers = parseRequestHeaders(request.headers, limits);
   if (headers.err) {
     sendFailure(response, headers.val);
     return;
   }
+  const target = parseTarget(request.url ?? '');
+  if (target.err) {
+    sendFailure(response, target.val);
+    return;
+  }
   const idempotencyKey = request.headers['idempotency-key'];
   if (idempotencyKey !== undefined && !KEY_PATTERN.test(String(idempotencyKey))) {
     const message = 'header Idempotency-Key must be 1 to 255 printable ASCII characters';
@@ -44,10 +57,10 @@
     return;
   }
   const method = request.method ?? 'GET';
-  const path = `/${params['*'] ?? ''}`;
+  const { path, query } = target.val;
   host.addServiceExchange(id, {
     method,
-    path: path + url.search,
+    path: path + query,
     headers: {
       ...getForwarded(request.headers),
       'x-request-id': id,
@@ -66,7 +79,7 @@
       method,
       path,
       key: idempotencyKey === undefined ? undefined : String(idempotencyKey),
-      bodyHash: sha256(Buffer.concat([Buffer.from(`${url.search}\n`), body.val])),
+      bodyHash: sha256(Buffer.concat([Buffer.from(`${path}${query}\n`), body.val])),
       deadline: arrivedAt + headers.val.remainingMs,
     },
   });
@@ -81,7 +94,7 @@
   return forwarded;
 }
 
-function sendAnswer({ response }: Call, answer: ActionAnswer): void {
+function sendAnswer({ request, response }: Call, answer: ActionAnswer): void {
   if (response.destroyed) return;
   if (answer.type === 'failed') {
     sendFailure(response, answer.failure);
@@ -89,10 +102,12 @@
   }
   const body = Buffer.from(answer.body, 'base64');
   const replayed = answer.isReplay ? { 'idempotency-replayed': 'true' } : {};
+  // The body of an answer to HEAD is not known here, so neither is its length.
+  const hasLength = request.method !== 'HEAD' && !STATUSES_WITHOUT_LENGTH.has(answer.status);
   response.writeHead(answer.status, {
     ...answer.headers,
     ...replayed,
-    'content-length': body.length,
+    ...(hasLength ? { 'content-length': body.length } : {}),
   });
   response.end(body);
 }
--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import createRouter, { type HTTPVersion, type Instance } from 'find-my-way';
+import createRouter, { type HTTPMethod, type HTTPVersion, type Instance } from 'find-my-way';
 import { Failure } from '../errors/failure.ts';
 import { findKey } from '../http/keys.ts';
 import { getPort, startServer, stopServer } from '../http/listen.ts';
@@ -11,6 +11,8 @@
 
 type Router = Instance<HTTPVersion.V1>;
 
+const METHODS = [...new Set(routes.flatMap(getMethods))];
+
 /** HTTP server for callers. */
 export class CallerServer {
   private server: Server | undefined;
@@ -24,6 +26,10 @@
     const router = createRouter({
       ignoreTrailingSlash: true,
       defaultRoute: (request, response) => answerUnknownRoute(router, request, response),
+      onBadUrl: (path, _request, response) => {
+        const message = `path ${path} is not validly percent-encoded`;
+        sendFailure(response, Failure.create('bad_request', message, { param: 'path' }));
+      },
     });
     const server = new CallerServer(host, router);
     for (const route of routes) server.addRoute(route);
@@ -47,8 +53,7 @@
   }
 
   private addRoute(route: Route): void {
-    const methods = typeof route.method === 'string' ? [route.method] : [...route.method];
-    this.router.on(methods, route.path, (request, response, params) => {
+    this.router.on(getMethods(route), route.path, (request, response, params) => {
       void this.handle(route, request, response, params);
     });
   }
@@ -68,9 +73,8 @@
       return;
     }
     const trace = newTraceContext(parseTraceparent(getTraceHeader(request)));
-    const url = new URL(request.url ?? '/', 'http://localhost');
     try {
-      await route.handle({ id, trace, request, response, key, params, url, host: this.host });
+      await route.handle({ id, trace, request, response, key, params, host: this.host });
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       sendFailure(response, Failure.create('internal', `request ${id} failed: ${reason}`));
@@ -82,18 +86,28 @@
   return typeof headers.traceparent === 'string' ? headers.traceparent : undefined;
 }
 
+function getMethods({ method }: Route): HTTPMethod[] {
+  const methods = typeof method === 'string' ? [method] : method;
+  return [...new Set(methods.flatMap((name) => (name === 'GET' ? [name, 'HEAD' as const] : name)))];
+}
+
+/** Answers `OPTIONS`, paths that do not exist and methods that a path does not have. */
 function answerUnknownRoute(
   router: Router,
   request: IncomingMessage,
   response: ServerResponse,
 ): void {
   const path = (request.url ?? '/').split('?')[0] ?? '/';
-  const isKnown = routes.some(({ method }) => {
-    const methods = typeof method === 'string' ? [method] : method;
-    return methods.some((known) => router.find(known, path) !== null);
-  });
-  const failure = isKnown
-    ? Failure.create('method_not_allowed', `${request.method ?? ''} is not allowed on ${path}`)
-    : Failure.create('not_found', `path ${path} does not exist`);
-  sendFailure(response, failure);
+  const allowed = METHODS.filter((method) => router.find(method, path) !== null);
+  if (allowed.length === 0) {
+    sendFailure(response, Failure.create('not_found', `path ${path} does not exist`));
+    return;
+  }
+  response.setHeader('allow', [...allowed, 'OPTIONS'].join(', '));
+  if (request.method === 'OPTIONS') {
+    response.writeHead(204).end();
+    return;
+  }
+  const message = `${request.method ?? ''} is not allowed on ${path}`;
+  sendFailure(response, Failure.create('method_not_allowed', message));
 }
--- a/src/cli/quickstart.ts
+++ b/src/cli/quickstart.ts
@@ -29,6 +29,8 @@
   tableUrl: string;
   objectsUrl: string;
   hostsUrl: string;
+  engines: readonly Engine[];
+  service: Service;
   stop(): Promise<void>;
 }
 
@@ -74,6 +76,8 @@
     tableUrl: `http://${tableAddress}`,
     objectsUrl: `http://${objectsAddress}`,
     hostsUrl: `http://${hostsAddress}`,
+    engines,
+    service,
     stop: async () => {
       await Promise.all(parts.map((part) => part.stop()));
     },
@@ -144,7 +148,7 @@
 }
 
 /** Settings of quickstart, as environment variables, so that the user's own go before them. */
-function getDefaults({ tableUrl, objectsUrl, hostsUrl }: Platform): Record<string, string> {
+export function getDefaults({ tableUrl, objectsUrl, hostsUrl }: Platform): Record<string, string> {
   const keys = [
     { name: 'demo', firm: FIRM, role: 'caller', sha256: sha256(CALLER_KEY) },
     { name: 'demo', firm: FIRM, role: 'operator', sha256: sha256(OPERATOR_KEY) },
--- a/stand-ins/server.ts
+++ b/stand-ins/server.ts
@@ -31,6 +31,8 @@
   method: string;
   /** Decoded path without the query. */
   path: string;
+  /** Path and query as they were sent. */
+  target: string;
   query: URLSearchParams;
   headers: IncomingMessage['headers'];
   body: string;
@@ -149,6 +151,7 @@
   return {
     method: request.method ?? 'GET',
     path: decodeURIComponent(url.pathname),
+    target: request.url ?? '/',
     query: url.searchParams,
     headers: request.headers,
     body: Buffer.concat(parts).toString(),
--- a/stand-ins/service.ts
+++ b/stand-ins/service.ts
@@ -12,6 +12,8 @@
 export interface ExecutedCall {
   method: string;
   path: string;
+  /** Path and query as they were sent. */
+  target: string;
   /** Its `Idempotency-Key`; the service itself does not look at it. */
   key: string | undefined;
   body: string;
@@ -44,11 +46,11 @@
     this.server.setFaults(change);
   }
 
-  private handle({ method, path, headers, body }: Call): Reply {
+  private handle({ method, path, target, headers, body }: Call): Reply {
     if (path === '/records') return { status: 200, body: this.records };
     const header = headers['idempotency-key'];
     const key = Array.isArray(header) ? header[0] : header;
-    this.records.push({ method, path, key, body, arrivedAt: performance.now() });
+    this.records.push({ method, path, target, key, body, arrivedAt: performance.now() });
     return { status: 200, body: { execution: this.records.length, method, path, key, body } };
   }
 }
--- /dev/null
+++ b/tests/callers/serviceTarget.test.ts
@@ -0,0 +1,81 @@
+import { describe, expect, it } from 'vitest';
+import { expectFailure, useEdge } from '../helpers/edge.ts';
+
+const getEdge = useEdge();
+
+describe('paths of service calls', () => {
+  // A path or query that is decoded on the way means another thing to the service.
+  it.each([
+    ['/services/bookings/rooms/a%2Fb', '/rooms/a%2Fb'],
+    ['/services/bookings/a%20b?q=%26&q=a+b', '/a%20b?q=%26&q=a+b'],
+    ['/services/bookings//rooms//1', '//rooms//1'],
+    ['/services/bookings/rooms/', '/rooms/'],
+    ['/services/bookings/', '/'],
+    ['/services/bookings', '/'],
+    ['/services/bookings?x', '/?x'],
+    ['/services/bookings/r;v=1?a=/../b?c', '/r;v=1?a=/../b?c'],
+    ['/services/bookings/%E5%8F%B0/..a', '/%E5%8F%B0/..a'],
+    ['/services/bookings/%252e%252e/x', '/%252e%252e/x'],
+    ['/services/bookings/./x', '/./x', 'dotted'],
+  ])('forwards %s as sent', async (path, target, key = '') => {
+    const { call, service } = getEdge();
+    const headers: Record<string, string> = key === '' ? {} : { 'idempotency-key': key };
+    const received = await call({ method: 'GET', path, headers });
+    expect(received.status).toBe(200);
+    expect(service.records.map((record) => record.target)).toEqual([target]);
+  });
+
+  // A path that reaches what the configuration did not name as part of the service.
+  it.each([
+    ['/services/bookings/../admin', /"\.\." segment/],
+    ['/services/bookings/a/%2e%2E/%2e./x', /"\.\." segment/],
+    ['/services/bookings/a%2f..%2fx', /"\.\." segment/],
+    ['/services/bookings/a%5c..\\x', /"\.\." segment/],
+    ['/services/bookings/..;x/y', /"\.\." segment/],
+    ['/services/bookings/a#b', /not of the form/],
+    ['/services/bookings/100%', /percent-encoded/],
+  ])('refuses %s', async (path, message) => {
+    const { call, service } = getEdge();
+    expectFailure(await call({ method: 'GET', path }), 'bad_request', message);
+    expect(service.records).toEqual([]);
+  });
+
+  // Two calls that differ only in encoding, taken for one and the same.
+  it('tells calls with one key apart by their raw path and query', async () => {
+    const { call, service } = getEdge();
+    const headers = { 'idempotency-key': 'k1' };
+    const book = (path: string) => call({ path: `/services/bookings${path}`, headers, body: 'x' });
+    expect((await book('/rooms/a%2Fb?n=1')).status).toBe(200);
+    for (const path of ['/rooms/a/b?n=1', '/rooms/a%2fb?n=1', '/rooms/a%2Fb?n=%31']) {
+      expectFailure(await book(path), 'key_reused', /"k1" was used/);
+    }
+    expect((await book('/rooms/a%2Fb?n=1')).headers['idempotency-replayed']).toBe('true');
+    expect(service.records).toHaveLength(1);
+  });
+});
+
+describe('HEAD and OPTIONS', () => {
+  it('answers them without a body and forwards HEAD as HEAD', async () => {
+    const { call, service } = getEdge();
+    const head = await call({ method: 'HEAD', path: '/services/bookings/rooms' });
+    expect(head).toMatchObject({ status: 200, body: '', isWhole: true });
+    expect(service.records.map(({ method }) => method)).toEqual(['HEAD']);
+    expect(await call({ method: 'HEAD', path: '/v1/models' })).toMatchObject({
+      status: 200,
+      body: '',
+    });
+    for (const [path, allow] of [
+      ['/services/bookings/rooms', 'POST, GET, HEAD, DELETE, PUT, PATCH, OPTIONS'],
+      ['/v1/models', 'GET, HEAD, OPTIONS'],
+      ['/v1/completions', 'POST, OPTIONS'],
+    ]) {
+      const options = await call({ method: 'OPTIONS', path });
+      expect([options.status, options.body, options.headers.allow]).toEqual([204, '', allow]);
+    }
+    const missing = await call({ method: 'OPTIONS', path: '/v2/models' });
+    expectFailure(missing, 'not_found', /\/v2\/models does not exist/);
+    const wrong = await call({ method: 'PUT', path: '/v1/models' });
+    expectFailure(wrong, 'method_not_allowed', /PUT is not allowed on \/v1\/models/);
+    expect(service.records).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/tests/helpers/edge.ts
@@ -0,0 +1,94 @@
+import { sha256 } from '../../src/base/hash.ts';
+import { getDefaults, startPlatform } from '../../src/cli/quickstart.ts';
+import { EntryHost } from '../../src/host/entryHost.ts';
+import { isReady } from '../../src/core/lifecycle.ts';
+import { describeProblems, parseSettings } from '../../src/settings/parse.ts';
+import { ANSWERS, type ErrorKind } from '../../src/errors/kinds.ts';
+import { cleanAfter, until } from '../support.ts';
+import { type Received, send, type Sent } from './send.ts';
+import { afterAll, beforeAll, beforeEach, expect } from 'vitest';
+
+const KEYS = [
+  { name: 'demo', firm: 'demo', role: 'caller', sha256: sha256('demo-caller') },
+  { name: 'rival', firm: 'rival', role: 'caller', sha256: sha256('rival-caller') },
+  { name: 'demo', firm: 'demo', role: 'operator', sha256: sha256('demo-operator') },
+];
+
+export const AUTHORIZED = { authorization: 'Bearer demo-caller' };
+
+export type Edge = Awaited<ReturnType<typeof openEdge>>;
+
+/** Starts one entry host that ends with the test. */
+export async function startEdge(settings: Record<string, string> = {}): Promise<Edge> {
+  const edge = await openEdge(settings);
+  cleanAfter(edge.close);
+  return edge;
+}
+
+/** Starts one entry host for all tests of a file or group; what it recorded is cleared for each. */
+export function useEdge(settings: Record<string, string> = {}): () => Edge {
+  let edge: Edge;
+  beforeAll(async () => {
+    edge = await openEdge(settings);
+  });
+  beforeEach(() => {
+    edge.service.records.length = 0;
+    for (const { records } of edge.engines) records.runs.length = 0;
+  });
+  afterAll(() => edge.close());
+  return () => edge;
+}
+
+/** Starts one entry host in this process over the platform of `quickstart`. */
+async function openEdge(settings: Record<string, string>) {
+  const platform = await startPlatform();
+  const parsed = parseSettings([], {
+    ...getDefaults(platform),
+    FIREFLYWICK_CALLER_LISTEN: '127.0.0.1:0',
+    FIREFLYWICK_OPERATOR_LISTEN: '127.0.0.1:0',
+    FIREFLYWICK_PEER_LISTEN: '127.0.0.1:0',
+    FIREFLYWICK_LOADS_PER_SECOND: '1000',
+    FIREFLYWICK_LAME_DUCK: '0ms',
+    FIREFLYWICK_LOG_LEVEL: 'error',
+    FIREFLYWICK_KEYS: JSON.stringify(KEYS),
+    ...settings,
+  });
+  if (parsed.err) throw new Error(describeProblems(parsed.val));
+  const host = EntryHost.create(parsed.val);
+  const { callerPort, operatorPort } = await host.start();
+  let stopping: Promise<void> | undefined;
+  const stop = () => (stopping ??= host.stop());
+  await until(() => isReady(host.state));
+  const address = `127.0.0.1:${callerPort}`;
+  return {
+    ...platform,
+    host,
+    stop,
+    close: async () => {
+      await stop();
+      await platform.stop();
+    },
+    address,
+    operators: `127.0.0.1:${operatorPort}`,
+    /** Sends an authorized request to the callers' port. */
+    call: (sent: Partial<Sent>) =>
+      send({
+        address,
+        method: 'POST',
+        path: '/v1/completions',
+        ...sent,
+        headers: { ...AUTHORIZED, ...sent.headers },
+      }),
+  };
+}
+
+/** Checks everything that the answer of a failure must tell. */
+export function expectFailure(received: Received, kind: ErrorKind, message: RegExp): void {
+  const answer: { status: number; outcome: string; retryAfterS?: number } = ANSWERS[kind];
+  const { error } = JSON.parse(received.body) as { error: Record<string, unknown> };
+  expect(error).toMatchObject({ kind, code: kind, outcome: answer.outcome });
+  expect(error.message).toMatch(message);
+  expect(received.status).toBe(answer.status);
+  const retryAfter = answer.retryAfterS === undefined ? undefined : String(answer.retryAfterS);
+  expect(received.headers['retry-after']).toBe(retryAfter);
+}
