--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -1,11 +1,11 @@
 import { randomUUID } from 'node:crypto';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import createRouter, { type HTTPVersion, type Instance } from 'find-my-way';
 import type { DraftListAnswer, DraftReadAnswer } from '../drafts/types.ts';
 import { Failure, getFailureBody } from '../errors/failure.ts';
 import { getAnswer } from '../errors/kinds.ts';
 import { findKey } from '../http/keys.ts';
-import { getPort, startServer, stopServer } from '../http/listen.ts';
+import { type RunningServer, startServer } from '../http/listen.ts';
 import { sendFailure, sendJson } from '../http/reply.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
 import type { AdminHost, CommandRoute } from './context.ts';
@@ -17,7 +17,7 @@
 
 /** HTTP server for operators. */
 export class AdminServer {
-  private server: Server | undefined;
+  private server: RunningServer | undefined;
   /** Calls that wait for the reducer's answer, by question. */
   private readonly waiting = new Map<string, ServerResponse>();
 
@@ -52,14 +52,14 @@
     this.server = await startServer(
       (request, response) => void this.router.lookup(request, response),
       listen.operators,
-      limits.headerBytes,
+      limits,
     );
-    return getPort(this.server);
+    return this.server.port;
   }
 
   /** Takes no new connections and resolves when all have ended. */
   async stop(): Promise<void> {
-    if (this.server !== undefined) await stopServer(this.server);
+    await this.server?.stop();
   }
 
   /** Passes the reducer's answer on; an operator who has gone gets none. */
--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -1,9 +1,9 @@
 import { randomUUID } from 'node:crypto';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import createRouter, { type HTTPMethod, type HTTPVersion, type Instance } from 'find-my-way';
 import { Failure } from '../errors/failure.ts';
 import { findKey } from '../http/keys.ts';
-import { getPort, startServer, stopServer } from '../http/listen.ts';
+import { type RunningServer, startServer } from '../http/listen.ts';
 import { sendFailure } from '../http/reply.ts';
 import { newTraceContext, parseTraceparent } from '../observe/traceparent.ts';
 import type { CallerHost, Route } from './context.ts';
@@ -15,7 +15,7 @@
 
 /** HTTP server for callers. */
 export class CallerServer {
-  private server: Server | undefined;
+  private server: RunningServer | undefined;
 
   private constructor(
     private readonly host: CallerHost,
@@ -42,14 +42,14 @@
     this.server = await startServer(
       (request, response) => void this.router.lookup(request, response),
       listen.callers,
-      limits.headerBytes,
+      limits,
     );
-    return getPort(this.server);
+    return this.server.port;
   }
 
   /** Takes no new connections and resolves when all have ended. */
   async stop(): Promise<void> {
-    if (this.server !== undefined) await stopServer(this.server);
+    await this.server?.stop();
   }
 
   private addRoute(route: Route): void {
@@ -66,6 +66,8 @@
   ): Promise<void> {
     const id = randomUUID();
     response.setHeader('x-request-id', id);
+    // The caller's next request goes through the balancer to another host.
+    if (this.host.state.phase !== 'running') response.setHeader('connection', 'close');
     const key = findKey(this.host.settings.access.keys, request.headers.authorization, 'caller');
     if (key === undefined) {
       const message = 'header Authorization carries no valid caller key';
--- /dev/null
+++ b/tests/callers/draftsAndServices.test.ts
@@ -0,0 +1,92 @@
+import { describe, expect, it } from 'vitest';
+import { getExpectedText } from '../../stand-ins/engine/answer.ts';
+import { expectFailure, useEdge } from '../helpers/edge.ts';
+import { until } from '../support.ts';
+
+const getEdge = useEdge();
+const ASYNC = { prefer: 'respond-async' };
+const RIVAL = { authorization: 'Bearer rival-caller' };
+
+function readDraft(path: string, headers: Record<string, string> = {}, method = 'GET') {
+  return getEdge().call({ method, path, headers });
+}
+
+describe('drafts', () => {
+  it('are accepted, read as often as wanted and deleted', async () => {
+    const request = { model: 'session-summary', prompt: 'hall 3', max_tokens: 200 };
+    const { call } = getEdge();
+    const accepted = await call({ headers: ASYNC, body: JSON.stringify(request) });
+    expect(accepted.status).toBe(202);
+    const path = accepted.headers.location ?? '';
+    expect(path).toMatch(/^\/v1\/drafts\/[0-9a-f-]{36}$/);
+    expect(accepted.headers['preference-applied']).toBe('respond-async');
+    const early = await readDraft(path);
+    expect([early.status, early.headers['retry-after']]).toEqual([202, '1']);
+    expectFailure(await readDraft(path, RIVAL), 'not_found', /draft/);
+    await until(async () => (await readDraft(path)).status === 200);
+    for (let time = 0; time < 3; time++) {
+      const { status, headers, body } = await readDraft(path);
+      expect([status, headers['x-adapter'], headers['x-adapter-version']]).toEqual([
+        200,
+        'session-summary',
+        'v2',
+      ]);
+      const { choices } = JSON.parse(body) as { choices: { text: string }[] };
+      const expected = getExpectedText({ ...request, model: 'session-summary@v2', priority: 0 });
+      expect(choices[0]?.text).toBe(expected);
+    }
+    expectFailure(await readDraft(path, RIVAL, 'DELETE'), 'not_found', /draft/);
+    expect((await readDraft(path, {}, 'DELETE')).status).toBe(200);
+    expectFailure(await readDraft(path), 'not_found', /draft/);
+  });
+
+  it.each([
+    ['an unknown adapter', { model: 'nothing', prompt: 'x' }, 'unknown_adapter', /"nothing"/],
+    ['an unknown version', { model: 'order-status@v9', prompt: 'x' }, 'unknown_version', /"v9"/],
+    ['no prompt', { model: 'order-status' }, 'bad_request', /"prompt"/],
+  ] as const)('are refused with %s', async (_name, body, kind, message) => {
+    const received = await getEdge().call({ headers: ASYNC, body: JSON.stringify(body) });
+    expectFailure(received, kind, message);
+  });
+});
+
+describe('services', () => {
+  const path = '/services/bookings/rooms';
+  const book = (key: string, body = 'room 1') =>
+    getEdge().call({ path, headers: { 'idempotency-key': key }, body });
+
+  it('replays the recorded answer of a repeat', async () => {
+    const first = await book('r1');
+    const again = await book('r1');
+    expect([first.status, again.status, again.body]).toEqual([200, 200, first.body]);
+    expect(first.headers['idempotency-replayed']).toBeUndefined();
+    expect(again.headers['idempotency-replayed']).toBe('true');
+    expect(getEdge().service.records).toHaveLength(1);
+  });
+
+  it('tells that a call is in progress and that its key is used', async () => {
+    const { service } = getEdge();
+    service.setFaults({ slowMs: 500 });
+    const first = book('r2');
+    await until(() => getEdge().host.state.actions.inFlight.size === 1);
+    expectFailure(await book('r2'), 'in_progress', /"r2" is in progress/);
+    expectFailure(await book('r2', 'room 2'), 'key_reused', /"r2" was used/);
+    expect((await first).status).toBe(200);
+    service.setFaults({ slowMs: 0 });
+    expectFailure(await book('r2', 'room 2'), 'key_reused', /"r2" was used/);
+    expect(service.records).toHaveLength(1);
+  });
+
+  it('needs a key only for what may not be repeated', async () => {
+    const { call, service } = getEdge();
+    expectFailure(await call({ path, body: 'x' }), 'key_missing', /Idempotency-Key/);
+    const blank = await call({ path, body: 'x', headers: { 'idempotency-key': 'a b' } });
+    expectFailure(blank, 'bad_request', /Idempotency-Key must be/);
+    expect(service.records).toEqual([]);
+    for (let time = 0; time < 2; time++) {
+      expect((await call({ method: 'GET', path })).status).toBe(200);
+    }
+    expect(service.records).toHaveLength(2);
+    expectFailure(await call({ path: '/services/desk/x' }), 'unknown_service', /"desk"/);
+  });
+});
--- a/tests/helpers/edge.ts
+++ b/tests/helpers/edge.ts
@@ -58,7 +58,10 @@
   const { callerPort, operatorPort } = await host.start();
   let stopping: Promise<void> | undefined;
   const stop = () => (stopping ??= host.stop());
-  await until(() => isReady(host.state));
+  // A host is ready before it owns the engines of its zone, and refuses requests until then.
+  await until(
+    () => isReady(host.state) && host.state.grants.owned.size === platform.engines.length,
+  );
   const address = `127.0.0.1:${callerPort}`;
   return {
     ...platform,
