--- a/src/core/metricNames.ts
+++ b/src/core/metricNames.ts
@@ -58,6 +58,18 @@
     kind: 'histogram',
     help: 'Time from confirm to in force on this host.',
   },
+  fireflywick_event_loop_lag_ms: {
+    kind: 'histogram',
+    help: 'Time by which a timer fired late because the event loop was busy, sampled every second.',
+  },
+  process_cpu_seconds_total: {
+    kind: 'counter',
+    help: 'User and system processor time of the process, in seconds.',
+  },
+  process_resident_memory_bytes: {
+    kind: 'gauge',
+    help: 'Resident memory of the process, in bytes.',
+  },
 } as const satisfies Record<string, Metric>;
 
 export type MetricName = keyof typeof METRICS;
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -15,6 +15,7 @@
 import { State } from '../core/state.ts';
 import type { DraftListAnswer, DraftReadAnswer } from '../drafts/types.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
+import { ProcessSampler } from '../observe/processSampler.ts';
 import { PeerLinks } from '../peers/links.ts';
 import type { Settings } from '../settings/groups.ts';
 import type { HostContext, RunningAttempt } from './context.ts';
@@ -41,6 +42,7 @@
   private readonly loop: Loop;
   private readonly callerServer: CallerServer;
   private readonly adminServer: AdminServer;
+  private readonly sampler: ProcessSampler;
   private readonly stopped: Promise<void>;
   private resolveStopped: () => void = () => undefined;
 
@@ -70,6 +72,7 @@
         this.observer.logger.write('error', 'an event failed', { event: event.type, reason });
       },
     });
+    this.sampler = ProcessSampler.create((observation) => this.observer.observe(observation));
     this.callerServer = CallerServer.create(this);
     this.adminServer = AdminServer.create(this);
     this.stopped = new Promise((resolve) => {
@@ -86,6 +89,7 @@
     const callerPort = await this.callerServer.start();
     const operatorPort = await this.adminServer.start();
     await this.links.start();
+    this.sampler.start();
     this.dispatch({ type: 'started' });
     return { callerPort, operatorPort };
   }
@@ -95,6 +99,7 @@
     this.dispatch({ type: 'stopRequested' });
     await this.stopped;
     this.loop.stop();
+    this.sampler.stop();
     await this.callerServer.stop();
     await this.adminServer.stop();
     await this.links.stop();
--- a/src/requests/handlers.ts
+++ b/src/requests/handlers.ts
@@ -2,6 +2,7 @@
 import type { Effect } from '../core/effects.ts';
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import type { State } from '../core/state.ts';
+import { newObserve } from '../core/observations.ts';
 import { Failure } from '../errors/failure.ts';
 import { isReachable } from '../ownership/owner.ts';
 import { updateSent } from '../engines/views.ts';
@@ -20,10 +21,13 @@
     const failure = Failure.create('cancelled', 'the caller closed the connection');
     return [...cancelAttempt(state, request), ...failRequest(state, request, failure)];
   },
-  attemptProgressed: (state, { id, attempt }) => {
-    const current = state.requests.inFlight.get(id)?.attempt;
-    if (current?.id === attempt) current.hasStarted = true;
-    return [];
+  attemptProgressed: (state, { id, attempt }, now) => {
+    const request = state.requests.inFlight.get(id);
+    const current = request?.attempt;
+    if (request === undefined || current?.id !== attempt || current.hasStarted) return [];
+    current.hasStarted = true;
+    const labels = { firm: request.firm, kind: request.kind };
+    return [newObserve('fireflywick_first_token_ms', labels, now - request.arrivedAt)];
   },
   attemptEnded: (state, { id, attempt, outcome }, now) => {
     const request = state.requests.inFlight.get(id);
--- /dev/null
+++ b/tests/callers/metrics.test.ts
@@ -0,0 +1,36 @@
+import { expect, it } from 'vitest';
+import { send } from '../helpers/send.ts';
+import { useEdge } from '../helpers/edge.ts';
+import { until } from '../support.ts';
+
+const getEdge = useEdge();
+
+async function getValue(series: string): Promise<number> {
+  const { operators: address } = getEdge();
+  const { body } = await send({ address, method: 'GET', path: '/metrics' });
+  const line = body.split('\n').find((text) => text.startsWith(`${series} `));
+  return Number(line?.slice(series.length));
+}
+
+// A metric that is declared and documented, but never recorded.
+it.each([
+  ['ordinary', true],
+  ['ordinary', false],
+  ['urgent', true],
+  ['urgent', false],
+] as const)('tells the first-token time of requests (%s, stream %s)', async (kind, stream) => {
+  const series = `fireflywick_first_token_ms_count{firm="demo",kind="${kind}"}`;
+  const before = (await getValue(series)) || 0;
+  const { status } = await getEdge().call({
+    headers: kind === 'urgent' ? { 'x-request-kind': kind } : {},
+    body: JSON.stringify({ model: 'order-status', prompt: 'x', max_tokens: 3, stream }),
+  });
+  expect(status).toBe(200);
+  expect(await getValue(series)).toBe(before + 1);
+});
+
+it('tells processor time, memory and event loop lag of the process', async () => {
+  await until(async () => (await getValue('fireflywick_event_loop_lag_ms_count')) > 0);
+  expect(await getValue('process_cpu_seconds_total')).toBeGreaterThan(0);
+  expect(await getValue('process_resident_memory_bytes')).toBeGreaterThan(1_000_000);
+});
