Fuzz every boundary and fix what it found

- A body nested deeper than JSON.stringify can take was answered as internal; it is a bad_request now.
- X-Request-Deadline-Ms accepted hexadecimal and exponents.
- A chunk without a number in a numbered stream was passed on, so a stream could repeat a chunk; the order is unknown then and the attempt is broken.
- A stream with an end mark and no chunk counted as completed.
- A malformed key in the table made the scan of drafts throw.

--- a/src/callers/completionBody.ts
+++ b/src/callers/completionBody.ts
@@ -7,6 +7,8 @@
 /** Characters of the prompt that one entry of the prompt's hash chain covers. */
 const BLOCK_CHARS = 256;
 const MAX_BLOCKS = 32;
+/** JSON.stringify overflows the stack on a body that JSON.parse takes. */
+const MAX_DEPTH = 64;
 /** Fields that say who asks and how the answer is delivered, not what the engine computes. */
 const DELIVERY_FIELDS = new Set(['model', 'stream', 'stream_options', 'user']);
 
@@ -50,6 +52,10 @@
     const reason = error instanceof Error ? error.message : String(error);
     return Err(Failure.create('bad_request', `the body is not valid JSON: ${reason}`));
   }
+  if (isDeeperThan(json, MAX_DEPTH)) {
+    const message = `the body is nested more than ${MAX_DEPTH} levels deep`;
+    return Err(Failure.create('bad_request', message));
+  }
   const parsed = schema.safeParse(json);
   if (!parsed.success) {
     const issue = parsed.error.issues[0];
@@ -62,6 +68,11 @@
   return Ok(getCompletion(parsed.data));
 }
 
+function isDeeperThan(value: unknown, depth: number): boolean {
+  if (typeof value !== 'object' || value === null) return false;
+  return depth === 0 || Object.values(value).some((part) => isDeeperThan(part, depth - 1));
+}
+
 function getCompletion(body: ParsedBody): Completion {
   const [adapter = '', version] = body.model.split('@');
   return {
--- a/src/callers/requestHeaders.ts
+++ b/src/callers/requestHeaders.ts
@@ -4,6 +4,8 @@
 import type { RequestKind } from '../requests/types.ts';
 import type { Settings } from '../settings/groups.ts';
 
+const DEADLINE_PATTERN = /^-?\d{1,15}(\.\d{1,15})?$/;
+
 export interface RequestHeaders {
   kind: RequestKind;
   /** Milliseconds from now until the deadline; negative when it has passed. */
@@ -25,11 +27,11 @@
   }
   const deadline = getHeader(headers, 'x-request-deadline-ms');
   const remainingMs = deadline === undefined ? defaultRequestMs : Number(deadline);
-  if (!Number.isFinite(remainingMs) || deadline === '') {
+  if (deadline !== undefined && !DEADLINE_PATTERN.test(deadline)) {
     return Err(
       Failure.create(
         'bad_request',
-        `header X-Request-Deadline-Ms is "${deadline ?? ''}", allowed: milliseconds until the deadline`,
+        `header X-Request-Deadline-Ms is "${deadline}", allowed: milliseconds until the deadline`,
         { param: 'X-Request-Deadline-Ms' },
       ),
     );
--- a/src/clients/completion.ts
+++ b/src/clients/completion.ts
@@ -178,9 +178,17 @@
       for await (const part of this.readParts(parts)) {
         parser.feed(decoder.decode(part, { stream: true }));
         for (const { id, data } of events.splice(0)) {
-          for (const next of this.order.take(id, data)) {
+          const ordered = this.order.take(id, data);
+          if (ordered === undefined) {
+            const reason = `the engine sent without a number: ${getMessage(data)}`;
+            return { outcome: { type: 'broken', reason } };
+          }
+          for (const next of ordered) {
             if (next === DONE_DATA) {
               this.drain(opened, parts);
+              if (!this.hasHead) {
+                return { outcome: { type: 'broken', reason: 'the stream has no chunk' } };
+              }
               return { outcome: this.getCompleted() };
             }
             const outcome = await this.passOn(next);
--- a/src/configuration/intent.ts
+++ b/src/configuration/intent.ts
@@ -64,7 +64,8 @@
 export function parseIntent(text: string): Result<Intent, string[]> {
   let value: unknown;
   try {
-    value = parse(text);
+    // Warnings would go to standard error; the schema refuses what they are about.
+    value = parse(text, { logLevel: 'error' });
   } catch (error) {
     return Err([
       `not valid YAML or JSON: ${error instanceof Error ? error.message : String(error)}`,
--- a/src/drafts/rows.ts
+++ b/src/drafts/rows.ts
@@ -26,7 +26,13 @@
 
 /** Returns the id of the draft that a key of any of the prefixes stands for. */
 export function getDraftId(key: string): string {
-  return decodeURIComponent(key.slice(key.lastIndexOf('/') + 1));
+  const part = key.slice(key.lastIndexOf('/') + 1);
+  try {
+    return decodeURIComponent(part);
+  } catch {
+    // Another program wrote this key; no draft has it as id.
+    return part;
+  }
 }
 
 export function isLargeText(text: string): boolean {
--- a/tests/clients/chunkOrder.test.ts
+++ b/tests/clients/chunkOrder.test.ts
@@ -56,8 +56,24 @@
       ],
       expected: 'ab',
     },
+    {
+      name: 'refuses a chunk without a number among numbered ones',
+      chunks: [
+        ['1', 'a'],
+        [undefined, 'a'],
+      ],
+      expected: 'a?',
+    },
+    {
+      name: 'refuses a number after chunks without one',
+      chunks: [
+        [undefined, 'a'],
+        ['2', 'b'],
+      ],
+      expected: 'a?',
+    },
   ])('$name', ({ chunks, expected }) => {
     const order = ChunkOrder.create();
-    expect(chunks.flatMap(([id, data]) => order.take(id, data)).join('')).toBe(expected);
+    expect(chunks.flatMap(([id, data]) => order.take(id, data) ?? ['?']).join('')).toBe(expected);
   });
 });
--- /dev/null
+++ b/tests/fuzz/input.test.ts
@@ -0,0 +1,198 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { ChatBody, CompletionBody, parseCompletion } from '../../src/callers/completionBody.ts';
+import { parseRequestHeaders } from '../../src/callers/requestHeaders.ts';
+import { parseTarget } from '../../src/callers/serviceTarget.ts';
+import { parseIntent } from '../../src/configuration/intent.ts';
+import { Message } from '../../src/core/messages.ts';
+import { decodeBody, encodeFrame, FrameReader } from '../../src/peers/frames.ts';
+import { SETTINGS } from '../../src/settings/definitions.ts';
+import { describeProblems, parseSettings } from '../../src/settings/parse.ts';
+import { getEnvironmentName } from '../../src/settings/types.ts';
+
+const RUNS = { seed: 7, numRuns: 300 };
+const LIMITS = { defaultRequestMs: 60_000, maxRequestMs: 120_000 };
+const BODY = { model: 'order-status@v1', prompt: 'x', max_tokens: 4, stream: true };
+const CHAT = { model: 'order-status', messages: [{ role: 'user', content: 'x' }], user: 'u' };
+const INTENT = {
+  adapters: [
+    { name: 'a', firm: 'f', model: 'm', versions: { v1: { source: 's' } }, inForce: 'v1' },
+  ],
+  services: [{ name: 's', endpoints: [], repeatable: [{ method: 'GET', path: '/*' }] }],
+  shares: [{ firm: 'f', share: 0.5 }],
+};
+
+/** JSON values in which one part of `value` is replaced by any other. */
+function newMutated(value: unknown): fc.Arbitrary<unknown> {
+  const other = fc.oneof(fc.jsonValue(), fc.constantFrom('', -1, 1e300, null, '__proto__'));
+  if (typeof value !== 'object' || value === null) return other;
+  const entries = Object.entries(value);
+  const inner = fc.nat(Math.max(0, entries.length - 1)).chain((index) => {
+    const [name = 'x', part] = entries[index] ?? [];
+    const change = (changed: unknown): unknown =>
+      Array.isArray(value)
+        ? value.map((item: unknown, i) => (i === index ? changed : item))
+        : { ...value, [name]: changed };
+    return newMutated(part).map(change);
+  });
+  const extra = fc.tuple(fc.string(), other).map(([name, part]) => ({ ...value, [name]: part }));
+  return fc.oneof({ weight: 4, arbitrary: inner }, { weight: 1, arbitrary: extra }, other);
+}
+
+function newText(value: unknown): fc.Arbitrary<string> {
+  const json = newMutated(value).map((changed) => JSON.stringify(changed));
+  const cut = fc.tuple(json, fc.nat()).map(([text, at]) => text.slice(0, at % (text.length + 1)));
+  return fc.oneof({ weight: 3, arbitrary: json }, cut, fc.string({ unit: 'binary' }));
+}
+
+describe('random and mutated input', () => {
+  it.each([
+    ['completions', CompletionBody, BODY],
+    ['chat completions', ChatBody, CHAT],
+  ] as const)('as body of %s is parsed or refused by name', (_name, schema, example) => {
+    fc.assert(
+      fc.property(newText(example), (text) => {
+        const parsed = parseCompletion(Buffer.from(text), schema);
+        if (parsed.err) {
+          expect(parsed.val.kind).toBe('bad_request');
+          expect(parsed.val.message).toMatch(/^(the body|field ").{10,}/);
+        } else {
+          expect(parsed.val.adapter).not.toBe('');
+          expect(parsed.val.maxTokens).toBeGreaterThanOrEqual(1);
+        }
+      }),
+      RUNS,
+    );
+  });
+
+  // Found by hand: JSON.parse takes any depth, JSON.stringify does not, so the answer was `internal`.
+  it.each(['prompt', 'user', 'stream_options', 'tools'])(
+    'nested deeply in %s is refused',
+    (field) => {
+      const deep = '['.repeat(200_000) + ']'.repeat(200_000);
+      const text = `{"model":"a","prompt":"x","${field}":${deep}}`;
+      const parsed = parseCompletion(Buffer.from(text), CompletionBody);
+      expect(parsed.err && parsed.val).toMatchObject({
+        kind: 'bad_request',
+        message: 'the body is nested more than 64 levels deep',
+      });
+    },
+  );
+
+  it('as headers is parsed or refused by name', () => {
+    const value = fc.oneof(fc.string(), fc.double().map(String), fc.constantFrom('0x10', '1e3'));
+    fc.assert(
+      fc.property(value, value, (kind, deadline) => {
+        const headers = { 'x-request-kind': kind, 'x-request-deadline-ms': deadline };
+        const parsed = parseRequestHeaders(headers, LIMITS as never);
+        if (parsed.err) expect(parsed.val.message).toMatch(/^header X-Request-(Kind|Deadline-Ms) /);
+        else expect(parsed.val.remainingMs).toBeLessThanOrEqual(LIMITS.maxRequestMs);
+      }),
+      RUNS,
+    );
+  });
+
+  it.each(['0x10', '1e3', ' 5', '', 'Infinity', '5ms', '--5'])('%j is no deadline', (deadline) => {
+    const parsed = parseRequestHeaders({ 'x-request-deadline-ms': deadline }, LIMITS as never);
+    expect(parsed.err && parsed.val.param).toBe('X-Request-Deadline-Ms');
+  });
+
+  // A server that decodes the path must not get one that leads out of the service.
+  it('as path of a service never leaves it', () => {
+    const part = fc.constantFrom('..', '.', '/', '%2e', '%2F', '%5c', '\\', ';', '%3B', 'a', '?');
+    const path = fc.array(part, { maxLength: 8 }).map((parts) => `/services/s/${parts.join('')}`);
+    fc.assert(
+      fc.property(fc.oneof(path, fc.string()), (target) => {
+        const parsed = parseTarget(target);
+        if (parsed.err) {
+          expect(parsed.val.message).toContain('"');
+        } else {
+          const { path: kept, query } = parsed.val;
+          expect(target.endsWith(kept + query) || kept === '/').toBe(true);
+          const url = new URL(`http://x/base${kept.replace(/%2f|%5c/gi, '/')}`);
+          expect(url.pathname).toMatch(/^\/base/);
+        }
+      }),
+      { ...RUNS, numRuns: 2_000 },
+    );
+  });
+
+  it('as an intent is parsed or refused by path', () => {
+    fc.assert(
+      fc.property(newText(INTENT), (text) => {
+        const parsed = parseIntent(text);
+        if (parsed.ok) return;
+        expect(parsed.val.length).toBeGreaterThan(0);
+        for (const problem of parsed.val) expect(problem).toMatch(/\S+: .+|not valid YAML or JSON/);
+      }),
+      RUNS,
+    );
+  });
+
+  it.each([
+    ['an alias bomb', bomb()],
+    ['deep nesting', '['.repeat(20_000)],
+    ['a tag that does not exist', 'adapters: !!js/function "x"'],
+    ['a merge of __proto__', '{"__proto__": {"adapters": []}, "x": 1}'],
+  ])('with %s as an intent is refused', (_name, text) => {
+    expect(parseIntent(text).err).toBe(true);
+  });
+
+  it('as settings is parsed or refused by name', () => {
+    const names = SETTINGS.map(({ name }) => name);
+    const value = fc.oneof(fc.string(), fc.constantFrom('0', '-1', '1e99', '127.0.0.1:0', '[{}]'));
+    const environment = fc.dictionary(fc.constantFrom(...names), value);
+    fc.assert(
+      fc.property(environment, fc.array(fc.string(), { maxLength: 3 }), (values, argv) => {
+        const entries = Object.entries(values).map(([name, text]) => [
+          getEnvironmentName(name),
+          text,
+        ]);
+        const parsed = parseSettings(argv, Object.fromEntries(entries) as Record<string, string>);
+        // Settings without a default are never all given here.
+        expect(parsed.err && describeProblems(parsed.val)).toMatch(/--|argument|FIREFLYWICK/);
+      }),
+      RUNS,
+    );
+  });
+
+  it('as peer frames is cut, decoded or dropped', () => {
+    const frame = fc
+      .tuple(fc.nat(3), fc.jsonValue())
+      .map(([kind, value]) => encodeFrame(kind, value));
+    const bytes = fc.oneof(
+      frame,
+      fc.uint8Array({ maxLength: 64 }).map((array) => Buffer.from(array)),
+    );
+    fc.assert(
+      fc.property(fc.array(bytes, { maxLength: 6 }), fc.nat(20), (parts, cut) => {
+        const all = Buffer.concat(parts);
+        const reader = FrameReader.create();
+        for (let at = 0; at < all.length; at += cut + 1) {
+          const bodies = reader.push(all.subarray(at, at + cut + 1), 4_096);
+          if (bodies === undefined) return;
+          for (const body of bodies) Message.safeParse(decodeBody(body)?.content);
+        }
+      }),
+      { ...RUNS, numRuns: 1_000 },
+    );
+  });
+
+  it.each([
+    ['an array of 2^32 - 1 items', '9affffffff'],
+    ['a map of 2^32 - 1 entries', 'bafffffffff5'],
+    ['a text of 2^31 bytes', '7a80000000'],
+    ['nested arrays', '81'.repeat(100_000)],
+    ['a record of another stream', 'd8e0'],
+  ])('is dropped when a frame claims %s', (_name, hex) => {
+    expect(decodeBody(Buffer.from(hex, 'hex'))).toBeUndefined();
+  });
+});
+
+function bomb(): string {
+  const lines = ['a0: &a0 [x, x, x, x, x, x, x, x, x, x]'];
+  for (let i = 1; i < 12; i++) {
+    lines.push(`a${i}: &a${i} [${Array.from({ length: 10 }, () => `*a${i - 1}`).join(', ')}]`);
+  }
+  return lines.join('\n');
+}
