--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,5 @@
 import meow from 'meow';
+import { runOverheadBench } from './overhead/report.ts';
 import { runPolicy } from './policy/run.ts';
 import { runScale } from './scale/run.ts';
 
@@ -9,6 +10,7 @@
 
   Benches
     policy      decisions under load, against baselines and a clairvoyant bound
+    overhead    the entry host against a bare forwarder; needs "npm run build"
     scale       processor time and memory at 1, 10 and 100 times today's size
 
   Options
@@ -19,6 +21,7 @@
     --zipf X            exponent of the adapters' popularity
     --stall-weight X    0 weighs batch efficiency only, 1 load stalls only
     --report FILE.html  draws the results of the policy bench into one file
+    --rounds N          rounds of the overhead bench (5)
     --json              one JSON line for each scenario
 `,
   {
@@ -31,6 +34,7 @@
       zipf: { type: 'number' },
       stallWeight: { type: 'number' },
       report: { type: 'string' },
+      rounds: { type: 'number', default: 5 },
       json: { type: 'boolean', default: false },
     },
   },
@@ -41,6 +45,7 @@
 const BENCHES: Record<string, (flags: Flags) => number | Promise<number>> = {
   policy: runPolicy,
   scale: runScale,
+  overhead: runOverheadBench,
 };
 
 const bench = BENCHES[cli.input[0] ?? ''];
