Measure how long a confirmed revision takes to be in force

Ruled out: one measure from the commit only; the operator's confirmation takes three calls of the table one after the other and counts as well. No change of src was needed.

--- a/tests/helpers/cluster.ts
+++ b/tests/helpers/cluster.ts
@@ -53,6 +53,10 @@
   /** Directed pairs `from>to` that carry nothing. */
   readonly cuts = new Set<string>();
   faults: Faults = NO_FAULTS;
+  /** Simulated ms that each call of the table takes. */
+  tableMs = 4;
+  /** Returns the simulated ms that a message between two hosts takes. */
+  getLinkMs: (from: string, to: string) => number = () => 1;
   /** Residents of each engine, as its report shows them. */
   readonly residents = new Map<string, string[]>();
   /** Called after each event of a host. */
@@ -222,7 +226,9 @@
     // What arrives went through the schema; a message that the schema refuses fails the test.
     const parsed = Message.parse(structuredClone(message));
     for (let copy = 0; copy < copies; copy++) {
-      const delay = this.hits(this.faults.late) ? this.random.getInteger(3_000) : 1;
+      const delay = this.hits(this.faults.late)
+        ? this.random.getInteger(3_000)
+        : this.getLinkMs(node.id, to);
       this.after(delay, () => {
         const target = this.nodes.get(to);
         if (target === undefined || !this.isOpen(node.id, to)) return;
@@ -234,7 +240,9 @@
   private callTable(node: Node, effect: Extract<Effect, { type: 'callTable' }>): void {
     const { call, purpose } = effect;
     const sentAt = this.getClock(node);
-    const delay = this.hits(this.faults.slowTable) ? this.random.getInteger(8_000) : 2;
+    const delay = this.hits(this.faults.slowTable)
+      ? this.random.getInteger(8_000)
+      : this.tableMs / 2;
     const isFailed = node.isTableCut || this.hits(this.faults.tableFailure);
     const answer = (after: number, value: Extract<Event, { type: 'tableAnswered' }>['answer']) =>
       this.after(after, () =>
@@ -250,7 +258,7 @@
       const isApplied = !isLost || this.hits(0.5);
       const value = isApplied ? this.table.apply(call) : undefined;
       if (value === undefined || isLost) answer(500, { type: 'unknown', reason: 'lost' });
-      else answer(2, structuredClone(value));
+      else answer(this.tableMs / 2, structuredClone(value));
     });
   }
 
