Measure what membership costs a host of a zone in the scale bench

Cause: the scale bench gave the time of a tick of a host with links to all others, and no bytes; the budget of design 4.9 counts both. Ruled out: counting what one host sends alone, as in tests/membership/budget.test.ts; what it receives needs its peers. Change: bench/scale/membership.ts runs all hosts of one zone (of the deployment where the mesh is full) and measures one that is no relay for 30 s: processor time, bytes sent and received by the real encoder with heartbeats. News of other zones, the table and the encoding time are not in it. Memory of the whole state was there already (heapMb).

--- a/bench/scale/measure.ts
+++ b/bench/scale/measure.ts
@@ -6,11 +6,12 @@
 import { choosePlacement } from '../../src/routing/placement.ts';
 import type { Request } from '../../src/requests/types.ts';
 import { Random } from '../../src/base/random.ts';
+import { type MembershipCost, measureMembership } from './membership.ts';
 import type { Size } from './sizes.ts';
 import { getResidents, newAdapter, newReportEvent, newWorld, type World } from './world.ts';
 
 /** Processor time of one call in microseconds, and heap of one host in MB. */
-export interface ScaleResult extends Size {
+export interface ScaleResult extends Size, MembershipCost {
   decisionResidentUs: number;
   decisionColdUs: number;
   loadReportUs: number;
@@ -37,6 +38,7 @@
     membershipRoundUs: measure(newRounds(world), 20),
     adapterChangeUs: measure(newChanges(world, newAdapterChange), 20),
     engineChangeUs: measure(newChanges(world, newEngineChange), 3),
+    ...measureMembership(size),
     heapMb,
   };
 }
--- a/bench/scale/world.ts
+++ b/bench/scale/world.ts
@@ -19,11 +19,8 @@
 }
 
 export function newWorld(size: Size): World {
-  const hosts = Array.from({ length: size.hosts }, (_, index) => ({
-    id: `host-${index}`,
-    zone: `zone-${index % ZONES}`,
-  }));
-  const state = newState();
+  const hosts = newHosts(size);
+  const state = newState({ id: 'host-0', zone: 'zone-0' });
   applyRevision(state.configuration, {
     revision: 1,
     changes: getChanges(size),
@@ -39,6 +36,13 @@
   return { state, owned: [...state.grants.owned.keys()], foreign };
 }
 
+export function newHosts(size: Size): HostLayout[] {
+  return Array.from({ length: size.hosts }, (_, index) => ({
+    id: `host-${index}`,
+    zone: `zone-${index % ZONES}`,
+  }));
+}
+
 /** Residents of the engine with `index`, spread over the adapters of its model. */
 export function getResidents(size: { adapters: number }, index: number): string[] {
   return Array.from({ length: SLOTS }, (_, slot) => {
@@ -53,11 +57,11 @@
   return { type: 'engineReported', engine, report };
 }
 
-function newState(): State {
+export function newState({ id, zone }: HostLayout): State {
   return State.create({
     host: {
-      id: 'host-0',
-      zone: 'zone-0',
+      id,
+      zone,
       region: 'region',
       address: '127.0.0.1:1',
       incarnation: 1,
@@ -73,8 +77,8 @@
   });
 }
 
-function getChanges(size: Size): Change[] {
-  const engines = Array.from({ length: size.engines }, (_, index): Change => ({
+export function getEngineChanges(size: Size): Change[] {
+  return Array.from({ length: size.engines }, (_, index): Change => ({
     type: 'putEngine',
     engine: {
       id: `engine-${index}`,
@@ -87,11 +91,14 @@
       checksFencing: true,
     },
   }));
+}
+
+function getChanges(size: Size): Change[] {
   const adapters = Array.from({ length: size.adapters }, (_, index): Change => ({
     type: 'putAdapter',
     adapter: newAdapter(index),
   }));
-  return [...engines, ...adapters];
+  return [...getEngineChanges(size), ...adapters];
 }
 
 export function newAdapter(index: number): Extract<Change, { type: 'putAdapter' }>['adapter'] {
@@ -104,8 +111,8 @@
   };
 }
 
-function feedHosts(state: State, hosts: readonly HostLayout[]): void {
-  const entries = hosts.map(({ id, zone }, index): HostEntry => ({
+export function newEntries(hosts: readonly HostLayout[]): HostEntry[] {
+  return hosts.map(({ id, zone }, index) => ({
     host: id,
     zone,
     region: 'region',
@@ -116,6 +123,10 @@
     protocol: 1,
     configurationRevision: 1,
   }));
+}
+
+function feedHosts(state: State, hosts: readonly HostLayout[]): void {
+  const entries = newEntries(hosts);
   const others = entries.filter(({ host }) => host !== state.host.id);
   for (const { host } of others) reduce(state, { type: 'linkOpened', host }, 0);
   const message = { type: 'membershipDelta' as const, entries: others };
