--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -145,11 +145,14 @@
 
 function newState({ host, listen, policy, limits }: Settings): State {
   const { id, zone, region, incarnation, seeds } = host;
-  return State.create({
+  const state = State.create({
     host: { id, zone, region, incarnation, address: listen.advertised },
     seeds,
     policy: { ...policy, ...limits },
     // Hosts draw different numbers, and so does the same host after a restart.
     seed: hash32(`${id}/${incarnation}`),
   });
+  // Daily windows of warm intents are in UTC; everything else is monotonic.
+  state.grants.unixOffsetMs = Date.now() - performance.now();
+  return state;
 }
