--- a/bench/scale/measure.ts
+++ b/bench/scale/measure.ts
@@ -6,11 +6,12 @@
 import { choosePlacement } from '../../src/routing/placement.ts';
 import type { Request } from '../../src/requests/types.ts';
 import { Random } from '../../src/base/random.ts';
+import { type MembershipCost, measureMembership } from './membership.ts';
 import type { Size } from './sizes.ts';
 import { getResidents, newAdapter, newReportEvent, newWorld, type World } from './world.ts';
 
 /** Processor time of one call in microseconds, and heap of one host in MB. */
-export interface ScaleResult extends Size {
+export interface ScaleResult extends Size, MembershipCost {
   decisionResidentUs: number;
   decisionColdUs: number;
   loadReportUs: number;
@@ -37,6 +38,7 @@
     membershipRoundUs: measure(newRounds(world), 20),
     adapterChangeUs: measure(newChanges(world, newAdapterChange), 20),
     engineChangeUs: measure(newChanges(world, newEngineChange), 3),
+    ...measureMembership(size),
     heapMb,
   };
 }
@@ -59,7 +61,7 @@
     const engine = random.getInteger(size.engines);
     const resident = getResidents(size, engine)[random.getInteger(8)] ?? '';
     const model = isResident ? resident : `adapter-${random.getInteger(size.adapters)}@v0`;
-    choosePlacement(state, newRequest(model));
+    choosePlacement(state, newRequest(model), 0);
   };
 }
 
@@ -85,6 +87,8 @@
     attempt: undefined,
     attempts: 0,
     excluded: new Set(),
+    moves: 0,
+    linkedTo: new Set(),
     loadStallMs: 0,
     mayHaveRun: false,
     lastRefusal: undefined,
@@ -127,7 +131,7 @@
     const base = { operator: 'bench', confirmedAtUnixMs: 0, plan: 'bench' };
     acceptRevisions(state, [{ revision, changes: [change], ...base }], SOURCE, 3);
     // The rings are rebuilt with the first decision after a change of engines.
-    choosePlacement(state, newRequest('adapter-1@v0'));
+    choosePlacement(state, newRequest('adapter-1@v0'), 0);
   };
 }
 
--- a/tests/grants/owner.test.ts
+++ b/tests/grants/owner.test.ts
@@ -32,8 +32,14 @@
   return reduce(state, { type: 'messageReceived', from: 'h9', message }, now);
 }
 
-function report(state: State, now: number, bootId: string, residents: string[]): Effect[] {
-  const one = { bootId, running: {}, waiting: 0, slots: 3, residents };
+function report(
+  state: State,
+  now: number,
+  bootId: string,
+  residents: string[],
+  running: Record<string, number> = {},
+): Effect[] {
+  const one = { bootId, running, waiting: 0, slots: 3, residents };
   return reduce(state, { type: 'engineReported', engine: 'e0', report: one }, now);
 }
 
@@ -53,6 +59,11 @@
   });
 }
 
+const LEAVING = {
+  ...{ id: 'e0', kind: 'engine', address: '127.0.0.1:9000', zone: 'z' },
+  state: 'leaving' as const,
+};
+
 const warm: Change = { type: 'putWarm', warm: { adapter: 'a2', pool: 'p', copies: 1 } };
 
 describe('the owner of an engine', () => {
@@ -90,13 +101,56 @@
     expect(getOrders(effects)).toContain(`unload ${unload}`);
   });
 
+  // Guards against the eviction of an adapter in use (G2), also when no grant explains the use or
+  // when a grant was released that the engine still shows as running.
+  it.each([
+    { name: 'without a grant', isGranted: false },
+    { name: 'after its grant was released', isGranted: true },
+  ])('unloads no adapter that the engine reports as running $name', ({ isGranted }) => {
+    const state = newOwner([], 1);
+    report(state, 0, '1', ['a0@v1']);
+    if (isGranted) ask(state, {}, 2_500);
+    report(state, 2_600, '1', ['a0@v1'], { 'a0@v1': 1 });
+    const grant = [...(state.grants.owned.get('e0')?.pins.keys() ?? [])][0] ?? '';
+    const message = { type: 'grantReleased' as const, request: 'r1', engine: 'e0', grant };
+    const released = { ...message, result: 'completed' as const };
+    reduce(state, { type: 'messageReceived', from: 'h9', message: released }, 2_700);
+    const effects = ask(state, { request: 'r2', model: 'a3@v1', kind: 'urgent' }, 9_000);
+    expect(getOrders(effects)).toEqual([]);
+    expect(getOrders(report(state, 9_500, '1', ['a0@v1']))).toEqual(['unload a0@v1']);
+  });
+
   // Guards against new work on an endpoint that leaves (G6), and askers that wait for it in vain.
-  it('refuses waiting and new asks of an engine that leaves', () => {
-    const state = newOwner();
+  it.each([
+    {
+      name: 'by intent',
+      leave: (state: State) => {
+        applyChange(state.configuration, { type: 'putLeaving', endpoint: 'e0' });
+        return updateOwned(state, 20);
+      },
+    },
+    {
+      name: 'by the host list',
+      leave: (state: State) => [
+        ...reduce(state, { type: 'hostListRead', entries: [LEAVING] }, 20),
+        ...reduce(state, { type: 'tick' }, 20),
+      ],
+    },
+    {
+      name: 'by word of another host',
+      leave: (state: State) => {
+        const message = { type: 'endpointsLeaving' as const, leaving: ['e0'], live: [] };
+        reduce(state, { type: 'messageReceived', from: 'h9', message }, 20);
+        return reduce(state, { type: 'tick' }, 20);
+      },
+    },
+  ])('refuses waiting and new asks of an engine that leaves $name', ({ leave }) => {
+    const state = newOwner([warm]);
+    reduce(state, { type: 'tick' }, 0);
     ask(state, {}, 10);
-    applyChange(state.configuration, { type: 'putLeaving', endpoint: 'e0' });
-    expect(getMessages(updateOwned(state, 20))).toEqual(['refused leaving']);
+    expect(getMessages(leave(state))).toEqual(['refused leaving']);
     expect(getMessages(ask(state, { request: 'r2' }, 30))).toEqual(['refused leaving']);
+    expect(getOrders(reduce(state, { type: 'tick' }, 2_000))).toEqual([]);
   });
 
   // Guards against a second grant, or a second place in the queue, for an ask sent twice.
