--- a/src/actions/retention.ts
+++ b/src/actions/retention.ts
@@ -3,6 +3,7 @@
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
 import type { TableAnswer } from '../core/store.ts';
+import { getActiveHosts } from '../membership/silence.ts';
 import { schedule } from '../core/timers.ts';
 import {
   CLAIM_SILENT_MS,
@@ -41,10 +42,8 @@
 }
 
 /** Whether this host sweeps; a second sweeper does no harm, since all writes are conditional. */
-function isSweeper(state: State): boolean {
-  const live = [...state.membership.hosts.values()].filter((entry) => entry.state === 'live');
-  const hosts = new Set([state.host.id, ...live.map(({ host }) => host)]);
-  return getRendezvousChoice('sweep/actions', [...hosts]) === state.host.id;
+function isSweeper(state: State, now: number): boolean {
+  return getRendezvousChoice('sweep/actions', getActiveHosts(state, now)) === state.host.id;
 }
 
 export function pollHour(state: State, now: number): Effect[] {
@@ -60,7 +59,7 @@
   answer: TableAnswer,
   times: { sentAt: number; now: number },
 ): Effect[] {
-  if (answer.type === 'missing' && isSweeper(state)) return [newHourWrite(0, undefined)];
+  if (answer.type === 'missing' && isSweeper(state, times.now)) return [newHourWrite(0, undefined)];
   const row = answer.type === 'ok' ? answer.rows[0] : undefined;
   const parsed = Hour.safeParse(row?.value);
   if (row === undefined || !parsed.success) return [];
@@ -71,14 +70,14 @@
   }
   state.actions.hourReadAt = Math.max(state.actions.hourReadAt, times.sentAt);
   const isDue = times.sentAt - state.actions.hourSeenAt >= HOUR_MS;
-  return isDue && isSweeper(state) ? [newHourWrite(hour + 1, row.version)] : [];
+  return isDue && isSweeper(state, times.now) ? [newHourWrite(hour + 1, row.version)] : [];
 }
 
 /** Starts one bounded pass over each index. */
 export function startSweep(state: State, now: number): Effect[] {
   if (now < state.actions.nextSweepAt) return [];
   scheduleSweep(state, now + SWEEP_MS);
-  if (!isSweeper(state)) return [];
+  if (!isSweeper(state, now)) return [];
   state.actions.sweep = undefined;
   const limit = SWEEP_PAGE;
   return [
--- a/src/drafts/takeover.ts
+++ b/src/drafts/takeover.ts
@@ -4,6 +4,7 @@
 import type { TableAnswer } from '../core/store.ts';
 import { schedule } from '../core/timers.ts';
 import { getRelays, isFullMesh } from '../membership/hosts.ts';
+import { getActiveHosts } from '../membership/silence.ts';
 import {
   DRAFT_OF_PREFIX,
   SWEEP_MS,
@@ -106,7 +107,7 @@
 export function sweepDrafts(state: State, now: number): Effect[] {
   schedule(state, now + SWEEP_MS, { type: 'sweepDrafts' });
   const effects = takeOverDrafts(state, state.host.id, now);
-  if (!isSweeper(state)) return effects;
+  if (!isSweeper(state, now)) return effects;
   state.drafts.orphans = state.drafts.orphansSeen;
   state.drafts.orphansSeen = new Set();
   return [...effects, newHostScan(DRAFT_OF_PREFIX)];
@@ -132,10 +133,8 @@
   return pumpDrafts(state, now);
 }
 
-function isSweeper(state: State): boolean {
-  const live = [...state.membership.hosts.values()].filter((entry) => entry.state === 'live');
-  const hosts = new Set([state.host.id, ...live.map(({ host }) => host)]);
-  return getRendezvousChoice('sweep/drafts', [...hosts]) === state.host.id;
+function isSweeper(state: State, now: number): boolean {
+  return getRendezvousChoice('sweep/drafts', getActiveHosts(state, now)) === state.host.id;
 }
 
 function newScan(host: string, after: string): Effect {
--- a/src/membership/silence.ts
+++ b/src/membership/silence.ts
@@ -28,6 +28,17 @@
   return isZoneSilent(state, zone, now, zoneMs);
 }
 
+/**
+ * Returns this host and the live hosts that are not silent, from which one is chosen for work that
+ * any host may do. Two hosts with different views may both be chosen.
+ */
+export function getActiveHosts(state: State, now: number): string[] {
+  const live = [...state.membership.hosts.values()].filter(
+    (entry) => entry.state === 'live' && !isHostSilent(state, entry, now),
+  );
+  return [...new Set([state.host.id, ...live.map(({ host }) => host)])];
+}
+
 /** Whether this host should have links to the zone and has had none for a while. */
 function isZoneSilent(state: State, zone: string, now: number, limitMs: number): boolean {
   const { id, zone: own } = state.host;
--- a/tests/actions/actions.test.ts
+++ b/tests/actions/actions.test.ts
@@ -1,5 +1,10 @@
 import { describe, expect, it } from 'vitest';
-import { HOUR_KEY, HOUR_MS, RETENTION_HOURS } from '../../src/actions/constants.ts';
+import {
+  CLAIM_SILENT_MS,
+  HOUR_KEY,
+  HOUR_MS,
+  RETENTION_HOURS,
+} from '../../src/actions/constants.ts';
 import { chooseEndpoint, isRepeatableCall } from '../../src/actions/endpoints.ts';
 import { getRowKey } from '../../src/actions/rows.ts';
 import type { ActionRow, NewAction } from '../../src/actions/types.ts';
@@ -252,4 +257,22 @@
     simulation.settle(() => (getRow() as ActionRow).state !== 'claimed');
     expect(getRow()).toMatchObject({ state: 'unknown', endedHour: 0 });
   });
+
+  // Guards against a claim of a lost zone that stays open for ever, and against one that is given
+  // up while its holder is only cut off and still records the answer.
+  it('gives up the claim of a zone that is lost as a whole after 10 minutes', () => {
+    const { simulation, call } = newSimulation([], ['h1', 'h2']);
+    simulation.feed(simulation.get('h2'), { type: 'actionArrived', action: ACTION });
+    simulation.settle(() => call() !== undefined);
+    const { hosts, unlinkedSince } = simulation.get('h1').state.membership;
+    const entry = hosts.get('h2');
+    simulation.stopHost('h2');
+    if (entry !== undefined) hosts.set('h2', { ...entry, zone: 'y' });
+    const lostAt = simulation.now;
+    unlinkedSince.set('h2', lostAt);
+    const getRow = () => simulation.table.rows.get(getRowKey(ACTION))?.value;
+    simulation.settle(() => (getRow() as ActionRow).state !== 'claimed', 100_000);
+    expect(simulation.now - lostAt).toBeGreaterThanOrEqual(CLAIM_SILENT_MS);
+    expect(getRow()).toMatchObject({ state: 'unknown' });
+  });
 });
