Ask for relays only when a zone seems to be lost

Ruled out: a longer limit of the test, which would hide the cost. Change: isZoneSilent ends at the first link that is open and asks for the relays last. The answer is the same. Conclusion: the test had found a real cost of each host's turn.

--- a/src/membership/silence.ts
+++ b/src/membership/silence.ts
@@ -41,13 +41,18 @@
 
 /** Whether this host should have links to the zone and has had none for a while. */
 function isZoneSilent(state: State, zone: string, now: number, limitMs: number): boolean {
-  const { id, zone: own } = state.host;
-  if (!isFullMesh(state) && !getRelays(state, own).includes(id)) return false;
-  const hosts = [...state.membership.hosts.values()].filter((entry) => entry.zone === zone);
-  const silences = hosts.map(({ host }) => getSilence(state, host, now));
-  // Relays have links to some hosts of the zone only; those without one say nothing.
-  const linkable = isFullMesh(state) ? silences : silences.filter((silence) => silence >= 0);
-  return linkable.length > 0 && linkable.every((silence) => silence >= limitMs);
+  const isMesh = isFullMesh(state);
+  let isLinkable = false;
+  for (const entry of state.membership.hosts.values()) {
+    if (entry.zone !== zone) continue;
+    const silence = getSilence(state, entry.host, now);
+    // Relays have links to some hosts of the zone only; those without one say nothing.
+    if (silence < 0 && !isMesh) continue;
+    if (silence < limitMs) return false;
+    isLinkable = true;
+  }
+  // The choice of relays hashes every host of the zone; asked for each entry, it took most of a turn.
+  return isLinkable && (isMesh || getRelays(state, state.host.zone).includes(state.host.id));
 }
 
 /** Returns ms since the link to `host` closed; 0 while it is open, -1 when there never was one. */
