Tell a new link the zone rows, and be ready only when owners are known

Cause: a host that starts while the table service is down learned the configuration from its peers but no zone row, because rows were told only when they changed. It reported ready and refused every completion. Ruled out: the configuration, which arrived. Change: a host tells a new link the rows that it knows; a host is ready only when it knows the row of its zone. Callers are counted by firm and name, since names of callers are unique within a firm only. Measured: the test of a host that starts from its peers during an outage failed on readiness before and passes after.

--- a/src/core/lifecycle.ts
+++ b/src/core/lifecycle.ts
@@ -15,7 +15,10 @@
 
 /** Whether the host wants new requests from the balancer. */
 export function isReady(state: State): boolean {
-  return state.phase === 'running' && state.sync.isCurrent;
+  const { mode, row } = state.ownership;
+  // Without the zone row no engine has an owner that this host could ask.
+  const knowsOwners = mode === 'alone' || row !== undefined;
+  return state.phase === 'running' && state.sync.isCurrent && knowsOwners;
 }
 
 /** Starts a graceful shutdown; a second request to stop changes nothing. */
--- a/src/membership/handlers.ts
+++ b/src/membership/handlers.ts
@@ -3,6 +3,7 @@
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
+import { tellRowsTo } from '../ownership/adopt.ts';
 import { DIGEST_MS, GOSSIP_MS, MAX_ENTRIES, SUMMARY_MS } from './constants.ts';
 import { dropAsks } from '../grants/serve.ts';
 import { continueLinked, moveAsks } from '../requests/asking.ts';
@@ -52,6 +53,7 @@
       ...sendEntries(state, [host], own === undefined ? [] : [own]),
       deliver(state, host, { type: 'membershipDigest', hash: getDigest(state, now) }),
       deliver(state, host, { type: 'engineWanted', engines: [] }),
+      ...tellRowsTo(state, host),
       ...continueLinked(state, host, now),
     ];
   },
--- a/src/ownership/adopt.ts
+++ b/src/ownership/adopt.ts
@@ -65,6 +65,19 @@
   return peers.map((to) => deliver(state, to, newRowMessage(state)));
 }
 
+/** Tells a host of all known rows; one that started during an outage has no other source. */
+export function tellRowsTo(state: State, to: string): Effect[] {
+  const { mode, row, foreign } = state.ownership;
+  if (mode === 'alone') return [];
+  const own = row === undefined ? [] : [newRowMessage(state)];
+  const others = [...foreign].map(([zone, known]): ZoneRowSeen => ({
+    type: 'zoneRowSeen',
+    zone,
+    rows: [known.row],
+  }));
+  return [...own, ...others].map((message) => deliver(state, to, message));
+}
+
 /** Takes over rows that a message told of, and passes them on across the border of the zone. */
 export function hearRow(state: State, heard: ZoneRowSeen, from: string, now: number): Effect[] {
   const { ownership, host, membership } = state;
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -3,7 +3,7 @@
 import { schedule } from '../core/timers.ts';
 import { Failure } from '../errors/failure.ts';
 import { getFingerprint } from '../suspects/fingerprint.ts';
-import { passFailure } from './ending.ts';
+import { getCallerKey, passFailure } from './ending.ts';
 import { askForGrant } from './asking.ts';
 import { resolveVersion } from './resolving.ts';
 import { DEFAULT_PRIORITY } from './constants.ts';
@@ -22,8 +22,8 @@
   const ofFirm = state.requests.byFirm.get(request.firm) ?? 0;
   state.requests.byFirm.set(request.firm, ofFirm + 1);
   if (request.draft === undefined) {
-    const running = state.requests.byCaller.get(request.caller) ?? 0;
-    state.requests.byCaller.set(request.caller, running + 1);
+    const key = getCallerKey(request);
+    state.requests.byCaller.set(key, (state.requests.byCaller.get(key) ?? 0) + 1);
   }
   schedule(state, request.deadline, { type: 'requestDeadline', id: request.id });
   return askForGrant(state, request, now);
@@ -41,7 +41,7 @@
   }
   const overload = checkLoad(state, arrival);
   if (overload !== undefined) return overload;
-  const running = requests.byCaller.get(arrival.caller) ?? 0;
+  const running = requests.byCaller.get(getCallerKey(arrival)) ?? 0;
   // Drafts have their own limit and must not use up what the caller may ask at once.
   if (arrival.draft === undefined && running >= policy.maxRequestsPerCaller) {
     return Failure.create(
--- a/src/requests/ending.ts
+++ b/src/requests/ending.ts
@@ -64,7 +64,12 @@
   const { inFlight, byCaller, byFirm } = state.requests;
   if (!inFlight.delete(request.id)) return;
   removeOne(byFirm, request.firm);
-  if (request.draft === undefined) removeOne(byCaller, request.caller);
+  if (request.draft === undefined) removeOne(byCaller, getCallerKey(request));
+}
+
+/** Names of callers are unique within a firm only. */
+export function getCallerKey({ firm, caller }: { firm: string; caller: string }): string {
+  return `${firm}/${caller}`;
 }
 
 function removeOne(counts: Map<string, number>, key: string): void {
--- a/tests/configuration/cluster.ts
+++ b/tests/configuration/cluster.ts
@@ -51,12 +51,13 @@
       },
       seed: this.states.size + 1,
     });
-    for (const [other, { membership }] of this.states) {
-      membership.linked.add(id);
-      state.membership.linked.add(other);
-    }
+    const others = [...this.states.keys()];
     this.states.set(id, state);
     this.feed(id, { type: 'started' });
+    for (const other of others) {
+      this.feed(id, { type: 'linkOpened', host: other });
+      this.feed(other, { type: 'linkOpened', host: id });
+    }
     return state;
   }
 
--- a/tests/configuration/confirm.test.ts
+++ b/tests/configuration/confirm.test.ts
@@ -121,6 +121,7 @@
     const cluster = Cluster.create('h1');
     const intent = Array.from({ length: 1_200 }, (_, i) => `{ caller: c${i}, priority: 1 }`);
     confirm(cluster, 'h1', makePlan(cluster, 'h1', `callers: [${intent.join(',')}]`));
+    cluster.advance(1_000);
     cluster.fault = () => 'down';
     const late = cluster.addHost('h2');
     cluster.advance(1_000);
--- a/tests/requests/limits.test.ts
+++ b/tests/requests/limits.test.ts
@@ -96,4 +96,13 @@
     simulation.feed(host, { type: 'requestCancelled', id: 'r' });
     expect([host.state.requests.byFirm.size, host.state.requests.byCaller.size]).toEqual([0, 0]);
   });
+
+  it('counts callers of the same name in two firms apart', () => {
+    const { simulation, host } = newSimulation();
+    for (const firm of ['f', 'g']) {
+      const request = newRequest(firm, { firm, caller: 'desk' });
+      simulation.feed(host, { type: 'requestArrived', request });
+    }
+    expect([...host.state.requests.byCaller.values()]).toEqual([1, 1]);
+  });
 });
