--- a/bench/policy/hosts.ts
+++ b/bench/policy/hosts.ts
@@ -74,7 +74,6 @@
         // A draft that is submitted again gets a new time limit.
         deadline: Math.max(job.deadlineAt, job.kind === 'draft' ? now + 60_000 : 0),
         fingerprint: job.id,
-        promptBlocks: [],
         maxTokens: job.outputTokens,
         draft: job.kind === 'draft' ? job.id : undefined,
       },
--- a/bench/scale/measure.ts
+++ b/bench/scale/measure.ts
@@ -76,7 +76,6 @@
     model,
     deadline: 60_000,
     fingerprint: 'x',
-    promptBlocks: [],
     maxTokens: 8,
     draft: undefined,
     priority: 5,
--- a/src/callers/completionBody.ts
+++ b/src/callers/completionBody.ts
@@ -1,12 +1,9 @@
 import { Err, Ok, type Result } from '../base/result.ts';
 import { z } from 'zod';
-import { hash32, sha256 } from '../base/hash.ts';
+import { sha256 } from '../base/hash.ts';
 import { Failure } from '../errors/failure.ts';
 
 const DEFAULT_MAX_TOKENS = 256;
-/** Characters of the prompt that one entry of the prompt's hash chain covers. */
-const BLOCK_CHARS = 256;
-const MAX_BLOCKS = 32;
 /** JSON.stringify overflows the stack on a body that JSON.parse takes. */
 const MAX_DEPTH = 64;
 /** Fields that say who asks and how the answer is delivered, not what the engine computes. */
@@ -37,7 +34,6 @@
   isStream: boolean;
   maxTokens: number;
   bodyHash: string;
-  promptBlocks: number[];
 }
 
 /** Parses the body of a completion request; fails with `bad_request` naming the wrong field. */
@@ -82,7 +78,6 @@
     isStream: body.stream === true,
     maxTokens: body.max_completion_tokens ?? body.max_tokens ?? DEFAULT_MAX_TOKENS,
     bodyHash: getBodyHash(body),
-    promptBlocks: getPromptBlocks(JSON.stringify(body.messages ?? body.prompt)),
   };
 }
 
@@ -93,15 +88,3 @@
     .sort(([a], [b]) => (a < b ? -1 : 1));
   return sha256(JSON.stringify(entries));
 }
-
-function getPromptBlocks(prompt: string): number[] {
-  const blocks: number[] = [];
-  let previous = 0;
-  const whole = Math.min(MAX_BLOCKS, Math.floor(prompt.length / BLOCK_CHARS));
-  for (let i = 0; i < whole; i++) {
-    const block = prompt.slice(i * BLOCK_CHARS, (i + 1) * BLOCK_CHARS);
-    previous = hash32(`${previous}/${block}`);
-    blocks.push(previous);
-  }
-  return blocks;
-}
--- a/src/callers/routes/complete.ts
+++ b/src/callers/routes/complete.ts
@@ -74,7 +74,6 @@
       adapter: completion.adapter,
       version: completion.version,
       bodyHash: completion.bodyHash,
-      promptBlocks: completion.promptBlocks,
       maxTokens: completion.maxTokens,
       // The result is fetched whole, whatever the caller said about streaming.
       body: JSON.stringify({ ...completion.body, stream: undefined, stream_options: undefined }),
@@ -124,7 +123,6 @@
       version: completion.version,
       deadline: arrivedAt + remainingMs,
       fingerprint: completion.bodyHash,
-      promptBlocks: completion.promptBlocks,
       maxTokens: completion.maxTokens,
       draft: undefined,
     },
--- a/src/clients/completion.ts
+++ b/src/clients/completion.ts
@@ -23,7 +23,7 @@
   onHead: () => void;
   /** The next chunk, without the end mark, or the whole JSON answer. A promise holds the stream back. */
   onChunk: (data: string) => void | Promise<void>;
-  /** Tests shorten this; `PROGRESS_TIMEOUT_MS` otherwise. */
+  /** Longest silence of the engine in ms; `PROGRESS_TIMEOUT_MS` when absent. */
   progressTimeoutMs?: number;
 }
 
--- a/src/drafts/running.ts
+++ b/src/drafts/running.ts
@@ -114,7 +114,6 @@
         version: row.version,
         deadline: now + MAX_REQUEST_MS,
         fingerprint: row.bodyHash,
-        promptBlocks: row.promptBlocks,
         maxTokens: row.maxTokens,
         draft: row.id,
       },
--- a/src/drafts/types.ts
+++ b/src/drafts/types.ts
@@ -18,7 +18,6 @@
   version: string | undefined;
   /** Hash of the normalized body. */
   bodyHash: string;
-  promptBlocks: number[];
   maxTokens: number;
   /** JSON of the request. */
   body: string;
@@ -40,7 +39,6 @@
   adapter: Name,
   version: Name,
   bodyHash: z.string(),
-  promptBlocks: z.array(z.int()),
   maxTokens: z.int(),
   body: StoredText,
   /** `running` is known to the host that runs the draft only and is never stored. */
--- a/src/host/context.ts
+++ b/src/host/context.ts
@@ -12,6 +12,7 @@
 import type { PeerLinks } from '../peers/links.ts';
 import type { DraftListAnswer, DraftReadAnswer } from '../drafts/types.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
+import type { Settings } from '../settings/groups.ts';
 import type { Observer } from './observer.ts';
 
 /** An attempt that the host relays. */
@@ -22,6 +23,7 @@
 /** What the runners of effects work with. */
 export interface HostContext {
   readonly state: State;
+  readonly settings: Settings;
   readonly observer: Observer;
   readonly table: TableClient;
   readonly objects: ObjectClient;
--- a/src/host/runners/attempts.ts
+++ b/src/host/runners/attempts.ts
@@ -22,6 +22,7 @@
       model: order.model,
       priority: order.priority,
       deadline: order.deadline,
+      progressTimeoutMs: context.settings.limits.progressMs,
       onHead: () => {
         context.dispatch({ type: 'attemptProgressed', id: order.id, attempt: order.attempt });
         sink.start({ adapter, version });
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -61,7 +61,6 @@
     kind: arrival.kind,
     adapter: arrival.adapter,
     deadline: arrival.deadline,
-    promptBlocks: arrival.promptBlocks,
     maxTokens: arrival.maxTokens,
     draft: arrival.draft,
     version,
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -17,8 +17,6 @@
   deadline: number;
   /** Hash of the normalized body on arrival; of adapter, version and body once admitted. */
   fingerprint: string;
-  /** Hash chain of the prompt's blocks, for prefix-cache routing. */
-  promptBlocks: number[];
   maxTokens: number;
   /** Draft that the request runs for. */
   draft: string | undefined;
--- a/src/settings/groups.ts
+++ b/src/settings/groups.ts
@@ -192,12 +192,6 @@
     allowed: 'a duration from 1ms to 10m',
     default: '10s',
   }),
-  probeMs: newSetting(newDuration(1, MAX_LIMIT_MS), {
-    name: 'probe-after',
-    help: 'Time after which a late answer is checked over a new connection.',
-    allowed: 'a duration from 1ms to 10m',
-    default: '2s',
-  }),
   lameDuckMs: newSetting(newDuration(0, MAX_LIMIT_MS), {
     name: 'lame-duck',
     help: 'Time after SIGTERM during which new requests are still accepted.',
--- a/tests/admin/server.test.ts
+++ b/tests/admin/server.test.ts
@@ -81,7 +81,6 @@
     adapter: 'a',
     version: 'v1',
     bodyHash: 'x',
-    promptBlocks: [],
     maxTokens: 1,
     body: { type: 'inline', text: '{}' },
     state: 'poison',
--- a/tests/core/thinPath.test.ts
+++ b/tests/core/thinPath.test.ts
@@ -74,7 +74,6 @@
       version: model.version,
       deadline,
       fingerprint: 'x',
-      promptBlocks: [],
       maxTokens: 8,
       draft: undefined,
     },
--- a/tests/drafts/drafts.property.test.ts
+++ b/tests/drafts/drafts.property.test.ts
@@ -100,7 +100,6 @@
     adapter: 'a',
     version,
     bodyHash: id,
-    promptBlocks: [],
     maxTokens: 8,
     body: `body of ${id}${'x'.repeat(size)}`,
   };
--- a/tests/drafts/drafts.test.ts
+++ b/tests/drafts/drafts.test.ts
@@ -16,7 +16,6 @@
     adapter: 'a',
     version: undefined,
     bodyHash: id,
-    promptBlocks: [],
     maxTokens: 8,
     body: `body of ${id}`,
     ...parts,
--- a/tests/grants/inUse.test.ts
+++ b/tests/grants/inUse.test.ts
@@ -99,7 +99,6 @@
         version: undefined,
         deadline: this.now + 20_000,
         fingerprint: 'x',
-        promptBlocks: [],
         maxTokens: 8,
         draft: undefined,
       },
--- a/tests/helpers/engines.ts
+++ b/tests/helpers/engines.ts
@@ -49,7 +49,7 @@
 export function newRequest(id: string, parts: Partial<NewRequest> = {}): NewRequest {
   return {
     ...{ id, firm: 'f', caller: 'c', kind: 'ordinary', adapter: 'a', version: undefined },
-    ...{ deadline: 60_000, fingerprint: id, promptBlocks: [], maxTokens: 8, draft: undefined },
+    ...{ deadline: 60_000, fingerprint: id, maxTokens: 8, draft: undefined },
     ...parts,
   };
 }
