--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,5 +1,11 @@
 import { build } from 'esbuild';
 
+// The executable cannot load the native part of cbor-x, and trying prints a warning.
+const BANNER = `
+const importMetaUrl = require('node:url').pathToFileURL(__filename).href;
+process.env.CBOR_NATIVE_ACCELERATION_DISABLED = 'true';
+`;
+
 /** Bundles the program into the file `outfile`. */
 export async function buildBundle(outfile) {
   await build({
@@ -12,7 +18,7 @@
     // The UMD file of ts-results fails at run time once bundled.
     mainFields: ['module', 'main'],
     define: { 'import.meta.url': 'importMetaUrl' },
-    banner: { js: "const importMetaUrl = require('node:url').pathToFileURL(__filename).href;" },
+    banner: { js: BANNER },
     logLevel: 'warning',
   });
 }
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -5,6 +5,8 @@
 
 /** Sets of labels kept for one metric; what exceeds them is counted under `overflow="true"`. */
 const MAX_SERIES = 2_000;
+/** Label texts kept for look-up. */
+const MAX_TEXTS = 10_000;
 const OVERFLOW: Labels = { overflow: 'true' };
 
 type Measurement = Exclude<Observation, { type: 'log' }>;
@@ -30,7 +32,7 @@
     const key = getKey(series, labels);
     const now = performance.now();
     const known = series.get(key) ?? {
-      labels: key === getLabelText(labels) ? labels : OVERFLOW,
+      labels: key === getCachedText(labels) ? labels : OVERFLOW,
       series: Series.create(now),
     };
     series.set(key, known);
@@ -91,7 +93,20 @@
   ];
 }
 
+/** Label texts by the JSON of their labels, because building one sorts and escapes. */
+const texts = new Map<string, string>();
+
+function getCachedText(labels: Labels): string {
+  const json = JSON.stringify(labels);
+  const known = texts.get(json);
+  if (known !== undefined) return known;
+  if (texts.size >= MAX_TEXTS) texts.clear();
+  const text = getLabelText(labels);
+  texts.set(json, text);
+  return text;
+}
+
 function getKey(known: ReadonlyMap<string, unknown>, labels: Labels): string {
-  const key = getLabelText(labels);
+  const key = getCachedText(labels);
   return known.has(key) || known.size < MAX_SERIES ? key : getLabelText(OVERFLOW);
 }
