--- a/src/actions/retention.ts
+++ b/src/actions/retention.ts
@@ -46,6 +46,7 @@
   return getRendezvousChoice('sweep/actions', getActiveHosts(state, now)) === state.host.id;
 }
 
+/** Reads the retention hour and schedules the next read. */
 export function pollHour(state: State, now: number): Effect[] {
   schedule(state, now + HOUR_POLL_MS, { type: 'pollRetention' });
   return [
--- a/src/actions/rows.ts
+++ b/src/actions/rows.ts
@@ -22,10 +22,12 @@
   return sha256(`${method}\n${path}\n${bodyHash}`);
 }
 
+/** Returns the key of the index entry of a claim that has not ended. */
 export function getOpenKey(rowKey: string): string {
   return OPEN_PREFIX + rowKey.slice(ACTION_PREFIX.length);
 }
 
+/** Returns the key of the index entry of a claim that ended in `hour`. */
 export function getEndedKey(rowKey: string, hour: number): string {
   const padded = String(hour).padStart(HOUR_DIGITS, '0');
   return `${ENDED_PREFIX}${padded}/${rowKey.slice(ACTION_PREFIX.length)}`;
--- a/src/actions/types.ts
+++ b/src/actions/types.ts
@@ -81,6 +81,7 @@
   settlement: Settlement | undefined;
 }
 
+/** Progress of one pass that deletes rows past their retention. */
 export interface Sweep {
   /** Rows of the page that are not read yet. */
   pending: number;
@@ -88,6 +89,7 @@
   isFull: boolean;
 }
 
+/** State of the service calls of this host. */
 export class Actions {
   /** Actions until they are answered and their claims settled. */
   readonly inFlight = new Map<string, Action>();
--- a/src/callers/completionBody.ts
+++ b/src/callers/completionBody.ts
@@ -27,6 +27,7 @@
 });
 type ParsedBody = z.infer<typeof CompletionBody> | z.infer<typeof ChatBody>;
 
+/** A parsed completion request. */
 export interface Completion {
   adapter: string;
   version: string | undefined;
--- a/src/callers/exchange.ts
+++ b/src/callers/exchange.ts
@@ -1,6 +1,7 @@
 import type { Failure } from '../errors/failure.ts';
 import type { RequestFields } from '../observe/logger.ts';
 
+/** Adapter and version as the engine reported them. */
 export interface AnswerHead {
   adapter: string;
   version: string;
--- a/src/callers/requestHeaders.ts
+++ b/src/callers/requestHeaders.ts
@@ -6,6 +6,7 @@
 
 const DEADLINE_PATTERN = /^-?\d{1,15}(\.\d{1,15})?$/;
 
+/** What the headers of a request say of its kind and deadline. */
 export interface RequestHeaders {
   kind: RequestKind;
   /** Milliseconds from now until the deadline; negative when it has passed. */
--- a/src/cli/adminClient.ts
+++ b/src/cli/adminClient.ts
@@ -14,11 +14,13 @@
   }),
 });
 
+/** A refusal of the administration API, or the reason why it did not answer. */
 export interface AdminFailure {
   message: string;
   details: string[];
 }
 
+/** A call of the administration API. */
 export interface AdminCall {
   method: 'GET' | 'POST' | 'DELETE';
   path: string;
--- a/src/cli/types.ts
+++ b/src/cli/types.ts
@@ -1,5 +1,6 @@
 import type { ParsedFlags } from '../settings/flags.ts';
 
+/** Where a command prints. */
 export interface Output {
   out: (text: string) => void;
   err: (text: string) => void;
@@ -16,11 +17,13 @@
 /** 0 done, 1 refused or failed, 2 wrong usage. */
 export type ExitCode = 0 | 1 | 2;
 
+/** A flag of one command. */
 export interface Flag {
   name: string;
   help: string;
 }
 
+/** A command of the command line. */
 export interface Command {
   summary: string;
   /** Positional arguments, all required, as shown in the usage line. */
--- a/src/clients/completion.ts
+++ b/src/clients/completion.ts
@@ -6,6 +6,7 @@
 import { DRAIN_MS, MAX_RESUMES, PROGRESS_TIMEOUT_MS, RESUME_PAUSE_MS } from './constants.ts';
 import { type Http, type HttpFailure, type OpenAnswer, TIMED_OUT } from './http.ts';
 
+/** What one attempt at an engine needs. */
 export interface CompletionOptions {
   address: string;
   path: '/v1/completions' | '/v1/chat/completions';
--- a/src/clients/http.ts
+++ b/src/clients/http.ts
@@ -2,6 +2,7 @@
 import { Agent, Client, type Dispatcher } from 'undici';
 import { CONNECT_TIMEOUT_MS, CONNECTIONS_PER_ADDRESS, IDLE_CONNECTION_MS } from './constants.ts';
 
+/** An HTTP call. */
 export interface HttpCall {
   /** `host:port` or an origin. */
   address: string;
@@ -26,6 +27,7 @@
 export type HttpAnswer =
   { type: 'answered'; status: number; headers: IncomingHttpHeaders; body: Buffer } | HttpFailure;
 
+/** An answer whose body has not been read. */
 export interface OpenAnswer {
   type: 'open';
   status: number;
--- a/src/configuration/polling.ts
+++ b/src/configuration/polling.ts
@@ -65,6 +65,7 @@
   return [isFar ? newSnapshotRead(snapshot) : newRevisionScan(configuration.revision)];
 }
 
+/** Returns the effect that reads the snapshot of `revision`. */
 export function newSnapshotRead(revision: number): Effect {
   return {
     type: 'callObjects',
@@ -73,6 +74,7 @@
   };
 }
 
+/** Returns the effect that reads the revisions after `after`. */
 export function newRevisionScan(after: number): Effect {
   return {
     type: 'callTable',
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -49,6 +49,7 @@
   readonly address: string;
 }
 
+/** Options of the state of a host. */
 export interface StateOptions {
   host: HostIdentity;
   policy: Policy;
--- a/src/core/store.ts
+++ b/src/core/store.ts
@@ -1,5 +1,6 @@
 /** Calls to the table service and the object store, and their answers, as data. */
 
+/** A row of the table service. */
 export interface StoredRow {
   key: string;
   /** Unparsed; the handler of the answer parses it with a schema. */
--- a/src/drafts/rows.ts
+++ b/src/drafts/rows.ts
@@ -12,14 +12,17 @@
 } from './constants.ts';
 import type { DraftRow, DraftState, DraftSummary } from './types.ts';
 
+/** Returns the key of the row of a draft. */
 export function getDraftKey(id: string): string {
   return DRAFT_PREFIX + encodeURIComponent(id);
 }
 
+/** Returns the key of the index entry of a draft by its host. */
 export function getDraftOfKey(host: string, id: string): string {
   return `${DRAFT_OF_PREFIX}${host}/${encodeURIComponent(id)}`;
 }
 
+/** Returns the key of the index entry of a draft by its state. */
 export function getStateKey(state: DraftState, id: string): string {
   return `${DRAFT_STATE_PREFIX}${state}/${encodeURIComponent(id)}`;
 }
@@ -35,6 +38,7 @@
   }
 }
 
+/** Whether `text` goes to the object store. */
 export function isLargeText(text: string): boolean {
   return Buffer.byteLength(text) > MAX_INLINE_BYTES;
 }
--- a/src/drafts/types.ts
+++ b/src/drafts/types.ts
@@ -84,6 +84,7 @@
   tries: number;
 }
 
+/** State of the drafts of this host. */
 export class Drafts {
   /** Drafts of this host that have not ended. */
   readonly own = new Map<string, OwnDraft>();
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -57,12 +57,14 @@
   /** The engine did not answer; `refused` when a fresh connection was refused. */
   | { type: 'engineSilent'; engine: string; refused: boolean };
 
+/** A read of an engine. */
 export interface EngineEffect {
   type: 'readEngine';
   engine: string;
   address: string;
 }
 
+/** The next read of the load report of an owned engine. */
 export interface EngineTimer {
   type: 'pollEngine';
   engine: string;
--- a/src/grants/pins.ts
+++ b/src/grants/pins.ts
@@ -1,5 +1,6 @@
 import type { OwnedEngine, Pin } from './types.ts';
 
+/** Adds a grant in use and the counts that follow from it. */
 export function addPin(owned: OwnedEngine, pin: Pin): void {
   owned.pins.set(pin.grant, pin);
   owned.grantOf.set(pin.request, pin.grant);
--- a/src/grants/types.ts
+++ b/src/grants/types.ts
@@ -93,6 +93,7 @@
 });
 export type LoadTokensLent = z.infer<typeof LoadTokensLent>;
 
+/** An ask that waits at the owner for a place or for its adapter. */
 export interface QueuedAsk extends GrantAsk {
   from: string;
   arrivedAt: number;
@@ -115,6 +116,7 @@
   expiresAt: number;
 }
 
+/** An adapter that the owner counts as loaded; times are monotonic ms. */
 export interface Resident {
   model: string;
   loadedAt: number;
@@ -168,6 +170,7 @@
   left: Map<string, number>;
 }
 
+/** State of the engines that this host owns. */
 export class Grants {
   readonly owned = new Map<string, OwnedEngine>();
   /** Unix ms minus monotonic ms, set by the host; undefined while it is not known. */
@@ -202,6 +205,7 @@
   /** The order may have taken effect. */
   | { type: 'unknown'; reason: string };
 
+/** The answer to an order, with the epoch under which it was sent. */
 export interface GrantEvent {
   type: 'orderAnswered';
   engine: string;
@@ -210,6 +214,7 @@
   answer: OrderAnswer;
 }
 
+/** An order to an engine. */
 export interface GrantEffect {
   type: 'orderEngine';
   engine: string;
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -133,6 +133,7 @@
   askedAt: number;
 }
 
+/** What this host knows of the other hosts. */
 export class Membership {
   /** Entries of all known hosts, this one included. */
   readonly hosts = new Map<string, HostEntry>();
@@ -182,6 +183,7 @@
   /** Answered by `hostListRead`; nothing follows when the list cannot be read. */
   | { type: 'readHostList' };
 
+/** Periodic rounds of the membership. */
 export interface MembershipTimer {
   type: 'gossipRound' | 'digestRound' | 'summaryRound' | 'hostListRound';
 }
--- a/src/observe/logger.ts
+++ b/src/observe/logger.ts
@@ -2,6 +2,7 @@
 import type { LogLevel } from '../core/observations.ts';
 import { redact } from './redact.ts';
 
+/** Options of a logger. */
 export interface LoggerOptions {
   level: LogLevel;
   /** Fields of every line, such as host and zone. */
--- a/src/operators/types.ts
+++ b/src/operators/types.ts
@@ -21,6 +21,7 @@
   | { type: 'listSuspects' }
   | { type: 'clearSuspect'; fingerprint: string };
 
+/** A command of an operator. */
 export interface OperatorEvent {
   type: 'operatorAsked';
   /** Identifies the question in `answerOperator`. */
@@ -36,6 +37,7 @@
   | { type: 'done'; status: 200 | 201; body: unknown }
   | { type: 'refused'; failure: Failure; details: string[] };
 
+/** The answer to a command of an operator. */
 export interface OperatorEffect {
   type: 'answerOperator';
   id: string;
@@ -49,6 +51,7 @@
   confirm: ConfirmProgress | undefined;
 }
 
+/** A confirmation whose outcome is not known yet. */
 export interface ConfirmProgress {
   plan: Plan;
   /** Whether a write was sent whose answer was lost. */
@@ -68,6 +71,7 @@
   | { type: 'confirmReadRevision'; ask: string }
   | { type: 'confirmReadSince'; ask: string };
 
+/** The next try of a confirmation. */
 export interface OperatorTimer {
   type: 'retryConfirm';
   ask: string;
@@ -87,6 +91,7 @@
 });
 export type AuditEntry = z.infer<typeof AuditEntry>;
 
+/** Commands of operators that wait for the table service. */
 export class Operators {
   /** Questions without an answer, by id. */
   readonly asks = new Map<string, Ask>();
--- a/src/ownership/owner.ts
+++ b/src/ownership/owner.ts
@@ -3,6 +3,7 @@
 import { hasPromises } from './promises.ts';
 import { getCurrent, getRowOwner, isMember } from './rows.ts';
 
+/** The host that decides for an engine. */
 export interface Owner {
   host: string;
   /** Epoch of the zone row; also the fencing number of orders. */
--- a/src/ownership/types.ts
+++ b/src/ownership/types.ts
@@ -141,6 +141,7 @@
 
 export type OwnershipPhase = 'active' | 'leaving' | 'left' | 'superseded';
 
+/** Zone rows, lease and promises as this host knows them. */
 export class Ownership {
   /** Alone: no table is used and this host owns every engine. */
   mode: 'alone' | 'zoned' = 'alone';
--- a/src/peers/connection.ts
+++ b/src/peers/connection.ts
@@ -15,6 +15,7 @@
   refused: number;
 }
 
+/** What a connection tells the links that it belongs to. */
 export interface ConnectionOwner {
   /** IP number that connections are dialled from; the system chooses when there is none. */
   readonly localAddress: string | undefined;
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -25,6 +25,7 @@
   | Extract<MembershipEvent, { type: 'linkOpened' | 'linkClosed' }>
   | { type: 'messageReceived'; from: string; message: Message };
 
+/** Options of the links. */
 export interface PeerLinksOptions {
   identity: HostIdentity;
   listen: { host: string; port: number };
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -24,6 +24,7 @@
 
 export type RequestPhase = 'asking' | 'running' | 'verifying' | 'backoff';
 
+/** One run of a request on an engine, under a grant. */
 export interface Attempt {
   id: string;
   engine: string;
@@ -66,6 +67,7 @@
   lastRefusal: RefusalReason | undefined;
 }
 
+/** Requests in flight on this host. */
 export class Requests {
   readonly inFlight = new Map<string, Request>();
   /** Requests in flight by caller. */
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -14,6 +14,7 @@
 } from './constants.ts';
 import { getRing } from './rings.ts';
 
+/** The engine that a request is sent to, and its owner. */
 export interface Placement {
   engine: string;
   owner: Owner;
--- a/src/settings/flags.ts
+++ b/src/settings/flags.ts
@@ -8,6 +8,7 @@
   isMultiple: true;
 }
 
+/** Flags as given, before their values are checked. */
 export interface ParsedFlags {
   input: string[];
   /** Values by flag name; a flag without a value has ''. */
--- a/src/settings/types.ts
+++ b/src/settings/types.ts
@@ -20,6 +20,7 @@
 /** Holds the description of each setting beside its schema. */
 export const settingRegistry = z.registry<SettingMeta>();
 
+/** One thing that is wrong with the settings. */
 export interface SettingProblem {
   /** Flag name, or the unknown argument as given. */
   setting: string;
--- a/src/settings/values.ts
+++ b/src/settings/values.ts
@@ -26,6 +26,7 @@
   });
 }
 
+/** An IP number and a port. */
 export interface Address {
   host: string;
   port: number;
@@ -81,10 +82,12 @@
   });
 }
 
+/** Returns the schema of a number from `min` to `max`. */
 export function newNumber(min: number, max: number): Text<number> {
   return newText((text) => getInRange(/^\d+(\.\d+)?$/.test(text) ? Number(text) : NaN, min, max));
 }
 
+/** Returns the schema of a whole number from `min` to `max`. */
 export function newInteger(min: number, max: number): Text<number> {
   return newText((text) => getInRange(/^\d+$/.test(text) ? Number(text) : NaN, min, max));
 }
@@ -115,6 +118,7 @@
   });
 }
 
+/** Returns the schema of one of `choices`. */
 export function newChoice<const T extends string>(choices: readonly T[]): Text<T> {
   return newText((text) => choices.find((choice) => choice === text));
 }
--- a/src/suspects/table.ts
+++ b/src/suspects/table.ts
@@ -45,6 +45,7 @@
   return tell(state, merged, others);
 }
 
+/** Reads the rows of suspects and schedules the next read. */
 export function pollSuspects(state: State, now: number): Effect[] {
   schedule(state, now + SUSPECT_POLL_MS, { type: 'pollSuspects' });
   return [newScan('')];
--- a/src/suspects/types.ts
+++ b/src/suspects/types.ts
@@ -28,6 +28,7 @@
   bootId?: string;
 }
 
+/** What this host knows of requests that may crash engines. */
 export class Suspects {
   readonly byFingerprint = new Map<string, Suspect>();
   /** Monotonic ms at which a suspect is forgotten. */
--- a/stand-ins/engine/adapters.ts
+++ b/stand-ins/engine/adapters.ts
@@ -1,5 +1,6 @@
 import { Http } from '../../src/clients/http.ts';
 
+/** Outcome of an order to load or unload. */
 export interface OrderResult {
   status: number;
   message?: string;
--- a/stand-ins/engine/answer.ts
+++ b/stand-ins/engine/answer.ts
@@ -33,6 +33,7 @@
     .join('\n');
 }
 
+/** Returns the number of tokens that a request asks for. */
 export function getMaxTokens(body: CompletionBody): number {
   return body.max_completion_tokens ?? body.max_tokens ?? DEFAULT_MAX_TOKENS;
 }
--- a/stand-ins/engine/prefixCache.ts
+++ b/stand-ins/engine/prefixCache.ts
@@ -3,6 +3,7 @@
 /** Characters of the prompt in one cached block. */
 export const BLOCK_CHARS = 64;
 
+/** A numbered event of the prefix cache. */
 export interface CacheEvent {
   /** Numbered from 1 since the engine's start. */
   n: number;
--- a/stand-ins/engine/records.ts
+++ b/stand-ins/engine/records.ts
@@ -23,6 +23,7 @@
   }[];
 }
 
+/** Returns empty records. */
 export function newRecords(): EngineRecords {
   return { runs: [], resumes: [], evictions: [], crashes: [], orders: [] };
 }
--- a/stand-ins/server.ts
+++ b/stand-ins/server.ts
@@ -27,6 +27,7 @@
   stop(): Promise<void>;
 }
 
+/** A call that a stand-in received. */
 export interface Call {
   method: string;
   /** Decoded path without the query. */
@@ -39,6 +40,7 @@
   response: ServerResponse;
 }
 
+/** The answer of a stand-in. */
 export interface Reply {
   status: number;
   headers?: Record<string, string>;
