--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -6,10 +6,10 @@
 process.env.CBOR_NATIVE_ACCELERATION_DISABLED = 'true';
 `;
 
-/** Bundles the program into the file `outfile`. */
-export async function buildBundle(outfile) {
+/** Bundles the program that starts at `entryPoint` into the file `outfile`. */
+export async function buildBundle(outfile, entryPoint = 'src/main.ts') {
   await build({
-    entryPoints: ['src/main.ts'],
+    entryPoints: [entryPoint],
     outfile,
     bundle: true,
     platform: 'node',
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -6,6 +6,7 @@
 import { drafts } from './drafts.ts';
 import { engines } from './engines.ts';
 import { entry } from './entry.ts';
+import { gateway } from './gateway.ts';
 import { hosts } from './hosts.ts';
 import { plan } from './plan.ts';
 import { quickstart } from './quickstart.ts';
@@ -15,6 +16,7 @@
 export const COMMANDS = new Map<string, Command>(
   Object.entries({
     entry,
+    gateway,
     quickstart,
     plan,
     confirm,
--- a/src/cli/help.ts
+++ b/src/cli/help.ts
@@ -1,12 +1,23 @@
-import { OPERATOR_SETTINGS, SETTINGS, type SettingDefinition } from '../settings/definitions.ts';
+import {
+  GATEWAY_SETTINGS,
+  OPERATOR_SETTINGS,
+  SETTINGS,
+  type SettingDefinition,
+} from '../settings/definitions.ts';
 import { getSettingsHelp } from '../settings/help.ts';
 import { COMMANDS } from './commands/index.ts';
 import { getIndented, getTable } from './format.ts';
 import type { Command, Flag } from './types.ts';
 
+const SETTINGS_OF: Record<Command['settings'], readonly SettingDefinition[]> = {
+  entry: SETTINGS,
+  gateway: GATEWAY_SETTINGS,
+  operator: OPERATOR_SETTINGS,
+};
+
 /** Returns the settings that a command reads. */
 export function getSettings(command: Command): readonly SettingDefinition[] {
-  return command.settings === 'entry' ? SETTINGS : OPERATOR_SETTINGS;
+  return SETTINGS_OF[command.settings];
 }
 
 /** Returns the text of `fireflywick --help`. */
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -1,3 +1,4 @@
+import type { PlatformFactory } from '../gatewayHost/platform.ts';
 import { parseFlags, type ParsedFlags, VERSION } from '../settings/flags.ts';
 import { describeProblems, getUsageProblems } from '../settings/parse.ts';
 import { COMMANDS } from './commands/index.ts';
@@ -15,6 +16,7 @@
   argv: readonly string[],
   env: Invocation['env'] = process.env,
   output: Output = CONSOLE,
+  newPlatform?: PlatformFactory,
 ): Promise<number> {
   const [name = '', ...rest] = argv;
   if (HELP_FLAGS.includes(name)) {
@@ -42,7 +44,7 @@
     return 2;
   }
   try {
-    return await command.run({ argv: rest, flags, env, ...output });
+    return await command.run({ argv: rest, flags, env, newPlatform, ...output });
   } catch (error) {
     output.err(`${name} failed: ${error instanceof Error ? error.message : String(error)}`);
     return 1;
@@ -62,10 +64,10 @@
   );
 }
 
-/** Commands that read the settings of `entry` report wrong flags together with wrong settings. */
+/** Commands that read the settings of a host report wrong flags together with wrong settings. */
 function getProblems(command: Command, flags: ParsedFlags): string[] {
   const missing = command.input.slice(flags.input.length).map((name) => `${name} is missing`);
-  if (command.settings === 'entry') return missing;
+  if (command.settings !== 'operator') return missing;
   const extra = flags.input
     .slice(command.input.length)
     .map((argument) => `argument "${argument}" is not expected`);
--- a/src/cli/types.ts
+++ b/src/cli/types.ts
@@ -1,3 +1,4 @@
+import type { PlatformFactory } from '../gatewayHost/platform.ts';
 import type { ParsedFlags } from '../settings/flags.ts';
 
 /** Where a command prints. */
@@ -12,6 +13,8 @@
   argv: readonly string[];
   flags: ParsedFlags;
   env: Readonly<Record<string, string | undefined>>;
+  /** The platform that the executable was built with; undefined when there is none. */
+  newPlatform?: PlatformFactory;
 }
 
 /** 0 done, 1 refused or failed, 2 wrong usage. */
@@ -32,7 +35,7 @@
   flags: readonly Flag[];
   switches: readonly Flag[];
   /** Settings that the command reads. */
-  settings: 'entry' | 'operator';
+  settings: 'entry' | 'gateway' | 'operator';
   run: (invocation: Invocation) => Promise<number> | number;
 }
 
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,15 +1,21 @@
 import type { ActionEffect } from '../actions/types.ts';
+import type { DirectoryEffect } from '../directory/types.ts';
 import type { DraftEffect } from '../drafts/types.ts';
 import type { EngineEffect } from '../engines/types.ts';
+import type { ForwardEffect } from '../forwards/types.ts';
 import type { GrantEffect } from '../grants/types.ts';
 import type { MembershipEffect } from '../membership/types.ts';
 import type { OperatorEffect } from '../operators/types.ts';
+import type { ResidencyEffect } from '../residency/types.ts';
 import type { RequestEffect } from '../requests/types.ts';
 import type { Message } from './messages.ts';
 import type { Observation } from './observations.ts';
 import type { ObjectPurpose, TablePurpose } from './purposes.ts';
 import type { ObjectCall, TableCall } from './store.ts';
 
+/** What only a host with a directory can be told to do. */
+export type DirectedEffect = DirectoryEffect | ResidencyEffect | ForwardEffect;
+
 /** Everything that a host can be told to do. */
 export type Effect =
   | Observation
@@ -27,4 +33,5 @@
   | MembershipEffect
   | OperatorEffect
   | ActionEffect
-  | DraftEffect;
+  | DraftEffect
+  | DirectedEffect;
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -1,9 +1,12 @@
 import type { ActionEvent } from '../actions/types.ts';
+import type { DirectoryEvent } from '../directory/types.ts';
 import type { DraftEvent } from '../drafts/types.ts';
 import type { EngineEvent } from '../engines/types.ts';
+import type { ForwardEvent } from '../forwards/types.ts';
 import type { GrantEvent } from '../grants/types.ts';
 import type { MembershipEvent } from '../membership/types.ts';
 import type { OperatorEvent } from '../operators/types.ts';
+import type { ResidencyEvent } from '../residency/types.ts';
 import type { RequestEvent } from '../requests/types.ts';
 import type { Message } from './messages.ts';
 import type { ObjectPurpose, TablePurpose } from './purposes.ts';
@@ -26,4 +29,7 @@
   | MembershipEvent
   | OperatorEvent
   | ActionEvent
-  | DraftEvent;
+  | DraftEvent
+  | DirectoryEvent
+  | ResidencyEvent
+  | ForwardEvent;
--- a/src/core/hostHandlers.ts
+++ b/src/core/hostHandlers.ts
@@ -4,21 +4,46 @@
 import { startConfiguration } from '../configuration/handlers.ts';
 import { startMembership } from '../membership/handlers.ts';
 import { startOwnership } from '../ownership/handlers.ts';
+import { startDirectory } from '../directory/watch.ts';
+import { moveAsked } from '../forwards/moving.ts';
+import { membershipEvents } from '../membership/handlers.ts';
+import { noteLink, startOwners } from '../owners/members.ts';
+import { releaseHost } from '../residency/serve.ts';
+import { tellSoon } from '../residency/told.ts';
 import type { EventHandlers, TimerHandlers } from './handlers.ts';
 import { checkDrained, type LifecycleTimer, startDraining, startShutdown } from './lifecycle.ts';
 
 export const hostEvents: EventHandlers<'started' | 'stopRequested'> = {
-  started: (state, _event, now) => [
-    ...startConfiguration(state, now),
-    ...startMembership(state, now),
-    ...startOwnership(state, now),
-    ...startRetention(state, now),
-    ...startSuspects(state, now),
-    ...startDrafts(state, now),
-  ],
+  started: (state, _event, now) => {
+    if (state.policy.directory !== undefined) {
+      return [...startDirectory(state), ...startOwners(state, now)];
+    }
+    return [
+      ...startConfiguration(state, now),
+      ...startMembership(state, now),
+      ...startOwnership(state, now),
+      ...startRetention(state, now),
+      ...startSuspects(state, now),
+      ...startDrafts(state, now),
+    ];
+  },
   stopRequested: (state, _event, now) => startShutdown(state, now),
 };
 
+/** Links mean something else to a host with a directory, which needs no gossip. */
+export const linkEvents: EventHandlers<'linkOpened' | 'linkClosed'> = {
+  linkOpened: (state, event, now) => {
+    if (state.policy.directory === undefined) return membershipEvents.linkOpened(state, event, now);
+    noteLink(state, event.host, true, now);
+    return tellSoon(state, now);
+  },
+  linkClosed: (state, event, now) => {
+    if (state.policy.directory === undefined) return membershipEvents.linkClosed(state, event, now);
+    noteLink(state, event.host, false, now);
+    return [...releaseHost(state, event.host, now), ...moveAsked(state, event.host, now)];
+  },
+};
+
 export const hostTimers: TimerHandlers<LifecycleTimer['type']> = {
   lameDuckOver: (state, _timer, now) => startDraining(state, now),
   checkDrained: (state, _timer, now) => checkDrained(state, now),
--- a/src/core/lifecycle.ts
+++ b/src/core/lifecycle.ts
@@ -1,5 +1,6 @@
 import { announceEnd } from '../membership/gossip.ts';
 import { hasLeft, leaveOwnership } from '../ownership/leave.ts';
+import { leaveMembers } from '../owners/members.ts';
 import { hasDraftWork } from '../drafts/queue.ts';
 import type { Effect } from './effects.ts';
 import { newLog } from './observations.ts';
@@ -15,6 +16,11 @@
 
 /** Whether the host wants new requests from the balancer. */
 export function isReady(state: State): boolean {
+  if (state.policy.directory !== undefined) {
+    const { routes, directory } = state;
+    const knowsEndpoints = directory.topics.endpoints.entries.size > 0;
+    return state.phase === 'running' && routes.current !== undefined && knowsEndpoints;
+  }
   const { mode, row } = state.ownership;
   // Without the zone row no engine has an owner that this host could ask.
   const knowsOwners = mode === 'alone' || row !== undefined;
@@ -26,20 +32,23 @@
   if (state.phase !== 'running') return [];
   state.phase = 'lameDuck';
   schedule(state, now + state.policy.lameDuckMs, { type: 'lameDuckOver' });
-  return [newLog('info', 'graceful shutdown started')];
+  const left = state.policy.directory === undefined ? [] : leaveMembers(state, now);
+  return [newLog('info', 'graceful shutdown started'), ...left];
 }
 
 /** Refuses new requests from now on and waits for those in flight. */
 export function startDraining(state: State, now: number): Effect[] {
   state.phase = 'draining';
+  if (state.policy.directory !== undefined) return checkDrained(state, now);
   return [...leaveOwnership(state), ...checkDrained(state, now)];
 }
 
 /** Ends the host once nothing is in flight and its engines are handed over. */
 export function checkDrained(state: State, now: number): Effect[] {
   if (state.phase !== 'draining') return [];
-  const { requests, actions, operators } = state;
-  const inFlight = requests.inFlight.size + actions.inFlight.size + operators.asks.size;
+  const { requests, actions, operators, forwards } = state;
+  const inFlight =
+    requests.inFlight.size + actions.inFlight.size + operators.asks.size + forwards.inFlight.size;
   if (inFlight > 0 || hasDraftWork(state) || !hasLeft(state, now)) {
     schedule(state, now + DRAIN_CHECK_MS, { type: 'checkDrained' });
     return [];
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -1,4 +1,13 @@
 import { SuspectReported } from '../suspects/types.ts';
+import { TopicAsked, TopicTold } from '../directory/types.ts';
+import {
+  EnginesTold,
+  PlaceAsked,
+  PlaceGiven,
+  PlaceQueued,
+  PlaceRefused,
+  PlaceReleased,
+} from '../residency/types.ts';
 import { z } from 'zod';
 import {
   GrantAsk,
@@ -64,5 +73,13 @@
   PromiseGiven,
   PromiseRefused,
   SuspectReported,
+  TopicAsked,
+  TopicTold,
+  PlaceAsked,
+  PlaceGiven,
+  PlaceQueued,
+  PlaceRefused,
+  PlaceReleased,
+  EnginesTold,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -10,6 +10,7 @@
   configurationTimers,
 } from '../configuration/handlers.ts';
 import { configurationMessages } from '../configuration/peerHandlers.ts';
+import { directoryEvents, directoryMessages, directoryTimers } from '../directory/handlers.ts';
 import {
   draftEvents,
   draftObjectHandlers,
@@ -18,6 +19,7 @@
 } from '../drafts/handlers.ts';
 import { suspectMessages, suspectTableHandlers, suspectTimers } from '../suspects/handlers.ts';
 import { engineEvents, engineTimers } from '../engines/handlers.ts';
+import { forwardEvents, forwardMessages, forwardTimers } from '../forwards/handlers.ts';
 import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
 import { operatorTableHandlers } from '../operators/actions/index.ts';
 import { confirmTimers } from '../operators/actions/confirmPlan.ts';
@@ -29,6 +31,8 @@
   ownershipTableHandlers,
   ownershipTimers,
 } from '../ownership/handlers.ts';
+import { ownersTimers } from '../owners/handlers.ts';
+import { residencyEvents, residencyMessages, residencyTimers } from '../residency/handlers.ts';
 import { requestEvents, requestMessages, requestTimers } from '../requests/handlers.ts';
 import type { Effect } from './effects.ts';
 import type { Event } from './events.ts';
@@ -39,7 +43,7 @@
   TableAnswerHandlers,
   TimerHandlers,
 } from './handlers.ts';
-import { hostEvents, hostTimers } from './hostHandlers.ts';
+import { hostEvents, hostTimers, linkEvents } from './hostHandlers.ts';
 import type { Message } from './messages.ts';
 import type { ObjectPurpose, TablePurpose } from './purposes.ts';
 import type { State } from './state.ts';
@@ -54,6 +58,9 @@
   ...membershipMessages,
   ...ownershipMessages,
   ...suspectMessages,
+  ...directoryMessages,
+  ...residencyMessages,
+  ...forwardMessages,
 };
 
 const timers: TimerHandlers<Timer['type']> = {
@@ -68,6 +75,10 @@
   ...confirmTimers,
   ...membershipTimers,
   ...ownershipTimers,
+  ...directoryTimers,
+  ...ownersTimers,
+  ...residencyTimers,
+  ...forwardTimers,
 };
 
 const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = {
@@ -94,6 +105,10 @@
   ...operatorEvents,
   ...actionEvents,
   ...draftEvents,
+  ...directoryEvents,
+  ...residencyEvents,
+  ...forwardEvents,
+  ...linkEvents,
   tick: (state, _event, now) => runDueTimers(state, now),
   messageReceived: (state, { from, message }, now) => {
     const handler = messages[message.type] as Untyped;
@@ -114,6 +129,7 @@
  * milliseconds and never smaller than in an earlier call.
  */
 export function reduce(state: State, event: Event, now: number): Effect[] {
+  state.now = now;
   noteTurn(state, now);
   const handler = events[event.type] as Untyped;
   return handler(state, event, now);
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -3,13 +3,19 @@
 import { Random } from '../base/random.ts';
 import { ConfigurationSync } from '../configuration/sync.ts';
 import { Configuration } from '../configuration/types.ts';
+import { Directory } from '../directory/types.ts';
 import { Drafts } from '../drafts/types.ts';
 import { Engines } from '../engines/types.ts';
+import { Fleet } from '../fleet/types.ts';
+import { Forwards } from '../forwards/types.ts';
 import { Grants } from '../grants/types.ts';
 import { Membership } from '../membership/types.ts';
 import { Operators } from '../operators/types.ts';
 import { Ownership } from '../ownership/types.ts';
+import { Owners } from '../owners/types.ts';
 import { Requests } from '../requests/types.ts';
+import { Residency } from '../residency/types.ts';
+import type { Routing as Routes } from '../routes/types.ts';
 import { Routing } from '../routing/types.ts';
 import { Suspects } from '../suspects/types.ts';
 import type { Phase } from './lifecycle.ts';
@@ -26,6 +32,21 @@
   readonly incarnation: number;
 }
 
+/** Limit on repeated sends to one service, over all hosts and a sliding window. */
+export interface RetryPolicy {
+  /** Repeated sends for each request. */
+  readonly ratio: number;
+  /** Repeated sends that are allowed in any window. */
+  readonly slack: number;
+  readonly windowMs: number;
+}
+
+/** Settings of a host that forwards requests by a directory. */
+export interface DirectoryPolicy {
+  /** Repeated sends that all hosts may make together to one service. */
+  readonly retries: RetryPolicy;
+}
+
 /** Settings that decisions depend on. */
 export interface Policy {
   /** 0 weighs batch efficiency only, 1 load stalls only. */
@@ -40,6 +61,8 @@
   readonly lameDuckMs: number;
   /** Whether this is the only host and no table is used; it then owns every engine. */
   readonly isAlone?: boolean;
+  /** Set when routes, endpoints and members come from a directory; requests are then forwarded. */
+  readonly directory?: DirectoryPolicy;
 }
 
 /** A host that is known from the settings. */
@@ -61,6 +84,8 @@
 /** The whole state of a host. Only `reduce` changes it. */
 export class State {
   phase: Phase = 'running';
+  /** Monotonic ms of the event that is handled. */
+  now = 0;
   readonly random: Random;
   readonly timers = MinHeap.create<Timer>();
   readonly configuration = Configuration.create();
@@ -75,10 +100,17 @@
   readonly actions = Actions.create();
   readonly drafts = Drafts.create();
   readonly operators = Operators.create();
+  readonly directory = Directory.create();
+  readonly routes: { current: Routes | undefined } = { current: undefined };
+  readonly fleet = Fleet.create();
+  readonly owners = Owners.create();
+  readonly residency = Residency.create();
+  readonly forwards = Forwards.create();
 
   private constructor(
     readonly host: HostIdentity,
-    readonly policy: Policy,
+    /** Replaced as a whole when settings change. */
+    public policy: Policy,
     seed: number,
     readonly seeds: readonly Seed[],
   ) {
--- /dev/null
+++ b/src/directory/apply.ts
@@ -0,0 +1,128 @@
+import type { Effect } from '../core/effects.ts';
+import { newLog } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
+import { noteEndpointGone } from '../forwards/moving.ts';
+import { removeEndpoint, updateEndpoint } from '../fleet/update.ts';
+import { adoptMembers } from '../owners/members.ts';
+import { noteAdapterVersion, updateOwnedEngines } from '../residency/owned.ts';
+import { newRouting } from '../routes/match.ts';
+import { LAPSE_GRACE_MS } from './constants.ts';
+import type { Change, Content, Topic } from './types.ts';
+
+type Appliers = {
+  [T in Content['type']]: (
+    state: State,
+    content: Extract<Content, { type: T }>,
+    change: Change,
+    now: number,
+  ) => Effect[];
+};
+
+const appliers: Appliers = {
+  routing: (state, { table }) => {
+    const known = state.routes.current;
+    if (known !== undefined && table.version <= known.table.version) return [];
+    state.routes.current = newRouting(table);
+    const { version, routes, services } = table;
+    return [
+      newLog('info', 'routing table in force', {
+        version,
+        before: known?.table.version ?? 0,
+        routes: routes.length,
+        services: services.length,
+      }),
+    ];
+  },
+  adapterVersion: (state, { adapter, version }, _change, now) =>
+    noteAdapterVersion(state, adapter, version, now),
+  endpoint: (state, { endpoint }, _change, now) => {
+    state.directory.deferred.delete(endpoint.id);
+    const wasLeaving = state.fleet.views.get(endpoint.id)?.endpoint.isLeaving === true;
+    if (!updateEndpoint(state.fleet, endpoint)) return [];
+    const effects = updateOwnedEngines(state, now);
+    if (!endpoint.isLeaving || wasLeaving) return effects;
+    const { id, service, remainingMs } = endpoint;
+    return [
+      newLog('info', 'endpoint is leaving', { endpoint: id, service, remainingMs }),
+      ...effects,
+    ];
+  },
+  members: (state, { row }, { version }, now) => adoptMembers(state, row, version, now),
+  removed: (state, _content, change, now) => {
+    if (!state.fleet.views.has(change.key)) return [];
+    if (!isLapseLikely(state, now)) return removeNow(state, change.key, now);
+    state.directory.deferred.set(change.key, change);
+    schedule(state, now + LAPSE_GRACE_MS, { type: 'removeDeferred' });
+    return [];
+  },
+  malformed: (_state, { reason }, { key, version }) => [
+    newLog('warn', 'directory entry is malformed', { key, version, reason }),
+  ],
+};
+
+/** Takes up the changes that are newer than what is known of their keys. */
+export function applyChanges(state: State, topic: Topic, changes: Change[], now: number): Effect[] {
+  const { entries } = state.directory.topics[topic];
+  return changes.flatMap((change) => {
+    const known = entries.get(change.key);
+    if (known !== undefined && known.version >= change.version) return [];
+    entries.set(change.key, change);
+    return apply(state, change, now);
+  });
+}
+
+/** Takes up all entries of a topic as of `version`; a known key that is missing was removed. */
+export function applySnapshot(
+  state: State,
+  topic: Topic,
+  changes: Change[],
+  version: number,
+  now: number,
+): Effect[] {
+  const { entries } = state.directory.topics[topic];
+  const present = new Set(changes.map(({ key }) => key));
+  const removed = [...entries.values()]
+    .filter((known) => !present.has(known.key) && known.version <= version)
+    .filter(({ content }) => content.type !== 'removed')
+    .map(({ key }): Change => ({ key, version, content: { type: 'removed' } }));
+  return applyChanges(state, topic, [...changes, ...removed], now);
+}
+
+/** Takes up the removals that waited for the directory to be back for a while. */
+export function applyDeferred(state: State, now: number): Effect[] {
+  const { deferred } = state.directory;
+  if (deferred.size === 0) return [];
+  if (isLapseLikely(state, now)) {
+    schedule(state, now + LAPSE_GRACE_MS / 4, { type: 'removeDeferred' });
+    return [];
+  }
+  const ids = [...deferred.keys()];
+  deferred.clear();
+  return ids.flatMap((id) => removeNow(state, id, now));
+}
+
+function apply(state: State, change: Change, now: number): Effect[] {
+  const applier = appliers[change.content.type] as (
+    state: State,
+    content: Content,
+    change: Change,
+    now: number,
+  ) => Effect[];
+  return applier(state, change.content, change, now);
+}
+
+function removeNow(state: State, id: string, now: number): Effect[] {
+  removeEndpoint(state.fleet, id);
+  return [
+    newLog('info', 'endpoint was removed', { endpoint: id }),
+    ...updateOwnedEngines(state, now),
+    ...noteEndpointGone(state, id, now),
+  ];
+}
+
+/** Whether the directory is away or came back just now, so that live entries may have lapsed. */
+function isLapseLikely({ directory }: State, now: number): boolean {
+  const { lostAt, regainedAt } = directory.topics.endpoints;
+  return lostAt !== undefined || regainedAt + LAPSE_GRACE_MS > now;
+}
--- /dev/null
+++ b/src/directory/constants.ts
@@ -0,0 +1,27 @@
+import type { Topic } from './types.ts';
+
+/**
+ * Time that a watch waits for a change. A connection that went silent shows only when the watch is
+ * not answered, and a change has to be in force 2 s after the hosts can be reached again.
+ */
+export const WATCH_WAIT_MS: Record<Topic, number> = {
+  operator: 2_500,
+  endpoints: 2_500,
+  members: 5_000,
+};
+/** Pause after a watch that brought changes, so that changes that come together cost one call. */
+export const WATCH_PAUSE_MS: Record<Topic, number> = {
+  operator: 50,
+  endpoints: 200,
+  members: 50,
+};
+/** First pause after a failed call; doubles, with full jitter on its second half. */
+export const CALL_RETRY_MS = 150;
+export const CALL_RETRY_MAX_MS = 1_000;
+/** Interval at which a peer is asked for changes while the directory is away. */
+export const ASK_PEERS_MS = 500;
+/**
+ * Time after the directory came back for which a removed endpoint stays in use: entries that lapsed
+ * during an outage return within it when the endpoint lives.
+ */
+export const LAPSE_GRACE_MS = 2_200;
--- /dev/null
+++ b/src/directory/handlers.ts
@@ -0,0 +1,22 @@
+import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
+import { continueMembersWrite } from '../owners/members.ts';
+import { applyChanges, applyDeferred } from './apply.ts';
+import type { DirectoryEvent, DirectoryTimer } from './types.ts';
+import { askPeers, callTopic, continueTopic, tellTopic } from './watch.ts';
+
+export const directoryEvents: EventHandlers<DirectoryEvent['type']> = {
+  directoryAnswered: (state, { topic, call, isRead, answer }, now) =>
+    continueTopic(state, topic, call, isRead, answer, now),
+  membersAnswered: (state, { row, answer }, now) => continueMembersWrite(state, row, answer, now),
+};
+
+export const directoryMessages: MessageHandlers<'topicAsked' | 'topicTold'> = {
+  topicAsked: (state, { topic, after }, from) => tellTopic(state, topic, after, from),
+  topicTold: (state, { topic, changes }, _from, now) => applyChanges(state, topic, changes, now),
+};
+
+export const directoryTimers: TimerHandlers<DirectoryTimer['type']> = {
+  callTopic: (state, { topic }) => callTopic(state, topic),
+  askPeers: (state, { topic }, now) => askPeers(state, topic, now),
+  removeDeferred: (state, _timer, now) => applyDeferred(state, now),
+};
--- /dev/null
+++ b/src/directory/types.ts
@@ -0,0 +1,128 @@
+import { z } from 'zod';
+import { Endpoint } from '../fleet/types.ts';
+import { MembersRow } from '../owners/types.ts';
+import { RoutingTable } from '../routes/types.ts';
+
+/**
+ * The directory is where operators, endpoints and hosts publish what all hosts must know. Each topic
+ * is a set of keys whose values have growing versions.
+ */
+export const Topic = z.enum(['operator', 'endpoints', 'members']);
+export type Topic = z.infer<typeof Topic>;
+
+export const Content = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('routing'), table: RoutingTable }),
+  z.object({
+    type: z.literal('adapterVersion'),
+    /** `model/adapter` */
+    adapter: z.string(),
+    version: z.int().min(0),
+  }),
+  z.object({ type: z.literal('endpoint'), endpoint: Endpoint }),
+  z.object({ type: z.literal('members'), row: MembersRow }),
+  z.object({ type: z.literal('removed') }),
+  /** The entry does not parse; it says nothing. */
+  z.object({ type: z.literal('malformed'), reason: z.string() }),
+]);
+export type Content = z.infer<typeof Content>;
+
+/** A key of a topic at one version. */
+export const Change = z.object({ key: z.string(), version: z.int().min(0), content: Content });
+export type Change = z.infer<typeof Change>;
+
+/** The answer to a read or a watch of a topic. */
+export type DirectoryAnswer =
+  /** `version` is that of the directory, from which a watch continues. */
+  | { type: 'changes'; changes: Change[]; version: number }
+  /** The changes since the version asked for are not kept any more. */
+  | { type: 'historyLost' }
+  | { type: 'unavailable'; reason: string };
+
+/** The answer to a conditional write of the members row. */
+export type MembersAnswer =
+  | { type: 'written'; version: number }
+  /** Another write came first; `current` is what it wrote, undefined when the row is absent. */
+  | { type: 'conflict'; current: Change | undefined }
+  /** Nothing was written. */
+  | { type: 'unavailable'; reason: string }
+  /** The answer was lost; the write may have taken effect or may do so later. */
+  | { type: 'unknown'; reason: string };
+
+/** What this host knows of one topic. */
+export interface TopicState {
+  /** Known contents by key, removed ones included. */
+  entries: Map<string, Change>;
+  /** Version that the next watch continues from; undefined before the first read. */
+  version: number | undefined;
+  /** Number of the call under way; answers to older calls are ignored. */
+  call: number;
+  isCalling: boolean;
+  /** Failed calls in a row. */
+  failures: number;
+  /** Monotonic ms at which the first of them failed; undefined while calls succeed. */
+  lostAt: number | undefined;
+  /** Monotonic ms at which calls succeeded again after failures. */
+  regainedAt: number;
+}
+
+export class Directory {
+  readonly topics: Record<Topic, TopicState> = {
+    operator: newTopic(),
+    endpoints: newTopic(),
+    members: newTopic(),
+  };
+  /** Endpoints whose removal waits until the directory has been back for a while. */
+  readonly deferred = new Map<string, Change>();
+
+  private constructor() {}
+
+  static create(): Directory {
+    return new Directory();
+  }
+}
+
+function newTopic(): TopicState {
+  return {
+    entries: new Map(),
+    version: undefined,
+    call: 0,
+    isCalling: false,
+    failures: 0,
+    lostAt: undefined,
+    regainedAt: -Infinity,
+  };
+}
+
+/** Asks a host for the changes of a topic after a version; sent while the directory is away. */
+export const TopicAsked = z.object({
+  type: z.literal('topicAsked'),
+  topic: Topic,
+  after: z.int().min(0),
+});
+
+export const TopicTold = z.object({
+  type: z.literal('topicTold'),
+  topic: Topic,
+  changes: z.array(Change),
+});
+
+export type DirectoryEvent =
+  | {
+      type: 'directoryAnswered';
+      topic: Topic;
+      call: number;
+      isRead: boolean;
+      answer: DirectoryAnswer;
+    }
+  | { type: 'membersAnswered'; row: MembersRow; answer: MembersAnswer };
+
+export type DirectoryEffect =
+  | { type: 'readTopic'; topic: Topic; call: number }
+  | { type: 'watchTopic'; topic: Topic; call: number; after: number; waitMs: number }
+  /** Writes the row if it still has `version`; 0 when it must be absent. */
+  | { type: 'writeMembers'; row: MembersRow; version: number };
+
+export type DirectoryTimer =
+  | { type: 'callTopic'; topic: Topic }
+  | { type: 'askPeers'; topic: Topic }
+  | { type: 'removeDeferred' };
--- /dev/null
+++ b/src/directory/watch.ts
@@ -0,0 +1,106 @@
+import { deliver } from '../core/deliver.ts';
+import type { Effect } from '../core/effects.ts';
+import { newLog } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
+import { applyChanges, applySnapshot } from './apply.ts';
+import {
+  ASK_PEERS_MS,
+  CALL_RETRY_MAX_MS,
+  CALL_RETRY_MS,
+  WATCH_PAUSE_MS,
+  WATCH_WAIT_MS,
+} from './constants.ts';
+import { type DirectoryAnswer, Topic, type TopicState } from './types.ts';
+
+/** Reads all topics and watches them from then on. */
+export function startDirectory(state: State): Effect[] {
+  return Topic.options.flatMap((topic) => callTopic(state, topic));
+}
+
+/** Starts the next call of a topic: a read while nothing is known of it, else a watch. */
+export function callTopic(state: State, topic: Topic): Effect[] {
+  const known = state.directory.topics[topic];
+  if (known.isCalling || state.phase === 'stopped') return [];
+  known.isCalling = true;
+  known.call += 1;
+  const { call, version: after } = known;
+  if (after === undefined) return [{ type: 'readTopic', topic, call }];
+  return [{ type: 'watchTopic', topic, call, after, waitMs: WATCH_WAIT_MS[topic] }];
+}
+
+/** Takes up the answer of a call and schedules the next one. */
+export function continueTopic(
+  state: State,
+  topic: Topic,
+  call: number,
+  isRead: boolean,
+  answer: DirectoryAnswer,
+  now: number,
+): Effect[] {
+  const known = state.directory.topics[topic];
+  if (call !== known.call) return [];
+  known.isCalling = false;
+  if (answer.type === 'unavailable') return retryTopic(state, topic, answer.reason, now);
+  const effects = noteRegained(known, topic, now);
+  if (answer.type === 'historyLost') {
+    known.version = undefined;
+    return [...effects, ...callTopic(state, topic)];
+  }
+  known.version = Math.max(known.version ?? 0, answer.version);
+  const applied = isRead
+    ? applySnapshot(state, topic, answer.changes, answer.version, now)
+    : applyChanges(state, topic, answer.changes, now);
+  if (answer.changes.length === 0 || isRead)
+    return [...effects, ...applied, ...callTopic(state, topic)];
+  schedule(state, now + WATCH_PAUSE_MS[topic], { type: 'callTopic', topic });
+  return [...effects, ...applied];
+}
+
+/** Asks a linked host for what it knows while the directory does not answer this one. */
+export function askPeers(state: State, topic: Topic, now: number): Effect[] {
+  const known = state.directory.topics[topic];
+  if (known.lostAt === undefined) return [];
+  schedule(state, now + ASK_PEERS_MS, { type: 'askPeers', topic });
+  const linked = [...state.owners.linked];
+  const peer = linked[state.random.getInteger(Math.max(1, linked.length))];
+  if (peer === undefined) return [];
+  return [deliver(state, peer, { type: 'topicAsked', topic, after: getNewest(known) })];
+}
+
+/** Returns the message that tells a host of the changes it lacks. */
+export function tellTopic(state: State, topic: Topic, after: number, to: string): Effect[] {
+  const changes = [...state.directory.topics[topic].entries.values()].filter(
+    ({ version }) => version > after,
+  );
+  return changes.length === 0 ? [] : [deliver(state, to, { type: 'topicTold', topic, changes })];
+}
+
+function getNewest({ entries }: TopicState): number {
+  let newest = 0;
+  for (const { version } of entries.values()) newest = Math.max(newest, version);
+  return newest;
+}
+
+function retryTopic(state: State, topic: Topic, reason: string, now: number): Effect[] {
+  const known = state.directory.topics[topic];
+  const limit = Math.min(CALL_RETRY_MAX_MS, CALL_RETRY_MS * 2 ** known.failures);
+  known.failures = Math.min(known.failures + 1, 16);
+  const pause = limit * (0.5 + state.random.getFraction() / 2);
+  schedule(state, now + pause, { type: 'callTopic', topic });
+  if (known.lostAt !== undefined) return [];
+  known.lostAt = now;
+  return [
+    newLog('warn', 'directory lost', { topic, reason, version: known.version ?? 0 }),
+    ...askPeers(state, topic, now),
+  ];
+}
+
+function noteRegained(known: TopicState, topic: Topic, now: number): Effect[] {
+  known.failures = 0;
+  if (known.lostAt === undefined) return [];
+  const lostMs = Math.round(now - known.lostAt);
+  known.lostAt = undefined;
+  known.regainedAt = now;
+  return [newLog('info', 'directory regained', { topic, lostMs })];
+}
--- /dev/null
+++ b/src/fleet/choose.ts
@@ -0,0 +1,63 @@
+import { FAILURE_COST_MS, FAR_ZONE_MS, UNKNOWN_MEAN_MS } from './constants.ts';
+import type { EndpointView, Fleet } from './types.ts';
+
+/** Whether new requests may go to an endpoint. */
+export function isOpen({ endpoint, isRemoved }: EndpointView): boolean {
+  return !isRemoved && !endpoint.isLeaving;
+}
+
+/** Returns the endpoints of `service` that new requests may go to and that are not `excluded`. */
+export function getOpenEndpoints(
+  fleet: Fleet,
+  service: string,
+  excluded: ReadonlySet<string>,
+): EndpointView[] {
+  const views: EndpointView[] = [];
+  for (const view of fleet.views.values()) {
+    if (view.endpoint.service !== service || !isOpen(view)) continue;
+    if (!excluded.has(view.endpoint.id)) views.push(view);
+  }
+  return views;
+}
+
+/** Prefers endpoints that answered lately; returns all of them when none did. */
+export function getHealthy(views: EndpointView[], now: number): EndpointView[] {
+  const healthy = views.filter(({ avoidUntil }) => avoidUntil <= now);
+  return healthy.length === 0 ? views : healthy;
+}
+
+/**
+ * Chooses the endpoint of a plain service that is expected to answer first; `fraction` in [0, 1)
+ * breaks ties, so that hosts do not all choose the same one.
+ */
+export function chooseEndpoint(
+  views: EndpointView[],
+  zone: string,
+  now: number,
+  fraction: number,
+): EndpointView | undefined {
+  const healthy = getHealthy(views, now);
+  const start = Math.floor(fraction * healthy.length);
+  let best: EndpointView | undefined;
+  let least = Infinity;
+  for (let step = 0; step < healthy.length; step++) {
+    const view = healthy[(start + step) % healthy.length];
+    if (view === undefined) continue;
+    const cost = getCost(view, zone);
+    if (cost < least) {
+      best = view;
+      least = cost;
+    }
+  }
+  return best;
+}
+
+function getCost({ endpoint, inFlight, meanMs, failureShare }: EndpointView, zone: string): number {
+  const mean = meanMs === 0 ? UNKNOWN_MEAN_MS : meanMs;
+  const queue = Math.max(0, inFlight + 1 - endpoint.slots / 2);
+  return (
+    mean * (1 + inFlight / endpoint.slots + queue) +
+    failureShare * FAILURE_COST_MS +
+    (endpoint.zone === zone ? 0 : FAR_ZONE_MS)
+  );
+}
--- /dev/null
+++ b/src/fleet/update.ts
@@ -0,0 +1,37 @@
+import type { Endpoint, EndpointView, Fleet } from './types.ts';
+
+/**
+ * Takes up what an endpoint registered. An older registration of the same start is dropped: it may
+ * arrive after a newer one and would revive an endpoint that leaves. Returns whether it was taken up.
+ */
+export function updateEndpoint(fleet: Fleet, endpoint: Endpoint): boolean {
+  const known = fleet.views.get(endpoint.id);
+  if (known === undefined || endpoint.startedAt > known.endpoint.startedAt) {
+    fleet.views.set(endpoint.id, newView(endpoint));
+    return true;
+  }
+  const { startedAt, sequence, isLeaving } = known.endpoint;
+  if (endpoint.startedAt < startedAt || endpoint.sequence < sequence) return false;
+  if (isLeaving && !endpoint.isLeaving) return false;
+  known.endpoint = endpoint;
+  known.isRemoved = false;
+  return true;
+}
+
+/** Notes that the entry of an endpoint was removed. */
+export function removeEndpoint(fleet: Fleet, id: string): void {
+  const view = fleet.views.get(id);
+  if (view !== undefined) view.isRemoved = true;
+}
+
+function newView(endpoint: Endpoint): EndpointView {
+  return {
+    endpoint,
+    isRemoved: false,
+    inFlight: 0,
+    failures: 0,
+    avoidUntil: -Infinity,
+    meanMs: 0,
+    failureShare: 0,
+  };
+}
--- /dev/null
+++ b/src/forwards/arrival.ts
@@ -0,0 +1,62 @@
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
+import { Failure } from '../errors/failure.ts';
+import { chooseService, findRoute } from '../routes/match.ts';
+import type { Route } from '../routes/types.ts';
+import { getBudget } from './retrying.ts';
+import { isCrasher } from './crashes.ts';
+import { failArrival } from './ending.ts';
+import { place } from './placing.ts';
+import type { Forward, NewForward } from './types.ts';
+
+/** Routes a request on arrival; answers at once when it cannot be served. */
+export function admitForward(state: State, arrival: NewForward, now: number): Effect[] {
+  const routing = state.routes.current;
+  if (routing === undefined) {
+    return failArrival(
+      state,
+      arrival,
+      Failure.create('not_ready', 'no routing table is known yet'),
+    );
+  }
+  const route = findRoute(routing, arrival.host, arrival.target);
+  if (route === undefined) {
+    const message = `no route of host "${arrival.host}" begins the path "${arrival.target}"`;
+    return failArrival(state, arrival, Failure.create('not_found', message));
+  }
+  const forward = newForward(arrival, route, chooseService(route, state.random.getFraction()));
+  getBudget(state, forward.service).addRequest(now);
+  if (isCrasher(state, arrival.fingerprint, now)) {
+    const message = 'earlier sends of this request broke off at several endpoints';
+    return failArrival(state, arrival, Failure.create('service_unavailable', message));
+  }
+  state.forwards.inFlight.set(forward.id, forward);
+  schedule(state, forward.deadlineAt, { type: 'forwardDeadline', id: forward.id });
+  return place(state, forward, now);
+}
+
+function newForward(arrival: NewForward, route: Route, service: string): Forward {
+  const { arrivedAt, labels } = arrival;
+  return {
+    ...arrival,
+    route,
+    service,
+    deadlineAt: arrivedAt + Math.min(route.timeoutMs, labels.waitMs),
+    goalAt: arrivedAt + route.goalMs,
+    phase: 'backoff',
+    ask: 0,
+    asked: undefined,
+    attempt: undefined,
+    sends: 0,
+    ranOn: new Set(),
+    excluded: new Set(),
+    mayHaveRun: false,
+    hasStarted: false,
+    hasAnswer: false,
+    rounds: 0,
+    lastEventId: undefined,
+    lastReason: '',
+    stallMs: 0,
+  };
+}
--- /dev/null
+++ b/src/forwards/ending.ts
@@ -0,0 +1,112 @@
+import { deliver } from '../core/deliver.ts';
+import type { Effect } from '../core/effects.ts';
+import { newCount, newLog, newObserve } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import { Failure } from '../errors/failure.ts';
+import { RETRY_AFTER_MS, RETRY_AFTER_SPREAD_MS } from './constants.ts';
+import type { Forward, NewForward } from './types.ts';
+
+/** Answers a request that was not admitted. */
+export function failArrival(state: State, arrival: NewForward, failure: Failure): Effect[] {
+  return [
+    newCount('fireflywick_requests_total', { firm: '', kind: 'forward', result: failure.kind }),
+    newLog('info', 'request refused', {
+      requestId: arrival.labels.attemptId,
+      hostName: arrival.host,
+      target: arrival.target,
+      result: failure.kind,
+      reason: failure.message,
+      routingVersion: state.routes.current?.table.version ?? 0,
+    }),
+    { type: 'failForward', id: arrival.id, failure: withRetryAfter(state, failure) },
+  ];
+}
+
+/** Ends a request that cannot be served, with an answer that says whether it may have run. */
+export function giveUp(state: State, forward: Forward, reason: string): Effect[] {
+  if (forward.hasAnswer && !forward.hasStarted) return passKept(state, forward, reason);
+  const isUnknown = forward.mayHaveRun || forward.hasStarted || forward.ranOn.size > 0;
+  const failure = isUnknown
+    ? Failure.create('outcome_unknown', `the request may have run: ${reason}`)
+    : Failure.create('service_unavailable', `the request was not run: ${reason}`);
+  return failForward(state, forward, failure);
+}
+
+/** Passes on the failure of an endpoint after a repeat did not do better. */
+function passKept(state: State, forward: Forward, reason: string): Effect[] {
+  return [
+    ...releaseAll(state, forward),
+    ...endForward(state, forward, 'endpoint_failed', reason),
+    { type: 'passAnswer', id: forward.id },
+  ];
+}
+
+/** Ends a request with a failure: cancels what runs and gives back what it holds. */
+export function failForward(state: State, forward: Forward, failure: Failure): Effect[] {
+  const { attempt } = forward;
+  const cancelled: Effect[] =
+    attempt === undefined ? [] : [{ type: 'cancelForward', id: forward.id, attempt: attempt.id }];
+  return [
+    ...cancelled,
+    ...releaseAll(state, forward),
+    ...endForward(state, forward, failure.kind, failure.message),
+    { type: 'failForward', id: forward.id, failure: withRetryAfter(state, failure) },
+  ];
+}
+
+/** Removes a request that has its final answer and tells of it. */
+export function endForward(
+  state: State,
+  forward: Forward,
+  result: string,
+  reason?: string,
+): Effect[] {
+  state.forwards.inFlight.delete(forward.id);
+  const { route, labels, arrivedAt, excluded, ranOn, sends, stallMs } = forward;
+  const durationMs = Math.round(state.now - arrivedAt);
+  const metricLabels = { firm: '', kind: route.kind };
+  return [
+    newCount('fireflywick_requests_total', { ...metricLabels, result }),
+    newObserve('fireflywick_request_duration_ms', metricLabels, durationMs),
+    newLog('info', 'request ended', {
+      requestId: labels.attemptId,
+      route: route.name,
+      service: forward.service,
+      model: labels.model,
+      result,
+      reason,
+      durationMs,
+      stallMs,
+      sends,
+      ranOn: [...ranOn],
+      passedOver: [...excluded],
+      lastReason: forward.lastReason,
+      routingVersion: state.routes.current?.table.version ?? 0,
+    }),
+  ];
+}
+
+/** Gives back the place of a request at its owner, or withdraws its ask, and its count. */
+export function releaseAll(
+  state: State,
+  forward: Forward,
+  result: 'ended' | 'missing' = 'ended',
+): Effect[] {
+  const { attempt, asked, id } = forward;
+  const endpoint = attempt?.endpoint ?? asked?.engine;
+  const owner = attempt?.owner ?? asked?.owner;
+  const view = attempt === undefined ? undefined : state.fleet.views.get(attempt.endpoint);
+  if (view !== undefined) view.inFlight = Math.max(0, view.inFlight - 1);
+  forward.attempt = undefined;
+  forward.asked = undefined;
+  if (owner === undefined || endpoint === undefined) return [];
+  return [deliver(state, owner, { type: 'placeReleased', request: id, engine: endpoint, result })];
+}
+
+/** Spreads the callers over the time in which they come back. */
+function withRetryAfter(state: State, failure: Failure): Failure {
+  const { kind, message, outcome, retryAfterS } = failure;
+  if (outcome !== 'not_run' || retryAfterS === undefined) return failure;
+  const ms = RETRY_AFTER_MS + RETRY_AFTER_SPREAD_MS * state.random.getFraction();
+  return Failure.create(kind, message, { outcome, retryAfterS: Math.round(ms) / 1000 });
+}
--- /dev/null
+++ b/src/forwards/handlers.ts
@@ -0,0 +1,99 @@
+import { deliver } from '../core/deliver.ts';
+import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
+import { newCount, newObserve } from '../core/observations.ts';
+import { Failure } from '../errors/failure.ts';
+import { isOpen } from '../fleet/choose.ts';
+import { admitForward } from './arrival.ts';
+import { endAttempt } from './attempts.ts';
+import { endForward, failForward, releaseAll } from './ending.ts';
+import { place } from './placing.ts';
+import { retryLater, sendTo } from './sending.ts';
+import type { ForwardEvent, ForwardTimer } from './types.ts';
+
+export const forwardEvents: EventHandlers<ForwardEvent['type']> = {
+  forwardArrived: (state, { forward }, now) => admitForward(state, forward, now),
+  forwardCancelled: (state, { id }) => {
+    const forward = state.forwards.inFlight.get(id);
+    if (forward === undefined) return [];
+    const attempt = forward.attempt?.id;
+    return [
+      ...(attempt === undefined ? [] : [{ type: 'cancelForward' as const, id, attempt }]),
+      ...releaseAll(state, forward),
+      ...endForward(state, forward, 'cancelled', 'the caller closed the connection'),
+    ];
+  },
+  forwardStarted: (state, { id, attempt }, now) => {
+    const forward = state.forwards.inFlight.get(id);
+    if (forward?.attempt?.id !== attempt) return [];
+    forward.attempt.hasStarted = true;
+    forward.hasStarted = true;
+    const labels = { firm: '', kind: forward.route.kind };
+    return [newObserve('fireflywick_first_token_ms', labels, now - forward.arrivedAt)];
+  },
+  forwardEnded: (state, { id, attempt, outcome }, now) => {
+    const forward = state.forwards.inFlight.get(id);
+    if (forward?.attempt?.id !== attempt) return [];
+    return endAttempt(state, forward, forward.attempt, outcome, now);
+  },
+};
+
+export const forwardMessages: MessageHandlers<'placeGiven' | 'placeQueued' | 'placeRefused'> = {
+  placeGiven: (state, { request, ask, engine, version, stallMs }, from, now) => {
+    const forward = state.forwards.inFlight.get(request);
+    if (forward?.phase !== 'asking' || forward.ask !== ask || forward.asked?.engine !== engine) {
+      // Another place may be in use at the same engine.
+      if (forward?.attempt?.endpoint === engine) return [];
+      return [deliver(state, from, { type: 'placeReleased', request, engine, result: 'ended' })];
+    }
+    const view = state.fleet.views.get(engine);
+    forward.stallMs += stallMs;
+    if (view === undefined || !isOpen(view)) {
+      return [...releaseAll(state, forward), ...place(state, forward, now)];
+    }
+    return sendTo(state, forward, view, from, version, now);
+  },
+  placeQueued: (state, { request, ask }) => {
+    const forward = state.forwards.inFlight.get(request);
+    if (forward?.ask === ask && forward.asked !== undefined) forward.asked.isQueued = true;
+    return [];
+  },
+  placeRefused: (state, { request, ask, engine, reason }, _from, now) => {
+    const forward = state.forwards.inFlight.get(request);
+    if (forward?.phase !== 'asking' || forward.ask !== ask) return [];
+    // The engine itself can run the request when only its owner changed.
+    if (reason !== 'notOwner') forward.excluded.add(engine);
+    return retryLater(state, forward, `the owner refused a place: ${reason}`, now);
+  },
+};
+
+export const forwardTimers: TimerHandlers<ForwardTimer['type']> = {
+  forwardDeadline: (state, { id }) => {
+    const forward = state.forwards.inFlight.get(id);
+    if (forward === undefined) return [];
+    const mayHaveRun =
+      forward.mayHaveRun || forward.attempt !== undefined || forward.ranOn.size > 0;
+    const waitedFor = forward.lastReason === '' ? forward.phase : forward.lastReason;
+    const failure = mayHaveRun
+      ? Failure.create('deadline_exceeded', `no whole answer came in time: ${waitedFor}`)
+      : Failure.create('overloaded', `no place was free in time: ${waitedFor}`);
+    return failForward(state, forward, failure);
+  },
+  forwardRetry: (state, { id }, now) => {
+    const forward = state.forwards.inFlight.get(id);
+    return forward?.phase === 'backoff' ? place(state, forward, now) : [];
+  },
+  placeTimeout: (state, { id, ask }, now) => {
+    const forward = state.forwards.inFlight.get(id);
+    if (forward?.phase !== 'asking' || forward.ask !== ask) return [];
+    if (forward.asked === undefined || forward.asked.isQueued) return [];
+    const { engine } = forward.asked;
+    const released = releaseAll(state, forward);
+    forward.excluded.add(engine);
+    forward.lastReason = 'the owner of the engine did not react';
+    return [
+      newCount('fireflywick_decisions_total', { decision: 'moved', reason: 'ownerSilent' }),
+      ...released,
+      ...place(state, forward, now),
+    ];
+  },
+};
--- /dev/null
+++ b/src/forwards/placing.ts
@@ -0,0 +1,153 @@
+import { hash32 } from '../base/hash.ts';
+import { deliver } from '../core/deliver.ts';
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
+import { chooseEndpoint, getHealthy, getOpenEndpoints } from '../fleet/choose.ts';
+import { FAILURE_COST_MS, FAR_ZONE_MS } from '../fleet/constants.ts';
+import type { EndpointView } from '../fleet/types.ts';
+import { getOwner } from '../owners/owner.ts';
+import type { Owner } from '../owners/types.ts';
+import { getTold } from '../residency/told.ts';
+import {
+  HOME_ENGINES,
+  LOAD_COST_MS,
+  NO_SLOT_COST_MS,
+  PLACE_TIMEOUT_MS,
+  RUNNING_COST_MS,
+  UNKNOWN_COST_MS,
+  WARM_LOAD_COST_MS,
+} from './constants.ts';
+import { retryLater, sendTo } from './sending.ts';
+import type { Forward } from './types.ts';
+
+/** An engine that a request may go to, and the owner to ask; without one it is sent unasked. */
+interface Candidate {
+  view: EndpointView;
+  owner: Owner | undefined;
+  cost: number;
+}
+
+/** Chooses an endpoint for a request: sends it there, or asks the owner of the engine for a place. */
+export function place(state: State, forward: Forward, now: number): Effect[] {
+  const views = getOpenEndpoints(state.fleet, forward.service, forward.excluded);
+  if (views.length === 0) {
+    // Those that turned it away may take it after the pause.
+    forward.excluded.clear();
+    return retryLater(state, forward, forward.lastReason || 'no endpoint can take it', now);
+  }
+  const service = state.routes.current?.services.get(forward.service);
+  if (service?.engine === undefined || forward.labels.model === '') {
+    const view = chooseEndpoint(views, state.host.zone, now, state.random.getFraction());
+    if (view === undefined) return retryLater(state, forward, 'no endpoint can take it', now);
+    return sendTo(state, forward, view, undefined, undefined, now);
+  }
+  const candidate = chooseEngine(state, forward, getHealthy(views, now), now);
+  if (candidate === undefined) return retryLater(state, forward, 'no engine can take it', now);
+  const { view, owner } = candidate;
+  if (owner === undefined) {
+    return sendTo(state, forward, view, undefined, getToldVersion(state, forward, view, now), now);
+  }
+  return askOwner(state, forward, view, owner.host, now);
+}
+
+/** Chooses the engine that is expected to answer first. */
+function chooseEngine(
+  state: State,
+  forward: Forward,
+  views: EndpointView[],
+  now: number,
+): Candidate | undefined {
+  const { adapter } = forward.labels;
+  const homes = adapter === '' ? [] : getHomes(adapter, views);
+  let best: Candidate | undefined;
+  for (const view of views) {
+    const candidate = newCandidate(state, forward, view, homes.indexOf(view.endpoint.id), now);
+    if (candidate !== undefined && (best === undefined || candidate.cost < best.cost))
+      best = candidate;
+  }
+  return best;
+}
+
+/** Returns the engines by rendezvous weight, so that all hosts load an adapter on the same ones. */
+function getHomes(adapter: string, views: EndpointView[]): string[] {
+  return views
+    .map(({ endpoint: { id } }) => ({ id, weight: hash32(`${adapter}/${id}`) }))
+    .sort((a, b) => b.weight - a.weight)
+    .map(({ id }) => id);
+}
+
+function newCandidate(
+  state: State,
+  forward: Forward,
+  view: EndpointView,
+  rank: number,
+  now: number,
+): Candidate | undefined {
+  const { id, zone } = view.endpoint;
+  const told = getTold(state, id, now);
+  const owner = getOwner(state.owners, id, zone);
+  const canAsk =
+    owner !== undefined && (owner.host === state.host.id || state.owners.linked.has(owner.host));
+  const { adapter } = forward.labels;
+  const isHeld = adapter === '' || told?.adapters.some(([name]) => name === adapter) === true;
+  // Without an owner nobody can have the adapter loaded.
+  if (!canAsk && !isHeld) return undefined;
+  let cost = zone === state.host.zone ? 0 : FAR_ZONE_MS;
+  cost += view.failureShare * FAILURE_COST_MS;
+  cost += told === undefined ? UNKNOWN_COST_MS : told.backlogMs + told.running * RUNNING_COST_MS;
+  if (!isHeld) {
+    cost += rank < HOME_ENGINES ? WARM_LOAD_COST_MS + rank : LOAD_COST_MS + rank;
+    if (told !== undefined && told.openSlots <= 0)
+      cost += NO_SLOT_COST_MS * (1 - told.openSlots / 4);
+  }
+  return { view, owner: canAsk ? owner : undefined, cost };
+}
+
+function getToldVersion(
+  state: State,
+  { labels }: Forward,
+  { endpoint }: EndpointView,
+  now: number,
+): number | undefined {
+  const announced = state.residency.versions.get(labels.adapter);
+  if (announced !== undefined) return announced;
+  const held = getTold(state, endpoint.id, now)?.adapters.find(([name]) => name === labels.adapter);
+  return held === undefined || held[1] === 0 ? undefined : held[1];
+}
+
+function askOwner(
+  state: State,
+  forward: Forward,
+  { endpoint }: EndpointView,
+  owner: string,
+  now: number,
+): Effect[] {
+  const { labels, route } = forward;
+  forward.phase = 'asking';
+  forward.ask += 1;
+  forward.asked = { engine: endpoint.id, owner, isQueued: false };
+  const told = state.residency.told.get(endpoint.id);
+  // Until the owner tells again, this host counts what it sends itself.
+  if (told !== undefined) told.sentSince += labels.promptTokens / 20;
+  schedule(state, now + PLACE_TIMEOUT_MS, {
+    type: 'placeTimeout',
+    id: forward.id,
+    ask: forward.ask,
+  });
+  return [
+    deliver(state, owner, {
+      type: 'placeAsked',
+      request: forward.id,
+      ask: forward.ask,
+      engine: endpoint.id,
+      adapter: labels.adapter,
+      version: state.residency.versions.get(labels.adapter) ?? 0,
+      priority: route.priority,
+      promptTokens: labels.promptTokens,
+      outputTokens: labels.outputTokens,
+      remainingMs: forward.deadlineAt - now,
+      goalMs: forward.goalAt - now,
+    }),
+  ];
+}
--- /dev/null
+++ b/src/forwards/retrying.ts
@@ -0,0 +1,26 @@
+import type { RetryPolicy, State } from '../core/state.ts';
+import { ForwardBudget } from './budget.ts';
+import { BUDGET_SHARE } from './constants.ts';
+
+/** Returns the retry budget of a service on this host. */
+export function getBudget(state: State, service: string): ForwardBudget {
+  const { budgets } = state.forwards;
+  const known = budgets.get(service);
+  if (known !== undefined) return known;
+  const budget = ForwardBudget.create(getPolicy(state).windowMs);
+  budgets.set(service, budget);
+  return budget;
+}
+
+/** Takes one repeated send from this host's share of the budget; returns whether it was there. */
+export function takeRepeat(state: State, service: string, now: number): boolean {
+  const { ratio, slack } = getPolicy(state);
+  const hosts = Math.max(1, state.owners.row?.members.length ?? 1);
+  const own = Math.max(1, (slack * BUDGET_SHARE) / hosts);
+  return getBudget(state, service).takeRepeat(now, ratio * BUDGET_SHARE, own);
+}
+
+/** Without a policy no request is sent twice. */
+function getPolicy({ policy }: State): RetryPolicy {
+  return policy.directory?.retries ?? { ratio: 0, slack: 0, windowMs: 1_000 };
+}
--- /dev/null
+++ b/src/forwards/types.ts
@@ -0,0 +1,144 @@
+import type { Failure } from '../errors/failure.ts';
+import type { Route } from '../routes/types.ts';
+import { ForwardBudget } from './budget.ts';
+
+/** What a request says of itself, beside its method, path and body. */
+export interface Labels {
+  /** Names the caller's attempt in logs and at the endpoint; empty when the caller gave none. */
+  attemptId: string;
+  /** `model` or `model/adapter`; empty when the request names none. */
+  model: string;
+  /** `model/adapter`; empty for the base model alone and for plain requests. */
+  adapter: string;
+  promptTokens: number;
+  /** Most tokens that the answer may have. */
+  outputTokens: number;
+  /** Time that the caller waits, in ms; Infinity when it does not say. */
+  waitMs: number;
+}
+
+/** A request as the front server hands it to the reducer. */
+export interface NewForward {
+  id: string;
+  host: string;
+  /** Path with query. */
+  target: string;
+  labels: Labels;
+  /** Hash of method, target, body and prompt; equal for repeats of the same request. */
+  fingerprint: string;
+  /** Monotonic ms at which its head arrived. */
+  arrivedAt: number;
+}
+
+/** `asking`: waits for a place; `running`: sent to an endpoint; `backoff`: waits for a retry. */
+export type ForwardPhase = 'asking' | 'running' | 'backoff';
+
+/** One send of a request to an endpoint. */
+export interface ForwardAttempt {
+  id: string;
+  endpoint: string;
+  /** Host that gave the place; undefined when none was asked. */
+  owner: string | undefined;
+  startedAt: number;
+  /** Whether a byte of its answer was passed on. */
+  hasStarted: boolean;
+}
+
+/** A request in flight on this host. */
+export interface Forward extends NewForward {
+  route: Route;
+  service: string;
+  /** Monotonic ms by which it must have its final answer, and after which it is late. */
+  deadlineAt: number;
+  goalAt: number;
+  phase: ForwardPhase;
+  ask: number;
+  asked: { engine: string; owner: string; isQueued: boolean } | undefined;
+  attempt: ForwardAttempt | undefined;
+  /** Sends so far. */
+  sends: number;
+  /** Endpoints on which it has run or may have run. */
+  ranOn: Set<string>;
+  /** Endpoints that did not take it or failed it. */
+  excluded: Set<string>;
+  /** Whether it may have run and must not run again. */
+  mayHaveRun: boolean;
+  /** Whether bytes of an answer were passed on. */
+  hasStarted: boolean;
+  /** Whether an endpoint's failure is kept that is passed on unless a repeat does better. */
+  hasAnswer: boolean;
+  /** Rounds in which no endpoint could be chosen. */
+  rounds: number;
+  /** Last event of a stream that was passed on. */
+  lastEventId: string | undefined;
+  /** Why the last endpoint or owner did not serve it. */
+  lastReason: string;
+  /** Wait for the adapter at the owner, in ms. */
+  stallMs: number;
+}
+
+export type ForwardOutcome =
+  /** A stream was passed on to its end. */
+  | { type: 'passed' }
+  /** The whole answer is here and not passed on yet. */
+  | { type: 'answered'; status: number }
+  /** The endpoint says that it did not run the request. */
+  | { type: 'notRun'; reason: 'full' | 'adapterMissing' | 'otherEndpoint' }
+  /** No connection was opened, or nothing was written to it. */
+  | { type: 'unreachable'; reason: string }
+  /** It was sent, and no valid answer came. */
+  | { type: 'broken'; reason: string; lastEventId: string | undefined }
+  | { type: 'cancelled' };
+
+export class Forwards {
+  readonly inFlight = new Map<string, Forward>();
+  /** Retry budgets by service. */
+  readonly budgets = new Map<string, ForwardBudget>();
+  readonly crashes = new Map<string, { count: number; at: number; endpoints: Set<string> }>();
+
+  private constructor() {}
+
+  static create(): Forwards {
+    return new Forwards();
+  }
+}
+
+export type ForwardEvent =
+  | { type: 'forwardArrived'; forward: NewForward }
+  /** The caller closed its connection. */
+  | { type: 'forwardCancelled'; id: string }
+  /** The first byte of an answer was passed on. */
+  | { type: 'forwardStarted'; id: string; attempt: string }
+  | { type: 'forwardEnded'; id: string; attempt: string; outcome: ForwardOutcome };
+
+/** What the host needs to send a request to an endpoint. */
+export interface ForwardOrder {
+  id: string;
+  attempt: string;
+  endpoint: string;
+  address: string;
+  isStream: boolean;
+  /** Monotonic ms by which the answer must be complete. */
+  deadlineAt: number;
+  priority: number | undefined;
+  /** Version of the adapter that the endpoint must hold. */
+  version: number | undefined;
+  /** Event after which a stream continues. */
+  resumeAfter: string | undefined;
+}
+
+export type ForwardEffect =
+  | { type: 'sendForward'; order: ForwardOrder }
+  | { type: 'cancelForward'; id: string; attempt: string }
+  /** Passes on the whole answer of the last attempt. */
+  | { type: 'passAnswer'; id: string }
+  /** The stream has ended and its end is passed on. */
+  | { type: 'endAnswer'; id: string }
+  /** Answers with a failure, or breaks off the answer that has begun. */
+  | { type: 'failForward'; id: string; failure: Failure };
+
+export type ForwardTimer =
+  | { type: 'forwardDeadline'; id: string }
+  | { type: 'forwardRetry'; id: string }
+  /** The owner did not react to an ask. */
+  | { type: 'placeTimeout'; id: string; ask: number };
--- /dev/null
+++ b/src/gatewayHost/constants.ts
@@ -0,0 +1,22 @@
+/** Time to open a connection to an endpoint; a packet that was dropped is sent again after seconds. */
+export const CONNECT_TIMEOUT_MS = 400;
+/** Idle time after which a connection is closed when the endpoint names none. */
+export const IDLE_CONNECTION_MS = 30_000;
+/** Time by which a connection is closed before the endpoint would close it. */
+export const IDLE_MARGIN_MS = 600;
+/** Share of an endpoint's connections that one host may open, at least. */
+export const MIN_CONNECTIONS = 8;
+/** Age of an attempt without any answer from which its connections are not trusted any more. */
+export const SILENT_ATTEMPT_MS = 1_000;
+/** Size of an answer that is kept whole before it is passed on. */
+export const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+/** Size of the headers that a caller may send before a routing table is known. */
+export const MAX_HEADER_BYTES = 64 * 1024;
+export const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+/** Time that a caller may take for its body. */
+export const BODY_TIMEOUT_MS = 10_000;
+export const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
+/** Log lines a second; what exceeds them is counted and dropped. */
+export const MAX_LOG_LINES_PER_S = 200;
+/** Lines that may wait for standard output. */
+export const MAX_WAITING_LINES = 2_000;
--- /dev/null
+++ b/src/gatewayHost/events.ts
@@ -0,0 +1,56 @@
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const ID_LINE = /(?:^|\n)id: ?([^\r\n]*)/;
+
+/** An event of a stream as it arrived, with the empty line that ends it. */
+export interface StreamEvent {
+  bytes: Buffer;
+  /** Undefined when the event names none. */
+  id: string | undefined;
+}
+
+/** Cuts the bytes of an event stream into whole events. */
+export class EventCutter {
+  private rest: Buffer = Buffer.alloc(0);
+
+  private constructor() {}
+
+  static create(): EventCutter {
+    return new EventCutter();
+  }
+
+  /** Returns the events that are whole now. */
+  push(chunk: Buffer): StreamEvent[] {
+    let bytes = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    const events: StreamEvent[] = [];
+    for (;;) {
+      const end = findEnd(bytes);
+      if (end === -1) break;
+      const event = bytes.subarray(0, end);
+      events.push({ bytes: event, id: ID_LINE.exec(event.toString('utf8'))?.[1] });
+      bytes = bytes.subarray(end);
+    }
+    this.rest = bytes;
+    return events;
+  }
+
+  /** Returns the bytes after the last whole event. */
+  takeRest(): Buffer {
+    const { rest } = this;
+    this.rest = Buffer.alloc(0);
+    return rest;
+  }
+}
+
+/** Returns the index after the first empty line, or -1. */
+function findEnd(bytes: Buffer): number {
+  let from = 0;
+  for (;;) {
+    const index = bytes.indexOf(LINE_FEED, from);
+    if (index === -1) return -1;
+    const next = bytes[index + 1];
+    if (next === LINE_FEED) return index + 2;
+    if (next === CARRIAGE_RETURN && bytes[index + 2] === LINE_FEED) return index + 3;
+    from = index + 1;
+  }
+}
--- /dev/null
+++ b/src/gatewayHost/front.ts
@@ -0,0 +1,129 @@
+import { createHash } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Event } from '../core/events.ts';
+import type { State } from '../core/state.ts';
+import { Failure } from '../errors/failure.ts';
+import { readBody } from '../http/body.ts';
+import { type RunningServer, startServer } from '../http/listen.ts';
+import { sendFailure } from '../http/reply.ts';
+import type { Address } from '../settings/values.ts';
+import {
+  BODY_TIMEOUT_MS,
+  DEFAULT_BODY_BYTES,
+  DEFAULT_HEADER_TIMEOUT_MS,
+  MAX_HEADER_BYTES,
+} from './constants.ts';
+import { ForwardExchange } from './exchange.ts';
+import type { LabelPort } from './platform.ts';
+
+/** What the front server works with. */
+export interface FrontHost {
+  readonly state: State;
+  readonly labels: LabelPort;
+  readonly exchanges: Map<string, ForwardExchange>;
+  dispatch(event: Event): void;
+}
+
+/** HTTP server that takes the requests of callers and hands them to the reducer. */
+export class Front {
+  private server: RunningServer | undefined;
+  private nextId = 0;
+
+  private constructor(private readonly host: FrontHost) {}
+
+  static create(host: FrontHost): Front {
+    return new Front(host);
+  }
+
+  /** Listens and returns the port; rejects when the address is in use. */
+  async start(address: Address): Promise<number> {
+    const limits = { headerBytes: MAX_HEADER_BYTES, slowSenderMs: DEFAULT_HEADER_TIMEOUT_MS };
+    this.server = await startServer(
+      (request, response) => void this.take(request, response),
+      address,
+      limits,
+    );
+    return this.server.port;
+  }
+
+  async stop(): Promise<void> {
+    await this.server?.stop();
+  }
+
+  private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAt = performance.now();
+    const { state, labels: port } = this.host;
+    const limits = state.routes.current?.table.limits;
+    if (limits !== undefined) this.server?.setIdleMs(limits.idleTimeoutMs);
+    const refuse = (failure: Failure): void => {
+      response.setHeader('connection', 'close');
+      sendFailure(response, failure);
+    };
+    const headerBytes = getHeaderBytes(request);
+    if (limits !== undefined && headerBytes > limits.headerBytes) {
+      refuse(Failure.create('headers_too_large', `the headers are ${headerBytes} bytes long`));
+      return;
+    }
+    const target = request.url ?? '/';
+    if (!target.startsWith('/')) {
+      refuse(Failure.create('bad_request', `the target "${target}" is no path`));
+      return;
+    }
+    const maxBytes = limits?.bodyBytes ?? DEFAULT_BODY_BYTES;
+    const body = await readBody(request, { maxBytes, timeoutMs: BODY_TIMEOUT_MS });
+    if (body.err) {
+      refuse(body.val);
+      return;
+    }
+    const id = this.getId();
+    const labels = port.readRequest(request.rawHeaders);
+    const method = request.method ?? 'GET';
+    const exchange = ForwardExchange.create({
+      method,
+      target,
+      headers: request.rawHeaders,
+      body: body.val,
+      attemptId: labels.attemptId,
+      response,
+      isClosing: () => state.phase !== 'running',
+    });
+    this.host.exchanges.set(id, exchange);
+    response.once('close', () => {
+      this.host.exchanges.delete(id);
+      if (!response.writableFinished) this.host.dispatch({ type: 'forwardCancelled', id });
+    });
+    // The caller went away while its body was read.
+    if (response.destroyed || request.socket.destroyed) {
+      this.host.exchanges.delete(id);
+      return;
+    }
+    this.host.dispatch({
+      type: 'forwardArrived',
+      forward: {
+        id,
+        host: request.headers.host ?? '',
+        target,
+        labels,
+        fingerprint: getFingerprint(method, target, labels.adapter, body.val),
+        arrivedAt,
+      },
+    });
+  }
+
+  private getId(): string {
+    this.nextId += 1;
+    const { id, incarnation } = this.host.state.host;
+    return `${id}-${incarnation % 1_000_000}-${this.nextId}`;
+  }
+}
+
+function getHeaderBytes({ rawHeaders }: IncomingMessage): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
+
+function getFingerprint(method: string, target: string, adapter: string, body: Buffer): string {
+  return createHash('sha1')
+    .update(`${method} ${target} ${adapter}\n`)
+    .update(body)
+    .digest('base64');
+}
--- /dev/null
+++ b/src/gatewayHost/gatewayHost.ts
@@ -0,0 +1,224 @@
+import { createServer, type Server } from 'node:http';
+import { once } from 'node:events';
+import { isDeepStrictEqual } from 'node:util';
+import { hash32 } from '../base/hash.ts';
+import { Http } from '../clients/http.ts';
+import type { Event } from '../core/events.ts';
+import { isReady } from '../core/lifecycle.ts';
+import { newObserve } from '../core/observations.ts';
+import { type Policy, State } from '../core/state.ts';
+import type { ForwardOrder } from '../forwards/types.ts';
+import { Loop } from '../host/loop.ts';
+import { Observer } from '../host/observer.ts';
+import { Logger } from '../observe/logger.ts';
+import { ProcessSampler } from '../observe/processSampler.ts';
+import { PeerLinks } from '../peers/links.ts';
+import type { GatewaySettings } from '../settings/gatewayGroups.ts';
+import type { Address } from '../settings/values.ts';
+import { MIN_CONNECTIONS } from './constants.ts';
+import type { ForwardExchange } from './exchange.ts';
+import { Front } from './front.ts';
+import { LineOutput } from './lineOutput.ts';
+import type { LabelPort, Platform, PlatformFactory } from './platform.ts';
+import { Relay, type RunningForward } from './relay.ts';
+import { runGatewayEffect } from './runners.ts';
+
+/** Interval at which connections to endpoints that are gone are closed. */
+const SWEEP_MS = 2_000;
+
+/** A host that forwards requests by a directory: the loop, its clients and its servers. */
+export class GatewayHost {
+  readonly exchanges = new Map<string, ForwardExchange>();
+  readonly running = new Map<string, RunningForward>();
+  readonly state: State;
+  readonly observer: Observer;
+  readonly platform: Platform;
+  readonly links: PeerLinks;
+  readonly relay: Relay;
+  readonly labels: LabelPort;
+  private readonly http: Http;
+  private readonly loop: Loop;
+  private readonly front: Front;
+  private readonly sampler: ProcessSampler;
+  private readonly servers: Server[] = [];
+  private settingsProblem = '';
+  private sweeper: NodeJS.Timeout | undefined;
+  private readonly stopped: Promise<void>;
+  private resolveStopped: () => void = () => undefined;
+
+  private constructor(
+    public settings: GatewaySettings,
+    newPlatform: PlatformFactory,
+  ) {
+    const { host, listen, log } = settings;
+    this.state = newState(settings);
+    const fields = { host: host.id, zone: host.zone };
+    const stream = LineOutput.create();
+    this.observer = Observer.create(Logger.create({ level: log.level, fields, stream }));
+    this.http = Http.create({ localAddress: host.sourceAddress });
+    this.platform = newPlatform({
+      directoryUrl: settings.directory.url,
+      call: (call) => this.http.call(call),
+    });
+    this.labels = this.platform.labels;
+    this.links = PeerLinks.create({
+      identity: this.state.host,
+      listen: listen.peers,
+      localAddress: host.sourceAddress,
+      onEvent: (event) => this.dispatch(event),
+    });
+    this.relay = Relay.create({
+      labels: this.labels,
+      localAddress: host.sourceAddress,
+      maxConnections: (endpoint) => this.getMaxConnections(endpoint),
+    });
+    this.loop = Loop.create({
+      state: this.state,
+      runEffect: (effect) => runGatewayEffect(this, effect),
+      onTurn: (turnMs) => this.observer.observe(newObserve('fireflywick_loop_turn_ms', {}, turnMs)),
+      onError: (event, error) => {
+        const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+        this.observer.logger.write('error', 'an event failed', { event: event.type, reason });
+      },
+    });
+    this.front = Front.create(this);
+    this.sampler = ProcessSampler.create((observation) => this.observer.observe(observation));
+    this.stopped = new Promise((resolve) => {
+      this.resolveStopped = resolve;
+    });
+  }
+
+  static create(settings: GatewaySettings, newPlatform: PlatformFactory): GatewayHost {
+    return new GatewayHost(settings, newPlatform);
+  }
+
+  /** Starts the servers and the loop; returns the port of the front server. */
+  async start(): Promise<{ frontPort: number }> {
+    const { listen, host } = this.settings;
+    await this.links.start();
+    await this.serve(listen.ready, (path) => {
+      if (path !== this.platform.readyPath) return { status: 404, body: '' };
+      return { status: isReady(this.state) ? 200 : 503, body: '' };
+    });
+    await this.serve(listen.metrics, (path) => {
+      if (path !== '/metrics') return { status: 404, body: '' };
+      return { status: 200, body: this.observer.metrics.render() };
+    });
+    const frontPort = await this.front.start(listen.front);
+    this.sampler.start();
+    this.sweeper = setInterval(() => {
+      this.relay.keepOnly((endpoint) => this.state.fleet.views.get(endpoint)?.isRemoved === false);
+    }, SWEEP_MS);
+    this.observer.logger.write('info', 'host started', { incarnation: host.incarnation });
+    this.dispatch({ type: 'started' });
+    return { frontPort };
+  }
+
+  /** Stops gracefully: takes no new work and resolves when nothing is in flight. */
+  async stop(): Promise<void> {
+    this.dispatch({ type: 'stopRequested' });
+    await this.stopped;
+    clearInterval(this.sweeper);
+    await this.front.stop();
+    this.loop.stop();
+    this.sampler.stop();
+    for (const server of this.servers) server.close();
+    for (const server of this.servers) server.closeAllConnections();
+    await this.links.stop();
+    await this.relay.close();
+    await this.http.close();
+    this.observer.logger.write('info', 'host stopped');
+  }
+
+  /** Takes over changed settings; what is bound to sockets needs a restart. */
+  updateSettings(settings: GatewaySettings): void {
+    const { host, directory, limits, log } = settings;
+    const next = { ...this.settings, directory, limits, log };
+    if (host.id !== this.settings.host.id || isDeepStrictEqual(next, this.settings)) return;
+    this.settings = next;
+    this.state.policy = newPolicy(next);
+    this.observer.logger.setLevel(log.level);
+    this.observer.logger.write('info', 'settings reloaded', { directory, limits, log });
+  }
+
+  /** Logs that the settings file is wrong; once until it is right again or wrong otherwise. */
+  reportSettings(problem: string): void {
+    if (problem === this.settingsProblem) return;
+    this.settingsProblem = problem;
+    this.observer.logger.write('error', 'settings were not reloaded', { problem });
+  }
+
+  dispatch(event: Event): void {
+    this.loop.dispatch(event);
+  }
+
+  /** Sends a request to an endpoint. */
+  send(order: ForwardOrder): void {
+    const { id, attempt } = order;
+    const exchange = this.exchanges.get(id);
+    if (exchange === undefined) {
+      this.dispatch({ type: 'forwardEnded', id, attempt, outcome: { type: 'cancelled' } });
+      return;
+    }
+    const running = this.relay.send(order, exchange, {
+      onStarted: () => this.dispatch({ type: 'forwardStarted', id, attempt }),
+      onEnded: (outcome) => {
+        this.running.delete(attempt);
+        this.dispatch({ type: 'forwardEnded', id, attempt, outcome });
+      },
+    });
+    // A send that fails at once has ended before it returns; cancelling it changes nothing.
+    this.running.set(attempt, running);
+  }
+
+  onStopped(): void {
+    this.resolveStopped();
+  }
+
+  private getMaxConnections(endpoint: string): number {
+    const service = this.state.fleet.views.get(endpoint)?.endpoint.service ?? '';
+    const limit = this.state.routes.current?.services.get(service)?.connectionLimit ?? 0;
+    const hosts = Math.max(1, this.state.owners.row?.members.length ?? 1);
+    return Math.max(MIN_CONNECTIONS, Math.floor(limit / hosts));
+  }
+
+  private async serve(
+    address: Address | undefined,
+    answer: (path: string) => { status: number; body: string },
+  ): Promise<void> {
+    if (address === undefined) return;
+    const server = createServer((request, response) => {
+      const { status, body } = answer(request.url ?? '');
+      response.writeHead(status, { 'content-type': 'text/plain; charset=utf-8' });
+      response.end(body);
+    });
+    server.listen(address.port, address.host);
+    await once(server, 'listening');
+    this.servers.push(server);
+  }
+}
+
+function newState(settings: GatewaySettings): State {
+  const { host, listen } = settings;
+  const { id, zone, region, incarnation } = host;
+  return State.create({
+    host: { id, zone, region, incarnation, address: listen.advertised },
+    policy: newPolicy(settings),
+    // Hosts draw different numbers, and so does the same host after a restart.
+    seed: hash32(`${id}/${incarnation}`),
+  });
+}
+
+function newPolicy({ directory, limits }: GatewaySettings): Policy {
+  const { maxRequests, lameDuckMs } = limits;
+  const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = directory;
+  return {
+    // Requests that are forwarded have no firm, and the engines pace their loads themselves.
+    stallWeight: 0,
+    loadsPerS: 1,
+    maxRequests,
+    maxRequestsPerCaller: maxRequests,
+    lameDuckMs,
+    directory: { retries: { ratio, slack, windowMs } },
+  };
+}
--- /dev/null
+++ b/src/gatewayHost/runners.ts
@@ -0,0 +1,69 @@
+import type { Effect } from '../core/effects.ts';
+import type { GatewayHost } from './gatewayHost.ts';
+
+type Runners = {
+  [T in Effect['type']]?: (host: GatewayHost, effect: Extract<Effect, { type: T }>) => void;
+};
+
+/** What a host with a directory does for each effect; the others belong to other kinds of hosts. */
+const runners: Runners = {
+  log: (host, effect) => host.observer.observe(effect),
+  count: (host, effect) => host.observer.observe(effect),
+  observe: (host, effect) => host.observer.observe(effect),
+  gauge: (host, effect) => host.observer.observe(effect),
+  sendMessage: (host, { to, message }) => {
+    const { id } = host.state.host;
+    if (to === id) host.dispatch({ type: 'messageReceived', from: id, message });
+    else host.links.send(to, message);
+  },
+  openLink: (host, { host: to, address }) => host.links.open(to, address),
+  closeLink: (host, { host: to }) => host.links.close(to),
+  readTopic: (host, { topic, call }) => {
+    void host.platform.directory.read(topic).then((answer) => {
+      host.dispatch({ type: 'directoryAnswered', topic, call, isRead: true, answer });
+    });
+  },
+  watchTopic: (host, { topic, call, after, waitMs }) => {
+    void host.platform.directory.watch(topic, after, waitMs).then((answer) => {
+      host.dispatch({ type: 'directoryAnswered', topic, call, isRead: false, answer });
+    });
+  },
+  writeMembers: (host, { row, version }) => {
+    void host.platform.directory.writeMembers(row, version).then((answer) => {
+      host.dispatch({ type: 'membersAnswered', row, answer });
+    });
+  },
+  orderAdapter: (host, { engine, address, epoch, order }) => {
+    const { id } = host.state.host;
+    void host.platform.engines.order({ engine, address, host: id, epoch, order }).then((answer) => {
+      host.dispatch({ type: 'adapterOrdered', engine, epoch, order, answer });
+    });
+  },
+  readAdapters: (host, { engine, address }) => {
+    void host.platform.engines.report(engine, address).then((report) => {
+      const isReport = typeof report !== 'string';
+      host.dispatch({
+        type: 'adaptersReported',
+        engine,
+        report: isReport ? report : undefined,
+        reason: isReport ? '' : report,
+      });
+    });
+  },
+  sendForward: (host, { order }) => host.send(order),
+  cancelForward: (host, { attempt }) => host.running.get(attempt)?.cancel(),
+  passAnswer: (host, { id }) => host.exchanges.get(id)?.passKept(),
+  endAnswer: (host, { id }) => host.exchanges.get(id)?.end(),
+  failForward: (host, { id, failure }) => host.exchanges.get(id)?.fail(failure),
+  stopped: (host) => host.onStopped(),
+};
+
+/** Does what one effect says. */
+export function runGatewayEffect(host: GatewayHost, effect: Effect): void {
+  const run = runners[effect.type] as ((host: GatewayHost, effect: Effect) => void) | undefined;
+  if (run === undefined) {
+    host.observer.logger.write('error', 'no runner for an effect', { effect: effect.type });
+    return;
+  }
+  run(host, effect);
+}
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -15,6 +15,7 @@
 import { State } from '../core/state.ts';
 import type { DraftListAnswer, DraftReadAnswer } from '../drafts/types.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
+import { Logger } from '../observe/logger.ts';
 import { ProcessSampler } from '../observe/processSampler.ts';
 import { PeerLinks } from '../peers/links.ts';
 import type { Settings } from '../settings/groups.ts';
@@ -48,7 +49,9 @@
 
   private constructor(readonly settings: Settings) {
     this.state = newState(settings);
-    this.observer = Observer.create(settings);
+    const { host, log } = settings;
+    const fields = { host: host.id, zone: host.zone };
+    this.observer = Observer.create(Logger.create({ level: log.level, fields }));
     const http = Http.create({ localAddress: settings.host.sourceAddress });
     this.http = http;
     const { tableUrl, objectsUrl, hostsUrl } = settings.platform;
--- a/src/host/observer.ts
+++ b/src/host/observer.ts
@@ -1,7 +1,6 @@
 import type { Observation } from '../core/observations.ts';
 import { Logger } from '../observe/logger.ts';
 import { Metrics } from '../observe/metrics.ts';
-import type { Settings } from '../settings/groups.ts';
 
 /** Passes what the reducer tells of its work to the log and the metrics. */
 export class Observer {
@@ -10,9 +9,8 @@
     readonly metrics: Metrics,
   ) {}
 
-  static create({ host, log }: Settings): Observer {
-    const fields = { host: host.id, zone: host.zone };
-    return new Observer(Logger.create({ level: log.level, fields }), Metrics.create());
+  static create(logger: Logger): Observer {
+    return new Observer(logger, Metrics.create());
   }
 
   observe(observation: Observation): void {
--- a/src/host/runners/index.ts
+++ b/src/host/runners/index.ts
@@ -1,11 +1,11 @@
-import type { Effect } from '../../core/effects.ts';
+import type { DirectedEffect, Effect } from '../../core/effects.ts';
 import type { EffectRunners, HostContext } from '../context.ts';
 import { attemptRunners } from './attempts.ts';
 import { durableRunners } from './durable.ts';
 import { outsideRunners } from './outside.ts';
 import { peerRunners } from './peers.ts';
 
-const runners: EffectRunners<Effect['type']> = {
+const runners: EffectRunners<Exclude<Effect['type'], DirectedEffect['type']>> = {
   ...attemptRunners,
   ...outsideRunners,
   ...peerRunners,
@@ -20,6 +20,7 @@
 
 /** Does what one effect says. */
 export function runEffect(context: HostContext, effect: Effect): void {
-  const run = runners[effect.type] as (context: HostContext, effect: Effect) => void;
+  const table = runners as Partial<Record<Effect['type'], unknown>>;
+  const run = table[effect.type] as (context: HostContext, effect: Effect) => void;
   run(context, effect);
 }
--- a/src/http/listen.ts
+++ b/src/http/listen.ts
@@ -22,6 +22,8 @@
   port: number;
   /** Takes no new connections, closes each as soon as it is idle, and resolves when all have ended. */
   stop: () => Promise<void>;
+  /** Sets how long an idle connection is kept, in ms; new connections and requests go by it. */
+  setIdleMs: (idleMs: number) => void;
 }
 
 /** Starts an HTTP server; rejects when the address is in use. Port 0 takes any free port. */
@@ -61,7 +63,13 @@
   server.listen(address.port, address.host);
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
-  return { port, stop: () => stopServer(server, unused) };
+  return {
+    port,
+    stop: () => stopServer(server, unused),
+    setIdleMs: (idleMs) => {
+      server.keepAliveTimeout = idleMs;
+    },
+  };
 }
 
 function stopServer(server: Server, unused: ReadonlySet<Socket>): Promise<void> {
--- a/src/observe/logger.ts
+++ b/src/observe/logger.ts
@@ -46,6 +46,11 @@
     return new Logger(this.winston, { ...this.fields, ...request });
   }
 
+  /** Sets the lowest level that is logged. */
+  setLevel(level: LogLevel): void {
+    this.winston.level = level;
+  }
+
   write(level: LogLevel, message: string, fields: Record<string, unknown> = {}): void {
     if (!this.winston.isLevelEnabled(level)) return;
     const line = JSON.stringify({
--- /dev/null
+++ b/src/owners/constants.ts
@@ -0,0 +1,17 @@
+/** Largest random delay before a host joins, so that hosts that start together do not collide. */
+export const JOIN_JITTER_MS = 400;
+/** Largest random pause before a write of the members row is tried again. */
+export const WRITE_RETRY_MS = 300;
+/** Interval of checks of the members that cannot be heard. */
+export const WATCH_MEMBERS_MS = 500;
+/** Time after its link closed at which a member is suspected of being gone. */
+export const SUSPECT_AFTER_MS = 1_000;
+/** Time that a suspected member has to object; a watch of the members row answers within it. */
+export const OBJECT_WITHIN_MS = 2_500;
+/** Pause before a member that objected is suspected again. */
+export const SUSPECT_AGAIN_MS = 5_000;
+/**
+ * Time for which a new owner gives no orders after the last possible order of its predecessor. The
+ * engines take orders of two hosts within 3 s for a conflict.
+ */
+export const TAKEOVER_WAIT_MS = 3_300;
--- /dev/null
+++ b/src/owners/members.ts
@@ -0,0 +1,222 @@
+import type { Effect } from '../core/effects.ts';
+import { newLog } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
+import type { MembersAnswer } from '../directory/types.ts';
+import { updateOwnedEngines } from '../residency/owned.ts';
+import {
+  JOIN_JITTER_MS,
+  OBJECT_WITHIN_MS,
+  SUSPECT_AFTER_MS,
+  SUSPECT_AGAIN_MS,
+  WATCH_MEMBERS_MS,
+  WRITE_RETRY_MS,
+} from './constants.ts';
+import { getRendezvousChoice } from '../base/hash.ts';
+import { getMember } from './owner.ts';
+import type { Member, MembersRow } from './types.ts';
+
+/** Starts taking part: joins after a random pause and watches the members that cannot be heard. */
+export function startOwners(state: State, now: number): Effect[] {
+  const jitter = JOIN_JITTER_MS * state.random.getFraction();
+  schedule(state, now + jitter, { type: 'joinMembers' });
+  schedule(state, now + WATCH_MEMBERS_MS, { type: 'watchMembers' });
+  return [];
+}
+
+/** Acts by a members row when its epoch is higher; `version` is undefined when a peer told of it. */
+export function adoptMembers(
+  state: State,
+  row: MembersRow,
+  version: number | undefined,
+  now: number,
+): Effect[] {
+  const { owners } = state;
+  const known = owners.row;
+  const knownEpoch = known?.epoch ?? 0;
+  if (row.epoch < knownEpoch) return [];
+  if (version !== undefined) owners.version = version;
+  if (row.epoch === knownEpoch) return [];
+  if (version === undefined) owners.version = undefined;
+  owners.row = row;
+  owners.byEngine.clear();
+  noteSuspicions(state, row, now);
+  return [
+    newLog('info', 'members changed', {
+      epoch: row.epoch,
+      members: row.members.map(({ host }) => host),
+    }),
+    ...updateLinks(state, known, row),
+    ...updateOwnedEngines(state, now),
+    ...joinMembers(state, now),
+  ];
+}
+
+/** Writes this host into the row unless it is there, and objects to a suspicion against it. */
+export function joinMembers(state: State, now: number): Effect[] {
+  const { owners, directory } = state;
+  if (owners.isLeaving || directory.topics.members.version === undefined) return [];
+  const own = getMember(owners, state.host.id);
+  const isCurrent = own?.incarnation === state.host.incarnation;
+  if (isCurrent && own.suspectedBy === undefined) return [];
+  return writeRow(
+    state,
+    (members) => [...withoutHosts(members, [state.host.id]), newSelf(state)],
+    now,
+  );
+}
+
+/** Takes this host out of the row, so that others own its engines. */
+export function leaveMembers(state: State, now: number): Effect[] {
+  const { owners } = state;
+  owners.isLeaving = true;
+  if (getMember(owners, state.host.id) === undefined) return [];
+  return writeRow(state, (members) => withoutHosts(members, [state.host.id]), now);
+}
+
+/** Suspects members that cannot be heard, and removes those that did not object in time. */
+export function watchMembers(state: State, now: number): Effect[] {
+  schedule(state, now + WATCH_MEMBERS_MS, { type: 'watchMembers' });
+  const { owners, directory } = state;
+  if (owners.isLeaving) return leaveMembers(state, now);
+  if (owners.row === undefined || directory.topics.members.lostAt !== undefined) return [];
+  const effects = joinMembers(state, now);
+  if (effects.length > 0) return effects;
+  const removed = owners.row.members.filter((member) => isOverdue(state, member, now));
+  if (removed.length > 0) {
+    const hosts = removed.map(({ host }) => host);
+    return writeRow(state, (members) => withoutHosts(members, hosts), now);
+  }
+  const silent = owners.row.members.filter((member) => isSilent(state, member, now));
+  if (silent.length === 0) return [];
+  const hosts = new Set(silent.map(({ host }) => host));
+  return writeRow(
+    state,
+    (members) =>
+      members.map((member) =>
+        hosts.has(member.host) ? { ...member, suspectedBy: state.host.id } : member,
+      ),
+    now,
+  );
+}
+
+/** Continues after a write of the row. */
+export function continueMembersWrite(
+  state: State,
+  row: MembersRow,
+  answer: MembersAnswer,
+  now: number,
+): Effect[] {
+  const { owners } = state;
+  owners.isWriting = false;
+  if (answer.type === 'written') return adoptMembers(state, row, answer.version, now);
+  owners.writeFrom = now + WRITE_RETRY_MS * state.random.getFraction();
+  schedule(state, owners.writeFrom, { type: 'joinMembers' });
+  if (answer.type === 'conflict') {
+    const current = answer.current;
+    if (current?.content.type !== 'members') return [];
+    return adoptMembers(state, current.content.row, current.version, now);
+  }
+  return [newLog('warn', 'the members row was not written', { reason: answer.reason })];
+}
+
+/** Notes that a link opened or closed; silence of a member counts from its close. */
+export function noteLink(state: State, host: string, isOpen: boolean, now: number): void {
+  const { owners } = state;
+  if (isOpen) {
+    owners.linked.add(host);
+    owners.closedAt.delete(host);
+  } else {
+    owners.linked.delete(host);
+    owners.closedAt.set(host, now);
+  }
+}
+
+function newSelf({ host }: State): Member {
+  return {
+    host: host.id,
+    incarnation: host.incarnation,
+    zone: host.zone,
+    address: host.address,
+  };
+}
+
+function withoutHosts(members: readonly Member[], hosts: readonly string[]): Member[] {
+  return members.filter(({ host }) => !hosts.includes(host));
+}
+
+function writeRow(
+  state: State,
+  change: (members: readonly Member[]) => Member[],
+  now: number,
+): Effect[] {
+  const { owners } = state;
+  if (owners.isWriting || now < owners.writeFrom) return [];
+  // A row that only a peer told of has no version to write against; the watch brings it.
+  if (owners.row !== undefined && owners.version === undefined) return [];
+  owners.isWriting = true;
+  const row: MembersRow = {
+    epoch: (owners.row?.epoch ?? 0) + 1,
+    members: change(owners.row?.members ?? []),
+  };
+  return [{ type: 'writeMembers', row, version: owners.version ?? 0 }];
+}
+
+function noteSuspicions({ owners }: State, row: MembersRow, now: number): void {
+  for (const host of [...owners.suspectedAt.keys()]) {
+    const suspected = row.members.some((member) => member.host === host && member.suspectedBy);
+    if (suspected) continue;
+    owners.suspectedAt.delete(host);
+    // It objected, or it came back: its silence counts anew.
+    if (owners.closedAt.has(host)) owners.closedAt.set(host, now + SUSPECT_AGAIN_MS);
+  }
+  for (const { host, suspectedBy } of row.members) {
+    if (suspectedBy !== undefined && !owners.suspectedAt.has(host))
+      owners.suspectedAt.set(host, now);
+  }
+}
+
+function updateLinks(state: State, known: MembersRow | undefined, row: MembersRow): Effect[] {
+  const effects: Effect[] = [];
+  const hosts = new Set(row.members.map(({ host }) => host));
+  for (const { host, address } of row.members) {
+    if (host !== state.host.id) effects.push({ type: 'openLink', host, address });
+  }
+  for (const { host } of known?.members ?? []) {
+    if (hosts.has(host) || host === state.host.id) continue;
+    state.owners.closedAt.delete(host);
+    effects.push({ type: 'closeLink', host });
+  }
+  return effects;
+}
+
+function isSilent(
+  { owners, host: own }: State,
+  { host, suspectedBy }: Member,
+  now: number,
+): boolean {
+  if (host === own.id || suspectedBy !== undefined || owners.linked.has(host)) return false;
+  const closedAt = owners.closedAt.get(host);
+  if (closedAt === undefined) {
+    owners.closedAt.set(host, now);
+    return false;
+  }
+  return closedAt + SUSPECT_AFTER_MS <= now;
+}
+
+/** Whether a suspected member did not object in time and this host is the one to remove it. */
+function isOverdue(state: State, { host, suspectedBy }: Member, now: number): boolean {
+  const { owners } = state;
+  const since = owners.suspectedAt.get(host);
+  if (suspectedBy === undefined || since === undefined || host === state.host.id) return false;
+  if (since + OBJECT_WITHIN_MS > now) return false;
+  // After a while any host may, in case the chosen one cannot.
+  if (since + 2 * OBJECT_WITHIN_MS <= now) return true;
+  const others = owners.row?.members.filter((member) => member.suspectedBy === undefined) ?? [];
+  return (
+    getRendezvousChoice(
+      host,
+      others.map((member) => member.host),
+    ) === state.host.id
+  );
+}
--- /dev/null
+++ b/src/residency/constants.ts
@@ -0,0 +1,30 @@
+/** Adapters that are on their way to one engine at most; engines take up to 4. */
+export const MAX_LOADING = 3;
+/** Adapters on their way to all engines from which each load slows the others down. */
+export const MAX_LOADING_TOTAL = 8;
+/** Time after which a load is asked about, and the interval of further questions. */
+export const LOAD_CHECK_MS = 30;
+/** Time after a load began at which the engine is taken to have dropped it. */
+export const LOAD_LIMIT_MS = 8_000;
+/** Age that a report may have; orders since then are not in it. */
+export const REPORT_LAG_MS = 400;
+/** Pause before a report that failed is asked for again. */
+export const REPORT_RETRY_MS = 500;
+/** Pause after an order that the engine did not take. */
+export const ORDER_RETRY_MS = 60;
+/** Prompt tokens that an engine reads in a ms while it generates as well. */
+export const PROMPT_TOKENS_PER_MS = 18;
+/** Time for which the prompts that an engine was sent may keep it busy before more are sent. */
+export const READ_AHEAD_MS = 700;
+/** Share of an engine's memory that requests may fill; beyond it the engine preempts. */
+export const MEMORY_SHARE = 0.92;
+/** Share of the announced output that requests use on average. */
+export const OUTPUT_SHARE = 0.6;
+/** Time for which a place is kept beyond the deadline of its request. */
+export const PLACE_SLACK_MS = 500;
+/** Rest of a deadline below which a waiting request cannot be answered any more. */
+export const MIN_RUN_MS = 250;
+/** Interval at which hosts tell each other of their engines. */
+export const TELL_MS = 150;
+/** Interval for each host told, where there are many. */
+export const TELL_PER_HOST_MS = 12;
--- /dev/null
+++ b/src/residency/copies.ts
@@ -0,0 +1,47 @@
+import type { EngineClass } from '../routes/types.ts';
+import type { Copy, OwnedEngine } from './types.ts';
+
+/** Returns the adapters that fit on an engine beside its base models. */
+export function getSlotLimit(engine: EngineClass, models: readonly string[]): number {
+  const held = engine.models.filter(({ name }) => models.includes(name));
+  const largest = Math.max(0, ...held.map(({ adapterMb }) => adapterMb));
+  if (largest === 0) return engine.adapterSlots;
+  const rest = engine.weightsMb - held.reduce((sum, { weightsMb }) => sum + weightsMb, 0);
+  return Math.max(0, Math.min(engine.adapterSlots, Math.floor(rest / largest)));
+}
+
+/** Whether a copy may serve a request that wants at least `version`. */
+export function isCurrent(copy: Copy, version: number): boolean {
+  if (copy.phase !== 'held') return false;
+  return version === 0 || (copy.version ?? 0) >= version;
+}
+
+/** Returns how many copies are on their way to an engine. */
+export function countLoading(owned: OwnedEngine): number {
+  let count = 0;
+  for (const { phase } of owned.copies.values()) if (phase === 'loading') count += 1;
+  return count;
+}
+
+/**
+ * Returns the copy that makes way for another adapter: one that no request uses and no waiting ask
+ * wants, the least recently used. Undefined when there is none.
+ */
+export function getVictim(owned: OwnedEngine): Copy | undefined {
+  const wanted = new Set(owned.queue.map(({ adapter }) => adapter));
+  let victim: Copy | undefined;
+  for (const copy of owned.copies.values()) {
+    if (copy.phase !== 'held' || copy.places > 0 || wanted.has(copy.adapter)) continue;
+    if (victim === undefined || copy.lastUsedAt < victim.lastUsedAt) victim = copy;
+  }
+  return victim;
+}
+
+/** Returns the slots that are free or hold a copy that no request uses. */
+export function countOpenSlots(owned: OwnedEngine, limit: number): number {
+  let used = 0;
+  for (const { phase, places } of owned.copies.values()) {
+    if (phase !== 'held' || places > 0) used += 1;
+  }
+  return limit - used;
+}
--- /dev/null
+++ b/src/residency/handlers.ts
@@ -0,0 +1,50 @@
+import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
+import { newLog } from '../core/observations.ts';
+import { continueOrder, forgetCopies, takeReport } from './orders.ts';
+import { queuePlace, releasePlace, servePlaces } from './serve.ts';
+import { hearEngines, tellEngines } from './told.ts';
+import type { ResidencyEvent, ResidencyTimer } from './types.ts';
+
+export const residencyMessages: MessageHandlers<'placeAsked' | 'placeReleased' | 'enginesTold'> = {
+  placeAsked: (state, ask, from, now) => queuePlace(state, ask, from, now),
+  placeReleased: (state, { request, engine, result }, _from, now) => {
+    const owned = state.residency.owned.get(engine);
+    if (owned === undefined) return [];
+    const adapter = owned.places.get(request)?.adapter;
+    releasePlace(owned, request);
+    if (result === 'missing' && adapter !== undefined) {
+      owned.copies.delete(adapter);
+      forgetCopies(owned, now);
+    }
+    return servePlaces(state, owned, now);
+  },
+  enginesTold: (state, told, from, now) => {
+    hearEngines(state, told, from, now);
+    return [];
+  },
+};
+
+export const residencyEvents: EventHandlers<ResidencyEvent['type']> = {
+  adapterOrdered: (state, { engine, epoch, order, answer }, now) => {
+    const owned = state.residency.owned.get(engine);
+    // After a change of owner or a restart of the engine the answer says nothing of it.
+    if (owned?.ordering !== order) return [];
+    const isOld = answer.type === 'fenced' && owned.epoch > epoch;
+    return continueOrder(state, owned, order, isOld ? { type: 'conflict' } : answer, now);
+  },
+  adaptersReported: (state, { engine, report, reason }, now) => {
+    const owned = state.residency.owned.get(engine);
+    if (owned === undefined) return [];
+    const failed =
+      report === undefined ? [newLog('warn', 'engine report failed', { engine, reason })] : [];
+    return [...failed, ...takeReport(state, owned, report, now)];
+  },
+};
+
+export const residencyTimers: TimerHandlers<ResidencyTimer['type']> = {
+  servePlaces: (state, { engine }, now) => {
+    const owned = state.residency.owned.get(engine);
+    return owned === undefined ? [] : servePlaces(state, owned, now);
+  },
+  tellEngines: (state, _timer, now) => tellEngines(state, now),
+};
--- /dev/null
+++ b/src/residency/orders.ts
@@ -0,0 +1,233 @@
+import type { Effect } from '../core/effects.ts';
+import { newCount, newLog } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import type { EngineClass } from '../routes/types.ts';
+import {
+  LOAD_CHECK_MS,
+  LOAD_LIMIT_MS,
+  MAX_LOADING,
+  ORDER_RETRY_MS,
+  REPORT_LAG_MS,
+  REPORT_RETRY_MS,
+} from './constants.ts';
+import { countLoading, getSlotLimit, getVictim, isCurrent } from './copies.ts';
+import { servePlaces, wakeAt } from './serve.ts';
+import type {
+  AdapterOrder,
+  AdapterOrderAnswer,
+  AdapterReport,
+  Copy,
+  OwnedEngine,
+} from './types.ts';
+
+type AnswerHandlers = Record<
+  AdapterOrderAnswer['type'],
+  (state: State, owned: OwnedEngine, order: AdapterOrder, now: number) => void
+>;
+
+/** Gives the order that the waiting asks need most; one order of an engine is in flight at a time. */
+export function orderNext(
+  state: State,
+  owned: OwnedEngine,
+  engine: EngineClass,
+  now: number,
+): Effect[] {
+  if (owned.ordering !== undefined || owned.isReporting || owned.isFenced) return [];
+  if (owned.orderFrom > now) {
+    wakeAt(state, owned, owned.orderFrom, now);
+    return [];
+  }
+  if (owned.sequence === undefined) return readReport(state, owned, now);
+  const check = getLoadToCheck(owned, now);
+  if (check !== undefined) return giveOrder(owned, 'load', check.adapter, check.version);
+  const wanted = getWanted(state, owned);
+  if (wanted !== undefined) {
+    const effects = orderLoad(state, owned, engine, wanted, now);
+    if (effects.length > 0) return effects;
+  }
+  if (countLoading(owned) > 0) wakeAt(state, owned, now + LOAD_CHECK_MS, now);
+  return [];
+}
+
+/** Continues after the answer of an order. */
+export function continueOrder(
+  state: State,
+  owned: OwnedEngine,
+  order: AdapterOrder,
+  answer: AdapterOrderAnswer,
+  now: number,
+): Effect[] {
+  owned.ordering = undefined;
+  answerHandlers[answer.type](state, owned, order, now);
+  const { type, adapter, version } = order;
+  const isUsual = answer.type === 'accepted' || answer.type === 'done';
+  const reason = 'reason' in answer ? answer.reason : undefined;
+  return [
+    newCount('fireflywick_adapter_orders_total', { order: type, answer: answer.type }),
+    newLog(isUsual ? 'debug' : 'warn', 'adapter order answered', {
+      engine: owned.id,
+      order: type,
+      adapter,
+      version,
+      sequence: order.sequence,
+      epoch: owned.epoch,
+      answer: answer.type,
+      reason,
+    }),
+    ...servePlaces(state, owned, now),
+  ];
+}
+
+/** Brings the copies of an engine in line with its report. */
+export function takeReport(
+  state: State,
+  owned: OwnedEngine,
+  report: AdapterReport | undefined,
+  now: number,
+): Effect[] {
+  owned.isReporting = false;
+  if (report === undefined) {
+    owned.reportFrom = now + REPORT_RETRY_MS;
+    wakeAt(state, owned, owned.reportFrom, now);
+    return [];
+  }
+  owned.sequence = report.sequence;
+  const before = owned.copies;
+  owned.copies = new Map();
+  for (const { adapter, version } of report.adapters) {
+    const known = before.get(adapter);
+    owned.copies.set(adapter, newCopy(adapter, version, 'held', known, now));
+  }
+  for (const adapter of report.coming) {
+    const known = before.get(adapter);
+    owned.copies.set(adapter, newCopy(adapter, known?.version, 'loading', known, now));
+  }
+  return servePlaces(state, owned, now);
+}
+
+/** Has the copies and the sequence of an engine read anew. */
+export function forgetCopies(owned: OwnedEngine, now: number): void {
+  owned.sequence = undefined;
+  owned.reportFrom = now + REPORT_LAG_MS;
+}
+
+const answerHandlers: AnswerHandlers = {
+  accepted: (_state, owned, { type, adapter, version }, now) => {
+    const known = owned.copies.get(adapter);
+    // The engine accepts the load of an adapter that is on its way without counting it as an order.
+    if (type === 'load' && known?.phase === 'loading') return;
+    owned.sequence = (owned.sequence ?? 0) + 1;
+    const phase = type === 'load' ? 'loading' : 'unloading';
+    owned.copies.set(adapter, newCopy(adapter, version, phase, known, now));
+  },
+  done: (_state, owned, { type, adapter, version }, now) => {
+    const known = owned.copies.get(adapter);
+    if (type === 'unload') {
+      owned.sequence = (owned.sequence ?? 0) + 1;
+      owned.copies.delete(adapter);
+      return;
+    }
+    owned.copies.set(adapter, newCopy(adapter, known?.version ?? version, 'held', known, now));
+  },
+  conflict: (_state, owned, _order, now) => forgetCopies(owned, now),
+  fenced: (_state, owned) => {
+    owned.isFenced = true;
+  },
+  otherEngine: (_state, owned, _order, now) => forgetCopies(owned, now),
+  refused: (_state, owned, _order, now) => {
+    owned.orderFrom = Math.max(owned.orderFrom, now + ORDER_RETRY_MS);
+  },
+  // It may still be carried out until another order raises the sequence.
+  unknown: (_state, owned, _order, now) => forgetCopies(owned, now),
+};
+
+function orderLoad(
+  state: State,
+  owned: OwnedEngine,
+  engine: EngineClass,
+  { adapter, version }: { adapter: string; version: number },
+  now: number,
+): Effect[] {
+  const wantedVersion = version === 0 ? undefined : version;
+  if (owned.copies.get(adapter)?.phase === 'held') {
+    return giveOrder(owned, 'load', adapter, wantedVersion);
+  }
+  if (countLoading(owned) >= MAX_LOADING) return [];
+  const models = state.fleet.views.get(owned.id)?.endpoint.models ?? [];
+  if (owned.copies.size < getSlotLimit(engine, models)) {
+    return giveOrder(owned, 'load', adapter, wantedVersion);
+  }
+  const victim = getVictim(owned);
+  if (victim === undefined) {
+    wakeAt(state, owned, now + ORDER_RETRY_MS, now);
+    return [];
+  }
+  return giveOrder(owned, 'unload', victim.adapter, undefined);
+}
+
+/** Returns the first adapter that a waiting ask needs and that is not on its way. */
+function getWanted(
+  state: State,
+  owned: OwnedEngine,
+): { adapter: string; version: number } | undefined {
+  for (const ask of owned.queue) {
+    if (ask.adapter === '') continue;
+    const version = Math.max(ask.version, state.residency.versions.get(ask.adapter) ?? 0);
+    const copy = owned.copies.get(ask.adapter);
+    if (copy === undefined) return { adapter: ask.adapter, version };
+    if (copy.phase === 'held' && !isCurrent(copy, version))
+      return { adapter: ask.adapter, version };
+  }
+  return undefined;
+}
+
+/** Returns a copy on its way whose arrival has not been asked about lately. */
+function getLoadToCheck(owned: OwnedEngine, now: number): Copy | undefined {
+  for (const copy of owned.copies.values()) {
+    if (copy.phase === 'unloading' && now - copy.since > LOAD_LIMIT_MS)
+      owned.copies.delete(copy.adapter);
+    if (copy.phase === 'loading' && copy.since + LOAD_CHECK_MS <= now) {
+      copy.since = now;
+      return copy;
+    }
+  }
+  return undefined;
+}
+
+function giveOrder(
+  owned: OwnedEngine,
+  type: AdapterOrder['type'],
+  adapter: string,
+  version: number | undefined,
+): Effect[] {
+  const order: AdapterOrder = { type, adapter, version, sequence: owned.sequence ?? 0 };
+  owned.ordering = order;
+  const { id: engine, address, epoch } = owned;
+  return [{ type: 'orderAdapter', engine, address, epoch, order }];
+}
+
+function readReport(state: State, owned: OwnedEngine, now: number): Effect[] {
+  if (owned.reportFrom > now) {
+    wakeAt(state, owned, owned.reportFrom, now);
+    return [];
+  }
+  owned.isReporting = true;
+  return [{ type: 'readAdapters', engine: owned.id, address: owned.address }];
+}
+
+function newCopy(
+  adapter: string,
+  version: number | undefined,
+  phase: Copy['phase'],
+  known: Copy | undefined,
+  now: number,
+): Copy {
+  return {
+    adapter,
+    version,
+    phase,
+    since: now,
+    lastUsedAt: known?.lastUsedAt ?? now,
+    places: known?.places ?? 0,
+  };
+}
--- /dev/null
+++ b/src/residency/owned.ts
@@ -0,0 +1,108 @@
+import type { Effect } from '../core/effects.ts';
+import { newLog } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import { isOpen } from '../fleet/choose.ts';
+import type { EndpointView } from '../fleet/types.ts';
+import { TAKEOVER_WAIT_MS } from '../owners/constants.ts';
+import { getOwner } from '../owners/owner.ts';
+import { forgetCopies } from './orders.ts';
+import { getEngineClass, refuseAll, servePlaces } from './serve.ts';
+import type { OwnedEngine } from './types.ts';
+
+/** Takes up the engines that this host owns now and gives up those that it does not. */
+export function updateOwnedEngines(state: State, now: number): Effect[] {
+  const effects: Effect[] = [];
+  for (const owned of [...state.residency.owned.values()]) {
+    const view = state.fleet.views.get(owned.id);
+    const isKept = view !== undefined && isOwnedHere(state, view);
+    if (isKept && isOpen(view)) continue;
+    if (!isKept) state.residency.owned.delete(owned.id);
+    effects.push(...refuseAll(state, owned, isKept ? 'leaving' : 'notOwner'));
+  }
+  for (const view of state.fleet.views.values()) {
+    if (view.isRemoved || !isOwnedHere(state, view)) continue;
+    effects.push(...takeUp(state, view, now));
+  }
+  return effects;
+}
+
+/** Notes that a newer version of an adapter was announced; older copies are not used any more. */
+export function noteAdapterVersion(
+  state: State,
+  adapter: string,
+  version: number,
+  now: number,
+): Effect[] {
+  const { versions, owned } = state.residency;
+  if (version <= (versions.get(adapter) ?? 0)) return [];
+  versions.set(adapter, version);
+  return [
+    newLog('info', 'adapter version in force', { adapter, version }),
+    ...[...owned.values()].flatMap((engine) => servePlaces(state, engine, now)),
+  ];
+}
+
+function isOwnedHere(state: State, view: EndpointView): boolean {
+  if (getEngineClass(state, view) === undefined) return false;
+  const { id, zone } = view.endpoint;
+  return getOwner(state.owners, id, zone)?.host === state.host.id;
+}
+
+function takeUp(state: State, { endpoint }: EndpointView, now: number): Effect[] {
+  const { residency, owners } = state;
+  const epoch = owners.row?.epoch ?? 0;
+  const known = residency.owned.get(endpoint.id);
+  if (known === undefined) {
+    residency.owned.set(endpoint.id, newOwnedEngine(state, endpoint, epoch, now));
+    return [newLog('info', 'engine is owned', { engine: endpoint.id, epoch })];
+  }
+  if (epoch > known.epoch) {
+    known.epoch = epoch;
+    known.isFenced = false;
+  }
+  if (endpoint.startedAt !== known.startedAt) {
+    // It started again and holds nothing.
+    known.startedAt = endpoint.startedAt;
+    known.copies.clear();
+    known.places.clear();
+    known.tokens = 0;
+    known.ordering = undefined;
+    forgetCopies(known, now);
+  }
+  known.address = endpoint.address;
+  return [];
+}
+
+function newOwnedEngine(
+  state: State,
+  { id, address, startedAt }: EndpointView['endpoint'],
+  epoch: number,
+  now: number,
+): OwnedEngine {
+  return {
+    id,
+    address,
+    startedAt,
+    epoch,
+    orderFrom: getOrderFrom(state, id, now),
+    isFenced: false,
+    sequence: undefined,
+    isReporting: false,
+    reportFrom: now,
+    ordering: undefined,
+    wakeAt: -Infinity,
+    copies: new Map(),
+    queue: [],
+    places: new Map(),
+    tokens: 0,
+    readUntil: -Infinity,
+  };
+}
+
+/** Returns when a new owner may give orders: its predecessor may have given some until just now. */
+function getOrderFrom(state: State, engine: string, now: number): number {
+  const predecessor = state.residency.told.get(engine)?.from;
+  if (predecessor === undefined || predecessor === state.host.id) return now;
+  const closedAt = state.owners.closedAt.get(predecessor);
+  return (closedAt ?? now) + TAKEOVER_WAIT_MS;
+}
--- /dev/null
+++ b/src/residency/told.ts
@@ -0,0 +1,80 @@
+import { deliver } from '../core/deliver.ts';
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
+import { TELL_MS, TELL_PER_HOST_MS } from './constants.ts';
+import { countOpenSlots, getSlotLimit } from './copies.ts';
+import { getEngineClass } from './serve.ts';
+import type { EnginesTold, OwnedEngine, ToldEngine } from './types.ts';
+
+/** Has the other hosts told of changes of the owned engines after a short while. */
+export function tellSoon(state: State, now: number): Effect[] {
+  const { residency, owners } = state;
+  if (residency.isTelling) return [];
+  residency.isTelling = true;
+  const interval = Math.max(TELL_MS, TELL_PER_HOST_MS * owners.linked.size);
+  schedule(state, now + interval, { type: 'tellEngines' });
+  return [];
+}
+
+/** Tells all linked hosts of the owned engines. */
+export function tellEngines(state: State, now: number): Effect[] {
+  state.residency.isTelling = false;
+  const engines = [...state.residency.owned.values()].map((owned) =>
+    newToldEngine(state, owned, now),
+  );
+  if (engines.length === 0) return [];
+  return [...state.owners.linked].map((to) => deliver(state, to, { type: 'enginesTold', engines }));
+}
+
+/** Takes up what an owner tells of its engines. */
+export function hearEngines(
+  state: State,
+  { engines }: EnginesTold,
+  from: string,
+  now: number,
+): void {
+  const { told } = state.residency;
+  for (const engine of engines) {
+    const known = told.get(engine.engine);
+    if (known !== undefined && known.epoch > engine.epoch) continue;
+    told.set(engine.engine, { ...engine, from, at: now, sentSince: 0 });
+  }
+}
+
+/** Returns what is known of an engine now: from its own state when it is owned here. */
+export function getTold(state: State, engine: string, now: number): ToldEngine | undefined {
+  const owned = state.residency.owned.get(engine);
+  if (owned !== undefined) return newToldEngine(state, owned, now);
+  const told = state.residency.told.get(engine);
+  if (told === undefined) return undefined;
+  return { ...told, backlogMs: Math.max(0, told.backlogMs + told.sentSince - (now - told.at)) };
+}
+
+function newToldEngine(state: State, owned: OwnedEngine, now: number): ToldEngine {
+  const view = state.fleet.views.get(owned.id);
+  const engine = view === undefined ? undefined : getEngineClass(state, view);
+  const limit = engine === undefined ? 0 : getSlotLimit(engine, view?.endpoint.models ?? []);
+  const { versions } = state.residency;
+  const adapters: [string, number][] = [];
+  const waiting = new Set<string>();
+  for (const { adapter, phase, version } of owned.copies.values()) {
+    const isStale = (version ?? 0) < (versions.get(adapter) ?? 0);
+    if (phase !== 'unloading' && !isStale) adapters.push([adapter, version ?? 0]);
+  }
+  for (const { adapter } of owned.queue) {
+    if (adapter !== '' && !owned.copies.has(adapter)) waiting.add(adapter);
+  }
+  return {
+    engine: owned.id,
+    epoch: owned.epoch,
+    backlogMs: Math.max(0, Math.round(owned.readUntil - now)) + getQueueMs(owned),
+    running: owned.places.size,
+    openSlots: countOpenSlots(owned, limit) - waiting.size,
+    adapters,
+  };
+}
+
+function getQueueMs(owned: OwnedEngine): number {
+  return Math.round(owned.queue.reduce((sum, { promptTokens }) => sum + promptTokens, 0) / 20);
+}
--- /dev/null
+++ b/src/residency/types.ts
@@ -0,0 +1,210 @@
+import { z } from 'zod';
+
+const Id = z.string().min(1).max(200);
+
+/** Asks the owner of an engine for a place there. */
+export const PlaceAsked = z.object({
+  type: z.literal('placeAsked'),
+  request: Id,
+  /** Number of the ask within the request. */
+  ask: z.int().min(0),
+  engine: Id,
+  /** `model/adapter`; empty for the base model alone. */
+  adapter: z.string(),
+  /** Newest version that the asking host knows; 0 when none was announced. */
+  version: z.int().min(0),
+  /** 0 is the most urgent. */
+  priority: z.int().min(0),
+  promptTokens: z.number().min(0),
+  outputTokens: z.number().min(0),
+  /** Time until the request's deadline, and until it is late, in ms. */
+  remainingMs: z.number(),
+  goalMs: z.number(),
+});
+export type PlaceAsked = z.infer<typeof PlaceAsked>;
+
+export const PlaceGiven = z.object({
+  type: z.literal('placeGiven'),
+  request: Id,
+  ask: z.int().min(0),
+  engine: Id,
+  /** Version of the adapter on the engine; absent when it is not known. */
+  version: z.int().min(0).optional(),
+  /** Time that the ask waited for its adapter, in ms. */
+  stallMs: z.number(),
+});
+export type PlaceGiven = z.infer<typeof PlaceGiven>;
+
+/** The ask waits in the owner's queue. */
+export const PlaceQueued = z.object({
+  type: z.literal('placeQueued'),
+  request: Id,
+  ask: z.int().min(0),
+});
+
+export const PlaceRefusal = z.enum(['notOwner', 'leaving', 'noSlot', 'orderFailed']);
+export type PlaceRefusal = z.infer<typeof PlaceRefusal>;
+
+export const PlaceRefused = z.object({
+  type: z.literal('placeRefused'),
+  request: Id,
+  ask: z.int().min(0),
+  engine: Id,
+  reason: PlaceRefusal,
+});
+
+/** Gives a place back, or withdraws an ask that was not answered. */
+export const PlaceReleased = z.object({
+  type: z.literal('placeReleased'),
+  request: Id,
+  engine: Id,
+  /** `missing` when the engine said that it does not hold the adapter in that version. */
+  result: z.enum(['ended', 'missing']),
+});
+export type PlaceReleased = z.infer<typeof PlaceReleased>;
+
+/** What an owner tells the other hosts of its engines. */
+export const EnginesTold = z.object({
+  type: z.literal('enginesTold'),
+  engines: z.array(
+    z.object({
+      engine: Id,
+      epoch: z.int().min(0),
+      /** Time until a prompt that is sent now is read, in ms. */
+      backlogMs: z.number(),
+      running: z.int().min(0),
+      /** Slots that are free or hold an adapter that can make way. */
+      openSlots: z.int(),
+      /** Adapters that can be used, with their versions; 0 when not known. */
+      adapters: z.array(z.tuple([z.string(), z.int().min(0)])),
+    }),
+  ),
+});
+export type EnginesTold = z.infer<typeof EnginesTold>;
+export type ToldEngine = EnginesTold['engines'][number];
+
+/** An ask that waits at the owner. */
+export interface QueuedPlace extends PlaceAsked {
+  from: string;
+  arrivedAt: number;
+  /** Monotonic ms after which it is late, and after which it is dropped. */
+  goalAt: number;
+  deadlineAt: number;
+  isToldQueued: boolean;
+}
+
+/** A request that may run on an owned engine. */
+export interface Place {
+  request: string;
+  host: string;
+  adapter: string;
+  tokens: number;
+  /** Monotonic ms after which it cannot be running any more. */
+  expiresAt: number;
+}
+
+/** An adapter that takes a slot of an engine. */
+export interface Copy {
+  adapter: string;
+  /** Undefined when the engine did not tell it. */
+  version: number | undefined;
+  phase: 'loading' | 'held' | 'unloading';
+  /** Monotonic ms at which the phase began. */
+  since: number;
+  lastUsedAt: number;
+  /** Places given for it. */
+  places: number;
+}
+
+export interface OwnedEngine {
+  id: string;
+  address: string;
+  /** Unix ms of the engine's start. */
+  startedAt: number;
+  epoch: number;
+  /** Monotonic ms from which this host may give orders. */
+  orderFrom: number;
+  /** Whether the engine has seen a higher fencing number. */
+  isFenced: boolean;
+  /** Orders that the engine accepted; undefined until a report tells. */
+  sequence: number | undefined;
+  isReporting: boolean;
+  /** Monotonic ms before which a report would not show the last order. */
+  reportFrom: number;
+  /** Order in flight; one at a time, as each names the sequence it expects. */
+  ordering: AdapterOrder | undefined;
+  /** Monotonic ms of the next timer that serves the queue. */
+  wakeAt: number;
+  copies: Map<string, Copy>;
+  queue: QueuedPlace[];
+  places: Map<string, Place>;
+  /** Tokens of all places. */
+  tokens: number;
+  /** Monotonic ms at which the prompts sent so far are read. */
+  readUntil: number;
+}
+
+export interface AdapterOrder {
+  type: 'load' | 'unload';
+  /** `model/adapter` */
+  adapter: string;
+  /** Version to load; undefined for the newest. */
+  version: number | undefined;
+  sequence: number;
+}
+
+export type AdapterOrderAnswer =
+  /** The engine carries it out. */
+  | { type: 'accepted' }
+  /** What the order asks for is the case. */
+  | { type: 'done' }
+  /** Another order is under way, or the sequence differs. */
+  | { type: 'conflict' }
+  /** The engine has seen a higher fencing number. */
+  | { type: 'fenced' }
+  /** Another engine has the address. */
+  | { type: 'otherEngine' }
+  /** The engine did not take it. */
+  | { type: 'refused'; reason: string }
+  /** It may be carried out, now or later. */
+  | { type: 'unknown'; reason: string };
+
+/** What an engine reports of itself, some hundred ms old. */
+export interface AdapterReport {
+  startedAt: number;
+  sequence: number;
+  adapters: { adapter: string; version: number | undefined }[];
+  /** Adapters on their way. */
+  coming: string[];
+}
+
+/** State of the engines that this host owns, and what the others tell of theirs. */
+export class Residency {
+  readonly owned = new Map<string, OwnedEngine>();
+  readonly told = new Map<string, ToldEngine & { from: string; at: number; sentSince: number }>();
+  /** Announced versions by adapter. */
+  readonly versions = new Map<string, number>();
+  isTelling = false;
+
+  private constructor() {}
+
+  static create(): Residency {
+    return new Residency();
+  }
+}
+
+export type ResidencyEvent =
+  | {
+      type: 'adapterOrdered';
+      engine: string;
+      epoch: number;
+      order: AdapterOrder;
+      answer: AdapterOrderAnswer;
+    }
+  | { type: 'adaptersReported'; engine: string; report: AdapterReport | undefined; reason: string };
+
+export type ResidencyEffect =
+  | { type: 'orderAdapter'; engine: string; address: string; epoch: number; order: AdapterOrder }
+  | { type: 'readAdapters'; engine: string; address: string };
+
+export type ResidencyTimer = { type: 'servePlaces'; engine: string } | { type: 'tellEngines' };
--- a/src/settings/definitions.ts
+++ b/src/settings/definitions.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { GATEWAY_GROUPS } from './gatewayGroups.ts';
 import { GROUPS, OperatorSettings } from './groups.ts';
 import { type SettingMeta, settingRegistry } from './types.ts';
 
@@ -14,6 +15,11 @@
   ([group, schema]) => getDefinitions(group, schema),
 );
 
+/** The settings of `gateway`, in the order of their groups. */
+export const GATEWAY_SETTINGS: readonly SettingDefinition[] = Object.entries(
+  GATEWAY_GROUPS,
+).flatMap(([group, schema]) => getDefinitions(group, schema));
+
 /** The settings of commands that talk to a host. */
 export const OPERATOR_SETTINGS: readonly SettingDefinition[] = getDefinitions(
   'operator',
--- a/src/settings/parse.ts
+++ b/src/settings/parse.ts
@@ -1,7 +1,14 @@
 import { Err, Ok, type Result } from '../base/result.ts';
-import { OPERATOR_SETTINGS, SETTINGS, type SettingDefinition } from './definitions.ts';
+import {
+  GATEWAY_SETTINGS,
+  OPERATOR_SETTINGS,
+  SETTINGS,
+  type SettingDefinition,
+} from './definitions.ts';
 import { type ParsedFlags, parseFlags } from './flags.ts';
+import type { GatewaySettings } from './gatewayGroups.ts';
 import type { OperatorSettings, Settings } from './groups.ts';
+import { SETTINGS_FILE } from './settingsFile.ts';
 import { type SettingProblem, getEnvironmentName } from './types.ts';
 import type { z } from 'zod';
 
@@ -13,11 +20,28 @@
   argv: readonly string[],
   env: Environment,
 ): Result<Settings, SettingProblem[]> {
-  const flags = parseFlags(
-    argv,
-    SETTINGS.map(({ name }) => name),
-    [],
-  );
+  const { values, problems } = readHostSettings(SETTINGS, [], argv, env);
+  const all = [...problems, ...getConflicts(values)];
+  return all.length === 0 ? Ok(values as unknown as Settings) : Err(all);
+}
+
+/** Reads the settings of `gateway`: flag before environment before default. Errors list all problems. */
+export function parseGatewaySettings(
+  argv: readonly string[],
+  env: Environment,
+): Result<GatewaySettings, SettingProblem[]> {
+  const { values, problems } = readHostSettings(GATEWAY_SETTINGS, [SETTINGS_FILE], argv, env);
+  return problems.length === 0 ? Ok(values as unknown as GatewaySettings) : Err(problems);
+}
+
+/** Reads all settings of a command that takes no arguments. */
+function readHostSettings(
+  definitions: readonly SettingDefinition[],
+  otherFlags: readonly string[],
+  argv: readonly string[],
+  env: Environment,
+): { values: Values; problems: SettingProblem[] } {
+  const flags = parseFlags(argv, [...definitions.map(({ name }) => name), ...otherFlags], []);
   const usage = [
     ...getUsageProblems(flags),
     ...flags.input.map((argument) => ({
@@ -26,9 +50,8 @@
       message: 'is not expected',
     })),
   ];
-  const { values, problems } = readSettings(SETTINGS, flags, env);
-  const all = [...usage, ...problems, ...getConflicts(values)];
-  return all.length === 0 ? Ok(values as unknown as Settings) : Err(all);
+  const { values, problems } = readSettings(definitions, flags, env);
+  return { values, problems: [...usage, ...problems] };
 }
 
 /** Reads the settings of a command that talks to a host. */
