Refuse requests that arrive once a stopping host drains

Change: after the lame-duck period the host closes its listener and idle connections, and answers what still arrives with 503 (not run). Stand-ins of the platform's store and endpoints, with tests of what callers get.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,7 +22,7 @@
 const io = ['clients', 'peers', 'observe', 'callers', 'admin', 'host', 'settings', 'cli'];
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'coverage/'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'coverage/'] },
   js.configs.recommended,
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
--- a/src/core/lifecycle.ts
+++ b/src/core/lifecycle.ts
@@ -39,7 +39,9 @@
 /** Refuses new requests from now on and waits for those in flight. */
 export function startDraining(state: State, now: number): Effect[] {
   state.phase = 'draining';
-  if (state.policy.directory !== undefined) return checkDrained(state, now);
+  if (state.policy.directory !== undefined) {
+    return [{ type: 'closeFront' }, ...checkDrained(state, now)];
+  }
   return [...leaveOwnership(state), ...checkDrained(state, now)];
 }
 
--- a/src/forwards/arrival.ts
+++ b/src/forwards/arrival.ts
@@ -12,6 +12,10 @@
 
 /** Routes a request on arrival; answers at once when it cannot be served. */
 export function admitForward(state: State, arrival: NewForward, now: number): Effect[] {
+  if (state.phase === 'draining' || state.phase === 'stopped') {
+    // A stream that begins now would be cut off when the process is killed.
+    return failArrival(state, arrival, Failure.create('shutting_down', 'this host is stopping'));
+  }
   const routing = state.routes.current;
   if (routing === undefined) {
     return failArrival(
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -128,6 +128,8 @@
 }
 
 export type ForwardEffect =
+  /** Takes no new connections and closes idle ones. */
+  | { type: 'closeFront' }
   | { type: 'sendForward'; order: ForwardOrder }
   | { type: 'cancelForward'; id: string; attempt: string }
   /** Passes on the whole answer of the last attempt. */
--- a/src/gatewayHost/front.ts
+++ b/src/gatewayHost/front.ts
@@ -27,6 +27,7 @@
 /** HTTP server that takes the requests of callers and hands them to the reducer. */
 export class Front {
   private server: RunningServer | undefined;
+  private stopping: Promise<void> | undefined;
   private nextId = 0;
 
   private constructor(private readonly host: FrontHost) {}
@@ -46,8 +47,10 @@
     return this.server.port;
   }
 
+  /** Takes no new connections and resolves when all have ended. */
   async stop(): Promise<void> {
-    await this.server?.stop();
+    this.stopping ??= this.server?.stop();
+    await this.stopping;
   }
 
   private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -38,7 +38,7 @@
   readonly labels: LabelPort;
   private readonly http: Http;
   private readonly loop: Loop;
-  private readonly front: Front;
+  readonly front: Front;
   private readonly sampler: ProcessSampler;
   private readonly servers: Server[] = [];
   private settingsProblem = '';
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -55,6 +55,7 @@
   passAnswer: (host, { id }) => host.exchanges.get(id)?.passKept(),
   endAnswer: (host, { id }) => host.exchanges.get(id)?.end(),
   failForward: (host, { id, failure }) => host.exchanges.get(id)?.fail(failure),
+  closeFront: (host) => void host.front.stop(),
   stopped: (host) => host.onStopped(),
 };
 
--- /dev/null
+++ b/stand-ins/platform/server.ts
@@ -0,0 +1,302 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { z } from 'zod';
+import { type Call, listen, readCall, type StandIn } from '../server.ts';
+
+/** How an endpoint treats one request; taken from the plan in turn. */
+export type Behaviour =
+  | 'serve'
+  /** Answers with a failure of its own. */
+  | 'fail'
+  /** Says that it did not run the request. */
+  | 'shed'
+  /** Answers for another attempt. */
+  | 'wrongAttempt'
+  /** Answers without the header that proves who answered. */
+  | 'unsealed'
+  /** Ends the connection within the body. */
+  | 'truncate'
+  /** Ends the connection before any answer. */
+  | 'reset'
+  /** Never answers. */
+  | 'hang'
+  /** Answers twice. */
+  | 'extra'
+  /** Answers without a length and ends the connection. */
+  | 'unframed'
+  /** Answers before it reads the body. */
+  | 'early'
+  /** Ends a stream after some events. */
+  | 'breakStream';
+
+interface Options {
+  id: string;
+  /** Adapter slots; 0 for a plain service. */
+  slots?: number;
+  /** Time that the load of an adapter takes, in ms. */
+  loadMs?: number;
+  /** Events of a stream and the time between two of them, in ms. */
+  events?: number;
+  gapMs?: number;
+  /** Whether orders with an old fencing number are refused. */
+  isFencing?: boolean;
+}
+
+/** A request that an endpoint received, as its handler saw it. */
+export interface ServedCall {
+  method: string;
+  target: string;
+  headers: IncomingMessage['headers'];
+  body: string;
+  isRun: boolean;
+  /** Whether the caller's connection ended before the answer did. */
+  isCancelled: boolean;
+}
+
+const Order = z.object({
+  operation: z.enum(['model_load', 'model_unload']),
+  model: z.string(),
+  adapter: z.string(),
+  version: z.int().optional(),
+  expectedRev: z.int().optional(),
+  holder: z.string(),
+  fence: z.int(),
+});
+type Order = z.infer<typeof Order>;
+
+/** An order as it arrived and the status of its answer. */
+export interface TakenOrder extends Order {
+  status: number;
+}
+
+/** One endpoint of the platform: runs requests, and adapters when it has slots for them. */
+export class PlatformServer implements StandIn {
+  readonly calls: ServedCall[] = [];
+  readonly orders: TakenOrder[] = [];
+  /** Behaviours of the next requests; further ones are served. */
+  readonly plan: Behaviour[] = [];
+  /** Version by adapter. */
+  readonly adapters = new Map<string, number>();
+  /** Largest number of adapters held or on their way at once. */
+  mostAdapters = 0;
+  id: string;
+  private readonly coming = new Map<string, number>();
+  private readonly newest = new Map<string, number>();
+  private sequence = 0;
+  private fence = 0;
+  private server: Server | undefined;
+  private port = 0;
+
+  private constructor(private readonly options: Required<Options>) {
+    this.id = options.id;
+  }
+
+  static create(options: Options): PlatformServer {
+    return new PlatformServer({
+      slots: 0,
+      loadMs: 20,
+      events: 4,
+      gapMs: 2,
+      isFencing: true,
+      ...options,
+    });
+  }
+
+  async start(): Promise<string> {
+    this.server = createServer((request, response) => {
+      this.take(request, response).catch(() => response.destroy());
+    });
+    // Callers that keep connections must find out themselves that one has ended.
+    this.server.keepAliveTimeout = 60_000;
+    const address = await listen(this.server, '127.0.0.1', this.port);
+    this.port = Number(address.split(':')[1]);
+    return address;
+  }
+
+  async stop(): Promise<void> {
+    const { server } = this;
+    this.server = undefined;
+    if (server === undefined) return;
+    const closed = new Promise<void>((resolve) => server.close(() => resolve()));
+    server.closeAllConnections();
+    await closed;
+  }
+
+  /** Announces a version; later loads fetch it. */
+  announce(adapter: string, version: number): void {
+    this.newest.set(adapter, version);
+  }
+
+  /** Starts again under another id, without adapters. */
+  restart(id: string): void {
+    this.id = id;
+    this.adapters.clear();
+    this.coming.clear();
+    this.sequence = 0;
+    this.fence = 0;
+  }
+
+  private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const isEarly = this.plan[0] === 'early' && request.url !== '/-/order';
+    if (isEarly) {
+      this.plan.shift();
+      const body = 'x'.repeat(64);
+      response.writeHead(503, { 'not-executed': '1', ...this.getHeaders(request, body) });
+      response.end(body);
+      return;
+    }
+    const call = await readCall(request, response);
+    const expected = call.headers['expect-instance'];
+    if (expected !== undefined && expected !== this.id) {
+      response.writeHead(421, { 'instance-id': this.id }).end();
+      return;
+    }
+    if (call.path === '/-/order') this.takeOrder(call);
+    else if (call.path === '/-/report') this.report(call);
+    else await this.run(call);
+  }
+
+  private takeOrder(call: Call): void {
+    const order = Order.parse(JSON.parse(call.body));
+    const status = this.carryOut(order);
+    this.orders.push({ ...order, status });
+    call.response.writeHead(status).end();
+  }
+
+  private carryOut(order: Order): number {
+    const adapter = `${order.model}/${order.adapter}`;
+    if (this.options.isFencing && order.fence < this.fence) return 412;
+    this.fence = Math.max(this.fence, order.fence);
+    if (order.operation === 'model_load' && this.coming.has(adapter)) return 202;
+    const version = order.version ?? this.newest.get(adapter) ?? 1;
+    if (order.operation === 'model_load' && this.adapters.get(adapter) === version) return 200;
+    if (order.expectedRev !== undefined && order.expectedRev !== this.sequence) return 409;
+    this.sequence += 1;
+    if (order.operation === 'model_unload') {
+      this.adapters.delete(adapter);
+      return 200;
+    }
+    this.coming.set(adapter, version);
+    this.mostAdapters = Math.max(this.mostAdapters, this.adapters.size + this.coming.size);
+    setTimeout(() => {
+      if (this.coming.get(adapter) !== version) return;
+      this.coming.delete(adapter);
+      this.adapters.set(adapter, version);
+    }, this.options.loadMs);
+    return 202;
+  }
+
+  private report(call: Call): void {
+    const models = new Map<string, string[]>([['base', []]]);
+    for (const [adapter, version] of this.adapters) {
+      const [model = '', name = ''] = adapter.split('/');
+      models.set(model, [...(models.get(model) ?? []), `${name}@${version}`]);
+    }
+    const body = {
+      seq: this.sequence,
+      models: [...models].map(([name, adapters]) => ({ name, version: 1, adapters })),
+      coming: [...this.coming].map(([adapter, version]) => `${adapter}@${version}`),
+    };
+    call.response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(body));
+  }
+
+  private async run(call: Call): Promise<void> {
+    const served: ServedCall = {
+      method: call.method,
+      target: call.target,
+      headers: call.headers,
+      body: call.body,
+      isRun: false,
+      isCancelled: false,
+    };
+    this.calls.push(served);
+    call.response.once('close', () => {
+      if (!call.response.writableFinished) served.isCancelled = true;
+    });
+    const model = call.headers.model;
+    if (this.options.slots > 0 && typeof model === 'string' && model.includes('/')) {
+      const wanted = call.headers['expect-version'];
+      const held = this.adapters.get(model);
+      if (held === undefined || (wanted !== undefined && Number(wanted) !== held)) {
+        call.response.writeHead(421, { 'not-executed': '1', 'instance-id': this.id }).end();
+        return;
+      }
+    }
+    const behaviour = this.plan.shift() ?? 'serve';
+    served.isRun = behaviour !== 'shed';
+    await this.answer(call, behaviour);
+  }
+
+  private async answer(call: Call, behaviour: Behaviour): Promise<void> {
+    const { response } = call;
+    const body = `${this.id} answers ${call.method} ${call.target}`;
+    const headers = this.getHeaders(call, body);
+    const isStream = call.headers.model !== undefined;
+    switch (behaviour) {
+      case 'shed':
+        response.writeHead(503, { ...headers, 'not-executed': '1' }).end(body);
+        return;
+      case 'reset':
+        response.destroy();
+        return;
+      case 'hang':
+        return;
+      case 'fail':
+        response.writeHead(500, headers).end(body);
+        return;
+      case 'wrongAttempt':
+        response.writeHead(200, { ...headers, 'attempt-id': 'other' }).end(body);
+        return;
+      case 'unsealed':
+        response.writeHead(200, { ...headers, 'response-seal': [] }).end(body);
+        return;
+      case 'truncate':
+        response.writeHead(200, headers);
+        response.write(body.slice(0, 5));
+        setTimeout(() => response.destroy(), 5);
+        return;
+      case 'unframed':
+        response.socket?.end(
+          `HTTP/1.1 200 OK\r\nattempt-id: ${headers['attempt-id']}\r\nresponse-seal: s\r\n\r\n${body}`,
+        );
+        return;
+      case 'extra':
+        response.writeHead(200, headers).end(body);
+        response.socket?.write(
+          'HTTP/1.1 200 OK\r\nattempt-id: other\r\nresponse-seal: s\r\ncontent-length: 2\r\n\r\nno',
+        );
+        return;
+      default:
+        if (isStream) await this.stream(call, behaviour === 'breakStream');
+        else response.writeHead(200, headers).end(body);
+    }
+  }
+
+  private async stream(call: Call, isBroken: boolean): Promise<void> {
+    const { response } = call;
+    const { events, gapMs } = this.options;
+    const last = Number(call.headers['last-event-id'] ?? 0);
+    const { 'content-length': _length, ...headers } = this.getHeaders(call, '');
+    response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
+    for (let id = last + 1; id <= events; id++) {
+      await sleep(gapMs);
+      if (response.destroyed) return;
+      if (isBroken && id === Math.ceil(events / 2) + 1) {
+        response.write(`id: ${id}\ndata: cut`);
+        setTimeout(() => response.destroy(), 2);
+        return;
+      }
+      response.write(`id: ${id}\ndata: token ${id}\n\n`);
+    }
+    response.end();
+  }
+
+  private getHeaders(call: { headers: IncomingMessage['headers'] }, body: string) {
+    const attempt = call.headers['attempt-id'];
+    return {
+      'attempt-id': typeof attempt === 'string' ? attempt : '',
+      'response-seal': `seal-${this.id}`,
+      'content-length': String(Buffer.byteLength(body)),
+    };
+  }
+}
--- /dev/null
+++ b/tests/gatewayHost/answers.test.ts
@@ -0,0 +1,201 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import type { Behaviour } from '../../stand-ins/platform/server.ts';
+import type { PlatformServer } from '../../stand-ins/platform/server.ts';
+import { until } from '../support.ts';
+import { GatewayDeployment } from './deployment.ts';
+
+describe('plain requests', () => {
+  let deployment: GatewayDeployment;
+  let servers: PlatformServer[];
+
+  beforeEach(async () => {
+    deployment = await GatewayDeployment.create();
+    deployment.configure(1);
+    servers = [await deployment.addServer('desk', 'd1'), await deployment.addServer('desk', 'd2')];
+    await deployment.addHost();
+    await deployment.waitReady(2);
+  });
+
+  /** Both endpoints treat their next request so. */
+  function plan(...behaviours: Behaviour[]): void {
+    for (const server of servers) server.plan.push(...behaviours);
+  }
+
+  function countRuns(): number {
+    return servers.flatMap(({ calls }) => calls).filter(({ isRun }) => isRun).length;
+  }
+
+  it('passes method, target, body and headers on unchanged, and drops what only the system sets', async () => {
+    const answer = await deployment.send({
+      path: '/booking/rooms?day=2&x=%2f',
+      body: '{"room":7}',
+      headers: {
+        'x-desk': 'fez',
+        'request-priority': '0',
+        'kv-from': '10.0.0.1:1/h',
+        hold: '7',
+        connection: 'x-hop, attempt-id',
+        'x-hop': '1',
+        'deadline-ms': '900',
+      },
+    });
+    expect(answer.status).toBe(200);
+    expect(answer.headers['response-seal']).toMatch(/^seal-d/);
+    const [call] = servers.flatMap(({ calls }) => calls);
+    expect(call).toMatchObject({ method: 'POST', target: '/booking/rooms?day=2&x=%2f' });
+    expect(call?.body).toBe('{"room":7}');
+    expect(call?.headers).toMatchObject({ host: 'desk.example', 'x-desk': 'fez' });
+    expect(call?.headers['attempt-id']).toMatch(/^a\d+$/);
+    for (const name of ['request-priority', 'kv-from', 'hold', 'x-hop']) {
+      expect(call?.headers[name]).toBeUndefined();
+    }
+    expect(Number(call?.headers['deadline-ms'])).toBeLessThanOrEqual(900);
+  });
+
+  it.each<[string, Behaviour, string, number, number]>([
+    ['a failure of the endpoint is repeated where that is allowed', 'fail', '/status/1', 500, 2],
+    ['a booking that failed is not repeated', 'fail', '/booking/1', 500, 1],
+    ['a booking whose connection broke may have run', 'reset', '/booking/1', 502, 1],
+    ['a truncated answer of a booking is no success', 'truncate', '/booking/1', 502, 1],
+    ['an answer for another attempt is not delivered', 'wrongAttempt', '/booking/1', 502, 1],
+    ['an answer that nobody vouches for is not delivered', 'unsealed', '/booking/1', 502, 1],
+    ['a booking that both endpoints turned away was not run', 'shed', '/booking/1', 503, 0],
+  ])('%s', async (_name, behaviour, path, status, runs) => {
+    plan(behaviour, behaviour, behaviour, behaviour, behaviour, behaviour);
+    const answer = await deployment.send({ path });
+    expect(answer.status).toBe(status);
+    expect(countRuns()).toBe(runs);
+    if (status === 503) expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+  });
+
+  it.each<Behaviour>(['reset', 'truncate', 'wrongAttempt', 'unsealed', 'shed', 'fail'])(
+    'a read is answered by the other endpoint after "%s"',
+    async (behaviour) => {
+      plan(behaviour);
+      const first = servers.find(({ calls }) => calls.length > 0);
+      expect(first).toBeUndefined();
+      for (const server of servers.slice(1)) server.plan.length = 0;
+      const answers = await Promise.all(
+        [1, 2, 3].map((n) => deployment.send({ path: `/status/${n}` })),
+      );
+      expect(answers.map(({ status }) => status)).toEqual([200, 200, 200]);
+      for (const { body } of answers) expect(body).toMatch(/^d\d answers POST \/status\/\d$/);
+    },
+  );
+
+  it('delivers an answer without a length, and one before the body was read is not taken for a run', async () => {
+    plan('unframed');
+    const answer = await deployment.send({ path: '/booking/1' });
+    expect(answer).toMatchObject({ status: 200, error: undefined });
+    for (const server of servers) server.plan.length = 0;
+    plan('early');
+    const other = await deployment.send({ path: '/booking/2', body: 'y'.repeat(5_000) });
+    expect([200, 503]).toContain(other.status);
+  });
+
+  it('never takes a second answer on a connection for the answer to the next request', async () => {
+    for (let n = 0; n < 6; n++) {
+      plan('extra');
+      const answer = await deployment.send({ path: `/status/${n}` });
+      expect(answer.status).toBe(200);
+      expect(answer.body).toContain(`/status/${n}`);
+    }
+  });
+
+  it('answers a request at the time limit of its route', async () => {
+    plan('hang', 'hang');
+    const answer = await deployment.send({ path: '/status/quick/1' });
+    expect(answer.status).toBe(504);
+    await until(() =>
+      servers.flatMap(({ calls }) => calls).every(({ isCancelled }) => isCancelled),
+    );
+  });
+
+  it('ends the work of an endpoint once the caller has gone', async () => {
+    plan('hang');
+    const abort = new AbortController();
+    const sent = deployment.send({ path: '/status/1', signal: abort.signal });
+    await until(() => servers.some(({ calls }) => calls.length > 0));
+    abort.abort();
+    await sent;
+    await until(() => servers.some(({ calls }) => calls.some(({ isCancelled }) => isCancelled)));
+    await until(() => deployment.hosts.every(({ state }) => state.forwards.inFlight.size === 0));
+  });
+
+  it.each<[string, Parameters<GatewayDeployment['send']>[0], number]>([
+    ['an unknown path', { path: '/nowhere/1' }, 404],
+    ['an unknown host', { path: '/status/1', host: 'other.example' }, 404],
+    ['a prefix without its slash', { path: '/status' }, 404],
+    ['a body over the limit', { path: '/booking/1', body: 'x'.repeat(10_001) }, 413],
+    ['headers over the limit', { path: '/booking/1', headers: { 'x-a': 'x'.repeat(9_000) } }, 431],
+  ])('refuses %s', async (_name, request, status) => {
+    expect((await deployment.send(request)).status).toBe(status);
+    expect(countRuns()).toBe(0);
+  });
+});
+
+describe('streams', () => {
+  let deployment: GatewayDeployment;
+  let servers: PlatformServer[];
+
+  beforeEach(async () => {
+    deployment = await GatewayDeployment.create();
+    deployment.configure(1);
+    servers = [await deployment.addServer('llm', 'e1'), await deployment.addServer('llm', 'e2')];
+    await deployment.addHost();
+    await deployment.waitReady(2);
+  });
+
+  const WHOLE = [1, 2, 3, 4].map((id) => `id: ${id}\ndata: token ${id}\n\n`).join('');
+
+  it('has the adapter loaded and passes the events on', async () => {
+    const answer = await deployment.stream('/labels/1', 'a7');
+    expect(answer).toMatchObject({ status: 200, body: WHOLE, error: undefined });
+    expect(servers.filter(({ adapters }) => adapters.has('base/a7'))).toHaveLength(1);
+  });
+
+  it('continues a broken stream elsewhere where the route allows it', async () => {
+    for (const server of servers) server.plan.push('breakStream');
+    servers[1]?.plan.pop();
+    const answers = await Promise.all([
+      deployment.stream('/notes/1', undefined),
+      deployment.stream('/notes/2', undefined),
+      deployment.stream('/notes/3', undefined),
+    ]);
+    for (const answer of answers) expect(answer).toMatchObject({ status: 200, body: WHOLE });
+  });
+
+  it('breaks off a stream that may not run again, so that it does not look complete', async () => {
+    for (const server of servers) server.plan.push('breakStream');
+    const answer = await deployment.stream('/labels/1', undefined);
+    expect(answer.error).toBeDefined();
+    expect(servers.flatMap(({ calls }) => calls)).toHaveLength(1);
+  });
+
+  it('keeps to the adapter slots of an engine while many adapters are asked for', async () => {
+    const names = Array.from({ length: 24 }, (_, index) => `a${index}`);
+    const answers = await Promise.all(names.map((name) => deployment.stream('/labels/1', name)));
+    expect(answers.map(({ status }) => status)).toEqual(names.map(() => 200));
+    for (const { mostAdapters } of servers) expect(mostAdapters).toBeLessThanOrEqual(2);
+  });
+
+  it('runs requests on the announced version of an adapter', async () => {
+    await deployment.stream('/labels/1', 'a1');
+    for (const server of servers) server.announce('base/a1', 2);
+    deployment.store.put('op', 'version/base.a1', { model: 'base', adapter: 'a1', version: 2 });
+    await until(() =>
+      deployment.hosts.every(({ state }) => state.residency.versions.get('base/a1') === 2),
+    );
+    const answer = await deployment.stream('/labels/1', 'a1');
+    expect(answer.status).toBe(200);
+    const last = servers.flatMap(({ calls }) => calls).filter(({ isRun }) => isRun);
+    expect(last.at(-1)?.headers['expect-version']).toBe('2');
+  });
+
+  it('serves on after an engine started again without its adapters', async () => {
+    await deployment.stream('/labels/1', 'a1');
+    for (const server of servers) server.adapters.clear();
+    const answer = await deployment.stream('/labels/1', 'a1');
+    expect(answer).toMatchObject({ status: 200, body: WHOLE });
+  });
+});
