--- a/src/residency/serve.ts
+++ b/src/residency/serve.ts
@@ -1,6 +1,6 @@
 import { deliver } from '../core/deliver.ts';
 import type { Effect } from '../core/effects.ts';
-import { newCount } from '../core/observations.ts';
+import { newCount, newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import type { EndpointView } from '../fleet/types.ts';
@@ -16,7 +16,7 @@
 } from './constants.ts';
 import { isCurrent } from './copies.ts';
 import { orderNext } from './orders.ts';
-import type { OwnedEngine, PlaceAsked, PlaceRefusal, QueuedPlace } from './types.ts';
+import type { OwnedEngine, PlaceAsked, PlaceObstacle, PlaceRefusal, QueuedPlace } from './types.ts';
 import { compareAsks } from './queueOrder.ts';
 import { tellSoon } from './told.ts';
 
@@ -33,6 +33,7 @@
     goalAt: now + ask.goalMs,
     deadlineAt: now + ask.remainingMs,
     isToldQueued: false,
+    waitedFor: undefined,
   });
   return [...servePlaces(state, owned, now), ...tellQueued(state, owned)];
 }
@@ -48,8 +49,12 @@
   owned.queue.sort((a, b) => compareAsks(a, b, now));
   const left: QueuedPlace[] = [];
   for (const ask of owned.queue) {
-    if (canRun(state, owned, engine, ask, now)) effects.push(...givePlace(state, owned, ask, now));
-    else left.push(ask);
+    const obstacle = getObstacle(state, owned, engine, ask, now);
+    if (obstacle === undefined) effects.push(...givePlace(state, owned, ask, now));
+    else {
+      ask.waitedFor = obstacle;
+      left.push(ask);
+    }
   }
   owned.queue = left;
   effects.push(...orderNext(state, owned, engine, now));
@@ -104,23 +109,24 @@
   schedule(state, at, { type: 'servePlaces', engine: owned.id });
 }
 
-function canRun(
+/** Returns what keeps an ask from running now; undefined when nothing does. */
+function getObstacle(
   state: State,
   owned: OwnedEngine,
   engine: EngineClass,
   ask: QueuedPlace,
   now: number,
-): boolean {
+): PlaceObstacle | undefined {
   if (ask.adapter !== '') {
     const copy = owned.copies.get(ask.adapter);
     const version = Math.max(ask.version, state.residency.versions.get(ask.adapter) ?? 0);
-    if (copy === undefined || !isCurrent(copy, version)) return false;
+    if (copy === undefined || !isCurrent(copy, version)) return 'adapter';
   }
-  if (owned.places.size >= engine.batch) return false;
+  if (owned.places.size >= engine.batch) return 'batch';
   if (owned.places.size > 0 && owned.tokens + getTokens(ask) > engine.memoryTokens * MEMORY_SHARE) {
-    return false;
+    return 'memory';
   }
-  return owned.readUntil - now < READ_AHEAD_MS;
+  return owned.readUntil - now < READ_AHEAD_MS ? undefined : 'prompts';
 }
 
 function givePlace(state: State, owned: OwnedEngine, ask: QueuedPlace, now: number): Effect[] {
@@ -140,6 +146,19 @@
     copy.lastUsedAt = now;
   }
   return [
+    newLog('debug', 'place given', {
+      requestId: ask.request,
+      engine: owned.id,
+      adapter: ask.adapter,
+      version: copy?.version,
+      waitedMs: Math.round(now - ask.arrivedAt),
+      waitedFor: ask.waitedFor,
+      places: owned.places.size,
+      tokens: Math.round(owned.tokens),
+      backlogMs: Math.round(owned.readUntil - now),
+      slots: owned.copies.size,
+      queued: owned.queue.length,
+    }),
     deliver(state, ask.from, {
       type: 'placeGiven',
       request: ask.request,
--- a/src/residency/told.ts
+++ b/src/residency/told.ts
@@ -1,5 +1,6 @@
 import { deliver } from '../core/deliver.ts';
 import type { Effect } from '../core/effects.ts';
+import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { TELL_MS, TELL_PER_HOST_MS } from './constants.ts';
@@ -24,7 +25,10 @@
     newToldEngine(state, owned, now),
   );
   if (engines.length === 0) return [];
-  return [...state.owners.linked].map((to) => deliver(state, to, { type: 'enginesTold', engines }));
+  return [
+    newLog('debug', 'owned engines', { engines: engines.map(newSummary) }),
+    ...[...state.owners.linked].map((to) => deliver(state, to, { type: 'enginesTold', engines })),
+  ];
 }
 
 /** Takes up what an owner tells of its engines. */
@@ -75,6 +79,10 @@
   };
 }
 
+function newSummary({ engine, backlogMs, running, openSlots, adapters }: ToldEngine) {
+  return { engine, backlogMs, running, openSlots, adapters: adapters.length };
+}
+
 function getQueueMs(owned: OwnedEngine): number {
   return Math.round(owned.queue.reduce((sum, { promptTokens }) => sum + promptTokens, 0) / 20);
 }
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -83,6 +83,9 @@
 export type EnginesTold = z.infer<typeof EnginesTold>;
 export type ToldEngine = EnginesTold['engines'][number];
 
+/** What an ask waits for: its adapter, room in the batch or memory, or that prompts are read. */
+export type PlaceObstacle = 'adapter' | 'batch' | 'memory' | 'prompts';
+
 /** An ask that waits at the owner. */
 export interface QueuedPlace extends PlaceAsked {
   from: string;
@@ -91,6 +94,8 @@
   goalAt: number;
   deadlineAt: number;
   isToldQueued: boolean;
+  /** What it waited for last. */
+  waitedFor: PlaceObstacle | undefined;
 }
 
 /** A request that may run on an owned engine. */
