--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -1,6 +1,6 @@
 import { deliver } from '../core/deliver.ts';
 import type { Effect } from '../core/effects.ts';
-import { newLog } from '../core/observations.ts';
+import { newCount, newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { applyChanges, applySnapshot } from './apply.ts';
@@ -41,8 +41,19 @@
   const known = state.directory.topics[topic];
   if (call !== known.call) return [];
   known.isCalling = false;
-  if (answer.type === 'unavailable') return retryTopic(state, topic, answer.reason, now);
-  const effects = noteRegained(known, topic, now);
+  const called = [
+    newCount('fireflywick_table_calls_total', { purpose: topic, answer: answer.type }),
+    newLog('debug', 'directory answered', {
+      topic,
+      isRead,
+      answer: answer.type,
+      changes: answer.type === 'changes' ? answer.changes.map(({ key }) => key) : undefined,
+    }),
+  ];
+  if (answer.type === 'unavailable') {
+    return [...called, ...retryTopic(state, topic, answer.reason, now)];
+  }
+  const effects = [...called, ...noteRegained(known, topic, now)];
   if (answer.type === 'historyLost') {
     known.version = undefined;
     return [...effects, ...callTopic(state, topic)];
