Give an order with a lost answer again, and keep an adapter on its home engine

Each lost answer or conflict of an order stopped the orders of its engine for 400 ms or more; an unload of an adapter that a request broken off still ran on blocked them as well; one adapter was loaded on several engines. Ruled out: the batch and the memory of the engines (no place waited for them).

--- a/src/directory/constants.ts
+++ b/src/directory/constants.ts
@@ -9,10 +9,13 @@
   endpoints: 2_500,
   members: 5_000,
 };
-/** Pause after a watch that brought changes, so that changes that come together cost one call. */
+/**
+ * Pause after a watch that brought changes, so that changes that come together cost one call. The
+ * entries of engines change with each adapter; a leaving one has to be known within 2 s.
+ */
 export const WATCH_PAUSE_MS: Record<Topic, number> = {
   operator: 50,
-  endpoints: 200,
+  endpoints: 900,
   members: 50,
 };
 /** First pause after a failed call; doubles, with full jitter on its second half. */
--- a/src/forwards/arrival.ts
+++ b/src/forwards/arrival.ts
@@ -4,6 +4,7 @@
 import { Failure } from '../errors/failure.ts';
 import { chooseService, findRoute } from '../routes/match.ts';
 import type { Route } from '../routes/types.ts';
+import { WAIT_SHARE } from './constants.ts';
 import { getBudget } from './retrying.ts';
 import { isCrasher } from './crashes.ts';
 import { failArrival } from './ending.ts';
@@ -37,6 +38,8 @@
   }
   state.forwards.inFlight.set(forward.id, forward);
   schedule(state, forward.deadlineAt, { type: 'forwardDeadline', id: forward.id });
+  const waitMs = (forward.deadlineAt - forward.arrivedAt) * WAIT_SHARE;
+  schedule(state, forward.arrivedAt + waitMs, { type: 'waitLimit', id: forward.id });
   return place(state, forward, now);
 }
 
--- a/src/forwards/constants.ts
+++ b/src/forwards/constants.ts
@@ -5,6 +5,11 @@
 export const RETRY_MAX_MS = 150;
 /** Sends of one request that endpoints may turn away. */
 export const MAX_SENDS = 5;
+/**
+ * Share of its time after which a request that no endpoint could take is given up, while its caller
+ * still has the time to come back.
+ */
+export const WAIT_SHARE = 0.6;
 /** Rounds in which no endpoint could be chosen after which a request is given up. */
 export const MAX_ROUNDS = 8;
 /** Share of the retries allowed to all hosts that they use together. */
@@ -21,13 +26,13 @@
 /** Time for which broken attempts of one fingerprint are remembered. */
 export const CRASH_MEMORY_MS = 30_000;
 /** Costs that placement compares, in ms. */
-export const LOAD_COST_MS = 260;
-export const WARM_LOAD_COST_MS = 45;
-export const LOADING_COST_MS = 60;
-export const NO_SLOT_COST_MS = 700;
+export const WARM_LOAD_COST_MS = 40;
+/** A load from the weight store; an engine further down the rendezvous order rarely is warm. */
+export const RANK_COST_MS = 180;
+export const MAX_RANK_COST_MS = 420;
+/** Wait for one slot of an engine to become free. */
+export const SLOT_WAIT_MS = 220;
 export const RUNNING_COST_MS = 4;
 export const UNKNOWN_COST_MS = 300;
-/** Rank by rendezvous hashing up to which an engine is likely to have held an adapter lately. */
-export const HOME_ENGINES = 2;
 /** Age after which what an owner told of an engine is not used. */
 export const TOLD_MAX_AGE_MS = 10_000;
--- a/src/forwards/ending.ts
+++ b/src/forwards/ending.ts
@@ -48,7 +48,7 @@
     attempt === undefined ? [] : [{ type: 'cancelForward', id: forward.id, attempt: attempt.id }];
   return [
     ...cancelled,
-    ...releaseAll(state, forward),
+    ...releaseAll(state, forward, 'brokenOff'),
     ...endForward(state, forward, failure.kind, failure.message),
     { type: 'failForward', id: forward.id, failure: withRetryAfter(state, failure) },
   ];
@@ -90,7 +90,7 @@
 export function releaseAll(
   state: State,
   forward: Forward,
-  result: 'ended' | 'missing' = 'ended',
+  result: 'ended' | 'brokenOff' | 'missing' = 'ended',
 ): Effect[] {
   const { attempt, asked, id } = forward;
   const endpoint = attempt?.endpoint ?? asked?.engine;
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -5,7 +5,7 @@
 import { isOpen } from '../fleet/choose.ts';
 import { admitForward } from './arrival.ts';
 import { endAttempt } from './attempts.ts';
-import { endForward, failForward, releaseAll } from './ending.ts';
+import { endForward, failForward, giveUp, releaseAll } from './ending.ts';
 import { place } from './placing.ts';
 import { retryLater, sendTo } from './sending.ts';
 import type { ForwardEvent, ForwardTimer } from './types.ts';
@@ -18,7 +18,7 @@
     const attempt = forward.attempt?.id;
     return [
       ...(attempt === undefined ? [] : [{ type: 'cancelForward' as const, id, attempt }]),
-      ...releaseAll(state, forward),
+      ...releaseAll(state, forward, 'brokenOff'),
       ...endForward(state, forward, 'cancelled', 'the caller closed the connection'),
     ];
   },
@@ -78,6 +78,11 @@
       : Failure.create('overloaded', `no place was free in time: ${waitedFor}`);
     return failForward(state, forward, failure);
   },
+  waitLimit: (state, { id }) => {
+    const forward = state.forwards.inFlight.get(id);
+    if (forward === undefined || forward.sends > 0 || forward.attempt !== undefined) return [];
+    return giveUp(state, forward, `no place was free: ${forward.lastReason || forward.phase}`);
+  },
   forwardRetry: (state, { id }, now) => {
     const forward = state.forwards.inFlight.get(id);
     return forward?.phase === 'backoff' ? place(state, forward, now) : [];
--- a/src/forwards/placing.ts
+++ b/src/forwards/placing.ts
@@ -10,11 +10,11 @@
 import type { Owner } from '../owners/types.ts';
 import { getTold } from '../residency/told.ts';
 import {
-  HOME_ENGINES,
-  LOAD_COST_MS,
-  NO_SLOT_COST_MS,
+  MAX_RANK_COST_MS,
   PLACE_TIMEOUT_MS,
+  RANK_COST_MS,
   RUNNING_COST_MS,
+  SLOT_WAIT_MS,
   UNKNOWN_COST_MS,
   WARM_LOAD_COST_MS,
 } from './constants.ts';
@@ -97,9 +97,8 @@
   cost += view.failureShare * FAILURE_COST_MS;
   cost += told === undefined ? UNKNOWN_COST_MS : told.backlogMs + told.running * RUNNING_COST_MS;
   if (!isHeld) {
-    cost += rank < HOME_ENGINES ? WARM_LOAD_COST_MS + rank : LOAD_COST_MS + rank;
-    if (told !== undefined && told.openSlots <= 0)
-      cost += NO_SLOT_COST_MS * (1 - told.openSlots / 4);
+    cost += WARM_LOAD_COST_MS + Math.min(MAX_RANK_COST_MS, rank * RANK_COST_MS);
+    if (told !== undefined && told.openSlots <= 0) cost += SLOT_WAIT_MS * (1 - told.openSlots);
   }
   return { view, owner: canAsk ? owner : undefined, cost };
 }
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -141,6 +141,8 @@
 
 export type ForwardTimer =
   | { type: 'forwardDeadline'; id: string }
+  /** A request that was not sent by now is given up. */
+  | { type: 'waitLimit'; id: string }
   | { type: 'forwardRetry'; id: string }
   /** The owner did not react to an ask. */
   | { type: 'placeTimeout'; id: string; ask: number };
--- a/src/residency/constants.ts
+++ b/src/residency/constants.ts
@@ -6,8 +6,14 @@
 export const LOAD_CHECK_MS = 30;
 /** Time after a load began at which the engine is taken to have dropped it. */
 export const LOAD_LIMIT_MS = 8_000;
+/** Time for which an unload may wait for the requests of its adapter. */
+export const UNLOAD_LIMIT_MS = 4_000;
 /** Age that a report may have; orders since then are not in it. */
 export const REPORT_LAG_MS = 400;
+/** Orders in a row whose answers were lost, after which the engine's report is read. */
+export const MAX_LOST_ANSWERS = 4;
+/** Time for which an engine may go on with a request that was broken off. */
+export const BREAK_OFF_MS = 300;
 /** Pause before a report that failed is asked for again. */
 export const REPORT_RETRY_MS = 500;
 /** Pause after an order that the engine did not take. */
@@ -20,8 +26,13 @@
 export const MEMORY_SHARE = 0.92;
 /** Share of the announced output that requests use on average. */
 export const OUTPUT_SHARE = 0.6;
+/** Shortest interval at which a queue is served without news. */
+export const SERVE_MS = 10;
 /** Time for which a place is kept beyond the deadline of its request. */
 export const PLACE_SLACK_MS = 500;
+/** Advance in the queue that a request loses for each token of its output, in ms, and at most. */
+export const TOKEN_DELAY_MS = 2;
+export const MAX_TOKEN_DELAY_MS = 400;
 /** Rest of a deadline below which a waiting request cannot be answered any more. */
 export const MIN_RUN_MS = 250;
 /** Interval at which hosts tell each other of their engines. */
--- a/src/residency/copies.ts
+++ b/src/residency/copies.ts
@@ -27,11 +27,13 @@
  * Returns the copy that makes way for another adapter: one that no request uses and no waiting ask
  * wants, the least recently used. Undefined when there is none.
  */
-export function getVictim(owned: OwnedEngine): Copy | undefined {
+export function getVictim(owned: OwnedEngine, now: number): Copy | undefined {
   const wanted = new Set(owned.queue.map(({ adapter }) => adapter));
   let victim: Copy | undefined;
   for (const copy of owned.copies.values()) {
     if (copy.phase !== 'held' || copy.places > 0 || wanted.has(copy.adapter)) continue;
+    // An unload would wait for it, and meanwhile the engine takes no other order.
+    if (copy.busyUntil > now) continue;
     if (victim === undefined || copy.lastUsedAt < victim.lastUsedAt) victim = copy;
   }
   return victim;
--- a/src/residency/handlers.ts
+++ b/src/residency/handlers.ts
@@ -1,5 +1,6 @@
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import { newLog } from '../core/observations.ts';
+import { BREAK_OFF_MS } from './constants.ts';
 import { continueOrder, forgetCopies, takeReport } from './orders.ts';
 import { queuePlace, releasePlace, servePlaces } from './serve.ts';
 import { hearEngines, tellEngines } from './told.ts';
@@ -12,6 +13,8 @@
     if (owned === undefined) return [];
     const adapter = owned.places.get(request)?.adapter;
     releasePlace(owned, request);
+    const copy = adapter === undefined ? undefined : owned.copies.get(adapter);
+    if (result === 'brokenOff' && copy !== undefined) copy.busyUntil = now + BREAK_OFF_MS;
     if (result === 'missing' && adapter !== undefined) {
       owned.copies.delete(adapter);
       forgetCopies(owned, now);
--- a/src/residency/orders.ts
+++ b/src/residency/orders.ts
@@ -6,9 +6,11 @@
   LOAD_CHECK_MS,
   LOAD_LIMIT_MS,
   MAX_LOADING,
+  MAX_LOST_ANSWERS,
   ORDER_RETRY_MS,
   REPORT_LAG_MS,
   REPORT_RETRY_MS,
+  UNLOAD_LIMIT_MS,
 } from './constants.ts';
 import { countLoading, getSlotLimit, getVictim, isCurrent } from './copies.ts';
 import { servePlaces, wakeAt } from './serve.ts';
@@ -38,14 +40,21 @@
     return [];
   }
   if (owned.sequence === undefined) return readReport(state, owned, now);
-  const check = getLoadToCheck(owned, now);
-  if (check !== undefined) return giveOrder(owned, 'load', check.adapter, check.version);
+  const { doubtful } = owned;
+  if (doubtful !== undefined) {
+    return giveOrder(owned, doubtful.type, doubtful.adapter, doubtful.version);
+  }
+  const check = getCopyToCheck(owned, now);
+  if (check !== undefined) {
+    const type = check.phase === 'loading' ? 'load' : 'unload';
+    return giveOrder(owned, type, check.adapter, check.version);
+  }
   const wanted = getWanted(state, owned);
   if (wanted !== undefined) {
     const effects = orderLoad(state, owned, engine, wanted, now);
     if (effects.length > 0) return effects;
   }
-  if (countLoading(owned) > 0) wakeAt(state, owned, now + LOAD_CHECK_MS, now);
+  if (isInTransit(owned)) wakeAt(state, owned, now + LOAD_CHECK_MS, now);
   return [];
 }
 
@@ -58,6 +67,7 @@
   now: number,
 ): Effect[] {
   owned.ordering = undefined;
+  if (answer.type !== 'unknown') owned.lostAnswers = 0;
   answerHandlers[answer.type](state, owned, order, now);
   const { type, adapter, version } = order;
   const isUsual = answer.type === 'accepted' || answer.type === 'done';
@@ -107,29 +117,45 @@
 
 /** Has the copies and the sequence of an engine read anew. */
 export function forgetCopies(owned: OwnedEngine, now: number): void {
+  owned.doubtful = undefined;
+  owned.lostAnswers = 0;
   owned.sequence = undefined;
   owned.reportFrom = now + REPORT_LAG_MS;
 }
 
 const answerHandlers: AnswerHandlers = {
   accepted: (_state, owned, { type, adapter, version }, now) => {
+    owned.doubtful = undefined;
     const known = owned.copies.get(adapter);
-    // The engine accepts the load of an adapter that is on its way without counting it as an order.
-    if (type === 'load' && known?.phase === 'loading') return;
-    owned.sequence = (owned.sequence ?? 0) + 1;
     const phase = type === 'load' ? 'loading' : 'unloading';
+    // The engine accepts an order that it is carrying out once more without counting it.
+    if (known?.phase === phase) return;
+    owned.sequence = (owned.sequence ?? 0) + 1;
     owned.copies.set(adapter, newCopy(adapter, version, phase, known, now));
   },
   done: (_state, owned, { type, adapter, version }, now) => {
     const known = owned.copies.get(adapter);
+    const wasDoubtful = owned.doubtful !== undefined;
+    owned.doubtful = undefined;
+    // An unload counts when it is given; a load that is done counted when it was accepted, unless
+    // the answer to that was lost.
+    const isCounted = type === 'unload' ? known?.phase !== 'unloading' : wasDoubtful;
+    if (isCounted) owned.sequence = (owned.sequence ?? 0) + 1;
     if (type === 'unload') {
-      owned.sequence = (owned.sequence ?? 0) + 1;
       owned.copies.delete(adapter);
       return;
     }
     owned.copies.set(adapter, newCopy(adapter, known?.version ?? version, 'held', known, now));
   },
-  conflict: (_state, owned, _order, now) => forgetCopies(owned, now),
+  conflict: (_state, owned, _order, now) => {
+    // While an unload waits for the requests of its adapter, the engine takes no other order.
+    const unloading = [...owned.copies.values()].find(({ phase }) => phase === 'unloading');
+    if (unloading !== undefined && now - unloading.orderedAt < UNLOAD_LIMIT_MS) {
+      owned.orderFrom = Math.max(owned.orderFrom, now + ORDER_RETRY_MS);
+      return;
+    }
+    forgetCopies(owned, now);
+  },
   fenced: (_state, owned) => {
     owned.isFenced = true;
   },
@@ -137,8 +163,13 @@
   refused: (_state, owned, _order, now) => {
     owned.orderFrom = Math.max(owned.orderFrom, now + ORDER_RETRY_MS);
   },
-  // It may still be carried out until another order raises the sequence.
-  unknown: (_state, owned, _order, now) => forgetCopies(owned, now),
+  // It may have been carried out, or will be unless another order raises the sequence first. Given
+  // again with the same sequence it takes effect once.
+  unknown: (_state, owned, order, now) => {
+    owned.doubtful = order;
+    owned.lostAnswers += 1;
+    if (owned.lostAnswers >= MAX_LOST_ANSWERS) forgetCopies(owned, now);
+  },
 };
 
 function orderLoad(
@@ -157,7 +188,7 @@
   if (owned.copies.size < getSlotLimit(engine, models)) {
     return giveOrder(owned, 'load', adapter, wantedVersion);
   }
-  const victim = getVictim(owned);
+  const victim = getVictim(owned, now);
   if (victim === undefined) {
     wakeAt(state, owned, now + ORDER_RETRY_MS, now);
     return [];
@@ -175,25 +206,32 @@
     const version = Math.max(ask.version, state.residency.versions.get(ask.adapter) ?? 0);
     const copy = owned.copies.get(ask.adapter);
     if (copy === undefined) return { adapter: ask.adapter, version };
-    if (copy.phase === 'held' && !isCurrent(copy, version))
-      return { adapter: ask.adapter, version };
+    // The engine would wait for the requests on the old version and take no other order meanwhile.
+    const isReplaceable = copy.phase === 'held' && copy.places === 0;
+    if (isReplaceable && !isCurrent(copy, version)) return { adapter: ask.adapter, version };
   }
   return undefined;
 }
 
-/** Returns a copy on its way whose arrival has not been asked about lately. */
-function getLoadToCheck(owned: OwnedEngine, now: number): Copy | undefined {
+/** Returns a copy that comes or goes and has not been asked about lately. */
+function getCopyToCheck(owned: OwnedEngine, now: number): Copy | undefined {
   for (const copy of owned.copies.values()) {
-    if (copy.phase === 'unloading' && now - copy.since > LOAD_LIMIT_MS)
+    if (copy.phase === 'held' || copy.checkedAt + LOAD_CHECK_MS > now) continue;
+    if (now - copy.orderedAt > LOAD_LIMIT_MS) {
       owned.copies.delete(copy.adapter);
-    if (copy.phase === 'loading' && copy.since + LOAD_CHECK_MS <= now) {
-      copy.since = now;
-      return copy;
+      continue;
     }
+    copy.checkedAt = now;
+    return copy;
   }
   return undefined;
 }
 
+function isInTransit({ copies }: OwnedEngine): boolean {
+  for (const { phase } of copies.values()) if (phase !== 'held') return true;
+  return false;
+}
+
 function giveOrder(
   owned: OwnedEngine,
   type: AdapterOrder['type'],
@@ -226,8 +264,10 @@
     adapter,
     version,
     phase,
-    since: now,
+    orderedAt: known?.phase === phase ? known.orderedAt : now,
+    checkedAt: now,
     lastUsedAt: known?.lastUsedAt ?? now,
     places: known?.places ?? 0,
+    busyUntil: known?.busyUntil ?? -Infinity,
   };
 }
--- a/src/residency/owned.ts
+++ b/src/residency/owned.ts
@@ -67,6 +67,7 @@
     known.places.clear();
     known.tokens = 0;
     known.ordering = undefined;
+    known.doubtful = undefined;
     forgetCopies(known, now);
   }
   known.address = endpoint.address;
@@ -90,6 +91,8 @@
     isReporting: false,
     reportFrom: now,
     ordering: undefined,
+    doubtful: undefined,
+    lostAnswers: 0,
     wakeAt: -Infinity,
     copies: new Map(),
     queue: [],
--- a/src/residency/serve.ts
+++ b/src/residency/serve.ts
@@ -13,6 +13,7 @@
   PLACE_SLACK_MS,
   PROMPT_TOKENS_PER_MS,
   READ_AHEAD_MS,
+  SERVE_MS,
 } from './constants.ts';
 import { isCurrent } from './copies.ts';
 import { orderNext } from './orders.ts';
@@ -49,6 +50,10 @@
   owned.queue.sort((a, b) => compareAsks(a, b, now));
   const left: QueuedPlace[] = [];
   for (const ask of owned.queue) {
+    if (isBeingReplaced(state, owned, ask)) {
+      effects.push(...refusePlace(state, ask, ask.from, 'replacing'));
+      continue;
+    }
     const obstacle = getObstacle(state, owned, engine, ask, now);
     if (obstacle === undefined) effects.push(...givePlace(state, owned, ask, now));
     else {
@@ -59,7 +64,7 @@
   owned.queue = left;
   effects.push(...orderNext(state, owned, engine, now));
   if (left.length > 0)
-    wakeAt(state, owned, Math.max(now + 5, owned.readUntil - READ_AHEAD_MS), now);
+    wakeAt(state, owned, Math.max(now + SERVE_MS, owned.readUntil - READ_AHEAD_MS), now);
   return [...effects, ...tellSoon(state, now)];
 }
 
@@ -109,6 +114,17 @@
   schedule(state, at, { type: 'servePlaces', engine: owned.id });
 }
 
+/** Whether an ask wants a newer version than the one that other requests still run on here. */
+function isBeingReplaced(state: State, owned: OwnedEngine, ask: QueuedPlace): boolean {
+  const copy = owned.copies.get(ask.adapter);
+  if (copy?.phase !== 'held' || copy.places === 0) return false;
+  return !isCurrent(copy, getWantedVersion(state, ask));
+}
+
+function getWantedVersion(state: State, { adapter, version }: PlaceAsked): number {
+  return Math.max(version, state.residency.versions.get(adapter) ?? 0);
+}
+
 /** Returns what keeps an ask from running now; undefined when nothing does. */
 function getObstacle(
   state: State,
@@ -119,8 +135,7 @@
 ): PlaceObstacle | undefined {
   if (ask.adapter !== '') {
     const copy = owned.copies.get(ask.adapter);
-    const version = Math.max(ask.version, state.residency.versions.get(ask.adapter) ?? 0);
-    if (copy === undefined || !isCurrent(copy, version)) return 'adapter';
+    if (copy === undefined || !isCurrent(copy, getWantedVersion(state, ask))) return 'adapter';
   }
   if (owned.places.size >= engine.batch) return 'batch';
   if (owned.places.size > 0 && owned.tokens + getTokens(ask) > engine.memoryTokens * MEMORY_SHARE) {
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -42,7 +42,7 @@
   ask: z.int().min(0),
 });
 
-export const PlaceRefusal = z.enum(['notOwner', 'leaving', 'noSlot', 'orderFailed']);
+export const PlaceRefusal = z.enum(['notOwner', 'leaving', 'replacing']);
 export type PlaceRefusal = z.infer<typeof PlaceRefusal>;
 
 export const PlaceRefused = z.object({
@@ -58,8 +58,11 @@
   type: z.literal('placeReleased'),
   request: Id,
   engine: Id,
-  /** `missing` when the engine said that it does not hold the adapter in that version. */
-  result: z.enum(['ended', 'missing']),
+  /**
+   * `brokenOff` when the engine may run it on for a short time, `missing` when the engine said
+   * that it does not hold the adapter in that version.
+   */
+  result: z.enum(['ended', 'brokenOff', 'missing']),
 });
 export type PlaceReleased = z.infer<typeof PlaceReleased>;
 
@@ -114,11 +117,14 @@
   /** Undefined when the engine did not tell it. */
   version: number | undefined;
   phase: 'loading' | 'held' | 'unloading';
-  /** Monotonic ms at which the phase began. */
-  since: number;
+  /** Monotonic ms of the order that began the phase, and of the last question about it. */
+  orderedAt: number;
+  checkedAt: number;
   lastUsedAt: number;
   /** Places given for it. */
   places: number;
+  /** Monotonic ms until which a request that was broken off may still run on it. */
+  busyUntil: number;
 }
 
 export interface OwnedEngine {
@@ -138,6 +144,10 @@
   reportFrom: number;
   /** Order in flight; one at a time, as each names the sequence it expects. */
   ordering: AdapterOrder | undefined;
+  /** Order whose answer was lost; it is given again before any other. */
+  doubtful: AdapterOrder | undefined;
+  /** Orders in a row whose answers were lost. */
+  lostAnswers: number;
   /** Monotonic ms of the next timer that serves the queue. */
   wakeAt: number;
   copies: Map<string, Copy>;
