--- a/src/owners/members.ts
+++ b/src/owners/members.ts
@@ -79,9 +79,10 @@
   schedule(state, now + WATCH_MEMBERS_MS, { type: 'watchMembers' });
   const { owners, directory } = state;
   if (owners.isLeaving) return leaveMembers(state, now);
-  if (owners.row === undefined || directory.topics.members.lostAt !== undefined) return [];
+  if (directory.topics.members.lostAt !== undefined) return [];
+  // Also without a row: the first read may be answered after the first try to join.
   const effects = joinMembers(state, now);
-  if (effects.length > 0) return effects;
+  if (effects.length > 0 || owners.row === undefined) return effects;
   const removed = owners.row.members.filter((member) => isOverdue(state, member, now));
   if (removed.length > 0) {
     const hosts = removed.map(({ host }) => host);
