Serve requests that can still be on time first, counting what their start takes

Change: a request is late when it could not start in time from now; late ones wait for those that are not.

--- a/src/forwards/arrival.ts
+++ b/src/forwards/arrival.ts
@@ -64,6 +64,8 @@
     rounds: 0,
     lastEventId: undefined,
     lastReason: '',
+    sentAt: undefined,
+    startedAt: undefined,
     stallMs: 0,
   };
 }
--- a/src/forwards/ending.ts
+++ b/src/forwards/ending.ts
@@ -76,6 +76,9 @@
       result,
       reason,
       durationMs,
+      firstMs:
+        forward.startedAt === undefined ? undefined : Math.round(forward.startedAt - arrivedAt),
+      sentMs: forward.sentAt === undefined ? undefined : Math.round(forward.sentAt - arrivedAt),
       stallMs,
       sends,
       ranOn: [...ranOn],
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -27,6 +27,7 @@
     if (forward?.attempt?.id !== attempt) return [];
     forward.attempt.hasStarted = true;
     forward.hasStarted = true;
+    forward.startedAt ??= now;
     const labels = { firm: '', kind: forward.route.kind };
     return [newObserve('fireflywick_first_token_ms', labels, now - forward.arrivedAt)];
   },
--- a/src/forwards/sending.ts
+++ b/src/forwards/sending.ts
@@ -21,6 +21,7 @@
     return giveUp(state, forward, `the retry budget is used up: ${forward.lastReason}`);
   }
   forward.sends += 1;
+  forward.sentAt ??= now;
   forward.phase = 'running';
   forward.asked = undefined;
   view.inFlight += 1;
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -73,7 +73,10 @@
   lastEventId: string | undefined;
   /** Why the last endpoint or owner did not serve it. */
   lastReason: string;
-  /** Wait for the adapter at the owner, in ms. */
+  /** Monotonic ms of the first send and of the first byte that was passed on. */
+  sentAt: number | undefined;
+  startedAt: number | undefined;
+  /** Wait for a place at the owner, in ms. */
   stallMs: number;
 }
 
--- a/src/residency/constants.ts
+++ b/src/residency/constants.ts
@@ -13,7 +13,7 @@
 /** Orders in a row whose answers were lost, after which the engine's report is read. */
 export const MAX_LOST_ANSWERS = 4;
 /** Time for which an engine may go on with a request that was broken off. */
-export const BREAK_OFF_MS = 300;
+export const BREAK_OFF_MS = 1_500;
 /** Pause before a report that failed is asked for again. */
 export const REPORT_RETRY_MS = 500;
 /** Pause after an order that the engine did not take. */
@@ -33,6 +33,9 @@
 /** Advance in the queue that a request loses for each token of its output, in ms, and at most. */
 export const TOKEN_DELAY_MS = 2;
 export const MAX_TOKEN_DELAY_MS = 400;
+/** Time that a load from the weight store takes, and that an engine takes for the first event. */
+export const LOAD_MS = 260;
+export const START_MS = 40;
 /** Rest of a deadline below which a waiting request cannot be answered any more. */
 export const MIN_RUN_MS = 250;
 /** Interval at which hosts tell each other of their engines. */
--- a/src/residency/queueOrder.ts
+++ b/src/residency/queueOrder.ts
@@ -1,17 +1,43 @@
-import { MAX_TOKEN_DELAY_MS, TOKEN_DELAY_MS } from './constants.ts';
-import type { QueuedPlace } from './types.ts';
+import {
+  LOAD_MS,
+  MAX_TOKEN_DELAY_MS,
+  PROMPT_TOKENS_PER_MS,
+  START_MS,
+  TOKEN_DELAY_MS,
+} from './constants.ts';
+import type { OwnedEngine, QueuedPlace } from './types.ts';
 
 /**
- * Order of the asks of an engine: those that can still be on time come first, by age, where a long
- * answer counts as younger since it keeps a slot and its place in the batch for longer; late ones
- * follow, the one with most time left first, as it is the likeliest to be answered.
+ * Sorts the asks of an engine. Those that can still be on time come first, by age, where a long
+ * answer counts as younger since it keeps a slot and its place in the batch for longer. Late ones
+ * follow, the one with most time left first: a place that is spent on a late answer makes another
+ * one late while the queue is long.
  */
-export function compareAsks(a: QueuedPlace, b: QueuedPlace, now: number): number {
-  const lateA = a.goalAt <= now;
-  const lateB = b.goalAt <= now;
-  if (lateA !== lateB) return lateA ? 1 : -1;
-  if (lateA) return b.deadlineAt - a.deadlineAt;
-  return getStart(a) - getStart(b);
+export function sortQueue(owned: OwnedEngine, now: number): void {
+  const late = new Map(owned.queue.map((ask) => [ask, isLate(owned, ask, now)]));
+  owned.queue.sort((a, b) => {
+    const lateA = late.get(a) === true;
+    const lateB = late.get(b) === true;
+    if (lateA !== lateB) return lateA ? 1 : -1;
+    if (lateA) return b.deadlineAt - a.deadlineAt;
+    return getStart(a) - getStart(b);
+  });
+}
+
+/** Whether the first event of an answer would come after the goal if the ask got its place now. */
+export function isLate(owned: OwnedEngine, ask: QueuedPlace, now: number): boolean {
+  const backlogMs = Math.max(0, owned.readUntil - now);
+  const readMs = ask.promptTokens / PROMPT_TOKENS_PER_MS;
+  return now + getLoadMs(owned, ask, now) + backlogMs + readMs + START_MS > ask.goalAt;
+}
+
+/** Returns the time until the adapter of an ask can be used, if its load began now. */
+function getLoadMs(owned: OwnedEngine, { adapter }: QueuedPlace, now: number): number {
+  if (adapter === '') return 0;
+  const copy = owned.copies.get(adapter);
+  if (copy?.phase === 'held') return 0;
+  if (copy?.phase === 'loading') return Math.max(0, copy.orderedAt + LOAD_MS - now);
+  return LOAD_MS;
 }
 
 function getStart({ arrivedAt, outputTokens }: QueuedPlace): number {
--- a/src/residency/serve.ts
+++ b/src/residency/serve.ts
@@ -18,7 +18,7 @@
 import { isCurrent } from './copies.ts';
 import { orderNext } from './orders.ts';
 import type { OwnedEngine, PlaceAsked, PlaceObstacle, PlaceRefusal, QueuedPlace } from './types.ts';
-import { compareAsks } from './queueOrder.ts';
+import { sortQueue } from './queueOrder.ts';
 import { tellSoon } from './told.ts';
 
 /** Takes up an ask, or refuses it when this host cannot decide about the engine. */
@@ -47,7 +47,7 @@
   const effects: Effect[] = [];
   removeExpired(owned, now);
   owned.queue = owned.queue.filter(({ deadlineAt }) => deadlineAt - MIN_RUN_MS > now);
-  owned.queue.sort((a, b) => compareAsks(a, b, now));
+  sortQueue(owned, now);
   const left: QueuedPlace[] = [];
   for (const ask of owned.queue) {
     if (isBeingReplaced(state, owned, ask)) {
