--- a/src/residency/constants.ts
+++ b/src/residency/constants.ts
@@ -18,10 +18,13 @@
 export const REPORT_RETRY_MS = 500;
 /** Pause after an order that the engine did not take. */
 export const ORDER_RETRY_MS = 60;
-/** Prompt tokens that an engine reads in a ms while it generates as well. */
+/**
+ * Prompt tokens sent to an engine in a ms. An engine that reads prompts in every step at its full rate
+ * of about 26 makes pauses of 0.5 s between the events of all its streams.
+ */
 export const PROMPT_TOKENS_PER_MS = 18;
 /** Time for which the prompts that an engine was sent may keep it busy before more are sent. */
-export const READ_AHEAD_MS = 700;
+export const READ_AHEAD_MS = 200;
 /** Share of an engine's memory that requests may fill; beyond it the engine preempts. */
 export const MEMORY_SHARE = 0.92;
 /** Share of the announced output that requests use on average. */
