--- a/src/forwards/arrival.ts
+++ b/src/forwards/arrival.ts
@@ -66,6 +66,7 @@
     lastReason: '',
     sentAt: undefined,
     startedAt: undefined,
+    longestPauseMs: undefined,
     stallMs: 0,
   };
 }
--- a/src/forwards/attempts.ts
+++ b/src/forwards/attempts.ts
@@ -26,7 +26,8 @@
 };
 
 const endings: Endings = {
-  passed: ({ state, forward, attempt, view, now }) => {
+  passed: ({ state, forward, attempt, view, now }, { longestPauseMs }) => {
+    forward.longestPauseMs = Math.round(longestPauseMs);
     if (view !== undefined) noteAnswer(view, now - attempt.startedAt, true);
     clearBreaks(state, forward.fingerprint);
     return [
--- a/src/forwards/ending.ts
+++ b/src/forwards/ending.ts
@@ -80,6 +80,7 @@
         forward.startedAt === undefined ? undefined : Math.round(forward.startedAt - arrivedAt),
       sentMs: forward.sentAt === undefined ? undefined : Math.round(forward.sentAt - arrivedAt),
       stallMs,
+      longestPauseMs: forward.longestPauseMs,
       sends,
       ranOn: [...ranOn],
       passedOver: [...excluded],
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -76,13 +76,15 @@
   /** Monotonic ms of the first send and of the first byte that was passed on. */
   sentAt: number | undefined;
   startedAt: number | undefined;
+  /** Longest pause between two events of its stream, in ms. */
+  longestPauseMs: number | undefined;
   /** Wait for a place at the owner, in ms. */
   stallMs: number;
 }
 
 export type ForwardOutcome =
   /** A stream was passed on to its end. */
-  | { type: 'passed' }
+  | { type: 'passed'; longestPauseMs: number }
   /** The whole answer is here and not passed on yet. */
   | { type: 'answered'; status: number }
   /** The endpoint says that it did not run the request. */
--- a/src/gatewayHost/relayedAnswer.ts
+++ b/src/gatewayHost/relayedAnswer.ts
@@ -33,6 +33,8 @@
   private size = 0;
   private readonly cutter = EventCutter.create();
   private hasStarted = false;
+  private passedAt = 0;
+  private longestPauseMs = 0;
 
   private constructor(private readonly options: Options) {}
 
@@ -103,7 +105,7 @@
       const rest = this.cutter.takeRest();
       if (rest.length > 0) this.pass(controller, { bytes: rest, id: undefined });
       exchange.start(this.status, this.headers);
-      this.end({ type: 'passed' });
+      this.end({ type: 'passed', longestPauseMs: this.longestPauseMs });
       return;
     }
     exchange.kept = {
@@ -123,6 +125,9 @@
   private pass(controller: Controller, { bytes, id }: StreamEvent): void {
     const { exchange, events } = this.options;
     if (this.isEnded || isRepeated(id, exchange.lastEventId)) return;
+    const now = performance.now();
+    if (this.hasStarted) this.longestPauseMs = Math.max(this.longestPauseMs, now - this.passedAt);
+    this.passedAt = now;
     if (!this.hasStarted) {
       this.hasStarted = true;
       exchange.start(this.status, this.headers);
