Send prompts to an engine in batches with a gap between them

An event takes three steps of the engine, and each step may read 4,096 prompt tokens; a rate limit alone lets it read in all three. Change: prompts go in batches of at most 6,500 tokens, and the next batch starts 40 ms after the last one is read.

--- a/src/forwards/placing.ts
+++ b/src/forwards/placing.ts
@@ -8,6 +8,7 @@
 import type { EndpointView } from '../fleet/types.ts';
 import { getOwner } from '../owners/owner.ts';
 import type { Owner } from '../owners/types.ts';
+import { getReadMs } from '../residency/prompts.ts';
 import { getTold } from '../residency/told.ts';
 import {
   MAX_RANK_COST_MS,
@@ -128,7 +129,7 @@
   forward.asked = { engine: endpoint.id, owner, isQueued: false };
   const told = state.residency.told.get(endpoint.id);
   // Until the owner tells again, this host counts what it sends itself.
-  if (told !== undefined) told.sentSince += labels.promptTokens / 20;
+  if (told !== undefined) told.sentSince += getReadMs(labels.promptTokens);
   schedule(state, now + PLACE_TIMEOUT_MS, {
     type: 'placeTimeout',
     id: forward.id,
--- a/src/residency/constants.ts
+++ b/src/residency/constants.ts
@@ -18,13 +18,17 @@
 export const REPORT_RETRY_MS = 500;
 /** Pause after an order that the engine did not take. */
 export const ORDER_RETRY_MS = 60;
+/** Prompt tokens that an engine reads in a ms. */
+export const PROMPT_TOKENS_PER_MS = 24;
+/** Time that an engine takes for a prompt beyond the reading, for each million token pairs, in ms. */
+export const PAIRS_MS_PER_M = 1.1;
 /**
- * Prompt tokens sent to an engine in a ms. An engine that reads prompts in every step at its full rate
- * of about 26 makes pauses of 0.5 s between the events of all its streams.
+ * Prompt tokens that an engine is sent at once. It reads them between two events of all its streams,
+ * which may pause for 400 ms.
  */
-export const PROMPT_TOKENS_PER_MS = 18;
-/** Time for which the prompts that an engine was sent may keep it busy before more are sent. */
-export const READ_AHEAD_MS = 200;
+export const PROMPT_BATCH_TOKENS = 6_500;
+/** Pause between two batches of prompts, in which each stream makes an event. */
+export const PROMPT_GAP_MS = 40;
 /** Share of an engine's memory that requests may fill; beyond it the engine preempts. */
 export const MEMORY_SHARE = 0.92;
 /** Share of the announced output that requests use on average. */
--- a/src/residency/owned.ts
+++ b/src/residency/owned.ts
@@ -98,6 +98,7 @@
     queue: [],
     places: new Map(),
     tokens: 0,
+    batchTokens: 0,
     readUntil: -Infinity,
   };
 }
--- a/src/residency/serve.ts
+++ b/src/residency/serve.ts
@@ -6,18 +6,11 @@
 import type { EndpointView } from '../fleet/types.ts';
 import { isOpen } from '../fleet/choose.ts';
 import type { EngineClass } from '../routes/types.ts';
-import {
-  MEMORY_SHARE,
-  MIN_RUN_MS,
-  OUTPUT_SHARE,
-  PLACE_SLACK_MS,
-  PROMPT_TOKENS_PER_MS,
-  READ_AHEAD_MS,
-  SERVE_MS,
-} from './constants.ts';
+import { MEMORY_SHARE, MIN_RUN_MS, OUTPUT_SHARE, PLACE_SLACK_MS, SERVE_MS } from './constants.ts';
 import { isCurrent } from './copies.ts';
 import { orderNext } from './orders.ts';
 import type { OwnedEngine, PlaceAsked, PlaceObstacle, PlaceRefusal, QueuedPlace } from './types.ts';
+import { canSendPrompt, getNextBatchAt, noteSentPrompt } from './prompts.ts';
 import { sortQueue } from './queueOrder.ts';
 import { tellSoon } from './told.ts';
 
@@ -63,8 +56,7 @@
   }
   owned.queue = left;
   effects.push(...orderNext(state, owned, engine, now));
-  if (left.length > 0)
-    wakeAt(state, owned, Math.max(now + SERVE_MS, owned.readUntil - READ_AHEAD_MS), now);
+  if (left.length > 0) wakeAt(state, owned, Math.max(now + SERVE_MS, getNextBatchAt(owned)), now);
   return [...effects, ...tellSoon(state, now)];
 }
 
@@ -141,7 +133,7 @@
   if (owned.places.size > 0 && owned.tokens + getTokens(ask) > engine.memoryTokens * MEMORY_SHARE) {
     return 'memory';
   }
-  return owned.readUntil - now < READ_AHEAD_MS ? undefined : 'prompts';
+  return canSendPrompt(owned, ask.promptTokens, now) ? undefined : 'prompts';
 }
 
 function givePlace(state: State, owned: OwnedEngine, ask: QueuedPlace, now: number): Effect[] {
@@ -154,7 +146,7 @@
     expiresAt: ask.deadlineAt + PLACE_SLACK_MS,
   });
   owned.tokens += tokens;
-  owned.readUntil = Math.max(owned.readUntil, now) + ask.promptTokens / PROMPT_TOKENS_PER_MS;
+  noteSentPrompt(owned, ask.promptTokens, now);
   const copy = owned.copies.get(ask.adapter);
   if (copy !== undefined) {
     copy.places += 1;
--- a/src/residency/told.ts
+++ b/src/residency/told.ts
@@ -5,6 +5,7 @@
 import { schedule } from '../core/timers.ts';
 import { TELL_MS, TELL_PER_HOST_MS } from './constants.ts';
 import { countOpenSlots, getSlotLimit } from './copies.ts';
+import { getReadMs } from './prompts.ts';
 import { getEngineClass } from './serve.ts';
 import type { EnginesTold, OwnedEngine, ToldEngine } from './types.ts';
 
@@ -84,5 +85,5 @@
 }
 
 function getQueueMs(owned: OwnedEngine): number {
-  return Math.round(owned.queue.reduce((sum, { promptTokens }) => sum + promptTokens, 0) / 20);
+  return Math.round(owned.queue.reduce((sum, ask) => sum + getReadMs(ask.promptTokens), 0));
 }
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -155,6 +155,8 @@
   places: Map<string, Place>;
   /** Tokens of all places. */
   tokens: number;
+  /** Prompt tokens sent in the batch under way. */
+  batchTokens: number;
   /** Monotonic ms at which the prompts sent so far are read. */
   readUntil: number;
 }
