Give up on a stream before its caller does, and free slots of rare adapters sooner

Debug logs: a rare adapter waited in its slot for up to 500 ms until the prompt could be sent, behind those of a popular one. Change: a route knows how long callers wait for an event; a request whose adapter takes an idle slot goes first; the least popular idle adapter makes way.

--- a/src/forwards/arrival.ts
+++ b/src/forwards/arrival.ts
@@ -38,8 +38,10 @@
   }
   state.forwards.inFlight.set(forward.id, forward);
   schedule(state, forward.deadlineAt, { type: 'forwardDeadline', id: forward.id });
-  const waitMs = (forward.deadlineAt - forward.arrivedAt) * WAIT_SHARE;
-  schedule(state, forward.arrivedAt + waitMs, { type: 'waitLimit', id: forward.id });
+  const { deadlineAt, arrivedAt } = forward;
+  const patienceMs = route.kind === 'stream' ? route.patienceMs : Infinity;
+  const waitMs = Math.min(deadlineAt - arrivedAt, patienceMs) * WAIT_SHARE;
+  schedule(state, arrivedAt + waitMs, { type: 'waitLimit', id: forward.id });
   return place(state, forward, now);
 }
 
--- a/src/grants/popularity.ts
+++ b/src/grants/popularity.ts
@@ -6,16 +6,16 @@
 export class Popularity {
   private readonly counters = new Map<string, DecayingCounter>();
 
-  private constructor() {}
+  private constructor(private readonly halfLifeMs: number) {}
 
-  static create(): Popularity {
-    return new Popularity();
+  static create(halfLifeMs = POPULARITY_HALF_LIFE_MS): Popularity {
+    return new Popularity(halfLifeMs);
   }
 
   /** Counts an ask. A draft waits for its load anyway, so a miss costs it less than an urgent read. */
   note(model: string, kind: RequestKind, stallWeight: number, now: number): void {
     const known = this.counters.get(model);
-    const counter = known ?? DecayingCounter.create(POPULARITY_HALF_LIFE_MS, now);
+    const counter = known ?? DecayingCounter.create(this.halfLifeMs, now);
     if (known === undefined) this.counters.set(model, counter);
     const { base, stall } = MISS_VALUES[kind];
     counter.add(now, base + stall * stallWeight);
--- a/src/residency/copies.ts
+++ b/src/residency/copies.ts
@@ -1,3 +1,4 @@
+import type { Popularity } from '../grants/popularity.ts';
 import type { EngineClass } from '../routes/types.ts';
 import type { Copy, OwnedEngine } from './types.ts';
 
@@ -25,16 +26,25 @@
 
 /**
  * Returns the copy that makes way for another adapter: one that no request uses and no waiting ask
- * wants, the least recently used. Undefined when there is none.
+ * wants, the least popular, and of equal ones the least recently used. Undefined when there is none.
  */
-export function getVictim(owned: OwnedEngine, now: number): Copy | undefined {
+export function getVictim(
+  owned: OwnedEngine,
+  popularity: Popularity,
+  now: number,
+): Copy | undefined {
   const wanted = new Set(owned.queue.map(({ adapter }) => adapter));
   let victim: Copy | undefined;
+  let least = Infinity;
   for (const copy of owned.copies.values()) {
     if (copy.phase !== 'held' || copy.places > 0 || wanted.has(copy.adapter)) continue;
     // An unload would wait for it, and meanwhile the engine takes no other order.
     if (copy.busyUntil > now) continue;
-    if (victim === undefined || copy.lastUsedAt < victim.lastUsedAt) victim = copy;
+    const value = popularity.get(copy.adapter, now);
+    if (value > least || (value === least && copy.lastUsedAt >= (victim?.lastUsedAt ?? 0)))
+      continue;
+    victim = copy;
+    least = value;
   }
   return victim;
 }
--- a/src/residency/orders.ts
+++ b/src/residency/orders.ts
@@ -188,7 +188,7 @@
   if (owned.copies.size < getSlotLimit(engine, models)) {
     return giveOrder(owned, 'load', adapter, wantedVersion);
   }
-  const victim = getVictim(owned, now);
+  const victim = getVictim(owned, state.residency.popularity, now);
   if (victim === undefined) {
     wakeAt(state, owned, now + ORDER_RETRY_MS, now);
     return [];
--- a/src/residency/queueOrder.ts
+++ b/src/residency/queueOrder.ts
@@ -3,7 +3,8 @@
 import type { OwnedEngine, QueuedPlace } from './types.ts';
 
 /**
- * Sorts the asks of an engine. Those that can still be on time come first, by age, where a long
+ * Sorts the asks of an engine. Those that can still be on time come first: of these, those whose
+ * adapter waits in a slot of its own, so that the slot is free again soon, then by age, where a long
  * answer counts as younger since it keeps a slot and its place in the batch for longer. Late ones
  * follow, the one with most time left first: a place that is spent on a late answer makes another
  * one late while the queue is long.
@@ -15,10 +16,19 @@
     const lateB = late.get(b) === true;
     if (lateA !== lateB) return lateA ? 1 : -1;
     if (lateA) return b.deadlineAt - a.deadlineAt;
+    const idleA = holdsIdleCopy(owned, a);
+    const idleB = holdsIdleCopy(owned, b);
+    if (idleA !== idleB) return idleA ? -1 : 1;
     return getStart(a) - getStart(b);
   });
 }
 
+/** Whether the adapter of an ask takes a slot that no request uses yet. */
+function holdsIdleCopy(owned: OwnedEngine, { adapter }: QueuedPlace): boolean {
+  const copy = owned.copies.get(adapter);
+  return copy?.phase === 'held' && copy.places === 0;
+}
+
 /** Whether the first event of an answer would come after the goal if the ask got its place now. */
 export function isLate(owned: OwnedEngine, ask: QueuedPlace, now: number): boolean {
   const backlogMs = Math.max(0, owned.readUntil - now);
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -1,4 +1,8 @@
 import { z } from 'zod';
+import { Popularity } from '../grants/popularity.ts';
+
+/** Half-life of the demand that evictions are decided by; it moves within seconds. */
+const POPULARITY_HALF_LIFE_MS = 10_000;
 
 const Id = z.string().min(1).max(200);
 
@@ -202,6 +206,7 @@
   /** Announced versions by adapter. */
   readonly versions = new Map<string, number>();
   isTelling = false;
+  readonly popularity = Popularity.create(POPULARITY_HALF_LIFE_MS);
 
   private constructor() {}
 
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -16,6 +16,8 @@
   timeoutMs: z.number().positive(),
   /** Time within which an answer is on time, in ms; up to the first event of a stream. */
   goalMs: z.number().positive(),
+  /** Time without an event after which callers leave a stream, in ms. */
+  patienceMs: z.number().positive(),
   /** 0 is the most urgent. */
   priority: z.int().min(0),
   /** Engines that one request may run on at most. */
