Keep engines with their owners when hosts are restarted

Change: the members row says who owns; one owner for each zone and six engines, the others stand by. A successor of a host that left gives orders at once. Links to a host that stops stay open, as it asks for places until its requests have ended.

--- a/src/core/hostHandlers.ts
+++ b/src/core/hostHandlers.ts
@@ -7,7 +7,7 @@
 import { startDirectory } from '../directory/watch.ts';
 import { moveAsked } from '../forwards/moving.ts';
 import { membershipEvents } from '../membership/handlers.ts';
-import { noteLink, startOwners } from '../owners/members.ts';
+import { noteLinkClosed, noteLinkOpened, startOwners } from '../owners/members.ts';
 import { releaseHost } from '../residency/serve.ts';
 import { tellSoon } from '../residency/told.ts';
 import type { EventHandlers, TimerHandlers } from './handlers.ts';
@@ -34,13 +34,16 @@
 export const linkEvents: EventHandlers<'linkOpened' | 'linkClosed'> = {
   linkOpened: (state, event, now) => {
     if (state.policy.directory === undefined) return membershipEvents.linkOpened(state, event, now);
-    noteLink(state, event.host, true, now);
+    noteLinkOpened(state, event.host);
     return tellSoon(state, now);
   },
   linkClosed: (state, event, now) => {
     if (state.policy.directory === undefined) return membershipEvents.linkClosed(state, event, now);
-    noteLink(state, event.host, false, now);
-    return [...releaseHost(state, event.host, now), ...moveAsked(state, event.host, now)];
+    return [
+      ...noteLinkClosed(state, event.host, now),
+      ...releaseHost(state, event.host, now),
+      ...moveAsked(state, event.host, now),
+    ];
   },
 };
 
--- a/src/owners/constants.ts
+++ b/src/owners/constants.ts
@@ -4,6 +4,11 @@
 export const WRITE_RETRY_MS = 300;
 /** Interval of checks of the members that cannot be heard. */
 export const WATCH_MEMBERS_MS = 500;
+/**
+ * Engines of a zone for each of its owners. Hosts that stand by can be restarted without a change of
+ * owner, which stops the orders to an engine for 3 s.
+ */
+export const MAX_ENGINES_PER_OWNER = 6;
 /** Time after its link closed at which a member is suspected of being gone. */
 export const SUSPECT_AFTER_MS = 1_000;
 /** Time that a suspected member has to object; a watch of the members row answers within it. */
--- a/src/owners/members.ts
+++ b/src/owners/members.ts
@@ -3,9 +3,13 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import type { MembersAnswer } from '../directory/types.ts';
+import { isOpen } from '../fleet/choose.ts';
+import type { EndpointView } from '../fleet/types.ts';
+import { getEngineClass } from '../residency/serve.ts';
 import { updateOwnedEngines } from '../residency/owned.ts';
 import {
   JOIN_JITTER_MS,
+  MAX_ENGINES_PER_OWNER,
   OBJECT_WITHIN_MS,
   SUSPECT_AFTER_MS,
   SUSPECT_AGAIN_MS,
@@ -13,7 +17,7 @@
   WRITE_RETRY_MS,
 } from './constants.ts';
 import { getRendezvousChoice } from '../base/hash.ts';
-import { getMember } from './owner.ts';
+import { ensureOwners, getMember } from './owner.ts';
 import type { Member, MembersRow } from './types.ts';
 
 /** Starts taking part: joins after a random pause and watches the members that cannot be heard. */
@@ -38,6 +42,8 @@
   if (version !== undefined) owners.version = version;
   if (row.epoch === knownEpoch) return [];
   if (version === undefined) owners.version = undefined;
+  owners.previous = known;
+  owners.adoptedAt = now;
   owners.row = row;
   owners.byEngine.clear();
   noteSuspicions(state, row, now);
@@ -46,8 +52,8 @@
       epoch: row.epoch,
       members: row.members.map(({ host }) => host),
     }),
-    ...updateLinks(state, known, row),
     ...updateOwnedEngines(state, now),
+    ...updateLinks(state, known, row),
     ...joinMembers(state, now),
   ];
 }
@@ -89,7 +95,7 @@
     return writeRow(state, (members) => withoutHosts(members, hosts), now);
   }
   const silent = owners.row.members.filter((member) => isSilent(state, member, now));
-  if (silent.length === 0) return [];
+  if (silent.length === 0) return becomeOwner(state, now);
   const hosts = new Set(silent.map(({ host }) => host));
   return writeRow(
     state,
@@ -121,27 +127,58 @@
   return [newLog('warn', 'the members row was not written', { reason: answer.reason })];
 }
 
-/** Notes that a link opened or closed; silence of a member counts from its close. */
-export function noteLink(state: State, host: string, isOpen: boolean, now: number): void {
-  const { owners } = state;
-  if (isOpen) {
-    owners.linked.add(host);
-    owners.closedAt.delete(host);
-  } else {
-    owners.linked.delete(host);
-    owners.closedAt.set(host, now);
-  }
+/** Notes that a link opened. */
+export function noteLinkOpened({ owners }: State, host: string): void {
+  owners.linked.add(host);
+  owners.closedAt.delete(host);
 }
 
-function newSelf({ host }: State): Member {
+/** Notes that a link closed; silence of a member counts from then on. */
+export function noteLinkClosed({ owners }: State, host: string, now: number): Effect[] {
+  owners.linked.delete(host);
+  if (getMember(owners, host) === undefined) return [{ type: 'closeLink', host }];
+  owners.closedAt.set(host, now);
+  return [];
+}
+
+/** A host that comes back to its row keeps what it owned; any other stands by at first. */
+function newSelf({ host, owners }: State): Member {
   return {
     host: host.id,
     incarnation: host.incarnation,
     zone: host.zone,
     address: host.address,
+    isOwner: getMember(owners, host.id)?.isOwner ?? false,
   };
 }
 
+/** Makes this host an owner when the owners of its zone have too many engines. */
+function becomeOwner(state: State, now: number): Effect[] {
+  const { owners, host, fleet } = state;
+  const near = owners.row?.members.filter(({ zone }) => zone === host.zone) ?? [];
+  const standby = near.filter(({ isOwner }) => !isOwner);
+  const choice = getRendezvousChoice(
+    host.zone,
+    standby.map((member) => member.host),
+  );
+  if (choice !== host.id) return [];
+  let engines = 0;
+  for (const view of fleet.views.values()) {
+    if (view.endpoint.zone === host.zone && isEngine(state, view)) engines += 1;
+  }
+  if (engines <= (near.length - standby.length) * MAX_ENGINES_PER_OWNER) return [];
+  return writeRow(
+    state,
+    (members) =>
+      members.map((member) => (member.host === host.id ? { ...member, isOwner: true } : member)),
+    now,
+  );
+}
+
+function isEngine(state: State, view: EndpointView): boolean {
+  return isOpen(view) && getEngineClass(state, view) !== undefined;
+}
+
 function withoutHosts(members: readonly Member[], hosts: readonly string[]): Member[] {
   return members.filter(({ host }) => !hosts.includes(host));
 }
@@ -158,7 +195,7 @@
   owners.isWriting = true;
   const row: MembersRow = {
     epoch: (owners.row?.epoch ?? 0) + 1,
-    members: change(owners.row?.members ?? []),
+    members: ensureOwners(change(owners.row?.members ?? [])),
   };
   return [{ type: 'writeMembers', row, version: owners.version ?? 0 }];
 }
@@ -186,7 +223,8 @@
   for (const { host } of known?.members ?? []) {
     if (hosts.has(host) || host === state.host.id) continue;
     state.owners.closedAt.delete(host);
-    effects.push({ type: 'closeLink', host });
+    // A host that stops goes on asking for places until its requests have ended.
+    if (!state.owners.linked.has(host)) effects.push({ type: 'closeLink', host });
   }
   return effects;
 }
--- a/src/owners/types.ts
+++ b/src/owners/types.ts
@@ -8,6 +8,8 @@
   zone: z.string(),
   /** `IP:PORT` of the peer listener. */
   address: z.string(),
+  /** Whether it decides about engines; the others of its zone stand by. */
+  isOwner: z.boolean(),
   /** Host that suspects this one of being gone; cleared by the member itself. */
   suspectedBy: z.string().optional(),
 });
@@ -29,6 +31,9 @@
 /** What this host knows of the members. */
 export class Owners {
   row: MembersRow | undefined;
+  /** Row before `row`, and the monotonic ms at which `row` was adopted. */
+  previous: MembersRow | undefined;
+  adoptedAt = -Infinity;
   /** Version of `row` in the directory; undefined when it is known from a peer only. */
   version: number | undefined;
   isWriting = false;
@@ -44,8 +49,6 @@
   readonly suspectedAt = new Map<string, number>();
   /** Cache of owners by engine for `row`. */
   readonly byEngine = new Map<string, Owner | undefined>();
-  /** Monotonic ms of the last turn of the loop. */
-  turnAt = -Infinity;
 
   private constructor() {}
 
--- a/src/residency/owned.ts
+++ b/src/residency/owned.ts
@@ -4,7 +4,7 @@
 import { isOpen } from '../fleet/choose.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { TAKEOVER_WAIT_MS } from '../owners/constants.ts';
-import { getOwner } from '../owners/owner.ts';
+import { getMember, getOwner, getRowOwner } from '../owners/owner.ts';
 import { forgetCopies } from './orders.ts';
 import { getEngineClass, refuseAll, servePlaces } from './serve.ts';
 import type { OwnedEngine } from './types.ts';
@@ -76,7 +76,7 @@
 
 function newOwnedEngine(
   state: State,
-  { id, address, startedAt }: EndpointView['endpoint'],
+  { id, address, zone, startedAt }: EndpointView['endpoint'],
   epoch: number,
   now: number,
 ): OwnedEngine {
@@ -85,7 +85,7 @@
     address,
     startedAt,
     epoch,
-    orderFrom: getOrderFrom(state, id, now),
+    orderFrom: getOrderFrom(state, id, zone, now),
     isFenced: false,
     sequence: undefined,
     isReporting: false,
@@ -103,10 +103,17 @@
   };
 }
 
-/** Returns when a new owner may give orders: its predecessor may have given some until just now. */
-function getOrderFrom(state: State, engine: string, now: number): number {
-  const predecessor = state.residency.told.get(engine)?.from;
-  if (predecessor === undefined || predecessor === state.host.id) return now;
-  const closedAt = state.owners.closedAt.get(predecessor);
-  return (closedAt ?? now) + TAKEOVER_WAIT_MS;
+/**
+ * Returns when a new owner may give orders: its predecessor may have given some until it was heard
+ * of last. One that left by itself gives none any more.
+ */
+function getOrderFrom(state: State, engine: string, zone: string, now: number): number {
+  const { owners, host } = state;
+  const { previous, adoptedAt } = owners;
+  const predecessor = previous === undefined ? undefined : getRowOwner(previous, engine, zone);
+  if (predecessor === undefined || predecessor === host.id) return now;
+  const isMember = getMember(owners, predecessor) !== undefined;
+  if (!isMember && owners.linked.has(predecessor)) return now;
+  const heardAt = isMember ? adoptedAt : (owners.closedAt.get(predecessor) ?? adoptedAt);
+  return Math.max(now, Math.min(heardAt, adoptedAt) + TAKEOVER_WAIT_MS);
 }
