Bound the prompts that an engine has to read by its first events

The estimate of when a prompt is read was late for idle engines and early for busy ones. Change: the host tells the owner of the first event; an engine has at most 6,500 tokens to read. A popular adapter counts less of the wait for a slot, which many requests share, and so gets a second copy before its engine is full.

--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -7,6 +7,7 @@
   PlaceQueued,
   PlaceRefused,
   PlaceReleased,
+  PlaceStarted,
 } from '../residency/types.ts';
 import { z } from 'zod';
 import {
@@ -80,6 +81,7 @@
   PlaceQueued,
   PlaceRefused,
   PlaceReleased,
+  PlaceStarted,
   EnginesTold,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/forwards/arrival.ts
+++ b/src/forwards/arrival.ts
@@ -36,6 +36,8 @@
     const message = 'earlier sends of this request broke off at several endpoints';
     return failArrival(state, arrival, Failure.create('service_unavailable', message));
   }
+  const { adapter } = forward.labels;
+  if (adapter !== '') state.forwards.popularity.note(adapter, 'ordinary', 0, now);
   state.forwards.inFlight.set(forward.id, forward);
   schedule(state, forward.deadlineAt, { type: 'forwardDeadline', id: forward.id });
   const { deadlineAt, arrivedAt } = forward;
--- a/src/forwards/constants.ts
+++ b/src/forwards/constants.ts
@@ -32,6 +32,10 @@
 export const MAX_RANK_COST_MS = 420;
 /** Wait for one slot of an engine to become free. */
 export const SLOT_WAIT_MS = 220;
+/** Recent requests of this host for an adapter that halve what its slot costs each of them. */
+export const SHARING_REQUESTS = 4;
+/** Half-life of the requests that this host counts by adapter. */
+export const POPULARITY_HALF_LIFE_MS = 10_000;
 export const RUNNING_COST_MS = 4;
 export const UNKNOWN_COST_MS = 300;
 /** Age after which what an owner told of an engine is not used. */
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -29,7 +29,12 @@
     forward.hasStarted = true;
     forward.startedAt ??= now;
     const labels = { firm: '', kind: forward.route.kind };
-    return [newObserve('fireflywick_first_token_ms', labels, now - forward.arrivedAt)];
+    const { owner, endpoint: engine } = forward.attempt;
+    const told =
+      owner === undefined
+        ? []
+        : [deliver(state, owner, { type: 'placeStarted', request: id, engine })];
+    return [...told, newObserve('fireflywick_first_token_ms', labels, now - forward.arrivedAt)];
   },
   forwardEnded: (state, { id, attempt, outcome }, now) => {
     const forward = state.forwards.inFlight.get(id);
--- a/src/forwards/placing.ts
+++ b/src/forwards/placing.ts
@@ -15,6 +15,7 @@
   PLACE_TIMEOUT_MS,
   RANK_COST_MS,
   RUNNING_COST_MS,
+  SHARING_REQUESTS,
   SLOT_WAIT_MS,
   UNKNOWN_COST_MS,
   WARM_LOAD_COST_MS,
@@ -99,7 +100,11 @@
   cost += told === undefined ? UNKNOWN_COST_MS : told.backlogMs + told.running * RUNNING_COST_MS;
   if (!isHeld) {
     cost += WARM_LOAD_COST_MS + Math.min(MAX_RANK_COST_MS, rank * RANK_COST_MS);
-    if (told !== undefined && told.openSlots <= 0) cost += SLOT_WAIT_MS * (1 - told.openSlots);
+    if (told !== undefined && told.openSlots <= 0) {
+      // Many requests share the slot that a popular adapter waits for once.
+      const sharing = 1 + state.forwards.popularity.get(adapter, now) / SHARING_REQUESTS;
+      cost += (SLOT_WAIT_MS * (1 - told.openSlots)) / sharing;
+    }
   }
   return { view, owner: canAsk ? owner : undefined, cost };
 }
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -1,6 +1,8 @@
 import type { Failure } from '../errors/failure.ts';
+import { Popularity } from '../grants/popularity.ts';
 import type { Route } from '../routes/types.ts';
 import { ForwardBudget } from './budget.ts';
+import { POPULARITY_HALF_LIFE_MS } from './constants.ts';
 
 /** What a request says of itself, beside its method, path and body. */
 export interface Labels {
@@ -101,6 +103,9 @@
   readonly budgets = new Map<string, ForwardBudget>();
   readonly crashes = new Map<string, { count: number; at: number; endpoints: Set<string> }>();
 
+  /** Recent requests of this host by adapter. */
+  readonly popularity = Popularity.create(POPULARITY_HALF_LIFE_MS);
+
   private constructor() {}
 
   static create(): Forwards {
--- a/src/residency/constants.ts
+++ b/src/residency/constants.ts
@@ -23,18 +23,18 @@
 /** Time that an engine takes for a prompt beyond the reading, for each million token pairs, in ms. */
 export const PAIRS_MS_PER_M = 1.1;
 /**
- * Prompt tokens that an engine is sent at once. It reads them between two events of all its streams,
- * which may pause for 400 ms.
+ * Prompt tokens that an engine may have to read at once. It reads them between two events of all its
+ * streams, which may pause for 400 ms.
  */
 export const PROMPT_BATCH_TOKENS = 6_500;
-/** Pause between two batches of prompts, in which each stream makes an event. */
-export const PROMPT_GAP_MS = 40;
+/** Time after which a prompt counts as read although its first event was not heard of. */
+export const READ_LIMIT_MS = 1_500;
 /** Share of an engine's memory that requests may fill; beyond it the engine preempts. */
 export const MEMORY_SHARE = 0.92;
 /** Share of the announced output that requests use on average. */
 export const OUTPUT_SHARE = 0.6;
 /** Shortest interval at which a queue is served without news. */
-export const SERVE_MS = 10;
+export const SERVE_MS = 25;
 /** Time for which a place is kept beyond the deadline of its request. */
 export const PLACE_SLACK_MS = 500;
 /** Advance in the queue that a request loses for each token of its output, in ms, and at most. */
--- a/src/residency/handlers.ts
+++ b/src/residency/handlers.ts
@@ -2,12 +2,22 @@
 import { newLog } from '../core/observations.ts';
 import { BREAK_OFF_MS } from './constants.ts';
 import { continueOrder, forgetCopies, takeReport } from './orders.ts';
+import { noteRead } from './prompts.ts';
 import { queuePlace, releasePlace, servePlaces } from './serve.ts';
 import { hearEngines, tellEngines } from './told.ts';
 import type { ResidencyEvent, ResidencyTimer } from './types.ts';
 
-export const residencyMessages: MessageHandlers<'placeAsked' | 'placeReleased' | 'enginesTold'> = {
+export const residencyMessages: MessageHandlers<
+  'placeAsked' | 'placeStarted' | 'placeReleased' | 'enginesTold'
+> = {
   placeAsked: (state, ask, from, now) => queuePlace(state, ask, from, now),
+  placeStarted: (state, { request, engine }, _from, now) => {
+    const owned = state.residency.owned.get(engine);
+    const place = owned?.places.get(request);
+    if (owned === undefined || place === undefined) return [];
+    noteRead(owned, place);
+    return servePlaces(state, owned, now);
+  },
   placeReleased: (state, { request, engine, result }, _from, now) => {
     const owned = state.residency.owned.get(engine);
     if (owned === undefined) return [];
--- a/src/residency/owned.ts
+++ b/src/residency/owned.ts
@@ -66,6 +66,7 @@
     known.copies.clear();
     known.places.clear();
     known.tokens = 0;
+    known.readingTokens = 0;
     known.ordering = undefined;
     known.doubtful = undefined;
     forgetCopies(known, now);
@@ -98,8 +99,7 @@
     queue: [],
     places: new Map(),
     tokens: 0,
-    batchTokens: 0,
-    readUntil: -Infinity,
+    readingTokens: 0,
   };
 }
 
--- a/src/residency/queueOrder.ts
+++ b/src/residency/queueOrder.ts
@@ -1,5 +1,5 @@
 import { LOAD_MS, MAX_TOKEN_DELAY_MS, START_MS, TOKEN_DELAY_MS } from './constants.ts';
-import { getReadMs } from './prompts.ts';
+import { getBacklogMs, getReadMs } from './prompts.ts';
 import type { OwnedEngine, QueuedPlace } from './types.ts';
 
 /**
@@ -31,7 +31,7 @@
 
 /** Whether the first event of an answer would come after the goal if the ask got its place now. */
 export function isLate(owned: OwnedEngine, ask: QueuedPlace, now: number): boolean {
-  const backlogMs = Math.max(0, owned.readUntil - now);
+  const backlogMs = getBacklogMs(owned);
   const readMs = getReadMs(ask.promptTokens);
   return now + getLoadMs(owned, ask, now) + backlogMs + readMs + START_MS > ask.goalAt;
 }
--- a/src/residency/serve.ts
+++ b/src/residency/serve.ts
@@ -10,7 +10,7 @@
 import { isCurrent } from './copies.ts';
 import { orderNext } from './orders.ts';
 import type { OwnedEngine, PlaceAsked, PlaceObstacle, PlaceRefusal, QueuedPlace } from './types.ts';
-import { canSendPrompt, getNextBatchAt, noteSentPrompt } from './prompts.ts';
+import { canSendPrompt, expireReading, getBacklogMs, noteRead } from './prompts.ts';
 import { sortQueue } from './queueOrder.ts';
 import { tellSoon } from './told.ts';
 
@@ -40,6 +40,7 @@
   if (view === undefined || engine === undefined) return [];
   const effects: Effect[] = [];
   removeExpired(owned, now);
+  expireReading(owned, now);
   owned.queue = owned.queue.filter(({ deadlineAt }) => deadlineAt - MIN_RUN_MS > now);
   sortQueue(owned, now);
   const left: QueuedPlace[] = [];
@@ -57,7 +58,7 @@
   }
   owned.queue = left;
   effects.push(...orderNext(state, owned, engine, now));
-  if (left.length > 0) wakeAt(state, owned, Math.max(now + SERVE_MS, getNextBatchAt(owned)), now);
+  if (left.length > 0) wakeAt(state, owned, now + SERVE_MS, now);
   return [...effects, ...tellSoon(state, now)];
 }
 
@@ -79,6 +80,7 @@
   const place = owned.places.get(request);
   if (place === undefined) return;
   owned.places.delete(request);
+  noteRead(owned, place);
   owned.tokens -= place.tokens;
   const copy = owned.copies.get(place.adapter);
   if (copy !== undefined) copy.places = Math.max(0, copy.places - 1);
@@ -134,7 +136,7 @@
   if (owned.places.size > 0 && owned.tokens + getTokens(ask) > engine.memoryTokens * MEMORY_SHARE) {
     return 'memory';
   }
-  return canSendPrompt(owned, ask.promptTokens, now) ? undefined : 'prompts';
+  return canSendPrompt(owned, ask.promptTokens) ? undefined : 'prompts';
 }
 
 function givePlace(state: State, owned: OwnedEngine, ask: QueuedPlace, now: number): Effect[] {
@@ -144,10 +146,13 @@
     host: ask.from,
     adapter: ask.adapter,
     tokens,
+    promptTokens: ask.promptTokens,
+    isReading: true,
+    givenAt: now,
     expiresAt: ask.deadlineAt + PLACE_SLACK_MS,
   });
   owned.tokens += tokens;
-  noteSentPrompt(owned, ask.promptTokens, now);
+  owned.readingTokens += ask.promptTokens;
   const copy = owned.copies.get(ask.adapter);
   if (copy !== undefined) {
     copy.places += 1;
@@ -163,7 +168,7 @@
       waitedFor: ask.waitedFor,
       places: owned.places.size,
       tokens: Math.round(owned.tokens),
-      backlogMs: Math.round(owned.readUntil - now),
+      backlogMs: Math.round(getBacklogMs(owned)),
       slots: owned.copies.size,
       queued: owned.queue.length,
     }),
--- a/src/residency/told.ts
+++ b/src/residency/told.ts
@@ -5,7 +5,7 @@
 import { schedule } from '../core/timers.ts';
 import { TELL_MS, TELL_PER_HOST_MS } from './constants.ts';
 import { countOpenSlots, getSlotLimit } from './copies.ts';
-import { getReadMs } from './prompts.ts';
+import { getBacklogMs, getReadMs } from './prompts.ts';
 import { getEngineClass } from './serve.ts';
 import type { EnginesTold, OwnedEngine, ToldEngine } from './types.ts';
 
@@ -73,7 +73,7 @@
   return {
     engine: owned.id,
     epoch: owned.epoch,
-    backlogMs: Math.max(0, Math.round(owned.readUntil - now)) + getQueueMs(owned),
+    backlogMs: Math.round(getBacklogMs(owned)) + getQueueMs(owned),
     running: owned.places.size,
     openSlots: countOpenSlots(owned, limit) - waiting.size,
     adapters,
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -70,6 +70,13 @@
 });
 export type PlaceReleased = z.infer<typeof PlaceReleased>;
 
+/** The engine has read the prompt of a request and sent the first event. */
+export const PlaceStarted = z.object({
+  type: z.literal('placeStarted'),
+  request: Id,
+  engine: Id,
+});
+
 /** What an owner tells the other hosts of its engines. */
 export const EnginesTold = z.object({
   type: z.literal('enginesTold'),
@@ -111,6 +118,10 @@
   host: string;
   adapter: string;
   tokens: number;
+  promptTokens: number;
+  /** Whether the engine has not sent the first event yet. */
+  isReading: boolean;
+  givenAt: number;
   /** Monotonic ms after which it cannot be running any more. */
   expiresAt: number;
 }
@@ -159,10 +170,8 @@
   places: Map<string, Place>;
   /** Tokens of all places. */
   tokens: number;
-  /** Prompt tokens sent in the batch under way. */
-  batchTokens: number;
-  /** Monotonic ms at which the prompts sent so far are read. */
-  readUntil: number;
+  /** Prompt tokens that it was sent and has not read. */
+  readingTokens: number;
 }
 
 export interface AdapterOrder {
