--- a/src/residency/serve.ts
+++ b/src/residency/serve.ts
@@ -49,7 +49,7 @@
       effects.push(...refusePlace(state, ask, ask.from, 'replacing'));
       continue;
     }
-    const obstacle = getObstacle(state, owned, engine, ask, now);
+    const obstacle = getObstacle(state, owned, engine, ask);
     if (obstacle === undefined) effects.push(...givePlace(state, owned, ask, now));
     else {
       ask.waitedFor = obstacle;
@@ -126,7 +126,6 @@
   owned: OwnedEngine,
   engine: EngineClass,
   ask: QueuedPlace,
-  now: number,
 ): PlaceObstacle | undefined {
   if (ask.adapter !== '') {
     const copy = owned.copies.get(ask.adapter);
--- a/src/residency/told.ts
+++ b/src/residency/told.ts
@@ -22,9 +22,7 @@
 /** Tells all linked hosts of the owned engines. */
 export function tellEngines(state: State, now: number): Effect[] {
   state.residency.isTelling = false;
-  const engines = [...state.residency.owned.values()].map((owned) =>
-    newToldEngine(state, owned, now),
-  );
+  const engines = [...state.residency.owned.values()].map((owned) => newToldEngine(state, owned));
   if (engines.length === 0) return [];
   return [
     newLog('debug', 'owned engines', { engines: engines.map(newSummary) }),
@@ -50,13 +48,13 @@
 /** Returns what is known of an engine now: from its own state when it is owned here. */
 export function getTold(state: State, engine: string, now: number): ToldEngine | undefined {
   const owned = state.residency.owned.get(engine);
-  if (owned !== undefined) return newToldEngine(state, owned, now);
+  if (owned !== undefined) return newToldEngine(state, owned);
   const told = state.residency.told.get(engine);
   if (told === undefined) return undefined;
   return { ...told, backlogMs: Math.max(0, told.backlogMs + told.sentSince - (now - told.at)) };
 }
 
-function newToldEngine(state: State, owned: OwnedEngine, now: number): ToldEngine {
+function newToldEngine(state: State, owned: OwnedEngine): ToldEngine {
   const view = state.fleet.views.get(owned.id);
   const engine = view === undefined ? undefined : getEngineClass(state, view);
   const limit = engine === undefined ? 0 : getSlotLimit(engine, view?.endpoint.models ?? []);
