--- a/tests/cli/docs.test.ts
+++ b/tests/cli/docs.test.ts
@@ -3,10 +3,10 @@
 import { describe, expect, it } from 'vitest';
 import { COMMANDS } from '../../src/cli/commands/index.ts';
 import { METRICS } from '../../src/core/metricNames.ts';
-import { OPERATOR_SETTINGS, SETTINGS } from '../../src/settings/definitions.ts';
+import { GATEWAY_SETTINGS, OPERATOR_SETTINGS, SETTINGS } from '../../src/settings/definitions.ts';
 import { getSettingsTable } from '../../src/settings/help.ts';
 
-const OPERATIONS = getLines(readFileSync('docs/operations.md', 'utf8'));
+const OPERATIONS = getLines(readFileSync('docs/OPERATIONS.md', 'utf8'));
 
 /** Rows of tables without the padding that the formatter adds. */
 function getLines(text: string): string[] {
@@ -25,9 +25,10 @@
 }
 
 // Documents that tell of settings, commands or metrics that do not exist, or leave some out.
-describe('docs/operations.md', () => {
+describe('docs/OPERATIONS.md', () => {
   it.each([
     ['settings of entry', getLines(getSettingsTable(SETTINGS)).slice(2)],
+    ['settings of gateway', getLines(getSettingsTable(GATEWAY_SETTINGS)).slice(2)],
     ['settings of commands', getLines(getSettingsTable(OPERATOR_SETTINGS)).slice(2)],
     [
       'commands',
