Load the base model of an engine that started again

An engine that starts again holds no base model. Ruled out: a wrong sequence (the reports agreed), late orders (the same engines were hit before and after applied_late). Change: the owner orders the base model of an engine that holds none, within its share of the weight store's rate, gives no other order meanwhile, and hosts send requests only to engines that hold the model. A test of it failed before: no order of the model was given.

--- a/src/forwards/arrival.ts
+++ b/src/forwards/arrival.ts
@@ -36,8 +36,10 @@
     const message = 'earlier sends of this request broke off at several endpoints';
     return failArrival(state, arrival, Failure.create('service_unavailable', message));
   }
-  const { adapter } = forward.labels;
+  const { adapter, model } = forward.labels;
   if (adapter !== '') state.forwards.popularity.note(adapter, 'ordinary', 0, now);
+  if (model !== '')
+    state.forwards.popularity.note(model.split('/')[0] ?? model, 'ordinary', 0, now);
   state.forwards.inFlight.set(forward.id, forward);
   schedule(state, forward.deadlineAt, { type: 'forwardDeadline', id: forward.id });
   const { deadlineAt, arrivedAt } = forward;
--- a/src/forwards/placing.ts
+++ b/src/forwards/placing.ts
@@ -92,6 +92,9 @@
   const canAsk =
     owner !== undefined && (owner.host === state.host.id || state.owners.linked.has(owner.host));
   const { adapter } = forward.labels;
+  const models = told?.models ?? view.endpoint.models;
+  // An engine that started again holds nothing until its owner has its base model loaded.
+  if (!models.includes(getModel(forward))) return undefined;
   const isHeld = adapter === '' || told?.adapters.some(([name]) => name === adapter) === true;
   // Without an owner nobody can have the adapter loaded.
   if (!canAsk && !isHeld) return undefined;
@@ -109,6 +112,10 @@
   return { view, owner: canAsk ? owner : undefined, cost };
 }
 
+function getModel({ labels }: Forward): string {
+  return labels.model.split('/')[0] ?? '';
+}
+
 function getToldVersion(
   state: State,
   { labels }: Forward,
--- a/src/residency/constants.ts
+++ b/src/residency/constants.ts
@@ -2,6 +2,11 @@
 export const MAX_LOADING = 3;
 /** Adapters on their way to all engines from which each load slows the others down. */
 export const MAX_LOADING_TOTAL = 8;
+/** Interval of questions about the load of a base model, and the time that it may take. */
+export const MODEL_CHECK_MS = 150;
+export const MODEL_LOAD_LIMIT_MS = 30_000;
+/** Pause before the next base model is loaded when the weight store's rate is used up. */
+export const MODEL_RETRY_MS = 200;
 /** Time after which a load is asked about, and the interval of further questions. */
 export const LOAD_CHECK_MS = 30;
 /** Time after a load began at which the engine is taken to have dropped it. */
--- a/src/residency/copies.ts
+++ b/src/residency/copies.ts
@@ -3,8 +3,8 @@
 import type { Copy, OwnedEngine } from './types.ts';
 
 /** Returns the adapters that fit on an engine beside its base models. */
-export function getSlotLimit(engine: EngineClass, models: readonly string[]): number {
-  const held = engine.models.filter(({ name }) => models.includes(name));
+export function getSlotLimit(engine: EngineClass, models: ReadonlySet<string>): number {
+  const held = engine.models.filter(({ name }) => models.has(name));
   const largest = Math.max(0, ...held.map(({ adapterMb }) => adapterMb));
   if (largest === 0) return engine.adapterSlots;
   const rest = engine.weightsMb - held.reduce((sum, { weightsMb }) => sum + weightsMb, 0);
--- a/src/residency/orders.ts
+++ b/src/residency/orders.ts
@@ -2,6 +2,7 @@
 import { newCount, newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import type { EngineClass } from '../routes/types.ts';
+import { isModelOrder, noteModelAnswer, orderModel } from './modelOrders.ts';
 import {
   LOAD_CHECK_MS,
   LOAD_LIMIT_MS,
@@ -44,6 +45,9 @@
   if (doubtful !== undefined) {
     return giveOrder(owned, doubtful.type, doubtful.adapter, doubtful.version);
   }
+  if (owned.modelLoad !== undefined || owned.models.size === 0) {
+    return orderModel(state, owned, engine, now);
+  }
   const check = getCopyToCheck(owned, now);
   if (check !== undefined) {
     const type = check.phase === 'loading' ? 'load' : 'unload';
@@ -69,7 +73,8 @@
 ): Effect[] {
   owned.ordering = undefined;
   if (answer.type !== 'unknown') owned.lostAnswers = 0;
-  answerHandlers[answer.type](state, owned, order, now);
+  const handled = isModelOrder(order) && noteModelAnswer(owned, order, answer, now);
+  if (!handled) answerHandlers[answer.type](state, owned, order, now);
   const { type, adapter, version } = order;
   const isUsual = answer.type === 'accepted' || answer.type === 'done';
   const reason = 'reason' in answer ? answer.reason : undefined;
@@ -103,6 +108,7 @@
     return [];
   }
   owned.sequence = report.sequence;
+  owned.models = new Set(report.models);
   const before = owned.copies;
   owned.copies = new Map();
   for (const { adapter, version } of report.adapters) {
@@ -185,8 +191,7 @@
     return giveOrder(owned, 'load', adapter, wantedVersion);
   }
   if (countLoading(owned) >= MAX_LOADING) return [];
-  const models = state.fleet.views.get(owned.id)?.endpoint.models ?? [];
-  if (owned.copies.size < getSlotLimit(engine, models)) {
+  if (owned.copies.size < getSlotLimit(engine, owned.models)) {
     return giveOrder(owned, 'load', adapter, wantedVersion);
   }
   const victim = getVictim(owned, state.residency.popularity, now);
@@ -239,7 +244,8 @@
   return next;
 }
 
-function giveOrder(
+/** Returns the effect that gives an order and notes it as under way. */
+export function giveOrder(
   owned: OwnedEngine,
   type: AdapterOrder['type'],
   adapter: string,
--- a/src/residency/owned.ts
+++ b/src/residency/owned.ts
@@ -54,7 +54,10 @@
   const known = residency.owned.get(endpoint.id);
   if (known === undefined) {
     residency.owned.set(endpoint.id, newOwnedEngine(state, endpoint, epoch, now));
-    return [newLog('info', 'engine is owned', { engine: endpoint.id, epoch })];
+    return [
+      newLog('info', 'engine is owned', { engine: endpoint.id, epoch }),
+      ...keepModels(state, endpoint.id, now),
+    ];
   }
   if (epoch > known.epoch) {
     known.epoch = epoch;
@@ -63,6 +66,8 @@
   if (endpoint.startedAt !== known.startedAt) {
     // It started again and holds nothing.
     known.startedAt = endpoint.startedAt;
+    known.models = new Set(endpoint.models);
+    known.modelLoad = undefined;
     known.copies.clear();
     known.places.clear();
     known.tokens = 0;
@@ -72,12 +77,12 @@
     forgetCopies(known, now);
   }
   known.address = endpoint.address;
-  return [];
+  return keepModels(state, endpoint.id, now);
 }
 
 function newOwnedEngine(
   state: State,
-  { id, address, zone, startedAt }: EndpointView['endpoint'],
+  { id, address, zone, startedAt, models }: EndpointView['endpoint'],
   epoch: number,
   now: number,
 ): OwnedEngine {
@@ -95,6 +100,8 @@
     doubtful: undefined,
     lostAnswers: 0,
     wakeAt: -Infinity,
+    models: new Set(models),
+    modelLoad: undefined,
     copies: new Map(),
     queue: [],
     places: new Map(),
@@ -103,6 +110,12 @@
   };
 }
 
+/** Has an engine without a base model served, which loads one. */
+function keepModels(state: State, engine: string, now: number): Effect[] {
+  const owned = state.residency.owned.get(engine);
+  return owned === undefined || owned.models.size > 0 ? [] : servePlaces(state, owned, now);
+}
+
 /**
  * Returns when a new owner may give orders: its predecessor may have given some until it was heard
  * of last. One that left by itself gives none any more.
--- a/src/residency/told.ts
+++ b/src/residency/told.ts
@@ -57,7 +57,7 @@
 function newToldEngine(state: State, owned: OwnedEngine): ToldEngine {
   const view = state.fleet.views.get(owned.id);
   const engine = view === undefined ? undefined : getEngineClass(state, view);
-  const limit = engine === undefined ? 0 : getSlotLimit(engine, view?.endpoint.models ?? []);
+  const limit = engine === undefined ? 0 : getSlotLimit(engine, owned.models);
   const { versions } = state.residency;
   const adapters: [string, number][] = [];
   const waiting = new Set<string>();
@@ -73,6 +73,7 @@
     epoch: owned.epoch,
     backlogMs: Math.round(getBacklogMs(owned)) + getQueueMs(owned),
     running: owned.places.size,
+    models: [...owned.models],
     openSlots: countOpenSlots(owned, limit) - waiting.size,
     adapters,
   };
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import type { TokenBucket } from '../base/tokenBucket.ts';
 import { Popularity } from '../grants/popularity.ts';
 
 /** Half-life of the demand that evictions are decided by; it moves within seconds. */
@@ -87,6 +88,8 @@
       /** Time until a prompt that is sent now is read, in ms. */
       backlogMs: z.number(),
       running: z.int().min(0),
+      /** Base models that it holds. */
+      models: z.array(z.string()),
       /** Slots that are free or hold an adapter that can make way. */
       openSlots: z.int(),
       /** Adapters that can be used, with their versions; 0 when not known. */
@@ -142,6 +145,13 @@
   busyUntil: number;
 }
 
+/** The load of a base model; times are monotonic ms. */
+export interface ModelLoad {
+  model: string;
+  orderedAt: number;
+  checkedAt: number;
+}
+
 export interface OwnedEngine {
   id: string;
   address: string;
@@ -165,6 +175,10 @@
   lostAnswers: number;
   /** Monotonic ms of the next timer that serves the queue. */
   wakeAt: number;
+  /** Base models that it holds. */
+  models: Set<string>;
+  /** Base model on its way; the engine takes no other order meanwhile. */
+  modelLoad: ModelLoad | undefined;
   copies: Map<string, Copy>;
   queue: QueuedPlace[];
   places: Map<string, Place>;
@@ -176,7 +190,7 @@
 
 export interface AdapterOrder {
   type: 'load' | 'unload';
-  /** `model/adapter` */
+  /** `model/adapter`, or `model` for the base model itself. */
   adapter: string;
   /** Version to load; undefined for the newest. */
   version: number | undefined;
@@ -203,6 +217,8 @@
 export interface AdapterReport {
   startedAt: number;
   sequence: number;
+  /** Base models that it holds. */
+  models: string[];
   adapters: { adapter: string; version: number | undefined }[];
   /** Adapters on their way. */
   coming: string[];
@@ -215,6 +231,8 @@
   /** Announced versions by adapter. */
   readonly versions = new Map<string, number>();
   isTelling = false;
+  /** Loads of base models that this host may start; undefined before the first one. */
+  modelLoads: TokenBucket | undefined;
   readonly popularity = Popularity.create(POPULARITY_HALF_LIFE_MS);
 
   private constructor() {}
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -45,6 +45,8 @@
   /** Memory for weights and adapters. */
   weightsMb: z.number().min(0),
   models: z.array(BaseModel),
+  /** Loads of base models a second that the weight store allows for all engines together. */
+  loadsPerS: z.number().positive(),
 });
 export type EngineClass = z.infer<typeof EngineClass>;
 
--- a/tests/helpers/directed.ts
+++ b/tests/helpers/directed.ts
@@ -5,7 +5,7 @@
 import { State } from '../../src/core/state.ts';
 import type { Change, Content, Topic } from '../../src/directory/types.ts';
 import type { Endpoint } from '../../src/fleet/types.ts';
-import type { NewForward } from '../../src/forwards/types.ts';
+import type { Labels, NewForward } from '../../src/forwards/types.ts';
 import type { Member, MembersRow } from '../../src/owners/types.ts';
 import type { Route, RoutingTable } from '../../src/routes/types.ts';
 
@@ -125,7 +125,7 @@
   }
 
   /** Has a request arrive. */
-  arrive(change: Partial<NewForward> & { labels?: Partial<NewForward['labels']> } = {}): this {
+  arrive(change: Partial<Omit<NewForward, 'labels'>> & { labels?: Partial<Labels> } = {}): this {
     const { labels, ...rest } = change;
     return this.dispatch({
       type: 'forwardArrived',
@@ -182,6 +182,7 @@
           adapterSlots: 2,
           weightsMb: 1_000,
           models: [{ name: 'base', weightsMb: 900, adapterMb: 10 }],
+          loadsPerS: 2,
         },
       },
     ],
--- a/tests/residency/orders.test.ts
+++ b/tests/residency/orders.test.ts
@@ -28,7 +28,12 @@
   });
 }
 
-function report(host: DirectedHost, sequence = 0, adapters: [string, number][] = []): void {
+function report(
+  host: DirectedHost,
+  sequence = 0,
+  adapters: [string, number][] = [],
+  models = ['base'],
+): void {
   host.dispatch({
     type: 'adaptersReported',
     engine: 'e0',
@@ -36,6 +41,7 @@
     report: {
       startedAt: 1,
       sequence,
+      models,
       adapters: adapters.map(([name, version]) => ({ adapter: `base/${name}`, version })),
       coming: [],
     },
@@ -274,6 +280,52 @@
   });
 });
 
+describe('base models', () => {
+  it('loads the base model of an engine that started again without one, before any adapter', () => {
+    const host = createOwner();
+    const endpoint = newEndpoint({ ...ENGINE, models: [], startedAt: 2, sequence: 0 });
+    host.answer('endpoints', [newChange('e0', 30, { type: 'endpoint', endpoint })], 30);
+    host.advance(500);
+    report(host, 0, [], []);
+    expect(host.take('orderAdapter').map(({ order }) => order.adapter)).toEqual(['base']);
+    answerOrder(host, { type: 'accepted' });
+    host.advance(200);
+    answerOrder(host, { type: 'conflict' });
+    ask(host, 'r1', 'a1');
+    host.advance(200);
+    answerOrder(host, { type: 'done' });
+    expect(getOrders(host).at(-1)).toBe('load a1 1');
+  });
+
+  it('keeps to its share of the rate of the weight store', () => {
+    const host = DirectedHost.create().setUp({
+      endpoints: [0, 1, 2].map((n) => ({ id: `e${n}`, service: 'llm', models: [] })),
+    });
+    const count = (): number => host.take('orderAdapter').length;
+    for (const engine of ['e0', 'e1', 'e2']) {
+      const empty = { startedAt: 1, sequence: 0, models: [], adapters: [], coming: [] };
+      host.dispatch({ type: 'adaptersReported', engine, reason: '', report: empty });
+    }
+    expect(count()).toBe(1);
+    host.advance(300);
+    expect(count()).toBe(0);
+    host.advance(300);
+    expect(count()).toBe(1);
+  });
+
+  it('sends no request to an engine that does not hold its base model', () => {
+    const host = DirectedHost.create().setUp({
+      routes: [{ kind: 'stream', targets: [{ service: 'llm', weight: 1 }] }],
+      endpoints: [
+        { id: 'e0', service: 'llm', models: [] },
+        { id: 'e1', service: 'llm', models: ['base'] },
+      ],
+    });
+    host.arrive({ labels: { model: 'base' } });
+    expect(host.state.forwards.inFlight.get('f1')?.attempt?.endpoint).toBe('e1');
+  });
+});
+
 describe('order of the queue', () => {
   it('serves those that can still be on time first', () => {
     const host = createOwner();
