--- a/src/gatewayHost/connector.ts
+++ b/src/gatewayHost/connector.ts
@@ -14,6 +14,8 @@
 
   /** Has the end of `socket` noted before undici handles it. */
   add(socket: Socket): void {
+    // The write below may fail after undici has let go of the socket.
+    socket.on('error', () => undefined);
     socket.prependListener('end', () => {
       this.ending = socket;
       setImmediate(() => {
@@ -43,8 +45,8 @@
   const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS, localAddress });
   return (options, callback) => {
     connect(options, (...args) => {
-      const [, socket] = args;
-      if (socket !== null) watch.add(socket);
+      // A connection that failed has no socket.
+      if (args[0] === null) watch.add(args[1]);
       callback(...args);
     });
   };
--- a/tests/gatewayHost/answers.test.ts
+++ b/tests/gatewayHost/answers.test.ts
@@ -116,6 +116,14 @@
     }
   });
 
+  it('goes to another endpoint when one refuses connections, also for a booking', async () => {
+    deployment.register('desk', 'gone', '127.0.0.1:9');
+    await deployment.waitReady(3);
+    for (let n = 0; n < 8; n++) {
+      expect((await deployment.send({ path: `/booking/${n}` })).status).toBe(200);
+    }
+  });
+
   it('answers a request at the time limit of its route', async () => {
     plan('hang', 'hang');
     const answer = await deployment.send({ path: '/status/quick/1' });
