--- a/src/residency/constants.ts
+++ b/src/residency/constants.ts
@@ -43,8 +43,8 @@
 /** Time for which a place is kept beyond the deadline of its request. */
 export const PLACE_SLACK_MS = 500;
 /** Advance in the queue that a request loses for each token of its output, in ms, and at most. */
-export const TOKEN_DELAY_MS = 2;
-export const MAX_TOKEN_DELAY_MS = 400;
+export const TOKEN_DELAY_MS = 0.5;
+export const MAX_TOKEN_DELAY_MS = 100;
 /** Time that a load from the weight store takes, and that an engine takes for the first event. */
 export const LOAD_MS = 260;
 export const START_MS = 40;
