--- a/src/host/loop.ts
+++ b/src/host/loop.ts
@@ -7,6 +7,7 @@
 export class Loop {
   private readonly queue: Event[] = [];
   private isDraining = false;
+  private isStopped = false;
   private timeout: NodeJS.Timeout | undefined;
   private armedFor = Infinity;
 
@@ -29,6 +30,8 @@
 
   /** Handles `event`, or queues it when it comes from within an effect. */
   dispatch(event: Event): void {
+    // Calls that end after the stop would arm timers that keep the process alive.
+    if (this.isStopped) return;
     this.queue.push(event);
     if (this.isDraining) return;
     this.isDraining = true;
@@ -39,7 +42,9 @@
     this.arm();
   }
 
+  /** Ends the loop: events are dropped from now on. */
   stop(): void {
+    this.isStopped = true;
     clearTimeout(this.timeout);
   }
 
--- /dev/null
+++ b/tests/helpers/gatewayProcess.ts
@@ -0,0 +1,120 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
+import { listen } from '../../stand-ins/server.ts';
+import { GATEWAY_BUNDLE } from './buildBundle.ts';
+
+/** One run of a gateway as a child process, with a settings file. */
+export class GatewayProcess {
+  /** Parsed lines of its log. */
+  readonly log: Record<string, unknown>[] = [];
+  exitCode: number | null = null;
+  isRunning = true;
+
+  private constructor(
+    readonly front: string,
+    readonly ready: string,
+    readonly metrics: string,
+    private readonly folder: string,
+    private readonly settings: Record<string, string>,
+    private readonly child: ChildProcess,
+    private readonly ended: Promise<void>,
+  ) {}
+
+  /** Starts a host with id `id` before the store at `storeAddress`. */
+  static async start(
+    id: string,
+    storeAddress: string,
+    change: Record<string, string> = {},
+  ): Promise<GatewayProcess> {
+    const [front, ready, peers, metrics] = await Promise.all([1, 2, 3, 4].map(() => findAddress()));
+    const settings = {
+      FIREFLYWICK_HOST_ID: id,
+      FIREFLYWICK_ZONE: 'z1',
+      FIREFLYWICK_REGION: 'r1',
+      FIREFLYWICK_FRONT_LISTEN: front ?? '',
+      FIREFLYWICK_READY_LISTEN: ready ?? '',
+      FIREFLYWICK_PEER_LISTEN: peers ?? '',
+      FIREFLYWICK_PEER_ADDRESS: peers ?? '',
+      FIREFLYWICK_METRICS_LISTEN: metrics ?? '',
+      FIREFLYWICK_DIRECTORY_URL: `http://${storeAddress}`,
+      FIREFLYWICK_LAME_DUCK: '300ms',
+      ...change,
+    };
+    const folder = mkdtempSync(join(tmpdir(), 'fireflywick-'));
+    writeSettings(folder, settings);
+    const file = join(folder, 'host.env');
+    const child = spawn(process.execPath, [GATEWAY_BUNDLE, 'gateway', `--settings-file=${file}`], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+      env: {},
+    });
+    const exited = once(child, 'exit');
+    const gateway = new GatewayProcess(
+      front ?? '',
+      ready ?? '',
+      metrics ?? '',
+      folder,
+      settings,
+      child,
+      exited.then(() => undefined),
+    );
+    void exited.then(([code]) => {
+      gateway.exitCode = code as number | null;
+      gateway.isRunning = false;
+    });
+    createInterface({ input: child.stdout }).on('line', (line) => {
+      gateway.log.push(JSON.parse(line) as Record<string, unknown>);
+    });
+    return gateway;
+  }
+
+  /** Rewrites the settings file. */
+  change(settings: Record<string, string>): void {
+    writeSettings(this.folder, { ...this.settings, ...settings });
+  }
+
+  signal(name: NodeJS.Signals): void {
+    this.child.kill(name);
+  }
+
+  /** Ends the process at once and removes its folder. */
+  async end(): Promise<void> {
+    if (this.isRunning) this.child.kill('SIGKILL');
+    await this.ended;
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  async waitEnd(): Promise<number | null> {
+    await this.ended;
+    return this.exitCode;
+  }
+
+  hasLogged(message: string): boolean {
+    return this.log.some((line) => line.message === message);
+  }
+
+  /** Returns the status of the balancer's question; 0 when nothing answers. */
+  async getReadyStatus(): Promise<number> {
+    try {
+      return (await fetch(`http://${this.ready}/-/ready`)).status;
+    } catch {
+      return 0;
+    }
+  }
+}
+
+function writeSettings(folder: string, settings: Record<string, string>): void {
+  const lines = Object.entries(settings).map(([name, value]) => `${name}=${value}\n`);
+  writeFileSync(join(folder, 'host.env'), lines.join(''));
+}
+
+async function findAddress(): Promise<string> {
+  const server = createServer();
+  const address = await listen(server, '127.0.0.1', 0);
+  await new Promise((resolve) => server.close(resolve));
+  return address;
+}
--- /dev/null
+++ b/tests/platform/decode.test.ts
@@ -0,0 +1,149 @@
+import { describe, expect, it } from 'vitest';
+import { decodeEndpoint, decodeReport } from '../../platform/endpoints.ts';
+import { headerLabels } from '../../platform/headers.ts';
+import { decodeRouting } from '../../platform/routing.ts';
+
+const ENTRY = {
+  service: 's',
+  address: '10.0.0.1:80',
+  zone: 'z1',
+  slots: 4,
+  state: 'ready',
+  coldLeftMs: 0,
+  seq: 3,
+  born: 17,
+  models: [{ name: 'm', version: 1, adapters: ['a1@2', 'a2'] }],
+};
+
+// An entry of another writer that is taken for an engine, or a wire name that is misread.
+describe('decodeEndpoint', () => {
+  it('decodes an entry into the types of the product', () => {
+    expect(decodeEndpoint('i-1', ENTRY)).toEqual({
+      id: 'i-1',
+      service: 's',
+      address: '10.0.0.1:80',
+      zone: 'z1',
+      slots: 4,
+      isLeaving: false,
+      remainingMs: undefined,
+      startedAt: 17,
+      sequence: 3,
+      models: ['m'],
+      adapters: [
+        { adapter: 'm/a1', version: 2 },
+        { adapter: 'm/a2', version: undefined },
+      ],
+    });
+  });
+
+  it('reads a short notice', () => {
+    const entry = { ...ENTRY, state: 'draining', remainingMs: 2_000 };
+    expect(decodeEndpoint('i-1', entry)).toMatchObject({ isLeaving: true, remainingMs: 2_000 });
+  });
+
+  it.each<[string, unknown]>([
+    ['no object', 'text'],
+    ['nothing', undefined],
+    ['a missing field', { ...ENTRY, service: undefined }],
+    ['a field of another type', { ...ENTRY, slots: '4' }],
+    ['a state that is not known', { ...ENTRY, state: 'resting' }],
+    ['an address that is none', { ...ENTRY, address: 'somewhere' }],
+  ])('takes %s for no engine', (_name, value) => {
+    expect(decodeEndpoint('i-1', value)).toBeUndefined();
+  });
+});
+
+describe('decodeReport', () => {
+  it('keeps adapters that are there and those on their way apart', () => {
+    const report = { seq: 4, models: ENTRY.models, coming: ['m/a3@1'] };
+    expect(decodeReport(report)).toMatchObject({
+      sequence: 4,
+      models: ['m'],
+      adapters: [{ adapter: 'm/a1' }, { adapter: 'm/a2' }],
+      coming: ['m/a3'],
+    });
+  });
+
+  it('takes a report without its sequence for none', () => {
+    expect(decodeReport({ models: [] })).toBeUndefined();
+  });
+});
+
+describe('decodeRouting', () => {
+  const ROUTE = {
+    name: 'r',
+    host: 'h.example',
+    pathPrefix: '/p/',
+    kind: 'streaming',
+    timeoutMs: 5_000,
+    goalLatencyMs: 1_000,
+    priority: 1,
+    service: 's',
+    attempts: 2,
+    resumable: true,
+    gapAimMs: 400,
+  };
+  const STATE = {
+    version: 7,
+    routes: [ROUTE],
+    services: [{ name: 's', healthPath: '/health', connLimit: 9 }],
+    limits: { headerBytes: 1, bodyBytes: 2, headerTimeoutMs: 3, idleTimeoutMs: 4 },
+  };
+
+  it.each<[string, object, object]>([
+    ['a stream', {}, { kind: 'stream', isResumable: true, patienceMs: 4_000 }],
+    ['a single service', {}, { targets: [{ service: 's', weight: 1 }] }],
+    [
+      'a split',
+      { split: [{ service: 'b', weight: 3 }] },
+      { targets: [{ service: 'b', weight: 3 }] },
+    ],
+    ['a kind that is not known, which must not be repeated', { kind: 'odd' }, { kind: 'unsafe' }],
+    ['a route without attempts', { attempts: undefined }, { attempts: 1 }],
+  ])('decodes %s', (_name, change, expected) => {
+    const table = decodeRouting({ ...STATE, routes: [{ ...ROUTE, ...change }] });
+    expect(table).toMatchObject({ version: 7, routes: [expected] });
+  });
+
+  it('names what is wrong', () => {
+    expect(decodeRouting({ ...STATE, version: 'x' })).toContain('version');
+  });
+});
+
+describe('headerLabels', () => {
+  it.each<[string, string[], object]>([
+    [
+      'a request for an adapter',
+      ['Model', 'm/a1', 'Token-Count', '100,20'],
+      { adapter: 'm/a1', promptTokens: 100, outputTokens: 20 },
+    ],
+    ['a request for the base model', ['Model', 'm'], { model: 'm', adapter: '', promptTokens: 0 }],
+    [
+      'a plain request',
+      ['Attempt-Id', 'a', 'Deadline-Ms', '250'],
+      { attemptId: 'a', model: '', waitMs: 250 },
+    ],
+    [
+      'odd numbers',
+      ['Token-Count', 'x,-1', 'Deadline-Ms', 'soon'],
+      { promptTokens: 0, outputTokens: 0, waitMs: Infinity },
+    ],
+  ])('reads %s', (_name, headers, expected) => {
+    expect(headerLabels.readRequest(headers)).toMatchObject(expected);
+  });
+
+  it.each<[string, number, string[], string | undefined]>([
+    [
+      'an engine without the adapter',
+      421,
+      ['Instance-Id', 'e1', 'Not-Executed', '1'],
+      'adapterMissing',
+    ],
+    ['another engine at the address', 421, ['Instance-Id', 'e2'], 'otherEndpoint'],
+    ['a full engine', 503, ['Not-Executed', '1'], 'full'],
+    ['a failure of the engine', 503, [], undefined],
+    ['a success', 200, ['Response-Seal', 's'], undefined],
+  ])('tells that %s did or did not run it', (_name, status, headers, expected) => {
+    expect(headerLabels.readAnswer(status, headers, 'e1').notRun).toBe(expected);
+  });
+});
