--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,10 +16,26 @@
   'suspects',
   'actions',
   'drafts',
+  'routes',
+  'directory',
+  'fleet',
+  'owners',
+  'residency',
+  'forwards',
   'operators',
   'core',
 ];
-const io = ['clients', 'peers', 'observe', 'callers', 'admin', 'host', 'settings', 'cli'];
+const io = [
+  'clients',
+  'peers',
+  'observe',
+  'callers',
+  'admin',
+  'host',
+  'gatewayHost',
+  'settings',
+  'cli',
+];
 
 export default tseslint.config(
   { ignores: ['dist/', 'target/', 'node_modules/', 'coverage/'] },
