Remove what nothing reads, and share what stood twice

Read again as a whole. Shared: settings of both kinds of host, the observed loop, the wanted version of an ask, moving requests from an owner or an engine. Moved: the time limits of calls from platform/ to the process that makes them. Mended: a send that fails at once stays in no table; a settings file that becomes wrong a second time is logged again, as the comment said.

--- a/src/core/hostHandlers.ts
+++ b/src/core/hostHandlers.ts
@@ -5,7 +5,7 @@
 import { startMembership } from '../membership/handlers.ts';
 import { startOwnership } from '../ownership/handlers.ts';
 import { startDirectory } from '../directory/watch.ts';
-import { moveAsked } from '../forwards/moving.ts';
+import { moveFromOwner } from '../forwards/moving.ts';
 import { membershipEvents } from '../membership/handlers.ts';
 import { noteLinkClosed, noteLinkOpened, startOwners } from '../owners/members.ts';
 import { releaseHost } from '../residency/serve.ts';
@@ -35,14 +35,15 @@
   linkOpened: (state, event, now) => {
     if (state.policy.directory === undefined) return membershipEvents.linkOpened(state, event, now);
     noteLinkOpened(state, event.host);
-    return tellSoon(state, now);
+    tellSoon(state, now);
+    return [];
   },
   linkClosed: (state, event, now) => {
     if (state.policy.directory === undefined) return membershipEvents.linkClosed(state, event, now);
     return [
       ...noteLinkClosed(state, event.host, now),
       ...releaseHost(state, event.host, now),
-      ...moveAsked(state, event.host, now),
+      ...moveFromOwner(state, event.host, now),
     ];
   },
 };
--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -2,7 +2,7 @@
 import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
-import { noteEndpointGone } from '../forwards/moving.ts';
+import { moveFromEngine } from '../forwards/moving.ts';
 import { removeEndpoint, updateEndpoint } from '../fleet/update.ts';
 import { adoptMembers } from '../owners/members.ts';
 import { noteAdapterVersion, updateOwnedEngines } from '../residency/owned.ts';
@@ -113,7 +113,7 @@
   return [
     newLog('info', 'endpoint was removed', { endpoint: id }),
     ...updateOwnedEngines(state, now),
-    ...noteEndpointGone(state, id, now),
+    ...moveFromEngine(state, id, now),
   ];
 }
 
--- a/src/forwards/attempts.ts
+++ b/src/forwards/attempts.ts
@@ -74,7 +74,7 @@
   },
   broken: ({ state, forward, attempt, view, now }, { reason, lastEventId }) => {
     if (view !== undefined) noteSilence(view, now);
-    noteBreak(state, forward.fingerprint, attempt.endpoint, now);
+    noteBreak(state, forward.fingerprint, now);
     forward.ranOn.add(attempt.endpoint);
     forward.excluded.add(attempt.endpoint);
     forward.lastEventId = lastEventId ?? forward.lastEventId;
--- a/src/forwards/constants.ts
+++ b/src/forwards/constants.ts
@@ -21,7 +21,7 @@
 /** Wait that callers are asked for, in ms: the base and the random part that spreads them. */
 export const RETRY_AFTER_MS = 250;
 export const RETRY_AFTER_SPREAD_MS = 500;
-/** Broken attempts on different endpoints after which a request counts as one that crashes them. */
+/** Broken attempts after which a request counts as one that crashes them. */
 export const CRASH_LIMIT = 2;
 /** Time for which broken attempts of one fingerprint are remembered. */
 export const CRASH_MEMORY_MS = 30_000;
@@ -38,5 +38,3 @@
 export const POPULARITY_HALF_LIFE_MS = 10_000;
 export const RUNNING_COST_MS = 4;
 export const UNKNOWN_COST_MS = 300;
-/** Age after which what an owner told of an engine is not used. */
-export const TOLD_MAX_AGE_MS = 10_000;
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -25,7 +25,6 @@
   forwardStarted: (state, { id, attempt }, now) => {
     const forward = state.forwards.inFlight.get(id);
     if (forward?.attempt?.id !== attempt) return [];
-    forward.attempt.hasStarted = true;
     forward.hasStarted = true;
     forward.startedAt ??= now;
     const labels = { firm: '', kind: forward.route.kind };
--- a/src/forwards/placing.ts
+++ b/src/forwards/placing.ts
@@ -135,7 +135,7 @@
   owner: string,
   now: number,
 ): Effect[] {
-  const { labels, route } = forward;
+  const { labels } = forward;
   forward.phase = 'asking';
   forward.ask += 1;
   forward.asked = { engine: endpoint.id, owner, isQueued: false };
@@ -155,7 +155,6 @@
       engine: endpoint.id,
       adapter: labels.adapter,
       version: state.residency.versions.get(labels.adapter) ?? 0,
-      priority: route.priority,
       promptTokens: labels.promptTokens,
       outputTokens: labels.outputTokens,
       remainingMs: forward.deadlineAt - now,
--- a/src/forwards/sending.ts
+++ b/src/forwards/sending.ts
@@ -27,7 +27,7 @@
   view.inFlight += 1;
   const { id: endpoint, address } = view.endpoint;
   const attempt = `${forward.id}.${forward.sends}`;
-  forward.attempt = { id: attempt, endpoint, owner, startedAt: now, hasStarted: false };
+  forward.attempt = { id: attempt, endpoint, owner, startedAt: now };
   const { route, labels } = forward;
   return [
     {
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -42,8 +42,6 @@
   /** Host that gave the place; undefined when none was asked. */
   owner: string | undefined;
   startedAt: number;
-  /** Whether a byte of its answer was passed on. */
-  hasStarted: boolean;
 }
 
 /** A request in flight on this host. */
@@ -101,7 +99,7 @@
   readonly inFlight = new Map<string, Forward>();
   /** Retry budgets by service. */
   readonly budgets = new Map<string, ForwardBudget>();
-  readonly crashes = new Map<string, { count: number; at: number; endpoints: Set<string> }>();
+  readonly crashes = new Map<string, { count: number; at: number }>();
 
   /** Recent requests of this host by adapter. */
   readonly popularity = Popularity.create(POPULARITY_HALF_LIFE_MS);
--- a/src/gatewayHost/constants.ts
+++ b/src/gatewayHost/constants.ts
@@ -16,6 +16,11 @@
 /** Time that a caller may take for its body. */
 export const BODY_TIMEOUT_MS = 10_000;
 export const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
+/** Time limit of a call to the directory, beyond what a watch is asked to wait. */
+export const DIRECTORY_TIMEOUT_MS = 1_200;
+/** Engines answer an order at once; one that is late may still be carried out. */
+export const ORDER_TIMEOUT_MS = 200;
+export const REPORT_TIMEOUT_MS = 600;
 /** Log lines a second; what exceeds them is counted and dropped. */
 export const MAX_LOG_LINES_PER_S = 200;
 /** Lines that may wait for standard output. */
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -5,10 +5,10 @@
 import { Http } from '../clients/http.ts';
 import type { Event } from '../core/events.ts';
 import { isReady } from '../core/lifecycle.ts';
-import { newObserve } from '../core/observations.ts';
 import { type Policy, State } from '../core/state.ts';
 import type { ForwardOrder } from '../forwards/types.ts';
-import { Loop } from '../host/loop.ts';
+import type { Loop } from '../host/loop.ts';
+import { newObservedLoop } from '../host/observedLoop.ts';
 import { Observer } from '../host/observer.ts';
 import { Logger } from '../observe/logger.ts';
 import { ProcessSampler } from '../observe/processSampler.ts';
@@ -72,14 +72,10 @@
       localAddress: host.sourceAddress,
       maxConnections: (endpoint) => this.getMaxConnections(endpoint),
     });
-    this.loop = Loop.create({
+    this.loop = newObservedLoop({
       state: this.state,
+      observer: this.observer,
       runEffect: (effect) => runGatewayEffect(this, effect),
-      onTurn: (turnMs) => this.observer.observe(newObserve('fireflywick_loop_turn_ms', {}, turnMs)),
-      onError: (event, error) => {
-        const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
-        this.observer.logger.write('error', 'an event failed', { event: event.type, reason });
-      },
     });
     this.front = Front.create(this);
     this.sampler = ProcessSampler.create((observation) => this.observer.observe(observation));
@@ -132,6 +128,7 @@
 
   /** Takes over changed settings; what is bound to sockets needs a restart. */
   updateSettings(settings: GatewaySettings): void {
+    this.settingsProblem = '';
     const { host, directory, limits, log } = settings;
     const next = { ...this.settings, directory, limits, log };
     if (host.id !== this.settings.host.id || isDeepStrictEqual(next, this.settings)) return;
@@ -167,8 +164,8 @@
         this.dispatch({ type: 'forwardEnded', id, attempt, outcome });
       },
     });
-    // A send that fails at once has ended before it returns; cancelling it changes nothing.
-    this.running.set(attempt, running);
+    // A send that fails at once has ended before it returns.
+    if (!running.isOver) this.running.set(attempt, running);
   }
 
   onStopped(): void {
@@ -210,14 +207,14 @@
 }
 
 function newPolicy({ directory, limits }: GatewaySettings): Policy {
-  const { maxRequests, lameDuckMs } = limits;
+  const { lameDuckMs } = limits;
   const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = directory;
   return {
-    // Requests that are forwarded have no firm, and the engines pace their loads themselves.
+    // What follows decides about requests of firms, of which a gateway has none.
     stallWeight: 0,
     loadsPerS: 1,
-    maxRequests,
-    maxRequestsPerCaller: maxRequests,
+    maxRequests: 0,
+    maxRequestsPerCaller: 0,
     lameDuckMs,
     directory: { retries: { ratio, slack, windowMs } },
   };
--- a/src/gatewayHost/platform.ts
+++ b/src/gatewayHost/platform.ts
@@ -16,14 +16,14 @@
   readonly labels: LabelPort;
 }
 
-/** Single calls to the directory. None of them rejects. */
+/** Single calls to the directory, each with its time limit. None of them rejects. */
 export interface DirectoryPort {
   /** Reads a whole topic. */
-  read(topic: Topic): Promise<DirectoryAnswer>;
+  read(topic: Topic, timeoutMs: number): Promise<DirectoryAnswer>;
   /** Waits up to `waitMs` for changes after version `after`. */
-  watch(topic: Topic, after: number, waitMs: number): Promise<DirectoryAnswer>;
+  watch(topic: Topic, after: number, waitMs: number, timeoutMs: number): Promise<DirectoryAnswer>;
   /** Writes the members row if it still has `version`; 0 when it must be absent. */
-  writeMembers(row: MembersRow, version: number): Promise<MembersAnswer>;
+  writeMembers(row: MembersRow, version: number, timeoutMs: number): Promise<MembersAnswer>;
 }
 
 /** An order to one start of an engine, in the name of a host. */
@@ -36,11 +36,11 @@
   order: AdapterOrder;
 }
 
-/** Single calls to engines. None of them rejects. */
+/** Single calls to engines, each with its time limit. None of them rejects. */
 export interface EnginePort {
-  order(order: EngineOrder): Promise<AdapterOrderAnswer>;
+  order(order: EngineOrder, timeoutMs: number): Promise<AdapterOrderAnswer>;
   /** Returns the report, or the reason why there is none. */
-  report(engine: string, address: string): Promise<AdapterReport | string>;
+  report(engine: string, address: string, timeoutMs: number): Promise<AdapterReport | string>;
 }
 
 /** Names and values, by turns, as they stood in the message. */
--- a/src/gatewayHost/relay.ts
+++ b/src/gatewayHost/relay.ts
@@ -8,6 +8,8 @@
 
 /** One send that the relay has under way. */
 export interface RunningForward {
+  /** Whether its outcome was told. */
+  readonly isOver: boolean;
   cancel(): void;
 }
 
@@ -76,7 +78,7 @@
     } catch (error) {
       answer.failUnsent(error instanceof Error ? error.message : String(error));
     }
-    return { cancel: () => answer.cancel() };
+    return answer;
   }
 
   /** Closes the connections to endpoints that are not known any more. */
--- a/src/gatewayHost/relayedAnswer.ts
+++ b/src/gatewayHost/relayedAnswer.ts
@@ -6,7 +6,7 @@
 import { EventCutter, type StreamEvent } from './events.ts';
 import type { ForwardExchange } from './exchange.ts';
 import type { LabelPort } from './platform.ts';
-import type { RelayEvents } from './relay.ts';
+import type { RelayEvents, RunningForward } from './relay.ts';
 
 type Controller = Dispatcher.DispatchController;
 
@@ -23,7 +23,7 @@
 type Mode = 'waiting' | 'keeping' | 'streaming' | 'discarding';
 
 /** Takes the answer to one send: passes a stream on event by event and keeps any other whole. */
-export class RelayedAnswer implements Dispatcher.DispatchHandler {
+export class RelayedAnswer implements Dispatcher.DispatchHandler, RunningForward {
   private readonly sentAt = performance.now();
   private controller: Controller | undefined;
   private mode: Mode = 'waiting';
@@ -46,6 +46,10 @@
     return new RelayedAnswer(options);
   }
 
+  get isOver(): boolean {
+    return this.isEnded;
+  }
+
   /** Closes the connection, which ends the request at the endpoint. */
   cancel(): void {
     this.isCancelled = true;
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -1,4 +1,5 @@
 import type { Effect } from '../core/effects.ts';
+import { DIRECTORY_TIMEOUT_MS, ORDER_TIMEOUT_MS, REPORT_TIMEOUT_MS } from './constants.ts';
 import type { GatewayHost } from './gatewayHost.ts';
 
 type Runners = {
@@ -19,28 +20,30 @@
   openLink: (host, { host: to, address }) => host.links.open(to, address),
   closeLink: (host, { host: to }) => host.links.close(to),
   readTopic: (host, { topic, call }) => {
-    void host.platform.directory.read(topic).then((answer) => {
+    void host.platform.directory.read(topic, DIRECTORY_TIMEOUT_MS).then((answer) => {
       host.dispatch({ type: 'directoryAnswered', topic, call, isRead: true, answer });
     });
   },
   watchTopic: (host, { topic, call, after, waitMs }) => {
-    void host.platform.directory.watch(topic, after, waitMs).then((answer) => {
+    const timeoutMs = waitMs + DIRECTORY_TIMEOUT_MS;
+    void host.platform.directory.watch(topic, after, waitMs, timeoutMs).then((answer) => {
       host.dispatch({ type: 'directoryAnswered', topic, call, isRead: false, answer });
     });
   },
   writeMembers: (host, { row, version }) => {
-    void host.platform.directory.writeMembers(row, version).then((answer) => {
+    void host.platform.directory.writeMembers(row, version, DIRECTORY_TIMEOUT_MS).then((answer) => {
       host.dispatch({ type: 'membersAnswered', row, answer });
     });
   },
   orderAdapter: (host, { engine, address, epoch, order }) => {
     const { id } = host.state.host;
-    void host.platform.engines.order({ engine, address, host: id, epoch, order }).then((answer) => {
+    const engineOrder = { engine, address, host: id, epoch, order };
+    void host.platform.engines.order(engineOrder, ORDER_TIMEOUT_MS).then((answer) => {
       host.dispatch({ type: 'adapterOrdered', engine, epoch, order, answer });
     });
   },
   readAdapters: (host, { engine, address }) => {
-    void host.platform.engines.report(engine, address).then((report) => {
+    void host.platform.engines.report(engine, address, REPORT_TIMEOUT_MS).then((report) => {
       const isReport = typeof report !== 'string';
       host.dispatch({
         type: 'adaptersReported',
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -11,7 +11,6 @@
 import { TableClient } from '../clients/tableClient.ts';
 import { hash32 } from '../base/hash.ts';
 import type { Event } from '../core/events.ts';
-import { newObserve } from '../core/observations.ts';
 import { State } from '../core/state.ts';
 import type { DraftListAnswer, DraftReadAnswer } from '../drafts/types.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
@@ -20,7 +19,8 @@
 import { PeerLinks } from '../peers/links.ts';
 import type { Settings } from '../settings/groups.ts';
 import type { HostContext, RunningAttempt } from './context.ts';
-import { Loop } from './loop.ts';
+import type { Loop } from './loop.ts';
+import { newObservedLoop } from './observedLoop.ts';
 import { Observer } from './observer.ts';
 import { runEffect } from './runners/index.ts';
 
@@ -66,14 +66,10 @@
       localAddress: settings.host.sourceAddress,
       onEvent: (event) => this.dispatch(event),
     });
-    this.loop = Loop.create({
+    this.loop = newObservedLoop({
       state: this.state,
+      observer: this.observer,
       runEffect: (effect) => runEffect(this, effect),
-      onTurn: (turnMs) => this.observer.observe(newObserve('fireflywick_loop_turn_ms', {}, turnMs)),
-      onError: (event, error) => {
-        const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
-        this.observer.logger.write('error', 'an event failed', { event: event.type, reason });
-      },
     });
     this.sampler = ProcessSampler.create((observation) => this.observer.observe(observation));
     this.callerServer = CallerServer.create(this);
--- /dev/null
+++ b/src/host/observedLoop.ts
@@ -0,0 +1,23 @@
+import type { Effect } from '../core/effects.ts';
+import { newObserve } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import { Loop } from './loop.ts';
+import type { Observer } from './observer.ts';
+
+/** Creates a loop that measures its turns and logs the events whose handlers fail. */
+export function newObservedLoop(options: {
+  state: State;
+  observer: Observer;
+  runEffect: (effect: Effect) => void;
+}): Loop {
+  const { state, observer, runEffect } = options;
+  return Loop.create({
+    state,
+    runEffect,
+    onTurn: (turnMs) => observer.observe(newObserve('fireflywick_loop_turn_ms', {}, turnMs)),
+    onError: (event, error) => {
+      const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      observer.logger.write('error', 'an event failed', { event: event.type, reason });
+    },
+  });
+}
--- a/src/residency/constants.ts
+++ b/src/residency/constants.ts
@@ -1,7 +1,5 @@
 /** Adapters that are on their way to one engine at most; engines take up to 4. */
 export const MAX_LOADING = 3;
-/** Adapters on their way to all engines from which each load slows the others down. */
-export const MAX_LOADING_TOTAL = 8;
 /** Interval of questions about the load of a base model, and the time that it may take. */
 export const MODEL_CHECK_MS = 150;
 export const MODEL_LOAD_LIMIT_MS = 30_000;
--- a/src/residency/orders.ts
+++ b/src/residency/orders.ts
@@ -14,7 +14,7 @@
   UNLOAD_LIMIT_MS,
 } from './constants.ts';
 import { countLoading, getSlotLimit, getVictim, isCurrent } from './copies.ts';
-import { servePlaces, wakeAt } from './serve.ts';
+import { getWantedVersion, servePlaces, wakeAt } from './serve.ts';
 import type {
   AdapterOrder,
   AdapterOrderAnswer,
@@ -209,7 +209,7 @@
 ): { adapter: string; version: number } | undefined {
   for (const ask of owned.queue) {
     if (ask.adapter === '') continue;
-    const version = Math.max(ask.version, state.residency.versions.get(ask.adapter) ?? 0);
+    const version = getWantedVersion(state, ask);
     const copy = owned.copies.get(ask.adapter);
     if (copy === undefined) return { adapter: ask.adapter, version };
     // The engine would wait for the requests on the old version and take no other order meanwhile.
--- a/src/residency/owned.ts
+++ b/src/residency/owned.ts
@@ -73,7 +73,6 @@
     known.tokens = 0;
     known.readingTokens = 0;
     known.ordering = undefined;
-    known.doubtful = undefined;
     forgetCopies(known, now);
   }
   known.address = endpoint.address;
--- a/src/residency/queueOrder.ts
+++ b/src/residency/queueOrder.ts
@@ -30,7 +30,7 @@
 }
 
 /** Whether the first event of an answer would come after the goal if the ask got its place now. */
-export function isLate(owned: OwnedEngine, ask: QueuedPlace, now: number): boolean {
+function isLate(owned: OwnedEngine, ask: QueuedPlace, now: number): boolean {
   const backlogMs = getBacklogMs(owned);
   const readMs = getReadMs(ask.promptTokens);
   return now + getLoadMs(owned, ask, now) + backlogMs + readMs + START_MS > ask.goalAt;
--- a/src/residency/serve.ts
+++ b/src/residency/serve.ts
@@ -59,7 +59,8 @@
   owned.queue = left;
   effects.push(...orderNext(state, owned, engine, now));
   if (left.length > 0) wakeAt(state, owned, now + SERVE_MS, now);
-  return [...effects, ...tellSoon(state, now)];
+  tellSoon(state, now);
+  return effects;
 }
 
 /** Returns what the engines of an endpoint's service have in common; undefined for plain services. */
@@ -116,7 +117,8 @@
   return !isCurrent(copy, getWantedVersion(state, ask));
 }
 
-function getWantedVersion(state: State, { adapter, version }: PlaceAsked): number {
+/** Returns the version that an ask needs: the newest that its host or this one knows; 0 for any. */
+export function getWantedVersion(state: State, { adapter, version }: PlaceAsked): number {
   return Math.max(version, state.residency.versions.get(adapter) ?? 0);
 }
 
--- a/src/residency/told.ts
+++ b/src/residency/told.ts
@@ -10,13 +10,12 @@
 import type { EnginesTold, OwnedEngine, ToldEngine } from './types.ts';
 
 /** Has the other hosts told of changes of the owned engines after a short while. */
-export function tellSoon(state: State, now: number): Effect[] {
+export function tellSoon(state: State, now: number): void {
   const { residency, owners } = state;
-  if (residency.isTelling) return [];
+  if (residency.isTelling) return;
   residency.isTelling = true;
   const interval = Math.max(TELL_MS, TELL_PER_HOST_MS * owners.linked.size);
   schedule(state, now + interval, { type: 'tellEngines' });
-  return [];
 }
 
 /** Tells all linked hosts of the owned engines. */
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -18,8 +18,6 @@
   adapter: z.string(),
   /** Newest version that the asking host knows; 0 when none was announced. */
   version: z.int().min(0),
-  /** 0 is the most urgent. */
-  priority: z.int().min(0),
   promptTokens: z.number().min(0),
   outputTokens: z.number().min(0),
   /** Time until the request's deadline, and until it is late, in ms. */
--- a/src/settings/gatewayGroups.ts
+++ b/src/settings/gatewayGroups.ts
@@ -1,40 +1,20 @@
 import { z } from 'zod';
-import { Name } from '../configuration/types.ts';
-import { LogSettings } from './groups.ts';
+import { HostSettings, LISTEN, ListenSettings, LogSettings } from './groups.ts';
 import {
   newDuration,
   newInteger,
-  newIp,
   newListenAddress,
-  newMatch,
   newNumber,
   newOptional,
-  newPeerAddress,
   newSetting,
   newUrl,
 } from './values.ts';
 
-const NAME = 'lower-case letters, digits, ".", "_" and "-", at most 63';
-const LISTEN = 'IP:PORT, port 0 to 65535';
 const MAX_DURATION_MS = 600_000;
 
 /** Who the host is. */
 export const GatewayHostSettings = z.object({
-  id: newSetting(newMatch(Name), {
-    name: 'host-id',
-    help: 'Id of this host, unique in the deployment.',
-    allowed: NAME,
-  }),
-  zone: newSetting(newMatch(Name), {
-    name: 'zone',
-    help: 'Availability zone of this host.',
-    allowed: NAME,
-  }),
-  region: newSetting(newMatch(Name), {
-    name: 'region',
-    help: 'Region of this host.',
-    allowed: NAME,
-  }),
+  ...HostSettings.pick({ id: true, zone: true, region: true, sourceAddress: true }).shape,
   incarnation: newSetting(newInteger(1, Number.MAX_SAFE_INTEGER), {
     name: 'incarnation',
     help: 'Number that differs for each start of this host.',
@@ -42,12 +22,6 @@
     default: () => String(Date.now()),
     defaultText: 'start time in Unix ms',
   }),
-  sourceAddress: newSetting(newOptional(newIp()), {
-    name: 'source-address',
-    help: 'IP number that outgoing connections are opened from; the system chooses by default.',
-    allowed: 'a specific IP number of this host',
-    isOptional: true,
-  }),
 });
 
 /** Where the host listens. */
@@ -67,11 +41,7 @@
     help: 'Address of the listener for other hosts.',
     allowed: LISTEN,
   }),
-  advertised: newSetting(newPeerAddress(), {
-    name: 'peer-address',
-    help: 'Address under which other hosts reach the peer listener.',
-    allowed: 'IP:PORT by a specific IP number, port 1 to 65535',
-  }),
+  ...ListenSettings.pick({ advertised: true }).shape,
   metrics: newSetting(newOptional(newListenAddress()), {
     name: 'metrics-listen',
     help: 'Address that serves the metrics at /metrics; nothing is served by default.',
@@ -107,14 +77,8 @@
   }),
 });
 
-/** Limits on requests and on the shutdown. */
+/** Limits on the shutdown. */
 export const GatewayLimitSettings = z.object({
-  maxRequests: newSetting(newInteger(1, 1_000_000), {
-    name: 'max-requests',
-    help: 'Requests in flight that this host takes.',
-    allowed: 'a whole number from 1 to 1000000',
-    default: '4096',
-  }),
   lameDuckMs: newSetting(newDuration(0, MAX_DURATION_MS), {
     name: 'lame-duck',
     help: 'Time after SIGTERM for which the host waits for requests that are on their way.',
--- a/src/settings/groups.ts
+++ b/src/settings/groups.ts
@@ -19,7 +19,8 @@
 } from './values.ts';
 
 const NAME = 'lower-case letters, digits, ".", "_" and "-", at most 63';
-const LISTEN = 'IP:PORT, port 0 to 65535';
+/** What an address to listen on may be. */
+export const LISTEN = 'IP:PORT, port 0 to 65535';
 const URL_ALLOWED = 'an http or https URL without credentials, query or fragment';
 const MAX_LIMIT_MS = 600_000;
 const MAX_COUNT = 1_000_000;
--- a/tests/residency/orders.test.ts
+++ b/tests/residency/orders.test.ts
@@ -19,7 +19,6 @@
     engine: 'e0',
     adapter: adapter === '' ? '' : `base/${adapter}`,
     version: 0,
-    priority: 1,
     promptTokens: 100,
     outputTokens: 10,
     remainingMs: 5_000,
