Keep requests that crash engines from a third zone

Cause: after a cold start the hosts of other zones are known only from the host list, which lags by seconds, and after a cut from nothing at all. A suspect that was told before a link opened was never told again, so that these hosts learned of it from the table, which each read every 5 s. A copy sent there meanwhile crashed a third and fourth engine. Change: one host of each zone reads the rows every 250 ms and tells the zone; a link that opens is told the known suspects; a suspect whose crash was in a zone that this host cannot hear from is refused as not run for 10 s. A failed fault case keeps the logs of its hosts in dist/fault-logs, from which the cause was read.

--- a/src/membership/handlers.ts
+++ b/src/membership/handlers.ts
@@ -1,12 +1,14 @@
 import { deliver } from '../core/deliver.ts';
 import type { Effect } from '../core/effects.ts';
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
+import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { tellRowsTo } from '../ownership/adopt.ts';
 import { DIGEST_MS, GOSSIP_MS, MAX_ENTRIES, SUMMARY_MS } from './constants.ts';
 import { dropAsks } from '../grants/serve.ts';
 import { continueLinked, moveAsks } from '../requests/asking.ts';
+import { tellSuspectsTo } from '../suspects/table.ts';
 import { getHostListInterval, updateLeaving, updateLeavingFromList } from './endpoints.ts';
 import { answerDigest, answerVersions, sendDigest, sendEntries, spreadEntries } from './gossip.ts';
 import { getDigest, mergeHost, updateGone, updateOwnEntry } from './hosts.ts';
@@ -50,17 +52,23 @@
     for (const [engine, record] of received) if (record.from === host) received.delete(engine);
     const own = hosts.get(state.host.id);
     return [
+      newLog('info', 'link opened', { to: host }),
       ...sendEntries(state, [host], own === undefined ? [] : [own]),
       deliver(state, host, { type: 'membershipDigest', hash: getDigest(state, now) }),
       deliver(state, host, { type: 'engineWanted', engines: [] }),
       ...tellRowsTo(state, host),
+      ...tellSuspectsTo(state, host),
       ...continueLinked(state, host, now),
     ];
   },
-  linkClosed: (state, { host }, now) => {
+  linkClosed: (state, { host, reason }, now) => {
     state.membership.linked.delete(host);
     state.membership.unlinkedSince.set(host, now);
-    return [...dropAsks(state, host, now), ...moveAsks(state, host, now)];
+    return [
+      newLog('warn', 'link closed', { to: host, reason }),
+      ...dropAsks(state, host, now),
+      ...moveAsks(state, host, now),
+    ];
   },
   hostListRead: (state, { entries }, now) => {
     state.membership.listedHosts = entries.length;
--- a/src/requests/asking.ts
+++ b/src/requests/asking.ts
@@ -8,7 +8,7 @@
 import { wantLink } from '../membership/links.ts';
 import { updateSent } from '../engines/views.ts';
 import { chooseSuspectPlacement } from '../suspects/placement.ts';
-import { checkQuarantine, getSuspicion } from '../suspects/suspicion.ts';
+import { checkElsewhere, checkQuarantine, getSuspicion } from '../suspects/suspicion.ts';
 import { type CanAsk, choosePlacement } from '../routing/placement.ts';
 import {
   ASK_TIMEOUT_MS,
@@ -26,6 +26,10 @@
   const quarantine = checkQuarantine(state, fingerprint, request.mayHaveRun);
   if (quarantine !== undefined) return failRequest(state, request, quarantine);
   const isSuspect = getSuspicion(state, fingerprint) === 'suspect';
+  const elsewhere = isSuspect
+    ? checkElsewhere(state, fingerprint, now, request.mayHaveRun)
+    : undefined;
+  if (elsewhere !== undefined) return failRequest(state, request, elsewhere);
   const choose = (canAsk?: CanAsk) =>
     isSuspect
       ? chooseSuspectPlacement(state, request, canAsk)
--- a/src/suspects/constants.ts
+++ b/src/suspects/constants.ts
@@ -12,6 +12,19 @@
 export const MAX_CRASHES = 32;
 /** Interval between reads of the rows, for hosts that no peer can reach. */
 export const SUSPECT_POLL_MS = 5_000;
+/**
+ * Interval between reads by the host that reads for its zone. A crash is noticed about 400 ms after
+ * it happened and the retry takes as long, so that other zones know the suspect before a copy of it
+ * can arrive there, whatever is cut between the hosts.
+ */
+export const ZONE_POLL_MS = 250;
+/**
+ * Time after the latest news of a suspect for which a zone that cannot hear from the zone of its
+ * crash does not run it: the retry there decides meanwhile whether it is quarantined.
+ */
+export const SUSPECT_HOLD_MS = 10_000;
+/** Suspects that are sent to a host when a link to it opens; the newest are sent. */
+export const MAX_SENT_SUSPECTS = 100;
 export const SUSPECT_RETRY_MS = 2_000;
 export const SUSPECT_PAGE = 200;
 export const SUSPECT_PREFIX = 'suspect/';
--- a/src/suspects/suspicion.ts
+++ b/src/suspects/suspicion.ts
@@ -2,6 +2,7 @@
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
 import type { OwnedEngine } from '../grants/types.ts';
+import { SUSPECT_HOLD_MS, SUSPECT_TTL_MS } from './constants.ts';
 import type { Suspicion } from './types.ts';
 
 /** Returns what is known of a fingerprint. */
@@ -24,6 +25,37 @@
   });
 }
 
+/**
+ * Returns the failure of a suspect that crashed an engine in a zone that this host has no link to,
+ * or undefined. Without the wait each zone would lose an engine to the copies that it receives.
+ */
+export function checkElsewhere(
+  state: State,
+  fingerprint: string,
+  now: number,
+  mayHaveRun: boolean,
+): Failure | undefined {
+  const { byFingerprint, expiresAt } = state.suspects;
+  const learnedAt = (expiresAt.get(fingerprint) ?? -Infinity) - SUSPECT_TTL_MS;
+  if (learnedAt + SUSPECT_HOLD_MS <= now) return undefined;
+  const zones = (byFingerprint.get(fingerprint)?.crashes ?? []).map((crash) => {
+    return state.configuration.engines.get(crash.split('@')[0] ?? '')?.zone;
+  });
+  const hidden = zones.find((zone) => zone !== undefined && !canHear(state, zone));
+  if (hidden === undefined) return undefined;
+  const message = `the request may have crashed an engine in zone "${hidden}", which cannot be reached now`;
+  return Failure.create('adapter_unavailable', message, {
+    outcome: mayHaveRun ? 'unknown' : 'not_run',
+  });
+}
+
+/** Whether this host is in `zone` or has a link to a host there. */
+function canHear(state: State, zone: string): boolean {
+  const { hosts, linked } = state.membership;
+  if (zone === state.host.zone) return true;
+  return [...linked].some((host) => hosts.get(host)?.zone === zone);
+}
+
 /** Whether the owner may let `ask` run now: a suspect runs with no other suspect on the engine. */
 export function canRunWithSuspects(
   state: State,
--- a/src/suspects/table.ts
+++ b/src/suspects/table.ts
@@ -2,16 +2,20 @@
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
 import type { TableAnswer } from '../core/store.ts';
+import { newLog } from '../core/observations.ts';
 import { schedule } from '../core/timers.ts';
 import { getStampHour } from '../actions/rows.ts';
 import {
+  MAX_SENT_SUSPECTS,
   SUSPECT_PAGE,
   SUSPECT_POLL_MS,
   SUSPECT_PREFIX,
   SUSPECT_RETRY_MS,
   SUSPECT_TTL_HOURS,
   SUSPECT_TTL_MS,
+  ZONE_POLL_MS,
 } from './constants.ts';
+import { getRelays, getZonePeers } from '../membership/hosts.ts';
 import { isSameSuspect, mergeSuspects } from './merge.ts';
 import { Suspect } from './types.ts';
 
@@ -36,21 +40,36 @@
   now: number,
 ): Effect[] {
   if (!takeSuspect(state, suspect, now)) return [];
+  const { fingerprint, crashes, isCondemned } = suspect;
+  const log = newLog('info', 'suspect learned', { fingerprint, from, crashes, isCondemned });
   const { hosts, linked } = state.membership;
   const zone = hosts.get(from)?.zone;
   const others = [...linked].filter((host) => {
     return host !== from && (zone === undefined || hosts.get(host)?.zone !== zone);
   });
   const merged = state.suspects.byFingerprint.get(suspect.fingerprint) ?? suspect;
-  return tell(state, merged, others);
+  return [log, ...tell(state, merged, others)];
 }
 
-/** Reads the rows of suspects and schedules the next read. */
+/**
+ * Reads the rows of suspects and schedules the next read. One host of each zone reads often and
+ * tells the others, so that the calls to the table grow with the zones and not with the hosts.
+ */
 export function pollSuspects(state: State, now: number): Effect[] {
-  schedule(state, now + SUSPECT_POLL_MS, { type: 'pollSuspects' });
+  schedule(state, now + ZONE_POLL_MS, { type: 'pollSuspects' });
+  const { id, zone } = state.host;
+  const isReader = getRelays(state, zone)[0] === id;
+  if (!isReader && now < state.suspects.polledAt + SUSPECT_POLL_MS) return [];
+  state.suspects.polledAt = now;
   return [newScan('')];
 }
 
+/** Tells a host that can be reached again what it may have missed. */
+export function tellSuspectsTo(state: State, host: string): Effect[] {
+  const known = [...state.suspects.byFingerprint.values()].slice(-MAX_SENT_SUSPECTS);
+  return known.flatMap((suspect) => tell(state, suspect, [host]));
+}
+
 /** Takes over a page of rows and reads the next one. */
 export function takeRows(state: State, answer: TableAnswer, now: number): Effect[] {
   if (answer.type !== 'ok') return [];
@@ -58,8 +77,8 @@
     const row = Suspect.safeParse(value);
     if (!row.success) return [];
     if (!isExpired(state, row.data, now)) {
-      takeSuspect(state, row.data, now);
-      return [];
+      if (!takeSuspect(state, row.data, now)) return [];
+      return tell(state, row.data, getZonePeers(state));
     }
     const writes = [{ type: 'delete', key, condition: { type: 'version', version } } as const];
     const call = { type: 'write', writes } as const;
@@ -131,6 +150,8 @@
   const known = byFingerprint.get(fingerprint);
   const merged = known === undefined ? suspect : mergeSuspects(known, suspect);
   if (known !== undefined && isSameSuspect(known, merged)) return false;
+  // Deleted first, so that the map stays ordered by the latest news.
+  byFingerprint.delete(fingerprint);
   byFingerprint.set(fingerprint, merged);
   expiresAt.set(fingerprint, now + SUSPECT_TTL_MS);
   schedule(state, now + SUSPECT_TTL_MS, { type: 'suspectExpiry', fingerprint });
--- a/src/suspects/types.ts
+++ b/src/suspects/types.ts
@@ -39,6 +39,8 @@
   readonly down = new Set<string>();
   /** Pins that were blamed, so that a second report does not blame them again. */
   readonly blamed = new WeakSet();
+  /** Monotonic ms of the last read of the rows. */
+  polledAt = -Infinity;
 
   private constructor() {}
 
--- a/stand-ins/engine/engine.ts
+++ b/stand-ins/engine/engine.ts
@@ -62,7 +62,7 @@
   /** Drops all connections, refuses new ones for the cold start, and starts empty. */
   crash(): void {
     const requests = [...this.batch.running].map(({ id }) => id);
-    this.records.crashes.push({ bootId: this.bootId, requests });
+    this.records.crashes.push({ at: new Date().toISOString(), bootId: this.bootId, requests });
     this.abandonAll('crashed');
     const { adapters } = this;
     const stopped = Promise.all([this.server.stop(), adapters.close()]);
--- a/stand-ins/engine/records.ts
+++ b/stand-ins/engine/records.ts
@@ -14,7 +14,8 @@
   /** Streams continued on another connection, with the last chunk that the client had. */
   resumes: { request: string; position: number }[];
   evictions: { model: string; bootId: string; inUseBy: string[] }[];
-  crashes: { bootId: string; requests: string[] }[];
+  /** `at` is the wall clock in ISO 8601, as in the hosts' logs. */
+  crashes: { at: string; bootId: string; requests: string[] }[];
   orders: {
     type: 'load' | 'unload' | 'role';
     subject: string;
--- a/tests/faults/runCase.ts
+++ b/tests/faults/runCase.ts
@@ -1,3 +1,4 @@
+import { mkdirSync, writeFileSync } from 'node:fs';
 import { expect } from 'vitest';
 import { until } from '../support.ts';
 import { Deployment } from '../helpers/deployment.ts';
@@ -28,9 +29,21 @@
 /** Time within which every host serves again once nothing fails any more. */
 const RECOVERY_MS = 45_000;
 
+/** Where the hosts' logs of a failed case are kept. */
+const LOG_FOLDER = 'dist/fault-logs';
+
 /** Runs one case over a deployment of its own and checks all guarantees afterwards. */
 export async function runCase(layout: Layout, fault: FaultCase): Promise<void> {
   const deployment = await Deployment.start(layout, fault.settings);
+  try {
+    await runAndCheck(deployment, fault);
+  } catch (error) {
+    saveLogs(deployment, fault);
+    throw error;
+  }
+}
+
+async function runAndCheck(deployment: Deployment, fault: FaultCase): Promise<void> {
   const workload = Workload.start(deployment, { seed: fault.seed, ...fault.workload });
   await until(() => workload.completed >= WARM_UP_ANSWERS);
   await fault.run(deployment, workload);
@@ -40,6 +53,19 @@
   expect(findViolations(deployment)).toEqual([]);
 }
 
+/** Writes the engines' crashes and the logs of all hosts, so that a failure seen once can be traced. */
+function saveLogs(deployment: Deployment, { failures, name }: FaultCase): void {
+  const crashes = deployment.platform.engines.flatMap(({ id, standIn }) =>
+    standIn.records.crashes.map((crash) => `engine ${id}: ${JSON.stringify(crash)}`),
+  );
+  const logs = deployment.runs.flatMap(({ place, incarnation, log }) =>
+    log.map((line) => `${place.id}.${incarnation}: ${line}`),
+  );
+  mkdirSync(LOG_FOLDER, { recursive: true });
+  const file = `${failures}-${name}`.replaceAll(/[^A-Za-z0-9]+/g, '-');
+  writeFileSync(`${LOG_FOLDER}/${file}.txt`, [...crashes, ...logs].join('\n'));
+}
+
 /** Waits until `count` more answers are complete. */
 export function moreAnswers(workload: Workload, count: number): Promise<void> {
   const target = workload.completed + count;
--- a/tests/suspects/suspects.test.ts
+++ b/tests/suspects/suspects.test.ts
@@ -9,13 +9,20 @@
   noteBroken,
   recordCrash,
 } from '../../src/suspects/crashes.ts';
-import { SUSPECT_TTL_HOURS, SUSPECT_TTL_MS } from '../../src/suspects/constants.ts';
+import {
+  SUSPECT_HOLD_MS,
+  SUSPECT_TTL_HOURS,
+  SUSPECT_TTL_MS,
+  ZONE_POLL_MS,
+} from '../../src/suspects/constants.ts';
 import { isSameSuspect, mergeSuspects } from '../../src/suspects/merge.ts';
 import {
   canRunWithSuspects,
+  checkElsewhere,
   chooseSuspectEngine,
   getSuspicion,
 } from '../../src/suspects/suspicion.ts';
+import { pollSuspects, takeRows } from '../../src/suspects/table.ts';
 import type { Suspect } from '../../src/suspects/types.ts';
 import { newEngineChanges } from '../helpers/engines.ts';
 import { Simulation } from '../helpers/simulation.ts';
@@ -199,6 +206,56 @@
     simulation.settle(() => get('x', 'h3') === 'suspect');
   });
 
+  // A host that started or was cut off while the crash was told learned of it up to 5 s later.
+  it('is told to a host when a link to it opens', () => {
+    const { simulation, host, crash, get } = newSimulation(['h1', 'h2']);
+    host.state.membership.linked.clear();
+    simulation.faultRate = 1;
+    crash('e1', 'b1', 'x');
+    simulation.feed(host, { type: 'linkOpened', host: 'h2' });
+    simulation.settle(() => get('x', 'h2') === 'suspect');
+  });
+
+  // Hosts of a zone that was just cut off read the rows every 5 s, in which a copy crashed a third
+  // engine.
+  it('is read from the table often by one host of each zone, which tells the others', () => {
+    const { simulation } = newSimulation(['h1', 'h2']);
+    const readers = ['h1', 'h2'].map((id) => {
+      const { state } = simulation.get(id);
+      const times = Array.from({ length: 16 }, (_, n) => 10_000 + n * ZONE_POLL_MS);
+      return { id, reads: times.flatMap((now) => pollSuspects(state, now)).length };
+    });
+    expect(readers.map(({ reads }) => reads).sort((a, b) => a - b)).toEqual([1, 16]);
+    const reader = simulation.get(readers.find(({ reads }) => reads > 1)?.id ?? '');
+    const value = {
+      fingerprint: 'x',
+      generation: 0,
+      crashes: ['e1@b1'],
+      cleared: [],
+      isCondemned: false,
+      hour: 0,
+    };
+    const rows = [{ key: 'suspect/x', value, version: '1' }];
+    const told = takeRows(reader.state, { type: 'ok', rows }, 20_000).filter(
+      ({ type }) => type === 'sendMessage',
+    );
+    expect(told).toHaveLength(1);
+  });
+
+  // Zones without a link to each other lost an engine each to the copies of one request.
+  it.each([
+    { name: 'not run in a zone that cannot hear from the zone of the crash', waitMs: 0 },
+    { name: 'run there once the zone of the crash had time to decide', waitMs: SUSPECT_HOLD_MS },
+  ])('is $name', ({ waitMs }) => {
+    const { simulation, host, crash } = newSimulation();
+    const engine = host.state.configuration.engines.get('e1');
+    if (engine === undefined) throw new Error('engine e1 is not configured');
+    host.state.configuration.engines.set('e1', { ...engine, zone: 'other' });
+    crash('e1', 'b1', 'x');
+    const failure = checkElsewhere(host.state, 'x', simulation.now + waitMs, false);
+    expect(failure?.kind).toBe(waitMs === 0 ? 'adapter_unavailable' : undefined);
+  });
+
   it('is forgotten a day after its last crash, also by a host that reads its row later', () => {
     const { simulation, host, crash, get } = newSimulation();
     simulation.settle(() => host.state.actions.hour === 0);
