Read the report of an engine whose load is overdue

The owner of an engine was frozen from 26.1 s to 34.0 s while the store was away, so that nobody took over. Awake, it found two loads older than LOAD_LIMIT_MS, took them for dropped and ordered a third adapter; both had arrived, the engine held 7 of 6 and crashed. Ruled out: a second owner (epoch 24 throughout), lost answers (none). Change: an overdue load or unload has the report of the engine read; no order is given before it arrived. Conclusion: only what the engine says tells which slots are free.

--- a/src/residency/constants.ts
+++ b/src/residency/constants.ts
@@ -7,7 +7,7 @@
 export const MODEL_RETRY_MS = 200;
 /** Time after which a load is asked about, and the interval of further questions. */
 export const LOAD_CHECK_MS = 30;
-/** Time after a load began at which the engine is taken to have dropped it. */
+/** Time after the order of a load or unload at which the engine's report is read instead of waiting on. */
 export const LOAD_LIMIT_MS = 8_000;
 /** Time for which an unload may wait for the requests of its adapter. */
 export const UNLOAD_LIMIT_MS = 4_000;
@@ -19,8 +19,9 @@
 export const BREAK_OFF_MS = 1_500;
 /** Pause before a report that failed is asked for again. */
 export const REPORT_RETRY_MS = 500;
-/** Pause after an order that the engine did not take. */
+/** Pause after an order that the engine did not take; doubles with each one, up to the maximum. */
 export const ORDER_RETRY_MS = 60;
+export const ORDER_RETRY_MAX_MS = 1_000;
 /** Prompt tokens that an engine reads in a ms. */
 export const PROMPT_TOKENS_PER_MS = 24;
 /** Time that an engine takes for a prompt beyond the reading, for each million token pairs, in ms. */
--- a/src/residency/orders.ts
+++ b/src/residency/orders.ts
@@ -8,6 +8,7 @@
   LOAD_LIMIT_MS,
   MAX_LOADING,
   MAX_LOST_ANSWERS,
+  ORDER_RETRY_MAX_MS,
   ORDER_RETRY_MS,
   REPORT_LAG_MS,
   REPORT_RETRY_MS,
@@ -48,6 +49,11 @@
   if (owned.modelLoad !== undefined || owned.models.size === 0) {
     return orderModel(state, owned, engine, now);
   }
+  // After a freeze of this host it may have arrived: only the report tells which slots are free.
+  if (isOverdue(owned, now)) {
+    forgetCopies(owned, now);
+    return readReport(state, owned, now);
+  }
   const check = getCopyToCheck(owned, now);
   if (check !== undefined) {
     const type = check.phase === 'loading' ? 'load' : 'unload';
@@ -73,6 +79,7 @@
 ): Effect[] {
   owned.ordering = undefined;
   if (answer.type !== 'unknown') owned.lostAnswers = 0;
+  if (answer.type !== 'refused') owned.refusals = 0;
   const handled = isModelOrder(order) && noteModelAnswer(owned, order, answer, now);
   if (!handled) answerHandlers[answer.type](state, owned, order, now);
   const { type, adapter, version } = order;
@@ -117,7 +124,8 @@
   }
   for (const adapter of report.coming) {
     const known = before.get(adapter);
-    owned.copies.set(adapter, newCopy(adapter, known?.version, 'loading', known, now));
+    const copy = newCopy(adapter, known?.version, 'loading', known, now);
+    owned.copies.set(adapter, { ...copy, orderedAt: now });
   }
   return servePlaces(state, owned, now);
 }
@@ -168,7 +176,9 @@
   },
   otherEngine: (_state, owned, _order, now) => forgetCopies(owned, now),
   refused: (_state, owned, _order, now) => {
-    owned.orderFrom = Math.max(owned.orderFrom, now + ORDER_RETRY_MS);
+    const pause = Math.min(ORDER_RETRY_MAX_MS, ORDER_RETRY_MS * 2 ** owned.refusals);
+    owned.refusals += 1;
+    owned.orderFrom = Math.max(owned.orderFrom, now + pause);
   },
   // It may have been carried out, or will be unless another order raises the sequence first. Given
   // again with the same sequence it takes effect once.
@@ -219,14 +229,17 @@
   return undefined;
 }
 
+/** Whether a copy comes or goes for longer than an engine takes. */
+function isOverdue({ copies }: OwnedEngine, now: number): boolean {
+  return [...copies.values()].some(({ phase, orderedAt }) => {
+    return phase !== 'held' && now - orderedAt > LOAD_LIMIT_MS;
+  });
+}
+
 /** Returns a copy that comes or goes and has not been asked about lately. */
 function getCopyToCheck(owned: OwnedEngine, now: number): Copy | undefined {
   for (const copy of owned.copies.values()) {
     if (copy.phase === 'held' || copy.checkedAt + LOAD_CHECK_MS > now) continue;
-    if (now - copy.orderedAt > LOAD_LIMIT_MS) {
-      owned.copies.delete(copy.adapter);
-      continue;
-    }
     copy.checkedAt = now;
     return copy;
   }
--- a/src/residency/owned.ts
+++ b/src/residency/owned.ts
@@ -98,6 +98,7 @@
     ordering: undefined,
     doubtful: undefined,
     lostAnswers: 0,
+    refusals: 0,
     wakeAt: -Infinity,
     models: new Set(models),
     modelLoad: undefined,
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -171,6 +171,8 @@
   doubtful: AdapterOrder | undefined;
   /** Orders in a row whose answers were lost. */
   lostAnswers: number;
+  /** Orders in a row that the engine did not take. */
+  refusals: number;
   /** Monotonic ms of the next timer that serves the queue. */
   wakeAt: number;
   /** Base models that it holds. */
--- a/tests/residency/orders.test.ts
+++ b/tests/residency/orders.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { LOAD_LIMIT_MS, ORDER_RETRY_MS, REPORT_LAG_MS } from '../../src/residency/constants.ts';
 import type { AdapterOrderAnswer } from '../../src/residency/types.ts';
 import { DirectedHost, newChange, newEndpoint, newRow } from '../helpers/directed.ts';
 
@@ -87,6 +88,41 @@
     );
   });
 
+  // An owner that was frozen for 8 s took the adapters that had come meanwhile for dropped, and
+  // ordered the engine to load more than it has slots for, upon which it crashed.
+  it('reads the report of an engine whose load is overdue, and orders nothing before', () => {
+    const host = createOwner();
+    ask(host, 'r1', 'a1');
+    ask(host, 'r2', 'a2');
+    report(host);
+    answerOrder(host, { type: 'accepted' });
+    answerOrder(host, { type: 'accepted' });
+    host.take('orderAdapter');
+    host.now += LOAD_LIMIT_MS + 1;
+    ask(host, 'r3', 'a3');
+    host.dispatch({ type: 'tick' });
+    if (host.state.residency.owned.get('e0')?.ordering !== undefined) {
+      answerOrder(host, { type: 'accepted' });
+    }
+    expect(getOrders(host).filter((order) => order.startsWith('load a3'))).toEqual([]);
+    host.advance(REPORT_LAG_MS);
+    expect(host.take('readAdapters')).toHaveLength(1);
+  });
+
+  it('asks an engine that takes no orders less and less often', () => {
+    const host = createOwner();
+    ask(host, 'r1', 'a1', { remainingMs: 60_000 });
+    report(host);
+    let orders = 0;
+    for (let waited = 0; waited < 5_000; waited += ORDER_RETRY_MS) {
+      orders += getOrders(host).length;
+      const { ordering } = host.state.residency.owned.get('e0') ?? {};
+      if (ordering !== undefined) answerOrder(host, { type: 'refused', reason: 'refused' });
+      host.advance(ORDER_RETRY_MS);
+    }
+    expect(orders).toBeLessThan(15);
+  });
+
   it('does not count a repeated load of an adapter on its way', () => {
     const host = createOwner();
     ask(host, 'r1', 'a1');
