Load base models as the weight store allows, and none on leaving engines

Base models were ordered for all new engines as they came; the store serves one at full speed there, a load that begins beside three others takes four times as long, and an engine that joined at 4.8 s was still loading at 18 s. Weights and adapters were ordered for engines that were about to leave or gone, 12 times a minute each after they were. Why that message did not arrive is not known. Change: owners tell of loads of base models and start one while fewer run than the store was found to serve at full speed, one at first. An engine that leaves gets no orders, and asks for adapters it does not hold are refused at once. What the reader tells names the versions it continues from and reaches, and a host asks for what is missing between.

--- a/src/directory/feed.ts
+++ b/src/directory/feed.ts
@@ -5,7 +5,7 @@
 import { ANSWER_SLACK_MS, CALM_MS, FEED_MS } from './constants.ts';
 import { getListeners, isFed, isReader } from './group.ts';
 import { type DirectoryFed, Topic } from './types.ts';
-import { callTopic, getNewest } from './watch.ts';
+import { callTopic } from './watch.ts';
 
 /** Starts the rounds in which the reader tells that it is in touch, and the others check that. */
 export function startFeed(state: State, now: number): Effect[] {
@@ -25,7 +25,7 @@
   const { operator, endpoints, members } = directory.topics;
   const fed: DirectoryFed = {
     type: 'directoryFed',
-    newest: [operator.newsVersion, endpoints.newsVersion, members.newsVersion],
+    told: [operator.toldVersion, endpoints.toldVersion, members.toldVersion],
     regainedMs: Math.min(now - endpoints.regainedAt, Number.MAX_SAFE_INTEGER),
   };
   return getListeners(state).map((host) => deliver(state, host, fed));
@@ -40,10 +40,11 @@
   endpoints.regainedAt = Math.max(endpoints.regainedAt, now - fed.regainedMs);
   return Topic.options.flatMap((topic, index) => {
     const known = directory.topics[topic];
-    const after = getNewest(known);
+    const after = known.version;
+    if (after === undefined) return [];
     // While members change, the watch of this host brings them as well.
     const isComing = topic === 'members' && known.changedAt + CALM_MS > now;
-    const isBehind = (fed.newest[index] ?? 0) > after && !isComing;
+    const isBehind = (fed.told[index] ?? 0) > after && !isComing;
     return isBehind ? [deliver(state, from, { type: 'topicAsked', topic, after })] : [];
   });
 }
--- a/src/directory/handlers.ts
+++ b/src/directory/handlers.ts
@@ -1,7 +1,8 @@
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import { continueMembersWrite } from '../owners/members.ts';
-import { applyChanges, applyDeferred } from './apply.ts';
+import { applyDeferred } from './apply.ts';
 import { feedGroup, hearFeed } from './feed.ts';
+import { takeTold } from './news.ts';
 import type { DirectoryEvent, DirectoryTimer } from './types.ts';
 import { askPeers, callTopic, continueTopic, tellTopic } from './watch.ts';
 
@@ -13,7 +14,7 @@
 
 export const directoryMessages: MessageHandlers<'topicAsked' | 'topicTold' | 'directoryFed'> = {
   topicAsked: (state, { topic, after }, from) => tellTopic(state, topic, after, from),
-  topicTold: (state, { topic, changes }, _from, now) => applyChanges(state, topic, changes, now),
+  topicTold: (state, told, _from, now) => takeTold(state, told, now),
   directoryFed: (state, fed, from, now) => hearFeed(state, fed, from, now),
 };
 
--- a/src/directory/news.ts
+++ b/src/directory/news.ts
@@ -2,26 +2,46 @@
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
 import { getListeners, isReader } from './group.ts';
-import type { Change, Content, Topic } from './types.ts';
+import { applyChanges } from './apply.ts';
+import type { Change, Content, Topic, TopicTold } from './types.ts';
 
 /**
- * Tells the group what a watch of this reader brought; call before the changes are taken up. The
- * members row is large and every host watches it, so that hosts ask for it where they lack it.
+ * Tells the group what an answer up to version `upTo` brought this reader; call before the changes
+ * are taken up. The members row is large and every host watches it, so that hosts ask for it where
+ * they lack it.
  */
-export function passOn(state: State, topic: Topic, changes: readonly Change[]): Effect[] {
+export function passOn(
+  state: State,
+  topic: Topic,
+  { changes, version: upTo }: { changes: readonly Change[]; version: number },
+): Effect[] {
   const known = state.directory.topics[topic];
   const news = changes.filter((change) => {
     const before = known.entries.get(change.key);
     return before === undefined || !isSameContent(before.content, change.content);
   });
   if (news.length === 0) return [];
-  known.newsVersion = Math.max(known.newsVersion, ...news.map(({ version }) => version));
+  const after = known.toldVersion;
+  known.toldVersion = Math.max(after, upTo);
   if (topic === 'members' || !isReader(state)) return [];
   return getListeners(state).map((host) =>
-    deliver(state, host, { type: 'topicTold', topic, changes: news }),
+    deliver(state, host, { type: 'topicTold', topic, after, upTo, changes: news }),
   );
 }
 
+/** Takes up what another host tells, and continues from there unless something is missing between. */
+export function takeTold(
+  state: State,
+  { topic, after, upTo, changes }: TopicTold,
+  now: number,
+): Effect[] {
+  const known = state.directory.topics[topic];
+  if (known.version !== undefined && after <= known.version) {
+    known.version = Math.max(known.version, upTo);
+  }
+  return applyChanges(state, topic, changes, now);
+}
+
 /** Whether two contents say the same to a host that gives the endpoint no orders. */
 function isSameContent(a: Content, b: Content): boolean {
   return JSON.stringify(withoutOrders(a)) === JSON.stringify(withoutOrders(b));
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -59,8 +59,8 @@
   isCalling: boolean;
   /** Monotonic ms by which the call under way is due. */
   answerBy: number;
-  /** Newest version at which a content changed in what other hosts need. */
-  newsVersion: number;
+  /** Version up to which this host told its group as the reader. */
+  toldVersion: number;
   /** Watches in a row that brought changes, and the monotonic ms of the last one. */
   busyWatches: number;
   changedAt: number;
@@ -99,7 +99,7 @@
     call: 0,
     isCalling: false,
     answerBy: 0,
-    newsVersion: 0,
+    toldVersion: 0,
     busyWatches: 0,
     changedAt: -Infinity,
     failures: 0,
@@ -115,17 +115,21 @@
   after: z.int().min(0),
 });
 
+/** Tells all changes of a topic after one version up to another, as far as other hosts need them. */
 export const TopicTold = z.object({
   type: z.literal('topicTold'),
   topic: Topic,
+  after: z.int().min(0),
+  upTo: z.int().min(0),
   changes: z.array(Change),
 });
+export type TopicTold = z.infer<typeof TopicTold>;
 
 /** Tells that a reader is in touch with the directory. */
 export const DirectoryFed = z.object({
   type: z.literal('directoryFed'),
-  /** Newest news of each topic, in the order of `Topic`. */
-  newest: z.array(z.int().min(0)).length(Topic.options.length),
+  /** Version of each topic up to which the reader told, in the order of `Topic`. */
+  told: z.array(z.int().min(0)).length(Topic.options.length),
   /** Time since the reader's calls succeeded again after failures, in ms. */
   regainedMs: z.number(),
 });
--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -87,7 +87,9 @@
     known.version = undefined;
     return [...effects, ...callTopic(state, topic, now)];
   }
-  effects.push(...passOn(state, topic, answer.changes));
+  // What a read lacks was removed; hosts are told of that when they ask.
+  if (isRead) known.toldVersion = answer.version;
+  else effects.push(...passOn(state, topic, answer));
   known.version = Math.max(known.version ?? 0, answer.version);
   const applied = isRead
     ? applySnapshot(state, topic, answer.changes, answer.version, now)
@@ -110,22 +112,15 @@
   const linked = [...state.owners.linked];
   const peer = linked[state.random.getInteger(Math.max(1, linked.length))];
   if (peer === undefined) return [];
-  return [deliver(state, peer, { type: 'topicAsked', topic, after: getNewest(known) })];
+  return [deliver(state, peer, { type: 'topicAsked', topic, after: known.version ?? 0 })];
 }
 
 /** Returns the message that tells a host of the changes it lacks. */
 export function tellTopic(state: State, topic: Topic, after: number, to: string): Effect[] {
-  const changes = [...state.directory.topics[topic].entries.values()].filter(
-    ({ version }) => version > after,
-  );
-  return changes.length === 0 ? [] : [deliver(state, to, { type: 'topicTold', topic, changes })];
-}
-
-/** Returns the newest version among the known entries of a topic. */
-export function getNewest({ entries }: TopicState): number {
-  let newest = 0;
-  for (const { version } of entries.values()) newest = Math.max(newest, version);
-  return newest;
+  const { entries, version: upTo } = state.directory.topics[topic];
+  if (upTo === undefined || upTo <= after) return [];
+  const changes = [...entries.values()].filter(({ version }) => version > after);
+  return [deliver(state, to, { type: 'topicTold', topic, after, upTo, changes })];
 }
 
 function retryTopic(state: State, topic: Topic, reason: string, now: number): Effect[] {
--- a/src/residency/constants.ts
+++ b/src/residency/constants.ts
@@ -3,8 +3,18 @@
 /** Interval of questions about the load of a base model, and the time that it may take. */
 export const MODEL_CHECK_MS = 150;
 export const MODEL_LOAD_LIMIT_MS = 30_000;
-/** Pause before the next base model is loaded when the weight store's rate is used up. */
+/** Pause before the next base model is loaded when the weight store takes no more. */
 export const MODEL_RETRY_MS = 200;
+/** Time for which other loads wait for one. */
+export const MODEL_WAIT_MS = 10_000;
+/** Age at which what a host told of its engines does not count any more. */
+export const TOLD_KEEP_MS = 4_000;
+/** Share of the usual time from which on a load was slowed down by others. */
+export const SLOW_LOAD = 1.4;
+/** Time for which as many loads are not tried together again. */
+export const SLOW_KEEP_MS = 20_000;
+/** Share of the usual time up to which a load came from the engine's own disk or memory. */
+export const FROM_STORE = 0.8;
 /** Time after which a load is asked about, and the interval of further questions. */
 export const LOAD_CHECK_MS = 30;
 /** Time after the order of a load or unload at which the engine's report is read instead of waiting on. */
--- a/src/residency/handlers.ts
+++ b/src/residency/handlers.ts
@@ -59,5 +59,5 @@
     const owned = state.residency.owned.get(engine);
     return owned === undefined ? [] : servePlaces(state, owned, now);
   },
-  tellEngines: (state) => tellEngines(state),
+  tellEngines: (state, _timer, now) => tellEngines(state, now),
 };
--- a/src/residency/modelOrders.ts
+++ b/src/residency/modelOrders.ts
@@ -2,10 +2,20 @@
 import type { Effect } from '../core/effects.ts';
 import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
-import type { EngineClass } from '../routes/types.ts';
-import { MODEL_CHECK_MS, MODEL_LOAD_LIMIT_MS, MODEL_RETRY_MS } from './constants.ts';
+import type { BaseModel, EngineClass } from '../routes/types.ts';
+import {
+  FROM_STORE,
+  MODEL_CHECK_MS,
+  MODEL_LOAD_LIMIT_MS,
+  MODEL_RETRY_MS,
+  MODEL_WAIT_MS,
+  SLOW_KEEP_MS,
+  SLOW_LOAD,
+  TOLD_KEEP_MS,
+} from './constants.ts';
 import { giveOrder } from './orders.ts';
-import { wakeAt } from './serve.ts';
+import { getEngineClass, wakeAt } from './serve.ts';
+import { tellEngines } from './told.ts';
 import type { AdapterOrder, AdapterOrderAnswer, OwnedEngine } from './types.ts';
 
 /** Whether an order concerns a base model and not an adapter of one. */
@@ -32,18 +42,40 @@
   }
   const model = chooseModel(state, engine, now);
   if (model === undefined) return [];
-  if (!takeModelLoad(state, engine, now)) {
-    wakeAt(state, owned, now + MODEL_RETRY_MS, now);
+  const isKnown = model.loadMs > 0;
+  const together = countModelLoads(state, now);
+  const isTooMany = isKnown && together >= state.residency.modelLimit;
+  if (isTooMany || !takeModelLoad(state, engine, now)) {
+    // Owners that wait for the same load to end must not go on together.
+    const pause = MODEL_RETRY_MS * (0.5 + state.random.getFraction());
+    wakeAt(state, owned, now + pause, now);
     return [];
   }
+  const { name } = model;
   return [
-    newLog('info', 'base model is loaded', { engine: owned.id, model }),
-    ...giveOrder(owned, 'load', model, undefined),
+    newLog('info', 'base model is loaded', { engine: owned.id, model: name, together }),
+    ...giveOrder(owned, 'load', name, undefined),
+    ...tellEngines(state, now),
   ];
 }
 
+/**
+ * Whether a base model is on its way to an engine, as far as others have to wait for it. A load that
+ * takes much longer than it should may have ended unheard, as on an engine that fell silent.
+ */
+export function isLoadingModel(
+  { fleet }: State,
+  { id, modelLoad, ordering }: OwnedEngine,
+  now: number,
+): boolean {
+  if (fleet.views.get(id)?.isRemoved !== false) return false;
+  if (modelLoad === undefined) return ordering !== undefined && isModelOrder(ordering);
+  return now - modelLoad.orderedAt < MODEL_WAIT_MS;
+}
+
 /** Notes the answer to an order of a base model; false when it is handled like any other order. */
 export function noteModelAnswer(
+  state: State,
   owned: OwnedEngine,
   { adapter: model }: AdapterOrder,
   { type }: AdapterOrderAnswer,
@@ -53,12 +85,14 @@
     owned.doubtful = undefined;
     if (owned.modelLoad !== undefined) return true;
     owned.sequence = (owned.sequence ?? 0) + 1;
-    owned.modelLoad = { model, orderedAt: now, checkedAt: now };
+    const together = countModelLoads(state, now) + 1;
+    owned.modelLoad = { model, orderedAt: now, checkedAt: now, together };
     return true;
   }
   if (type === 'done') {
     if (owned.doubtful !== undefined) owned.sequence = (owned.sequence ?? 0) + 1;
     owned.doubtful = undefined;
+    noteModelLoaded(state, owned, now);
     owned.modelLoad = undefined;
     owned.models.add(model);
     return true;
@@ -72,12 +106,50 @@
 }
 
 /** Chooses the base model that is asked for most of those that fit. */
-function chooseModel(state: State, engine: EngineClass, now: number): string | undefined {
+function chooseModel(state: State, engine: EngineClass, now: number): BaseModel | undefined {
   const { popularity } = state.forwards;
   return engine.models
     .filter(({ weightsMb }) => weightsMb <= engine.weightsMb)
-    .map(({ name }) => ({ name, value: popularity.get(name, now) }))
-    .sort((a, b) => b.value - a.value)[0]?.name;
+    .map((model) => ({ model, value: popularity.get(model.name, now) }))
+    .sort((a, b) => b.value - a.value)[0]?.model;
+}
+
+/** Counts the loads of base models on all engines, as far as their owners told. */
+function countModelLoads(state: State, now: number): number {
+  const { residency } = state;
+  let count = 0;
+  for (const owned of residency.owned.values()) {
+    if (isLoadingModel(state, owned, now)) count += 1;
+  }
+  for (const [engine, told] of residency.told) {
+    if (residency.owned.has(engine) || told.at + TOLD_KEEP_MS < now) continue;
+    if (told.isLoadingModel) count += 1;
+  }
+  return count;
+}
+
+/**
+ * Learns from a load how many the weight store serves at full speed. Beyond that number each takes
+ * longer in proportion: all engines of a release would come into use at the end, instead of one by
+ * one.
+ */
+function noteModelLoaded(state: State, owned: OwnedEngine, now: number): void {
+  const { residency } = state;
+  const { modelLoad } = owned;
+  const view = state.fleet.views.get(owned.id);
+  const engine = view === undefined ? undefined : getEngineClass(state, view);
+  const loadMs = engine?.models.find(({ name }) => name === modelLoad?.model)?.loadMs ?? 0;
+  if (modelLoad === undefined || loadMs === 0) return;
+  const { together } = modelLoad;
+  const ratio = (now - modelLoad.orderedAt - MODEL_CHECK_MS) / loadMs;
+  if (ratio > SLOW_LOAD) {
+    residency.slowTogether = Math.max(2, together);
+    residency.slowUntil = now + SLOW_KEEP_MS;
+    residency.modelLimit = Math.max(1, Math.min(residency.modelLimit, together - 1));
+  } else if (ratio > FROM_STORE && together >= residency.modelLimit) {
+    const most = residency.slowUntil > now ? residency.slowTogether - 1 : Infinity;
+    residency.modelLimit = Math.min(together + 1, most);
+  }
 }
 
 /** Takes one load from this host's share of the weight store's rate. */
--- a/src/residency/orders.ts
+++ b/src/residency/orders.ts
@@ -1,6 +1,7 @@
 import type { Effect } from '../core/effects.ts';
 import { newCount, newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
+import { isOpen } from '../fleet/choose.ts';
 import type { EngineClass } from '../routes/types.ts';
 import { isModelOrder, noteModelAnswer, orderModel } from './modelOrders.ts';
 import {
@@ -37,6 +38,9 @@
   now: number,
 ): Effect[] {
   if (owned.ordering !== undefined || owned.isReporting || owned.isFenced) return [];
+  // What an engine that leaves would load serves nobody, and takes the weight store from others.
+  const view = state.fleet.views.get(owned.id);
+  if (view === undefined || !isOpen(view)) return [];
   if (owned.orderFrom > now) {
     wakeAt(state, owned, owned.orderFrom, now);
     return [];
@@ -80,7 +84,7 @@
   owned.ordering = undefined;
   if (answer.type !== 'unknown') owned.lostAnswers = 0;
   if (answer.type !== 'refused') owned.refusals = 0;
-  const handled = isModelOrder(order) && noteModelAnswer(owned, order, answer, now);
+  const handled = isModelOrder(order) && noteModelAnswer(state, owned, order, answer, now);
   if (!handled) answerHandlers[answer.type](state, owned, order, now);
   const { type, adapter, version } = order;
   const isUsual = answer.type === 'accepted' || answer.type === 'done';
--- a/src/residency/serve.ts
+++ b/src/residency/serve.ts
@@ -51,7 +51,9 @@
     }
     const obstacle = getObstacle(state, owned, engine, ask);
     if (obstacle === undefined) effects.push(...givePlace(state, owned, ask, now));
-    else {
+    else if (obstacle === 'adapter' && !isOpen(view)) {
+      effects.push(...refusePlace(state, ask, ask.from, 'leaving'));
+    } else {
       ask.waitedFor = obstacle;
       left.push(ask);
     }
--- a/src/residency/told.ts
+++ b/src/residency/told.ts
@@ -6,6 +6,7 @@
 import { TELL_MS, TELL_PER_HOST_MS } from './constants.ts';
 import { countOpenSlots, getSlotLimit } from './copies.ts';
 import { getBacklogMs, getReadMs } from './prompts.ts';
+import { isLoadingModel } from './modelOrders.ts';
 import { getEngineClass } from './serve.ts';
 import type { EnginesTold, OwnedEngine, ToldEngine } from './types.ts';
 
@@ -19,9 +20,11 @@
 }
 
 /** Tells all linked hosts of the owned engines. */
-export function tellEngines(state: State): Effect[] {
+export function tellEngines(state: State, now: number): Effect[] {
   state.residency.isTelling = false;
-  const engines = [...state.residency.owned.values()].map((owned) => newToldEngine(state, owned));
+  const engines = [...state.residency.owned.values()].map((owned) =>
+    newToldEngine(state, owned, now),
+  );
   if (engines.length === 0) return [];
   return [
     newLog('debug', 'owned engines', { engines: engines.map(newSummary) }),
@@ -47,13 +50,13 @@
 /** Returns what is known of an engine now: from its own state when it is owned here. */
 export function getTold(state: State, engine: string, now: number): ToldEngine | undefined {
   const owned = state.residency.owned.get(engine);
-  if (owned !== undefined) return newToldEngine(state, owned);
+  if (owned !== undefined) return newToldEngine(state, owned, now);
   const told = state.residency.told.get(engine);
   if (told === undefined) return undefined;
   return { ...told, backlogMs: Math.max(0, told.backlogMs + told.sentSince - (now - told.at)) };
 }
 
-function newToldEngine(state: State, owned: OwnedEngine): ToldEngine {
+function newToldEngine(state: State, owned: OwnedEngine, now: number): ToldEngine {
   const view = state.fleet.views.get(owned.id);
   const engine = view === undefined ? undefined : getEngineClass(state, view);
   const limit = engine === undefined ? 0 : getSlotLimit(engine, owned.models);
@@ -73,13 +76,15 @@
     backlogMs: Math.round(getBacklogMs(owned)) + getQueueMs(owned),
     running: owned.places.size,
     models: [...owned.models],
+    isLoadingModel: isLoadingModel(state, owned, now),
     openSlots: countOpenSlots(owned, limit) - waiting.size,
     adapters,
   };
 }
 
-function newSummary({ engine, backlogMs, running, openSlots, adapters }: ToldEngine) {
-  return { engine, backlogMs, running, openSlots, adapters: adapters.length };
+function newSummary(told: ToldEngine) {
+  const { engine, backlogMs, running, openSlots, adapters, isLoadingModel } = told;
+  return { engine, backlogMs, running, openSlots, adapters: adapters.length, isLoadingModel };
 }
 
 function getQueueMs(owned: OwnedEngine): number {
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -88,6 +88,8 @@
       running: z.int().min(0),
       /** Base models that it holds. */
       models: z.array(z.string()),
+      /** Whether a base model is on its way to it. */
+      isLoadingModel: z.boolean(),
       /** Slots that are free or hold an adapter that can make way. */
       openSlots: z.int(),
       /** Adapters that can be used, with their versions; 0 when not known. */
@@ -148,6 +150,8 @@
   model: string;
   orderedAt: number;
   checkedAt: number;
+  /** Loads of base models that ran on all engines when it began, itself included. */
+  together: number;
 }
 
 export interface OwnedEngine {
@@ -233,6 +237,11 @@
   isTelling = false;
   /** Loads of base models that this host may start; undefined before the first one. */
   modelLoads: TokenBucket | undefined;
+  /** Loads of base models that may run on all engines together. */
+  modelLimit = 1;
+  /** Loads that took longer together than one by one, and the monotonic ms until which that holds. */
+  slowTogether = Infinity;
+  slowUntil = -Infinity;
   readonly popularity = Popularity.create(POPULARITY_HALF_LIFE_MS);
 
   private constructor() {}
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -32,6 +32,8 @@
   name: z.string(),
   weightsMb: z.number().min(0),
   adapterMb: z.number().min(0),
+  /** Time of a load from the weight store while few run, in ms; 0 when it is not known. */
+  loadMs: z.number().min(0),
 });
 export type BaseModel = z.infer<typeof BaseModel>;
 
--- a/src/suspects/constants.ts
+++ b/src/suspects/constants.ts
@@ -10,7 +10,10 @@
 export const RELEASE_MS = 2_000;
 /** Crashes kept for one suspect. */
 export const MAX_CRASHES = 32;
-/** Interval between reads of the rows, for hosts that no peer can reach. */
+/**
+ * Interval between reads of the rows by the other hosts, for those that no peer can reach. A host
+ * that has to read for its zone from now on notices it within this time.
+ */
 export const SUSPECT_POLL_MS = 5_000;
 /**
  * Interval between reads by the host that reads for its zone. A crash is noticed about 400 ms after
--- a/src/suspects/table.ts
+++ b/src/suspects/table.ts
@@ -56,9 +56,9 @@
  * tells the others, so that the calls to the table grow with the zones and not with the hosts.
  */
 export function pollSuspects(state: State, now: number): Effect[] {
-  schedule(state, now + ZONE_POLL_MS, { type: 'pollSuspects' });
   const { id, zone } = state.host;
   const isReader = getRelays(state, zone)[0] === id;
+  schedule(state, now + (isReader ? ZONE_POLL_MS : SUSPECT_POLL_MS), { type: 'pollSuspects' });
   if (!isReader && now < state.suspects.polledAt + SUSPECT_POLL_MS) return [];
   state.suspects.polledAt = now;
   return [newScan('')];
--- a/tests/directory/directory.test.ts
+++ b/tests/directory/directory.test.ts
@@ -61,7 +61,7 @@
       after: 1,
     });
     const changes = [newChange('config', 7, newRouting(9, [{ pathPrefix: '/b/' }]))];
-    host.receive('h1', { type: 'topicTold', topic: 'operator', changes });
+    host.receive('h1', { type: 'topicTold', topic: 'operator', after: 1, upTo: 5, changes });
     expect(host.state.routes.current?.table.version).toBe(9);
   });
 
--- a/tests/directory/feed.test.ts
+++ b/tests/directory/feed.test.ts
@@ -34,9 +34,9 @@
   return first;
 }
 
-/** Has a reader tell that it is in touch; `newest` are its newest versions. */
-function feed(host: DirectedHost, newest = [1, 2, 20]): DirectedHost {
-  return host.receive('reader', { type: 'directoryFed', newest, regainedMs: 60_000 });
+/** Has a reader tell that it is in touch, and up to which versions it told. */
+function feed(host: DirectedHost, told = [1, 10, 20]): DirectedHost {
+  return host.receive('reader', { type: 'directoryFed', told, regainedMs: 60_000 });
 }
 
 /** Lets time pass while the reader goes on telling that it is in touch. */
@@ -89,6 +89,20 @@
     }
   });
 
+  it('tells hosts that ask of what a read did not contain any more', () => {
+    const { readers, listeners } = createGroup();
+    const reader = getFirst(readers);
+    const to = getFirst(listeners).state.host.id;
+    const { call } = reader.state.directory.topics.endpoints;
+    const answer = { type: 'historyLost' as const };
+    reader.dispatch({ type: 'directoryAnswered', topic: 'endpoints', call, isRead: false, answer });
+    reader.answer('endpoints', [], 40, true).takeAll();
+    reader.receive(to, { type: 'topicAsked', topic: 'endpoints', after: 10 });
+    expect(reader.takeMessages(to)).toMatchObject([
+      { type: 'topicTold', after: 10, upTo: 40, changes: [{ content: { type: 'removed' } }] },
+    ]);
+  });
+
   it('is silent once the directory does not answer it', () => {
     const { readers, listeners } = createGroup();
     const reader = getFirst(readers);
@@ -136,15 +150,34 @@
     listener.takeAll();
     feed(listener, [1, 15, 20]);
     expect(listener.takeMessages('reader')).toEqual([
-      { type: 'topicAsked', topic: 'endpoints', after: 2 },
+      { type: 'topicAsked', topic: 'endpoints', after: 10 },
     ]);
   });
 
+  // One lost message hid the removal of an engine for the whole day behind the next ones.
+  it('asks for changes before those that it was told', () => {
+    const listener = getFirst(createGroup().listeners);
+    const changes = [newChange('e9', 15, { type: 'removed' })];
+    const told = { type: 'topicTold', topic: 'endpoints', after: 12, upTo: 15, changes } as const;
+    listener.receive('reader', told).takeAll();
+    feed(listener, [1, 15, 20]);
+    const asked = { type: 'topicAsked', topic: 'endpoints', after: 10 };
+    expect(listener.takeMessages('reader')).toEqual([asked]);
+    listener.receive('reader', { ...told, after: 10 });
+    expect(feed(listener, [1, 15, 20]).takeMessages('reader')).toEqual([]);
+  });
+
   it('keeps a lapsed endpoint for a while when its reader just regained the directory', () => {
     const listener = getFirst(createGroup().listeners);
-    listener.receive('reader', { type: 'directoryFed', newest: [1, 2, 20], regainedMs: 100 });
+    listener.receive('reader', { type: 'directoryFed', told: [1, 10, 20], regainedMs: 100 });
     const changes = [newChange('e0', 30, { type: 'removed' })];
-    listener.receive('reader', { type: 'topicTold', topic: 'endpoints', changes });
+    listener.receive('reader', {
+      type: 'topicTold',
+      topic: 'endpoints',
+      after: 10,
+      upTo: 30,
+      changes,
+    });
     expect(listener.state.fleet.views.get('e0')?.isRemoved).toBe(false);
   });
 });
--- a/tests/helpers/directed.ts
+++ b/tests/helpers/directed.ts
@@ -154,7 +154,7 @@
   return { key, version, content };
 }
 
-export function newRouting(version: number, routes: Partial<Route>[]): Content {
+export function newRouting(version: number, routes: Partial<Route>[], loadMs = 0): Content {
   const table: RoutingTable = {
     version,
     routes: routes.map((route) => ({
@@ -181,7 +181,7 @@
           memoryTokens: 10_000,
           adapterSlots: 2,
           weightsMb: 1_000,
-          models: [{ name: 'base', weightsMb: 900, adapterMb: 10 }],
+          models: [{ name: 'base', weightsMb: 900, adapterMb: 10, loadMs }],
           loadsPerS: 2,
         },
       },
--- a/tests/residency/orders.test.ts
+++ b/tests/residency/orders.test.ts
@@ -1,7 +1,14 @@
 import { describe, expect, it } from 'vitest';
-import { LOAD_LIMIT_MS, ORDER_RETRY_MS, REPORT_LAG_MS } from '../../src/residency/constants.ts';
+import {
+  LOAD_LIMIT_MS,
+  MODEL_CHECK_MS,
+  MODEL_RETRY_MS,
+  ORDER_RETRY_MS,
+  REPORT_LAG_MS,
+} from '../../src/residency/constants.ts';
+import { isLoadingModel } from '../../src/residency/modelOrders.ts';
 import type { AdapterOrderAnswer } from '../../src/residency/types.ts';
-import { DirectedHost, newChange, newEndpoint, newRow } from '../helpers/directed.ts';
+import { DirectedHost, newChange, newEndpoint, newRouting, newRow } from '../helpers/directed.ts';
 
 const ENGINE = { id: 'e0', service: 'llm', models: ['base'] };
 
@@ -263,6 +270,19 @@
     expect(order?.order).toMatchObject({ type: 'load', adapter: 'base/a1', version: 2 });
   });
 
+  it('refuses the asks for adapters that an engine which leaves does not hold', () => {
+    const host = createOwner();
+    report(host, 4, [['a1', 1]]);
+    ask(host, 'r1', 'a2');
+    host.takeAll();
+    const endpoint = newEndpoint({ ...ENGINE, isLeaving: true });
+    host.answer('endpoints', [newChange('e0', 30, { type: 'endpoint', endpoint })], 30);
+    host.advance(100);
+    expect(host.takeMessages('h1')).toContainEqual(
+      expect.objectContaining({ type: 'placeRefused', request: 'r1', reason: 'leaving' }),
+    );
+  });
+
   it('holds prompts back beyond what the engine reads between two events', () => {
     const host = createOwner();
     report(host);
@@ -348,6 +368,105 @@
     expect(count()).toBe(1);
   });
 
+  /** An owner of empty engines whose base model takes 3 s to load, by the engines that load it. */
+  function createLoader() {
+    const ids = ['e0', 'e1', 'e2', 'e3'];
+    const host = DirectedHost.create().setUp({
+      endpoints: ids.map((id) => ({ id, service: 'llm', models: [] })),
+    });
+    host.answer('operator', [newChange('config', 2, newRouting(2, [{}], 3_000))], 2);
+    const { owned } = host.state.residency;
+    const report = () => {
+      for (const engine of ids) {
+        const empty = { startedAt: 1, sequence: 0, models: [], adapters: [], coming: [] };
+        host.dispatch({ type: 'adaptersReported', engine, reason: '', report: empty });
+      }
+    };
+    const answer = (type: 'accepted' | 'conflict' | 'done') => {
+      for (const { id, ordering } of [...owned.values()]) {
+        if (ordering === undefined) continue;
+        const order = ordering;
+        host.dispatch({
+          type: 'adapterOrdered',
+          engine: id,
+          epoch: 1,
+          order,
+          answer: { type },
+        });
+      }
+    };
+    /** Lets loads that began take `ms`, asked about each 150 ms. */
+    const load = (ms: number) => {
+      answer('accepted');
+      for (let waited = 0; waited < ms; waited += 50) {
+        host.advance(50);
+        answer('conflict');
+      }
+      host.advance(MODEL_CHECK_MS);
+      answer('done');
+      // The weight store allows two loads a second.
+      host.advance(1_000);
+    };
+    const getLoading = () =>
+      [...owned.values()].filter((engine) => isLoadingModel(host.state, engine, host.now));
+    return { host, report, load, getLoading };
+  }
+
+  // Twelve engines of a release loaded at the same time, each for 35 s instead of 3 s, and the
+  // requests of 20 s found no engine.
+  it('are loaded one by one, so that the first engine serves soon', () => {
+    const { report, load, getLoading } = createLoader();
+    report();
+    expect(getLoading()).toHaveLength(1);
+    const [first] = getLoading();
+    load(3_000);
+    expect(first?.models.has('base')).toBe(true);
+  });
+
+  it('are loaded together as far as that takes no longer', () => {
+    const { host, report, load, getLoading } = createLoader();
+    report();
+    load(3_000);
+    expect(host.state.residency.modelLimit).toBe(2);
+    expect(getLoading()).toHaveLength(2);
+    load(6_000);
+    expect(host.state.residency.modelLimit).toBe(1);
+    expect(getLoading()).toHaveLength(1);
+  });
+
+  // A release ordered the weights for engines that were about to leave, and the next ones waited.
+  it('are not loaded by an engine that leaves', () => {
+    const { host, report, getLoading } = createLoader();
+    const ids = ['e0', 'e1', 'e2', 'e3'];
+    const leaving = ids.map((id, index) => {
+      const endpoint = newEndpoint({ id, service: 'llm', models: [], isLeaving: id !== 'e3' });
+      return newChange(id, 30 + index, { type: 'endpoint', endpoint });
+    });
+    host.answer('endpoints', leaving, 40);
+    report();
+    expect(getLoading().map(({ id }) => id)).toEqual(['e3']);
+  });
+
+  it('wait for a load that another owner told of', () => {
+    const { host, report, getLoading } = createLoader();
+    const engine = {
+      engine: 'far',
+      epoch: 1,
+      backlogMs: 0,
+      running: 0,
+      models: [],
+      isLoadingModel: true,
+      openSlots: 0,
+      adapters: [],
+    };
+    host.receive('h1', { type: 'enginesTold', engines: [engine] });
+    report();
+    expect(getLoading()).toHaveLength(0);
+    host.receive('h1', { type: 'enginesTold', engines: [{ ...engine, isLoadingModel: false }] });
+    host.advance(2 * MODEL_RETRY_MS);
+    expect(getLoading()).toHaveLength(1);
+  });
+
   it('sends no request to an engine that does not hold its base model', () => {
     const host = DirectedHost.create().setUp({
       routes: [{ kind: 'stream', targets: [{ service: 'llm', weight: 1 }] }],
