Read the row of a suspect before it is refused as out of reach

It had no link to the zone of the crashes and the row of the quarantine, written 170 ms before, was read by its zone within 250 ms. Change: a request that would be refused for a crash out of reach waits for one read of the row, 300 ms at most, and is judged by it.

--- a/bench/scale/measure.ts
+++ b/bench/scale/measure.ts
@@ -89,6 +89,7 @@
     moves: 0,
     linkedTo: new Set(),
     loadStallMs: 0,
+    hasReadSuspect: false,
     mayHaveRun: false,
     lastRefusal: undefined,
     verifying: undefined,
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -78,6 +78,7 @@
     moves: 0,
     linkedTo: new Set(),
     loadStallMs: 0,
+    hasReadSuspect: false,
     mayHaveRun: false,
     lastRefusal: undefined,
   };
--- a/src/requests/asking.ts
+++ b/src/requests/asking.ts
@@ -9,6 +9,7 @@
 import { updateSent } from '../engines/views.ts';
 import { chooseSuspectPlacement } from '../suspects/placement.ts';
 import { checkElsewhere, checkQuarantine, getSuspicion } from '../suspects/suspicion.ts';
+import { readRow } from '../suspects/table.ts';
 import { type CanAsk, choosePlacement } from '../routing/placement.ts';
 import {
   ASK_TIMEOUT_MS,
@@ -16,6 +17,7 @@
   MAX_ATTEMPTS,
   RETRY_BASE_MS,
   RETRY_MAX_MS,
+  SUSPECT_WAIT_MS,
 } from './constants.ts';
 import { failRequest } from './ending.ts';
 import type { Request } from './types.ts';
@@ -29,7 +31,10 @@
   const elsewhere = isSuspect
     ? checkElsewhere(state, fingerprint, now, request.mayHaveRun)
     : undefined;
-  if (elsewhere !== undefined) return failRequest(state, request, elsewhere);
+  if (elsewhere !== undefined) {
+    if (request.hasReadSuspect) return failRequest(state, request, elsewhere);
+    return waitForSuspect(state, request, now);
+  }
   const choose = (canAsk?: CanAsk) =>
     isSuspect
       ? chooseSuspectPlacement(state, request, canAsk)
@@ -50,6 +55,22 @@
   return [...kept, ...sendAsk(state, request, request.asked, now)];
 }
 
+/** Continues the requests that wait for the row of their suspect. */
+export function continueSuspect(state: State, fingerprint: string, now: number): Effect[] {
+  return [...state.requests.inFlight.values()]
+    .filter((request) => request.phase === 'backoff' && request.hasReadSuspect)
+    .filter((request) => request.fingerprint === fingerprint)
+    .flatMap((request) => askForGrant(state, request, now));
+}
+
+/** Reads the row of a suspect, which may have been quarantined elsewhere just now. */
+function waitForSuspect(state: State, request: Request, now: number): Effect[] {
+  request.phase = 'backoff';
+  request.hasReadSuspect = true;
+  schedule(state, now + SUSPECT_WAIT_MS, { type: 'requestRetry', id: request.id });
+  return [readRow(request.fingerprint)];
+}
+
 /** Places the requests anew that wait for a grant of `host`, whose link closed. */
 export function moveAsks(state: State, host: string, now: number): Effect[] {
   const effects: Effect[] = [];
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -9,6 +9,8 @@
 export const ASK_TIMEOUT_MS = 10_000;
 /** Time that a request waits for a new link to the owner of an engine in another zone. */
 export const LINK_WAIT_MS = 1_000;
+/** Time that a request waits at most for the row of its suspect. */
+export const SUSPECT_WAIT_MS = 300;
 /** Refusals by hosts that do not own an engine any more, after which a request goes elsewhere. */
 export const MAX_MOVES = 3;
 /** Priority of a caller that no intent names, 0 (first) to 9 (last). */
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -62,6 +62,8 @@
   /** Owners to which a link was opened for this request. */
   linkedTo: Set<string>;
   loadStallMs: number;
+  /** Whether the row of its suspect was read because the crash was out of reach. */
+  hasReadSuspect: boolean;
   /** Whether an attempt ended without proof that nothing ran. */
   mayHaveRun: boolean;
   lastRefusal: RefusalReason | undefined;
--- a/src/suspects/handlers.ts
+++ b/src/suspects/handlers.ts
@@ -1,4 +1,5 @@
 import type { MessageHandlers, TableAnswerHandlers, TimerHandlers } from '../core/handlers.ts';
+import { continueSuspect } from '../requests/asking.ts';
 import { blamePins } from './crashes.ts';
 import {
   continueWrite,
@@ -24,8 +25,10 @@
 
 export const suspectTableHandlers: TableAnswerHandlers<SuspectTablePurpose['type']> = {
   scanSuspects: (state, _purpose, answer, { now }) => takeRows(state, answer, now),
-  readSuspect: (state, { fingerprint }, answer, { now }) =>
-    writeRow(state, fingerprint, answer, now),
+  readSuspect: (state, { fingerprint }, answer, { now }) => [
+    ...writeRow(state, fingerprint, answer, now),
+    ...continueSuspect(state, fingerprint, now),
+  ],
   writeSuspect: (state, { fingerprint }, answer, { now }) =>
     continueWrite(state, fingerprint, answer, now),
   deleteSuspect: () => [],
--- a/tests/suspects/suspects.test.ts
+++ b/tests/suspects/suspects.test.ts
@@ -15,6 +15,7 @@
   SUSPECT_TTL_MS,
   ZONE_POLL_MS,
 } from '../../src/suspects/constants.ts';
+import { getFingerprint } from '../../src/suspects/fingerprint.ts';
 import { isSameSuspect, mergeSuspects } from '../../src/suspects/merge.ts';
 import {
   canRunWithSuspects,
@@ -24,7 +25,7 @@
 } from '../../src/suspects/suspicion.ts';
 import { pollSuspects, takeRows } from '../../src/suspects/table.ts';
 import type { Suspect } from '../../src/suspects/types.ts';
-import { newEngineChanges } from '../helpers/engines.ts';
+import { newEngineChanges, newRequest } from '../helpers/engines.ts';
 import { Simulation } from '../helpers/simulation.ts';
 
 function newSimulation(hosts = ['h1']) {
@@ -256,6 +257,40 @@
     expect(failure?.kind).toBe(waitMs === 0 ? 'adapter_unavailable' : undefined);
   });
 
+  // A host that could not hear from the zone of the crash answered "unavailable, come back" although
+  // the request had been quarantined 170 ms before.
+  it.each([
+    { isCondemned: true, expected: 'request_quarantined' },
+    { isCondemned: false, expected: 'adapter_unavailable' },
+  ])('whose crash is out of reach is read first: $expected', ({ isCondemned, expected }) => {
+    const failures: string[] = [];
+    const simulation = Simulation.create({
+      seed: 1,
+      hosts: ['h1'],
+      changes: newEngineChanges(3),
+      onEffect: (_simulation, _host, effect) => {
+        if (effect.type === 'failRequest') failures.push(effect.failure.kind);
+      },
+    });
+    const host = simulation.get('h1');
+    const { state } = host;
+    const engine = state.configuration.engines.get('e1');
+    if (engine === undefined) throw new Error('engine e1 is not configured');
+    state.configuration.engines.set('e1', { ...engine, zone: 'other' });
+    const request = newRequest('r');
+    const fingerprint = getFingerprint('a@v1', request.fingerprint);
+    const pins = [{ fingerprint, bootId: 'b1' }];
+    simulation.act(host, (_state, now) => recordCrash(state, 'e1', pins, now));
+    simulation.settle(() => simulation.table.rows.has(`suspect/${fingerprint}`));
+    const value = { ...state.suspects.byFingerprint.get(fingerprint), isCondemned };
+    const condition = { type: 'any' } as const;
+    const key = `suspect/${fingerprint}`;
+    simulation.table.apply({ type: 'write', writes: [{ type: 'put', key, value, condition }] });
+    simulation.feed(host, { type: 'requestArrived', request });
+    simulation.settle(() => failures.length > 0);
+    expect(failures).toEqual([expected]);
+  });
+
   it('is forgotten a day after its last crash, also by a host that reads its row later', () => {
     const { simulation, host, crash, get } = newSimulation();
     simulation.settle(() => host.state.actions.hour === 0);
