--- a/tests/faults/runCase.ts
+++ b/tests/faults/runCase.ts
@@ -1,5 +1,5 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
-import { expect } from 'vitest';
+import { expect, onTestFailed } from 'vitest';
 import { until } from '../support.ts';
 import { Deployment } from '../helpers/deployment.ts';
 import { FIRMS, getAdapters, type Layout } from '../helpers/layouts.ts';
@@ -35,15 +35,8 @@
 /** Runs one case over a deployment of its own and checks all guarantees afterwards. */
 export async function runCase(layout: Layout, fault: FaultCase): Promise<void> {
   const deployment = await Deployment.start(layout, fault.settings);
-  try {
-    await runAndCheck(deployment, fault);
-  } catch (error) {
-    saveLogs(deployment, fault);
-    throw error;
-  }
-}
-
-async function runAndCheck(deployment: Deployment, fault: FaultCase): Promise<void> {
+  // Also called when the test takes longer than its limit.
+  onTestFailed(() => saveLogs(deployment, fault));
   const workload = Workload.start(deployment, { seed: fault.seed, ...fault.workload });
   await until(() => workload.completed >= WARM_UP_ANSWERS);
   await fault.run(deployment, workload);
