Call what stands already, and keep the patience of callers out of platform/

- platform/routing.ts worked out after which time callers leave a stream.
That is a decision: it passes on the goal for pauses now, and forwards/arrival.ts works the same time out.
The figure that the decode test named is asserted on the product's function.
- Placement ranked engines by its own copy of getRendezvousOrder; ties, which 32-bit hashes all but exclude, are broken by id now.
- The class of an owned engine, the number of hosts that share a limit, the message that asks for a topic, the close of a stand-in's server and the limits of settings stood two or three times each.
- Whether a host was fed is derived from the time at which it was.
- Two tests of eviction share their set-up.

Behaviour is meant to stay.

--- a/src/directory/feed.ts
+++ b/src/directory/feed.ts
@@ -5,7 +5,7 @@
 import { ANSWER_SLACK_MS, CALM_MS, FEED_MS } from './constants.ts';
 import { getListeners, isFed, isReader } from './group.ts';
 import { type DirectoryFed, Topic } from './types.ts';
-import { callTopic } from './watch.ts';
+import { askTopic, callTopic } from './watch.ts';
 
 /** Starts the rounds in which the reader tells that it is in touch, and the others check that. */
 export function startFeed(state: State, now: number): Effect[] {
@@ -17,8 +17,8 @@
 export function feedGroup(state: State, now: number): Effect[] {
   schedule(state, now + FEED_MS, { type: 'feedRound' });
   const { directory } = state;
-  if (directory.isFed && !isFed(state, now)) {
-    directory.isFed = false;
+  if (directory.fedAt !== -Infinity && !isFed(state, now)) {
+    directory.fedAt = -Infinity;
     return watchAgain(state, now);
   }
   if (!isReader(state) || !isInTouch(state, now)) return [];
@@ -35,17 +35,15 @@
 export function hearFeed(state: State, fed: DirectoryFed, from: string, now: number): Effect[] {
   const { directory } = state;
   directory.fedAt = now;
-  directory.isFed = true;
   const { endpoints } = directory.topics;
   endpoints.regainedAt = Math.max(endpoints.regainedAt, now - fed.regainedMs);
   return Topic.options.flatMap((topic, index) => {
     const known = directory.topics[topic];
-    const after = known.version;
-    if (after === undefined) return [];
+    if (known.version === undefined) return [];
     // While members change, the watch of this host brings them as well.
     const isComing = topic === 'members' && known.changedAt + CALM_MS > now;
-    const isBehind = (fed.told[index] ?? 0) > after && !isComing;
-    return isBehind ? [deliver(state, from, { type: 'topicAsked', topic, after })] : [];
+    const isBehind = (fed.told[index] ?? 0) > known.version && !isComing;
+    return isBehind ? [askTopic(state, topic, from)] : [];
   });
 }
 
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -78,10 +78,11 @@
     endpoints: newTopic(),
     members: newTopic(),
   };
-  /** Monotonic ms at which a reader told last that it is in touch with the directory. */
+  /**
+   * Monotonic ms at which a reader told last that it is in touch with the directory; -Infinity once
+   * this host watches closely itself.
+   */
   fedAt = -Infinity;
-  /** Whether this host relied on that since it watched closely itself. */
-  isFed = false;
   /** Endpoints whose removal waits until the directory has been back for a while. */
   readonly deferred = new Map<string, { change: Change; until: number }>();
 
--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -112,7 +112,13 @@
   const linked = [...state.owners.linked];
   const peer = linked[state.random.getInteger(Math.max(1, linked.length))];
   if (peer === undefined) return [];
-  return [deliver(state, peer, { type: 'topicAsked', topic, after: known.version ?? 0 })];
+  return [askTopic(state, topic, peer)];
+}
+
+/** Returns the message that asks a host for the changes after what this host knows. */
+export function askTopic(state: State, topic: Topic, to: string): Effect {
+  const after = state.directory.topics[topic].version ?? 0;
+  return deliver(state, to, { type: 'topicAsked', topic, after });
 }
 
 /** Returns the message that tells a host of the changes it lacks. */
--- a/src/forwards/arrival.ts
+++ b/src/forwards/arrival.ts
@@ -4,7 +4,7 @@
 import { Failure } from '../errors/failure.ts';
 import { chooseService, findRoute } from '../routes/match.ts';
 import type { Route } from '../routes/types.ts';
-import { WAIT_SHARE } from './constants.ts';
+import { MIN_PATIENCE_MS, PATIENCE_GOALS, PATIENCE_PAUSES, WAIT_SHARE } from './constants.ts';
 import { getBudget } from './retrying.ts';
 import { isCrasher } from './crashes.ts';
 import { failArrival } from './ending.ts';
@@ -43,12 +43,17 @@
   state.forwards.inFlight.set(forward.id, forward);
   schedule(state, forward.deadlineAt, { type: 'forwardDeadline', id: forward.id });
   const { deadlineAt, arrivedAt } = forward;
-  const patienceMs = route.kind === 'stream' ? route.patienceMs : Infinity;
-  const waitMs = Math.min(deadlineAt - arrivedAt, patienceMs) * WAIT_SHARE;
+  const waitMs = Math.min(deadlineAt - arrivedAt, getPatienceMs(route)) * WAIT_SHARE;
   schedule(state, arrivedAt + waitMs, { type: 'waitLimit', id: forward.id });
   return place(state, forward, now);
 }
 
+/** Returns the time without an answer or event after which callers leave, in ms; Infinity for none. */
+export function getPatienceMs({ kind, goalMs, pauseGoalMs }: Route): number {
+  if (kind !== 'stream') return Infinity;
+  return Math.max(MIN_PATIENCE_MS, PATIENCE_GOALS * goalMs, PATIENCE_PAUSES * pauseGoalMs);
+}
+
 function newForward(arrival: NewForward, route: Route, service: string): Forward {
   const { arrivedAt, labels } = arrival;
   return {
--- a/src/forwards/constants.ts
+++ b/src/forwards/constants.ts
@@ -10,6 +10,10 @@
  * still has the time to come back.
  */
 export const WAIT_SHARE = 0.6;
+/** Callers leave a stream after this time, or so many times its goals, whichever is longest. */
+export const MIN_PATIENCE_MS = 2_000;
+export const PATIENCE_GOALS = 4;
+export const PATIENCE_PAUSES = 8;
 /** Rounds in which no endpoint could be chosen after which a request is given up. */
 export const MAX_ROUNDS = 8;
 /** Share of the retries allowed to all hosts that they use together. */
--- a/src/forwards/placing.ts
+++ b/src/forwards/placing.ts
@@ -1,4 +1,4 @@
-import { hash32 } from '../base/hash.ts';
+import { getRendezvousOrder } from '../base/hash.ts';
 import { deliver } from '../core/deliver.ts';
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
@@ -61,7 +61,9 @@
   now: number,
 ): Candidate | undefined {
   const { adapter } = forward.labels;
-  const homes = adapter === '' ? [] : getHomes(adapter, views);
+  const engines = views.map(({ endpoint }) => endpoint.id);
+  // The same order on all hosts, so that they load an adapter on the same engines.
+  const homes = adapter === '' ? [] : getRendezvousOrder(adapter, engines);
   let best: Candidate | undefined;
   for (const view of views) {
     const candidate = newCandidate(state, forward, view, homes.indexOf(view.endpoint.id), now);
@@ -71,14 +73,6 @@
   return best;
 }
 
-/** Returns the engines by rendezvous weight, so that all hosts load an adapter on the same ones. */
-function getHomes(adapter: string, views: EndpointView[]): string[] {
-  return views
-    .map(({ endpoint: { id } }) => ({ id, weight: hash32(`${adapter}/${id}`) }))
-    .sort((a, b) => b.weight - a.weight)
-    .map(({ id }) => id);
-}
-
 function newCandidate(
   state: State,
   forward: Forward,
--- a/src/owners/owner.ts
+++ b/src/owners/owner.ts
@@ -26,6 +26,11 @@
   );
 }
 
+/** Returns among how many hosts a limit of the whole deployment is shared. */
+export function countSharers({ row }: Owners): number {
+  return Math.max(1, row?.members.length ?? 1);
+}
+
 /** Returns the entry of `host`, or undefined when it is no member. */
 export function getMember({ row }: Owners, host: string): Member | undefined {
   return row?.members.find((member) => member.host === host);
--- a/src/residency/modelOrders.ts
+++ b/src/residency/modelOrders.ts
@@ -14,7 +14,7 @@
   TOLD_KEEP_MS,
 } from './constants.ts';
 import { giveOrder } from './orders.ts';
-import { getEngineClass, wakeAt } from './serve.ts';
+import { getOwnedClass, wakeAt } from './serve.ts';
 import { tellEngines } from './told.ts';
 import type { AdapterOrder, AdapterOrderAnswer, OwnedEngine } from './types.ts';
 
@@ -136,9 +136,8 @@
 function noteModelLoaded(state: State, owned: OwnedEngine, now: number): void {
   const { residency } = state;
   const { modelLoad } = owned;
-  const view = state.fleet.views.get(owned.id);
-  const engine = view === undefined ? undefined : getEngineClass(state, view);
-  const loadMs = engine?.models.find(({ name }) => name === modelLoad?.model)?.loadMs ?? 0;
+  const loadMs =
+    getOwnedClass(state, owned)?.models.find(({ name }) => name === modelLoad?.model)?.loadMs ?? 0;
   if (modelLoad === undefined || loadMs === 0) return;
   const { together } = modelLoad;
   const ratio = (now - modelLoad.orderedAt - MODEL_CHECK_MS) / loadMs;
--- a/src/residency/serve.ts
+++ b/src/residency/serve.ts
@@ -36,7 +36,7 @@
 /** Gives the places that are free and orders what the other asks wait for. */
 export function servePlaces(state: State, owned: OwnedEngine, now: number): Effect[] {
   const view = state.fleet.views.get(owned.id);
-  const engine = view === undefined ? undefined : getEngineClass(state, view);
+  const engine = getOwnedClass(state, owned);
   if (view === undefined || engine === undefined) return [];
   const effects: Effect[] = [];
   removeExpired(owned, now);
@@ -70,6 +70,12 @@
   return state.routes.current?.services.get(endpoint.service)?.engine;
 }
 
+/** The same for an owned engine; undefined as well when its endpoint is not known any more. */
+export function getOwnedClass(state: State, { id }: OwnedEngine): EngineClass | undefined {
+  const view = state.fleet.views.get(id);
+  return view === undefined ? undefined : getEngineClass(state, view);
+}
+
 /** Refuses every ask of an engine that this host does not decide about any more. */
 export function refuseAll(state: State, owned: OwnedEngine, reason: PlaceRefusal): Effect[] {
   const asks = owned.queue;
--- a/src/residency/told.ts
+++ b/src/residency/told.ts
@@ -7,7 +7,7 @@
 import { countOpenSlots, getSlotLimit } from './copies.ts';
 import { getBacklogMs, getReadMs } from './prompts.ts';
 import { isLoadingModel } from './modelOrders.ts';
-import { getEngineClass } from './serve.ts';
+import { getOwnedClass } from './serve.ts';
 import type { EnginesTold, OwnedEngine, ToldEngine } from './types.ts';
 
 /** Has the other hosts told of changes of the owned engines after a short while. */
@@ -57,8 +57,7 @@
 }
 
 function newToldEngine(state: State, owned: OwnedEngine, now: number): ToldEngine {
-  const view = state.fleet.views.get(owned.id);
-  const engine = view === undefined ? undefined : getEngineClass(state, view);
+  const engine = getOwnedClass(state, owned);
   const limit = engine === undefined ? 0 : getSlotLimit(engine, owned.models);
   const { versions } = state.residency;
   const adapters: [string, number][] = [];
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -16,8 +16,8 @@
   timeoutMs: z.number().positive(),
   /** Time within which an answer is on time, in ms; up to the first event of a stream. */
   goalMs: z.number().positive(),
-  /** Time without an event after which callers leave a stream, in ms. */
-  patienceMs: z.number().positive(),
+  /** Longest pause between events for which a stream is on time, in ms; 0 when none is set. */
+  pauseGoalMs: z.number().min(0),
   /** 0 is the most urgent. */
   priority: z.int().min(0),
   /** Engines that one request may run on at most. */
--- a/src/settings/gatewayGroups.ts
+++ b/src/settings/gatewayGroups.ts
@@ -1,5 +1,12 @@
 import { z } from 'zod';
-import { HostSettings, LISTEN, ListenSettings, LogSettings } from './groups.ts';
+import {
+  HostSettings,
+  LISTEN,
+  ListenSettings,
+  LogSettings,
+  MAX_LIMIT_MS,
+  URL_ALLOWED,
+} from './groups.ts';
 import {
   newDuration,
   newInteger,
@@ -10,8 +17,6 @@
   newUrl,
 } from './values.ts';
 
-const MAX_DURATION_MS = 600_000;
-
 /** Who the host is. */
 export const GatewayHostSettings = z.object({
   ...HostSettings.pick({ id: true, zone: true, region: true, sourceAddress: true }).shape,
@@ -55,7 +60,7 @@
   url: newSetting(newUrl(), {
     name: 'directory-url',
     help: 'URL of the store that holds routes, endpoints and hosts.',
-    allowed: 'an http or https URL without credentials, query or fragment',
+    allowed: URL_ALLOWED,
   }),
   retryRatio: newSetting(newNumber(0, 10), {
     name: 'retry-ratio',
@@ -69,7 +74,7 @@
     allowed: 'a number from 0 to 1000000',
     default: '20',
   }),
-  retryWindowMs: newSetting(newDuration(100, MAX_DURATION_MS), {
+  retryWindowMs: newSetting(newDuration(100, MAX_LIMIT_MS), {
     name: 'retry-window',
     help: 'Window over which repeated sends are counted.',
     allowed: 'a duration from 100ms to 10m',
@@ -79,13 +84,13 @@
 
 /** Limits on the shutdown. */
 export const GatewayLimitSettings = z.object({
-  lameDuckMs: newSetting(newDuration(0, MAX_DURATION_MS), {
+  lameDuckMs: newSetting(newDuration(0, MAX_LIMIT_MS), {
     name: 'lame-duck',
     help: 'Time after SIGTERM for which the host waits for requests that are on their way.',
     allowed: 'a duration from 0ms to 10m',
     default: '3s',
   }),
-  graceMs: newSetting(newDuration(1, MAX_DURATION_MS), {
+  graceMs: newSetting(newDuration(1, MAX_LIMIT_MS), {
     name: 'shutdown-grace',
     help: 'Time after SIGTERM at which the process is killed; it ends a little earlier.',
     allowed: 'a duration from 1ms to 10m',
--- a/src/settings/groups.ts
+++ b/src/settings/groups.ts
@@ -21,8 +21,10 @@
 const NAME = 'lower-case letters, digits, ".", "_" and "-", at most 63';
 /** What an address to listen on may be. */
 export const LISTEN = 'IP:PORT, port 0 to 65535';
-const URL_ALLOWED = 'an http or https URL without credentials, query or fragment';
-const MAX_LIMIT_MS = 600_000;
+/** What a URL of a service may be. */
+export const URL_ALLOWED = 'an http or https URL without credentials, query or fragment';
+/** Longest time limit of a setting. */
+export const MAX_LIMIT_MS = 600_000;
 const MAX_COUNT = 1_000_000;
 const MAX_BODY_BYTES = 67_108_864;
 
--- a/stand-ins/platform/server.ts
+++ b/stand-ins/platform/server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { z } from 'zod';
-import { type Call, listen, readCall, type StandIn } from '../server.ts';
+import { type Call, closeServer, listen, readCall, type StandIn } from '../server.ts';
 
 /** How an endpoint treats one request; taken from the plan in turn. */
 export type Behaviour =
@@ -119,10 +119,7 @@
   async stop(): Promise<void> {
     const { server } = this;
     this.server = undefined;
-    if (server === undefined) return;
-    const closed = new Promise<void>((resolve) => server.close(() => resolve()));
-    server.closeAllConnections();
-    await closed;
+    if (server !== undefined) await closeServer(server);
   }
 
   /** Announces a version; later loads fetch it. */
--- a/stand-ins/server.ts
+++ b/stand-ins/server.ts
@@ -72,6 +72,13 @@
   return `${host}:${(server.address() as AddressInfo).port}`;
 }
 
+/** Drops all connections of an HTTP server and refuses new ones. */
+export async function closeServer(server: Server): Promise<void> {
+  const closed = new Promise<void>((resolve) => server.close(() => resolve()));
+  server.closeAllConnections();
+  await closed;
+}
+
 /** HTTP server of a stand-in, with its switches. */
 export class StandInServer<F extends CommonFaults = CommonFaults> {
   private server: Server | undefined;
@@ -107,10 +114,7 @@
   async stop(): Promise<void> {
     const { server } = this;
     this.server = undefined;
-    if (server === undefined) return;
-    const closed = new Promise<void>((resolve) => server.close(() => resolve()));
-    server.closeAllConnections();
-    await closed;
+    if (server !== undefined) await closeServer(server);
   }
 
   /** Changes the named switches; returns false when a value is invalid. */
--- a/tests/helpers/directed.ts
+++ b/tests/helpers/directed.ts
@@ -164,7 +164,7 @@
       kind: 'safe',
       timeoutMs: 2_000,
       goalMs: 200,
-      patienceMs: 2_000,
+      pauseGoalMs: 0,
       priority: 1,
       attempts: 2,
       isResumable: false,
--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { getPatienceMs } from '../../src/forwards/arrival.ts';
 import { decodeEndpoint, decodeReport } from '../../platform/endpoints.ts';
 import { headerLabels } from '../../platform/headers.ts';
 import { decodeRouting } from '../../platform/routing.ts';
@@ -91,7 +92,7 @@
   };
 
   it.each<[string, object, object]>([
-    ['a stream', {}, { kind: 'stream', isResumable: true, patienceMs: 4_000 }],
+    ['a stream', {}, { kind: 'stream', isResumable: true, pauseGoalMs: 400 }],
     ['a single service', {}, { targets: [{ service: 's', weight: 1 }] }],
     [
       'a split',
@@ -105,6 +106,12 @@
     expect(table).toMatchObject({ version: 7, routes: [expected] });
   });
 
+  it('has a stream given up after the longest of its goals', () => {
+    const table = decodeRouting(STATE);
+    const [route] = typeof table === 'string' ? [] : table.routes;
+    expect(route === undefined ? undefined : getPatienceMs(route)).toBe(4_000);
+  });
+
   it('names what is wrong', () => {
     expect(decodeRouting({ ...STATE, version: 'x' })).toContain('version');
   });
--- a/tests/residency/orders.test.ts
+++ b/tests/residency/orders.test.ts
@@ -212,7 +212,8 @@
     expect(getOrders(host)).toEqual(['load a3 1']);
   });
 
-  it('never evicts an adapter in use', () => {
+  /** An owner whose engine runs a request on each of its two slots while a third one waits. */
+  function createFullOwner(): DirectedHost {
     const host = createOwner();
     report(host, 0, [
       ['a1', 1],
@@ -221,6 +222,11 @@
     ask(host, 'r1', 'a1');
     ask(host, 'r2', 'a2');
     ask(host, 'r3', 'a3');
+    return host;
+  }
+
+  it('never evicts an adapter in use', () => {
+    const host = createFullOwner();
     host.advance(500);
     expect(getOrders(host)).toEqual([]);
     host.receive('h1', { type: 'placeReleased', request: 'r2', engine: 'e0', result: 'ended' });
@@ -228,14 +234,7 @@
   });
 
   it('does not evict an adapter that a request which was broken off may still run on', () => {
-    const host = createOwner();
-    report(host, 0, [
-      ['a1', 1],
-      ['a2', 1],
-    ]);
-    ask(host, 'r1', 'a1');
-    ask(host, 'r2', 'a2');
-    ask(host, 'r3', 'a3');
+    const host = createFullOwner();
     host.receive('h1', { type: 'placeReleased', request: 'r2', engine: 'e0', result: 'brokenOff' });
     host.take('log');
     host.advance(500);
