Drop an endpoint in one way, also when another one answers at its address

servePlaces refused asks for adapters on engines that leave; updateOwnedEngines refuses all asks of such an engine already, so that the branch was reached in one case only: a host that found another endpoint at the address marked the engine as removed and did nothing else. That case takes the way of the directory's removals now (asks refused, own asks moved), and the branch is gone. Seen on the change: asks at an engine that is gone end at once instead of with their wait limit; the new test fails without it.

--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -51,7 +51,7 @@
   members: (state, { row }, { version }, now) => adoptMembers(state, row, version, now),
   removed: (state, _content, change, now) => {
     if (!state.fleet.views.has(change.key)) return [];
-    if (!isLapseLikely(state, now)) return removeNow(state, change.key, now);
+    if (!isLapseLikely(state, now)) return dropEndpoint(state, change.key, now);
     state.directory.deferred.set(change.key, { change, until: getDeferredUntil(state, now) });
     schedule(state, getDeferredUntil(state, now), { type: 'removeDeferred' });
     return [];
@@ -94,7 +94,7 @@
   const due = [...state.directory.deferred.values()].filter(({ until }) => until <= now);
   return due.flatMap(({ change }) => {
     state.directory.deferred.delete(change.key);
-    return removeNow(state, change.key, now);
+    return dropEndpoint(state, change.key, now);
   });
 }
 
@@ -108,7 +108,8 @@
   return applier(state, change.content, change, now);
 }
 
-function removeNow(state: State, id: string, now: number): Effect[] {
+/** Takes an endpoint out of use: its asks are refused and those of this host go elsewhere. */
+export function dropEndpoint(state: State, id: string, now: number): Effect[] {
   removeEndpoint(state.fleet, id);
   return [
     newLog('info', 'endpoint was removed', { endpoint: id }),
--- a/src/forwards/attempts.ts
+++ b/src/forwards/attempts.ts
@@ -1,7 +1,7 @@
 import type { Effect } from '../core/effects.ts';
 import { newCount, newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
-import { removeEndpoint } from '../fleet/update.ts';
+import { dropEndpoint } from '../directory/apply.ts';
 import { noteAnswer, noteSilence } from '../fleet/health.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { clearBreaks, isCrasher, noteBreak } from './crashes.ts';
@@ -55,14 +55,15 @@
   },
   notRun: (context, { reason }) => {
     const { state, forward, attempt, view, now } = context;
-    if (reason === 'otherEndpoint') removeEndpoint(state.fleet, attempt.endpoint);
+    const dropped = reason === 'otherEndpoint' ? dropEndpoint(state, attempt.endpoint, now) : [];
     if (reason === 'full' && view !== undefined) noteAnswer(view, now - attempt.startedAt, false);
     // Without the adapter the same engine is a good choice again once its owner knows.
     if (reason !== 'adapterMissing' || attempt.owner === undefined) {
       forward.excluded.add(attempt.endpoint);
     }
     const released = releaseAll(state, forward, reason === 'adapterMissing' ? 'missing' : 'ended');
-    return [...released, ...retryLater(state, forward, `endpoint did not run it: ${reason}`, now)];
+    const retried = retryLater(state, forward, `endpoint did not run it: ${reason}`, now);
+    return [...dropped, ...released, ...retried];
   },
   unreachable: ({ state, forward, attempt, view, now }, { reason }) => {
     if (view !== undefined) noteSilence(view, now);
--- a/src/residency/serve.ts
+++ b/src/residency/serve.ts
@@ -35,9 +35,8 @@
 
 /** Gives the places that are free and orders what the other asks wait for. */
 export function servePlaces(state: State, owned: OwnedEngine, now: number): Effect[] {
-  const view = state.fleet.views.get(owned.id);
   const engine = getOwnedClass(state, owned);
-  if (view === undefined || engine === undefined) return [];
+  if (engine === undefined) return [];
   const effects: Effect[] = [];
   removeExpired(owned, now);
   expireReading(owned, now);
@@ -51,9 +50,7 @@
     }
     const obstacle = getObstacle(state, owned, engine, ask);
     if (obstacle === undefined) effects.push(...givePlace(state, owned, ask, now));
-    else if (obstacle === 'adapter' && !isOpen(view)) {
-      effects.push(...refusePlace(state, ask, ask.from, 'leaving'));
-    } else {
+    else {
       ask.waitedFor = obstacle;
       left.push(ask);
     }
--- a/tests/residency/orders.test.ts
+++ b/tests/residency/orders.test.ts
@@ -269,6 +269,25 @@
     expect(order?.order).toMatchObject({ type: 'load', adapter: 'base/a1', version: 2 });
   });
 
+  // The asks stayed until their hosts gave up: only the directory's word had them refused.
+  it('refuses the asks for an engine at whose address another one answers', () => {
+    const host = DirectedHost.create().setUp({
+      routes: [{ kind: 'stream', targets: [{ service: 'llm', weight: 1 }] }],
+      endpoints: [ENGINE],
+    });
+    host.arrive({ labels: { model: 'base' } });
+    const [sent] = host.take('sendForward');
+    if (sent === undefined) throw new Error('the request was not sent');
+    ask(host, 'r1', 'a1');
+    host.takeAll();
+    const { id, attempt } = sent.order;
+    const outcome = { type: 'notRun', reason: 'otherEndpoint' } as const;
+    host.dispatch({ type: 'forwardEnded', id, attempt, outcome });
+    expect(host.takeMessages('h1')).toContainEqual(
+      expect.objectContaining({ type: 'placeRefused', request: 'r1' }),
+    );
+  });
+
   it('refuses the asks for adapters that an engine which leaves does not hold', () => {
     const host = createOwner();
     report(host, 4, [['a1', 1]]);
