Continue as the directory's reader from what was told

Found in reading the change. A host that took over as the reader told its first news as a continuation of its own last watch, not of what its predecessor had told it. A host that had missed a message of the predecessor took that for no gap and would not have asked for what it missed. The new test fails without the change.

--- a/src/directory/news.ts
+++ b/src/directory/news.ts
@@ -38,6 +38,7 @@
   const known = state.directory.topics[topic];
   if (known.version !== undefined && after <= known.version) {
     known.version = Math.max(known.version, upTo);
+    known.toldVersion = Math.max(known.toldVersion, upTo);
   }
   return applyChanges(state, topic, changes, now);
 }
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -59,7 +59,7 @@
   isCalling: boolean;
   /** Monotonic ms by which the call under way is due. */
   answerBy: number;
-  /** Version up to which this host told its group as the reader. */
+  /** Version up to which this host told its group, or was told; as the reader it continues there. */
   toldVersion: number;
   /** Watches in a row that brought changes, and the monotonic ms of the last one. */
   busyWatches: number;
--- a/tests/directory/feed.test.ts
+++ b/tests/directory/feed.test.ts
@@ -135,6 +135,19 @@
     );
   });
 
+  // A new reader that claimed to continue from what it had watched long ago hid from others what they
+  // had missed of its predecessor.
+  it('continues as a reader from what it was told', () => {
+    const listener = getFirst(createGroup().listeners);
+    feed(listener);
+    const changes = [
+      newChange('e1', 15, { type: 'endpoint', endpoint: newEndpoint({ id: 'e1' }) }),
+    ];
+    const told = { type: 'topicTold', topic: 'endpoints', after: 10, upTo: 15, changes } as const;
+    listener.receive('reader', told);
+    expect(listener.state.directory.topics.endpoints.toldVersion).toBe(15);
+  });
+
   it('watches itself when it becomes a reader', () => {
     const listener = getFirst(createGroup().listeners);
     feed(listener).answer('endpoints', [], 11).takeAll();
