Log the fingerprint of forwarded requests, cancelled attempts and refused retries

Change: 'request ended', 'request refused' and 'attempt ended' carry the fingerprint; an attempt cancelled at the deadline or by the caller's close gets an 'attempt ended' line; 'retry budget exhausted' names requests, retries and sharers; fireflywick_retries_total counts allowed and refused retries. No decision changes.

--- a/src/core/metricNames.ts
+++ b/src/core/metricNames.ts
@@ -29,6 +29,10 @@
     kind: 'counter',
     help: 'Attempts at an endpoint, by result.',
   },
+  fireflywick_retries_total: {
+    kind: 'counter',
+    help: 'Repeated sends of requests that gateways forward, by result (allowed or refused by the retry budget).',
+  },
   fireflywick_decisions_total: {
     kind: 'counter',
     help: 'Decisions about requests and adapters, by decision and reason.',
--- a/src/forwards/forwardAttempts.ts
+++ b/src/forwards/forwardAttempts.ts
@@ -1,5 +1,5 @@
 import type { Effect } from '../core/effects.ts';
-import { newCount, newLog } from '../core/observations.ts';
+import { newCount } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { dropEndpoint } from '../directory/apply.ts';
 import { recordAnswer, recordUnansweredAttempt } from '../fleet/health.ts';
@@ -9,7 +9,12 @@
   isForwardQuarantined,
   recordBrokenForwardAttempt,
 } from './quarantine.ts';
-import { endForward, abandonForward, releaseForwardReservation } from './forwardEnd.ts';
+import {
+  abandonForward,
+  endForward,
+  newAttemptLog,
+  releaseForwardReservation,
+} from './forwardEnd.ts';
 import { placeForward } from './forwardPlacement.ts';
 import { scheduleRetry } from './sending.ts';
 import type { Forward, ForwardAttempt, ForwardOutcome } from './types.ts';
@@ -125,14 +130,13 @@
   const log = hasResponse
     ? []
     : [
-        newLog('info', 'attempt ended', {
-          requestId: forward.labels.attemptId,
-          endpoint: attempt.endpoint,
-          owner: attempt.owner,
-          outcome: outcome.type,
-          reason: 'reason' in outcome ? outcome.reason : undefined,
-          elapsedMs: Math.round(now - attempt.startedAt),
-        }),
+        newAttemptLog(
+          forward,
+          attempt,
+          outcome.type,
+          'reason' in outcome ? outcome.reason : undefined,
+          now,
+        ),
       ];
   return [
     newCount('fireflywick_attempts_total', { result: outcome.type }),
--- a/src/forwards/forwardEnd.ts
+++ b/src/forwards/forwardEnd.ts
@@ -4,7 +4,7 @@
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
 import { RETRY_AFTER_MS, RETRY_AFTER_JITTER_MS } from './constants.ts';
-import type { Forward, NewForward } from './types.ts';
+import type { Forward, ForwardAttempt, ForwardOutcome, NewForward } from './types.ts';
 
 /** Rejects a request that was not admitted. */
 export function rejectForward(state: State, arrival: NewForward, failure: Failure): Effect[] {
@@ -14,6 +14,7 @@
       requestId: arrival.labels.attemptId,
       hostName: arrival.host,
       target: arrival.target,
+      fingerprint: arrival.fingerprint,
       result: failure.kind,
       reason: failure.message,
       routingVersion: state.routeIndex.current?.table.version ?? 0,
@@ -48,17 +49,45 @@
 
 /** Ends a request with a failure: cancels its attempt and releases its reservation. */
 export function failForward(state: State, forward: Forward, failure: Failure): Effect[] {
-  const { attempt } = forward;
-  const cancelled: Effect[] =
-    attempt === undefined ? [] : [{ type: 'cancelForward', id: forward.id, attempt: attempt.id }];
   return [
-    ...cancelled,
-    ...releaseForwardReservation(state, forward, 'brokenOff'),
+    ...cancelRunningAttempt(state, forward, failure.message),
     ...endForward(state, forward, failure.kind, failure.message),
     { type: 'failForward', id: forward.id, failure: withRetryAfter(state, failure) },
   ];
 }
 
+/** Cancels the attempt in flight, if there is one, and releases the reservation. */
+export function cancelRunningAttempt(state: State, forward: Forward, reason: string): Effect[] {
+  const { id, attempt } = forward;
+  const cancelled: Effect[] =
+    attempt === undefined
+      ? []
+      : [
+          newAttemptLog(forward, attempt, 'cancelled', reason, state.now),
+          { type: 'cancelForward', id, attempt: attempt.id },
+        ];
+  return [...cancelled, ...releaseForwardReservation(state, forward, 'brokenOff')];
+}
+
+/** Returns the log line of an attempt that ended without a response. */
+export function newAttemptLog(
+  { labels, fingerprint }: Forward,
+  { endpoint, owner, startedAt }: ForwardAttempt,
+  outcome: ForwardOutcome['type'],
+  reason: string | undefined,
+  now: number,
+): Effect {
+  return newLog('info', 'attempt ended', {
+    requestId: labels.attemptId,
+    fingerprint,
+    endpoint,
+    owner,
+    outcome,
+    reason,
+    elapsedMs: Math.round(now - startedAt),
+  });
+}
+
 /** Removes a request that has its final result, and records it in the metrics and the log. */
 export function endForward(
   state: State,
@@ -75,6 +104,7 @@
     newObserve('fireflywick_request_duration_ms', metricLabels, durationMs),
     newLog('info', 'request ended', {
       requestId: labels.attemptId,
+      fingerprint: forward.fingerprint,
       route: route.name,
       service: forward.service,
       model: labels.model,
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -6,9 +6,10 @@
 import { admitForward } from './forwardAdmission.ts';
 import { endForwardAttempt } from './forwardAttempts.ts';
 import {
+  abandonForward,
+  cancelRunningAttempt,
   endForward,
   failForward,
-  abandonForward,
   releaseForwardReservation,
 } from './forwardEnd.ts';
 import { placeForward } from './forwardPlacement.ts';
@@ -20,11 +21,10 @@
   forwardCancelled: (state, { id }) => {
     const forward = state.forwards.inFlight.get(id);
     if (forward === undefined) return [];
-    const attempt = forward.attempt?.id;
+    const reason = 'the caller closed the connection';
     return [
-      ...(attempt === undefined ? [] : [{ type: 'cancelForward' as const, id, attempt }]),
-      ...releaseForwardReservation(state, forward, 'brokenOff'),
-      ...endForward(state, forward, 'cancelled', 'the caller closed the connection'),
+      ...cancelRunningAttempt(state, forward, reason),
+      ...endForward(state, forward, 'cancelled', reason),
     ];
   },
   forwardStarted: (state, { id, attempt }, now) => {
--- a/src/forwards/sending.ts
+++ b/src/forwards/sending.ts
@@ -10,7 +10,7 @@
   RETRY_MAX_MS,
 } from './constants.ts';
 import { abandonForward } from './forwardEnd.ts';
-import { consumeServiceRetry } from './retryBudgets.ts';
+import { consumeServiceRetry, observeRetry } from './retryBudgets.ts';
 import type { Forward } from './types.ts';
 
 /** Sends a request to an endpoint; abandons it when too little time or no retry budget is left. */
@@ -24,8 +24,14 @@
 ): Effect[] {
   if (forward.deadlineAt - now < MIN_ATTEMPT_MS)
     return abandonForward(state, forward, 'too little time is left before the deadline');
-  if (forward.sends > 0 && !consumeServiceRetry(state, forward.service, now)) {
-    return abandonForward(state, forward, `the retry budget is exhausted: ${forward.lastReason}`);
+  const retryObservations: Effect[] = [];
+  if (forward.sends > 0) {
+    const isAllowed = consumeServiceRetry(state, forward.service, now);
+    retryObservations.push(...observeRetry(state, forward, isAllowed, now));
+    if (!isAllowed) {
+      const reason = `the retry budget is exhausted: ${forward.lastReason}`;
+      return [...retryObservations, ...abandonForward(state, forward, reason)];
+    }
   }
   forward.sends += 1;
   forward.sentAt ??= now;
@@ -37,6 +43,7 @@
   forward.attempt = { id: attempt, endpoint, owner, startedAt: now };
   const { route, labels } = forward;
   return [
+    ...retryObservations,
     {
       type: 'sendForward',
       spec: {
--- a/src/forwards/sharedRetryBudget.ts
+++ b/src/forwards/sharedRetryBudget.ts
@@ -32,6 +32,12 @@
     return true;
   }
 
+  /** Returns the requests and retries in the window. */
+  getCounts(now: number): { requests: number; retries: number } {
+    this.advance(now);
+    return { requests: getSum(this.requests), retries: getSum(this.retries) };
+  }
+
   private add(counts: number[]): void {
     const index = this.bucket % RETRY_BUDGET_BUCKETS;
     counts[index] = (counts[index] ?? 0) + 1;
