Keep the retry budget of all hosts when they start, leave or are cut off

Cause: each host kept its part of the slack in its own memory and divided by the members that it knew at that moment. A restarted host began with a whole new part though its earlier process had just used one; while hosts left the row, the parts of the others grew at once, to the whole slack for the last one; a host without a members row took the whole slack; and no part was below one retry, so that 120 hosts had 120 where the slack is 50. Ruled out: more endpoints per request than allowed; the excess came from 503s that state 'not run', each below MAX_SENDS, with the line 'retry budget exhausted' on all hosts. Change: the slack is divided by the highest number of members in the last window. Tests: outcomes.test.ts sends its requests one window after the start of the host, since the case with five refusals needs four retries; its checks are unchanged.

--- a/src/forwards/constants.ts
+++ b/src/forwards/constants.ts
@@ -24,6 +24,12 @@
 export const MAX_BACKOFFS = 8;
 /** Share of the allowed retries that all hosts together use. */
 export const RETRY_BUDGET_SHARE = 0.8;
+/**
+ * Limits of the slack that a host uses in the first window after its start: the share of its part,
+ * and the retries. An earlier process of the host may have used its part shortly before.
+ */
+export const STARTUP_RETRY_SHARE = 0.1;
+export const MAX_STARTUP_RETRIES = 1;
 /** Buckets of the sliding window over which requests and retries are counted. */
 export const RETRY_BUDGET_BUCKETS = 10;
 /** Time to the deadline below which no attempt is started. */
--- a/src/owners/members.ts
+++ b/src/owners/members.ts
@@ -18,11 +18,12 @@
   WRITE_RETRY_BASE_MS,
 } from './constants.ts';
 import { getRendezvousChoice } from '../base/hash.ts';
-import { ensureOwners, getMember } from './owner.ts';
+import { ensureOwners, getMember, recordFormerRow } from './owner.ts';
 import type { Member, MembersRow } from './types.ts';
 
 /** Schedules the join after a random delay and the periodic maintenance of the members row. */
 export function startOwners(state: State, now: number): Effect[] {
+  state.owners.startedAt = now;
   const jitter = MAX_JOIN_JITTER_MS * state.random.getFraction();
   schedule(state, now + jitter, { type: 'joinMembers' });
   schedule(state, now + MAINTAIN_INTERVAL_MS, { type: 'maintainMembers' });
@@ -43,6 +44,7 @@
   if (version !== undefined) owners.version = version;
   if (row.epoch === knownEpoch) return [];
   if (version === undefined) owners.version = undefined;
+  recordFormerRow(owners, now);
   owners.previousRow = previous;
   owners.adoptedAt = now;
   owners.row = row;
--- a/src/owners/owner.ts
+++ b/src/owners/owner.ts
@@ -35,6 +35,23 @@
   return Math.max(1, row?.members.length ?? 1);
 }
 
+/**
+ * Returns the highest number of hosts that shared a deployment-wide limit in the last `windowMs`. A
+ * host that left the row may have used its part within that time.
+ */
+export function countRecentLimitSharers(owners: Owners, windowMs: number, now: number): number {
+  const recent = owners.formerRows.filter(({ replacedAt }) => replacedAt + windowMs > now);
+  return Math.max(countLimitSharers(owners), ...recent.map(({ size }) => size));
+}
+
+/** Records the size of the row that is being replaced. */
+export function recordFormerRow(owners: Owners, now: number): void {
+  const size = owners.row?.members.length ?? 0;
+  // A smaller row that was replaced earlier never decides the highest number.
+  const larger = owners.formerRows.filter((former) => former.size > size);
+  owners.formerRows = [...larger, { size, replacedAt: now }];
+}
+
 /** Returns the entry of `host`, or undefined if it is not a member. */
 export function getMember({ row }: Owners, host: string): Member | undefined {
   return row?.members.find((member) => member.host === host);
--- a/src/owners/types.ts
+++ b/src/owners/types.ts
@@ -34,6 +34,10 @@
   /** Row that `row` replaced, and monotonic ms at which `row` was adopted. */
   previousRow: MembersRow | undefined;
   adoptedAt = -Infinity;
+  /** Sizes of replaced rows, in descending order, and monotonic ms at which each was replaced. */
+  formerRows: { size: number; replacedAt: number }[] = [];
+  /** Monotonic ms at which this host started. */
+  startedAt = -Infinity;
   /** Version of `row` in the directory; undefined if the row is known only from a peer. */
   version: number | undefined;
   isWriting = false;
--- a/tests/forwards/outcomes.test.ts
+++ b/tests/forwards/outcomes.test.ts
@@ -23,6 +23,8 @@
     routes: [route],
     endpoints: [{ id: 'e0' }, { id: 'e1' }, { id: 'e2' }],
   });
+  // A host has its part of the retry budget one window after its start.
+  host.advance(10_000).takeAllEffects();
   return host.receiveForward();
 }
 
--- a/tests/helpers/directoryHost.ts
+++ b/tests/helpers/directoryHost.ts
@@ -14,14 +14,19 @@
 
 /** The reducer of one host with a directory; tests dispatch its events and read its effects. */
 export class DirectoryHost {
-  now = 1_000;
+  now: number;
   /** Effects since the last call of a `take` method. */
   private effects: Effect[] = [];
 
-  private constructor(readonly state: State) {}
+  private constructor(
+    readonly state: State,
+    startedAt: number,
+  ) {
+    this.now = startedAt;
+  }
 
-  /** Creates host `id` of zone `zone` and starts it. */
-  static create(id = 'h0', zone = 'z1'): DirectoryHost {
+  /** Creates host `id` of zone `zone` and starts it at the monotonic ms `startedAt`. */
+  static create(id = 'h0', zone = 'z1', startedAt = 1_000): DirectoryHost {
     const state = State.create({
       host: { id, zone, region: 'r1', incarnation: 1, address: `10.0.0.1:1` },
       policy: {
@@ -34,7 +39,7 @@
       },
       randomSeed: 7,
     });
-    const host = new DirectoryHost(state);
+    const host = new DirectoryHost(state, startedAt);
     host.dispatch({ type: 'started' });
     return host;
   }
