--- /dev/null
+++ b/tests/helpers/gatewayCluster.ts
@@ -0,0 +1,205 @@
+import type { Effect } from '../../src/core/effects.ts';
+import type { DirectoryContent } from '../../src/directory/types.ts';
+import type { Endpoint } from '../../src/fleet/types.ts';
+import type { ForwardOutcome } from '../../src/forwards/types.ts';
+import type { Route } from '../../src/routes/types.ts';
+import { DirectoryHost, newDirectoryChange, newEndpoint } from './directoryHost.ts';
+
+/** What an endpoint does with an attempt. */
+export type EndpointReaction = 'crash' | 'crashSilently' | 'break' | 'answer' | 'fail';
+
+/** An attempt that a host sent to an endpoint. */
+export interface SentAttempt {
+  at: number;
+  host: string;
+  endpoint: string;
+  fingerprint: string;
+  reaction: EndpointReaction;
+}
+
+const ENDPOINTS = ['e0', 'e1', 'e2', 'e3'];
+/** Time after which an endpoint that crashed registers again. */
+const ENDPOINT_RESTART_MS = 1_500;
+const STEP_MS = 20;
+
+/** Hosts with a directory that are linked with each other, in front of endpoints that may crash. */
+export class GatewayCluster {
+  now = 1_000;
+  readonly hosts = new Map<string, DirectoryHost>();
+  readonly sent: SentAttempt[] = [];
+  /** Failure kind or `passed` for each request that ended, in order. */
+  readonly results: string[] = [];
+  /** Returns what an endpoint does with an attempt of `fingerprint`. */
+  react: (fingerprint: string) => EndpointReaction = () => 'answer';
+  private readonly endpoints = new Map<string, Endpoint>();
+  private readonly fingerprints = new Map<string, string>();
+  private readonly blockedHosts = new Set<string>();
+  private readonly hostsWithoutDirectory = new Set<string>();
+  private readonly pending: { at: number; run: () => void }[] = [];
+  private version = 100;
+  private nextRequest = 0;
+
+  private constructor(
+    readonly ids: readonly string[],
+    private readonly route: Partial<Route>,
+  ) {}
+
+  static create(options: { hosts: number; route?: Partial<Route> }): GatewayCluster {
+    const ids = Array.from({ length: options.hosts }, (_, index) => `h${index}`);
+    const cluster = new GatewayCluster(ids, options.route ?? { kind: 'unsafe', attempts: 1 });
+    for (const id of ENDPOINTS) cluster.endpoints.set(id, newEndpoint({ id }));
+    for (const id of ids) cluster.startHost(id);
+    cluster.advance(100);
+    return cluster;
+  }
+
+  /** Starts a host, or restarts it without what its earlier process knew. */
+  startHost(id: string): void {
+    const host = DirectoryHost.create(id, 'z1', this.now);
+    this.hosts.set(id, host);
+    host.configure({
+      routes: [this.route],
+      endpoints: [...this.endpoints.values()],
+      members: this.ids.map((member) => ({ host: member })),
+    });
+    for (const other of this.hosts.keys()) {
+      if (other === id) continue;
+      host.dispatch({ type: 'linkOpened', host: other });
+      this.hosts.get(other)?.dispatch({ type: 'linkOpened', host: id });
+    }
+  }
+
+  /** Lets no message from or to the hosts through. */
+  blockLinks(ids: readonly string[]): void {
+    for (const id of ids) this.blockedHosts.add(id);
+  }
+
+  /** Lets the hosts neither read nor write the directory. */
+  cutDirectory(ids: readonly string[]): void {
+    for (const id of ids) this.hostsWithoutDirectory.add(id);
+  }
+
+  /** Sends a request to a host; returns its id. */
+  request(host: string, fingerprint: string): string {
+    this.nextRequest += 1;
+    const id = `f${this.nextRequest}`;
+    this.fingerprints.set(id, fingerprint);
+    this.getHost(host).receiveForward({ id, fingerprint, arrivedAt: this.now });
+    this.runEffects();
+    return id;
+  }
+
+  /** The caller of a request closes its connection. */
+  cancel(host: string, id: string): void {
+    this.getHost(host).dispatch({ type: 'forwardCancelled', id });
+    this.runEffects();
+  }
+
+  advance(ms: number): void {
+    const until = this.now + ms;
+    while (this.now < until) {
+      this.now += STEP_MS;
+      for (const host of this.hosts.values()) host.advance(this.now - host.now);
+      for (const due of this.pending.filter(({ at }) => at <= this.now)) {
+        this.pending.splice(this.pending.indexOf(due), 1);
+        due.run();
+      }
+      this.runEffects();
+    }
+  }
+
+  /** Returns the attempts that an endpoint crashed on. */
+  get crashes(): SentAttempt[] {
+    return this.sent.filter(({ reaction }) => reaction.startsWith('crash'));
+  }
+
+  private getHost(id: string): DirectoryHost {
+    const host = this.hosts.get(id);
+    if (host === undefined) throw new Error(`host ${id} does not exist`);
+    return host;
+  }
+
+  private runEffects(): void {
+    let hasRun = true;
+    while (hasRun) {
+      hasRun = false;
+      for (const [id, host] of this.hosts) {
+        for (const effect of host.takeAllEffects()) {
+          hasRun = true;
+          this.runEffect(id, host, effect);
+        }
+      }
+    }
+  }
+
+  private runEffect(id: string, host: DirectoryHost, effect: Effect): void {
+    switch (effect.type) {
+      case 'sendMessage': {
+        const isBlocked = this.blockedHosts.has(id) || this.blockedHosts.has(effect.to);
+        if (effect.to !== id && !isBlocked)
+          this.hosts.get(effect.to)?.receiveMessage(id, effect.message);
+        return;
+      }
+      case 'sendForward':
+        this.handleAttempt(id, host, effect.spec);
+        return;
+      case 'failForward':
+        this.results.push(effect.failure.kind);
+        return;
+      case 'passResponse':
+        this.results.push('passed');
+        return;
+      default:
+    }
+  }
+
+  private handleAttempt(
+    id: string,
+    host: DirectoryHost,
+    spec: { id: string; attempt: string; endpoint: string },
+  ): void {
+    const fingerprint = this.fingerprints.get(spec.id) ?? '';
+    const reaction = this.react(fingerprint);
+    this.sent.push({ at: this.now, host: id, endpoint: spec.endpoint, fingerprint, reaction });
+    if (reaction.startsWith('crash')) this.restartEndpoint(spec.endpoint);
+    const outcomes: Record<EndpointReaction, ForwardOutcome | undefined> = {
+      crash: { type: 'broken', reason: 'reset', lastEventId: undefined },
+      break: { type: 'broken', reason: 'reset', lastEventId: undefined },
+      crashSilently: undefined,
+      answer: { type: 'answered', status: 200 },
+      fail: { type: 'answered', status: 500 },
+    };
+    const outcome = outcomes[reaction];
+    if (outcome === undefined) return;
+    const { id: request, attempt } = spec;
+    this.pending.push({
+      at: this.now + STEP_MS,
+      run: () => host.dispatch({ type: 'forwardEnded', id: request, attempt, outcome }),
+    });
+  }
+
+  private restartEndpoint(id: string): void {
+    const endpoint = newEndpoint({ id, startedAt: this.now });
+    this.endpoints.set(id, endpoint);
+    this.pending.push({
+      at: this.now + ENDPOINT_RESTART_MS,
+      run: () => {
+        for (const host of this.hosts.keys())
+          this.sendChange(host, 'endpoints', id, { type: 'endpoint', endpoint });
+      },
+    });
+  }
+
+  private sendChange(
+    id: string,
+    topic: 'endpoints',
+    key: string,
+    content: DirectoryContent,
+    version = ++this.version,
+  ): void {
+    if (this.hostsWithoutDirectory.has(id)) return;
+    const changes = [newDirectoryChange(key, version, content)];
+    const told = { type: 'topicTold' as const, topic, after: 0, upTo: version, changes };
+    this.getHost(id).receiveMessage('directory', told);
+  }
+}
