Share the crashes of a forwarded request between hosts

Callers saw: endpoints that crashed one after another, and with them the requests of everybody else on them, while one caller repeated a request that crashes the endpoint that runs it. Cause: each gateway counted the crashes of a request in its own memory, refused it after three of its own, and forgot the count after 30 s and with its process. With seven hosts a request could crash 21 endpoints, and again after each pause. Class: a limit of the whole deployment kept as each host's own memory. Evidence: tests/forwards/crashRequests.test.ts, six cases failed before with 10 to 15 attempts later than 3 s after the third crash, where 3 are allowed; with one host four of them passed, so the memory of each host is the cause and not its count. Change: a broken attempt becomes a crash in the suspect's record that entry hosts use already. It goes to all linked hosts at once, to a host whose link opens, and from the second crash on to one row in the directory, which is in the table that all hosts watch. So hosts learn of it without links, without the directory and after a restart of all. A crash is taken back after 8 s if the directory still lists the endpoint with the same start, and all are once a request was answered.

--- a/src/core/hostHandlers.ts
+++ b/src/core/hostHandlers.ts
@@ -1,6 +1,6 @@
 import { startRetention } from '../actions/retention.ts';
 import { startDrafts } from '../drafts/draftTakeover.ts';
-import { startSuspectPolling } from '../suspects/suspectRows.ts';
+import { sendKnownSuspects, startSuspectPolling } from '../suspects/suspectRows.ts';
 import { startConfigurationPolling } from '../configuration/handlers.ts';
 import { startMembership } from '../membership/handlers.ts';
 import { startOwnership } from '../ownership/handlers.ts';
@@ -42,7 +42,7 @@
     if (state.policy.directory === undefined) return membershipEvents.linkOpened(state, event, now);
     recordLinkOpened(state, event.host);
     scheduleAnnouncement(state, now);
-    return [];
+    return sendKnownSuspects(state, event.host);
   },
   linkClosed: (state, event, now) => {
     if (state.policy.directory === undefined) return membershipEvents.linkClosed(state, event, now);
--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -7,6 +7,7 @@
 import { adoptMembersRow } from '../owners/members.ts';
 import { applyAdapterVersion, updateOwnedEngines } from '../residency/ownedEngines.ts';
 import { newRouteIndex } from '../routes/match.ts';
+import { applySuspectsRow } from '../suspects/directorySuspects.ts';
 import { EXPIRY_GRACE_MS, MAX_REMOVAL_DEFERRAL_MS } from './constants.ts';
 import type { DirectoryChange, DirectoryContent, Topic } from './types.ts';
 
@@ -49,6 +50,7 @@
     ];
   },
   members: (state, { row }, { version }, now) => adoptMembersRow(state, row, version, now),
+  suspects: (state, { row }, { version }, now) => applySuspectsRow(state, row, version, now),
   removed: (state, _content, change, now) => {
     if (!state.fleet.views.has(change.key)) return [];
     if (!mayEntriesHaveExpired(state, now)) return dropEndpoint(state, change.key, now);
--- a/src/directory/handlers.ts
+++ b/src/directory/handlers.ts
@@ -1,5 +1,6 @@
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import { handleMembersWriteAnswer } from '../owners/members.ts';
+import { handleSuspectsWriteAnswer } from '../suspects/directorySuspects.ts';
 import { applyDeferredRemovals } from './apply.ts';
 import { runReaderHeartbeatRound, handleReaderHeartbeat } from './readerHeartbeats.ts';
 import { applyTopicChanges } from './announcements.ts';
@@ -11,6 +12,8 @@
     handleTopicAnswer(state, topic, call, isRead, answer, now),
   membersWriteAnswered: (state, { row, answer }, now) =>
     handleMembersWriteAnswer(state, row, answer, now),
+  suspectsWriteAnswered: (state, { row, answer }, now) =>
+    handleSuspectsWriteAnswer(state, row, answer, now),
 };
 
 export const directoryMessages: MessageHandlers<'topicAsked' | 'topicTold' | 'directoryFed'> = {
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -2,6 +2,7 @@
 import { Endpoint } from '../fleet/types.ts';
 import { MembersRow } from '../owners/types.ts';
 import { RoutingTable } from '../routes/types.ts';
+import { SuspectsRow } from '../suspects/types.ts';
 
 /**
  * A topic of the directory, in which operators, endpoints and hosts publish what all hosts must
@@ -20,6 +21,7 @@
   }),
   z.object({ type: z.literal('endpoint'), endpoint: Endpoint }),
   z.object({ type: z.literal('members'), row: MembersRow }),
+  z.object({ type: z.literal('suspects'), row: SuspectsRow }),
   z.object({ type: z.literal('removed') }),
   /** The entry cannot be parsed and is ignored. */
   z.object({ type: z.literal('malformed'), reason: z.string() }),
@@ -42,8 +44,8 @@
   | { type: 'historyLost' }
   | { type: 'unavailable'; reason: string };
 
-/** The answer to a conditional write of the members row. */
-export type MembersWriteAnswer =
+/** The answer to a conditional write of a row. */
+export type DirectoryWriteAnswer =
   | { type: 'written'; version: number }
   /** Another write came first; `current` is the row as it is now, undefined when it is absent. */
   | { type: 'conflict'; current: DirectoryChange | undefined }
@@ -158,13 +160,15 @@
       isRead: boolean;
       answer: DirectoryAnswer;
     }
-  | { type: 'membersWriteAnswered'; row: MembersRow; answer: MembersWriteAnswer };
+  | { type: 'membersWriteAnswered'; row: MembersRow; answer: DirectoryWriteAnswer }
+  | { type: 'suspectsWriteAnswered'; row: SuspectsRow; answer: DirectoryWriteAnswer };
 
 export type DirectoryEffect =
   | { type: 'readTopic'; topic: Topic; call: number }
   | { type: 'watchTopic'; topic: Topic; call: number; after: number; waitMs: number }
-  /** Writes the row if it still has `version`; 0 when it must be absent. */
-  | { type: 'writeMembers'; row: MembersRow; version: number };
+  /** These write the row if it still has `version`; 0 when it must be absent. */
+  | { type: 'writeMembers'; row: MembersRow; version: number }
+  | { type: 'writeSuspects'; row: SuspectsRow; version: number };
 
 export type DirectoryTimer =
   | { type: 'startTopicCall'; topic: Topic }
--- a/src/forwards/constants.ts
+++ b/src/forwards/constants.ts
@@ -37,10 +37,18 @@
 /** `Retry-After` of rejected requests: the base, and the random part that spreads the retries. */
 export const RETRY_AFTER_MS = 250;
 export const RETRY_AFTER_JITTER_MS = 500;
-/** Broken attempts of one fingerprint beyond which its requests are rejected. */
-export const MAX_BROKEN_FORWARD_ATTEMPTS = 2;
-/** Time after the last broken attempt of a fingerprint for which its count is kept. */
-export const BROKEN_FORWARD_ATTEMPT_TTL_MS = 30_000;
+/** Endpoints that the requests of one fingerprint may crash; then they are refused on all hosts. */
+export const MAX_CRASHES_PER_REQUEST = 3;
+/**
+ * Time after the last change for which such requests are refused, by the crashes beyond that number;
+ * with more crashes they are refused until the suspect expires.
+ */
+export const QUARANTINE_MS: readonly number[] = [60_000, 600_000, 7_200_000];
+/**
+ * Time after a broken attempt at which its endpoint is checked. The directory shows a crash by then:
+ * it removes an endpoint that has been silent for 4 s, and hosts learn of that within 2 s.
+ */
+export const CRASH_VERIFICATION_DELAY_MS = 8_000;
 /**
  * Cost of loading a warm adapter, whose weights the engine need not fetch from the weight store. The
  * costs here and below are compared between engines.
--- a/src/forwards/forwardAttempts.ts
+++ b/src/forwards/forwardAttempts.ts
@@ -5,7 +5,7 @@
 import { recordAnswer, recordUnansweredAttempt } from '../fleet/health.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import {
-  clearBrokenForwardAttempts,
+  clearForwardCrashes,
   isForwardQuarantined,
   recordBrokenForwardAttempt,
 } from './quarantine.ts';
@@ -38,8 +38,8 @@
   passed: ({ state, forward, attempt, view, now }, { longestPauseMs }) => {
     forward.longestPauseMs = Math.round(longestPauseMs);
     if (view !== undefined) recordAnswer(view, now - attempt.startedAt, true);
-    clearBrokenForwardAttempts(state, forward.fingerprint);
     return [
+      ...clearForwardCrashes(state, forward.fingerprint, now),
       ...releaseForwardReservation(state, forward),
       ...endForward(state, forward, 'completed'),
       { type: 'endResponse', id: forward.id },
@@ -48,15 +48,20 @@
   answered: ({ state, forward, attempt, view, now }, { status }) => {
     const isGood = status < 500;
     if (view !== undefined) recordAnswer(view, now - attempt.startedAt, isGood);
-    clearBrokenForwardAttempts(state, forward.fingerprint);
+    const cleared = clearForwardCrashes(state, forward.fingerprint, now);
     forward.ranOn.add(attempt.endpoint);
     if (!isGood && hasAttemptsLeft(forward) && isRetryAllowed(forward)) {
       forward.excluded.add(attempt.endpoint);
       forward.lastReason = `the endpoint answered with status ${status}`;
       forward.hasFailedResponse = true;
-      return [...releaseForwardReservation(state, forward), ...placeForward(state, forward, now)];
+      return [
+        ...cleared,
+        ...releaseForwardReservation(state, forward),
+        ...placeForward(state, forward, now),
+      ];
     }
     return [
+      ...cleared,
       ...releaseForwardReservation(state, forward),
       ...endForward(state, forward, isGood ? 'completed' : 'endpoint_failed', `status ${status}`),
       { type: 'passResponse', id: forward.id },
@@ -94,12 +99,12 @@
   },
   broken: ({ state, forward, attempt, view, now }, { reason, lastEventId }) => {
     if (view !== undefined) recordUnansweredAttempt(view, now);
-    recordBrokenForwardAttempt(state, forward.fingerprint, now);
+    const recorded = recordBrokenForwardAttempt(state, forward, attempt, now);
     forward.ranOn.add(attempt.endpoint);
     forward.excluded.add(attempt.endpoint);
     forward.lastEventId = lastEventId ?? forward.lastEventId;
     forward.lastReason = `the endpoint sent no complete response: ${reason}`;
-    const released = releaseForwardReservation(state, forward);
+    const released = [...recorded, ...releaseForwardReservation(state, forward)];
     const mayRetry =
       hasAttemptsLeft(forward) &&
       isRetryAllowed(forward) &&
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -13,6 +13,7 @@
   releaseForwardReservation,
 } from './forwardEnd.ts';
 import { placeForward } from './forwardPlacement.ts';
+import { verifyCrash } from './quarantine.ts';
 import { scheduleRetry, sendAttempt } from './sending.ts';
 import type { ForwardEvent, ForwardTimer } from './types.ts';
 
@@ -114,6 +115,7 @@
     const forward = state.forwards.inFlight.get(id);
     return forward?.phase === 'backoff' ? placeForward(state, forward, now) : [];
   },
+  verifyCrash: (state, timer, now) => verifyCrash(state, timer, now),
   reservationTimeout: (state, { id, reservationRequestNumber }, now) => {
     const forward = state.forwards.inFlight.get(id);
     if (
--- a/src/forwards/sending.ts
+++ b/src/forwards/sending.ts
@@ -38,9 +38,9 @@
   forward.phase = 'running';
   forward.pendingReservation = undefined;
   view.inFlight += 1;
-  const { id: endpoint, address } = view.endpoint;
+  const { id: endpoint, address, startedAt: endpointStartedAt } = view.endpoint;
   const attempt = `${forward.id}.${forward.sends}`;
-  forward.attempt = { id: attempt, endpoint, owner, startedAt: now };
+  forward.attempt = { id: attempt, endpoint, endpointStartedAt, owner, startedAt: now };
   const { route, labels } = forward;
   return [
     ...retryObservations,
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -42,6 +42,8 @@
 export interface ForwardAttempt {
   id: string;
   endpoint: string;
+  /** Unix ms of the start of the endpoint, as it was known when the attempt was sent. */
+  endpointStartedAt: number;
   /** Host that granted the reservation; undefined when the attempt was sent unreserved. */
   owner: string | undefined;
   startedAt: number;
@@ -112,8 +114,6 @@
   readonly inFlight = new Map<string, Forward>();
   /** Retry budgets by service. */
   readonly retryBudgets = new Map<string, SharedRetryBudget>();
-  /** Broken attempts by fingerprint, in the order of the last one; `at` is monotonic ms. */
-  readonly brokenAttempts = new Map<string, { count: number; at: number }>();
 
   /** Decayed counts of this host's requests by adapter and by base model. */
   readonly popularity = Popularity.create(PLACEMENT_POPULARITY_HALF_LIFE_MS);
@@ -161,10 +161,21 @@
   /** Answers with a failure, or aborts the response if it has started. */
   | { type: 'failForward'; id: string; failure: Failure };
 
+/** Checks whether the endpoint of a broken attempt crashed. */
+export interface CrashVerification {
+  type: 'verifyCrash';
+  fingerprint: string;
+  /** Id of the crash in the suspect's record. */
+  crash: string;
+  endpoint: string;
+  endpointStartedAt: number;
+}
+
 export type ForwardTimer =
   | { type: 'forwardDeadline'; id: string }
   /** Abandons the request if it was not sent yet. */
   | { type: 'placementTimeout'; id: string }
   | { type: 'forwardRetry'; id: string }
+  | CrashVerification
   /** The owner did not react to the reservation request. */
   | { type: 'reservationTimeout'; id: string; reservationRequestNumber: number };
--- a/src/gatewayHost/platform.ts
+++ b/src/gatewayHost/platform.ts
@@ -1,7 +1,8 @@
 import type { HttpCall } from '../clients/httpClient.ts';
-import type { DirectoryAnswer, MembersWriteAnswer, Topic } from '../directory/types.ts';
+import type { DirectoryAnswer, DirectoryWriteAnswer, Topic } from '../directory/types.ts';
 import type { RequestLabels } from '../forwards/types.ts';
 import type { MembersRow } from '../owners/types.ts';
+import type { SuspectsRow } from '../suspects/types.ts';
 import type { AdapterOrder, AdapterOrderAnswer, AdapterReport } from '../residency/types.ts';
 
 /**
@@ -23,7 +24,13 @@
   /** Waits up to `waitMs` for changes after version `after`. */
   watch(topic: Topic, after: number, waitMs: number, timeoutMs: number): Promise<DirectoryAnswer>;
   /** Writes the members row if its version is `version`; 0 means that it must not exist. */
-  writeMembers(row: MembersRow, version: number, timeoutMs: number): Promise<MembersWriteAnswer>;
+  writeMembers(row: MembersRow, version: number, timeoutMs: number): Promise<DirectoryWriteAnswer>;
+  /** Writes the row of suspects in the same way. */
+  writeSuspects(
+    row: SuspectsRow,
+    version: number,
+    timeoutMs: number,
+  ): Promise<DirectoryWriteAnswer>;
 }
 
 /** An adapter order with the engine instance that it is for and the host that sends it. */
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -39,6 +39,11 @@
       host.dispatch({ type: 'membersWriteAnswered', row, answer });
     });
   },
+  writeSuspects: (host, { row, version }) => {
+    void host.platform.directory
+      .writeSuspects(row, version, DIRECTORY_TIMEOUT_MS)
+      .then((answer) => host.dispatch({ type: 'suspectsWriteAnswered', row, answer }));
+  },
   sendAdapterOrder: (host, { engine, address, epoch, order }) => {
     const { id } = host.state.host;
     const engineOrder = { engine, address, host: id, epoch, order };
--- a/src/owners/members.ts
+++ b/src/owners/members.ts
@@ -2,7 +2,7 @@
 import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
-import type { MembersWriteAnswer } from '../directory/types.ts';
+import type { DirectoryWriteAnswer } from '../directory/types.ts';
 import { isRoutable } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { getEngineClass } from '../residency/reservations.ts';
@@ -117,7 +117,7 @@
 export function handleMembersWriteAnswer(
   state: State,
   row: MembersRow,
-  answer: MembersWriteAnswer,
+  answer: DirectoryWriteAnswer,
   now: number,
 ): Effect[] {
   const { owners } = state;
--- a/src/suspects/constants.ts
+++ b/src/suspects/constants.ts
@@ -30,5 +30,12 @@
 export const MAX_SENT_SUSPECTS = 100;
 /** Longest pause before the row of a suspect is read again after a failed read or write. */
 export const SUSPECT_SYNC_RETRY_MS = 2_000;
+/** Maximum suspects that a host knows; the least recently changed ones are dropped. */
+export const MAX_KNOWN_SUSPECTS = 20_000;
+/** Crashes from which on a suspect is kept in the directory's row of suspects. */
+export const MIN_STORED_CRASHES = 2;
+/** Limits of the row of suspects, which keep it below 64 KiB in base64. */
+export const MAX_STORED_SUSPECTS = 40;
+export const MAX_STORED_CRASHES = 8;
 export const SUSPECT_PAGE_SIZE = 200;
 export const SUSPECT_KEY_PREFIX = 'suspect/';
--- a/src/suspects/crashes.ts
+++ b/src/suspects/crashes.ts
@@ -9,6 +9,7 @@
   BROKEN_ATTEMPT_MIN_CLEAR_AGE_MS,
   GRANT_RELEASE_TIMEOUT_MS,
 } from './constants.ts';
+import { newClearedSuspect, newSuspect } from './mergeSuspects.ts';
 import { publishSuspect } from './suspectRows.ts';
 import type { EngineRun, Suspect } from './types.ts';
 
@@ -146,14 +147,7 @@
 export function clearSuspect(state: State, fingerprint: string, now: number): Effect[] {
   const known = state.suspects.byFingerprint.get(fingerprint);
   if (known === undefined) return [];
-  const { generation, hour } = known;
-  const cleared = [...known.cleared, ...known.crashes].slice(-MAX_CRASHES_PER_SUSPECT);
-  const next = { ...newSuspect(fingerprint), generation: generation + 1, cleared, hour };
-  return publishSuspect(state, next, now);
-}
-
-function newSuspect(fingerprint: string): Suspect {
-  return { fingerprint, generation: 0, crashes: [], cleared: [], isCondemned: false, hour: -1 };
+  return publishSuspect(state, newClearedSuspect(known), now);
 }
 
 /** An empty boot id matches any: the reporting host had no report of the engine yet. */
--- a/src/suspects/handlers.ts
+++ b/src/suspects/handlers.ts
@@ -1,6 +1,7 @@
 import type { MessageHandlers, TableAnswerHandlers, TimerHandlers } from '../core/handlers.ts';
 import { resumeRequestsWaitingForSuspect } from '../requests/grantRequests.ts';
 import { attributeCrashToPins } from './crashes.ts';
+import { writeSuspectsRow } from './directorySuspects.ts';
 import {
   retryFailedSuspectWrite,
   expireSuspect,
@@ -22,6 +23,7 @@
   syncSuspect: (_state, { fingerprint }) => [readSuspectRow(fingerprint)],
   attributeCrashToPins: (state, timer, now) => attributeCrashToPins(state, timer, now),
   pollSuspects: (state, _timer, now) => pollSuspects(state, now),
+  writeSuspectsRow: (state) => writeSuspectsRow(state),
 };
 
 export const suspectTableHandlers: TableAnswerHandlers<SuspectTablePurpose['type']> = {
--- a/src/suspects/mergeSuspects.ts
+++ b/src/suspects/mergeSuspects.ts
@@ -1,3 +1,4 @@
+import { MAX_CRASHES_PER_SUSPECT } from './constants.ts';
 import type { Suspect } from './types.ts';
 
 /** Merges the records of two hosts; commutative, associative and idempotent. */
@@ -12,6 +13,22 @@
   };
 }
 
+/** Returns the record of a request without crashes. */
+export function newSuspect(fingerprint: string): Suspect {
+  return { fingerprint, generation: 0, crashes: [], cleared: [], isCondemned: false, hour: -1 };
+}
+
+/** Returns the record after the suspect was cleared of all its crashes. */
+export function newClearedSuspect({ fingerprint, generation, ...known }: Suspect): Suspect {
+  const cleared = [...known.cleared, ...known.crashes].slice(-MAX_CRASHES_PER_SUSPECT);
+  return { ...newSuspect(fingerprint), generation: generation + 1, cleared, hour: known.hour };
+}
+
+/** Returns the crashes of which the suspect was not cleared. */
+export function getCountedCrashes({ crashes, cleared }: Suspect): string[] {
+  return crashes.filter((crash) => !cleared.includes(crash));
+}
+
 /** Whether two records of a suspect are equal, regardless of the order of crashes. */
 export function isSameSuspect(a: Suspect, b: Suspect): boolean {
   return (
--- a/src/suspects/suspectRows.ts
+++ b/src/suspects/suspectRows.ts
@@ -6,6 +6,7 @@
 import { schedule } from '../core/timers.ts';
 import { getFreshRetentionHour } from '../actions/actionRows.ts';
 import {
+  MAX_KNOWN_SUSPECTS,
   MAX_SENT_SUSPECTS,
   SUSPECT_PAGE_SIZE,
   SUSPECT_POLL_INTERVAL_MS,
@@ -155,7 +156,7 @@
 }
 
 /** Merges a record into the known suspects; returns whether anything changed. */
-function mergeKnownSuspect(state: State, suspect: Suspect, now: number): boolean {
+export function mergeKnownSuspect(state: State, suspect: Suspect, now: number): boolean {
   const { byFingerprint, expiresAt } = state.suspects;
   const { fingerprint } = suspect;
   const known = byFingerprint.get(fingerprint);
@@ -164,18 +165,32 @@
   // Deleted first, so that the map stays ordered by last change.
   byFingerprint.delete(fingerprint);
   byFingerprint.set(fingerprint, merged);
+  dropOldestSuspects(state);
   expiresAt.set(fingerprint, now + SUSPECT_TTL_MS);
   schedule(state, now + SUSPECT_TTL_MS, { type: 'suspectExpiry', fingerprint });
   return true;
 }
 
+function dropOldestSuspects({ suspects: { byFingerprint, expiresAt } }: State): void {
+  for (const fingerprint of byFingerprint.keys()) {
+    if (byFingerprint.size <= MAX_KNOWN_SUSPECTS) return;
+    byFingerprint.delete(fingerprint);
+    expiresAt.delete(fingerprint);
+  }
+}
+
 /** Whether the retention hours of a row have passed; false while the current hour is unknown. */
 function isExpired(state: State, { hour }: Suspect, now: number): boolean {
   const current = getFreshRetentionHour(state, now);
   return current !== undefined && hour >= 0 && hour + SUSPECT_ROW_TTL_HOURS <= current;
 }
 
-function newSuspectReports(state: State, suspect: Suspect, hosts: readonly string[]): Effect[] {
+/** Returns the reports of a suspect to other hosts. */
+export function newSuspectReports(
+  state: State,
+  suspect: Suspect,
+  hosts: readonly string[],
+): Effect[] {
   return hosts
     .filter((host) => host !== state.host.id)
     .map((host) => sendMessage(state, host, { type: 'suspectReported', suspect }));
--- a/src/suspects/suspicion.ts
+++ b/src/suspects/suspicion.ts
@@ -12,6 +12,11 @@
   return suspect.isCondemned ? 'quarantined' : 'suspect';
 }
 
+/** Returns the monotonic ms of the last change of a suspect; -Infinity for an unknown one. */
+export function getSuspectChangedAt({ suspects }: State, fingerprint: string): number {
+  return (suspects.expiresAt.get(fingerprint) ?? -Infinity) - SUSPECT_TTL_MS;
+}
+
 /** Returns the failure of a quarantined request, or undefined when it is not quarantined. */
 export function getQuarantineFailure(
   state: State,
@@ -35,8 +40,8 @@
   now: number,
   mayHaveRun: boolean,
 ): Failure | undefined {
-  const { byFingerprint, expiresAt } = state.suspects;
-  const changedAt = (expiresAt.get(fingerprint) ?? -Infinity) - SUSPECT_TTL_MS;
+  const { byFingerprint } = state.suspects;
+  const changedAt = getSuspectChangedAt(state, fingerprint);
   if (changedAt + UNREACHABLE_CRASH_HOLD_MS <= now) return undefined;
   const zones = (byFingerprint.get(fingerprint)?.crashes ?? []).map((crash) => {
     return state.configuration.engines.get(crash.split('@')[0] ?? '')?.zone;
--- a/src/suspects/types.ts
+++ b/src/suspects/types.ts
@@ -5,7 +5,10 @@
   fingerprint: z.string().min(1).max(128),
   /** Incremented when the suspect is cleared; a higher generation replaces lower ones. */
   generation: z.int().min(0),
-  /** Crashes while the request ran, as `ENGINE@BOOT`; duplicate reports count once. */
+  /**
+   * Crashes while the request ran, as `ENGINE@BOOT`, or as `ENDPOINT@ATTEMPT` on gateways; duplicate
+   * reports count once.
+   */
   crashes: z.array(z.string().max(256)).max(64),
   /** Crashes from before it was cleared; late reports of them are ignored. */
   cleared: z.array(z.string().max(256)).max(64),
@@ -16,6 +19,13 @@
 });
 export type Suspect = z.infer<typeof Suspect>;
 
+/**
+ * Row of the directory with the suspects that crashed endpoints repeatedly, so that hosts learn of them
+ * after a restart and without links to other hosts.
+ */
+export const SuspectsRow = z.object({ suspects: z.array(Suspect) });
+export type SuspectsRow = z.infer<typeof SuspectsRow>;
+
 export type Suspicion = 'clear' | 'suspect' | 'quarantined';
 
 export const SuspectReported = z.object({ type: z.literal('suspectReported'), suspect: Suspect });
@@ -41,6 +51,10 @@
   readonly attributedPins = new WeakSet();
   /** Monotonic ms of the last scan of the rows. */
   polledAt = -Infinity;
+  /** Row of suspects in the directory and its version; 0 while it is absent. */
+  storedRow: SuspectsRow = { suspects: [] };
+  storedVersion = 0;
+  isWritingRow = false;
 
   private constructor() {}
 
@@ -53,6 +67,7 @@
   | { type: 'suspectExpiry'; fingerprint: string }
   | { type: 'syncSuspect'; fingerprint: string }
   | { type: 'pollSuspects' }
+  | { type: 'writeSuspectsRow' }
   | { type: 'attributeCrashToPins'; engine: string; bootId: string; before: number };
 
 export type SuspectTablePurpose =
--- a/tests/forwards/crashRequests.test.ts
+++ b/tests/forwards/crashRequests.test.ts
@@ -158,4 +158,17 @@
     }
     expect(cluster.results.filter((result) => result === 'passed')).toHaveLength(2);
   });
+
+  it('a minute after it ran on endpoints that crashed for another reason', () => {
+    const cluster = GatewayCluster.create({ hosts: 3 });
+    const reactions = ['crash', 'crash', 'crash'] as const;
+    cluster.react = () => reactions[cluster.sent.length] ?? 'answer';
+    for (const host of cluster.ids) cluster.request(host, 'bystander');
+    cluster.advance(1_000);
+    cluster.request('h0', 'bystander');
+    cluster.advance(60_000);
+    cluster.request('h0', 'bystander');
+    cluster.advance(100);
+    expect(cluster.results.slice(3)).toEqual(['service_unavailable', 'passed']);
+  });
 });
--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -1,5 +1,5 @@
 import type { Effect } from '../../src/core/effects.ts';
-import type { DirectoryContent } from '../../src/directory/types.ts';
+import { type DirectoryContent, Topic } from '../../src/directory/types.ts';
 import type { Endpoint } from '../../src/fleet/types.ts';
 import type { ForwardOutcome } from '../../src/forwards/types.ts';
 import type { Route } from '../../src/routes/types.ts';
@@ -21,6 +21,7 @@
 /** Time after which an endpoint that crashed registers again. */
 const ENDPOINT_RESTART_MS = 1_500;
 const STEP_MS = 20;
+const SUSPECTS_KEY = 'suspects';
 
 /** Hosts with a directory that are linked with each other, in front of endpoints that may crash. */
 export class GatewayCluster {
@@ -35,6 +36,7 @@
   private readonly fingerprints = new Map<string, string>();
   private readonly blockedHosts = new Set<string>();
   private readonly hostsWithoutDirectory = new Set<string>();
+  private suspectsRow: { content: DirectoryContent; version: number } | undefined;
   private readonly pending: { at: number; run: () => void }[] = [];
   private version = 100;
   private nextRequest = 0;
@@ -62,6 +64,7 @@
       endpoints: [...this.endpoints.values()],
       members: this.ids.map((member) => ({ host: member })),
     });
+    this.sendSuspectsRow(id);
     for (const other of this.hosts.keys()) {
       if (other === id) continue;
       host.dispatch({ type: 'linkOpened', host: other });
@@ -76,7 +79,10 @@
 
   /** Lets the hosts neither read nor write the directory. */
   cutDirectory(ids: readonly string[]): void {
-    for (const id of ids) this.hostsWithoutDirectory.add(id);
+    for (const id of ids) {
+      this.hostsWithoutDirectory.add(id);
+      for (const topic of Topic.options) this.getHost(id).failDirectoryCall(topic);
+    }
   }
 
   /** Sends a request to a host; returns its id. */
@@ -143,6 +149,15 @@
       case 'sendForward':
         this.handleAttempt(id, host, effect.spec);
         return;
+      case 'writeSuspects': {
+        if (this.hostsWithoutDirectory.has(id)) {
+          const answer = { type: 'unavailable' as const, reason: 'cut' };
+          host.dispatch({ type: 'suspectsWriteAnswered', row: effect.row, answer });
+          return;
+        }
+        this.writeSuspects(host, effect);
+        return;
+      }
       case 'failForward':
         this.results.push(effect.failure.kind);
         return;
@@ -190,9 +205,47 @@
     });
   }
 
+  private writeSuspects(
+    host: DirectoryHost,
+    {
+      row,
+      version,
+    }: { row: Extract<DirectoryContent, { type: 'suspects' }>['row']; version: number },
+  ): void {
+    const current = this.suspectsRow;
+    if ((current?.version ?? 0) !== version) {
+      const change = current && newDirectoryChange(SUSPECTS_KEY, current.version, current.content);
+      host.dispatch({
+        type: 'suspectsWriteAnswered',
+        row,
+        answer: { type: 'conflict', current: change },
+      });
+      return;
+    }
+    this.version += 1;
+    this.suspectsRow = { content: { type: 'suspects', row }, version: this.version };
+    host.dispatch({
+      type: 'suspectsWriteAnswered',
+      row,
+      answer: { type: 'written', version: this.version },
+    });
+    for (const id of this.hosts.keys()) this.sendSuspectsRow(id);
+  }
+
+  private sendSuspectsRow(id: string): void {
+    if (this.suspectsRow === undefined) return;
+    this.sendChange(
+      id,
+      'members',
+      SUSPECTS_KEY,
+      this.suspectsRow.content,
+      this.suspectsRow.version,
+    );
+  }
+
   private sendChange(
     id: string,
-    topic: 'endpoints',
+    topic: 'endpoints' | 'members',
     key: string,
     content: DirectoryContent,
     version = ++this.version,
