Keep the crashes of a request when an endpoint answers it with an error

Cause: any complete answer cleared the count, also an error of an endpoint that fails requests without running them. Between two such answers a request could crash two endpoints, without end. Evidence: the case 'when other endpoints answer with an error in between' of tests/forwards/crashRequests.test.ts failed with 14 late attempts, 3 are allowed, with one host as with seven. Change: only an answer below 500 clears the crashes.

--- a/src/forwards/forwardAttempts.ts
+++ b/src/forwards/forwardAttempts.ts
@@ -48,7 +48,8 @@
   answered: ({ state, forward, attempt, view, now }, { status }) => {
     const isGood = status < 500;
     if (view !== undefined) recordAnswer(view, now - attempt.startedAt, isGood);
-    const cleared = clearForwardCrashes(state, forward.fingerprint, now);
+    // An endpoint that fails requests may not have run this one.
+    const cleared = isGood ? clearForwardCrashes(state, forward.fingerprint, now) : [];
     forward.ranOn.add(attempt.endpoint);
     if (!isGood && hasAttemptsLeft(forward) && isRetryAllowed(forward)) {
       forward.excluded.add(attempt.endpoint);
