Refuse a quarantined request that waits for an endpoint

Callers saw: a copy of a request that crashes endpoints, which waited for a reservation or a retry on another host, crashed one more endpoint after the request was quarantined. Cause: quarantine was checked when a request arrived and after its attempt broke, not when a waiting request was sent. Evidence: the case 'when it waits for a retry on one host while it crashes endpoints of others' sees sends of h1 after the third crash without the check. Change: each send checks it; the caller is told that the request was not run. The case is rewritten: before, its retry left in the 20 ms in which the crashes became known, so it could not pass; now the endpoint refuses the waiting request 100 ms after the crashes.

--- a/src/forwards/forwardAdmission.ts
+++ b/src/forwards/forwardAdmission.ts
@@ -11,7 +11,7 @@
   PLACEMENT_TIMEOUT_SHARE,
 } from './constants.ts';
 import { getRetryBudget } from './retryBudgets.ts';
-import { isForwardQuarantined } from './quarantine.ts';
+import { isForwardQuarantined, QUARANTINE_REASON } from './quarantine.ts';
 import { rejectForward } from './forwardEnd.ts';
 import { placeForward } from './forwardPlacement.ts';
 import type { Forward, NewForward } from './types.ts';
@@ -42,9 +42,8 @@
   const forward = newForward(arrival, route, chooseService(route, state.random.getFraction()));
   getRetryBudget(state, forward.service).addRequest(now);
   if (isForwardQuarantined(state, arrival.fingerprint, now)) {
-    const message =
-      'earlier attempts of this request failed without a complete response at several endpoints';
-    return rejectForward(state, arrival, Failure.create('service_unavailable', message));
+    const failure = Failure.create('service_unavailable', QUARANTINE_REASON);
+    return rejectForward(state, arrival, failure);
   }
   const { adapter, model } = forward.labels;
   if (adapter !== '') state.forwards.popularity.recordRequest(adapter, 'ordinary', 0, now);
--- a/src/forwards/quarantine.ts
+++ b/src/forwards/quarantine.ts
@@ -15,6 +15,10 @@
 } from './constants.ts';
 import type { CrashVerification, Forward, ForwardAttempt } from './types.ts';
 
+/** Reason that callers get for the refusal of a quarantined request. */
+export const QUARANTINE_REASON =
+  'earlier attempts of this request failed without a complete response at several endpoints';
+
 /**
  * Counts an attempt that was sent and got no complete response as a crash of its endpoint, until
  * the endpoint turns out to run on. All hosts share the count.
--- a/src/forwards/sending.ts
+++ b/src/forwards/sending.ts
@@ -10,10 +10,14 @@
   RETRY_MAX_MS,
 } from './constants.ts';
 import { abandonForward } from './forwardEnd.ts';
+import { isForwardQuarantined, QUARANTINE_REASON } from './quarantine.ts';
 import { consumeServiceRetry, observeRetry } from './retryBudgets.ts';
 import type { Forward } from './types.ts';
 
-/** Sends a request to an endpoint; abandons it when too little time or no retry budget is left. */
+/**
+ * Sends a request to an endpoint; abandons it when it is quarantined, or when too little time or no
+ * retry budget is left.
+ */
 export function sendAttempt(
   state: State,
   forward: Forward,
@@ -22,6 +26,9 @@
   version: number | undefined,
   now: number,
 ): Effect[] {
+  // Other requests of the fingerprint may have crashed endpoints while this one waited.
+  if (isForwardQuarantined(state, forward.fingerprint, now))
+    return abandonForward(state, forward, QUARANTINE_REASON);
   if (forward.deadlineAt - now < MIN_ATTEMPT_MS)
     return abandonForward(state, forward, 'too little time is left before the deadline');
   const retryObservations: Effect[] = [];
--- a/tests/forwards/crashRequests.test.ts
+++ b/tests/forwards/crashRequests.test.ts
@@ -114,15 +114,15 @@
   it('when it waits for a retry on one host while it crashes endpoints of others', () => {
     const cluster = GatewayCluster.create({ hosts: 2 });
     cluster.react = () => 'crash';
-    // All endpoints are excluded on h1, so its request waits for the backoff.
     const host = cluster.hosts.get('h1');
     host?.receiveForward({ id: 'waiting', fingerprint: CRASHING });
     const [sent] = host?.takeEffects('sendForward') ?? [];
     if (sent === undefined) throw new Error('the request was not sent');
+    for (let repeat = 0; repeat < 3; repeat++) cluster.request('h0', CRASHING);
+    cluster.advance(100);
     const { id, attempt } = sent.spec;
     const outcome = { type: 'notRun' as const, reason: 'full' as const };
     host?.dispatch({ type: 'forwardEnded', id, attempt, outcome });
-    for (let repeat = 0; repeat < 3; repeat++) cluster.request('h0', CRASHING);
     cluster.advance(1_000);
     expect(cluster.sent.filter((send) => send.host === 'h1')).toEqual([]);
   });
