Count crashes of endpoints that fall silent under a forwarded request

Callers saw: endpoints that stopped answering one after another under the repeats of one request, without an end. Cause: an attempt that the caller's close or the deadline ended before the connection broke was not counted, so an endpoint that fell silent in place of resetting its connections never counted as crashed. Cancelled attempts alone count nothing.

--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -2,6 +2,7 @@
 import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
+import { countCrashesOfEndpoint } from '../forwards/quarantine.ts';
 import { rerouteFromEngine } from '../forwards/rerouting.ts';
 import { markEndpointRemoved, applyRegistration } from '../fleet/registration.ts';
 import { adoptMembersRow } from '../owners/members.ts';
@@ -41,7 +42,10 @@
     state.directory.deferredRemovals.delete(endpoint.id);
     const wasLeaving = state.fleet.views.get(endpoint.id)?.endpoint.isLeaving === true;
     if (!applyRegistration(state.fleet, endpoint)) return [];
-    const effects = updateOwnedEngines(state, now);
+    const effects = [
+      ...countCrashesOfEndpoint(state, endpoint.id, now),
+      ...updateOwnedEngines(state, now),
+    ];
     if (!endpoint.isLeaving || wasLeaving) return effects;
     const { id, service, remainingMs } = endpoint;
     return [
@@ -126,6 +130,7 @@
   markEndpointRemoved(state.fleet, id);
   return [
     newLog('info', 'endpoint was removed', { endpoint: id }),
+    ...countCrashesOfEndpoint(state, id, now),
     ...updateOwnedEngines(state, now),
     ...rerouteFromEngine(state, id, now),
   ];
--- a/src/forwards/forwardEnd.ts
+++ b/src/forwards/forwardEnd.ts
@@ -4,6 +4,7 @@
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
 import { RETRY_AFTER_MS, RETRY_AFTER_JITTER_MS } from './constants.ts';
+import { recordCancelledForwardAttempt } from './quarantine.ts';
 import type { Forward, ForwardAttempt, ForwardOutcome, NewForward } from './types.ts';
 
 /** Rejects a request that was not admitted. */
@@ -64,6 +65,7 @@
       ? []
       : [
           newAttemptLog(forward, attempt, 'cancelled', reason, state.now),
+          ...recordCancelledForwardAttempt(state, forward, attempt, state.now),
           { type: 'cancelForward', id, attempt: attempt.id },
         ];
   return [...cancelled, ...releaseForwardReservation(state, forward, 'brokenOff')];
--- a/src/forwards/quarantine.ts
+++ b/src/forwards/quarantine.ts
@@ -41,6 +41,44 @@
   return addCrash(state, fingerprint, crash, now);
 }
 
+/**
+ * Remembers an attempt that was cancelled while it was in flight. It counts as a crash only once the
+ * directory shows that its endpoint stopped without notice.
+ */
+export function recordCancelledForwardAttempt(
+  state: State,
+  { fingerprint }: Forward,
+  attempt: ForwardAttempt,
+  now: number,
+): Effect[] {
+  const { endpoint, endpointStartedAt } = attempt;
+  const { cancelledAttempts } = state.forwards;
+  const known = cancelledAttempts.get(endpoint) ?? [];
+  const recent = known.filter(({ at }) => at + CRASH_VERIFICATION_DELAY_MS > now);
+  const cancelled = { fingerprint, crash: getCrash(attempt), endpointStartedAt, at: now };
+  cancelledAttempts.set(endpoint, [...recent, cancelled]);
+  return countCrashesOfEndpoint(state, endpoint, now);
+}
+
+/**
+ * Counts the attempts that were cancelled on an endpoint shortly before it stopped without notice;
+ * called when the directory shows a change of the endpoint.
+ */
+export function countCrashesOfEndpoint(state: State, endpoint: string, now: number): Effect[] {
+  const { cancelledAttempts } = state.forwards;
+  const view = state.fleet.views.get(endpoint);
+  const known = cancelledAttempts.get(endpoint);
+  if (view === undefined || known === undefined) return [];
+  const ended = known.filter(({ endpointStartedAt }) => hasRunEnded(view, endpointStartedAt));
+  if (ended.length === 0) return [];
+  cancelledAttempts.delete(endpoint);
+  const isPlanned = view.isRemoved && view.endpoint.isLeaving;
+  if (isPlanned) return [];
+  return ended
+    .filter(({ at }) => at + CRASH_VERIFICATION_DELAY_MS > now)
+    .flatMap(({ fingerprint, crash }) => addCrash(state, fingerprint, crash, now));
+}
+
 /** Takes a counted crash back if the endpoint runs on; checks again later while that is unknown. */
 export function verifyCrash(state: State, timer: CrashVerification, now: number): Effect[] {
   const { fingerprint, crash, endpoint, endpointStartedAt } = timer;
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -49,6 +49,15 @@
   startedAt: number;
 }
 
+/** An attempt that was cancelled without an answer; `at` is monotonic ms. */
+export interface CancelledAttempt {
+  fingerprint: string;
+  /** Id of the crash in the suspect's record. */
+  crash: string;
+  endpointStartedAt: number;
+  at: number;
+}
+
 /** A request in flight that this host forwards to an endpoint. */
 export interface Forward extends NewForward {
   route: Route;
@@ -115,6 +124,8 @@
   /** Retry budgets by service. */
   readonly retryBudgets = new Map<string, SharedRetryBudget>();
 
+  /** Recently cancelled attempts by endpoint, in case the endpoint turns out to have crashed. */
+  readonly cancelledAttempts = new Map<string, CancelledAttempt[]>();
   /** Decayed counts of this host's requests by adapter and by base model. */
   readonly popularity = Popularity.create(PLACEMENT_POPULARITY_HALF_LIFE_MS);
 
