Place a request again that waited long for a connection to its endpoint

Callers saw: nothing; endpoints worked on requests whose callers had given up. Cause: the time that is left is written into the headers before the request waits for one of the host's connections to the endpoint. While all are taken, the wait can last seconds, and the endpoint is told the time that was left before it. Evidence: tests/gatewayHost/connectionWait.test.ts, which takes all connections of an endpoint with requests that hang, failed before: the endpoint was given 1,463 ms more than was left to the caller, where 500 are allowed. Change: an attempt that waited over 450 ms for its connection ends before anything is written, as on an unreachable endpoint, and the request is placed again. Measured: the test passes; tests/gatewayHost 35 of 35.

--- a/src/gatewayHost/constants.ts
+++ b/src/gatewayHost/constants.ts
@@ -4,6 +4,11 @@
 export const ENDPOINT_KEEP_ALIVE_MS = 30_000;
 /** How long before the endpoint's keep-alive timeout a connection is closed. */
 export const KEEP_ALIVE_MARGIN_MS = 600;
+/**
+ * Longest wait of an attempt for a connection, which includes opening one. After a longer wait it is
+ * placed again, since its headers state the time that was left before.
+ */
+export const MAX_CONNECTION_WAIT_MS = 450;
 /** Minimum of a host's share of the connection limit of an endpoint. */
 export const MIN_CONNECTIONS_PER_ENDPOINT = 8;
 /** Age from which cancelling an attempt without a response replaces the endpoint's connections. */
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -1,7 +1,11 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
 import type { AttemptSpec, ForwardOutcome } from '../forwards/types.ts';
-import { MAX_BUFFERED_RESPONSE_BYTES, UNRESPONSIVE_AFTER_MS } from './constants.ts';
+import {
+  MAX_BUFFERED_RESPONSE_BYTES,
+  MAX_CONNECTION_WAIT_MS,
+  UNRESPONSIVE_AFTER_MS,
+} from './constants.ts';
 import type { SocketEndTracker } from './connector.ts';
 import { EventSplitter, type StreamEvent } from './eventSplitter.ts';
 import type { ForwardExchange } from './forwardExchange.ts';
@@ -67,6 +71,7 @@
     this.controller = controller;
     // The attempt was cancelled while it waited for a connection: nothing was written.
     if (this.isCancelled) controller.abort(new Error('cancelled'));
+    else this.abortIfDelayed(controller);
   }
 
   onResponseStart(controller: Controller, status: number, headers: IncomingHttpHeaders): void {
@@ -160,6 +165,15 @@
     this.end({ type: 'broken', reason, lastEventId: this.options.exchange.lastEventId });
   }
 
+  /** Ends an attempt whose headers state more time than is left; nothing was written yet. */
+  private abortIfDelayed(controller: Controller): void {
+    const waitedMs = performance.now() - this.sentAt;
+    if (waitedMs <= MAX_CONNECTION_WAIT_MS) return;
+    const reason = `waited ${Math.round(waitedMs)} ms for a connection`;
+    this.end({ type: 'unreachable', reason });
+    controller.abort(new Error(reason));
+  }
+
   private reportIfUnresponsive(): void {
     const hasResponse = this.mode !== 'waiting';
     if (!hasResponse && performance.now() - this.sentAt > UNRESPONSIVE_AFTER_MS)
