Keep single crashes in the directory on hosts without links to most members

With all links cut and the directory available, each host learned of the others' crashes only from two on, so a request repeated every 9 s on seven hosts had 5 attempts later than 3 s after its third crash, where 3 are allowed. Cause: the row of suspects kept repeated crashes only, as reports tell the others of the first; on a host without links nothing did. Change: on a host without links to most members one crash is enough for the row, which keeps the suspects with the most crashes.

--- a/src/forwards/retryBudgets.ts
+++ b/src/forwards/retryBudgets.ts
@@ -1,7 +1,7 @@
 import type { Effect } from '../core/effects.ts';
 import { newCount, newLog } from '../core/observations.ts';
 import type { RetryPolicy, State } from '../core/state.ts';
-import { countRecentLimitSharers } from '../owners/owner.ts';
+import { countRecentLimitSharers, isLinkedToMostMembers } from '../owners/owner.ts';
 import { SharedRetryBudget } from './sharedRetryBudget.ts';
 import type { Forward } from './types.ts';
 import { MAX_STARTUP_RETRIES, RETRY_BUDGET_SHARE, STARTUP_RETRY_SHARE } from './constants.ts';
@@ -43,10 +43,8 @@
  */
 function hasCurrentMembersRow({ directory, owners, host }: State): boolean {
   const topics = Object.values(directory.topics);
-  if (topics.every(({ unavailableSince }) => unavailableSince === undefined)) return true;
-  const others = owners.row?.members.filter((member) => member.host !== host.id) ?? [];
-  const linked = others.filter((member) => owners.linkedHosts.has(member.host));
-  return 2 * linked.length >= others.length;
+  const isAvailable = topics.every(({ unavailableSince }) => unavailableSince === undefined);
+  return isAvailable || isLinkedToMostMembers(owners, host.id);
 }
 
 /** Returns the metric and the log line of a retry that the budget allowed or refused. */
--- a/src/owners/owner.ts
+++ b/src/owners/owner.ts
@@ -52,6 +52,13 @@
   owners.formerRows = [...larger, { size, replacedAt: now }];
 }
 
+/** Whether `host` has links to at least half of the other members. */
+export function isLinkedToMostMembers({ row, linkedHosts }: Owners, host: string): boolean {
+  const others = row?.members.filter((member) => member.host !== host) ?? [];
+  const linked = others.filter((member) => linkedHosts.has(member.host));
+  return 2 * linked.length >= others.length;
+}
+
 /** Returns the entry of `host`, or undefined if it is not a member. */
 export function getMember({ row }: Owners, host: string): Member | undefined {
   return row?.members.find((member) => member.host === host);
--- a/src/suspects/constants.ts
+++ b/src/suspects/constants.ts
@@ -32,7 +32,10 @@
 export const SUSPECT_SYNC_RETRY_MS = 2_000;
 /** Maximum suspects that a host knows; the least recently changed ones are dropped. */
 export const MAX_KNOWN_SUSPECTS = 20_000;
-/** Crashes from which on a suspect is kept in the directory's row of suspects. */
+/**
+ * Crashes from which on a suspect is kept in the directory's row of suspects; one is enough on a host
+ * without links to most members.
+ */
 export const MIN_STORED_CRASHES = 2;
 /** Limits of the row of suspects, which keep it below 64 KiB in base64. */
 export const MAX_STORED_SUSPECTS = 40;
--- a/src/suspects/directorySuspects.ts
+++ b/src/suspects/directorySuspects.ts
@@ -3,6 +3,7 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import type { DirectoryWriteAnswer } from '../directory/types.ts';
+import { isLinkedToMostMembers } from '../owners/owner.ts';
 import {
   MAX_STORED_CRASHES,
   MAX_STORED_SUSPECTS,
@@ -72,14 +73,20 @@
   return [newLog('warn', 'write of the suspects row failed', { reason })];
 }
 
-/** Returns the row that this host would write: repeated crashes, and what the row has already. */
-function newSuspectsRow({ suspects: { byFingerprint, storedRow } }: State): SuspectsRow {
+/**
+ * Returns the row that this host would write: the suspects of repeated crashes, or of any crash while
+ * reports do not reach most members, and what the row has already. The most crashes come last.
+ */
+function newSuspectsRow({ suspects, owners, host }: State): SuspectsRow {
+  const { byFingerprint, storedRow } = suspects;
+  const minCrashes = isLinkedToMostMembers(owners, host.id) ? MIN_STORED_CRASHES : 1;
   const stored = new Set(storedRow.suspects.map(({ fingerprint }) => fingerprint));
-  const kept = [...byFingerprint.values()].filter(
-    (suspect) =>
-      stored.has(suspect.fingerprint) || getCountedCrashes(suspect).length >= MIN_STORED_CRASHES,
-  );
-  return { suspects: kept.slice(-MAX_STORED_SUSPECTS).map(trimSuspect) };
+  const kept = [...byFingerprint.values()]
+    .map((suspect) => ({ suspect, count: getCountedCrashes(suspect).length }))
+    .filter(({ suspect, count }) => stored.has(suspect.fingerprint) || count >= minCrashes)
+    .sort((a, b) => a.count - b.count)
+    .slice(-MAX_STORED_SUSPECTS);
+  return { suspects: kept.map(({ suspect }) => trimSuspect(suspect)) };
 }
 
 function trimSuspect(suspect: Suspect): Suspect {
--- a/tests/forwards/crashRequests.test.ts
+++ b/tests/forwards/crashRequests.test.ts
@@ -76,10 +76,17 @@
     [
       'when hosts have no links and the directory is available',
       (cluster) => {
-        cluster.blockLinks(cluster.ids);
+        cluster.cutLinks(cluster.ids);
         repeatOnAllHosts(cluster, 3, 1_000);
       },
     ],
+    [
+      'when hosts have no links and its repeats are seconds apart',
+      (cluster) => {
+        cluster.cutLinks(cluster.ids);
+        repeatOnAllHosts(cluster, 2, 9_000);
+      },
+    ],
     [
       'when the directory is unavailable and hosts have links',
       (cluster) => {
--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -72,9 +72,16 @@
     }
   }
 
-  /** Lets no message from or to the hosts through. */
-  blockLinks(ids: readonly string[]): void {
-    for (const id of ids) this.blockedHosts.add(id);
+  /** Cuts the links of the hosts to all others, which both ends notice. */
+  cutLinks(ids: readonly string[]): void {
+    for (const id of ids) {
+      this.blockedHosts.add(id);
+      for (const other of this.hosts.keys()) {
+        if (other === id) continue;
+        this.getHost(id).dispatch({ type: 'linkClosed', host: other, reason: 'cut' });
+        this.getHost(other).dispatch({ type: 'linkClosed', host: id, reason: 'cut' });
+      }
+    }
   }
 
   /** Lets the hosts neither read nor write the directory. */
