Play random restarts and cuts against requests that crash endpoints

Guards against hosts that go on sending such a request because one of them did not learn of a crash or lost what it knew.

--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -20,6 +20,8 @@
 const ENDPOINTS = ['e0', 'e1', 'e2', 'e3'];
 /** Time after which an endpoint that crashed registers again. */
 const ENDPOINT_RESTART_MS = 1_500;
+/** Longest time after which a host retries a failed directory call. */
+const DIRECTORY_RETRY_MS = 1_100;
 const STEP_MS = 20;
 const SUSPECTS_KEY = 'suspects';
 
@@ -65,11 +67,7 @@
       members: this.ids.map((member) => ({ host: member })),
     });
     this.sendSuspectsRow(id);
-    for (const other of this.hosts.keys()) {
-      if (other === id) continue;
-      host.dispatch({ type: 'linkOpened', host: other });
-      this.hosts.get(other)?.dispatch({ type: 'linkOpened', host: id });
-    }
+    this.openLinks(id);
   }
 
   /** Cuts the links of the hosts to all others, which both ends notice. */
@@ -84,6 +82,14 @@
     }
   }
 
+  /** Opens all links again. */
+  healLinks(): void {
+    const healed = [...this.blockedHosts];
+    this.blockedHosts.clear();
+    for (const id of healed) this.openLinks(id);
+    this.runEffects();
+  }
+
   /** Lets the hosts neither read nor write the directory. */
   cutDirectory(ids: readonly string[]): void {
     for (const id of ids) {
@@ -92,6 +98,29 @@
     }
   }
 
+  /** Lets all hosts read and write the directory again; takes as long as their calls are retried. */
+  healDirectory(): void {
+    const healed = [...this.hostsWithoutDirectory];
+    this.hostsWithoutDirectory.clear();
+    this.advance(DIRECTORY_RETRY_MS);
+    for (const id of healed) {
+      const endpoints = [...this.endpoints.values()].map((endpoint) =>
+        newDirectoryChange(endpoint.id, ++this.version, { type: 'endpoint', endpoint }),
+      );
+      const host = this.getHost(id);
+      host.answerDirectoryCall('operator', [], this.version);
+      host.answerDirectoryCall('endpoints', endpoints, this.version);
+      host.answerDirectoryCall('members', [], this.version);
+      this.sendSuspectsRow(id);
+    }
+    this.runEffects();
+  }
+
+  /** Whether the host reads the directory. */
+  hasDirectory(id: string): boolean {
+    return !this.hostsWithoutDirectory.has(id);
+  }
+
   /** Sends a request to a host; returns its id. */
   request(host: string, fingerprint: string): string {
     this.nextRequest += 1;
@@ -126,6 +155,14 @@
     return this.sent.filter(({ reaction }) => reaction.startsWith('crash'));
   }
 
+  private openLinks(id: string): void {
+    for (const other of this.hosts.keys()) {
+      if (other === id || this.blockedHosts.has(id) || this.blockedHosts.has(other)) continue;
+      this.getHost(id).dispatch({ type: 'linkOpened', host: other });
+      this.getHost(other).dispatch({ type: 'linkOpened', host: id });
+    }
+  }
+
   private getHost(id: string): DirectoryHost {
     const host = this.hosts.get(id);
     if (host === undefined) throw new Error(`host ${id} does not exist`);
