Name caller, model and prompt parts in the log lines of ended attempts

Cause: the lines of broken attempts had only the fingerprint of the request, so that a crash could not be traced to what different requests share. Change: the platform decodes the ids of the shared prompt parts, and 'attempt ended' names them with the model and the caller's address.

--- a/src/forwards/forwardEnd.ts
+++ b/src/forwards/forwardEnd.ts
@@ -73,7 +73,7 @@
 
 /** Returns the log line of an attempt that ended without a response. */
 export function newAttemptLog(
-  { labels, fingerprint }: Forward,
+  { labels, fingerprint, caller }: Forward,
   { endpoint, owner, startedAt }: ForwardAttempt,
   outcome: ForwardOutcome['type'],
   reason: string | undefined,
@@ -82,6 +82,9 @@
   return newLog('info', 'attempt ended', {
     requestId: labels.attemptId,
     fingerprint,
+    caller,
+    model: labels.model,
+    promptParts: labels.promptParts,
     endpoint,
     owner,
     outcome,
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -15,6 +15,8 @@
   promptTokens: number;
   /** Maximum number of tokens in the response. */
   outputTokens: number;
+  /** Ids of the prompt parts that requests share, in order; empty when the request names none. */
+  promptParts: readonly string[];
   /** Time that the caller waits, in ms; Infinity when the caller gives no limit. */
   waitMs: number;
 }
@@ -26,6 +28,8 @@
   /** Path and query. */
   target: string;
   labels: RequestLabels;
+  /** IP address of the caller's connection. */
+  caller: string;
   /** Hash of method, target, adapter and body; equal for retries of the same request. */
   fingerprint: string;
   /** Monotonic ms at which its headers arrived. */
--- a/src/gatewayHost/frontServer.ts
+++ b/src/gatewayHost/frontServer.ts
@@ -112,6 +112,7 @@
         host: request.headers.host ?? '',
         target,
         labels,
+        caller: request.socket.remoteAddress ?? '',
         fingerprint: getFingerprint(method, target, labels.adapter, body.val),
         arrivedAt,
       },
--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -130,6 +130,13 @@
       ['Attempt-Id', 'a', 'Deadline-Ms', '250'],
       { attemptId: 'a', model: '', waitMs: 250 },
     ],
+    [
+      'prompt parts, without the last, which no other request has',
+      ['Prompt-Prefix', '5c1e07a2:800, 91bd3f06:410,e4402b7d:250'],
+      { promptParts: ['5c1e07a2', '91bd3f06'] },
+    ],
+    ['a prompt of one part', ['Prompt-Prefix', '5c1e07a2:800'], { promptParts: [] }],
+    ['malformed prompt parts', ['Prompt-Prefix', '5c1e07a2:800,,:1'], { promptParts: [] }],
     [
       'invalid numbers',
       ['Token-Count', 'x,-1', 'Deadline-Ms', 'soon'],
