--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -1,13 +1,19 @@
 import type { Effect } from '../../src/core/effects.ts';
 import { type DirectoryContent, Topic } from '../../src/directory/types.ts';
 import type { Endpoint } from '../../src/fleet/types.ts';
-import type { ForwardOutcome } from '../../src/forwards/types.ts';
+import type { ForwardOutcome, RequestLabels } from '../../src/forwards/types.ts';
 import type { Route } from '../../src/routes/types.ts';
 import { DirectoryHost, newDirectoryChange, newEndpoint } from './directoryHost.ts';
 
 /** What an endpoint does with an attempt. */
 export type EndpointReaction = 'crash' | 'crashSilently' | 'break' | 'answer' | 'fail';
 
+/** What a request has besides its fingerprint. */
+export interface RequestTraits {
+  caller?: string;
+  labels?: Partial<RequestLabels>;
+}
+
 /** An attempt that a host sent to an endpoint. */
 export interface SentAttempt {
   at: number;
@@ -17,7 +23,22 @@
   reaction: EndpointReaction;
 }
 
-const ENDPOINTS = ['e0', 'e1', 'e2', 'e3'];
+/** An attempt on which an endpoint works. */
+interface RunningAttempt {
+  endpoint: string;
+  end: (outcome: ForwardOutcome) => void;
+}
+
+const BROKEN: ForwardOutcome = { type: 'broken', reason: 'reset', lastEventId: undefined };
+/** Outcome of an attempt by what the endpoint does with it; none while the endpoint is silent. */
+const OUTCOMES: Record<EndpointReaction, ForwardOutcome | undefined> = {
+  crash: BROKEN,
+  break: BROKEN,
+  crashSilently: undefined,
+  answer: { type: 'answered', status: 200 },
+  fail: { type: 'answered', status: 500 },
+};
+const DEFAULT_ENDPOINTS = 4;
 /** Time after which an endpoint that crashed registers again. */
 const ENDPOINT_RESTART_MS = 1_500;
 /** Longest time after which a host retries a failed directory call. */
@@ -32,10 +53,17 @@
   readonly sent: SentAttempt[] = [];
   /** Failure kind or `passed` for each request that ended, in order. */
   readonly results: string[] = [];
+  /** Monotonic ms at which endpoints crashed, in order. */
+  readonly crashTimes: number[] = [];
   /** Returns what an endpoint does with an attempt of `fingerprint`. */
-  react: (fingerprint: string) => EndpointReaction = () => 'answer';
+  react: (fingerprint: string, traits: RequestTraits) => EndpointReaction = () => 'answer';
+  /** Returns for how long an endpoint works on an attempt before it reacts, in ms. */
+  getWorkMs: (reaction: EndpointReaction) => number = () => STEP_MS;
   private readonly endpoints = new Map<string, Endpoint>();
-  private readonly fingerprints = new Map<string, string>();
+  private readonly requests = new Map<string, { fingerprint: string; traits: RequestTraits }>();
+  private readonly running = new Map<string, RunningAttempt>();
+  /** Monotonic ms until which endpoints that crashed refuse connections. */
+  private readonly downUntil = new Map<string, number>();
   private readonly blockedHosts = new Set<string>();
   private readonly hostsWithoutDirectory = new Set<string>();
   private suspectsRow: { content: DirectoryContent; version: number } | undefined;
@@ -46,12 +74,23 @@
   private constructor(
     readonly ids: readonly string[],
     private readonly route: Partial<Route>,
+    private readonly hasOutages: boolean,
   ) {}
 
-  static create(options: { hosts: number; route?: Partial<Route> }): GatewayCluster {
+  static create(options: {
+    hosts: number;
+    endpoints?: number;
+    route?: Partial<Route>;
+    /** Whether a crash breaks all attempts of the endpoint, which then refuses connections for a time. */
+    hasOutages?: boolean;
+  }): GatewayCluster {
+    const { route = { kind: 'unsafe', attempts: 1 }, hasOutages = false } = options;
     const ids = Array.from({ length: options.hosts }, (_, index) => `h${index}`);
-    const cluster = new GatewayCluster(ids, options.route ?? { kind: 'unsafe', attempts: 1 });
-    for (const id of ENDPOINTS) cluster.endpoints.set(id, newEndpoint({ id }));
+    const cluster = new GatewayCluster(ids, route, hasOutages);
+    for (let index = 0; index < (options.endpoints ?? DEFAULT_ENDPOINTS); index++) {
+      const id = `e${index}`;
+      cluster.endpoints.set(id, newEndpoint({ id }));
+    }
     for (const id of ids) cluster.startHost(id);
     cluster.advance(100);
     return cluster;
@@ -122,11 +161,11 @@
   }
 
   /** Sends a request to a host; returns its id. */
-  request(host: string, fingerprint: string): string {
+  request(host: string, fingerprint: string, traits: RequestTraits = {}): string {
     this.nextRequest += 1;
     const id = `f${this.nextRequest}`;
-    this.fingerprints.set(id, fingerprint);
-    this.getHost(host).receiveForward({ id, fingerprint, arrivedAt: this.now });
+    this.requests.set(id, { fingerprint, traits });
+    this.getHost(host).receiveForward({ id, fingerprint, arrivedAt: this.now, ...traits });
     this.runEffects();
     return id;
   }
@@ -193,6 +232,9 @@
       case 'sendForward':
         this.handleAttempt(id, host, effect.spec);
         return;
+      case 'cancelForward':
+        this.running.delete(`${id}/${effect.attempt}`);
+        return;
       case 'writeSuspects': {
         if (this.hostsWithoutDirectory.has(id)) {
           const answer = { type: 'unavailable' as const, reason: 'cut' };
@@ -217,27 +259,54 @@
     host: DirectoryHost,
     spec: { id: string; attempt: string; endpoint: string },
   ): void {
-    const fingerprint = this.fingerprints.get(spec.id) ?? '';
-    const reaction = this.react(fingerprint);
-    this.sent.push({ at: this.now, host: id, endpoint: spec.endpoint, fingerprint, reaction });
-    if (reaction.startsWith('crash')) this.restartEndpoint(spec.endpoint);
-    const outcomes: Record<EndpointReaction, ForwardOutcome | undefined> = {
-      crash: { type: 'broken', reason: 'reset', lastEventId: undefined },
-      break: { type: 'broken', reason: 'reset', lastEventId: undefined },
-      crashSilently: undefined,
-      answer: { type: 'answered', status: 200 },
-      fail: { type: 'answered', status: 500 },
-    };
-    const outcome = outcomes[reaction];
-    if (outcome === undefined) return;
-    const { id: request, attempt } = spec;
+    const { id: request, attempt, endpoint } = spec;
+    const { fingerprint, traits } = this.requests.get(request) ?? { fingerprint: '', traits: {} };
+    const reaction = this.react(fingerprint, traits);
+    const key = `${id}/${attempt}`;
+    this.running.set(key, {
+      endpoint,
+      end: (outcome) => {
+        this.running.delete(key);
+        host.dispatch({ type: 'forwardEnded', id: request, attempt, outcome });
+      },
+    });
+    if (this.now < (this.downUntil.get(endpoint) ?? -Infinity)) {
+      this.endAttemptAfter(key, STEP_MS, { type: 'unreachable', reason: 'refused' });
+      return;
+    }
+    this.sent.push({ at: this.now, host: id, endpoint, fingerprint, reaction });
+    if (this.hasOutages && reaction === 'crash') {
+      this.pending.push({
+        at: this.now + this.getWorkMs(reaction),
+        run: () => {
+          if (this.running.has(key)) this.crashEndpoint(endpoint);
+        },
+      });
+      return;
+    }
+    if (reaction.startsWith('crash')) this.restartEndpoint(endpoint);
+    const outcome = OUTCOMES[reaction];
+    if (outcome !== undefined) this.endAttemptAfter(key, this.getWorkMs(reaction), outcome);
+  }
+
+  private endAttemptAfter(key: string, delayMs: number, outcome: ForwardOutcome): void {
     this.pending.push({
-      at: this.now + STEP_MS,
-      run: () => host.dispatch({ type: 'forwardEnded', id: request, attempt, outcome }),
+      at: this.now + delayMs,
+      run: () => this.running.get(key)?.end(outcome),
     });
   }
 
+  /** Breaks all attempts of an endpoint, which refuses connections until it has restarted. */
+  private crashEndpoint(id: string): void {
+    this.downUntil.set(id, this.now + ENDPOINT_RESTART_MS);
+    this.restartEndpoint(id);
+    for (const attempt of [...this.running.values()]) {
+      if (attempt.endpoint === id) attempt.end(BROKEN);
+    }
+  }
+
   private restartEndpoint(id: string): void {
+    this.crashTimes.push(this.now);
     const endpoint = newEndpoint({ id, startedAt: this.now });
     this.endpoints.set(id, endpoint);
     this.pending.push({
