Write the row of suspects again after it was deleted or can't be read

Operators saw: after the row was deleted, a write of it failed every one to two seconds until a host had restarted, and hosts that started without links knew no suspects. Cause: a conflict without a readable row kept the version that the host knew, so that each later write expected a version that was gone. Besides, a row that needs the crashes that two hosts reported at the same moment was written by neither. Change: a conflict adopts the version of an unreadable row, or none; hosts write what a row lacks one to two seconds after a read or a report, unless it is there by then.

--- a/src/suspects/directorySuspects.ts
+++ b/src/suspects/directorySuspects.ts
@@ -15,7 +15,7 @@
 import { mergeKnownSuspects } from './suspectRecords.ts';
 import type { Suspect, SuspectsRow } from './types.ts';
 
-/** Merges the row of suspects that was read from the directory. */
+/** Merges the row of suspects that was read from the directory; its absence is an empty row of version 0. */
 export function applySuspectsRow(
   state: State,
   row: SuspectsRow,
@@ -24,6 +24,8 @@
 ): Effect[] {
   state.suspects.storedRow = row;
   state.suspects.storedVersion = version;
+  // The row lacks what this host knows after it was deleted or came back from an older copy.
+  if (!state.suspects.isWritingRow) scheduleRowWrite(state, now);
   const changed = mergeKnownSuspects(state, row.suspects, now);
   if (changed.length === 0) return [];
   const attributes = changed.map(({ attribute }) => attribute);
@@ -55,16 +57,21 @@
   if (answer.type === 'written') {
     return [...applySuspectsRow(state, row, answer.version, now), ...writeSuspectsRow(state)];
   }
-  if (answer.type === 'conflict' && answer.current?.content.type === 'suspects') {
-    const { content, version } = answer.current;
-    return [...applySuspectsRow(state, content.row, version, now), ...writeSuspectsRow(state)];
+  if (answer.type === 'conflict') {
+    const content = answer.current?.content;
+    // A row that is absent or malformed is replaced.
+    const current = content?.type === 'suspects' ? content.row : { suspects: [] };
+    const version = answer.current?.version ?? 0;
+    return [...applySuspectsRow(state, current, version, now), ...writeSuspectsRow(state)];
   }
-  const reason = answer.type === 'conflict' ? 'the row is absent or malformed' : answer.reason;
   scheduleRowWrite(state, now);
-  return [newLog('warn', 'write of the suspects row failed', { reason })];
+  return [newLog('warn', 'write of the suspects row failed', { reason: answer.reason })];
 }
 
-function scheduleRowWrite(state: State, now: number): void {
+/** Schedules a write of the row, which is left out if the row lacks nothing by then. */
+export function scheduleRowWrite(state: State, now: number): void {
+  if (state.suspects.isRowWriteScheduled) return;
+  state.suspects.isRowWriteScheduled = true;
   const delayMs = SUSPECT_SYNC_RETRY_MS * (0.5 + state.random.getFraction() / 2);
   schedule(state, now + delayMs, { type: 'writeSuspectsRow' });
 }
--- a/src/suspects/handlers.ts
+++ b/src/suspects/handlers.ts
@@ -23,7 +23,10 @@
   syncSuspect: (_state, { attribute }) => [readSuspectRow(attribute)],
   attributeCrashToPins: (state, timer, now) => attributeCrashToPins(state, timer, now),
   pollSuspects: (state, _timer, now) => pollSuspects(state, now),
-  writeSuspectsRow: (state) => writeSuspectsRow(state),
+  writeSuspectsRow: (state) => {
+    state.suspects.isRowWriteScheduled = false;
+    return writeSuspectsRow(state);
+  },
 };
 
 export const suspectTableHandlers: TableAnswerHandlers<SuspectTablePurpose['type']> = {
--- a/src/suspects/suspectReports.ts
+++ b/src/suspects/suspectReports.ts
@@ -3,7 +3,7 @@
 import { sendMessage } from '../core/sendMessage.ts';
 import type { State } from '../core/state.ts';
 import { MAX_SENT_SUSPECTS } from './constants.ts';
-import { writeSuspectsRow } from './directorySuspects.ts';
+import { scheduleRowWrite, writeSuspectsRow } from './directorySuspects.ts';
 import { updateQuarantines } from './quarantine.ts';
 import { mergeKnownSuspects } from './suspectRecords.ts';
 import { readSuspectRow } from './suspectRows.ts';
@@ -29,6 +29,8 @@
 ): Effect[] {
   const changed = mergeKnownSuspects(state, suspects, now);
   if (changed.length === 0) return [];
+  // The reporting host may not know of crashes that others reported at the same time.
+  if (state.policy.directory !== undefined) scheduleRowWrite(state, now);
   const attributes = changed.map(({ attribute }) => attribute);
   const proven = changed.filter((suspect) => {
     const reported = suspects.find(({ attribute }) => attribute === suspect.attribute);
--- a/src/suspects/types.ts
+++ b/src/suspects/types.ts
@@ -84,6 +84,7 @@
   storedRow: SuspectsRow = { suspects: [] };
   storedVersion = 0;
   isWritingRow = false;
+  isRowWriteScheduled = false;
 
   private constructor() {}
 
--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -155,6 +155,19 @@
     this.runEffects();
   }
 
+  /** Attributes in the row of suspects, or undefined if it is absent or malformed. */
+  get storedAttributes(): string[] | undefined {
+    const content = this.suspectsRow?.content;
+    if (content?.type !== 'suspects') return undefined;
+    return content.row.suspects.map(({ attribute }) => attribute);
+  }
+
+  /** Changes the row of suspects as others than the hosts do; undefined deletes it. */
+  replaceSuspectsRow(content: DirectoryContent | undefined): void {
+    this.version += 1;
+    this.suspectsRow = content && { content, version: this.version };
+  }
+
   /** Whether the host reads the directory. */
   hasDirectory(id: string): boolean {
     return !this.hostsWithoutDirectory.has(id);
