Go on after the directory came back from an older copy

Callers would see: routes that an operator writes again are not in force, endpoints that register again are not used, and the members row is never written again. Cause: versions were compared as if they only rise. The store gives them out again after it came back from a copy (Store-Era), so changes looked old, and writes expected versions that are gone. A row of members with a lower epoch was ignored together with its version. Change: the platform adds the era to each version and says that the history is lost when the era of an answer is not that of the question, so that hosts read everything again. A row of members that is older than a host's own, or gone, is written again; epochs since a restore are above all before, also for a host that never learned of those that were lost. Entries that the copy lacks get the time of an outage to return. The stand-in of the store can come back from a copy.

--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -5,7 +5,7 @@
 import { countCrashesOfEndpoint } from '../forwards/crashEvidence.ts';
 import { rerouteFromEngine } from '../forwards/rerouting.ts';
 import { markEndpointRemoved, applyRegistration } from '../fleet/registration.ts';
-import { adoptMembersRow } from '../owners/members.ts';
+import { adoptMembersRow, recordLostMembersRow } from '../owners/members.ts';
 import { applyAdapterVersion, updateOwnedEngines } from '../residency/ownedEngines.ts';
 import { newRouteIndex } from '../routes/match.ts';
 import { applySuspectsRow } from '../suspects/directorySuspects.ts';
@@ -82,7 +82,9 @@
     const known = entries.get(change.key);
     if (known !== undefined && known.version >= change.version) return [];
     entries.set(change.key, change);
-    return applyChange(state, change, now);
+    const effects = applyChange(state, change, now);
+    if (change.content.type !== 'removed' || known === undefined) return effects;
+    return [...effects, ...handleRemovedRow(state, known.content, now)];
   });
 }
 
@@ -112,6 +114,13 @@
   });
 }
 
+/** Has a row of the hosts written again that is no longer in the directory. */
+function handleRemovedRow(state: State, { type }: DirectoryContent, now: number): Effect[] {
+  if (type === 'suspects') return applySuspectsRow(state, { suspects: [] }, 0, now);
+  if (type === 'members') recordLostMembersRow(state.owners, 0);
+  return [];
+}
+
 function applyChange(state: State, change: DirectoryChange, now: number): Effect[] {
   const applier = appliers[change.content.type] as (
     state: State,
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -40,8 +40,11 @@
 export type DirectoryAnswer =
   /** `version` is that of the directory; the next watch continues from it. */
   | { type: 'changes'; changes: DirectoryChange[]; version: number }
-  /** The directory no longer keeps the changes since the requested version. */
-  | { type: 'historyLost' }
+  /**
+   * The directory no longer keeps the changes since the requested version; `isRestored` if it came back
+   * from an older copy.
+   */
+  | { type: 'historyLost'; isRestored: boolean }
   | { type: 'unavailable'; reason: string };
 
 /** The answer to a conditional write of a row. */
--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -89,6 +89,7 @@
   const effects = [...observations, ...recordRecovery(known, topic, now)];
   if (answer.type === 'historyLost') {
     known.version = undefined;
+    if (answer.isRestored) effects.push(recordRestore(known, topic, now));
     return [...effects, ...startTopicCall(state, topic, now)];
   }
   // A read is not announced: it does not list the keys that were removed since the last call.
@@ -149,6 +150,12 @@
   ];
 }
 
+/** Entries that an older copy lacks get the same time to return as those that expired in an outage. */
+function recordRestore(known: TopicState, topic: Topic, now: number): Effect {
+  known.recoveredAt = now;
+  return newLog('warn', 'directory was restored from an older copy', { topic });
+}
+
 function recordRecovery(known: TopicState, topic: Topic, now: number): Effect[] {
   known.failures = 0;
   if (known.unavailableSince === undefined) return [];
--- a/src/owners/constants.ts
+++ b/src/owners/constants.ts
@@ -27,3 +27,5 @@
  * Engines treat orders from two hosts within 3 s as a conflict.
  */
 export const TAKEOVER_WAIT_MS = 3_300;
+/** Epochs that are reserved for each restore of the directory from an older copy. */
+export const EPOCHS_PER_RESTORE = 1_000_000;
--- a/src/owners/members.ts
+++ b/src/owners/members.ts
@@ -3,6 +3,7 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import type { DirectoryWriteAnswer } from '../directory/types.ts';
+import { splitDirectoryVersion } from '../directory/versions.ts';
 import { isRoutable } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { getEngineClass } from '../residency/reservations.ts';
@@ -13,13 +14,14 @@
   REFUTE_TIMEOUT_MS,
   SUSPECT_AFTER_MS,
   SUSPICION_COOLDOWN_MS,
+  EPOCHS_PER_RESTORE,
   MAINTAIN_INTERVAL_MS,
   WRITE_RETRY_MAX_MS,
   WRITE_RETRY_BASE_MS,
 } from './constants.ts';
 import { getRendezvousChoice } from '../base/hash.ts';
 import { ensureOwners, getMember, recordFormerRow } from './owner.ts';
-import type { Member, MembersRow } from './types.ts';
+import type { Member, MembersRow, Owners } from './types.ts';
 
 /** Schedules the join after a random delay and the periodic maintenance of the members row. */
 export function startOwners(state: State, now: number): Effect[] {
@@ -40,8 +42,15 @@
   const { owners } = state;
   const previous = owners.row;
   const knownEpoch = previous?.epoch ?? 0;
-  if (row.epoch < knownEpoch) return [];
-  if (version !== undefined) owners.version = version;
+  if (row.epoch < knownEpoch) {
+    if (version !== undefined && version > (owners.version ?? 0))
+      recordLostMembersRow(owners, version);
+    return [];
+  }
+  if (version !== undefined) {
+    owners.version = version;
+    owners.isRowLost = false;
+  }
   if (row.epoch === knownEpoch) return [];
   if (version === undefined) owners.version = undefined;
   recordFormerRow(owners, now);
@@ -61,6 +70,15 @@
   ];
 }
 
+/**
+ * Records that the directory has an older row than this host, or none (`version` 0), as it does after it
+ * came back from an older copy.
+ */
+export function recordLostMembersRow(owners: Owners, version: number): void {
+  owners.version = version;
+  owners.isRowLost = true;
+}
+
 /** Adds this host to the row if it is missing, and refutes a suspicion against it. */
 export function joinMembers(state: State, now: number): Effect[] {
   const { owners, directory } = state;
@@ -92,6 +110,8 @@
   const { owners, directory } = state;
   if (owners.isLeaving) return leaveMembers(state, now);
   if (directory.topics.members.unavailableSince !== undefined) return [];
+  if (owners.isRowLost && owners.row !== undefined)
+    return writeMembersRow(state, (members) => [...members], now);
   // Runs without a row too: the first read may be answered after the first attempt to join.
   const effects = joinMembers(state, now);
   if (effects.length > 0 || owners.row === undefined) return effects;
@@ -131,9 +151,11 @@
   owners.nextWriteAt = now + maxDelayMs * state.random.getFraction();
   schedule(state, owners.nextWriteAt, { type: 'joinMembers' });
   if (answer.type === 'conflict') {
-    const current = answer.current;
-    if (current?.content.type !== 'members') return [];
-    return adoptMembersRow(state, current.content.row, current.version, now);
+    const { current } = answer;
+    // A row that is absent or malformed is replaced.
+    if (current?.content.type !== 'members') recordLostMembersRow(owners, current?.version ?? 0);
+    else return adoptMembersRow(state, current.content.row, current.version, now);
+    return [];
   }
   return [newLog('warn', 'write of the members row failed', { reason: answer.reason })];
 }
@@ -208,12 +230,21 @@
   if (owners.row !== undefined && owners.version === undefined) return [];
   owners.isWriting = true;
   const row: MembersRow = {
-    epoch: (owners.row?.epoch ?? 0) + 1,
+    epoch: Math.max(owners.row?.epoch ?? 0, getEpochFloor(state)) + 1,
     members: ensureOwners(change(owners.row?.members ?? [])),
   };
   return [{ type: 'writeMembers', row, version: owners.version ?? 0 }];
 }
 
+/**
+ * Returns a number below all epochs since the directory was last restored and above those before. A host
+ * may write on top of an older copy before it learns of the epochs that were lost.
+ */
+function getEpochFloor({ directory }: State): number {
+  const { version = 0 } = directory.topics.members;
+  return splitDirectoryVersion(version).restores * EPOCHS_PER_RESTORE;
+}
+
 function recordSuspicions({ owners }: State, row: MembersRow, now: number): void {
   for (const host of [...owners.suspectedAt.keys()]) {
     const suspected = row.members.some((member) => member.host === host && member.suspectedBy);
--- a/src/owners/types.ts
+++ b/src/owners/types.ts
@@ -41,6 +41,8 @@
   /** Version of `row` in the directory; undefined if the row is known only from a peer. */
   version: number | undefined;
   isWriting = false;
+  /** Whether the directory lost `row`, so that it must be written again. */
+  isRowLost = false;
   /** Number of consecutive failed writes, up to 8. */
   failedWrites = 0;
   /** Monotonic ms before which no write starts after a failed one. */
--- a/stand-ins/platform/rowStore.ts
+++ b/stand-ins/platform/rowStore.ts
@@ -39,6 +39,12 @@
   timer: NodeJS.Timeout;
 }
 
+/** Rows and version of the store at one moment. */
+export interface StoreCopy {
+  rows: ReadonlyMap<string, StoredRow>;
+  version: number;
+}
+
 const MAX_PAGE_ROWS = 500;
 
 /** In-memory metadata store of the platform: versioned rows, conditional transactions and watches. */
@@ -47,6 +53,7 @@
   private readonly watches = new Set<PendingWatch>();
   private readonly server: StandInServer<Faults>;
   private version = 0;
+  private era = 1;
   /** Number of calls by path. */
   readonly callCounts = new Map<string, number>();
 
@@ -96,6 +103,24 @@
     this.answerWatches();
   }
 
+  /** Returns a copy of all rows, for `restore`. */
+  copy(): StoreCopy {
+    return { rows: new Map(this.rows), version: this.version };
+  }
+
+  /** Comes back from an older copy: what was written since is gone, and versions are given out again. */
+  restore({ rows, version }: StoreCopy): void {
+    this.rows.clear();
+    for (const [id, row] of rows) this.rows.set(id, row);
+    this.version = version;
+    this.era += 1;
+    for (const watch of this.watches) {
+      clearTimeout(watch.timer);
+      watch.answer({ status: 503 });
+    }
+    this.watches.clear();
+  }
+
   /** Returns the decoded value of a row, or undefined when it does not exist. */
   get(table: string, key: string): unknown {
     const value = this.rows.get(formatRowId({ table, part: '', key }))?.value;
@@ -103,7 +128,12 @@
     return JSON.parse(Buffer.from(value, 'base64').toString()) as unknown;
   }
 
-  private handle(call: ReceivedCall): Reply | undefined | Promise<Reply> {
+  private async handle(call: ReceivedCall): Promise<Reply | undefined> {
+    const reply = await this.handleCall(call);
+    return reply && { ...reply, headers: { ...reply.headers, 'store-era': String(this.era) } };
+  }
+
+  private handleCall(call: ReceivedCall): Reply | undefined | Promise<Reply> {
     this.callCounts.set(call.path, (this.callCounts.get(call.path) ?? 0) + 1);
     if (call.path === '/-/rows-tx' && call.method === 'POST') return this.handleTransaction(call);
     if (call.path === '/-/rows-get') return this.handleRead(call.query);
@@ -141,9 +171,9 @@
   }
 
   private handleFeed(query: URLSearchParams): Reply | Promise<Reply> {
-    if (this.server.faults.historyLost) return { status: 410 };
     const table = query.get('table') ?? '';
     const after = Number(query.get('after'));
+    if (this.server.faults.historyLost || after > this.version) return { status: 410 };
     const waitMs = Number(query.get('waitMs'));
     const changed = this.getChangedRows(table, after);
     if (changed.length > 0) return this.newFeedReply(changed);
--- a/tests/directory/directory.test.ts
+++ b/tests/directory/directory.test.ts
@@ -32,7 +32,7 @@
   it('reads a topic again when the directory no longer keeps the changes since its version', () => {
     const host = DirectoryHost.create().configure({ endpoints: [{ id: 'e0' }, { id: 'e1' }] });
     const { call } = host.state.directory.topics.endpoints;
-    const answer = { type: 'historyLost' as const };
+    const answer = { type: 'historyLost' as const, isRestored: false };
     host.dispatch({ type: 'directoryAnswered', topic: 'endpoints', call, isRead: false, answer });
     expect(host.takeEffects('readTopic')).toMatchObject([{ topic: 'endpoints' }]);
     host.answerDirectoryCall(
--- a/tests/directory/readerHeartbeats.test.ts
+++ b/tests/directory/readerHeartbeats.test.ts
@@ -105,7 +105,7 @@
     const reader = getFirst(readers);
     const to = getFirst(followers).state.host.id;
     const { call } = reader.state.directory.topics.endpoints;
-    const answer = { type: 'historyLost' as const };
+    const answer = { type: 'historyLost' as const, isRestored: false };
     reader.dispatch({ type: 'directoryAnswered', topic: 'endpoints', call, isRead: false, answer });
     reader.answerDirectoryCall('endpoints', [], 40, true).takeAllEffects();
     reader.receiveMessage(to, { type: 'topicAsked', topic: 'endpoints', after: 10 });
