Cut off responses that have no end

Callers would see: an endpoint that sends bytes without end keeps a request until its deadline, or a connection for good, and fills the memory of the host. Cause: events of a stream, the rest of a refused response, and the answers of stores and engines were read without a limit. Found with endpoints that send bytes without end until the caller closes. Change: an event is at most 1 MiB; the rest of a response that is not passed on is read for 64 KiB or 1 s; an answer that is read as a whole is at most 32 MiB.

--- a/src/clients/completion.ts
+++ b/src/clients/completion.ts
@@ -6,6 +6,8 @@
 import {
   DRAIN_TIMEOUT_MS,
   MAX_CONSECUTIVE_RESUMES,
+  MAX_EVENT_BYTES,
+  MAX_RESPONSE_BYTES,
   PROGRESS_TIMEOUT_MS,
   RESUME_BACKOFF_BASE_MS,
 } from './constants.ts';
@@ -166,7 +168,7 @@
   }
 
   private async readRefusal(opened: OpenResponse, isResume: boolean): Promise<ReadResult> {
-    const message = getMessage(await this.readText(opened).catch(() => ''));
+    const message = getMessage((await this.readText(opened).catch(() => undefined)) ?? '');
     if (isResume) {
       // The engine no longer has the request, so it cannot be resumed.
       return {
@@ -181,12 +183,16 @@
   }
 
   private async readWholeBody(opened: OpenResponse): Promise<ReadResult> {
-    let text: string;
+    let text: string | undefined;
     try {
       text = await this.readText(opened);
     } catch (error) {
       return { failure: error instanceof Error ? error.message : String(error) };
     }
+    if (text === undefined) {
+      const reason = `the response is larger than ${MAX_RESPONSE_BYTES} bytes`;
+      return { outcome: { type: 'broken', reason } };
+    }
     const outcome = await this.passOnChunk(text);
     return { outcome: outcome ?? this.getCompletedOutcome() };
   }
@@ -196,9 +202,15 @@
     const parser = createParser({ onEvent: ({ id, data }) => events.push({ id, data }) });
     const decoder = new TextDecoder();
     const parts = opened.body[Symbol.asyncIterator]() as AsyncIterator<Uint8Array>;
+    let unparsedBytes = 0;
     try {
       for await (const part of this.readParts(parts)) {
         parser.feed(decoder.decode(part, { stream: true }));
+        unparsedBytes = events.length > 0 ? 0 : unparsedBytes + part.length;
+        if (unparsedBytes > MAX_EVENT_BYTES) {
+          const reason = `an event is larger than ${MAX_EVENT_BYTES} bytes`;
+          return { outcome: { type: 'broken', reason } };
+        }
         for (const { id, data } of events.splice(0)) {
           const ordered = this.sequencer.push(id, data);
           if (ordered === undefined) {
@@ -239,10 +251,16 @@
     }
   }
 
-  private async readText(opened: OpenResponse): Promise<string> {
+  /** Returns the text of a response, or undefined if it is larger than the limit. */
+  private async readText(opened: OpenResponse): Promise<string | undefined> {
     const body = opened.body[Symbol.asyncIterator]() as AsyncIterator<Uint8Array>;
     const parts: Uint8Array[] = [];
-    for await (const part of this.readParts(body)) parts.push(part);
+    let size = 0;
+    for await (const part of this.readParts(body)) {
+      size += part.length;
+      if (size > MAX_RESPONSE_BYTES) return undefined;
+      parts.push(part);
+    }
     return Buffer.concat(parts).toString();
   }
 
--- a/src/clients/constants.ts
+++ b/src/clients/constants.ts
@@ -21,3 +21,7 @@
 export const MAX_OUT_OF_ORDER_CHUNKS = 256;
 /** Limit for reading a response to its end after the stream is complete. */
 export const DRAIN_TIMEOUT_MS = 1_000;
+/** Maximum size of one event of a stream. */
+export const MAX_EVENT_BYTES = 1024 * 1024;
+/** Maximum size of a response that is read as a whole. */
+export const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
--- a/src/clients/httpClient.ts
+++ b/src/clients/httpClient.ts
@@ -4,6 +4,7 @@
   CONNECT_TIMEOUT_MS,
   MAX_CONNECTIONS_PER_ADDRESS,
   KEEP_ALIVE_TIMEOUT_MS,
+  MAX_RESPONSE_BYTES,
 } from './constants.ts';
 
 /** An HTTP call. */
@@ -60,6 +61,19 @@
   return address.includes('://') ? new URL(address).origin : `http://${address}`;
 }
 
+/** Reads a whole body; rejects and closes the connection when it is larger than the limit. */
+async function readLimitedBody(body: OpenResponse['body']): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of body as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > MAX_RESPONSE_BYTES)
+      throw new Error(`the response is larger than ${MAX_RESPONSE_BYTES} bytes`);
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
 /** Whether a byte of a call may have been written; passed through undici as the call's `opaque`. */
 interface SendProgress {
   isSent: boolean;
@@ -122,7 +136,7 @@
       Math.ceil(remainingMs),
     );
     try {
-      const body = Buffer.from(await opened.body.arrayBuffer());
+      const body = await readLimitedBody(opened.body);
       return { type: 'answered', status: opened.status, headers: opened.headers, body };
     } catch (error) {
       this.retireConnections(call.address);
--- a/src/gatewayHost/constants.ts
+++ b/src/gatewayHost/constants.ts
@@ -15,6 +15,11 @@
 export const UNRESPONSIVE_AFTER_MS = 1_000;
 /** Maximum size of a response that is buffered before it is passed on. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024;
+/** Maximum size of one event of a stream. */
+export const MAX_EVENT_BYTES = 1024 * 1024;
+/** Bytes and time after which the rest of a response that is not passed on is no longer read. */
+export const MAX_DISCARDED_BYTES = 64 * 1024;
+export const DISCARD_TIMEOUT_MS = 1_000;
 /** Maximum size of request headers; the routing table may set a lower limit. */
 export const MAX_HEADER_BYTES = 64 * 1024;
 /** Maximum size of a request body until a routing table is known. */
--- a/src/gatewayHost/eventSplitter.ts
+++ b/src/gatewayHost/eventSplitter.ts
@@ -19,6 +19,11 @@
     return new EventSplitter();
   }
 
+  /** Bytes after the last complete event. */
+  get pendingBytes(): number {
+    return this.rest.length;
+  }
+
   /** Returns the events that `chunk` completes. */
   push(chunk: Buffer): StreamEvent[] {
     let bytes = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -2,8 +2,11 @@
 import type { Dispatcher } from 'undici';
 import type { AttemptSpec, ForwardOutcome } from '../forwards/types.ts';
 import {
+  DISCARD_TIMEOUT_MS,
   MAX_BUFFERED_RESPONSE_BYTES,
   MAX_CONNECTION_WAIT_MS,
+  MAX_DISCARDED_BYTES,
+  MAX_EVENT_BYTES,
   UNRESPONSIVE_AFTER_MS,
 } from './constants.ts';
 import type { SocketEndTracker } from './connector.ts';
@@ -39,6 +42,7 @@
   private headers: string[] = [];
   private readonly chunks: Buffer[] = [];
   private size = 0;
+  private discardTimer: NodeJS.Timeout | undefined;
   private readonly splitter = EventSplitter.create();
   private hasPassedEvent = false;
   private lastPassedAt = 0;
@@ -85,7 +89,7 @@
       return;
     }
     if (response.notRun !== undefined) {
-      this.mode = 'discarding';
+      this.startDiscarding(controller);
       this.end({ type: 'notRun', reason: response.notRun });
       return;
     }
@@ -105,15 +109,21 @@
   onResponseData(controller: Controller, chunk: Buffer): void {
     if (this.mode === 'streaming') {
       for (const event of this.splitter.push(chunk)) this.passEvent(controller, event);
+      if (this.splitter.pendingBytes > MAX_EVENT_BYTES)
+        this.abort(controller, `an event is larger than ${MAX_EVENT_BYTES} bytes`);
     } else if (this.mode === 'buffering') {
       this.size += chunk.length;
       if (this.size <= MAX_BUFFERED_RESPONSE_BYTES) this.chunks.push(Buffer.from(chunk));
       else
         this.abort(controller, `the response is larger than ${MAX_BUFFERED_RESPONSE_BYTES} bytes`);
+    } else if (this.mode === 'discarding') {
+      this.size += chunk.length;
+      if (this.size > MAX_DISCARDED_BYTES) controller.abort(new Error('the response has no end'));
     }
   }
 
   onResponseEnd(controller: Controller): void {
+    clearTimeout(this.discardTimer);
     if (this.isEnded) return;
     const { exchange, endTracker } = this.options;
     if (!this.isSelfDelimited && !endTracker.isGracefulClose()) {
@@ -136,6 +146,7 @@
   }
 
   onResponseError(_controller: Controller, error: Error): void {
+    clearTimeout(this.discardTimer);
     const reason = error.message === '' ? error.name : error.message;
     if (this.controller === undefined) this.end({ type: 'unreachable', reason });
     else this.end({ type: 'broken', reason, lastEventId: this.options.exchange.lastEventId });
@@ -159,6 +170,16 @@
     exchange.onceDrained(() => controller.resume());
   }
 
+  /** Reads the rest of a response, so that its connection can be reused, if it ends soon. */
+  private startDiscarding(controller: Controller): void {
+    this.mode = 'discarding';
+    this.discardTimer = setTimeout(
+      () => controller.abort(new Error('the response has no end')),
+      DISCARD_TIMEOUT_MS,
+    );
+    this.discardTimer.unref();
+  }
+
   private abort(controller: Controller, reason: string): void {
     this.mode = 'discarding';
     controller.abort(new Error(reason));
--- a/stand-ins/platform/platformEndpoint.ts
+++ b/stand-ins/platform/platformEndpoint.ts
@@ -30,7 +30,13 @@
   /** Answers with 503 before it reads the body; states that it did not execute the request. */
   | 'early'
   /** Closes the connection after half of the events of a stream, within an event. */
-  | 'breakStream';
+  | 'breakStream'
+  /** Sends bytes until the connection is closed: before the head, as headers, after a head without a length. */
+  | 'endlessBytes'
+  | 'endlessHeaders'
+  | 'endlessBody'
+  /** The same after a head which states that the request was not executed. */
+  | 'endlessShed';
 
 interface Options {
   id: string;
@@ -45,6 +51,23 @@
   checksFencing?: boolean;
 }
 
+/** What an endpoint sends before bytes without end, and the bytes that it repeats. */
+const ENDLESS: Partial<Record<EndpointBehaviour, { head: string; repeated: string }>> = {
+  endlessBytes: { head: '', repeated: 'x'.repeat(16_384) },
+  endlessHeaders: {
+    head: 'HTTP/1.1 200 OK\r\nattempt-id: ATTEMPT\r\nresponse-seal: s\r\n',
+    repeated: `x-more: ${'x'.repeat(1_000)}\r\n`.repeat(16),
+  },
+  endlessBody: {
+    head: 'HTTP/1.1 200 OK\r\nattempt-id: ATTEMPT\r\nresponse-seal: s\r\n\r\n',
+    repeated: 'x'.repeat(16_384),
+  },
+  endlessShed: {
+    head: 'HTTP/1.1 503 Full\r\nattempt-id: ATTEMPT\r\nnot-executed: 1\r\n\r\n',
+    repeated: 'x'.repeat(16_384),
+  },
+};
+
 /** Request that an endpoint received, apart from orders and reports. */
 export interface EndpointCall {
   method: string;
@@ -80,6 +103,9 @@
   readonly plannedBehaviours: EndpointBehaviour[] = [];
   /** Version of each resident adapter, by `model/adapter`. */
   readonly adapters = new Map<string, number>();
+  /** Bytes sent on connections that are sent bytes without end, and how many of these are open. */
+  endlessBytes = 0;
+  openEndless = 0;
   /** Maximum number of adapters that were resident or loading at once. */
   peakAdapters = 0;
   id: string;
@@ -232,6 +258,15 @@
     const body = `${this.id} answers ${call.method} ${call.target}`;
     const headers = this.getResponseHeaders(call, body);
     const isStream = call.headers.model !== undefined;
+    const endless = ENDLESS[behaviour];
+    if (endless !== undefined) {
+      this.sendEndlessly(
+        call,
+        endless.head.replace('ATTEMPT', headers['attempt-id']),
+        endless.repeated,
+      );
+      return;
+    }
     switch (behaviour) {
       case 'shed':
         response.writeHead(503, { ...headers, 'not-executed': '1' }).end(body);
@@ -280,6 +315,24 @@
     }
   }
 
+  /** Sends `repeated` until the connection is closed, as fast as the other side reads. */
+  private sendEndlessly({ response }: ReceivedCall, head: string, repeated: string): void {
+    const { socket } = response;
+    if (socket === null) return;
+    socket.on('error', () => undefined);
+    socket.write(head);
+    const send = (): void => {
+      while (!socket.destroyed) {
+        this.endlessBytes += repeated.length;
+        if (!socket.write(repeated)) return;
+      }
+    };
+    socket.on('drain', send);
+    socket.once('close', () => (this.openEndless -= 1));
+    this.openEndless += 1;
+    send();
+  }
+
   private async streamEvents(call: ReceivedCall, isBroken: boolean): Promise<void> {
     const { response } = call;
     const { events, gapMs } = this.options;
