Let operators of gateways list and clear suspects

Cause: a gateway had no command that clears a record, so that a sound request that was quarantined wrongly waited for its trial. Keys of suspects may hold any printable character without spaces.

--- a/src/admin/routes/commands.ts
+++ b/src/admin/routes/commands.ts
@@ -11,6 +11,20 @@
 /** Restricts ids from operators, because they become parts of row keys. */
 const ID_PATTERN = /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,127}$/;
 
+/** Keys of suspects are the texts of callers in part, as prompt parts are. */
+const SUSPECT_PATTERN = /^[\x21-\x7e]{1,256}$/;
+
+/** Routes for suspects, which gateways take as well. */
+export const suspectRoutes: readonly CommandRoute[] = [
+  { method: 'GET', path: '/v1/suspects', getCommand: () => Ok({ type: 'listSuspects' }) },
+  {
+    method: 'DELETE',
+    path: '/v1/suspects/:id',
+    getCommand: (request) =>
+      getSuspect(request).map((attribute) => ({ type: 'clearSuspect', attribute })),
+  },
+];
+
 /** Routes that need an operator's key. */
 export const commandRoutes: readonly CommandRoute[] = [
   { method: 'GET', path: '/v1/configuration', getCommand: () => Ok({ type: 'showConfiguration' }) },
@@ -28,13 +42,7 @@
   { method: 'GET', path: '/v1/audit', getCommand: (request) => getAuditCommand(request) },
   { method: 'GET', path: '/v1/hosts', getCommand: () => Ok({ type: 'listHosts' }) },
   { method: 'GET', path: '/v1/engines', getCommand: () => Ok({ type: 'listEngines' }) },
-  { method: 'GET', path: '/v1/suspects', getCommand: () => Ok({ type: 'listSuspects' }) },
-  {
-    method: 'DELETE',
-    path: '/v1/suspects/:id',
-    getCommand: (request) =>
-      getId(request).map((attribute) => ({ type: 'clearSuspect', attribute })),
-  },
+  ...suspectRoutes,
   { method: 'GET', path: '/v1/drafts', getCommand: (request) => getDraftsCommand(request) },
   {
     method: 'POST',
@@ -98,6 +106,13 @@
       );
 }
 
+function getSuspect({ params }: CommandRequest): Result<string, CommandRefusal> {
+  const id = params.id ?? '';
+  return SUSPECT_PATTERN.test(id)
+    ? Ok(id)
+    : refuse('id', id, 'at most 256 printable ASCII characters without spaces');
+}
+
 function refuse(param: string, value: string, allowed: string): Result<never, CommandRefusal> {
   const message = `${param} is ${JSON.stringify(value)}, allowed: ${allowed}`;
   return Err({ failure: Failure.create('bad_request', message, { param }), details: [] });
--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -26,7 +26,8 @@
     private readonly router: Router,
   ) {}
 
-  static create(host: AdminHost): AdminServer {
+  /** `routes` are the commands that the host takes; all by default. */
+  static create(host: AdminHost, routes: readonly CommandRoute[] = commandRoutes): AdminServer {
     const router = createRouter({
       ignoreTrailingSlash: true,
       defaultRoute: (request, response) => answerUnknownRoute(router, request, response),
@@ -35,7 +36,7 @@
     for (const { method, path, handle } of publicRoutes) {
       router.on(method, path, (_request, response) => handle(host, response));
     }
-    for (const route of commandRoutes) {
+    for (const route of routes) {
       router.on(route.method, route.path, (request, response, params) => {
         server.handleCommand(route, request, response, params).catch((error: unknown) => {
           const reason = error instanceof Error ? error.message : String(error);
--- a/src/admin/types.ts
+++ b/src/admin/types.ts
@@ -4,13 +4,24 @@
 import type { State } from '../core/state.ts';
 import type { Failure } from '../errors/failure.ts';
 import type { OperatorCommand } from '../operators/types.ts';
+import type { AccessKey } from '../settings/accessKeys.ts';
 import type { EntrySettings } from '../settings/entryGroups.ts';
 
+/** Settings of the operators' server. */
+export interface AdminSettings {
+  readonly listen: Pick<EntrySettings['listen'], 'operators'>;
+  readonly access: { readonly keys: readonly AccessKey[] };
+  readonly limits: Pick<
+    EntrySettings['limits'],
+    'operatorBodyBytes' | 'headerBytes' | 'slowSenderMs'
+  >;
+}
+
 /** Interface of the host to the operators' server. */
 export interface AdminHost {
   /** Used to read whether the host is ready; never changed by the server. */
   readonly state: State;
-  readonly settings: EntrySettings;
+  readonly settings: AdminSettings;
   readonly observer: { readonly metrics: { render(): string } };
   dispatch(event: Event): void;
 }
@@ -20,7 +31,7 @@
   request: IncomingMessage;
   params: Record<string, string | undefined>;
   query: URLSearchParams;
-  limits: EntrySettings['limits'];
+  limits: AdminSettings['limits'];
 }
 
 interface RouteBase {
--- a/src/cli/commands/suspects.ts
+++ b/src/cli/commands/suspects.ts
@@ -16,8 +16,8 @@
 });
 
 export const suspects = newOperatorCommand({
-  summary: 'List requests that are suspected of crashing endpoints, or clear one.',
-  flags: [{ name: 'clear', help: 'Fingerprint of a suspect that may run again.' }],
+  summary: 'List what is suspected of crashing endpoints, or clear one.',
+  flags: [{ name: 'clear', help: 'Attribute of a suspect; requests with it may run again.' }],
   schema: SuspectsAnswer,
   getCall: ({ flags }) => {
     const clear = flags.values.get('clear');
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -1,6 +1,8 @@
 import { createServer, type Server } from 'node:http';
 import { once } from 'node:events';
 import { isDeepStrictEqual } from 'node:util';
+import { suspectRoutes } from '../admin/routes/commands.ts';
+import { AdminServer } from '../admin/server.ts';
 import { hash32 } from '../base/hash.ts';
 import { HttpClient } from '../clients/httpClient.ts';
 import type { Event } from '../core/events.ts';
@@ -16,7 +18,11 @@
 import { PeerLinks } from '../peers/peerLinks.ts';
 import type { GatewaySettings } from '../settings/gatewayGroups.ts';
 import type { SocketAddress } from '../settings/values.ts';
-import { MIN_CONNECTIONS_PER_ENDPOINT } from './constants.ts';
+import {
+  DEFAULT_HEADER_TIMEOUT_MS,
+  MAX_HEADER_BYTES,
+  MIN_CONNECTIONS_PER_ENDPOINT,
+} from './constants.ts';
 import type { ForwardExchange } from './forwardExchange.ts';
 import { FrontServer } from './frontServer.ts';
 import { LogOutputStream } from './logOutputStream.ts';
@@ -24,6 +30,12 @@
 import { EndpointClient, type RunningForwardAttempt } from './endpointClient.ts';
 import { runGatewayEffect } from './runners.ts';
 
+/** Limits of the requests of operators, whose commands have no body. */
+const ADMIN_LIMITS = {
+  operatorBodyBytes: 0,
+  headerBytes: MAX_HEADER_BYTES,
+  slowSenderMs: DEFAULT_HEADER_TIMEOUT_MS,
+};
 /** Interval at which connections to removed endpoints are closed. */
 const CONNECTION_SWEEP_INTERVAL_MS = 2_000;
 
@@ -40,6 +52,8 @@
   private readonly http: HttpClient;
   private readonly loop: Loop;
   readonly frontServer: FrontServer;
+  /** Undefined if no address for operators is set. */
+  readonly adminServer: AdminServer | undefined;
   private readonly sampler: ProcessSampler;
   private readonly servers: Server[] = [];
   private settingsProblem = '';
@@ -79,6 +93,7 @@
       runEffect: (effect) => runGatewayEffect(this, effect),
     });
     this.frontServer = FrontServer.create(this);
+    this.adminServer = this.newAdminServer();
     this.sampler = ProcessSampler.create((observation) => this.observer.observe(observation));
     this.stopped = new Promise((resolve) => {
       this.resolveStopped = resolve;
@@ -89,8 +104,8 @@
     return new GatewayHost(settings, newPlatform);
   }
 
-  /** Starts the servers and the loop; returns the port of the front server. */
-  async start(): Promise<{ frontPort: number }> {
+  /** Starts the servers and the loop; returns the ports of the servers for callers and operators. */
+  async start(): Promise<{ frontPort: number; operatorPort: number | undefined }> {
     const { listen, host } = this.settings;
     await this.links.start();
     await this.serve(listen.ready, (path) => {
@@ -101,6 +116,7 @@
       if (path !== '/metrics') return { status: 404, body: '' };
       return { status: 200, body: this.observer.metrics.render() };
     });
+    const operatorPort = await this.adminServer?.start();
     const frontPort = await this.frontServer.start(listen.front);
     this.sampler.start();
     this.connectionSweep = setInterval(() => {
@@ -110,7 +126,7 @@
     }, CONNECTION_SWEEP_INTERVAL_MS);
     this.observer.logger.write('info', 'host started', { incarnation: host.incarnation });
     this.dispatch({ type: 'started' });
-    return { frontPort };
+    return { frontPort, operatorPort };
   }
 
   /** Stops gracefully: accepts no new requests and resolves when none is in flight. */
@@ -119,6 +135,7 @@
     await this.stopped;
     clearInterval(this.connectionSweep);
     await this.frontServer.stop();
+    await this.adminServer?.stop();
     this.loop.stop();
     this.sampler.stop();
     for (const server of this.servers) server.close();
@@ -175,6 +192,19 @@
     this.resolveStopped();
   }
 
+  private newAdminServer(): AdminServer | undefined {
+    const { listen, access } = this.settings;
+    if (listen.operators === undefined) return undefined;
+    const { state, observer } = this;
+    const settings = {
+      listen: { operators: listen.operators },
+      access: { keys: access.keys ?? [] },
+      limits: ADMIN_LIMITS,
+    };
+    const dispatch = (event: Event): void => this.dispatch(event);
+    return AdminServer.create({ state, observer, settings, dispatch }, suspectRoutes);
+  }
+
   private getMaxConnections(endpoint: string): number {
     const service = this.state.fleet.views.get(endpoint)?.endpoint.service ?? '';
     const limit = this.state.routeIndex.current?.services.get(service)?.connectionLimit ?? 0;
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -79,6 +79,7 @@
   passResponse: (host, { id }) => host.exchanges.get(id)?.sendBufferedResponse(),
   endResponse: (host, { id }) => host.exchanges.get(id)?.end(),
   failForward: (host, { id, failure }) => host.exchanges.get(id)?.fail(failure),
+  answerOperator: (host, { id, answer }) => host.adminServer?.answer(id, answer),
   closeFrontServer: (host) => void host.frontServer.stop(),
   stopped: (host) => host.onStopped(),
 };
--- a/src/operators/commands/auditedCommands.ts
+++ b/src/operators/commands/auditedCommands.ts
@@ -2,6 +2,7 @@
 import { getActionAuditKey } from '../../configuration/keys.ts';
 import type { Effect } from '../../core/effects.ts';
 import type { TableAnswerHandlers } from '../../core/handlers.ts';
+import { newLog } from '../../core/observations.ts';
 import type { State } from '../../core/state.ts';
 import { getFailureReason } from '../../core/store.ts';
 import { startDraftCommand } from '../../drafts/draftCommands.ts';
@@ -26,7 +27,13 @@
 export const clearSuspectWithAudit: CommandHandler<'clearSuspect'> = (state, request, command) => {
   const { attribute } = command;
   if (state.suspects.byAttribute.has(attribute)) {
-    return writeAuditEntry(state, request, 'clear suspect', attribute);
+    // A gateway has no table service; the log line is its audit entry.
+    return state.policy.directory === undefined
+      ? writeAuditEntry(state, request, 'clear suspect', attribute)
+      : [
+          newLog('warn', 'operator cleared a suspect', { operator: request.operator, attribute }),
+          ...executeCommand(state, request, command, state.now),
+        ];
   }
   const message = `suspect "${attribute}" does not exist`;
   return answerWithFailure(state, request, Failure.create('not_found', message));
--- a/src/operators/commands/listSuspects.ts
+++ b/src/operators/commands/listSuspects.ts
@@ -1,7 +1,14 @@
+import { isQuarantined } from '../../suspects/quarantine.ts';
 import { answerWithResult, type CommandHandler } from '../answer.ts';
 
-/** Lists suspects: fingerprints of requests that may crash engines. Cleared ones are left out. */
-export const listSuspects: CommandHandler<'listSuspects'> = (state, request) =>
-  answerWithResult(state, request, {
-    suspects: [...state.suspects.byAttribute.values()].filter(({ crashes }) => crashes.length > 0),
-  });
+/** Lists suspects: attributes of requests that may crash engines. Cleared ones are left out. */
+export const listSuspects: CommandHandler<'listSuspects'> = (state, request) => {
+  const { byAttribute, active } = state.suspects;
+  const suspects = [...byAttribute.values()]
+    .filter(({ attribute }) => active.has(attribute))
+    .map((suspect) => ({
+      ...suspect,
+      isQuarantined: isQuarantined(state, suspect.attribute, state.now),
+    }));
+  return answerWithResult(state, request, { suspects });
+};
--- a/src/settings/entryGroups.ts
+++ b/src/settings/entryGroups.ts
@@ -112,13 +112,15 @@
   }),
 });
 
+export const ACCESS_KEYS_ALLOWED =
+  'a JSON list of { name, firm, role: "caller" or "operator", sha256 }, or the path of a file that holds one';
+
 /** Access keys. */
 export const AccessSettings = z.object({
   keys: newSetting(AccessKeyList, {
     name: 'keys',
     help: 'Keys of callers and operators.',
-    allowed:
-      'a JSON list of { name, firm, role: "caller" or "operator", sha256 }, or the path of a file that holds one',
+    allowed: ACCESS_KEYS_ALLOWED,
     isSecret: true,
   }),
 });
--- a/src/settings/gatewayGroups.ts
+++ b/src/settings/gatewayGroups.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
+import { AccessKeyList } from './accessKeys.ts';
 import {
+  ACCESS_KEYS_ALLOWED,
   HostSettings,
   LISTEN_ADDRESS_ALLOWED,
   ListenSettings,
@@ -47,6 +49,12 @@
     allowed: LISTEN_ADDRESS_ALLOWED,
   }),
   ...ListenSettings.pick({ advertised: true }).shape,
+  operators: newSetting(newOptional(newListenAddress()), {
+    name: 'operator-listen',
+    help: 'Address of the listener for operators; nothing is served by default.',
+    allowed: LISTEN_ADDRESS_ALLOWED,
+    isOptional: true,
+  }),
   metrics: newSetting(newOptional(newListenAddress()), {
     name: 'metrics-listen',
     help: 'Address that serves the metrics at /metrics; nothing is served by default.',
@@ -98,11 +106,23 @@
   }),
 });
 
+/** Access keys of operators. */
+export const GatewayAccessSettings = z.object({
+  keys: newSetting(newOptional(AccessKeyList), {
+    name: 'keys',
+    help: 'Keys of operators; none by default.',
+    allowed: ACCESS_KEYS_ALLOWED,
+    isSecret: true,
+    isOptional: true,
+  }),
+});
+
 /** Settings of the command `gateway` by group. */
 export const GATEWAY_SETTING_GROUPS = {
   host: GatewayHostSettings,
   listen: GatewayListenSettings,
   directory: DirectorySettings,
+  access: GatewayAccessSettings,
   limits: GatewayLimitSettings,
   log: LogSettings,
 } as const;
--- a/tests/admin/server.test.ts
+++ b/tests/admin/server.test.ts
@@ -2,6 +2,7 @@
 import { getDraftSummary } from '../../src/drafts/draftRows.ts';
 import type { DraftRow } from '../../src/drafts/types.ts';
 import { newSuspect } from '../../src/suspects/mergeSuspects.ts';
+import { publishSuspects } from '../../src/suspects/suspectReports.ts';
 import { newAdminServer } from './fixture.ts';
 
 const INTENT = 'shares: [{ firm: atlas, share: 0.5 }]';
@@ -112,12 +113,8 @@
   });
 
   it('clears a suspect, so that its request may run again', async () => {
-    const { suspects } = cluster.getState('h1');
-    suspects.byAttribute.set('f1', {
-      ...newSuspect('f1'),
-      crashes: ['e1@b1'],
-      isQuarantined: true,
-    });
+    const suspect = { ...newSuspect('f1'), crashes: ['e1@b1'], isQuarantined: true };
+    publishSuspects(cluster.getState('h1'), [suspect], 0);
     expect(await callJson('GET', '/v1/suspects')).toMatchObject({
       suspects: [{ attribute: 'f1', isQuarantined: true }],
     });
--- a/tests/gatewayHost/deployment.ts
+++ b/tests/gatewayHost/deployment.ts
@@ -58,6 +58,8 @@
 export class GatewayDeployment {
   readonly hosts: GatewayHost[] = [];
   readonly fronts: string[] = [];
+  /** Ports of the operators' listeners of the hosts that have one. */
+  readonly operatorPorts: number[] = [];
   private sequence = 0;
 
   private constructor(readonly store: RowStore) {}
@@ -136,7 +138,8 @@
     const parsed = parseGatewaySettings(argv, {});
     if (parsed.err) throw new Error(JSON.stringify(parsed.val));
     const host = GatewayHost.create(parsed.val, newPlatform);
-    const { frontPort } = await host.start();
+    const { frontPort, operatorPort } = await host.start();
+    if (operatorPort !== undefined) this.operatorPorts.push(operatorPort);
     cleanUpAfterTest(() => host.stop());
     this.hosts.push(host);
     this.fronts.push(`127.0.0.1:${frontPort}`);
