Check an endpoint once when several of its attempts break, and log its crash once

Change: one check of an endpoint is in flight at a time; a crash is logged when it adds evidence. Measured: tests/forwards and tests/suspects pass.

--- a/src/forwards/crashEvidence.ts
+++ b/src/forwards/crashEvidence.ts
@@ -9,7 +9,13 @@
 import { publishSuspects } from '../suspects/suspectReports.ts';
 import type { SentAttribute } from '../suspects/types.ts';
 import { BROKEN_WITH_ENDPOINT_MS, CRASH_VERIFICATION_DELAY_MS } from './constants.ts';
-import type { CrashVerification, Forward, ForwardAttempt, UnansweredAttempt } from './types.ts';
+import type {
+  CrashVerification,
+  EndpointCheck,
+  Forward,
+  ForwardAttempt,
+  UnansweredAttempt,
+} from './types.ts';
 
 /** Returns the attributes of a request with what is known of them now, when it is sent. */
 export function getSentAttributes(
@@ -49,9 +55,7 @@
   rememberAttempt(state, forward, attempt, true, now);
   if (state.forwards.crashedEndpoints.get(endpoint) === startedAt)
     return [...effects, ...attributeCrash(state, endpoint, startedAt, now)];
-  const address = state.fleet.views.get(endpoint)?.endpoint.address;
-  if (address === undefined || attempt.sent.length < 2) return effects;
-  return [...effects, { type: 'checkEndpoint', endpoint, address, startedAt }];
+  return [...effects, ...checkEndpoint(state, endpoint, startedAt)];
 }
 
 /**
@@ -69,13 +73,15 @@
 }
 
 /** Counts the broken attempts of an endpoint that refuses connections as crashes. */
-export function handleRefusedCheck(
+export function handleEndpointCheck(
   state: State,
-  endpoint: string,
-  startedAt: number,
+  { endpoint, startedAt, isRefused }: EndpointCheck,
   now: number,
 ): Effect[] {
-  state.forwards.crashedEndpoints.set(endpoint, startedAt);
+  const { checkedEndpoints, crashedEndpoints } = state.forwards;
+  checkedEndpoints.delete(endpoint);
+  if (!isRefused) return [];
+  crashedEndpoints.set(endpoint, startedAt);
   return attributeCrash(state, endpoint, startedAt, now);
 }
 
@@ -86,12 +92,14 @@
 export function countCrashesOfEndpoint(state: State, endpoint: string, now: number): Effect[] {
   const { unansweredAttempts, crashedEndpoints } = state.forwards;
   const view = state.fleet.views.get(endpoint);
-  const known = unansweredAttempts.get(endpoint);
-  if (view === undefined || known === undefined) return [];
+  const known = unansweredAttempts.get(endpoint) ?? [];
+  if (view === undefined) return [];
+  const crashedStart = crashedEndpoints.get(endpoint);
+  if (crashedStart !== undefined && hasRunEnded(view, crashedStart))
+    crashedEndpoints.delete(endpoint);
   const ended = known.filter(({ endpointStartedAt }) => hasRunEnded(view, endpointStartedAt));
   if (ended.length === 0) return [];
   unansweredAttempts.delete(endpoint);
-  crashedEndpoints.delete(endpoint);
   const isPlanned = view.isRemoved && view.endpoint.isLeaving;
   if (isPlanned) return [];
   const recent = ended.filter(({ at }) => at + CRASH_VERIFICATION_DELAY_MS > now);
@@ -116,6 +124,14 @@
   return publishSuspects(state, [{ ...known, cleared }], now);
 }
 
+/** Checks whether an endpoint has crashed, unless a check of it is in flight. */
+function checkEndpoint({ fleet, forwards }: State, endpoint: string, startedAt: number): Effect[] {
+  const address = fleet.views.get(endpoint)?.endpoint.address;
+  if (address === undefined || forwards.checkedEndpoints.has(endpoint)) return [];
+  forwards.checkedEndpoints.add(endpoint);
+  return [{ type: 'checkEndpoint', endpoint, address, startedAt }];
+}
+
 /** Counts the attempts that broke together with an endpoint that crashed. */
 function attributeCrash(state: State, endpoint: string, startedAt: number, now: number): Effect[] {
   const broken = (state.forwards.unansweredAttempts.get(endpoint) ?? []).filter(
@@ -148,13 +164,15 @@
     });
   });
   const [first] = attempts;
-  if (first === undefined || suspects.length === 0) return [];
+  const effects = publishSuspects(state, suspects, now);
+  // The refused connection and the directory show the same crash.
+  if (first === undefined || effects.length === 0) return [];
   const log = newLog('warn', 'endpoint crashed while running requests', {
     endpoint: first.endpoint,
     attempts: attempts.length,
     attributes: keys,
   });
-  return [log, ...publishSuspects(state, suspects, now)];
+  return [log, ...effects];
 }
 
 function rememberAttempt(
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -13,7 +13,7 @@
   releaseForwardReservation,
 } from './forwardEnd.ts';
 import { placeForward } from './forwardPlacement.ts';
-import { handleRefusedCheck, verifyCrash } from './crashEvidence.ts';
+import { handleEndpointCheck, verifyCrash } from './crashEvidence.ts';
 import { endQuarantinedForwards } from './quarantinedForwards.ts';
 import { scheduleRetry, sendAttempt } from './sending.ts';
 import type { ForwardEvent, ForwardTimer } from './types.ts';
@@ -50,8 +50,7 @@
     if (forward?.attempt?.id !== attempt) return [];
     return endForwardAttempt(state, forward, forward.attempt, outcome, now);
   },
-  endpointRefused: (state, { endpoint, startedAt }, now) =>
-    handleRefusedCheck(state, endpoint, startedAt, now),
+  endpointChecked: (state, check, now) => handleEndpointCheck(state, check, now),
 };
 
 export const forwardMessages: MessageHandlers<'placeGiven' | 'placeQueued' | 'placeRefused'> = {
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -141,6 +141,8 @@
   readonly retryBudgets = new Map<string, SharedRetryBudget>();
   /** Recently unanswered attempts by endpoint, in case the endpoint turns out to have crashed. */
   readonly unansweredAttempts = new Map<string, UnansweredAttempt[]>();
+  /** Endpoints of which a check is in flight. */
+  readonly checkedEndpoints = new Set<string>();
   /** Start, in Unix ms, of endpoints that refused a connection after attempts at them broke. */
   readonly crashedEndpoints = new Map<string, number>();
   /** Decayed counts of this host's requests by adapter and by base model. */
@@ -153,6 +155,15 @@
   }
 }
 
+/** Event: the check of an endpoint that started at `startedAt` has ended. */
+export interface EndpointCheck {
+  type: 'endpointChecked';
+  endpoint: string;
+  startedAt: number;
+  /** Whether it refused the connection. */
+  isRefused: boolean;
+}
+
 export type ForwardEvent =
   | { type: 'forwardArrived'; forward: NewForward }
   /** The caller closed its connection. */
@@ -160,8 +171,7 @@
   /** The first byte of a response was passed on. */
   | { type: 'forwardStarted'; id: string; attempt: string }
   | { type: 'forwardEnded'; id: string; attempt: string; outcome: ForwardOutcome }
-  /** An endpoint that started at `startedAt` refused a connection. */
-  | { type: 'endpointRefused'; endpoint: string; startedAt: number };
+  | EndpointCheck;
 
 /** One attempt that the host has to send to an endpoint. */
 export interface AttemptSpec {
@@ -188,7 +198,7 @@
   | { type: 'passResponse'; id: string }
   /** Ends the response after the last event of the stream. */
   | { type: 'endResponse'; id: string }
-  /** Opens a connection to an endpoint and closes it; a refusal arrives as `endpointRefused`. */
+  /** Opens a connection to an endpoint and closes it; the result arrives as `endpointChecked`. */
   | { type: 'checkEndpoint'; endpoint: string; address: string; startedAt: number }
   /** Answers with a failure, or aborts the response if it has started. */
   | { type: 'failForward'; id: string; failure: Failure };
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -70,7 +70,7 @@
     const { sourceAddress } = host.settings.host;
     void isConnectionRefused(address, sourceAddress, ENDPOINT_CONNECT_TIMEOUT_MS).then(
       (isRefused) => {
-        if (isRefused) host.dispatch({ type: 'endpointRefused', endpoint, startedAt });
+        host.dispatch({ type: 'endpointChecked', endpoint, startedAt, isRefused });
       },
     );
   },
--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -247,8 +247,8 @@
         return;
       case 'checkEndpoint': {
         const { endpoint, startedAt } = effect;
-        if (this.now < (this.downUntil.get(endpoint) ?? -Infinity))
-          host.dispatch({ type: 'endpointRefused', endpoint, startedAt });
+        const isRefused = this.now < (this.downUntil.get(endpoint) ?? -Infinity);
+        host.dispatch({ type: 'endpointChecked', endpoint, startedAt, isRefused });
         return;
       }
       case 'cancelForward':
