Clear common attributes on each host alone

Cause, suspected: after a crash each host that completed a request with a popular attribute told all others that it is cleared, so messages grew with the hosts squared. Change: an attribute that is known to be completed is cleared by each host for itself; a report with an older generation is answered with the newer record.

--- a/src/suspects/crashes.ts
+++ b/src/suspects/crashes.ts
@@ -12,7 +12,7 @@
   GRANT_RELEASE_TIMEOUT_MS,
 } from './constants.ts';
 import { getCountedCrashes, newClearedSuspect, newSuspect } from './mergeSuspects.ts';
-import { publishSuspects } from './suspectReports.ts';
+import { publishSuspects, updateSuspects } from './suspectReports.ts';
 import type { EngineRun, Suspect } from './types.ts';
 
 /** Records a broken attempt, in case its engine turns out to have crashed. */
@@ -166,7 +166,8 @@
 
 /**
  * Clears the attributes of a request that was completed, and remembers the completion; what is a cause
- * beyond doubt stays quarantined.
+ * beyond doubt stays quarantined. Attributes that are known to be completed are cleared on this host
+ * alone, as all hosts complete them soon and would tell each other.
  */
 export function recordCompletion(
   state: State,
@@ -179,7 +180,13 @@
     .filter((key) => active.has(key))
     .flatMap((key) => byAttribute.get(key) ?? [])
     .filter((suspect) => !suspect.isQuarantined);
-  return publishSuspects(state, cleared.map(newClearedSuspect), now);
+  const [common, rare] = partition(cleared, ({ attribute, isProven }) => {
+    return isProven && !state.suspects.quarantined.has(attribute);
+  });
+  return [
+    ...updateSuspects(state, common.map(newClearedSuspect), now),
+    ...publishSuspects(state, rare.map(newClearedSuspect), now),
+  ];
 }
 
 /** Clears a suspect, also a quarantined one; operators can request it. */
@@ -188,6 +195,14 @@
   return known === undefined ? [] : publishSuspects(state, [newClearedSuspect(known)], now);
 }
 
+/** Returns the suspects that meet the condition, and the others. */
+function partition(
+  suspects: readonly Suspect[],
+  isMet: (suspect: Suspect) => boolean,
+): [Suspect[], Suspect[]] {
+  return [suspects.filter(isMet), suspects.filter((suspect) => !isMet(suspect))];
+}
+
 /** Returns the record without the crashes that were taken back, in a new generation. */
 function newTrimmedSuspect(known: Suspect): Suspect {
   const { generation } = newClearedSuspect(known);
--- a/src/suspects/suspectReports.ts
+++ b/src/suspects/suspectReports.ts
@@ -20,6 +20,12 @@
   ];
 }
 
+/** Merges local changes that other hosts need not be told. */
+export function updateSuspects(state: State, suspects: readonly Suspect[], now: number): Effect[] {
+  const changed = mergeKnownSuspects(state, suspects, now);
+  return changed.length === 0 ? [] : updateQuarantines(state, now);
+}
+
 /** Merges a peer's report, and tells it which of the attributes have been completed here. */
 export function handleSuspectReport(
   state: State,
@@ -27,8 +33,10 @@
   from: string,
   now: number,
 ): Effect[] {
+  const outdated = getNewerSuspects(state, suspects);
+  const answers = newSuspectReports(state, outdated, [from]);
   const changed = mergeKnownSuspects(state, suspects, now);
-  if (changed.length === 0) return [];
+  if (changed.length === 0) return answers;
   // The reporting host may not know of crashes that others reported at the same time.
   if (state.policy.directory !== undefined) scheduleRowWrite(state, now);
   const attributes = changed.map(({ attribute }) => attribute);
@@ -38,6 +46,7 @@
   });
   return [
     newLog('info', 'suspects updated by peer report', { from, attributes }),
+    ...answers,
     ...newSuspectReports(state, proven, [from]),
     ...newSuspectReports(state, changed, getHostsToForwardTo(state, from)),
     ...updateQuarantines(state, now),
@@ -68,6 +77,14 @@
     .map((host) => sendMessage(state, host, { type: 'suspectsReported', suspects: [...suspects] }));
 }
 
+/** Returns the known records of suspects that were cleared since the reported ones were written. */
+function getNewerSuspects({ suspects }: State, reported: readonly Suspect[]): Suspect[] {
+  return reported.flatMap(({ attribute, generation }) => {
+    const known = suspects.byAttribute.get(attribute);
+    return known !== undefined && known.generation > generation ? [known] : [];
+  });
+}
+
 function storeSuspects(state: State, changed: readonly Suspect[]): Effect[] {
   if (state.policy.directory !== undefined) return writeSuspectsRow(state);
   return changed.map(({ attribute }) => readSuspectRow(attribute));
