Log how the body of each response was framed and where it ended

Cause: the log of a completed stream does not tell whether its endpoint sent a length or chunks, or whether bytes followed its last complete event, so the hypotheses on truncated responses can't be told apart. Change: the lines 'request ended' and 'attempt ended' have framing and bytesAfterLastEvent; 'request ended' has lastEventId. No behaviour changes.

--- a/src/forwards/forwardAdmission.ts
+++ b/src/forwards/forwardAdmission.ts
@@ -101,6 +101,7 @@
     hasFailedResponse: false,
     backoffs: 0,
     lastEventId: undefined,
+    bodyEnd: undefined,
     lastReason: '',
     sentAt: undefined,
     firstByteAt: undefined,
--- a/src/forwards/forwardAttempts.ts
+++ b/src/forwards/forwardAttempts.ts
@@ -130,6 +130,7 @@
     context: OutcomeContext,
     outcome: ForwardOutcome,
   ) => Effect[];
+  forward.bodyEnd = 'bodyEnd' in outcome ? outcome.bodyEnd : undefined;
   const hasResponse = outcome.type === 'passed' || outcome.type === 'answered';
   const log = hasResponse
     ? []
--- a/src/forwards/forwardEnd.ts
+++ b/src/forwards/forwardEnd.ts
@@ -74,7 +74,7 @@
 
 /** Returns the log line of an attempt that ended without a response. */
 export function newAttemptLog(
-  { labels, fingerprint, caller }: Forward,
+  { labels, fingerprint, caller, bodyEnd }: Forward,
   { endpoint, owner, startedAt }: ForwardAttempt,
   outcome: ForwardOutcome['type'],
   reason: string | undefined,
@@ -91,6 +91,7 @@
     outcome,
     reason,
     elapsedMs: Math.round(now - startedAt),
+    ...bodyEnd,
   });
 }
 
@@ -122,6 +123,8 @@
       sentMs: forward.sentAt === undefined ? undefined : Math.round(forward.sentAt - arrivedAt),
       stallMs,
       longestPauseMs: forward.longestPauseMs,
+      lastEventId: forward.lastEventId,
+      ...forward.bodyEnd,
       sends,
       ranOn: [...ranOn],
       passedOver: [...excluded],
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -106,6 +106,8 @@
   backoffs: number;
   /** Id of the last stream event that was passed on. */
   lastEventId: string | undefined;
+  /** End of the last response, for logs. */
+  bodyEnd: BodyEnd | undefined;
   /** Why the last endpoint or owner did not serve the request. */
   lastReason: string;
   /** Monotonic ms of the first send, and of the first byte that was passed on. */
@@ -117,11 +119,21 @@
   stallMs: number;
 }
 
+/** How the end of a response body is marked. */
+export type BodyFraming = 'length' | 'chunked' | 'connectionClose';
+
+/** What is known of the body of a response when it ends; for logs. */
+export interface BodyEnd {
+  framing: BodyFraming;
+  /** Bytes after the last complete event of a stream; undefined for other responses. */
+  bytesAfterLastEvent: number | undefined;
+}
+
 export type ForwardOutcome =
   /** The whole stream was passed on. */
-  | { type: 'passed'; longestPauseMs: number }
+  | { type: 'passed'; longestPauseMs: number; bodyEnd?: BodyEnd }
   /** The whole response arrived and is not passed on yet. */
-  | { type: 'answered'; status: number }
+  | { type: 'answered'; status: number; bodyEnd?: BodyEnd }
   /**
    * The endpoint answered that it did not run the request; `otherEndpoint` if another endpoint now
    * answers at its address.
@@ -130,7 +142,7 @@
   /** No connection was opened, or nothing was written to it. */
   | { type: 'unreachable'; reason: string }
   /** The request was sent and no complete, valid response arrived. */
-  | { type: 'broken'; reason: string; lastEventId: string | undefined }
+  | { type: 'broken'; reason: string; lastEventId: string | undefined; bodyEnd?: BodyEnd }
   | { type: 'cancelled' };
 
 /** State of the requests that this host forwards. */
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
-import type { AttemptSpec, ForwardOutcome } from '../forwards/types.ts';
+import type { AttemptSpec, BodyEnd, BodyFraming, ForwardOutcome } from '../forwards/types.ts';
 import {
   DISCARD_TIMEOUT_MS,
   MAX_BUFFERED_RESPONSE_BYTES,
@@ -37,8 +37,7 @@
   private isEnded = false;
   private isCancelled = false;
   private status = 0;
-  /** Whether a header marks the end of the body, and not the end of the connection. */
-  private isSelfDelimited = false;
+  private framing: BodyFraming | undefined;
   private headers: string[] = [];
   private readonly chunks: Buffer[] = [];
   private size = 0;
@@ -98,7 +97,7 @@
       return;
     }
     this.status = status;
-    this.isSelfDelimited = 'content-length' in headers || 'transfer-encoding' in headers;
+    this.framing = getFraming(headers);
     this.headers = labels.getResponseHeaders(raw);
     this.mode = spec.isStream && status === 200 ? 'streaming' : 'buffering';
     if (this.mode === 'buffering' && exchange.hasResponseStarted) {
@@ -126,15 +125,16 @@
     clearTimeout(this.discardTimer);
     if (this.isEnded) return;
     const { exchange, endTracker } = this.options;
-    if (!this.isSelfDelimited && !endTracker.isGracefulClose()) {
+    if (this.framing === 'connectionClose' && !endTracker.isGracefulClose()) {
       this.abort(controller, 'the connection was reset during a response without a length');
       return;
     }
     if (this.mode === 'streaming') {
       const rest = this.splitter.takeRemainder();
+      const bodyEnd = this.getBodyEnd(rest.length);
       if (rest.length > 0) this.passEvent(controller, { bytes: rest, id: undefined });
       exchange.startResponse(this.status, this.headers);
-      this.end({ type: 'passed', longestPauseMs: this.longestPauseMs });
+      this.end({ type: 'passed', longestPauseMs: this.longestPauseMs, bodyEnd });
       return;
     }
     exchange.bufferedResponse = {
@@ -142,14 +142,14 @@
       headers: this.headers,
       body: Buffer.concat(this.chunks),
     };
-    this.end({ type: 'answered', status: this.status });
+    this.end({ type: 'answered', status: this.status, bodyEnd: this.getBodyEnd() });
   }
 
   onResponseError(_controller: Controller, error: Error): void {
     clearTimeout(this.discardTimer);
     const reason = error.message === '' ? error.name : error.message;
     if (this.controller === undefined) this.end({ type: 'unreachable', reason });
-    else this.end({ type: 'broken', reason, lastEventId: this.options.exchange.lastEventId });
+    else this.endBroken(reason);
   }
 
   private passEvent(controller: Controller, { bytes, id }: StreamEvent): void {
@@ -181,9 +181,24 @@
   }
 
   private abort(controller: Controller, reason: string): void {
+    this.endBroken(reason);
     this.mode = 'discarding';
     controller.abort(new Error(reason));
-    this.end({ type: 'broken', reason, lastEventId: this.options.exchange.lastEventId });
+  }
+
+  private endBroken(reason: string): void {
+    const { lastEventId } = this.options.exchange;
+    const bodyEnd = this.getBodyEnd(this.splitter.pendingBytes);
+    this.end({ type: 'broken', reason, lastEventId, bodyEnd });
+  }
+
+  private getBodyEnd(bytesAfterLastEvent = 0): BodyEnd | undefined {
+    if (this.framing === undefined) return undefined;
+    const isStream = this.mode === 'streaming';
+    return {
+      framing: this.framing,
+      bytesAfterLastEvent: isStream ? bytesAfterLastEvent : undefined,
+    };
   }
 
   /** Ends an attempt whose headers state more time than is left; nothing was written yet. */
@@ -215,6 +230,11 @@
   return Number.isFinite(number) && Number.isFinite(before) ? number <= before : id === last;
 }
 
+function getFraming(headers: IncomingHttpHeaders): BodyFraming {
+  if ('content-length' in headers) return 'length';
+  return 'transfer-encoding' in headers ? 'chunked' : 'connectionClose';
+}
+
 function getRawHeaders(controller: Controller): string[] {
   const raw = (controller as { rawHeaders?: unknown }).rawHeaders;
   return Array.isArray(raw) ? raw.map(String) : [];
