--- /dev/null
+++ b/tests/helpers/rawEndpoint.ts
@@ -0,0 +1,122 @@
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { StandIn } from '../../stand-ins/server.ts';
+
+/** A request as it arrived, with header names in lower case. */
+export interface RawRequest {
+  method: string;
+  target: string;
+  headers: Record<string, string>;
+}
+
+/** One step of an answer: bytes that are sent, a pause in ms, or an end. */
+export type RawStep = string | number | RawEnd;
+
+/** Ends the connection gracefully or by a reset, or ends the endpoint with all its connections. */
+export type RawEnd = { type: 'fin' } | { type: 'reset' } | { type: 'exit' };
+export const FIN: RawEnd = { type: 'fin' };
+export const RESET: RawEnd = { type: 'reset' };
+export const EXIT: RawEnd = { type: 'exit' };
+
+/** Returns the steps with which an endpoint answers a request. */
+export type RawAnswer = (request: RawRequest) => RawStep[];
+
+const REPORT = JSON.stringify({ seq: 0, models: [{ name: 'base', adapters: [] }], coming: [] });
+
+/** Endpoint that answers with raw bytes, for framings that an HTTP server does not produce. */
+export class RawEndpoint implements StandIn {
+  /** Requests apart from reports. */
+  readonly requests: RawRequest[] = [];
+  /** Answers to the next requests, in order; later ones get `answer`. */
+  readonly plannedAnswers: RawAnswer[] = [];
+  openedConnections = 0;
+  private readonly sockets = new Set<Socket>();
+  private server: Server | undefined;
+
+  private constructor(private readonly answer: RawAnswer) {}
+
+  static create(answer: RawAnswer): RawEndpoint {
+    return new RawEndpoint(answer);
+  }
+
+  async start(): Promise<string> {
+    const server = createServer((socket) => this.accept(socket));
+    this.server = server;
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  }
+
+  stop(): Promise<void> {
+    this.exit();
+    return Promise.resolve();
+  }
+
+  private exit(): void {
+    this.server?.close();
+    this.server = undefined;
+    for (const socket of this.sockets) socket.destroy();
+  }
+
+  private end(socket: Socket, { type }: RawEnd): void {
+    if (type === 'fin') socket.end();
+    else if (type === 'reset') socket.resetAndDestroy();
+    else this.exit();
+  }
+
+  private accept(socket: Socket): void {
+    this.openedConnections += 1;
+    this.sockets.add(socket);
+    socket.on('close', () => this.sockets.delete(socket));
+    socket.on('error', () => undefined);
+    let received = '';
+    socket.on('data', (chunk) => {
+      received += chunk.toString('latin1');
+      const request = parseRequest(received);
+      if (request === undefined) return;
+      received = '';
+      void this.respond(socket, request);
+    });
+  }
+
+  private async respond(socket: Socket, request: RawRequest): Promise<void> {
+    if (request.target === '/-/report') {
+      socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${REPORT.length}\r\n\r\n${REPORT}`);
+      return;
+    }
+    this.requests.push(request);
+    const answer = this.plannedAnswers.shift() ?? this.answer;
+    for (const step of answer(request)) {
+      if (typeof step === 'number') await sleep(step);
+      else if (typeof step === 'string') socket.write(step);
+      else this.end(socket, step);
+    }
+  }
+}
+
+/** Returns the request once its head and body are complete. */
+function parseRequest(received: string): RawRequest | undefined {
+  const end = received.indexOf('\r\n\r\n');
+  if (end === -1) return undefined;
+  const [first = '', ...lines] = received.slice(0, end).split('\r\n');
+  const headers = Object.fromEntries(
+    lines.map((line) => {
+      const colon = line.indexOf(':');
+      return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
+    }),
+  );
+  const bodyLength = Number(headers['content-length'] ?? 0);
+  if (received.length < end + 4 + bodyLength) return undefined;
+  const [method = '', target = ''] = first.split(' ');
+  return { method, target, headers };
+}
+
+/** Returns the head of an answer with the labels that prove which endpoint and attempt it is of. */
+export function getRawHead({ headers }: RawRequest, ...more: string[]): string {
+  const lines = ['HTTP/1.1 200 OK', `attempt-id: ${headers['attempt-id'] ?? ''}`];
+  return [...lines, 'response-seal: s', ...more, '', ''].join('\r\n');
+}
+
+/** Returns `text` as one chunk of a chunked body. */
+export function getRawChunk(text: string): string {
+  return `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
+}
