Recognize all line ends of event streams

What callers saw: events whose lines end with a single carriage return were withheld until the stream ended, and then passed on without their ids, so that such a stream was never resumed. An event with an empty id was dropped once an event with a number had been passed on. Cause: the splitter knew LF and CRLF only; the format allows CR as well, and the last of several id lines counts. Change: the splitter reads lines that end with LF, CRLF or CR, and each byte once.

--- a/src/gatewayHost/eventSplitter.ts
+++ b/src/gatewayHost/eventSplitter.ts
@@ -1,6 +1,9 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_LINE = /(?:^|\n)id: ?([^\r\n]*)/;
+/** Lines that set the id of an event; a byte order mark may precede the first line of a stream. */
+const ID_LINES = /(?:^\uFEFF?|[\r\n])id: ?([^\r\n]*)/g;
+/** Empty lines and complete comment lines. */
+const ONLY_COMMENTS = /^\uFEFF?(?::[^\r\n]*[\r\n]|[\r\n])*$/;
 
 /** An unmodified event of a stream, including the empty line that ends it. */
 export interface StreamEvent {
@@ -9,9 +12,15 @@
   id: string | undefined;
 }
 
-/** Splits the bytes of an event stream into events. */
+/**
+ * Splits the bytes of an event stream into events. Lines end with CRLF, LF or CR. A line feed that
+ * arrives after the carriage return that ends an event belongs to the next event.
+ */
 export class EventSplitter {
   private rest: Buffer = Buffer.alloc(0);
+  /** Start of the last line in `rest`, and the index up to which it was searched for line ends. */
+  private lineStart = 0;
+  private searchedTo = 0;
 
   private constructor() {}
 
@@ -24,19 +33,24 @@
     return this.rest.length;
   }
 
+  /** Whether a part of an event, or of a line, follows the last complete event. */
+  get isWithinEvent(): boolean {
+    return !ONLY_COMMENTS.test(this.rest.toString('utf8'));
+  }
+
   /** Returns the events that `chunk` completes. */
   push(chunk: Buffer): StreamEvent[] {
-    let bytes = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    this.rest = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
     const events: StreamEvent[] = [];
     for (;;) {
-      const end = findEnd(bytes);
-      if (end === -1) break;
-      const event = bytes.subarray(0, end);
-      events.push({ bytes: event, id: ID_LINE.exec(event.toString('utf8'))?.[1] });
-      bytes = bytes.subarray(end);
+      const end = this.findEnd();
+      if (end === undefined) return events;
+      const bytes = this.rest.subarray(0, end);
+      events.push({ bytes, id: getId(bytes.toString('utf8')) });
+      this.rest = this.rest.subarray(end);
+      this.lineStart = 0;
+      this.searchedTo = 0;
     }
-    this.rest = bytes;
-    return events;
   }
 
   /** Returns and removes the bytes after the last complete event. */
@@ -45,17 +59,30 @@
     this.rest = Buffer.alloc(0);
     return rest;
   }
-}
 
-/** Returns the index after the first empty line, or -1 if there is none. */
-function findEnd(bytes: Buffer): number {
-  let from = 0;
-  for (;;) {
-    const index = bytes.indexOf(LINE_FEED, from);
-    if (index === -1) return -1;
-    const next = bytes[index + 1];
-    if (next === LINE_FEED) return index + 2;
-    if (next === CARRIAGE_RETURN && bytes[index + 2] === LINE_FEED) return index + 3;
-    from = index + 1;
+  /** Returns the index after the first empty line that follows another line. */
+  private findEnd(): number | undefined {
+    const { rest } = this;
+    for (let index = this.searchedTo; index < rest.length; index++) {
+      const byte = rest[index];
+      if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) continue;
+      const isCrLf = byte === CARRIAGE_RETURN && rest[index + 1] === LINE_FEED;
+      const lineEnd = index + (isCrLf ? 2 : 1);
+      const isEmptyLine = index === this.lineStart;
+      if (isEmptyLine && index > 0) return lineEnd;
+      this.searchedTo = index;
+      // A line feed may follow.
+      if (byte === CARRIAGE_RETURN && lineEnd === rest.length) return undefined;
+      this.lineStart = lineEnd;
+      index = lineEnd - 1;
+    }
+    this.searchedTo = rest.length;
+    return undefined;
   }
 }
+
+/** Returns the id that the last id line of an event sets; undefined if it is empty. */
+function getId(event: string): string | undefined {
+  const [, id = ''] = [...event.matchAll(ID_LINES)].at(-1) ?? [];
+  return id === '' ? undefined : id;
+}
