Break a stream that ends within an event in place of completing it

Cause: at the end of a response without a length, the bytes after the last event were passed on as if they were one, and the stream was completed. Ruled out: unrecognized resets; the endpoints closed gracefully in the cases that failed. Change: only whole events, and comments, are passed on; a stream that ends within an event or a line is a broken attempt, which is resumed where the route allows it and otherwise aborted for the caller.

--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -130,6 +130,10 @@
       return;
     }
     if (this.mode === 'streaming') {
+      if (this.splitter.isWithinEvent) {
+        this.abort(controller, 'the stream ended within an event');
+        return;
+      }
       const rest = this.splitter.takeRemainder();
       const bodyEnd = this.getBodyEnd(rest.length);
       if (rest.length > 0) this.passEvent(controller, { bytes: rest, id: undefined });
