Take responses without a body for complete

What callers saw: 502 for each response that has no body by its status (204, 304) or method (HEAD) and names no length, since e.g. a booking answered with 204. Cause: the check for resets applied to every response without a length; a response without a body ends with its headers, and its connection does not end. Change: such a response counts as framed by its headers. Measured: three new cases of tests/gatewayHost/truncatedResponses.test.ts failed before and pass.

--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -97,7 +97,7 @@
       return;
     }
     this.status = status;
-    this.framing = getFraming(headers);
+    this.framing = hasBody(exchange.method, status) ? getFraming(headers) : 'length';
     this.headers = labels.getResponseHeaders(raw);
     this.mode = spec.isStream && status === 200 ? 'streaming' : 'buffering';
     if (this.mode === 'buffering' && exchange.hasResponseStarted) {
@@ -234,6 +234,11 @@
   return Number.isFinite(number) && Number.isFinite(before) ? number <= before : id === last;
 }
 
+/** Whether a response to `method` has a body; otherwise it ends with its headers. */
+function hasBody(method: string, status: number): boolean {
+  return method !== 'HEAD' && status !== 204 && status !== 304;
+}
+
 function getFraming(headers: IncomingHttpHeaders): BodyFraming {
   if ('content-length' in headers) return 'length';
   return 'transfer-encoding' in headers ? 'chunked' : 'connectionClose';
--- a/tests/gatewayHost/truncatedResponses.test.ts
+++ b/tests/gatewayHost/truncatedResponses.test.ts
@@ -228,6 +228,16 @@
     ({ deployment, endpoints } = await startDeployment('desk'));
   });
 
+  it.each<[string, string, string, number]>([
+    ['204', 'POST', 'HTTP/1.1 204 No Content', 204],
+    ['304', 'GET', 'HTTP/1.1 304 Not Modified', 304],
+    ['HEAD', 'HEAD', 'HTTP/1.1 200 OK', 200],
+  ])('without a body arrives: %s', async (_name, method, statusLine, status) => {
+    planFirst(endpoints, (request) => [getRawHead(request).replace('HTTP/1.1 200 OK', statusLine)]);
+    const received = await deployment.send({ path: '/booking/1', method });
+    expect(received).toMatchObject({ status, body: '', error: undefined });
+  });
+
   it.each<[string, RawAnswer, string, number, number]>([
     ['without a length arrives', sendUnframed('booked', PAUSE_MS, FIN), '/booking/1', 200, 1],
     ['without a length arrives at once', sendAtOnce('booked', FIN), '/booking/1', 200, 1],
