Confirm that a server runs on after a response that ends with its connection

What callers saw: a response without a length from an endpoint that exited was framed as complete: a stream between two events, or a short plain body. Clients of the entry host and of the platform took such a body for whole, and one that was cut by a reset as well, so that a row, an object, a draft or the result of an action could be kept though it was truncated. Cause: the end of a connection is the only end that such a body has, and a process that exits ends its connections in the same way. Resets were told apart in the gateway's handler alone. Change: one interceptor serves the gateway and all other clients. A body without a length fails if its connection was reset, or if its server does not accept a connection right after it and hold it for 10 ms.

--- a/src/gatewayHost/connector.ts
+++ b/src/clients/connector.ts
@@ -1,6 +1,5 @@
 import type { Socket } from 'node:net';
 import { buildConnector } from 'undici';
-import { ENDPOINT_CONNECT_TIMEOUT_MS } from './constants.ts';
 
 /** Records which connection the peer ended in the current iteration of the event loop. */
 export class SocketEndTracker {
@@ -37,12 +36,16 @@
   }
 }
 
-/** Returns a connector that registers its connections with `tracker`. */
+/**
+ * Returns a connector that registers its connections with `tracker`; opening one takes at most
+ * `timeoutMs`.
+ */
 export function newTrackedConnector(
+  timeoutMs: number,
   localAddress: string | undefined,
   tracker: SocketEndTracker,
 ): buildConnector.connector {
-  const connect = buildConnector({ timeout: ENDPOINT_CONNECT_TIMEOUT_MS, localAddress });
+  const connect = buildConnector({ timeout: timeoutMs, localAddress });
   return (options, callback) => {
     connect(options, (...args) => {
       // There is no socket if the connection failed.
--- a/src/clients/constants.ts
+++ b/src/clients/constants.ts
@@ -25,3 +25,12 @@
 export const MAX_EVENT_BYTES = 1024 * 1024;
 /** Maximum size of a response that is read as a whole. */
 export const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
+
+/**
+ * Check of a server after a response that ended with its connection: limit for opening a connection,
+ * time that it must stay open, and number of tries. A server that exits may still accept a connection
+ * which it then closes.
+ */
+export const RUN_CHECK_TIMEOUT_MS = 200;
+export const RUN_CHECK_HOLD_MS = 10;
+export const RUN_CHECK_TRIES = 2;
--- a/src/clients/httpClient.ts
+++ b/src/clients/httpClient.ts
@@ -1,5 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { Agent, Client, type Dispatcher } from 'undici';
+import { confirmCloseDelimited } from './closeDelimited.ts';
+import { SocketEndTracker, newTrackedConnector } from './connector.ts';
 import {
   CONNECT_TIMEOUT_MS,
   MAX_CONNECTIONS_PER_ADDRESS,
@@ -50,7 +52,6 @@
   pipelining: 1,
   keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
   keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MS,
-  connect: { timeout: CONNECT_TIMEOUT_MS },
   // Each call has its own timeout.
   headersTimeout: 0,
   bodyTimeout: 0,
@@ -61,6 +62,12 @@
   return address.includes('://') ? new URL(address).origin : `http://${address}`;
 }
 
+/** Returns the `HOST:PORT` of an origin. */
+function getAddress(origin: string): string {
+  const { protocol, hostname, port } = new URL(origin);
+  return `${hostname}:${port || (protocol === 'https:' ? 443 : 80)}`;
+}
+
 /** Reads a whole body; rejects and closes the connection when it is larger than the limit. */
 async function readLimitedBody(body: OpenResponse['body']): Promise<Buffer> {
   const chunks: Buffer[] = [];
@@ -117,12 +124,13 @@
 /** Makes HTTP calls over pooled connections. Never retries a call and never throws. */
 export class HttpClient {
   private readonly pools = new Map<string, ConnectionPool>();
+  private readonly endTracker = SocketEndTracker.create();
 
-  private constructor(private readonly options: typeof OPTIONS & { localAddress?: string }) {}
+  private constructor(private readonly localAddress: string | undefined) {}
 
   /** `localAddress` is the local IP address of the connections. */
   static create({ localAddress }: { localAddress?: string } = {}): HttpClient {
-    return new HttpClient({ ...OPTIONS, localAddress });
+    return new HttpClient(localAddress);
   }
 
   /** Makes a call and reads the whole response. */
@@ -150,8 +158,10 @@
   /** Makes a call and returns once the response headers have arrived. */
   async open(call: HttpCall): Promise<OpenResponse | HttpFailure> {
     const origin = getOrigin(call.address);
-    const client = call.hasOwnConnection === true ? new Client(origin, this.options) : undefined;
-    const dispatcher = client?.compose(markSent) ?? this.getPool(origin).dispatcher;
+    const client =
+      call.hasOwnConnection === true ? new Client(origin, this.getOptions()) : undefined;
+    const dispatcher =
+      client === undefined ? this.getPool(origin).dispatcher : this.compose(client, origin);
     const close = () => {
       client?.destroy().catch(() => undefined);
     };
@@ -202,11 +212,29 @@
     await Promise.all(pools.map(({ agent }) => agent.destroy()));
   }
 
+  private getOptions() {
+    const { localAddress, endTracker } = this;
+    return {
+      ...OPTIONS,
+      connect: newTrackedConnector(CONNECT_TIMEOUT_MS, localAddress, endTracker),
+    };
+  }
+
+  private compose(dispatcher: Dispatcher, origin: string): Dispatcher {
+    const { localAddress, endTracker } = this;
+    const address = getAddress(origin);
+    return dispatcher.compose(
+      markSent,
+      confirmCloseDelimited({ address, localAddress, endTracker }),
+    );
+  }
+
   private getPool(origin: string): ConnectionPool {
     let pool = this.pools.get(origin);
     if (pool === undefined) {
-      const agent = new Agent({ ...this.options, connections: MAX_CONNECTIONS_PER_ADDRESS });
-      pool = { agent, dispatcher: agent.compose(markSent) };
+      const connections = MAX_CONNECTIONS_PER_ADDRESS;
+      const agent = new Agent({ ...this.getOptions(), connections });
+      pool = { agent, dispatcher: this.compose(agent, origin) };
       this.pools.set(origin, pool);
     }
     return pool;
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -119,12 +119,10 @@
   stallMs: number;
 }
 
-/** How the end of a response body is marked. */
-export type BodyFraming = 'length' | 'chunked' | 'connectionClose';
-
 /** What is known of the body of a response when it ends; for logs. */
 export interface BodyEnd {
-  framing: BodyFraming;
+  /** How the end of the body is marked. */
+  framing: 'none' | 'length' | 'chunked' | 'connectionClose';
   /** Bytes after the last complete event of a stream; undefined for other responses. */
   bytesAfterLastEvent: number | undefined;
 }
--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -1,7 +1,12 @@
-import { Pool } from 'undici';
+import { type Dispatcher, Pool } from 'undici';
+import { confirmCloseDelimited } from '../clients/closeDelimited.ts';
+import { SocketEndTracker, newTrackedConnector } from '../clients/connector.ts';
 import type { AttemptSpec, ForwardOutcome } from '../forwards/types.ts';
-import { SocketEndTracker, newTrackedConnector } from './connector.ts';
-import { ENDPOINT_KEEP_ALIVE_MS, KEEP_ALIVE_MARGIN_MS } from './constants.ts';
+import {
+  ENDPOINT_CONNECT_TIMEOUT_MS,
+  ENDPOINT_KEEP_ALIVE_MS,
+  KEEP_ALIVE_MARGIN_MS,
+} from './constants.ts';
 import type { ForwardExchange } from './forwardExchange.ts';
 import { ForwardResponseHandler } from './forwardResponseHandler.ts';
 import type { LabelPort } from './platform.ts';
@@ -21,9 +26,15 @@
   onEnded: (outcome: ForwardOutcome) => void;
 }
 
+/** Pooled connections to one endpoint, and the dispatcher that confirms their responses. */
+interface EndpointPool {
+  pool: Pool;
+  dispatcher: Dispatcher;
+}
+
 /** Sends requests to endpoints over pooled connections. */
 export class EndpointClient {
-  private readonly pools = new Map<string, Pool>();
+  private readonly pools = new Map<string, EndpointPool>();
   private readonly endTracker = SocketEndTracker.create();
 
   private constructor(
@@ -63,12 +74,11 @@
       exchange,
       labels: this.labels,
       listener,
-      endTracker: this.endTracker,
       onUnresponsive: () => this.retirePool(endpoint, pool),
     });
     const hasBody = exchange.body.length > 0;
     try {
-      pool.dispatch(
+      pool.dispatcher.dispatch(
         {
           path: exchange.target,
           method: exchange.method,
@@ -94,28 +104,31 @@
   async close(): Promise<void> {
     const pools = [...this.pools.values()];
     this.pools.clear();
-    await Promise.all(pools.map((pool) => pool.destroy()));
+    await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
 
   /** Stops reusing the connections of `pool`; requests in flight on them continue. */
-  private retirePool(endpoint: string, pool: Pool): void {
-    if (this.pools.get(endpoint) !== pool) return;
+  private retirePool(endpoint: string, retired: EndpointPool): void {
+    if (this.pools.get(endpoint) !== retired) return;
     this.pools.delete(endpoint);
-    pool.close().catch(() => undefined);
+    retired.pool.close().catch(() => undefined);
   }
 
-  private getPool(endpoint: string, address: string): Pool {
+  private getPool(endpoint: string, address: string): EndpointPool {
     const known = this.pools.get(endpoint);
     if (known !== undefined) return known;
+    const { localAddress, endTracker } = this;
     const pool = new Pool(`http://${address}`, {
       connections: this.maxConnections(endpoint),
       pipelining: 1,
       keepAliveTimeout: ENDPOINT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: ENDPOINT_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      connect: newTrackedConnector(this.localAddress, this.endTracker),
+      connect: newTrackedConnector(ENDPOINT_CONNECT_TIMEOUT_MS, localAddress, endTracker),
     });
-    this.pools.set(endpoint, pool);
-    return pool;
+    const confirm = confirmCloseDelimited({ address, localAddress, endTracker });
+    const created = { pool, dispatcher: pool.compose(confirm) };
+    this.pools.set(endpoint, created);
+    return created;
   }
 }
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
-import type { AttemptSpec, BodyEnd, BodyFraming, ForwardOutcome } from '../forwards/types.ts';
+import { type BodyFraming, getBodyFraming } from '../clients/closeDelimited.ts';
+import type { AttemptSpec, BodyEnd, ForwardOutcome } from '../forwards/types.ts';
 import {
   DISCARD_TIMEOUT_MS,
   MAX_BUFFERED_RESPONSE_BYTES,
@@ -9,7 +10,6 @@
   MAX_EVENT_BYTES,
   UNRESPONSIVE_AFTER_MS,
 } from './constants.ts';
-import type { SocketEndTracker } from './connector.ts';
 import { EventSplitter, type StreamEvent } from './eventSplitter.ts';
 import type { ForwardExchange } from './forwardExchange.ts';
 import type { LabelPort } from './platform.ts';
@@ -22,7 +22,6 @@
   exchange: ForwardExchange;
   labels: LabelPort;
   listener: ForwardAttemptListener;
-  endTracker: SocketEndTracker;
   /** Called when a cancelled attempt got no response for so long that connections may be dead. */
   onUnresponsive: () => void;
 }
@@ -97,7 +96,7 @@
       return;
     }
     this.status = status;
-    this.framing = hasBody(exchange.method, status) ? getFraming(headers) : 'length';
+    this.framing = getBodyFraming(exchange.method, status, headers);
     this.headers = labels.getResponseHeaders(raw);
     this.mode = spec.isStream && status === 200 ? 'streaming' : 'buffering';
     if (this.mode === 'buffering' && exchange.hasResponseStarted) {
@@ -124,11 +123,7 @@
   onResponseEnd(controller: Controller): void {
     clearTimeout(this.discardTimer);
     if (this.isEnded) return;
-    const { exchange, endTracker } = this.options;
-    if (this.framing === 'connectionClose' && !endTracker.isGracefulClose()) {
-      this.abort(controller, 'the connection was reset during a response without a length');
-      return;
-    }
+    const { exchange } = this.options;
     if (this.mode === 'streaming') {
       if (this.splitter.isWithinEvent) {
         this.abort(controller, 'the stream ended within an event');
@@ -234,16 +229,6 @@
   return Number.isFinite(number) && Number.isFinite(before) ? number <= before : id === last;
 }
 
-/** Whether a response to `method` has a body; otherwise it ends with its headers. */
-function hasBody(method: string, status: number): boolean {
-  return method !== 'HEAD' && status !== 204 && status !== 304;
-}
-
-function getFraming(headers: IncomingHttpHeaders): BodyFraming {
-  if ('content-length' in headers) return 'length';
-  return 'transfer-encoding' in headers ? 'chunked' : 'connectionClose';
-}
-
 function getRawHeaders(controller: Controller): string[] {
   const raw = (controller as { rawHeaders?: unknown }).rawHeaders;
   return Array.isArray(raw) ? raw.map(String) : [];
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -1,3 +1,4 @@
+import { isConnectionRefused } from '../clients/connectionCheck.ts';
 import type { Effect } from '../core/effects.ts';
 import {
   DIRECTORY_TIMEOUT_MS,
@@ -5,7 +6,6 @@
   ADAPTER_ORDER_TIMEOUT_MS,
   ADAPTER_REPORT_TIMEOUT_MS,
 } from './constants.ts';
-import { isConnectionRefused } from './connectionCheck.ts';
 import type { GatewayHost } from './gatewayHost.ts';
 
 type Runners = {
