Send what was passed on before a stream is aborted

What callers saw: whole events that arrived together with the break of their stream were lost; the caller's connection was closed before they were written. Cause: the response was destroyed in the same turn of the event loop in which its events were written. Change: the connection is closed after what was written is sent, still without the last chunk. A caller that does not read is cut off at once, as before.

--- a/src/gatewayHost/forwardExchange.ts
+++ b/src/gatewayHost/forwardExchange.ts
@@ -81,13 +81,21 @@
    */
   fail(failure: Failure): void {
     if (this.hasResponseStarted) {
-      this.response.destroy();
+      this.abortResponse();
       return;
     }
     if (this.isShuttingDown()) this.response.setHeader('connection', 'close');
     sendFailure(this.response, failure);
   }
 
+  /** Closes the connection without the end of the response; what was written before is sent. */
+  private abortResponse(): void {
+    const { socket, writableNeedDrain } = this.response;
+    // A caller that does not read would keep the connection open.
+    if (socket === null || writableNeedDrain) this.response.destroy();
+    else socket.destroySoon();
+  }
+
   private addConnectionHeader(headers: string[]): string[] {
     return this.isShuttingDown() ? [...headers, 'connection', 'close'] : headers;
   }
