Log software versions of endpoints and the streams that callers resume

Cause: no log line names the software version of an endpoint or says that a request resumes a stream, so the hypotheses on mixed versions can't be told apart. Change: the adapter decodes the version in an endpoint's entry and the Resumes header of a request; 'attempt ended' has softwareVersion, 'request ended' softwareVersion and resumedAttempt. Requests are placed as before.

--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -25,6 +25,8 @@
   startedAt: z.number(),
   /** Grows with each registration since the start. */
   sequence: z.number(),
+  /** Version of the endpoint's software; empty if it names none, absent if it is unknown. */
+  softwareVersion: z.string().max(200).optional(),
   /** Base models loaded on the engine. */
   models: z.array(z.string()),
   adapters: z.array(LoadedAdapter),
--- a/src/forwards/constants.ts
+++ b/src/forwards/constants.ts
@@ -67,3 +67,5 @@
 export const RUNNING_REQUEST_COST_MS = 4;
 /** Cost of an engine whose load is unknown. */
 export const UNKNOWN_LOAD_COST_MS = 300;
+/** Length to which ids that callers choose are cut in log lines. */
+export const MAX_LOGGED_ID_LENGTH = 64;
--- a/src/forwards/forwardAdmission.ts
+++ b/src/forwards/forwardAdmission.ts
@@ -101,6 +101,7 @@
     hasFailedResponse: false,
     backoffs: 0,
     lastEventId: undefined,
+    lastSoftwareVersion: undefined,
     bodyEnd: undefined,
     lastReason: '',
     sentAt: undefined,
--- a/src/forwards/forwardEnd.ts
+++ b/src/forwards/forwardEnd.ts
@@ -4,7 +4,7 @@
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
 import { getErrorResponse } from '../errors/kinds.ts';
-import { RETRY_AFTER_MS, RETRY_AFTER_JITTER_MS } from './constants.ts';
+import { MAX_LOGGED_ID_LENGTH, RETRY_AFTER_MS, RETRY_AFTER_JITTER_MS } from './constants.ts';
 import { recordCancelledForwardAttempt } from './crashEvidence.ts';
 import type { Forward, ForwardAttempt, ForwardOutcome, NewForward } from './types.ts';
 
@@ -75,7 +75,7 @@
 /** Returns the log line of an attempt that ended without a response. */
 export function newAttemptLog(
   { labels, fingerprint, caller, bodyEnd }: Forward,
-  { endpoint, owner, startedAt }: ForwardAttempt,
+  { endpoint, owner, startedAt, softwareVersion }: ForwardAttempt,
   outcome: ForwardOutcome['type'],
   reason: string | undefined,
   now: number,
@@ -87,6 +87,7 @@
     model: labels.model,
     promptParts: labels.promptParts,
     endpoint,
+    softwareVersion,
     owner,
     outcome,
     reason,
@@ -123,6 +124,8 @@
       sentMs: forward.sentAt === undefined ? undefined : Math.round(forward.sentAt - arrivedAt),
       stallMs,
       longestPauseMs: forward.longestPauseMs,
+      resumedAttempt: labels.resumedAttempt?.slice(0, MAX_LOGGED_ID_LENGTH),
+      softwareVersion: forward.lastSoftwareVersion,
       lastEventId: forward.lastEventId,
       ...forward.bodyEnd,
       sends,
--- a/src/forwards/sending.ts
+++ b/src/forwards/sending.ts
@@ -48,10 +48,19 @@
   forward.phase = 'running';
   forward.pendingReservation = undefined;
   view.inFlight += 1;
-  const { id: endpoint, address, startedAt: endpointStartedAt } = view.endpoint;
+  const { id: endpoint, address, startedAt: endpointStartedAt, softwareVersion } = view.endpoint;
   const attempt = `${forward.id}.${forward.sends}`;
   const sent = getSentAttributes(state, forward.attributes);
-  forward.attempt = { id: attempt, endpoint, endpointStartedAt, owner, startedAt: now, sent };
+  forward.lastSoftwareVersion = softwareVersion;
+  forward.attempt = {
+    id: attempt,
+    endpoint,
+    endpointStartedAt,
+    softwareVersion,
+    owner,
+    startedAt: now,
+    sent,
+  };
   const { route, labels } = forward;
   return [
     ...retryObservations,
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -19,6 +19,11 @@
   outputTokens: number;
   /** Ids of the prompt parts that requests share, in order; empty when the request names none. */
   promptParts: readonly string[];
+  /**
+   * Attempt that the caller names as the one that brought the first event of the stream that the request
+   * resumes; as the caller sent it. Absent if the request resumes no stream.
+   */
+  resumedAttempt?: string;
   /** Time that the caller waits, in ms; Infinity when the caller gives no limit. */
   waitMs: number;
 }
@@ -53,6 +58,8 @@
   /** Host that granted the reservation; undefined when the attempt was sent unreserved. */
   owner: string | undefined;
   startedAt: number;
+  /** Software version of the endpoint as it was known when the attempt was sent. */
+  softwareVersion: string | undefined;
   /** Attributes of the request, as they were known when the attempt was sent. */
   sent: readonly SentAttribute[];
 }
@@ -106,6 +113,8 @@
   backoffs: number;
   /** Id of the last stream event that was passed on. */
   lastEventId: string | undefined;
+  /** Software version of the endpoint of the last attempt, for logs. */
+  lastSoftwareVersion: string | undefined;
   /** End of the last response, for logs. */
   bodyEnd: BodyEnd | undefined;
   /** Why the last endpoint or owner did not serve the request. */
--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -8,6 +8,7 @@
   service: 's',
   address: '10.0.0.1:80',
   zone: 'z1',
+  version: 'v1.2',
   slots: 4,
   state: 'ready',
   coldLeftMs: 0,
@@ -29,6 +30,7 @@
       remainingMs: undefined,
       startedAt: 17,
       sequence: 3,
+      softwareVersion: 'v1.2',
       models: ['m'],
       adapters: [
         { adapter: 'm/a1', version: 2 },
@@ -47,6 +49,7 @@
     ['undefined', undefined],
     ['a missing field', { ...ENTRY, service: undefined }],
     ['a field of another type', { ...ENTRY, slots: '4' }],
+    ['a software version of another type', { ...ENTRY, version: 1 }],
     ['an unknown state', { ...ENTRY, state: 'resting' }],
     ['an invalid address', { ...ENTRY, address: 'somewhere' }],
   ])('rejects %s', (_name, value) => {
@@ -137,6 +140,10 @@
     ],
     ['a prompt of one part', ['Prompt-Prefix', '5c1e07a2:800'], { promptParts: [] }],
     ['malformed prompt parts', ['Prompt-Prefix', '5c1e07a2:800,,:1'], { promptParts: [] }],
+    ['a new request', ['Last-Event-Id', '3'], { resumedAttempt: undefined }],
+    ['a resumed stream', ['Resumes', 'a1'], { resumedAttempt: 'a1' }],
+    ['a resumed stream without a name', ['Resumes', ''], { resumedAttempt: '' }],
+    ['a stream resumed twice', ['Resumes', 'a1', 'resumes', 'a2'], { resumedAttempt: 'a1, a2' }],
     [
       'invalid numbers',
       ['Token-Count', 'x,-1', 'Deadline-Ms', 'soon'],
