--- /dev/null
+++ b/tests/gatewayHost/softwareVersions.test.ts
@@ -0,0 +1,258 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import {
+  EXIT,
+  FIN,
+  RESET,
+  getRawChunk,
+  getRawHead,
+  type RawAnswer,
+  RawEndpoint,
+  type RawStep,
+} from '../helpers/rawEndpoint.ts';
+import { startStandIn, waitUntil } from '../support.ts';
+import { GatewayDeployment, MODEL } from './deployment.ts';
+
+const LAST_EVENT = 4;
+/** Streams of a case, as endpoints of two versions may serve a stream by chance. */
+const STREAMS = 4;
+
+function newEvents(from: number, to: number): string {
+  const ids = Array.from({ length: to - from + 1 }, (_, index) => from + index);
+  return ids.map((id) => `id: ${id}\ndata: token ${id}\n\n`).join('');
+}
+
+const WHOLE = newEvents(1, LAST_EVENT);
+
+/** Sends the events after the one that the request names. */
+const sendRest: RawAnswer = (request) => {
+  const next = Number(request.headers['last-event-id'] ?? 0) + 1;
+  const head = getRawHead(request, 'transfer-encoding: chunked');
+  return [head, getRawChunk(newEvents(next, LAST_EVENT)), '0\r\n\r\n'];
+};
+
+/** Sends two events and then `steps`. */
+function sendHalf(...steps: RawStep[]): RawAnswer {
+  return (request) => [
+    getRawHead(request, 'transfer-encoding: chunked'),
+    getRawChunk(newEvents(1, 2)),
+    ...steps,
+  ];
+}
+
+/** Lets a test continue an answer of an endpoint. */
+class Gate {
+  open: () => void = () => undefined;
+  readonly opened = new Promise<void>((resolve) => (this.open = resolve));
+}
+
+/** Endpoints by the software version that they run. */
+class Endpoints {
+  readonly byVersion = new Map<string, RawEndpoint[]>();
+  private count = 0;
+
+  private constructor(private readonly deployment: GatewayDeployment) {}
+
+  static create(deployment: GatewayDeployment): Endpoints {
+    return new Endpoints(deployment);
+  }
+
+  /** Starts an endpoint of a version and waits until all hosts know it. */
+  async add(version: string): Promise<RawEndpoint> {
+    const endpoint = RawEndpoint.create(sendRest);
+    const id = `e${this.count}`;
+    this.count += 1;
+    // Hosts prefer their own zone, so they choose v1 only where they have to.
+    const zone = version === 'v1' ? 'z2' : 'z1';
+    this.deployment.register('llm', id, await startStandIn(endpoint), { version, zone });
+    const known = this.byVersion.get(version) ?? [];
+    this.byVersion.set(version, [...known, endpoint]);
+    await waitUntil(() => getRunningHosts().every(({ state }) => state.fleet.views.has(id)));
+    return endpoint;
+  }
+
+  countRequests(version: string): number {
+    const endpoints = this.byVersion.get(version) ?? [];
+    return endpoints.reduce((sum, { requests }) => sum + requests.length, 0);
+  }
+}
+
+function getRunningHosts() {
+  return deployment.hosts.filter(({ state }) => state.phase === 'running');
+}
+
+let deployment: GatewayDeployment;
+let endpoints: Endpoints;
+
+async function start(hosts: number): Promise<void> {
+  deployment = await GatewayDeployment.create();
+  deployment.configure(1);
+  endpoints = Endpoints.create(deployment);
+  for (let index = 0; index < hosts; index++) await deployment.addHost();
+  await endpoints.add('v1');
+  await deployment.waitReady(1);
+}
+
+function sendStream(
+  headers: Record<string, string>,
+  host: number,
+  { path = '/notes/1', signal }: { path?: string; signal?: AbortSignal } = {},
+) {
+  return deployment.send(
+    {
+      path,
+      body: '{}',
+      signal,
+      headers: { model: MODEL, 'token-count': '100,10', 'prompt-prefix': 'ab:100', ...headers },
+    },
+    host,
+  );
+}
+
+/** Begins a stream at v1, whose caller closes its connection after the first events. */
+async function beginStream(attempt: string, host: number): Promise<void> {
+  endpoints.byVersion.get('v1')?.[0]?.plannedAnswers.push(sendHalf(new Gate().opened));
+  const abort = new AbortController();
+  const received = sendStream({ 'attempt-id': attempt }, host, { signal: abort.signal });
+  const getForwards = () => [...(deployment.hosts[host]?.state.forwards.inFlight.values() ?? [])];
+  await waitUntil(() => getForwards().some(({ hasResponseStarted }) => hasResponseStarted));
+  abort.abort();
+  await received;
+  await waitUntil(() => getForwards().length === 0);
+}
+
+// Guards against streams that hold events of two software versions.
+describe('a host resumes a broken stream', () => {
+  beforeEach(() => start(1));
+
+  it.each<[string, RawStep[]]>([
+    ['whose connection was reset', [RESET]],
+    ['that ended within an event', ['5\r\nid: 3\r\n', FIN]],
+    ['whose endpoint exited', [EXIT]],
+  ])('at an endpoint of its version: %s', async (_name, ends) => {
+    const [endpoint] = endpoints.byVersion.get('v1') ?? [];
+    const gate = new Gate();
+    endpoint?.plannedAnswers.push(sendHalf(gate.opened, ...ends));
+    const received = sendStream({ 'attempt-id': 'a1' }, 0);
+    await waitUntil(() => endpoints.countRequests('v1') === 1);
+    for (const version of ['v2', 'v2', 'v1']) await endpoints.add(version);
+    gate.open();
+    expect(await received).toMatchObject({ status: 200, error: undefined, body: WHOLE });
+    expect(endpoints.countRequests('v1')).toBe(2);
+    expect(endpoints.countRequests('v2')).toBe(0);
+  });
+
+  it('at no endpoint if none of its version is left', async () => {
+    const [endpoint] = endpoints.byVersion.get('v1') ?? [];
+    const gate = new Gate();
+    endpoint?.plannedAnswers.push(sendHalf(gate.opened, EXIT));
+    const received = sendStream({ 'attempt-id': 'a1' }, 0);
+    await waitUntil(() => endpoints.countRequests('v1') === 1);
+    await endpoints.add('v2');
+    gate.open();
+    expect((await received).error).toBeDefined();
+    expect(endpoints.countRequests('v2')).toBe(0);
+  });
+
+  it('at any version as long as no event was passed on', async () => {
+    const [endpoint] = endpoints.byVersion.get('v1') ?? [];
+    const gate = new Gate();
+    endpoint?.plannedAnswers.push(() => [gate.opened, EXIT]);
+    const received = sendStream({ 'attempt-id': 'a1' }, 0);
+    await waitUntil(() => endpoints.countRequests('v1') === 1);
+    await endpoints.add('v2');
+    gate.open();
+    expect(await received).toMatchObject({ status: 200, error: undefined, body: WHOLE });
+    expect(endpoints.countRequests('v2')).toBe(1);
+  });
+});
+
+describe('a caller resumes a stream at another host', () => {
+  beforeEach(() => start(3));
+
+  it('at an endpoint of its version, each time', async () => {
+    for (let stream = 0; stream < STREAMS; stream++) await beginStream(`a${stream}`, 0);
+    const begun = endpoints.countRequests('v1');
+    await endpoints.add('v2');
+    await endpoints.add('v2');
+    for (let stream = 0; stream < STREAMS; stream++) {
+      const headers = { 'attempt-id': `b${stream}`, resumes: `a${stream}`, 'last-event-id': '2' };
+      const received = await sendStream(headers, 1);
+      expect(received).toMatchObject({ status: 200, error: undefined, body: newEvents(3, 4) });
+    }
+    expect(endpoints.countRequests('v1')).toBe(begun + STREAMS);
+    expect(endpoints.countRequests('v2')).toBe(0);
+  });
+
+  it('at an endpoint of its version after the host that began it has stopped', async () => {
+    await beginStream('a1', 0);
+    await deployment.hosts[0]?.stop();
+    await endpoints.add('v2');
+    await endpoints.add('v2');
+    const headers = { 'attempt-id': 'b1', resumes: 'a1', 'last-event-id': '2' };
+    const received = await sendStream(headers, 2);
+    expect(received).toMatchObject({ status: 200, error: undefined, body: newEvents(3, 4) });
+    expect(endpoints.countRequests('v2')).toBe(0);
+  });
+
+  it('at an endpoint of its version when it was resumed before', async () => {
+    await beginStream('a1', 0);
+    await endpoints.add('v2');
+    await endpoints.add('v2');
+    for (const [attempt, host] of [
+      ['b1', 1],
+      ['c1', 2],
+      ['d1', 0],
+    ] as const) {
+      const headers = { 'attempt-id': attempt, resumes: 'a1', 'last-event-id': '2' };
+      expect(await sendStream(headers, host)).toMatchObject({ status: 200, body: newEvents(3, 4) });
+    }
+    expect(endpoints.countRequests('v2')).toBe(0);
+  });
+
+  it('and is refused at once if no endpoint of its version is left', async () => {
+    await beginStream('a1', 0);
+    await endpoints.add('v2');
+    deployment.store.remove('servers', 'e0');
+    await waitUntil(() =>
+      deployment.hosts.every(({ state }) => state.fleet.views.get('e0')?.isRemoved === true),
+    );
+    const startedAt = performance.now();
+    const headers = { 'attempt-id': 'b1', resumes: 'a1', 'last-event-id': '2' };
+    const received = await sendStream(headers, 1);
+    expect(received.status).toBe(503);
+    expect(Number(received.headers['retry-after'])).toBeGreaterThan(0);
+    expect(performance.now() - startedAt).toBeLessThan(1_000);
+    expect(endpoints.countRequests('v2')).toBe(0);
+  });
+
+  it.each<[string, Record<string, string>, string, number]>([
+    ['names no attempt', { resumes: '' }, '/notes/1', 400],
+    ['is malformed', { resumes: 'a 1' }, '/notes/1', 400],
+    ['names two attempts', { resumes: 'a1, a2' }, '/notes/1', 400],
+    ['is too long', { resumes: 'a'.repeat(1_000) }, '/notes/1', 400],
+    ['names an unknown stream', { resumes: 'a9' }, '/notes/1', 503],
+    ['names the stream of another request', { resumes: 'a1' }, '/notes/2', 503],
+    ['names a stream of another adapter', { resumes: 'a1', model: 'base/a7' }, '/notes/1', 503],
+    ['is missing beside a last event id', {}, '/notes/1', 503],
+  ])('and is refused at once if Resumes %s', async (_name, headers, path, status) => {
+    await beginStream('a1', 0);
+    const begun = endpoints.countRequests('v1');
+    await endpoints.add('v2');
+    const startedAt = performance.now();
+    const resumed = { 'attempt-id': 'b1', 'last-event-id': '2', ...headers };
+    const received = await sendStream(resumed, 1, { path });
+    expect(received.status).toBe(status);
+    expect(performance.now() - startedAt).toBeLessThan(1_000);
+    expect(endpoints.countRequests('v1') + endpoints.countRequests('v2')).toBe(begun);
+  });
+
+  it('while new streams begin', async () => {
+    await endpoints.add('v2');
+    const streams = Array.from({ length: 40 }, (_, stream) =>
+      sendStream({ 'attempt-id': `n${stream}` }, stream % 3),
+    );
+    for (const received of await Promise.all(streams))
+      expect(received).toMatchObject({ status: 200, error: undefined, body: WHOLE });
+    expect(endpoints.countRequests('v1') + endpoints.countRequests('v2')).toBe(40);
+  });
+});
--- a/tests/helpers/rawEndpoint.ts
+++ b/tests/helpers/rawEndpoint.ts
@@ -9,8 +9,8 @@
   headers: Record<string, string>;
 }
 
-/** One step of an answer: bytes that are sent, a pause in ms, or an end. */
-export type RawStep = string | number | RawEnd;
+/** One step of an answer: bytes that are sent, a pause in ms or until a promise resolves, or an end. */
+export type RawStep = string | number | Promise<void> | RawEnd;
 
 /** Ends the connection gracefully or by a reset, or ends the endpoint with all its connections. */
 export type RawEnd = { type: 'fin' } | { type: 'reset' } | { type: 'exit' };
@@ -88,6 +88,7 @@
     for (const step of answer(request)) {
       if (typeof step === 'number') await sleep(step);
       else if (typeof step === 'string') socket.write(step);
+      else if (step instanceof Promise) await step;
       else this.end(socket, step);
     }
   }
