Resume a stream at endpoints of the software version that began it

What callers saw: a stream whose connection broke went on at whichever endpoint came first, and held events of two software versions. Cause: placement, reservations and their queues did not know the version of an endpoint; a resumed stream was placed like a new one. Change: a request carries the version of the endpoint that sent its first event. Placement considers endpoints of that version only, the owner of an engine refuses a reservation if the engine runs another one, also while it waits in the queue, and a stream of which no endpoint is left is ended at once. Where they are full or failing, the request waits as before. New streams are placed as before. A version that is unknown, as hosts of an earlier version announce endpoints without it, resumes nothing.

--- a/src/fleet/endpointChoice.ts
+++ b/src/fleet/endpointChoice.ts
@@ -6,18 +6,11 @@
   return !isRemoved && !endpoint.isLeaving;
 }
 
-/** Returns the routable endpoints of `service` that are not in `excluded`. */
-export function getRoutableEndpoints(
-  fleet: Fleet,
-  service: string,
-  excluded: ReadonlySet<string>,
-): EndpointView[] {
-  const views: EndpointView[] = [];
-  for (const view of fleet.views.values()) {
-    if (view.endpoint.service !== service || !isRoutable(view)) continue;
-    if (!excluded.has(view.endpoint.id)) views.push(view);
-  }
-  return views;
+/** Returns the routable endpoints of `service`. */
+export function getRoutableEndpoints(fleet: Fleet, service: string): EndpointView[] {
+  return [...fleet.views.values()].filter(
+    (view) => view.endpoint.service === service && isRoutable(view),
+  );
 }
 
 /** Returns the endpoints that are not in backoff, or all of them if every one is in backoff. */
--- a/src/forwards/forwardAdmission.ts
+++ b/src/forwards/forwardAdmission.ts
@@ -99,6 +99,7 @@
     mayHaveRun: false,
     hasResponseStarted: false,
     hasFailedResponse: false,
+    origin: undefined,
     backoffs: 0,
     lastEventId: undefined,
     lastSoftwareVersion: undefined,
--- a/src/forwards/forwardPlacement.ts
+++ b/src/forwards/forwardPlacement.ts
@@ -24,7 +24,9 @@
   UNKNOWN_LOAD_COST_MS,
   WARM_LOAD_COST_MS,
 } from './constants.ts';
+import { abandonForward } from './forwardEnd.ts';
 import { scheduleRetry, sendAttempt } from './sending.ts';
+import { canResumeStream, type StreamOrigin } from './streamOrigin.ts';
 import type { Forward } from './types.ts';
 
 /** An engine that can serve a request; without an `owner`, the request is sent unreserved. */
@@ -36,10 +38,14 @@
 
 /**
  * Chooses an endpoint for a request and sends it there, or requests a reservation from the owner of
- * the engine first. Schedules a retry when no endpoint can serve the request.
+ * the engine first. Schedules a retry when no endpoint can serve the request now; abandons one that
+ * resumes a stream when no endpoint of its software version is left.
  */
 export function placeForward(state: State, forward: Forward, now: number): Effect[] {
-  const views = getRoutableEndpoints(state.fleet, forward.service, forward.excluded);
+  const possible = getPossibleEndpoints(state, forward);
+  if (possible.length === 0 && forward.origin !== undefined)
+    return abandonForward(state, forward, getMissingVersionReason(forward.origin));
+  const views = possible.filter(({ endpoint }) => !forward.excluded.has(endpoint.id));
   if (views.length === 0) {
     // Endpoints that refused the request may accept it after the backoff.
     forward.excluded.clear();
@@ -68,6 +74,17 @@
   return requestReservation(state, forward, view, owner.host, now);
 }
 
+/** Returns the endpoints that can run a request, those that it should avoid included. */
+function getPossibleEndpoints({ fleet }: State, { service, origin }: Forward): EndpointView[] {
+  return getRoutableEndpoints(fleet, service).filter((view) => canResumeStream(origin, view));
+}
+
+function getMissingVersionReason({ softwareVersion }: StreamOrigin): string {
+  return softwareVersion === undefined
+    ? 'the software version that began the stream is unknown'
+    : `no endpoint of software version "${softwareVersion}", which began the stream, is left`;
+}
+
 /** Chooses the engine that is expected to respond first. */
 function chooseEngine(
   state: State,
@@ -176,6 +193,7 @@
       engine: endpoint.id,
       adapter: labels.adapter,
       version: state.residency.versions.get(labels.adapter) ?? 0,
+      softwareVersion: forward.origin?.softwareVersion,
       promptTokens: labels.promptTokens,
       outputTokens: labels.outputTokens,
       remainingMs: forward.deadlineAt - now,
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -16,6 +16,7 @@
 import { handleEndpointCheck, verifyCrash } from './crashEvidence.ts';
 import { endQuarantinedForwards } from './quarantinedForwards.ts';
 import { scheduleRetry, sendAttempt } from './sending.ts';
+import { canResumeStream } from './streamOrigin.ts';
 import type { ForwardEvent, ForwardTimer } from './types.ts';
 
 export const forwardEvents: EventHandlers<ForwardEvent['type']> = {
@@ -34,6 +35,8 @@
     if (forward?.attempt?.id !== attempt) return [];
     forward.hasResponseStarted = true;
     forward.firstByteAt ??= now;
+    if (forward.route.kind === 'stream')
+      forward.origin ??= { softwareVersion: forward.attempt.softwareVersion };
     const labels = { firm: '', kind: forward.route.kind };
     const { owner, endpoint: engine } = forward.attempt;
     const startedMessages =
@@ -69,7 +72,7 @@
     }
     const view = state.fleet.views.get(engine);
     forward.stallMs += stallMs;
-    if (view === undefined || !isRoutable(view)) {
+    if (view === undefined || !isRoutable(view) || !canResumeStream(forward.origin, view)) {
       return [...releaseForwardReservation(state, forward), ...placeForward(state, forward, now)];
     }
     return sendAttempt(state, forward, view, from, version, now);
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -5,6 +5,7 @@
 import type { SentAttribute } from '../suspects/types.ts';
 import { SharedRetryBudget } from './sharedRetryBudget.ts';
 import { PLACEMENT_POPULARITY_HALF_LIFE_MS } from './constants.ts';
+import type { StreamOrigin } from './streamOrigin.ts';
 
 /** Metadata that the caller provides with a request, beside its method, path and body. */
 export interface RequestLabels {
@@ -109,6 +110,8 @@
   hasResponseStarted: boolean;
   /** Whether the error response of an endpoint is kept, to be passed on if no retry succeeds. */
   hasFailedResponse: boolean;
+  /** Where the stream began that the request resumes or whose first event was passed on. */
+  origin: StreamOrigin | undefined;
   /** Backoffs so far. */
   backoffs: number;
   /** Id of the last stream event that was passed on. */
--- a/src/residency/reservations.ts
+++ b/src/residency/reservations.ts
@@ -38,6 +38,8 @@
   if (owned === undefined || view === undefined)
     return refuseReservation(state, message, from, 'notOwner');
   if (!isRoutable(view)) return refuseReservation(state, message, from, 'leaving');
+  if (runsOtherSoftware(state, message))
+    return refuseReservation(state, message, from, 'otherSoftware');
   if (message.adapter !== '')
     state.residency.popularity.recordRequest(message.adapter, 'ordinary', 0, now);
   owned.queue.push({
@@ -63,6 +65,11 @@
   sortReservationQueue(owned, now);
   const left: QueuedReservation[] = [];
   for (const queued of owned.queue) {
+    // The engine may have restarted with other software.
+    if (runsOtherSoftware(state, queued)) {
+      effects.push(...refuseReservation(state, queued, queued.from, 'otherSoftware'));
+      continue;
+    }
     if (isBeingReplaced(state, owned, queued)) {
       effects.push(...refuseReservation(state, queued, queued.from, 'replacing'));
       continue;
@@ -149,6 +156,15 @@
   schedule(state, at, { type: 'serveReservations', engine: owned.id });
 }
 
+/** Whether an engine runs another software version than the one that a request must run on. */
+function runsOtherSoftware(
+  { fleet }: State,
+  { engine, softwareVersion }: ReservationRequest,
+): boolean {
+  if (softwareVersion === undefined) return false;
+  return fleet.views.get(engine)?.endpoint.softwareVersion !== softwareVersion;
+}
+
 /** Whether a request needs a newer version while other requests still run on the old one. */
 function isBeingReplaced(state: State, owned: EngineResidency, queued: QueuedReservation): boolean {
   const copy = owned.copies.get(queued.adapter);
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -18,6 +18,8 @@
   adapter: z.string(),
   /** Newest version that the requesting host knows; 0 if none was announced. */
   version: z.int().min(0),
+  /** Software version that the engine must run; absent for any. */
+  softwareVersion: z.string().optional(),
   promptTokens: z.number().min(0),
   outputTokens: z.number().min(0),
   /** Time until the request's deadline, and until its first event is late, in ms. */
@@ -45,7 +47,12 @@
   ask: z.int().min(0),
 });
 
-export const ReservationRefusalReason = z.enum(['notOwner', 'leaving', 'replacing']);
+export const ReservationRefusalReason = z.enum([
+  'notOwner',
+  'leaving',
+  'replacing',
+  'otherSoftware',
+]);
 export type ReservationRefusalReason = z.infer<typeof ReservationRefusalReason>;
 
 export const ReservationRefused = z.object({
--- a/tests/helpers/directoryHost.ts
+++ b/tests/helpers/directoryHost.ts
@@ -233,6 +233,7 @@
     isLeaving: false,
     startedAt: 1,
     sequence: 1,
+    softwareVersion: 'v1',
     models: [],
     adapters: [],
     ...change,
