Resume streams of callers at the software version that began them

What callers saw: a stream that its caller took up at another host went on at any version of the service (the users' record: begun at v1.1, resumed at v1). Cause: the host that passed on the first event kept its version to itself, Resumes was not read, and the request was placed like a new one. Change: each resumable stream has a record of its software version, which its host copies to one host of its zone and two of others as it passes on the first event, and which hosts send again to one whose link opens. A host that gets a resumed stream asks up to eight others for 250 ms. Nothing known, no endpoint of that version left, a route that no longer leads there: refused at once; a malformed name: 400. If the service had one version only all the while, an unknown stream goes on. Hosts of an earlier version drop the messages.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,6 +21,7 @@
   'fleet',
   'owners',
   'residency',
+  'streams',
   'forwards',
   'operators',
   'core',
--- a/src/core/hostHandlers.ts
+++ b/src/core/hostHandlers.ts
@@ -8,10 +8,12 @@
 import { startReaderHeartbeats } from '../directory/readerHeartbeats.ts';
 import { startDirectoryWatches } from '../directory/watch.ts';
 import { rerouteFromOwner } from '../forwards/rerouting.ts';
+import { extendLookups } from '../forwards/resumption.ts';
 import { membershipEvents } from '../membership/handlers.ts';
 import { recordLinkClosed, recordLinkOpened, startOwners } from '../owners/members.ts';
 import { releaseHostReservations } from '../residency/reservations.ts';
 import { scheduleAnnouncement } from '../residency/engineStatus.ts';
+import { sendKnownStreams } from '../streams/replication.ts';
 import type { EventHandlers, TimerHandlers } from './handlers.ts';
 import { stopWhenDrained, type LifecycleTimer, startDraining, startShutdown } from './lifecycle.ts';
 
@@ -19,6 +21,7 @@
 export const hostEvents: EventHandlers<'started' | 'stopRequested'> = {
   started: (state, _event, now) => {
     if (state.policy.directory !== undefined) {
+      state.streams.startedAt = now;
       return [
         ...startDirectoryWatches(state, now),
         ...startReaderHeartbeats(state, now),
@@ -43,7 +46,11 @@
     if (state.policy.directory === undefined) return membershipEvents.linkOpened(state, event, now);
     recordLinkOpened(state, event.host);
     scheduleAnnouncement(state, now);
-    return sendKnownSuspects(state, event.host);
+    return [
+      ...sendKnownSuspects(state, event.host),
+      ...sendKnownStreams(state, event.host, now),
+      ...extendLookups(state, event.host),
+    ];
   },
   linkClosed: (state, event, now) => {
     if (state.policy.directory === undefined) return membershipEvents.linkClosed(state, event, now);
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -9,6 +9,7 @@
   ReservationReleased,
   ReservationStarted,
 } from '../residency/types.ts';
+import { StreamLookup, StreamLookupAnswer, StreamsRecorded } from '../streams/types.ts';
 import { z } from 'zod';
 import {
   GrantRequest,
@@ -84,5 +85,8 @@
   ReservationReleased,
   ReservationStarted,
   EngineStatusAnnouncement,
+  StreamsRecorded,
+  StreamLookup,
+  StreamLookupAnswer,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -34,6 +34,7 @@
 import { ownersTimers } from '../owners/handlers.ts';
 import { residencyEvents, residencyMessages, residencyTimers } from '../residency/handlers.ts';
 import { requestEvents, requestMessages, requestTimers } from '../requests/handlers.ts';
+import { streamMessages } from '../streams/handlers.ts';
 import type { Effect } from './effects.ts';
 import type { Event } from './events.ts';
 import type {
@@ -61,6 +62,7 @@
   ...directoryMessages,
   ...residencyMessages,
   ...forwardMessages,
+  ...streamMessages,
 };
 
 const timers: TimerHandlers<Timer['type']> = {
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -17,6 +17,7 @@
 import { Residency } from '../residency/types.ts';
 import type { RouteIndex } from '../routes/types.ts';
 import { Routing } from '../routing/types.ts';
+import { Streams } from '../streams/types.ts';
 import { Suspects } from '../suspects/types.ts';
 import type { Phase } from './lifecycle.ts';
 import type { Timer } from './timers.ts';
@@ -106,6 +107,7 @@
   readonly owners = Owners.create();
   readonly residency = Residency.create();
   readonly forwards = Forwards.create();
+  readonly streams = Streams.create();
 
   private constructor(
     readonly host: HostIdentity,
--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -11,6 +11,7 @@
 import type { OwnershipTimer } from '../ownership/types.ts';
 import type { OwnersTimer } from '../owners/types.ts';
 import type { ResidencyTimer } from '../residency/types.ts';
+import type { StreamTimer } from '../streams/types.ts';
 import type { RequestTimer } from '../requests/types.ts';
 import type { LifecycleTimer } from './lifecycle.ts';
 import type { State } from './state.ts';
@@ -31,7 +32,8 @@
   | DirectoryTimer
   | OwnersTimer
   | ResidencyTimer
-  | ForwardTimer;
+  | ForwardTimer
+  | StreamTimer;
 
 /** Schedules `timer` for monotonic time `at`. */
 export function schedule(state: State, at: number, timer: Timer): void {
--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -9,6 +9,7 @@
 import { applyAdapterVersion, updateOwnedEngines } from '../residency/ownedEngines.ts';
 import { newRouteIndex } from '../routes/match.ts';
 import { applySuspectsRow } from '../suspects/directorySuspects.ts';
+import { recordFormerVersion } from '../streams/softwareVersions.ts';
 import { EXPIRY_GRACE_MS, MAX_REMOVAL_DEFERRAL_MS } from './constants.ts';
 import type { DirectoryChange, DirectoryContent, Topic } from './types.ts';
 
@@ -40,8 +41,10 @@
     applyAdapterVersion(state, adapter, version, now),
   endpoint: (state, { endpoint }, _change, now) => {
     state.directory.deferredRemovals.delete(endpoint.id);
-    const wasLeaving = state.fleet.views.get(endpoint.id)?.endpoint.isLeaving === true;
+    const known = state.fleet.views.get(endpoint.id)?.endpoint;
+    const wasLeaving = known?.isLeaving === true;
     if (!applyRegistration(state.fleet, endpoint)) return [];
+    if (known !== undefined) recordFormerVersion(state, known, now);
     const effects = [
       ...countCrashesOfEndpoint(state, endpoint.id, now),
       ...updateOwnedEngines(state, now),
@@ -136,6 +139,8 @@
  * of this host that wait for a reservation there are placed elsewhere.
  */
 export function dropEndpoint(state: State, id: string, now: number): Effect[] {
+  const view = state.fleet.views.get(id);
+  if (view !== undefined) recordFormerVersion(state, view.endpoint, now);
   markEndpointRemoved(state.fleet, id);
   return [
     newLog('info', 'endpoint was removed', { endpoint: id }),
--- a/src/forwards/constants.ts
+++ b/src/forwards/constants.ts
@@ -67,5 +67,7 @@
 export const RUNNING_REQUEST_COST_MS = 4;
 /** Cost of an engine whose load is unknown. */
 export const UNKNOWN_LOAD_COST_MS = 300;
+/** Timeouts of a route after which no stream that began before can be resumed any more. */
+export const STREAM_WINDOW_TIMEOUTS = 2;
 /** Length to which ids that callers choose are cut in log lines. */
 export const MAX_LOGGED_ID_LENGTH = 64;
--- a/src/forwards/forwardAdmission.ts
+++ b/src/forwards/forwardAdmission.ts
@@ -16,6 +16,7 @@
 import { rejectForward } from './forwardEnd.ts';
 import { placeForward } from './forwardPlacement.ts';
 import { rejectQuarantined } from './quarantinedForwards.ts';
+import { findResumptionProblem, isResumption, startResumption } from './resumption.ts';
 import type { Forward, NewForward } from './types.ts';
 
 /** Routes a request that arrived; rejects it at once when this host cannot serve it. */
@@ -41,6 +42,9 @@
     const message = `no route matches host "${arrival.host}" and path "${arrival.target}"`;
     return rejectForward(state, arrival, Failure.create('not_found', message));
   }
+  const problem = isResumption({ ...arrival, route }) ? findResumptionProblem(arrival) : undefined;
+  if (problem !== undefined)
+    return rejectForward(state, arrival, Failure.create('bad_request', problem));
   const version = state.residency.versions.get(arrival.labels.adapter) ?? 0;
   const attributes = getAttributes(arrival, version);
   const service = chooseService(route, state.random.getFraction());
@@ -58,7 +62,9 @@
   const waitMs =
     Math.min(deadlineAt - arrivedAt, getCallerIdleTimeoutMs(route)) * PLACEMENT_TIMEOUT_SHARE;
   schedule(state, arrivedAt + waitMs, { type: 'placementTimeout', id: forward.id });
-  return placeForward(state, forward, now);
+  return isResumption(forward)
+    ? startResumption(state, forward, now)
+    : placeForward(state, forward, now);
 }
 
 /**
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -16,7 +16,9 @@
 import { handleEndpointCheck, verifyCrash } from './crashEvidence.ts';
 import { endQuarantinedForwards } from './quarantinedForwards.ts';
 import { scheduleRetry, sendAttempt } from './sending.ts';
+import { endLookup, handleLookupAnswer, recordStream } from './resumption.ts';
 import { canResumeStream } from './streamOrigin.ts';
+import type { StreamTimer } from '../streams/types.ts';
 import type { ForwardEvent, ForwardTimer } from './types.ts';
 
 export const forwardEvents: EventHandlers<ForwardEvent['type']> = {
@@ -37,6 +39,7 @@
     forward.firstByteAt ??= now;
     if (forward.route.kind === 'stream')
       forward.origin ??= { softwareVersion: forward.attempt.softwareVersion };
+    const recorded = recordStream(state, forward, now);
     const labels = { firm: '', kind: forward.route.kind };
     const { owner, endpoint: engine } = forward.attempt;
     const startedMessages =
@@ -44,6 +47,7 @@
         ? []
         : [sendMessage(state, owner, { type: 'placeStarted', request: id, engine })];
     return [
+      ...recorded,
       ...startedMessages,
       newObserve('fireflywick_first_token_ms', labels, now - forward.arrivedAt),
     ];
@@ -56,7 +60,10 @@
   endpointChecked: (state, check, now) => handleEndpointCheck(state, check, now),
 };
 
-export const forwardMessages: MessageHandlers<'placeGiven' | 'placeQueued' | 'placeRefused'> = {
+export const forwardMessages: MessageHandlers<
+  'placeGiven' | 'placeQueued' | 'placeRefused' | 'streamLookupAnswer'
+> = {
+  streamLookupAnswer: (state, answer, from, now) => handleLookupAnswer(state, answer, from, now),
   placeGiven: (state, { request, ask, engine, version, stallMs }, from, now) => {
     const forward = state.forwards.inFlight.get(request);
     if (
@@ -92,7 +99,7 @@
   },
 };
 
-export const forwardTimers: TimerHandlers<ForwardTimer['type']> = {
+export const forwardTimers: TimerHandlers<(ForwardTimer | StreamTimer)['type']> = {
   forwardDeadline: (state, { id }) => {
     const forward = state.forwards.inFlight.get(id);
     if (forward === undefined) return [];
@@ -120,6 +127,7 @@
     const forward = state.forwards.inFlight.get(id);
     return forward?.phase === 'backoff' ? placeForward(state, forward, now) : [];
   },
+  streamLookupTimeout: (state, { request }, now) => endLookup(state, request, now),
   verifyCrash: (state, timer, now) => verifyCrash(state, timer, now),
   endQuarantinedForwards: (state, _timer, now) => endQuarantinedForwards(state, now),
   reservationTimeout: (state, { id, reservationRequestNumber }, now) => {
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -25,6 +25,8 @@
    * resumes; as the caller sent it. Absent if the request resumes no stream.
    */
   resumedAttempt?: string;
+  /** Whether the caller names the last event that it received of a stream. */
+  hasLastEventId?: boolean;
   /** Time that the caller waits, in ms; Infinity when the caller gives no limit. */
   waitMs: number;
 }
@@ -45,10 +47,10 @@
 }
 
 /**
- * `awaitingOwner`: requested a reservation; `running`: sent to an endpoint; `backoff`: waits for a
- * retry.
+ * `awaitingStreamRecord`: asked other hosts where the stream began that it resumes; `awaitingOwner`:
+ * requested a reservation; `running`: sent to an endpoint; `backoff`: waits for a retry.
  */
-export type ForwardPhase = 'awaitingOwner' | 'running' | 'backoff';
+export type ForwardPhase = 'awaitingStreamRecord' | 'awaitingOwner' | 'running' | 'backoff';
 
 /** One send of a request to an endpoint. */
 export interface ForwardAttempt {
--- /dev/null
+++ b/src/streams/constants.ts
@@ -0,0 +1,19 @@
+/** Records that one host keeps; the oldest are dropped beyond it. */
+export const MAX_STREAM_RECORDS = 10_000;
+/** Longest time for which a record is kept after its last update, if the caller names no limit. */
+export const MAX_STREAM_RECORD_AGE_MS = 60_000;
+/** Hosts to which the record of a stream is copied, in the zone of its host and in other zones. */
+export const RECORD_COPIES_IN_ZONE = 1;
+export const RECORD_COPIES_IN_OTHER_ZONES = 2;
+/**
+ * Hosts that are asked for a record. More than have copies, since hosts that see other members choose
+ * other hosts for the copies.
+ */
+export const LOOKUP_HOSTS_IN_ZONE = 3;
+export const LOOKUP_HOSTS_IN_OTHER_ZONES = 5;
+/** Time within which hosts must answer; a busy host takes a few ms. */
+export const STREAM_LOOKUP_TIMEOUT_MS = 250;
+/** Newest records that are sent to a host whose link opened. */
+export const MAX_SENT_STREAM_RECORDS = 100;
+/** Hosts whose hashes are kept, including those that are gone. */
+export const MAX_HOST_HASHES = 4_096;
--- /dev/null
+++ b/tests/streams/streamHosts.ts
@@ -0,0 +1,211 @@
+import type { Message } from '../../src/core/messages.ts';
+import type { Endpoint } from '../../src/fleet/types.ts';
+import type { ForwardOutcome, RequestLabels } from '../../src/forwards/types.ts';
+import type { Route } from '../../src/routes/types.ts';
+import { DirectoryHost, newDirectoryChange, newEndpoint } from '../helpers/directoryHost.ts';
+
+const ROUTE: Partial<Route> = {
+  kind: 'stream',
+  isResumable: true,
+  attempts: 2,
+  timeoutMs: 12_000,
+  goalMs: 1_000,
+};
+/** Time after which hosts call the directory again. */
+const WATCH_INTERVAL_MS = 500;
+/** Longest time until a resumed stream is placed or refused. */
+const DECISION_MS = 500;
+
+/** What became of a request: the software version of its endpoint, or why it was refused. */
+export interface Placement {
+  version: string | undefined;
+  refusal: string | undefined;
+}
+
+/** Linked hosts of two zones in front of endpoints that run one software version each. */
+export class StreamHosts {
+  readonly hosts = new Map<string, DirectoryHost>();
+  private readonly endpoints = new Map<string, Endpoint>();
+  private readonly unlinked = new Set<string>();
+  private readonly members: { host: string; zone: string }[];
+  private directoryVersion = 100;
+  private nextRequest = 0;
+  /** Whether a host drops a message, as one of an earlier version drops types that it does not know. */
+  isDropped: (to: string, message: Message) => boolean = () => false;
+
+  private constructor(count: number) {
+    this.members = Array.from({ length: count }, (_, index) => ({
+      host: `h${index}`,
+      zone: index % 2 === 0 ? 'z1' : 'z2',
+    }));
+  }
+
+  /** Creates hosts that have been running for `ageMs` with endpoints `e0` and `e1` of version v1. */
+  static create(count: number, ageMs = 100_000): StreamHosts {
+    const cluster = new StreamHosts(count);
+    for (const id of ['e0', 'e1'])
+      cluster.endpoints.set(id, newEndpoint({ id, zone: 'z9', softwareVersion: 'v1' }));
+    for (const { host } of cluster.members) cluster.start(host, 1_000);
+    for (const { host } of cluster.members) cluster.openLinks(host);
+    cluster.advance(ageMs);
+    return cluster;
+  }
+
+  get ids(): string[] {
+    return this.members.map(({ host }) => host);
+  }
+
+  /** Kills a host, which closes its links. */
+  kill(id: string): void {
+    this.hosts.delete(id);
+    for (const other of this.hosts.values())
+      other.dispatch({ type: 'linkClosed', host: id, reason: 'killed' });
+  }
+
+  /** Starts a host again without what its earlier process knew. */
+  restart(id: string): void {
+    const [other] = this.hosts.values();
+    this.kill(id);
+    this.start(id, other?.now ?? 1_000);
+    this.openLinks(id);
+  }
+
+  /** Cuts the links of a host to all others. */
+  cutLinks(id: string): void {
+    this.unlinked.add(id);
+    for (const [other, host] of this.hosts) {
+      if (other === id) continue;
+      host.dispatch({ type: 'linkClosed', host: id, reason: 'cut' });
+      this.hosts.get(id)?.dispatch({ type: 'linkClosed', host: other, reason: 'cut' });
+    }
+  }
+
+  /** Registers an endpoint on all hosts, or on those named. */
+  register(change: Partial<Endpoint> & { id: string }, hosts: readonly string[] = this.ids): void {
+    const endpoint = newEndpoint({ zone: 'z9', sequence: this.directoryVersion, ...change });
+    this.endpoints.set(endpoint.id, endpoint);
+    this.directoryVersion += 1;
+    const content = { type: 'endpoint' as const, endpoint };
+    const changes = [newDirectoryChange(endpoint.id, this.directoryVersion, content)];
+    for (const id of hosts)
+      this.hosts.get(id)?.answerDirectoryCall('endpoints', changes, this.directoryVersion);
+    this.advance(WATCH_INTERVAL_MS);
+  }
+
+  remove(id: string): void {
+    this.directoryVersion += 1;
+    const changes = [newDirectoryChange(id, this.directoryVersion, { type: 'removed' })];
+    for (const host of this.hosts.values())
+      host.answerDirectoryCall('endpoints', changes, this.directoryVersion);
+    this.advance(WATCH_INTERVAL_MS);
+  }
+
+  failDirectory(): void {
+    for (const host of this.hosts.values()) host.failDirectoryCall('endpoints');
+  }
+
+  /** Begins a stream and passes on its first event; returns the version that began it. */
+  begin(host: string, attemptId: string): Placement {
+    const id = this.send(host, { attemptId });
+    const placement = this.settle(host, id);
+    const attempt = this.hosts.get(host)?.state.forwards.inFlight.get(id)?.attempt?.id ?? '';
+    this.hosts.get(host)?.dispatch({ type: 'forwardStarted', id, attempt });
+    this.deliver();
+    return placement;
+  }
+
+  /** Sends a request that resumes a stream; returns where it goes on. */
+  resume(host: string, attemptId: string, labels: Partial<RequestLabels>): Placement {
+    return this.settle(host, this.send(host, { attemptId, hasLastEventId: true, ...labels }));
+  }
+
+  /** Breaks the attempt in flight of a host's newest request; returns where it goes on. */
+  break(host: string, lastEventId: string): Placement {
+    const process = this.hosts.get(host);
+    const forward = [...(process?.state.forwards.inFlight.values() ?? [])].at(-1);
+    if (process === undefined || forward?.attempt === undefined) throw new Error('no attempt');
+    const outcome: ForwardOutcome = { type: 'broken', reason: 'reset', lastEventId };
+    process.takeAllEffects();
+    process.dispatch({
+      type: 'forwardEnded',
+      id: forward.id,
+      attempt: forward.attempt.id,
+      outcome,
+    });
+    return this.settle(host, forward.id);
+  }
+
+  advance(ms: number): void {
+    for (const host of this.hosts.values()) host.advance(ms);
+    this.deliver();
+  }
+
+  private start(id: string, now: number): void {
+    const zone = this.members.find(({ host }) => host === id)?.zone ?? '';
+    const host = DirectoryHost.create(id, zone, now);
+    const endpoints = [...this.endpoints.values()];
+    host.configure({ routes: [ROUTE], endpoints, members: this.members });
+    this.hosts.set(id, host);
+  }
+
+  private openLinks(id: string): void {
+    if (this.unlinked.has(id)) return;
+    for (const [other, host] of this.hosts) {
+      if (other === id || this.unlinked.has(other)) continue;
+      host.dispatch({ type: 'linkOpened', host: id });
+      this.hosts.get(id)?.dispatch({ type: 'linkOpened', host: other });
+    }
+    this.deliver();
+  }
+
+  private send(host: string, labels: Partial<RequestLabels>): string {
+    this.nextRequest += 1;
+    const id = `f${this.nextRequest}`;
+    // The attempts of one stream have one fingerprint.
+    const fingerprint = `p${(labels.resumedAttempt ?? labels.attemptId ?? '').slice(1)}`;
+    const process = this.hosts.get(host);
+    process?.takeAllEffects();
+    process?.receiveForward({ id, fingerprint, arrivedAt: process.now, labels });
+    return id;
+  }
+
+  /** Delivers messages until a request is sent or refused. */
+  private settle(host: string, id: string): Placement {
+    const placement: Placement = { version: undefined, refusal: undefined };
+    for (let waitedMs = 0; waitedMs <= DECISION_MS; waitedMs += 10) {
+      this.deliver((from, effects) => {
+        if (from !== host) return;
+        for (const effect of effects) {
+          if (effect.type === 'sendForward' && effect.spec.id === id)
+            placement.version = this.endpoints.get(effect.spec.endpoint)?.softwareVersion;
+          if (effect.type === 'failForward' && effect.id === id)
+            placement.refusal = effect.failure.kind;
+        }
+      });
+      if (placement.version !== undefined || placement.refusal !== undefined) return placement;
+      for (const process of this.hosts.values()) process.advance(10);
+    }
+    return placement;
+  }
+
+  /** Delivers the messages of all hosts until none is left. */
+  private deliver(
+    observe: (from: string, effects: ReturnType<DirectoryHost['takeAllEffects']>) => void = () =>
+      undefined,
+  ): void {
+    for (let isIdle = false; !isIdle;) {
+      isIdle = true;
+      for (const [from, host] of this.hosts) {
+        const effects = host.takeAllEffects();
+        observe(from, effects);
+        for (const effect of effects) {
+          if (effect.type !== 'sendMessage' || effect.to === from) continue;
+          if (this.unlinked.has(from) || this.unlinked.has(effect.to)) continue;
+          if (this.isDropped(effect.to, effect.message)) continue;
+          this.hosts.get(effect.to)?.receiveMessage(from, effect.message);
+          isIdle = false;
+        }
+      }
+    }
+  }
+}
