Resume no stream at an endpoint that restarted with other software

What callers saw (in tests): an endpoint came back under its id with another version; a stream that it ran went on at the version that the host had known before, and resumed streams waited a second for an endpoint that refuses connections. Cause: the version was the one that the directory showed when the attempt was sent, not the one that ran. Change: if the directory shows another start with another version while an attempt is in flight, its version is unknown: its stream is resumed nowhere, and its record says so on all hosts. A reservation names the start of its engine; if host and owner know different ones, a resumed stream is placed again and a new one has no known version. An endpoint that refused a connection resumes no stream until it registers again.

--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -3,6 +3,8 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { countCrashesOfEndpoint } from '../forwards/crashEvidence.ts';
+import { markRestartedAttempts } from '../forwards/endpointRestarts.ts';
+import type { Endpoint } from '../fleet/types.ts';
 import { rerouteFromEngine } from '../forwards/rerouting.ts';
 import { markEndpointRemoved, applyRegistration } from '../fleet/registration.ts';
 import { adoptMembersRow, recordLostMembersRow } from '../owners/members.ts';
@@ -44,8 +46,9 @@
     const known = state.fleet.views.get(endpoint.id)?.endpoint;
     const wasLeaving = known?.isLeaving === true;
     if (!applyRegistration(state.fleet, endpoint)) return [];
-    if (known !== undefined) recordFormerVersion(state, known, now);
+    const restartEffects = known === undefined ? [] : recordEndpointUpdate(state, known, now);
     const effects = [
+      ...restartEffects,
       ...countCrashesOfEndpoint(state, endpoint.id, now),
       ...updateOwnedEngines(state, now),
     ];
@@ -73,6 +76,12 @@
   ],
 };
 
+/** Records what the last registration of an endpoint said of its software. */
+function recordEndpointUpdate(state: State, former: Endpoint, now: number): Effect[] {
+  recordFormerVersion(state, former, now);
+  return markRestartedAttempts(state, former.id, now);
+}
+
 /** Applies the changes whose versions are newer than the known ones of their keys. */
 export function applyChanges(
   state: State,
--- a/src/forwards/crashEvidence.ts
+++ b/src/forwards/crashEvidence.ts
@@ -53,7 +53,7 @@
   const suspect = addCrash(state, { attribute: fingerprint, crash, requests: [fingerprint] });
   const effects = publishSuspects(state, [suspect], now);
   rememberAttempt(state, forward, attempt, true, now);
-  if (state.forwards.crashedEndpoints.get(endpoint) === startedAt)
+  if (state.forwards.crashedEndpoints.get(endpoint)?.startedAt === startedAt)
     return [...effects, ...attributeCrash(state, endpoint, startedAt, now)];
   return [...effects, ...checkEndpoint(state, endpoint, startedAt)];
 }
@@ -81,7 +81,7 @@
   const { checkedEndpoints, crashedEndpoints } = state.forwards;
   checkedEndpoints.delete(endpoint);
   if (!isRefused) return [];
-  crashedEndpoints.set(endpoint, startedAt);
+  crashedEndpoints.set(endpoint, { startedAt, at: now });
   return attributeCrash(state, endpoint, startedAt, now);
 }
 
@@ -94,7 +94,7 @@
   const view = state.fleet.views.get(endpoint);
   const known = unansweredAttempts.get(endpoint) ?? [];
   if (view === undefined) return [];
-  const crashedStart = crashedEndpoints.get(endpoint);
+  const crashedStart = crashedEndpoints.get(endpoint)?.startedAt;
   if (crashedStart !== undefined && hasRunEnded(view, crashedStart))
     crashedEndpoints.delete(endpoint);
   const ended = known.filter(({ endpointStartedAt }) => hasRunEnded(view, endpointStartedAt));
@@ -195,6 +195,20 @@
   return isRemoved || endpoint.startedAt > startedAt;
 }
 
+/**
+ * Whether an endpoint has refused a connection and has not registered again since; false once the
+ * directory would show its crash.
+ */
+export function isKnownCrashed(
+  { forwards }: State,
+  { endpoint }: EndpointView,
+  now: number,
+): boolean {
+  const crashed = forwards.crashedEndpoints.get(endpoint.id);
+  if (crashed?.startedAt !== endpoint.startedAt) return false;
+  return crashed.at + CRASH_VERIFICATION_DELAY_MS > now;
+}
+
 /** Whether the directory has been available for so long that it shows which endpoints crashed. */
 function isEndpointTopicCurrent({ directory }: State, now: number): boolean {
   const { unavailableSince, recoveredAt } = directory.topics.endpoints;
--- a/src/forwards/forwardPlacement.ts
+++ b/src/forwards/forwardPlacement.ts
@@ -24,6 +24,7 @@
   UNKNOWN_LOAD_COST_MS,
   WARM_LOAD_COST_MS,
 } from './constants.ts';
+import { isKnownCrashed } from './crashEvidence.ts';
 import { abandonForward } from './forwardEnd.ts';
 import { scheduleRetry, sendAttempt } from './sending.ts';
 import { canResumeStream, type StreamOrigin } from './streamOrigin.ts';
@@ -42,7 +43,7 @@
  * resumes a stream when no endpoint of its software version is left.
  */
 export function placeForward(state: State, forward: Forward, now: number): Effect[] {
-  const possible = getPossibleEndpoints(state, forward);
+  const possible = getPossibleEndpoints(state, forward, now);
   if (possible.length === 0 && forward.origin !== undefined)
     return abandonForward(state, forward, getMissingVersionReason(forward.origin));
   const views = possible.filter(({ endpoint }) => !forward.excluded.has(endpoint.id));
@@ -74,9 +75,18 @@
   return requestReservation(state, forward, view, owner.host, now);
 }
 
-/** Returns the endpoints that can run a request, those that it should avoid included. */
-function getPossibleEndpoints({ fleet }: State, { service, origin }: Forward): EndpointView[] {
-  return getRoutableEndpoints(fleet, service).filter((view) => canResumeStream(origin, view));
+/**
+ * Returns the endpoints that can run a request, those that it should avoid included. An endpoint that
+ * refused connections may come back with other software, so it resumes no stream until then.
+ */
+function getPossibleEndpoints(
+  state: State,
+  { service, origin }: Forward,
+  now: number,
+): EndpointView[] {
+  const views = getRoutableEndpoints(state.fleet, service);
+  if (origin === undefined) return views;
+  return views.filter((view) => canResumeStream(origin, view) && !isKnownCrashed(state, view, now));
 }
 
 function getMissingVersionReason({ softwareVersion }: StreamOrigin): string {
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -37,8 +37,10 @@
     if (forward?.attempt?.id !== attempt) return [];
     forward.hasResponseStarted = true;
     forward.firstByteAt ??= now;
-    if (forward.route.kind === 'stream')
-      forward.origin ??= { softwareVersion: forward.attempt.softwareVersion };
+    if (forward.route.kind === 'stream') {
+      const { softwareVersion } = forward.attempt;
+      forward.origin ??= { softwareVersion, attempt };
+    }
     const recorded = recordStream(state, forward, now);
     const labels = { firm: '', kind: forward.route.kind };
     const { owner, endpoint: engine } = forward.attempt;
@@ -64,7 +66,7 @@
   'placeGiven' | 'placeQueued' | 'placeRefused' | 'streamLookupAnswer'
 > = {
   streamLookupAnswer: (state, answer, from, now) => handleLookupAnswer(state, answer, from, now),
-  placeGiven: (state, { request, ask, engine, version, stallMs }, from, now) => {
+  placeGiven: (state, { request, ask, engine, version, startedAt, stallMs }, from, now) => {
     const forward = state.forwards.inFlight.get(request);
     if (
       forward?.phase !== 'awaitingOwner' ||
@@ -82,7 +84,16 @@
     if (view === undefined || !isRoutable(view) || !canResumeStream(forward.origin, view)) {
       return [...releaseForwardReservation(state, forward), ...placeForward(state, forward, now)];
     }
-    return sendAttempt(state, forward, view, from, version, now);
+    // One of the two hosts has not learned yet that the engine restarted.
+    const isOtherStart = startedAt !== undefined && startedAt !== view.endpoint.startedAt;
+    if (isOtherStart && forward.origin !== undefined) {
+      const released = releaseForwardReservation(state, forward);
+      const reason = 'the software version of the engine is unknown after its restart';
+      return [...released, ...scheduleRetry(state, forward, reason, now)];
+    }
+    const effects = sendAttempt(state, forward, view, from, version, now);
+    if (isOtherStart && forward.attempt !== undefined) forward.attempt.softwareVersion = undefined;
+    return effects;
   },
   placeQueued: (state, { request, ask }) => {
     const forward = state.forwards.inFlight.get(request);
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -157,6 +157,12 @@
   | { type: 'broken'; reason: string; lastEventId: string | undefined; bodyEnd?: BodyEnd }
   | { type: 'cancelled' };
 
+/** Start of an endpoint, in Unix ms, and monotonic ms at which it refused a connection. */
+interface CrashedEndpoint {
+  startedAt: number;
+  at: number;
+}
+
 /** State of the requests that this host forwards. */
 export class Forwards {
   /** Requests in flight by id. */
@@ -167,8 +173,8 @@
   readonly unansweredAttempts = new Map<string, UnansweredAttempt[]>();
   /** Endpoints of which a check is in flight. */
   readonly checkedEndpoints = new Set<string>();
-  /** Start, in Unix ms, of endpoints that refused a connection after attempts at them broke. */
-  readonly crashedEndpoints = new Map<string, number>();
+  /** Endpoints that refused a connection after attempts at them broke. */
+  readonly crashedEndpoints = new Map<string, CrashedEndpoint>();
   /** Decayed counts of this host's requests by adapter and by base model. */
   readonly popularity = Popularity.create(PLACEMENT_POPULARITY_HALF_LIFE_MS);
 
--- a/src/residency/reservations.ts
+++ b/src/residency/reservations.ts
@@ -243,6 +243,7 @@
       ask: queued.ask,
       engine: owned.id,
       version: copy?.version,
+      startedAt: owned.startedAt,
       stallMs: Math.round(now - queued.arrivedAt),
     }),
   ];
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -35,6 +35,8 @@
   engine: Id,
   /** Version of the adapter on the engine; absent if it is unknown. */
   version: z.int().min(0).optional(),
+  /** Unix ms of the start of the engine for which the reservation holds; hosts of earlier versions omit it. */
+  startedAt: z.number().optional(),
   /** Time between arrival at the owner and the grant, in ms. */
   stallMs: z.number(),
 });
--- a/tests/streams/resumedStreams.test.ts
+++ b/tests/streams/resumedStreams.test.ts
@@ -166,6 +166,68 @@
   });
 });
 
+// Guards against streams of an endpoint that came back under its id with other software.
+describe('streams of an endpoint that restarts with another version', () => {
+  const RESTARTED = { startedAt: 2, softwareVersion: 'v2' };
+
+  it.each<[string, (hosts: StreamHosts) => void, string, string | undefined]>([
+    [
+      'go on at another endpoint of their version',
+      (hosts) => {
+        hosts.endAttempt('h0');
+        hosts.register({ id: 'e0', ...RESTARTED });
+      },
+      'h1',
+      'v1',
+    ],
+    [
+      'are refused if it is not known which process ran them',
+      (hosts) => hosts.register({ id: 'e0', ...RESTARTED }),
+      'h1',
+      undefined,
+    ],
+    [
+      'are refused also at the host that began them',
+      (hosts) => hosts.register({ id: 'e0', ...RESTARTED }),
+      'h0',
+      undefined,
+    ],
+    [
+      'go on if it restarts with the same version',
+      (hosts) => hosts.register({ id: 'e0', startedAt: 2, softwareVersion: 'v1' }),
+      'h1',
+      'v1',
+    ],
+  ])('%s', (_name, happen, host, version) => {
+    const hosts = StreamHosts.create(HOSTS);
+    // Only one endpoint can begin the stream.
+    hosts.register({ id: 'e1', softwareVersion: 'v1', isLeaving: true });
+    hosts.begin('h0', 'a1');
+    hosts.register({ id: 'e4', softwareVersion: 'v1' });
+    happen(hosts);
+    expect(hosts.resume(host, 'b1', { resumedAttempt: 'a1' }).version).toBe(version);
+  });
+
+  it('are ended by their host if it is not known which process ran them', () => {
+    const hosts = StreamHosts.create(HOSTS);
+    hosts.register({ id: 'e1', softwareVersion: 'v1', isLeaving: true });
+    hosts.begin('h0', 'a1');
+    hosts.register({ id: 'e4', softwareVersion: 'v1' });
+    hosts.register({ id: 'e0', ...RESTARTED });
+    expect(hosts.break('h0', '2')).toEqual({ version: undefined, refusal: 'outcome_unknown' });
+  });
+
+  it('are refused at once if the last endpoint of their version refuses connections', () => {
+    const hosts = StreamHosts.create(HOSTS);
+    hosts.register({ id: 'e1', softwareVersion: 'v1', isLeaving: true });
+    hosts.begin('h0', 'a1');
+    addOtherVersion(hosts);
+    hosts.refuseConnections('h1', 'e0');
+    const resumed = hosts.resume('h1', 'b1', { resumedAttempt: 'a1' });
+    expect(resumed).toEqual({ version: undefined, refusal: 'service_unavailable' });
+  });
+});
+
 describe('streams that their host resumes', () => {
   it('go on at their version', () => {
     const hosts = StreamHosts.create(HOSTS);
--- a/tests/streams/streamHosts.ts
+++ b/tests/streams/streamHosts.ts
@@ -119,6 +119,21 @@
     return this.settle(host, this.send(host, { attemptId, hasLastEventId: true, ...labels }));
   }
 
+  /** The caller of a host's newest request closes its connection. */
+  endAttempt(host: string): void {
+    const process = this.hosts.get(host);
+    const forward = [...(process?.state.forwards.inFlight.values() ?? [])].at(-1);
+    process?.dispatch({ type: 'forwardCancelled', id: forward?.id ?? '' });
+    this.deliver();
+  }
+
+  /** A host learns that an endpoint refuses connections. */
+  refuseConnections(host: string, endpoint: string): void {
+    const startedAt = this.endpoints.get(endpoint)?.startedAt ?? 0;
+    const check = { type: 'endpointChecked' as const, endpoint, startedAt, isRefused: true };
+    this.hosts.get(host)?.dispatch(check);
+  }
+
   /** Breaks the attempt in flight of a host's newest request; returns where it goes on. */
   break(host: string, lastEventId: string): Placement {
     const process = this.hosts.get(host);
