Do not resume a stream after events without ids

What callers saw: a resumable stream whose events have no ids began again from its first event after a break, so that pieces came twice. Cause: a resumed attempt names the last event that was passed on; without an id it named none, and the endpoint sent the whole stream again. Change: such a stream is aborted once an event was passed on. Measured: the new case of tests/gatewayHost/truncatedResponses.test.ts failed before and passes.

--- a/src/forwards/forwardAttempts.ts
+++ b/src/forwards/forwardAttempts.ts
@@ -151,9 +151,11 @@
 }
 
 /** Whether the route allows a request of this kind to run more than once. */
-function isRetryAllowed({ route, hasResponseStarted }: Forward): boolean {
+function isRetryAllowed({ route, hasResponseStarted, lastEventId }: Forward): boolean {
   if (route.kind === 'safe') return !hasResponseStarted;
-  return route.kind === 'stream' && route.isResumable;
+  // A stream can only be resumed after an event that has an id.
+  const isResumable = !hasResponseStarted || lastEventId !== undefined;
+  return route.kind === 'stream' && route.isResumable && isResumable;
 }
 
 /**
--- a/tests/gatewayHost/truncatedResponses.test.ts
+++ b/tests/gatewayHost/truncatedResponses.test.ts
@@ -159,6 +159,16 @@
   );
 });
 
+// Guards against events that arrive twice, since a stream can only be resumed after a known event.
+it('a stream whose events have no ids is not resumed once one was passed on', async () => {
+  const { deployment, endpoints } = await startDeployment('llm');
+  planFirst(endpoints, sendUnframed('data: token 1\n\n', PAUSE_MS, RESET));
+  const received = await deployment.stream('/notes/1', undefined);
+  expect(received.error).toBeDefined();
+  expect(received.body).toBe('data: token 1\n\n');
+  expect(endpoints.flatMap(({ requests }) => requests)).toHaveLength(1);
+});
+
 describe('a complete stream', () => {
   let deployment: GatewayDeployment;
   let endpoints: RawEndpoint[];
