Pass the source address to all connections of a client

Cause: since a server is confirmed after a response without a length, clients open their connections with a connector of their own, to which undici passes the source address of the pool, not the one of the connector. tests/stand-ins/proxy.test.ts ('injects faults by the source address') failed. Change: the pools of a client have the source address again; the connector does not take one.

--- a/src/clients/connector.ts
+++ b/src/clients/connector.ts
@@ -42,10 +42,9 @@
  */
 export function newTrackedConnector(
   timeoutMs: number,
-  localAddress: string | undefined,
   tracker: SocketEndTracker,
 ): buildConnector.connector {
-  const connect = buildConnector({ timeout: timeoutMs, localAddress });
+  const connect = buildConnector({ timeout: timeoutMs });
   return (options, callback) => {
     connect(options, (...args) => {
       // There is no socket if the connection failed.
--- a/src/clients/httpClient.ts
+++ b/src/clients/httpClient.ts
@@ -216,7 +216,8 @@
     const { localAddress, endTracker } = this;
     return {
       ...OPTIONS,
-      connect: newTrackedConnector(CONNECT_TIMEOUT_MS, localAddress, endTracker),
+      localAddress,
+      connect: newTrackedConnector(CONNECT_TIMEOUT_MS, endTracker),
     };
   }
 
--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -124,7 +124,7 @@
       keepAliveTimeout: ENDPOINT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: ENDPOINT_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      connect: newTrackedConnector(ENDPOINT_CONNECT_TIMEOUT_MS, localAddress, endTracker),
+      connect: newTrackedConnector(ENDPOINT_CONNECT_TIMEOUT_MS, endTracker),
     });
     const confirm = confirmCloseDelimited({ address, localAddress, endTracker });
     const created = { pool, dispatcher: pool.compose(confirm) };
