--- a/src/forwards/forwardAttempts.ts
+++ b/src/forwards/forwardAttempts.ts
@@ -1,5 +1,6 @@
 import type { Effect } from '../core/effects.ts';
-import { newCount } from '../core/observations.ts';
+import { newCount, newObserve } from '../core/observations.ts';
+import { sendMessage } from '../core/sendMessage.ts';
 import type { State } from '../core/state.ts';
 import { dropEndpoint } from '../directory/apply.ts';
 import { recordAnswer, recordUnansweredAttempt } from '../fleet/health.ts';
@@ -14,6 +15,7 @@
   releaseForwardReservation,
 } from './forwardEnd.ts';
 import { placeForward } from './forwardPlacement.ts';
+import { recordStream } from './resumption.ts';
 import { scheduleRetry } from './sending.ts';
 import type { Forward, ForwardAttempt, ForwardOutcome } from './types.ts';
 
@@ -115,6 +117,29 @@
   cancelled: () => [],
 };
 
+/** Records that the first byte of an attempt's response was passed on. */
+export function startForwardResponse(
+  state: State,
+  forward: Forward,
+  { id: attempt, endpoint: engine, owner, softwareVersion }: ForwardAttempt,
+  now: number,
+): Effect[] {
+  const { id, route, arrivedAt } = forward;
+  forward.hasResponseStarted = true;
+  forward.firstByteAt ??= now;
+  if (route.kind === 'stream') forward.origin ??= { softwareVersion, attempt };
+  const startedMessages =
+    owner === undefined
+      ? []
+      : [sendMessage(state, owner, { type: 'placeStarted', request: id, engine })];
+  const labels = { firm: '', kind: route.kind };
+  return [
+    ...recordStream(state, forward, now),
+    ...startedMessages,
+    newObserve('fireflywick_first_token_ms', labels, now - arrivedAt),
+  ];
+}
+
 /**
  * Ends an attempt: passes its response on, retries the request where that is allowed, or fails it.
  */
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -1,10 +1,8 @@
-import { sendMessage } from '../core/sendMessage.ts';
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
-import { newCount, newObserve } from '../core/observations.ts';
+import { newCount } from '../core/observations.ts';
 import { Failure } from '../errors/failure.ts';
-import { isRoutable } from '../fleet/endpointChoice.ts';
 import { admitForward } from './forwardAdmission.ts';
-import { endForwardAttempt } from './forwardAttempts.ts';
+import { endForwardAttempt, startForwardResponse } from './forwardAttempts.ts';
 import {
   abandonForward,
   cancelRunningAttempt,
@@ -15,9 +13,9 @@
 import { placeForward } from './forwardPlacement.ts';
 import { handleEndpointCheck, verifyCrash } from './crashEvidence.ts';
 import { endQuarantinedForwards } from './quarantinedForwards.ts';
-import { scheduleRetry, sendAttempt } from './sending.ts';
-import { endLookup, handleLookupAnswer, recordStream } from './resumption.ts';
-import { canResumeStream } from './streamOrigin.ts';
+import { scheduleRetry } from './sending.ts';
+import { acceptReservation } from './reservationAnswers.ts';
+import { endLookup, handleLookupAnswer } from './resumption.ts';
 import type { StreamTimer } from '../streams/types.ts';
 import type { ForwardEvent, ForwardTimer } from './types.ts';
 
@@ -35,24 +33,7 @@
   forwardStarted: (state, { id, attempt }, now) => {
     const forward = state.forwards.inFlight.get(id);
     if (forward?.attempt?.id !== attempt) return [];
-    forward.hasResponseStarted = true;
-    forward.firstByteAt ??= now;
-    if (forward.route.kind === 'stream') {
-      const { softwareVersion } = forward.attempt;
-      forward.origin ??= { softwareVersion, attempt };
-    }
-    const recorded = recordStream(state, forward, now);
-    const labels = { firm: '', kind: forward.route.kind };
-    const { owner, endpoint: engine } = forward.attempt;
-    const startedMessages =
-      owner === undefined
-        ? []
-        : [sendMessage(state, owner, { type: 'placeStarted', request: id, engine })];
-    return [
-      ...recorded,
-      ...startedMessages,
-      newObserve('fireflywick_first_token_ms', labels, now - forward.arrivedAt),
-    ];
+    return startForwardResponse(state, forward, forward.attempt, now);
   },
   forwardEnded: (state, { id, attempt, outcome }, now) => {
     const forward = state.forwards.inFlight.get(id);
@@ -66,35 +47,7 @@
   'placeGiven' | 'placeQueued' | 'placeRefused' | 'streamLookupAnswer'
 > = {
   streamLookupAnswer: (state, answer, from, now) => handleLookupAnswer(state, answer, from, now),
-  placeGiven: (state, { request, ask, engine, version, startedAt, stallMs }, from, now) => {
-    const forward = state.forwards.inFlight.get(request);
-    if (
-      forward?.phase !== 'awaitingOwner' ||
-      forward.reservationRequestNumber !== ask ||
-      forward.pendingReservation?.engine !== engine
-    ) {
-      // A release would also end the reservation under which the request runs on this engine.
-      if (forward?.attempt?.endpoint === engine) return [];
-      return [
-        sendMessage(state, from, { type: 'placeReleased', request, engine, result: 'ended' }),
-      ];
-    }
-    const view = state.fleet.views.get(engine);
-    forward.stallMs += stallMs;
-    if (view === undefined || !isRoutable(view) || !canResumeStream(forward.origin, view)) {
-      return [...releaseForwardReservation(state, forward), ...placeForward(state, forward, now)];
-    }
-    // One of the two hosts has not learned yet that the engine restarted.
-    const isOtherStart = startedAt !== undefined && startedAt !== view.endpoint.startedAt;
-    if (isOtherStart && forward.origin !== undefined) {
-      const released = releaseForwardReservation(state, forward);
-      const reason = 'the software version of the engine is unknown after its restart';
-      return [...released, ...scheduleRetry(state, forward, reason, now)];
-    }
-    const effects = sendAttempt(state, forward, view, from, version, now);
-    if (isOtherStart && forward.attempt !== undefined) forward.attempt.softwareVersion = undefined;
-    return effects;
-  },
+  placeGiven: (state, grant, from, now) => acceptReservation(state, grant, from, now),
   placeQueued: (state, { request, ask }) => {
     const forward = state.forwards.inFlight.get(request);
     if (forward?.reservationRequestNumber === ask && forward.pendingReservation !== undefined)
