Open connections to endpoints from the source address of the host

Cause: the gateway gave the address to its connector, and undici replaces it by the one of the pool, which had none. Change: the pool has the address. Measured: the new case of tests/gatewayHost/connectionWait.test.ts failed before and passes.

--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -120,6 +120,7 @@
     const { localAddress, endTracker } = this;
     const pool = new Pool(`http://${address}`, {
       connections: this.maxConnections(endpoint),
+      localAddress,
       pipelining: 1,
       keepAliveTimeout: ENDPOINT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: ENDPOINT_KEEP_ALIVE_MS,
--- a/tests/gatewayHost/connectionWait.test.ts
+++ b/tests/gatewayHost/connectionWait.test.ts
@@ -1,5 +1,6 @@
 import { expect, it } from 'vitest';
-import { waitUntil } from '../support.ts';
+import { RawEndpoint } from '../helpers/rawEndpoint.ts';
+import { startStandIn, waitUntil } from '../support.ts';
 import { GatewayDeployment } from './deployment.ts';
 
 /** Connections that a host opens to an endpoint of the deployment. */
@@ -28,3 +29,16 @@
   expect((await waiting).status).toBe(200);
   await Promise.all(hanging);
 });
+
+// Guards against connections that leave by another address than the host's own, which endpoints may refuse.
+it('opens connections to endpoints from the source address of the host', async () => {
+  const deployment = await GatewayDeployment.create();
+  deployment.configure(1);
+  const endpoint = RawEndpoint.create(() => ['HTTP/1.1 503 Full\r\nnot-executed: 1\r\n\r\n']);
+  deployment.register('desk', 'd1', await startStandIn(endpoint));
+  await deployment.addHost({ 'source-address': '127.0.0.9' });
+  await deployment.waitReady(1);
+  await deployment.send({ path: '/booking/1' });
+  expect(endpoint.sourceAddresses.length).toBeGreaterThan(0);
+  expect(new Set(endpoint.sourceAddresses)).toEqual(new Set(['127.0.0.9']));
+});
--- a/tests/helpers/rawEndpoint.ts
+++ b/tests/helpers/rawEndpoint.ts
@@ -29,7 +29,8 @@
   readonly requests: RawRequest[] = [];
   /** Answers to the next requests, in order; later ones get `answer`. */
   readonly plannedAnswers: RawAnswer[] = [];
-  openedConnections = 0;
+  /** Source addresses of the connections, in the order of their arrival. */
+  readonly sourceAddresses: string[] = [];
   private readonly sockets = new Set<Socket>();
   private server: Server | undefined;
 
@@ -64,7 +65,7 @@
   }
 
   private accept(socket: Socket): void {
-    this.openedConnections += 1;
+    this.sourceAddresses.push(socket.remoteAddress ?? '');
     this.sockets.add(socket);
     socket.on('close', () => this.sockets.delete(socket));
     socket.on('error', () => undefined);
