Reset the connection of an HTTP/1.0 caller when its stream is broken off

What callers saw: a caller that speaks HTTP/1.0 gets a body without chunks, which ends with its connection, and a stream that was broken off ended in the same way as a complete one. Cause: an aborted response closed the connection gracefully whatever its framing. Change: the connection of such a caller is reset. Measured: the new case of tests/gatewayHost/truncatedResponses.test.ts failed before and passes.

--- a/src/gatewayHost/forwardExchange.ts
+++ b/src/gatewayHost/forwardExchange.ts
@@ -90,9 +90,12 @@
 
   /** Closes the connection without the end of the response; what was written before is sent. */
   private abortResponse(): void {
-    const { socket, writableNeedDrain } = this.response;
+    const { socket, writableNeedDrain, req } = this.response;
+    if (socket === null) this.response.destroy();
+    // Without chunks, a graceful close would look like the end of the body.
+    else if (req.httpVersion === '1.0') setImmediate(() => socket.resetAndDestroy());
     // A caller that does not read would keep the connection open.
-    if (socket === null || writableNeedDrain) this.response.destroy();
+    else if (writableNeedDrain) this.response.destroy();
     else socket.destroySoon();
   }
 
--- a/tests/gatewayHost/truncatedResponses.test.ts
+++ b/tests/gatewayHost/truncatedResponses.test.ts
@@ -1,4 +1,5 @@
 import { Agent, request as httpRequest } from 'node:http';
+import { connect } from 'node:net';
 import { beforeEach, describe, expect, it } from 'vitest';
 import {
   EXIT,
@@ -159,6 +160,40 @@
   );
 });
 
+/** Reads a stream without HTTP/1.1, where the end of the connection ends the body. */
+function streamOverHttp10(front: string): Promise<{ received: string; error: string | undefined }> {
+  const [host = '', port] = front.split(':');
+  const head = [
+    'POST /labels/1 HTTP/1.0',
+    `host: ${HOST}`,
+    'attempt-id: old1',
+    `model: ${MODEL}`,
+    'token-count: 100,10',
+    'content-length: 2',
+  ];
+  return new Promise((resolve) => {
+    let received = '';
+    const socket = connect({ host, port: Number(port) });
+    socket.write(`${head.join('\r\n')}\r\n\r\n{}`);
+    socket.on('data', (chunk) => (received += chunk.toString()));
+    socket.on('error', ({ message }) => resolve({ received, error: message }));
+    socket.on('end', () => resolve({ received, error: undefined }));
+  });
+}
+
+describe('a stream of a caller that reads to the end of its connection', () => {
+  it.each<[string, RawAnswer, boolean]>([
+    ['is reset if it was broken off', sendUnframed(newEvents(1, 2), PAUSE_MS, RESET), true],
+    ['ends if it is complete', sendUnframed(WHOLE, PAUSE_MS, FIN), false],
+  ])('%s', async (_name, answer, isBroken) => {
+    const { deployment, endpoints } = await startDeployment('llm');
+    planFirst(endpoints, answer);
+    const { received, error } = await streamOverHttp10(deployment.fronts[0] ?? '');
+    expect(received).toContain(isBroken ? newEvents(1, 2) : WHOLE);
+    expect(error !== undefined).toBe(isBroken);
+  });
+});
+
 // Guards against events that arrive twice, since a stream can only be resumed after a known event.
 it('a stream whose events have no ids is not resumed once one was passed on', async () => {
   const { deployment, endpoints } = await startDeployment('llm');
