--- a/src/core/hostHandlers.ts
+++ b/src/core/hostHandlers.ts
@@ -15,6 +15,7 @@
 import { scheduleAnnouncement } from '../residency/engineStatus.ts';
 import { sendKnownStreams } from '../streams/replication.ts';
 import type { EventHandlers, TimerHandlers } from './handlers.ts';
+import { newLog } from './observations.ts';
 import { stopWhenDrained, type LifecycleTimer, startDraining, startShutdown } from './lifecycle.ts';
 
 /** Handlers of the host's start and of requests to stop. */
@@ -47,6 +48,7 @@
     recordLinkOpened(state, event.host);
     scheduleAnnouncement(state, now);
     return [
+      newLog('info', 'link opened', { to: event.host }),
       ...sendKnownSuspects(state, event.host),
       ...sendKnownStreams(state, event.host, now),
       ...extendLookups(state, event.host),
@@ -55,6 +57,7 @@
   linkClosed: (state, event, now) => {
     if (state.policy.directory === undefined) return membershipEvents.linkClosed(state, event, now);
     return [
+      newLog('warn', 'link closed', { to: event.host, reason: event.reason }),
       ...recordLinkClosed(state, event.host, now),
       ...releaseHostReservations(state, event.host, now),
       ...rerouteFromOwner(state, event.host, now),
