Test that a stream goes on at its version after its gateway process was killed

Three gateway processes; the one that passes on the stream gets SIGKILL, and its caller resumes at another one, beside an engine of another version in its zone.

--- a/tests/faults/gateway.test.ts
+++ b/tests/faults/gateway.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { PlatformEndpoint } from '../../stand-ins/platform/platformEndpoint.ts';
 import { GatewayDeployment } from '../gatewayHost/deployment.ts';
@@ -16,6 +17,11 @@
     return gateway;
   }
 
+  function countMembers(): number {
+    const row = deployment.store.get('fireflywick', 'members');
+    return (row as { members: unknown[] } | undefined)?.members.length ?? 0;
+  }
+
   beforeEach(async () => {
     deployment = await GatewayDeployment.create();
     await deployment.addServer('desk', 'd1');
@@ -68,12 +74,7 @@
   it('loads adapters through another host after the owner of their engine was killed', async () => {
     deployment.configure(1);
     const [first, second] = [await start('h0'), await start('h1')];
-    const areMembers = (): boolean => {
-      const row = deployment.store.get('fireflywick', 'members') as
-        { members: unknown[] } | undefined;
-      return row?.members.length === 2;
-    };
-    await waitUntil(areMembers);
+    await waitUntil(() => countMembers() === 2);
     const owner = first.hasLogged('engine is owned') ? first : second;
     const other = owner === first ? 1 : 0;
     await waitUntil(async () => (await deployment.stream('/labels/1', 'a1', other)).status === 200);
@@ -89,6 +90,37 @@
     expect(fences).toEqual([...fences].sort((a, b) => a - b));
   });
 
+  it('resumes a stream at its software version after the process that began it was killed', async () => {
+    deployment.configure(1);
+    const { address } = deployment.store.get('servers', 'e1') as { address: string };
+    deployment.register('llm', 'e1', address, { version: 'v1', zone: 'z2' });
+    const begun = [await start('h0'), await start('h1'), await start('h2')];
+    await waitUntil(() => begun.every((gateway) => gateway.countLogged('link opened') >= 2));
+    const received = deployment.stream('/notes/1', undefined);
+    await waitUntil(() => engine.calls.length > 0);
+    const attempt = engine.calls[0]?.headers['attempt-id'];
+    const other = await deployment.addServer('llm', 'e2', { events: 20 });
+    const entry = deployment.store.get('servers', 'e2') as { address: string };
+    deployment.register('llm', 'e2', entry.address, { version: 'v2' });
+    await sleep(400);
+    begun[0]?.signal('SIGKILL');
+    const { body, error } = await received;
+    expect(error).toBeDefined();
+    const lastEventId = /id: (\d+)\ndata: .*\n\n$/.exec(body)?.[1] ?? '';
+    expect(lastEventId).not.toBe('');
+    const headers = {
+      model: 'base',
+      'token-count': '100,10',
+      'prompt-prefix': 'ab:100',
+      resumes: String(attempt),
+      'last-event-id': lastEventId,
+    };
+    const resumed = await deployment.send({ path: '/notes/1', headers, body: '{}' }, 1);
+    expect(resumed).toMatchObject({ status: 200, error: undefined });
+    expect(resumed.body).toContain('id: 20');
+    expect(other.calls).toEqual([]);
+  });
+
   it('serves requests while the directory store is down and after it has recovered', async () => {
     deployment.configure(1);
     const gateway = await start('h0');
--- a/tests/helpers/gatewayProcess.ts
+++ b/tests/helpers/gatewayProcess.ts
@@ -95,7 +95,12 @@
   }
 
   hasLogged(message: string): boolean {
-    return this.log.some((line) => line.message === message);
+    return this.countLogged(message) > 0;
+  }
+
+  /** Returns the number of log lines with `message`. */
+  countLogged(message: string): number {
+    return this.log.filter((line) => line.message === message).length;
   }
 
   /** Returns the status of the readiness check; 0 if the gateway does not answer. */
