--- a/src/forwards/forwardAdmission.ts
+++ b/src/forwards/forwardAdmission.ts
@@ -1,3 +1,4 @@
+import { Err, Ok, type Result } from '../base/result.ts';
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
@@ -21,30 +22,9 @@
 
 /** Routes a request that arrived; rejects it at once when this host cannot serve it. */
 export function admitForward(state: State, arrival: NewForward, now: number): Effect[] {
-  if (state.phase === 'draining' || state.phase === 'stopped') {
-    // A stream that starts now would be cut off when the process exits.
-    return rejectForward(
-      state,
-      arrival,
-      Failure.create('shutting_down', 'this host is shutting down'),
-    );
-  }
-  const routing = state.routeIndex.current;
-  if (routing === undefined) {
-    return rejectForward(
-      state,
-      arrival,
-      Failure.create('not_ready', 'this host has not read a routing table yet'),
-    );
-  }
-  const route = findRoute(routing, arrival.host, arrival.target);
-  if (route === undefined) {
-    const message = `no route matches host "${arrival.host}" and path "${arrival.target}"`;
-    return rejectForward(state, arrival, Failure.create('not_found', message));
-  }
-  const problem = isResumption({ ...arrival, route }) ? findResumptionProblem(arrival) : undefined;
-  if (problem !== undefined)
-    return rejectForward(state, arrival, Failure.create('bad_request', problem));
+  const found = getAdmissibleRoute(state, arrival);
+  if (found.err) return rejectForward(state, arrival, found.val);
+  const route = found.val;
   const version = state.residency.versions.get(arrival.labels.adapter) ?? 0;
   const attributes = getAttributes(arrival, version);
   const service = chooseService(route, state.random.getFraction());
@@ -67,6 +47,23 @@
     : placeForward(state, forward, now);
 }
 
+/** Returns the route of a request, or why the request is refused on arrival. */
+function getAdmissibleRoute(state: State, arrival: NewForward): Result<Route, Failure> {
+  // A stream that starts while the host drains would be cut off when the process exits.
+  if (state.phase === 'draining' || state.phase === 'stopped')
+    return Err(Failure.create('shutting_down', 'this host is shutting down'));
+  const routing = state.routeIndex.current;
+  if (routing === undefined)
+    return Err(Failure.create('not_ready', 'this host has not read a routing table yet'));
+  const route = findRoute(routing, arrival.host, arrival.target);
+  if (route === undefined) {
+    const message = `no route matches host "${arrival.host}" and path "${arrival.target}"`;
+    return Err(Failure.create('not_found', message));
+  }
+  const problem = isResumption({ ...arrival, route }) ? findResumptionProblem(arrival) : undefined;
+  return problem === undefined ? Ok(route) : Err(Failure.create('bad_request', problem));
+}
+
 /**
  * Returns the time without a response or an event after which callers close the connection, in ms;
  * Infinity for requests other than streams.
--- a/src/forwards/resumption.ts
+++ b/src/forwards/resumption.ts
@@ -9,7 +9,7 @@
 import { getOnlySoftwareVersion } from '../streams/softwareVersions.ts';
 import { addStream, findStream } from '../streams/streamRecords.ts';
 import { AttemptId, type KnownStream, type StreamLookupAnswer } from '../streams/types.ts';
-import { STREAM_WINDOW_TIMEOUTS } from './constants.ts';
+import { MAX_LOGGED_ID_LENGTH, STREAM_WINDOW_TIMEOUTS } from './constants.ts';
 import { abandonForward, failForward } from './forwardEnd.ts';
 import { placeForward } from './forwardPlacement.ts';
 import type { Forward, NewForward } from './types.ts';
@@ -20,11 +20,11 @@
   return route.kind === 'stream' && (resumedAttempt !== undefined || hasLastEventId);
 }
 
-/** Returns why the name of the resumed attempt is invalid. */
+/** Returns why a request names no valid attempt that it resumes; undefined if it is valid or names none. */
 export function findResumptionProblem({ labels }: NewForward): string | undefined {
   const { resumedAttempt } = labels;
   if (resumedAttempt === undefined || AttemptId.safeParse(resumedAttempt).success) return undefined;
-  return 'the header Resumes must name one attempt';
+  return `the resumed attempt "${resumedAttempt.slice(0, MAX_LOGGED_ID_LENGTH)}" is not the id of one attempt`;
 }
 
 /** Finds out which software version began the stream, and places the request there. */
@@ -52,6 +52,7 @@
   });
 }
 
+/** Resumes what the answer of another host is about; gives up once none that was asked has a record. */
 export function handleLookupAnswer(
   state: State,
   { request, stream }: StreamLookupAnswer,
