Keep the software version that an announcement of an endpoint lacks

Cause: a host of an earlier version announces endpoints without their software version, which replaced the one that was known, so that their streams could not be resumed during a rolling update.

--- a/src/fleet/registration.ts
+++ b/src/fleet/registration.ts
@@ -10,10 +10,11 @@
     fleet.views.set(endpoint.id, newView(endpoint));
     return true;
   }
-  const { startedAt, sequence, isLeaving } = known.endpoint;
+  const { startedAt, sequence, isLeaving, softwareVersion } = known.endpoint;
   if (endpoint.startedAt < startedAt || endpoint.sequence < sequence) return false;
   if (isLeaving && !endpoint.isLeaving) return false;
-  known.endpoint = endpoint;
+  // Hosts of an earlier version announce endpoints without their software version.
+  known.endpoint = { ...endpoint, softwareVersion: endpoint.softwareVersion ?? softwareVersion };
   known.isRemoved = false;
   return true;
 }
--- a/tests/directory/directory.test.ts
+++ b/tests/directory/directory.test.ts
@@ -144,6 +144,17 @@
     expect(getRoutable(host)).toEqual([]);
   });
 
+  // Guards against streams that can't be resumed since a host of an earlier version announced their endpoint.
+  it.each<[string, Partial<Endpoint>, string | undefined]>([
+    ['keeps', { sequence: 5 }, 'v1'],
+    ['does not keep after a restart', { sequence: 5, startedAt: 2 }, undefined],
+  ])('%s the software version that an announcement lacks', (_name, change, softwareVersion) => {
+    const host = DirectoryHost.create().configure({ endpoints: [{ id: 'e0' }] });
+    const entry = newEntry({ ...change, softwareVersion: undefined });
+    host.answerDirectoryCall('endpoints', [newDirectoryChange('e0', 30, entry)], 30);
+    expect(host.state.fleet.views.get('e0')?.endpoint.softwareVersion).toBe(softwareVersion);
+  });
+
   it('keeps an endpoint whose entry expired during an outage until it had time to register again', () => {
     const host = DirectoryHost.create().configure({ endpoints: [{ id: 'e0' }, { id: 'e1' }] });
     host.failDirectoryCall('endpoints').advance(1_500);
