--- a/src/forwards/endpointRestarts.ts
+++ b/src/forwards/endpointRestarts.ts
@@ -25,7 +25,7 @@
 function markOriginUnknown(state: State, forward: Forward, now: number): Effect[] {
   const { origin, attempt, labels } = forward;
   if (origin === undefined) return [];
-  forward.origin = { ...origin, softwareVersion: undefined };
+  forward.origin = { softwareVersion: undefined };
   return [
     newLog('info', 'software version of a stream is unknown', {
       requestId: labels.attemptId,
--- a/src/forwards/forwardAttempts.ts
+++ b/src/forwards/forwardAttempts.ts
@@ -121,13 +121,13 @@
 export function startForwardResponse(
   state: State,
   forward: Forward,
-  { id: attempt, endpoint: engine, owner, softwareVersion }: ForwardAttempt,
+  { endpoint: engine, owner, softwareVersion }: ForwardAttempt,
   now: number,
 ): Effect[] {
   const { id, route, arrivedAt } = forward;
   forward.hasResponseStarted = true;
   forward.firstByteAt ??= now;
-  if (route.kind === 'stream') forward.origin ??= { softwareVersion, attempt };
+  if (route.kind === 'stream') forward.origin ??= { softwareVersion };
   const startedMessages =
     owner === undefined
       ? []
--- a/src/forwards/resumption.ts
+++ b/src/forwards/resumption.ts
@@ -111,7 +111,7 @@
   if (!isTarget)
     return abandonForward(state, forward, `the route no longer leads to service "${service}"`);
   forward.service = service;
-  forward.origin = { softwareVersion, attempt: undefined };
+  forward.origin = { softwareVersion };
   return placeForward(state, forward, now);
 }
 
@@ -126,7 +126,7 @@
   const windowMs = route.timeoutMs * STREAM_WINDOW_TIMEOUTS;
   const softwareVersion = getOnlySoftwareVersion(state, service, windowMs, now);
   if (softwareVersion !== undefined && services.length === 1) {
-    forward.origin = { softwareVersion, attempt: undefined };
+    forward.origin = { softwareVersion };
     return placeForward(state, forward, now);
   }
   const message = 'no host knows which software version began the stream';
--- a/src/forwards/streamOrigin.ts
+++ b/src/forwards/streamOrigin.ts
@@ -4,8 +4,6 @@
 export interface StreamOrigin {
   /** Undefined if it is unknown; no endpoint can then resume the stream. */
   softwareVersion: string | undefined;
-  /** Attempt of this request that sent the event; undefined if an earlier request did. */
-  attempt: string | undefined;
 }
 
 /**
