Limit the former software versions that a host keeps of each service

They were kept for as long as the process runs. Eight are kept now; a service with as many within the window had more than one version in any case, so no answer changes.

--- a/src/streams/constants.ts
+++ b/src/streams/constants.ts
@@ -17,3 +17,5 @@
 export const MAX_SENT_STREAM_RECORDS = 100;
 /** Hosts whose hashes are kept, including those that are gone. */
 export const MAX_HOST_HASHES = 4_096;
+/** Former software versions that are kept of each service. */
+export const MAX_FORMER_VERSIONS = 8;
--- a/src/streams/softwareVersions.ts
+++ b/src/streams/softwareVersions.ts
@@ -1,14 +1,21 @@
 import type { State } from '../core/state.ts';
 import type { Endpoint } from '../fleet/types.ts';
+import { MAX_FORMER_VERSIONS } from './constants.ts';
 
-/** Remembers that an endpoint which restarts or is removed had its software version until now. */
+/**
+ * Remembers that an endpoint had its software version until now. Keeps the last versions of a service
+ * only: with as many in a short time, it had more than one in any case.
+ */
 export function recordFormerVersion(
   { streams }: State,
   { service, softwareVersion }: Endpoint,
   now: number,
 ): void {
   const versions = streams.formerVersions.get(service) ?? new Map<string | undefined, number>();
+  versions.delete(softwareVersion);
   versions.set(softwareVersion, now);
+  const [oldest] = versions.keys();
+  if (versions.size > MAX_FORMER_VERSIONS) versions.delete(oldest);
   streams.formerVersions.set(service, versions);
 }
 
--- a/tests/streams/streamRecords.test.ts
+++ b/tests/streams/streamRecords.test.ts
@@ -1,8 +1,13 @@
 import { describe, expect, it } from 'vitest';
-import { MAX_STREAM_RECORDS, MAX_STREAM_RECORD_AGE_MS } from '../../src/streams/constants.ts';
+import {
+  MAX_FORMER_VERSIONS,
+  MAX_STREAM_RECORDS,
+  MAX_STREAM_RECORD_AGE_MS,
+} from '../../src/streams/constants.ts';
+import { recordFormerVersion } from '../../src/streams/softwareVersions.ts';
 import { addStream, findStream } from '../../src/streams/streamRecords.ts';
 import type { StreamRecord } from '../../src/streams/types.ts';
-import { DirectoryHost } from '../helpers/directoryHost.ts';
+import { DirectoryHost, newEndpoint } from '../helpers/directoryHost.ts';
 
 function newRecord(change: Partial<StreamRecord> = {}): StreamRecord {
   const record = { attempt: 'a1', fingerprint: 'p1', service: 'llm', softwareVersion: 'v1' };
@@ -46,3 +51,12 @@
     expect(findStream(state, 'a0', 'p1', 1_000)?.softwareVersion).toBe('v1');
   });
 });
+
+it('keeps the last former software versions of a service only', () => {
+  const { state } = DirectoryHost.create();
+  for (let index = 0; index <= MAX_FORMER_VERSIONS; index++)
+    recordFormerVersion(state, newEndpoint({ softwareVersion: `v${index}` }), 1_000);
+  const versions = [...(state.streams.formerVersions.get('desk')?.keys() ?? [])];
+  expect(versions).toHaveLength(MAX_FORMER_VERSIONS);
+  expect(versions).not.toContain('v0');
+});
