--- a/tests/clients/truncatedResponses.test.ts
+++ b/tests/clients/truncatedResponses.test.ts
@@ -4,6 +4,7 @@
 import {
   EXIT,
   FIN,
+  LAST_RAW_CHUNK,
   RESET,
   getRawChunk,
   getRawHead,
@@ -20,7 +21,7 @@
   wholeAtOnce: (request) => [getRawHead(request) + 'whole', FIN],
   empty: (request) => [getRawHead(request), FIN],
   chunked: (request) => [
-    getRawHead(request, 'transfer-encoding: chunked') + getRawChunk('whole') + '0\r\n\r\n',
+    getRawHead(request, 'transfer-encoding: chunked') + getRawChunk('whole') + LAST_RAW_CHUNK,
   ],
   reset: (request) => [getRawHead(request), 'whole', PAUSE_MS, RESET],
   resetAtOnce: (request) => [getRawHead(request) + 'whole', RESET],
--- a/tests/gatewayHost/softwareVersions.test.ts
+++ b/tests/gatewayHost/softwareVersions.test.ts
@@ -3,38 +3,26 @@
   EXIT,
   FIN,
   RESET,
+  WHOLE_STREAM,
   getRawChunk,
   getRawHead,
+  newRawEvents,
   type RawAnswer,
   RawEndpoint,
   type RawStep,
+  sendRest,
 } from '../helpers/rawEndpoint.ts';
 import { startStandIn, waitUntil } from '../support.ts';
 import { GatewayDeployment, MODEL } from './deployment.ts';
 
-const LAST_EVENT = 4;
 /** Streams of a case, as endpoints of two versions may serve a stream by chance. */
 const STREAMS = 4;
 
-function newEvents(from: number, to: number): string {
-  const ids = Array.from({ length: to - from + 1 }, (_, index) => from + index);
-  return ids.map((id) => `id: ${id}\ndata: token ${id}\n\n`).join('');
-}
-
-const WHOLE = newEvents(1, LAST_EVENT);
-
-/** Sends the events after the one that the request names. */
-const sendRest: RawAnswer = (request) => {
-  const next = Number(request.headers['last-event-id'] ?? 0) + 1;
-  const head = getRawHead(request, 'transfer-encoding: chunked');
-  return [head, getRawChunk(newEvents(next, LAST_EVENT)), '0\r\n\r\n'];
-};
-
 /** Sends two events and then `steps`. */
 function sendHalf(...steps: RawStep[]): RawAnswer {
   return (request) => [
     getRawHead(request, 'transfer-encoding: chunked'),
-    getRawChunk(newEvents(1, 2)),
+    getRawChunk(newRawEvents(1, 2)),
     ...steps,
   ];
 }
@@ -136,7 +124,7 @@
     await waitUntil(() => endpoints.countRequests('v1') === 1);
     for (const version of ['v2', 'v2', 'v1']) await endpoints.add(version);
     gate.open();
-    expect(await received).toMatchObject({ status: 200, error: undefined, body: WHOLE });
+    expect(await received).toMatchObject({ status: 200, error: undefined, body: WHOLE_STREAM });
     expect(endpoints.countRequests('v1')).toBe(2);
     expect(endpoints.countRequests('v2')).toBe(0);
   });
@@ -161,7 +149,7 @@
     await waitUntil(() => endpoints.countRequests('v1') === 1);
     await endpoints.add('v2');
     gate.open();
-    expect(await received).toMatchObject({ status: 200, error: undefined, body: WHOLE });
+    expect(await received).toMatchObject({ status: 200, error: undefined, body: WHOLE_STREAM });
     expect(endpoints.countRequests('v2')).toBe(1);
   });
 });
@@ -177,7 +165,7 @@
     for (let stream = 0; stream < STREAMS; stream++) {
       const headers = { 'attempt-id': `b${stream}`, resumes: `a${stream}`, 'last-event-id': '2' };
       const received = await sendStream(headers, 1);
-      expect(received).toMatchObject({ status: 200, error: undefined, body: newEvents(3, 4) });
+      expect(received).toMatchObject({ status: 200, error: undefined, body: newRawEvents(3, 4) });
     }
     expect(endpoints.countRequests('v1')).toBe(begun + STREAMS);
     expect(endpoints.countRequests('v2')).toBe(0);
@@ -190,7 +178,7 @@
     await endpoints.add('v2');
     const headers = { 'attempt-id': 'b1', resumes: 'a1', 'last-event-id': '2' };
     const received = await sendStream(headers, 2);
-    expect(received).toMatchObject({ status: 200, error: undefined, body: newEvents(3, 4) });
+    expect(received).toMatchObject({ status: 200, error: undefined, body: newRawEvents(3, 4) });
     expect(endpoints.countRequests('v2')).toBe(0);
   });
 
@@ -204,7 +192,10 @@
       ['d1', 0],
     ] as const) {
       const headers = { 'attempt-id': attempt, resumes: 'a1', 'last-event-id': '2' };
-      expect(await sendStream(headers, host)).toMatchObject({ status: 200, body: newEvents(3, 4) });
+      expect(await sendStream(headers, host)).toMatchObject({
+        status: 200,
+        body: newRawEvents(3, 4),
+      });
     }
     expect(endpoints.countRequests('v2')).toBe(0);
   });
@@ -252,7 +243,7 @@
       sendStream({ 'attempt-id': `n${stream}` }, stream % 3),
     );
     for (const received of await Promise.all(streams))
-      expect(received).toMatchObject({ status: 200, error: undefined, body: WHOLE });
+      expect(received).toMatchObject({ status: 200, error: undefined, body: WHOLE_STREAM });
     expect(endpoints.countRequests('v1') + endpoints.countRequests('v2')).toBe(40);
   });
 });
--- a/tests/gatewayHost/truncatedResponses.test.ts
+++ b/tests/gatewayHost/truncatedResponses.test.ts
@@ -4,39 +4,25 @@
 import {
   EXIT,
   FIN,
+  LAST_EVENT,
+  LAST_RAW_CHUNK,
   RESET,
+  WHOLE_STREAM,
   getRawChunk,
   getRawHead,
+  newRawEvents,
   type RawAnswer,
   RawEndpoint,
   type RawStep,
+  sendRest,
 } from '../helpers/rawEndpoint.ts';
 import { cleanUpAfterTest, startStandIn } from '../support.ts';
 import { GatewayDeployment, HOST, MODEL } from './deployment.ts';
 
-const LAST_EVENT = 4;
 const PAUSE_MS = 20;
-const LAST_CHUNK = '0\r\n\r\n';
-
-function newEvent(id: number, line = '\n'): string {
-  return `id: ${id}${line}data: token ${id}${line}${line}`;
-}
-
-function newEvents(from: number, to: number, line = '\n'): string {
-  return Array.from({ length: to - from + 1 }, (_, index) => newEvent(from + index, line)).join('');
-}
-
-const WHOLE = newEvents(1, LAST_EVENT);
 const HALF_EVENT = 'id: 3\ndata: tok';
 const WITHOUT_EMPTY_LINE = 'id: 3\ndata: token 3\n';
 
-/** Sends the events after the one that the request names, in chunks. */
-const sendRest: RawAnswer = (request) => {
-  const next = Number(request.headers['last-event-id'] ?? 0) + 1;
-  const head = getRawHead(request, 'transfer-encoding: chunked');
-  return [head, getRawChunk(newEvents(next, LAST_EVENT)), LAST_CHUNK];
-};
-
 /** Sends `steps` after a head without length and chunks. */
 function sendUnframed(...steps: RawStep[]): RawAnswer {
   return (request) => [getRawHead(request), ...steps];
@@ -77,53 +63,65 @@
 
 /** Streams that were broken off, with the events that are complete. */
 const TRUNCATED_STREAMS: [string, RawAnswer, number][] = [
-  ['within an event, later', sendUnframed(newEvents(1, 2), PAUSE_MS, HALF_EVENT, PAUSE_MS, FIN), 2],
-  ['within an event, at once', sendAtOnce(newEvents(1, 2) + HALF_EVENT, FIN), 2],
+  [
+    'within an event, later',
+    sendUnframed(newRawEvents(1, 2), PAUSE_MS, HALF_EVENT, PAUSE_MS, FIN),
+    2,
+  ],
+  ['within an event, at once', sendAtOnce(newRawEvents(1, 2) + HALF_EVENT, FIN), 2],
   ['within the first event', sendAtOnce('id: 1\nda', FIN), 0],
-  ['just before the empty line', sendUnframed(newEvents(1, 2) + WITHOUT_EMPTY_LINE, FIN), 2],
+  ['just before the empty line', sendUnframed(newRawEvents(1, 2) + WITHOUT_EMPTY_LINE, FIN), 2],
   [
     'just before the empty line with CRLF',
-    sendUnframed(newEvents(1, 2, '\r\n') + 'id: 3\r\ndata: token 3\r\n', FIN),
+    sendUnframed(newRawEvents(1, 2, '\r\n') + 'id: 3\r\ndata: token 3\r\n', FIN),
     2,
   ],
   [
     'just before the empty line with CR',
-    sendUnframed(newEvents(1, 2, '\r') + 'id: 3\rdata: token 3\r', FIN),
+    sendUnframed(newRawEvents(1, 2, '\r') + 'id: 3\rdata: token 3\r', FIN),
     2,
   ],
-  ['within an event with CR', sendUnframed(newEvents(1, 2, '\r') + 'id: 3\rdata: t', FIN), 2],
-  ['within an event by a reset', sendUnframed(newEvents(1, 2) + HALF_EVENT, PAUSE_MS, RESET), 2],
-  ['between events by a reset', sendUnframed(newEvents(1, 2), PAUSE_MS, RESET), 2],
-  ['between events as the endpoint exits', sendUnframed(newEvents(1, 2), PAUSE_MS, EXIT), 2],
+  ['within an event with CR', sendUnframed(newRawEvents(1, 2, '\r') + 'id: 3\rdata: t', FIN), 2],
+  ['within an event by a reset', sendUnframed(newRawEvents(1, 2) + HALF_EVENT, PAUSE_MS, RESET), 2],
+  ['between events by a reset', sendUnframed(newRawEvents(1, 2), PAUSE_MS, RESET), 2],
+  ['between events as the endpoint exits', sendUnframed(newRawEvents(1, 2), PAUSE_MS, EXIT), 2],
   [
     'between events, and the endpoint exits after it',
-    sendUnframed(newEvents(1, 2), FIN, 2, EXIT),
+    sendUnframed(newRawEvents(1, 2), FIN, 2, EXIT),
     2,
   ],
   ['before its first event as the endpoint exits', sendUnframed(PAUSE_MS, EXIT), 0],
   [
     'within an event in chunks that end properly',
-    sendChunked(getRawChunk(newEvents(1, 2) + HALF_EVENT), LAST_CHUNK),
+    sendChunked(getRawChunk(newRawEvents(1, 2) + HALF_EVENT), LAST_RAW_CHUNK),
     2,
   ],
-  ['within an event in chunks', sendChunked(getRawChunk(newEvents(1, 2) + HALF_EVENT), FIN), 2],
-  ['within an event under a length', sendWithLength(newEvents(1, 2) + HALF_EVENT), 2],
+  ['within an event in chunks', sendChunked(getRawChunk(newRawEvents(1, 2) + HALF_EVENT), FIN), 2],
+  ['within an event under a length', sendWithLength(newRawEvents(1, 2) + HALF_EVENT), 2],
 ];
 
 /** Complete streams, with the body that the caller gets. */
 const SOUND_STREAMS: [string, RawAnswer, string][] = [
-  ['later', sendUnframed(newEvents(1, 2), PAUSE_MS, newEvents(3, 4), PAUSE_MS, FIN), WHOLE],
-  ['at once', sendAtOnce(WHOLE, FIN), WHOLE],
-  ['with CRLF', sendUnframed(newEvents(1, 4, '\r\n'), FIN), newEvents(1, 4, '\r\n')],
-  ['with CR', sendUnframed(newEvents(1, 4, '\r'), FIN), newEvents(1, 4, '\r')],
+  [
+    'later',
+    sendUnframed(newRawEvents(1, 2), PAUSE_MS, newRawEvents(3, 4), PAUSE_MS, FIN),
+    WHOLE_STREAM,
+  ],
+  ['at once', sendAtOnce(WHOLE_STREAM, FIN), WHOLE_STREAM],
+  ['with CRLF', sendUnframed(newRawEvents(1, 4, '\r\n'), FIN), newRawEvents(1, 4, '\r\n')],
+  ['with CR', sendUnframed(newRawEvents(1, 4, '\r'), FIN), newRawEvents(1, 4, '\r')],
   [
     'with CRLF that segments split',
-    sendUnframed('id: 1\r\ndata: token 1\r\n\r', PAUSE_MS, '\n' + newEvents(2, 4, '\r\n'), FIN),
-    newEvents(1, 4, '\r\n'),
+    sendUnframed('id: 1\r\ndata: token 1\r\n\r', PAUSE_MS, '\n' + newRawEvents(2, 4, '\r\n'), FIN),
+    newRawEvents(1, 4, '\r\n'),
+  ],
+  [
+    'with a comment at its end',
+    sendUnframed(`${WHOLE_STREAM}: bye\n`, FIN),
+    `${WHOLE_STREAM}: bye\n`,
   ],
-  ['with a comment at its end', sendUnframed(`${WHOLE}: bye\n`, FIN), `${WHOLE}: bye\n`],
-  ['in chunks', sendChunked(getRawChunk(WHOLE), LAST_CHUNK), WHOLE],
-  ['under a length', sendWithLength(WHOLE), WHOLE],
+  ['in chunks', sendChunked(getRawChunk(WHOLE_STREAM), LAST_RAW_CHUNK), WHOLE_STREAM],
+  ['under a length', sendWithLength(WHOLE_STREAM), WHOLE_STREAM],
 ];
 
 // Guards against responses that are framed as complete for their callers and aren't.
@@ -183,13 +181,13 @@
 
 describe('a stream of a caller that reads to the end of its connection', () => {
   it.each<[string, RawAnswer, boolean]>([
-    ['is reset if it was broken off', sendUnframed(newEvents(1, 2), PAUSE_MS, RESET), true],
-    ['ends if it is complete', sendUnframed(WHOLE, PAUSE_MS, FIN), false],
+    ['is reset if it was broken off', sendUnframed(newRawEvents(1, 2), PAUSE_MS, RESET), true],
+    ['ends if it is complete', sendUnframed(WHOLE_STREAM, PAUSE_MS, FIN), false],
   ])('%s', async (_name, answer, isBroken) => {
     const { deployment, endpoints } = await startDeployment('llm');
     planFirst(endpoints, answer);
     const { received, error } = await streamOverHttp10(deployment.fronts[0] ?? '');
-    expect(received).toContain(isBroken ? newEvents(1, 2) : WHOLE);
+    expect(received).toContain(isBroken ? newRawEvents(1, 2) : WHOLE_STREAM);
     expect(error !== undefined).toBe(isBroken);
   });
 });
@@ -221,7 +219,7 @@
 
   it('without a length leaves the connection of its caller open', async () => {
     for (const { plannedAnswers } of endpoints)
-      plannedAnswers.push(sendAtOnce(WHOLE, FIN), sendAtOnce(WHOLE, FIN));
+      plannedAnswers.push(sendAtOnce(WHOLE_STREAM, FIN), sendAtOnce(WHOLE_STREAM, FIN));
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     cleanUpAfterTest(() => {
       agent.destroy();
@@ -230,7 +228,7 @@
     const ports: (number | undefined)[] = [];
     for (const attempt of ['k1', 'k2']) {
       const { body, port } = await streamOver(agent, deployment.fronts[0] ?? '', attempt);
-      expect(body).toBe(WHOLE);
+      expect(body).toBe(WHOLE_STREAM);
       ports.push(port);
     }
     expect(ports[1]).toBe(ports[0]);
--- a/tests/helpers/rawEndpoint.ts
+++ b/tests/helpers/rawEndpoint.ts
@@ -118,7 +118,28 @@
   return [...lines, 'response-seal: s', ...more, '', ''].join('\r\n');
 }
 
+/** End of a chunked body. */
+export const LAST_RAW_CHUNK = '0\r\n\r\n';
+
 /** Returns `text` as one chunk of a chunked body. */
 export function getRawChunk(text: string): string {
   return `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
 }
+
+/** Events of the streams that endpoints send in tests. */
+export const LAST_EVENT = 4;
+
+/** Returns the events `from` to `to`, whose lines end with `lineEnd`. */
+export function newRawEvents(from: number, to: number, lineEnd = '\n'): string {
+  const ids = Array.from({ length: to - from + 1 }, (_, index) => from + index);
+  return ids.map((id) => `id: ${id}${lineEnd}data: token ${id}${lineEnd}${lineEnd}`).join('');
+}
+
+export const WHOLE_STREAM = newRawEvents(1, LAST_EVENT);
+
+/** Sends the events after the one that the request names, in chunks. */
+export const sendRest: RawAnswer = (request) => {
+  const next = Number(request.headers['last-event-id'] ?? 0) + 1;
+  const head = getRawHead(request, 'transfer-encoding: chunked');
+  return [head, getRawChunk(newRawEvents(next, LAST_EVENT)), LAST_RAW_CHUNK];
+};
