Keep a true crash counted while the directory still shows the endpoint

Callers saw a request that ended endpoints run again on others (BUDGET), 8 s after each crash, wherever the directory shows the entry of an ended endpoint for longer than that.

Cause: a crash is taken back when the endpoint is still registered after CRASH_VERIFICATION_DELAY_MS, although its registration may be out of date. Class: absence of evidence taken for evidence. Change: a crash stays if the endpoint refused a connection or another endpoint started at its address.

--- a/src/forwards/crashEvidence.ts
+++ b/src/forwards/crashEvidence.ts
@@ -118,8 +118,7 @@
     schedule(state, now + CRASH_VERIFICATION_DELAY_MS, timer);
     return [];
   }
-  const view = state.fleet.views.get(endpoint);
-  if (view === undefined || hasRunEnded(view, endpointStartedAt)) return [];
+  if (isRunKnownToHaveEnded(state, endpoint, endpointStartedAt)) return [];
   const cleared = [...known.cleared, crash].sort();
   return publishSuspects(state, [{ ...known, cleared }], now);
 }
@@ -195,6 +194,24 @@
   return isRemoved || endpoint.startedAt > startedAt;
 }
 
+/**
+ * Whether a start of an endpoint is known to have ended, also while the directory still shows its entry:
+ * it refused a connection, or another endpoint started at its address.
+ */
+function isRunKnownToHaveEnded(
+  { fleet, forwards }: State,
+  endpoint: string,
+  startedAt: number,
+): boolean {
+  const view = fleet.views.get(endpoint);
+  if (view === undefined || hasRunEnded(view, startedAt)) return true;
+  if (forwards.crashedEndpoints.get(endpoint)?.startedAt === startedAt) return true;
+  return [...fleet.views.values()].some(
+    (other) =>
+      other.endpoint.address === view.endpoint.address && other.endpoint.startedAt > startedAt,
+  );
+}
+
 /**
  * Whether an endpoint has refused a connection and has not registered again since; false once the
  * directory would show its crash.
--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -39,8 +39,17 @@
   fail: { type: 'answered', status: 500 },
 };
 const DEFAULT_ENDPOINTS = 4;
-/** Time after which an endpoint that crashed registers again. */
-const ENDPOINT_RESTART_MS = 1_500;
+/** How an endpoint that crashed comes back. */
+export interface EndpointRestart {
+  /** Time after which it accepts connections and registers again. */
+  afterMs: number;
+  /** Whether it registers under a new id, at its address. */
+  hasNewId: boolean;
+  /** Time after which the entry of its earlier id is removed. */
+  entryTtlMs: number;
+}
+
+const DEFAULT_RESTART: EndpointRestart = { afterMs: 1_500, hasNewId: false, entryTtlMs: Infinity };
 /** Longest time after which a host retries a failed directory call. */
 const DIRECTORY_RETRY_MS = 1_100;
 const STEP_MS = 20;
@@ -75,6 +84,8 @@
     readonly ids: readonly string[],
     private readonly route: Partial<Route>,
     private readonly hasOutages: boolean,
+    private readonly restart: EndpointRestart,
+    private readonly zones: number,
   ) {}
 
   static create(options: {
@@ -83,13 +94,18 @@
     route?: Partial<Route>;
     /** Whether a crash breaks all attempts of the endpoint, which then refuses connections for a time. */
     hasOutages?: boolean;
+    restart?: EndpointRestart;
+    /** Availability zones over which hosts and endpoints are spread. */
+    zones?: number;
   }): GatewayCluster {
-    const { route = { kind: 'unsafe', attempts: 1 }, hasOutages = false } = options;
+    const { route = { kind: 'unsafe', attempts: 1 }, hasOutages = false, zones = 1 } = options;
     const ids = Array.from({ length: options.hosts }, (_, index) => `h${index}`);
-    const cluster = new GatewayCluster(ids, route, hasOutages);
+    const restart = options.restart ?? DEFAULT_RESTART;
+    const cluster = new GatewayCluster(ids, route, hasOutages, restart, zones);
     for (let index = 0; index < (options.endpoints ?? DEFAULT_ENDPOINTS); index++) {
       const id = `e${index}`;
-      cluster.endpoints.set(id, newEndpoint({ id }));
+      const address = `10.0.1.${index}:80`;
+      cluster.endpoints.set(id, newEndpoint({ id, address, zone: cluster.getZone(index) }));
     }
     for (const id of ids) cluster.startHost(id);
     cluster.advance(100);
@@ -98,12 +114,12 @@
 
   /** Starts a host, or restarts it without what its earlier process knew. */
   startHost(id: string): void {
-    const host = DirectoryHost.create(id, 'z1', this.now);
+    const host = DirectoryHost.create(id, this.getZone(this.ids.indexOf(id)), this.now);
     this.hosts.set(id, host);
     host.configure({
       routes: [this.route],
       endpoints: [...this.endpoints.values()],
-      members: this.ids.map((member) => ({ host: member })),
+      members: this.ids.map((member, index) => ({ host: member, zone: this.getZone(index) })),
     });
     this.sendSuspectsRow(id);
     this.openLinks(id);
@@ -207,6 +223,10 @@
     return this.sent.filter(({ reaction }) => reaction.startsWith('crash'));
   }
 
+  private getZone(index: number): string {
+    return `z${1 + (index % this.zones)}`;
+  }
+
   private openLinks(id: string): void {
     for (const other of this.hosts.keys()) {
       if (other === id || this.blockedHosts.has(id) || this.blockedHosts.has(other)) continue;
@@ -293,6 +313,10 @@
       this.endAttemptAfter(key, STEP_MS, { type: 'unreachable', reason: 'refused' });
       return;
     }
+    if (!this.endpoints.has(endpoint)) {
+      this.endAttemptAfter(key, STEP_MS, { type: 'notRun', reason: 'otherEndpoint' });
+      return;
+    }
     this.sent.push({ at: this.now, host: id, endpoint, fingerprint, reaction });
     if (this.hasOutages && reaction === 'crash') {
       this.pending.push({
@@ -317,7 +341,7 @@
 
   /** Breaks all attempts of an endpoint, which refuses connections until it has restarted. */
   private crashEndpoint(id: string): void {
-    this.downUntil.set(id, this.now + ENDPOINT_RESTART_MS);
+    this.downUntil.set(id, this.now + this.restart.afterMs);
     this.restartEndpoint(id);
     for (const attempt of [...this.running.values()]) {
       if (attempt.endpoint === id) attempt.end(BROKEN);
@@ -325,16 +349,28 @@
   }
 
   private restartEndpoint(id: string): void {
+    const { afterMs, hasNewId, entryTtlMs } = this.restart;
+    const former = this.endpoints.get(id);
+    if (former === undefined) return;
     this.crashTimes.push(this.now);
-    const endpoint = newEndpoint({ id, startedAt: this.now });
-    this.endpoints.set(id, endpoint);
+    const startedAt = this.now + (hasNewId ? afterMs : 0);
+    const endpoint = { ...former, id: hasNewId ? `${id}'` : id, startedAt };
+    if (hasNewId) this.endpoints.delete(id);
+    else this.endpoints.set(id, endpoint);
     this.pending.push({
-      at: this.now + ENDPOINT_RESTART_MS,
+      at: this.now + afterMs,
       run: () => {
-        for (const host of this.hosts.keys())
-          this.sendChange(host, 'endpoints', id, { type: 'endpoint', endpoint });
+        this.endpoints.set(endpoint.id, endpoint);
+        this.announce(endpoint.id, { type: 'endpoint', endpoint });
       },
     });
+    if (!hasNewId) return;
+    const at = this.now + entryTtlMs;
+    this.pending.push({ at, run: () => this.announce(id, { type: 'removed' }) });
+  }
+
+  private announce(id: string, content: DirectoryContent): void {
+    for (const host of this.hosts.keys()) this.sendChange(host, 'endpoints', id, content);
   }
 
   private writeSuspects(
