Read and log the limits on requests that endpoints name

Hosts forwarded the header of such a limit to callers and kept nothing of it, so neither logs nor metrics told that an endpoint asks for less. It is decoded once in platform/, recorded with the endpoint and logged on each change; values that are no decimal number are logged and change nothing. No decision uses it yet.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -19,6 +19,7 @@
   'routes',
   'directory',
   'fleet',
+  'limits',
   'owners',
   'residency',
   'streams',
--- a/src/core/metricNames.ts
+++ b/src/core/metricNames.ts
@@ -33,6 +33,10 @@
     kind: 'counter',
     help: 'Repeated sends of requests that gateways forward, by result (allowed or refused by the retry budget).',
   },
+  fireflywick_limited_endpoints: {
+    kind: 'gauge',
+    help: 'Endpoints that name a limit on the requests which they take, as far as this host knows.',
+  },
   fireflywick_quarantined_attributes: {
     kind: 'gauge',
     help: 'Attributes of requests (prompt parts, adapters and others) that this host holds for causes of crashes.',
--- a/src/fleet/registration.ts
+++ b/src/fleet/registration.ts
@@ -34,5 +34,6 @@
     backoffUntil: -Infinity,
     meanAnswerMs: 0,
     failureRate: 0,
+    limit: undefined,
   };
 }
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import type { EndpointLimit } from '../limits/types.ts';
 
 /** An adapter that is loaded on an engine. */
 export const LoadedAdapter = z.object({
@@ -48,6 +49,8 @@
   meanAnswerMs: number;
   /** Exponentially weighted share of attempts that failed. */
   failureRate: number;
+  /** Limit on requests that the endpoint has named since its start; undefined if it named none. */
+  limit: EndpointLimit | undefined;
 }
 
 /** Endpoints by id. */
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -1,5 +1,6 @@
 import type { Failure } from '../errors/failure.ts';
 import { Popularity } from '../grants/popularity.ts';
+import type { NamedLimit } from '../limits/types.ts';
 import type { Route } from '../routes/types.ts';
 import type { Attribute } from '../suspects/attributes.ts';
 import type { SentAttribute } from '../suspects/types.ts';
@@ -201,6 +202,8 @@
   /** The first byte of a response was passed on. */
   | { type: 'forwardStarted'; id: string; attempt: string }
   | { type: 'forwardEnded'; id: string; attempt: string; outcome: ForwardOutcome }
+  /** The head of a response arrived; reported if it names a limit or the endpoint had named one. */
+  | { type: 'limitRead'; id: string; attempt: string; limit: NamedLimit }
   | EndpointCheck;
 
 /** One attempt that the host has to send to an endpoint. */
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -78,7 +78,7 @@
 
   onResponseStart(controller: Controller, status: number, headers: IncomingHttpHeaders): void {
     if (status < 200) return;
-    const { labels, spec, exchange } = this.options;
+    const { labels, spec, exchange, listener } = this.options;
     const raw = getRawHeaders(controller);
     const response = labels.readResponseLabels(status, raw, spec.endpoint);
     const isOwn = response.attemptId === exchange.attemptId;
@@ -87,6 +87,7 @@
       return;
     }
     if (response.notRun !== undefined) {
+      if (response.notRun !== 'otherEndpoint') listener.onLimitRead(response.limit);
       this.startDiscarding(controller);
       this.end({ type: 'notRun', reason: response.notRun });
       return;
@@ -95,6 +96,7 @@
       this.abort(controller, `the response with status ${status} has no seal`);
       return;
     }
+    listener.onLimitRead(response.limit);
     this.status = status;
     this.framing = getBodyFraming(exchange.method, status, headers);
     this.headers = labels.getResponseHeaders(raw);
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -12,6 +12,7 @@
 import type { Loop } from '../host/loop.ts';
 import { newObservedLoop } from '../host/observedLoop.ts';
 import { Observer } from '../host/observer.ts';
+import type { NamedLimit } from '../limits/types.ts';
 import { Logger } from '../observe/logger.ts';
 import { ProcessSampler } from '../observe/processSampler.ts';
 import { countLimitSharers } from '../owners/owner.ts';
@@ -178,6 +179,7 @@
       return;
     }
     const running = this.endpointClient.sendAttempt(spec, exchange, {
+      onLimitRead: (limit) => this.reportLimit(spec, limit),
       onResponseStarted: () => this.dispatch({ type: 'forwardStarted', id, attempt }),
       onEnded: (outcome) => {
         this.runningAttempts.delete(attempt);
@@ -188,6 +190,13 @@
     if (!running.hasEnded) this.runningAttempts.set(attempt, running);
   }
 
+  /** Reports what a response says of a limit, unless it names none and none is known. */
+  private reportLimit({ id, attempt, endpoint }: AttemptSpec, limit: NamedLimit): void {
+    const isLimited = this.state.fleet.views.get(endpoint)?.limit?.perS !== undefined;
+    if (limit.type !== 'none' || isLimited)
+      this.dispatch({ type: 'limitRead', id, attempt, limit });
+  }
+
   onStopped(): void {
     this.resolveStopped();
   }
--- a/src/gatewayHost/platform.ts
+++ b/src/gatewayHost/platform.ts
@@ -1,6 +1,7 @@
 import type { HttpCall } from '../clients/httpClient.ts';
 import type { DirectoryAnswer, DirectoryWriteAnswer, Topic } from '../directory/types.ts';
 import type { RequestLabels } from '../forwards/types.ts';
+import type { NamedLimit } from '../limits/types.ts';
 import type { MembersRow } from '../owners/types.ts';
 import type { SuspectsRow } from '../suspects/types.ts';
 import type { AdapterOrder, AdapterOrderAnswer, AdapterReport } from '../residency/types.ts';
@@ -61,6 +62,7 @@
   isSealed: boolean;
   /** Why the endpoint did not run the request; undefined when it may have run. */
   notRun: 'full' | 'adapterMissing' | 'otherEndpoint' | undefined;
+  limit: NamedLimit;
 }
 
 /** Metadata that is added to a request that is forwarded to an endpoint. */
--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -167,4 +167,24 @@
   ])('reports whether %s ran the request', (_name, status, headers, expected) => {
     expect(headerLabels.readResponseLabels(status, headers, 'e1').notRun).toBe(expected);
   });
+
+  it.each<[string, string[], number | 'none' | 'malformed']>([
+    ['no limit', [], 'none'],
+    ['a whole number', ['Server-Limit', '3'], 3],
+    ['a fraction', ['server-limit', '0.3333333333333333'], 0.3333333333333333],
+    ['zero', ['Server-Limit', '0'], 0],
+    ['an empty value', ['Server-Limit', ''], 'malformed'],
+    ['text', ['Server-Limit', 'few'], 'malformed'],
+    ['a negative number', ['Server-Limit', '-1'], 'malformed'],
+    ['a number that is not finite', ['Server-Limit', 'Infinity'], 'malformed'],
+    ['a hexadecimal number', ['Server-Limit', '0x10'], 'malformed'],
+    ['an exponent', ['Server-Limit', '1e3'], 'malformed'],
+    ['a very long number', ['Server-Limit', '9'.repeat(400)], 'malformed'],
+    ['the same number twice', ['Server-Limit', '2', 'server-limit', '2'], 2],
+    ['two numbers', ['Server-Limit', '5', 'Server-Limit', '2'], 2],
+    ['a number and text', ['Server-Limit', '5', 'Server-Limit', 'x'], 'malformed'],
+  ])('reads a limit: %s', (_name, headers, expected) => {
+    const { limit } = headerLabels.readResponseLabels(200, headers, 'e1');
+    expect(limit.type === 'rate' ? limit.perS : limit.type).toBe(expected);
+  });
 });
