--- a/stand-ins/platform/platformEndpoint.ts
+++ b/stand-ins/platform/platformEndpoint.ts
@@ -101,6 +101,8 @@
   readonly orders: ReceivedOrder[] = [];
   /** Behaviours of the next requests, in order; later requests are served. */
   readonly plannedBehaviours: EndpointBehaviour[] = [];
+  /** Values of the header that names a limit on requests, in each answer. */
+  namedLimits: string[] = [];
   /** Version of each resident adapter, by `model/adapter`. */
   readonly adapters = new Map<string, number>();
   /** Bytes sent on connections that are sent bytes without end, and how many of these are open. */
@@ -337,10 +339,8 @@
     const { response } = call;
     const { events, gapMs } = this.options;
     const last = Number(call.headers['last-event-id'] ?? 0);
-    const { 'attempt-id': attempt, 'response-seal': seal } = this.getResponseHeaders(call, '');
     response.writeHead(200, {
-      'attempt-id': attempt,
-      'response-seal': seal,
+      ...this.getIdentityHeaders(call),
       'content-type': 'text/event-stream',
     });
     for (let id = last + 1; id <= events; id++) {
@@ -357,11 +357,18 @@
   }
 
   private getResponseHeaders(call: { headers: IncomingMessage['headers'] }, body: string) {
+    return {
+      ...this.getIdentityHeaders(call),
+      'content-length': String(Buffer.byteLength(body)),
+    };
+  }
+
+  private getIdentityHeaders(call: { headers: IncomingMessage['headers'] }) {
     const attempt = call.headers['attempt-id'];
     return {
       'attempt-id': typeof attempt === 'string' ? attempt : '',
       'response-seal': `seal-${this.id}`,
-      'content-length': String(Buffer.byteLength(body)),
+      'server-limit': this.namedLimits,
     };
   }
 }
--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -1,5 +1,6 @@
 import type { Effect } from '../../src/core/effects.ts';
 import { type DirectoryContent, Topic } from '../../src/directory/types.ts';
+import type { Failure } from '../../src/errors/failure.ts';
 import type { Endpoint } from '../../src/fleet/types.ts';
 import type { ForwardOutcome, RequestLabels } from '../../src/forwards/types.ts';
 import type { Route } from '../../src/routes/types.ts';
@@ -64,6 +65,12 @@
   readonly results: string[] = [];
   /** Monotonic ms at which endpoints crashed, in order. */
   readonly crashTimes: number[] = [];
+  /** Requests per second that endpoints name in their answers, by endpoint. */
+  readonly namedLimits = new Map<string, number>();
+  /** Monotonic ms at which a host first had an answer of an endpoint that named a limit, by `ENDPOINT/HOST`. */
+  readonly toldAt = new Map<string, number>();
+  /** Called when a request ends with a failure. */
+  onFailure: (host: string, request: string, failure: Failure) => void = () => undefined;
   /** Returns what an endpoint does with an attempt of `fingerprint`. */
   react: (fingerprint: string, traits: RequestTraits) => EndpointReaction = () => 'answer';
   /** Returns for how long an endpoint works on an attempt before it reacts, in ms. */
@@ -95,6 +102,8 @@
     /** Whether a crash breaks all attempts of the endpoint, which then refuses connections for a time. */
     hasOutages?: boolean;
     restart?: EndpointRestart;
+    /** Service of the endpoints; `llm` for engines. */
+    service?: 'desk' | 'llm';
     /** Availability zones over which hosts and endpoints are spread. */
     zones?: number;
   }): GatewayCluster {
@@ -105,7 +114,10 @@
     for (let index = 0; index < (options.endpoints ?? DEFAULT_ENDPOINTS); index++) {
       const id = `e${index}`;
       const address = `10.0.1.${index}:80`;
-      cluster.endpoints.set(id, newEndpoint({ id, address, zone: cluster.getZone(index) }));
+      const { service = 'desk' } = options;
+      const models = service === 'llm' ? ['base'] : [];
+      const zone = cluster.getZone(index);
+      cluster.endpoints.set(id, newEndpoint({ id, address, zone, service, models }));
     }
     for (const id of ids) cluster.startHost(id);
     cluster.advance(100);
@@ -189,10 +201,15 @@
     return !this.hostsWithoutDirectory.has(id);
   }
 
+  /** Id of the next request. */
+  get nextRequestId(): string {
+    return `f${this.nextRequest + 1}`;
+  }
+
   /** Sends a request to a host; returns its id. */
   request(host: string, fingerprint: string, traits: RequestTraits = {}): string {
+    const id = this.nextRequestId;
     this.nextRequest += 1;
-    const id = `f${this.nextRequest}`;
     this.requests.set(id, { fingerprint, traits });
     this.getHost(host).receiveForward({ id, fingerprint, arrivedAt: this.now, ...traits });
     this.runEffects();
@@ -285,6 +302,7 @@
       }
       case 'failForward':
         this.results.push(effect.failure.kind);
+        this.onFailure(id, effect.id, effect.failure);
         return;
       case 'passResponse':
         this.results.push('passed');
@@ -306,6 +324,7 @@
       endpoint,
       end: (outcome) => {
         this.running.delete(key);
+        if (outcome.type === 'answered') this.reportLimit(host, spec);
         host.dispatch({ type: 'forwardEnded', id: request, attempt, outcome });
       },
     });
@@ -332,6 +351,18 @@
     if (outcome !== undefined) this.endAttemptAfter(key, this.getWorkMs(reaction), outcome);
   }
 
+  private reportLimit(
+    host: DirectoryHost,
+    { id, attempt, endpoint }: { id: string; attempt: string; endpoint: string },
+  ): void {
+    const perS = this.namedLimits.get(endpoint);
+    const limit =
+      perS === undefined ? ({ type: 'none' } as const) : { type: 'rate' as const, perS };
+    host.dispatch({ type: 'limitRead', id, attempt, limit });
+    const key = `${endpoint}/${host.state.host.id}`;
+    if (perS !== undefined && !this.toldAt.has(key)) this.toldAt.set(key, this.now);
+  }
+
   private endAttemptAfter(key: string, delayMs: number, outcome: ForwardOutcome): void {
     this.pending.push({
       at: this.now + delayMs,
