Keep the limits on requests that endpoints name, over all hosts

Callers' requests reached endpoints in need at the usual rate, whatever limit the endpoints named: up to 168 requests in 4 s above what is allowed, from one host as from seven.

Cause: no decision used the limit (class: what another process says in its answers is dropped unread). A limit that each host kept by itself would be exceeded by the number of hosts, so the owner of an endpoint hands out the permits of all hosts with a link to it, from one token bucket. Engines get them with reservations; at endpoints of plain services a reservation is needed only while they name a limit. A host without a link to the owner uses its own equal part, which the owner leaves out, so that the parts of a split deployment add up to the limit. Hosts tell each other of changes; a rise counts only from an answer to a request that was sent after the present limit was known. Requests go to other endpoints first; a request waits for a permit only while that is the better choice, and is refused at once otherwise, with a Retry-After that spreads the returns over the permits. Ruled out: equal parts alone waste a skewed load (one request a second over seven hosts is one in seven seconds for each).

--- a/src/core/hostHandlers.ts
+++ b/src/core/hostHandlers.ts
@@ -10,6 +10,8 @@
 import { rerouteFromOwner } from '../forwards/rerouting.ts';
 import { extendLookups } from '../forwards/resumption.ts';
 import { membershipEvents } from '../membership/handlers.ts';
+import { sendKnownLimits } from '../limits/endpointLimits.ts';
+import { schedulePermitQueues } from '../limits/permitQueue.ts';
 import { recordLinkClosed, recordLinkOpened, startOwners } from '../owners/members.ts';
 import { releaseHostReservations } from '../residency/reservations.ts';
 import { scheduleAnnouncement } from '../residency/engineStatus.ts';
@@ -51,11 +53,13 @@
       newLog('info', 'link opened', { to: event.host }),
       ...sendKnownSuspects(state, event.host),
       ...sendKnownStreams(state, event.host, now),
+      ...sendKnownLimits(state, event.host),
       ...extendLookups(state, event.host),
     ];
   },
   linkClosed: (state, event, now) => {
     if (state.policy.directory === undefined) return membershipEvents.linkClosed(state, event, now);
+    schedulePermitQueues(state, now);
     return [
       newLog('warn', 'link closed', { to: event.host, reason: event.reason }),
       ...recordLinkClosed(state, event.host, now),
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -9,6 +9,7 @@
   ReservationReleased,
   ReservationStarted,
 } from '../residency/types.ts';
+import { EndpointLimitsAnnounced } from '../limits/types.ts';
 import { StreamLookup, StreamLookupAnswer, StreamsRecorded } from '../streams/types.ts';
 import { z } from 'zod';
 import {
@@ -88,5 +89,6 @@
   StreamsRecorded,
   StreamLookup,
   StreamLookupAnswer,
+  EndpointLimitsAnnounced,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -21,6 +21,7 @@
 import { engineEvents, engineTimers } from '../engines/handlers.ts';
 import { forwardEvents, forwardMessages, forwardTimers } from '../forwards/handlers.ts';
 import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
+import { limitMessages, limitTimers } from '../limits/handlers.ts';
 import { operatorTableHandlers } from '../operators/commands/index.ts';
 import { confirmTimers } from '../operators/commands/confirmPlan.ts';
 import { operatorEvents } from '../operators/handlers.ts';
@@ -63,6 +64,7 @@
   ...residencyMessages,
   ...forwardMessages,
   ...streamMessages,
+  ...limitMessages,
 };
 
 const timers: TimerHandlers<Timer['type']> = {
@@ -81,6 +83,7 @@
   ...ownersTimers,
   ...residencyTimers,
   ...forwardTimers,
+  ...limitTimers,
 };
 
 const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = {
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -9,6 +9,7 @@
 import { Fleet } from '../fleet/types.ts';
 import { Forwards } from '../forwards/types.ts';
 import { Grants } from '../grants/types.ts';
+import { Limits } from '../limits/types.ts';
 import { Membership } from '../membership/types.ts';
 import { Operators } from '../operators/types.ts';
 import { Ownership } from '../ownership/types.ts';
@@ -108,6 +109,7 @@
   readonly residency = Residency.create();
   readonly forwards = Forwards.create();
   readonly streams = Streams.create();
+  readonly limits = Limits.create();
 
   private constructor(
     readonly host: HostIdentity,
--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -6,6 +6,7 @@
 import type { EngineTimer } from '../engines/types.ts';
 import type { ForwardTimer } from '../forwards/types.ts';
 import type { GrantTimer } from '../grants/types.ts';
+import type { LimitTimer } from '../limits/types.ts';
 import type { OperatorTimer } from '../operators/types.ts';
 import type { MembershipTimer } from '../membership/types.ts';
 import type { OwnershipTimer } from '../ownership/types.ts';
@@ -33,7 +34,8 @@
   | OwnersTimer
   | ResidencyTimer
   | ForwardTimer
-  | StreamTimer;
+  | StreamTimer
+  | LimitTimer;
 
 /** Schedules `timer` for monotonic time `at`. */
 export function schedule(state: State, at: number, timer: Timer): void {
--- a/src/fleet/endpointChoice.ts
+++ b/src/fleet/endpointChoice.ts
@@ -1,4 +1,5 @@
 import { FAILURE_COST_MS, CROSS_ZONE_COST_MS, INITIAL_MEAN_ANSWER_MS } from './constants.ts';
+import { getKnownPermitWaitMs } from '../limits/permits.ts';
 import type { EndpointView, Fleet } from './types.ts';
 
 /** Whether new requests may go to an endpoint. */
@@ -36,7 +37,7 @@
   for (let step = 0; step < healthy.length; step++) {
     const view = healthy[(start + step) % healthy.length];
     if (view === undefined) continue;
-    const cost = getCost(view, zone);
+    const cost = getCost(view, zone, now);
     if (cost < lowestCost) {
       best = view;
       lowestCost = cost;
@@ -45,16 +46,15 @@
   return best;
 }
 
-/** Returns the expected cost of a request at an endpoint, in ms. */
-function getCost(
-  { endpoint, inFlight, meanAnswerMs, failureRate }: EndpointView,
-  zone: string,
-): number {
+/** Returns the expected cost of a request at an endpoint of a plain service, in ms. */
+export function getCost(view: EndpointView, zone: string, now: number): number {
+  const { endpoint, inFlight, meanAnswerMs, failureRate } = view;
   const mean = meanAnswerMs === 0 ? INITIAL_MEAN_ANSWER_MS : meanAnswerMs;
   const queue = Math.max(0, inFlight + 1 - endpoint.slots / 2);
   return (
     mean * (1 + inFlight / endpoint.slots + queue) +
     failureRate * FAILURE_COST_MS +
+    getKnownPermitWaitMs(view, now) +
     (endpoint.zone === zone ? 0 : CROSS_ZONE_COST_MS)
   );
 }
--- a/src/forwards/forwardAdmission.ts
+++ b/src/forwards/forwardAdmission.ts
@@ -104,6 +104,7 @@
     hasFailedResponse: false,
     origin: undefined,
     backoffs: 0,
+    returnMs: undefined,
     lastEventId: undefined,
     lastSoftwareVersion: undefined,
     bodyEnd: undefined,
--- a/src/forwards/forwardPlacement.ts
+++ b/src/forwards/forwardPlacement.ts
@@ -5,12 +5,14 @@
 import { schedule } from '../core/timers.ts';
 import {
   chooseEndpoint,
+  getCost,
   getHealthyEndpoints,
   getRoutableEndpoints,
 } from '../fleet/endpointChoice.ts';
 import { FAILURE_COST_MS, CROSS_ZONE_COST_MS } from '../fleet/constants.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { getOwner } from '../owners/owner.ts';
+import { getKnownPermitWaitMs, isLimited } from '../limits/permits.ts';
 import type { Owner } from '../owners/types.ts';
 import { getPrefillMs } from '../residency/prefill.ts';
 import { getEngineStatus } from '../residency/engineStatus.ts';
@@ -26,12 +28,22 @@
 } from './constants.ts';
 import { isKnownCrashed } from './crashEvidence.ts';
 import { abandonForward } from './forwardEnd.ts';
+import {
+  areAllAtLimit,
+  getMaxPermitWaitMs,
+  recordPermitRefusal,
+  refuseAtLimit,
+  takeOwnPermit,
+} from './limitedPlacement.ts';
 import { scheduleRetry, sendAttempt } from './sending.ts';
 import { canResumeStream, type StreamOrigin } from './streamOrigin.ts';
 import type { Forward } from './types.ts';
 
-/** An engine that can serve a request; without an `owner`, the request is sent unreserved. */
-interface EngineCandidate {
+/**
+ * An endpoint that can serve a request. Without an `owner` that is reachable, the request is sent
+ * unreserved; an endpoint of a plain service needs a reservation only while it limits its requests.
+ */
+interface EndpointCandidate {
   view: EndpointView;
   owner: Owner | undefined;
   cost: number;
@@ -48,31 +60,64 @@
     return abandonForward(state, forward, getMissingVersionReason(forward.origin));
   const views = possible.filter(({ endpoint }) => !forward.excluded.has(endpoint.id));
   if (views.length === 0) {
+    if (areAllAtLimit(possible, forward)) return refuseAtLimit(state, forward);
     // Endpoints that refused the request may accept it after the backoff.
     forward.excluded.clear();
     return scheduleRetry(state, forward, forward.lastReason || 'no endpoint is available', now);
   }
   const service = state.routeIndex.current?.services.get(forward.service);
-  if (service?.engine === undefined || forward.labels.model === '') {
-    const view = chooseEndpoint(views, state.host.zone, now, state.random.getFraction());
-    if (view === undefined) return scheduleRetry(state, forward, 'no endpoint is available', now);
-    return sendAttempt(state, forward, view, undefined, undefined, now);
+  const isEngineRequest = service?.engine !== undefined && forward.labels.model !== '';
+  const choose = isEngineRequest ? chooseEngine : choosePlainEndpoint;
+  const candidate = choose(state, forward, views, now);
+  if (candidate === undefined) {
+    const missing = isEngineRequest
+      ? 'no engine can serve the request'
+      : 'no endpoint is available';
+    return scheduleRetry(state, forward, missing, now);
   }
-  const candidate = chooseEngine(state, forward, getHealthyEndpoints(views, now), now);
-  if (candidate === undefined)
-    return scheduleRetry(state, forward, 'no engine can serve the request', now);
   const { view, owner } = candidate;
-  if (owner === undefined) {
-    return sendAttempt(
+  if (!isLimited(view)) {
+    if (owner !== undefined && isEngineRequest)
+      return requestReservation(state, forward, view, owner.host, now);
+    return sendUnreserved(state, forward, view, isEngineRequest, now);
+  }
+  if (owner !== undefined) {
+    const unlimited = choose(
       state,
       forward,
-      view,
-      undefined,
-      getRequiredVersion(state, forward, view, now),
+      views.filter((other) => !isLimited(other)),
       now,
     );
+    const maxWaitMs = getMaxPermitWaitMs(forward, candidate.cost, unlimited?.cost, now);
+    return requestReservation(state, forward, view, owner.host, now, maxWaitMs);
   }
-  return requestReservation(state, forward, view, owner.host, now);
+  const refusal = takeOwnPermit(state, view, now);
+  if (refusal === undefined) return sendUnreserved(state, forward, view, isEngineRequest, now);
+  recordPermitRefusal(state, forward, view.endpoint.id, refusal, now);
+  return placeForward(state, forward, now);
+}
+
+function sendUnreserved(
+  state: State,
+  forward: Forward,
+  view: EndpointView,
+  isEngineRequest: boolean,
+  now: number,
+): Effect[] {
+  const version = isEngineRequest ? getRequiredVersion(state, forward, view, now) : undefined;
+  return sendAttempt(state, forward, view, undefined, version, now);
+}
+
+function choosePlainEndpoint(
+  state: State,
+  _forward: Forward,
+  views: EndpointView[],
+  now: number,
+): EndpointCandidate | undefined {
+  const { zone } = state.host;
+  const view = chooseEndpoint(views, zone, now, state.random.getFraction());
+  if (view === undefined) return undefined;
+  return { view, owner: getReachableOwner(state, view), cost: getCost(view, zone, now) };
 }
 
 /**
@@ -99,14 +144,15 @@
 function chooseEngine(
   state: State,
   forward: Forward,
-  views: EndpointView[],
+  available: EndpointView[],
   now: number,
-): EngineCandidate | undefined {
+): EndpointCandidate | undefined {
+  const views = getHealthyEndpoints(available, now);
   const { adapter } = forward.labels;
   const engines = views.map(({ endpoint }) => endpoint.id);
   // All hosts compute the same order, so that they load an adapter on the same engines.
   const rendezvousOrder = adapter === '' ? [] : getRendezvousOrder(adapter, engines);
-  let best: EngineCandidate | undefined;
+  let best: EndpointCandidate | undefined;
   for (const view of views) {
     const candidate = newEngineCandidate(
       state,
@@ -127,20 +173,17 @@
   view: EndpointView,
   rank: number,
   now: number,
-): EngineCandidate | undefined {
+): EndpointCandidate | undefined {
   const { id, zone } = view.endpoint;
   const status = getEngineStatus(state, id, now);
-  const owner = getOwner(state.owners, id, zone);
-  const isOwnerReachable =
-    owner !== undefined &&
-    (owner.host === state.host.id || state.owners.linkedHosts.has(owner.host));
+  const owner = getReachableOwner(state, view);
   const { adapter } = forward.labels;
   const models = status?.models ?? view.endpoint.models;
   // A restarted engine holds no base model until its owner has had it loaded again.
   if (!models.includes(getModel(forward))) return undefined;
   const isResident = adapter === '' || status?.adapters.some(([name]) => name === adapter) === true;
   // Only a reachable owner can order the load of the adapter.
-  if (!isOwnerReachable && !isResident) return undefined;
+  if (owner === undefined && !isResident) return undefined;
   let cost = zone === state.host.zone ? 0 : CROSS_ZONE_COST_MS;
   cost += view.failureRate * FAILURE_COST_MS;
   cost +=
@@ -155,7 +198,15 @@
       cost += (SLOT_WAIT_COST_MS * (1 - status.openSlots)) / sharing;
     }
   }
-  return { view, owner: isOwnerReachable ? owner : undefined, cost };
+  return { view, owner, cost: cost + getKnownPermitWaitMs(view, now) };
+}
+
+/** Returns the owner of an endpoint if it is this host or has a link to it. */
+function getReachableOwner({ owners, host }: State, { endpoint }: EndpointView): Owner | undefined {
+  const owner = getOwner(owners, endpoint.id, endpoint.zone);
+  const isReachable =
+    owner !== undefined && (owner.host === host.id || owners.linkedHosts.has(owner.host));
+  return isReachable ? owner : undefined;
 }
 
 function getModel({ labels }: Forward): string {
@@ -182,6 +233,7 @@
   { endpoint }: EndpointView,
   owner: string,
   now: number,
+  maxWaitMs?: number,
 ): Effect[] {
   const { labels } = forward;
   forward.phase = 'awaitingOwner';
@@ -208,6 +260,8 @@
       outputTokens: labels.outputTokens,
       remainingMs: forward.deadlineAt - now,
       goalMs: forward.goalAt - now,
+      priority: forward.route.priority,
+      maxWaitMs,
     }),
   ];
 }
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -11,6 +11,7 @@
   releaseForwardReservation,
 } from './forwardEnd.ts';
 import { placeForward } from './forwardPlacement.ts';
+import { recordPermitRefusal } from './limitedPlacement.ts';
 import { handleEndpointCheck, verifyCrash } from './crashEvidence.ts';
 import { endQuarantinedForwards } from './quarantinedForwards.ts';
 import { scheduleRetry } from './sending.ts';
@@ -59,9 +60,14 @@
       forward.pendingReservation.isQueued = true;
     return [];
   },
-  placeRefused: (state, { request, ask, engine, reason }, _from, now) => {
+  placeRefused: (state, { request, ask, engine, reason, limit }, _from, now) => {
     const forward = state.forwards.inFlight.get(request);
     if (forward?.phase !== 'awaitingOwner' || forward.reservationRequestNumber !== ask) return [];
+    if (limit !== undefined) {
+      forward.pendingReservation = undefined;
+      recordPermitRefusal(state, forward, engine, limit, now);
+      return placeForward(state, forward, now);
+    }
     // When only the owner changed, the engine can still run the request.
     if (reason !== 'notOwner') forward.excluded.add(engine);
     return scheduleRetry(state, forward, `the owner refused the reservation: ${reason}`, now);
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -117,6 +117,8 @@
   origin: StreamOrigin | undefined;
   /** Backoffs so far. */
   backoffs: number;
+  /** Time after which its caller should return, from the endpoints whose limits it met, in ms. */
+  returnMs: number | undefined;
   /** Id of the last stream event that was passed on. */
   lastEventId: string | undefined;
   /** Software version of the endpoint of the last attempt, for logs. */
--- a/src/limits/endpointLimits.ts
+++ b/src/limits/endpointLimits.ts
@@ -1,8 +1,12 @@
 import type { Effect } from '../core/effects.ts';
 import { newGauge, newLog } from '../core/observations.ts';
+import { sendMessage } from '../core/sendMessage.ts';
 import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
 import type { EndpointView } from '../fleet/types.ts';
-import type { EndpointLimit, NamedLimit } from './types.ts';
+import { LIMIT_ANNOUNCE_INTERVAL_MS, LIMIT_REPORT_INTERVAL_MS } from './constants.ts';
+import { isLimited } from './permits.ts';
+import type { AnnouncedLimit, EndpointLimit, NamedLimit } from './types.ts';
 
 /** Applies what an endpoint says of its limit in the answer to an attempt that was sent at `sentAt`. */
 export function recordNamedLimit(
@@ -12,23 +16,76 @@
   sentAt: number,
   now: number,
 ): Effect[] {
-  const { id: endpoint, service } = view.endpoint;
+  const { id: endpoint } = view.endpoint;
   if (named.type === 'malformed')
     return [newLog('warn', 'endpoint named a malformed limit', { endpoint, value: named.value })];
   const perS = named.type === 'rate' ? named.perS : undefined;
   if (perS === view.limit?.perS || isOutdated(view.limit, perS, sentAt)) return [];
-  view.limit = { perS, formerPerS: view.limit?.perS, adoptedAt: now };
+  adoptLimit(state, view, perS, (view.limit?.revision ?? 0) + 1, now);
+  state.limits.changed.add(endpoint);
+  scheduleAnnouncement(state, now);
+  return [];
+}
+
+/** Adopts limits that another host learned of before this one. */
+export function applyAnnouncedLimits(
+  state: State,
+  limits: readonly AnnouncedLimit[],
+  from: string,
+  now: number,
+): Effect[] {
+  const effects: Effect[] = [];
+  for (const { endpoint, startedAt, perS, revision } of limits) {
+    const view = state.fleet.views.get(endpoint);
+    if (view?.endpoint.startedAt !== startedAt || !isNewer(view.limit, perS, revision)) continue;
+    adoptLimit(state, view, perS, revision, now);
+    effects.push(newLimitLog(view, from));
+  }
+  return effects.length === 0 ? [] : [...effects, newLimitGauge(state)];
+}
+
+/** Logs the limits that changed and tells all linked hosts of them. */
+export function announceLimits(state: State, now: number): Effect[] {
+  const { limits, fleet, owners } = state;
+  const views = [...limits.changed].flatMap((endpoint) => fleet.views.get(endpoint) ?? []);
+  limits.changed.clear();
+  limits.isAnnouncementScheduled = false;
+  limits.announcedAt = now;
   return [
-    newLog('info', 'endpoint limit changed', {
-      endpoint,
-      service,
-      perS,
-      formerPerS: view.limit.formerPerS,
-    }),
-    newGauge('fireflywick_limited_endpoints', {}, countLimitedEndpoints(state)),
+    ...views.map((view) => newLimitLog(view, undefined)),
+    newLimitGauge(state),
+    ...[...owners.linkedHosts].flatMap((host) => sendLimits(state, host, views)),
   ];
 }
 
+/** Sends a host whose link opened all limits that this host knows. */
+export function sendKnownLimits(state: State, host: string): Effect[] {
+  return sendLimits(state, host, [...state.fleet.views.values()]);
+}
+
+/** Logs how much of each limit this host handed out since the last report. */
+export function reportLimitUse(state: State, now: number): Effect[] {
+  const { limits, fleet } = state;
+  limits.isReportScheduled = false;
+  const effects: Effect[] = [];
+  for (const [endpoint, permits] of limits.permits) {
+    const view = fleet.views.get(endpoint);
+    if (view === undefined || view.isRemoved || !isLimited(view)) {
+      if (permits.queue.length === 0) limits.permits.delete(endpoint);
+      continue;
+    }
+    const { role, granted, refused, queue, bucket } = permits;
+    permits.granted = 0;
+    permits.refused = 0;
+    if (granted + refused + queue.length === 0) continue;
+    const fields = { endpoint, perS: view.limit?.perS, role, rolePerS: bucket.ratePerS };
+    const use = { granted, refused, queued: queue.length, periodMs: LIMIT_REPORT_INTERVAL_MS };
+    effects.push(newLog('info', 'use of an endpoint limit', { ...fields, ...use }));
+  }
+  scheduleReport(state, now);
+  return [...effects, newLimitGauge(state)];
+}
+
 /**
  * Whether an answer may be older than the known limit: its attempt was sent before this host learned of
  * that. A lower limit is applied all the same, unless it is the one before the last change.
@@ -43,7 +100,81 @@
   return !isLower || perS === known.formerPerS;
 }
 
+/** Whether an announced limit goes before the known one; of two with the same revision, the lower one does. */
+function isNewer(
+  known: EndpointLimit | undefined,
+  perS: number | undefined,
+  revision: number,
+): boolean {
+  if (revision !== known?.revision) return revision > (known?.revision ?? 0);
+  return (perS ?? Infinity) < (known.perS ?? Infinity);
+}
+
+function adoptLimit(
+  state: State,
+  view: EndpointView,
+  perS: number | undefined,
+  revision: number,
+  now: number,
+): void {
+  const { id: endpoint } = view.endpoint;
+  const { limit: known } = view;
+  view.limit = {
+    perS,
+    formerPerS: known?.perS,
+    revision,
+    adoptedAt: now,
+    nextPermitAt: -Infinity,
+  };
+  // Requests that wait may have to wait longer now, or no more.
+  schedule(state, now, { type: 'servePermits', endpoint });
+  if (state.residency.owned.has(endpoint))
+    schedule(state, now, { type: 'serveReservations', engine: endpoint });
+  scheduleReport(state, now);
+}
+
+function scheduleAnnouncement(state: State, now: number): void {
+  const { limits } = state;
+  if (limits.isAnnouncementScheduled) return;
+  limits.isAnnouncementScheduled = true;
+  const at = Math.max(now, limits.announcedAt + LIMIT_ANNOUNCE_INTERVAL_MS);
+  schedule(state, at, { type: 'announceEndpointLimits' });
+}
+
+/** Schedules the next report while an endpoint names a limit. */
+function scheduleReport(state: State, now: number): void {
+  if (state.limits.isReportScheduled || countLimitedEndpoints(state) === 0) return;
+  state.limits.isReportScheduled = true;
+  schedule(state, now + LIMIT_REPORT_INTERVAL_MS, { type: 'reportLimitUse' });
+}
+
+function sendLimits(state: State, host: string, views: readonly EndpointView[]): Effect[] {
+  const limits = views.flatMap(({ endpoint, isRemoved, limit }): AnnouncedLimit[] => {
+    if (isRemoved || limit === undefined) return [];
+    const { perS, revision } = limit;
+    return [{ endpoint: endpoint.id, startedAt: endpoint.startedAt, perS, revision }];
+  });
+  if (limits.length === 0) return [];
+  return [sendMessage(state, host, { type: 'endpointLimitsAnnounced', limits })];
+}
+
+function newLimitLog({ endpoint, limit }: EndpointView, from: string | undefined): Effect {
+  const { id, service } = endpoint;
+  const { perS, formerPerS, revision } = limit ?? {};
+  return newLog('info', 'endpoint limit changed', {
+    endpoint: id,
+    service,
+    perS,
+    formerPerS,
+    revision,
+    from,
+  });
+}
+
+function newLimitGauge(state: State): Effect {
+  return newGauge('fireflywick_limited_endpoints', {}, countLimitedEndpoints(state));
+}
+
 function countLimitedEndpoints({ fleet }: State): number {
-  const views = [...fleet.views.values()];
-  return views.filter(({ isRemoved, limit }) => !isRemoved && limit?.perS !== undefined).length;
+  return [...fleet.views.values()].filter((view) => !view.isRemoved && isLimited(view)).length;
 }
--- /dev/null
+++ b/src/limits/permitQueue.ts
@@ -0,0 +1,162 @@
+import type { Effect } from '../core/effects.ts';
+import { sendMessage } from '../core/sendMessage.ts';
+import type { State } from '../core/state.ts';
+import { schedule } from '../core/timers.ts';
+import { isRoutable } from '../fleet/endpointChoice.ts';
+import type { EndpointView } from '../fleet/types.ts';
+import type { ReservationRefusalReason, ReservationRequest } from '../residency/types.ts';
+import { MAX_PERMIT_WAIT_SHARE, MIN_PERMIT_REMAINING_MS } from './constants.ts';
+import { getPermits, isLimited, isPermitOwner, takeReturnMs, tryTakePermit } from './permits.ts';
+import type { EndpointPermits, QueuedPermit } from './types.ts';
+
+/** A request that waits for a permit, in the queue of an engine or of an endpoint of a plain service. */
+type Waiting = Pick<QueuedPermit, 'maxWaitMs' | 'remainingMs' | 'arrivedAt'>;
+
+/** Queues a request for a permit of an endpoint of a plain service, and serves the queue. */
+export function queuePermit(
+  state: State,
+  view: EndpointView,
+  message: ReservationRequest,
+  from: string,
+  now: number,
+): Effect[] {
+  const permits = getPermits(state, view, 'owner', now);
+  permits.queue.push({ ...message, from, arrivedAt: now, isAcknowledged: false });
+  return servePermits(state, view.endpoint.id, now);
+}
+
+/** Removes a request that no longer waits. */
+export function dropQueuedPermit(state: State, endpoint: string, request: string): void {
+  const permits = state.limits.permits.get(endpoint);
+  if (permits !== undefined)
+    permits.queue = permits.queue.filter((queued) => queued.request !== request);
+}
+
+/** Serves the queues of all endpoints soon, since members, links or endpoints changed. */
+export function schedulePermitQueues(state: State, now: number): void {
+  for (const [endpoint, { queue }] of state.limits.permits) {
+    if (queue.length > 0) schedule(state, now, { type: 'servePermits', endpoint });
+  }
+}
+
+/** Hands out the permits that there are, the most urgent requests first, and refuses those that would wait too long. */
+export function servePermits(state: State, endpoint: string, now: number): Effect[] {
+  const known = state.limits.permits.get(endpoint);
+  if (known === undefined || known.queue.length === 0) return [];
+  const view = state.fleet.views.get(endpoint);
+  if (view === undefined || !isRoutable(view)) return refuseAll(state, known, 'leaving');
+  if (!isPermitOwner(state, view)) return refuseAll(state, known, 'notOwner');
+  const permits = getPermits(state, view, 'owner', now);
+  const effects: Effect[] = [];
+  const left: QueuedPermit[] = [];
+  for (const queued of sortQueue(state, permits.queue, now)) {
+    if (runsOtherSoftware(view, queued)) {
+      effects.push(newRefusal(state, queued, 'otherSoftware'));
+    } else if (!isLimited(view) || tryTakePermit(permits, now)) {
+      effects.push(newGrant(state, view, queued, now));
+    } else {
+      const refusal = refuseLongWait(state, permits, queued, left.length, now);
+      if (refusal === undefined) left.push(queued);
+      else effects.push(newRefusal(state, queued, 'limited', refusal));
+    }
+  }
+  permits.queue = left;
+  scheduleServing(state, endpoint, permits, now);
+  return [...effects, ...acknowledge(state, left)];
+}
+
+/**
+ * Returns when a request that would wait too long for its permit should be tried again; undefined if it
+ * can wait. `ahead` requests get a permit before it.
+ */
+export function refuseLongWait(
+  state: State,
+  permits: EndpointPermits,
+  { maxWaitMs, remainingMs, arrivedAt }: Waiting,
+  ahead: number,
+  now: number,
+): { waitMs: number; returnMs: number } | undefined {
+  const waitMs = permits.bucket.getWaitMs(now, ahead + 1);
+  const longestMs = maxWaitMs ?? remainingMs * MAX_PERMIT_WAIT_SHARE;
+  if (now + waitMs <= arrivedAt + longestMs) return undefined;
+  const finiteMs = Math.min(waitMs, Number.MAX_SAFE_INTEGER);
+  return { waitMs: finiteMs, returnMs: takeReturnMs(state, permits, finiteMs, now) };
+}
+
+/** Returns the requests that can still be served, by priority and arrival. */
+function sortQueue(
+  { host, owners }: State,
+  queue: readonly QueuedPermit[],
+  now: number,
+): QueuedPermit[] {
+  return queue
+    .filter(({ from }) => from === host.id || owners.linkedHosts.has(from))
+    .filter(({ arrivedAt, remainingMs }) => arrivedAt + remainingMs - MIN_PERMIT_REMAINING_MS > now)
+    .sort((a, b) => (a.priority ?? 0) - (b.priority ?? 0) || a.arrivedAt - b.arrivedAt);
+}
+
+function scheduleServing(
+  state: State,
+  endpoint: string,
+  permits: EndpointPermits,
+  now: number,
+): void {
+  if (permits.queue.length === 0) return;
+  const at = now + Math.min(permits.bucket.getWaitMs(now), 1_000);
+  if (permits.nextServeAt > now && permits.nextServeAt <= at) return;
+  permits.nextServeAt = at;
+  schedule(state, at, { type: 'servePermits', endpoint });
+}
+
+function newGrant(
+  state: State,
+  { endpoint }: EndpointView,
+  { request, ask, from, arrivedAt }: QueuedPermit,
+  now: number,
+): Effect {
+  return sendMessage(state, from, {
+    type: 'placeGiven',
+    request,
+    ask,
+    engine: endpoint.id,
+    startedAt: endpoint.startedAt,
+    stallMs: Math.round(now - arrivedAt),
+  });
+}
+
+function refuseAll(
+  state: State,
+  permits: EndpointPermits,
+  reason: ReservationRefusalReason,
+): Effect[] {
+  const { queue } = permits;
+  permits.queue = [];
+  return queue.map((queued) => newRefusal(state, queued, reason));
+}
+
+function newRefusal(
+  state: State,
+  { request, ask, engine, from }: QueuedPermit,
+  reason: ReservationRefusalReason,
+  limit?: { waitMs: number; returnMs: number },
+): Effect {
+  return sendMessage(state, from, { type: 'placeRefused', request, ask, engine, reason, limit });
+}
+
+/** Tells the hosts of requests that wait, so that they do not take this host for unreachable. */
+function acknowledge(state: State, queue: QueuedPermit[]): Effect[] {
+  return queue
+    .filter((queued) => !queued.isAcknowledged)
+    .map((queued) => {
+      queued.isAcknowledged = true;
+      const { request, ask, from } = queued;
+      return sendMessage(state, from, { type: 'placeQueued', request, ask });
+    });
+}
+
+function runsOtherSoftware(
+  { endpoint }: EndpointView,
+  { softwareVersion }: ReservationRequest,
+): boolean {
+  return softwareVersion !== undefined && endpoint.softwareVersion !== softwareVersion;
+}
--- /dev/null
+++ b/src/limits/permits.ts
@@ -0,0 +1,112 @@
+import { TokenBucket } from '../base/tokenBucket.ts';
+import type { State } from '../core/state.ts';
+import type { EndpointView } from '../fleet/types.ts';
+import { countRecentLimitSharers, getOwner } from '../owners/owner.ts';
+import {
+  MAX_RETURN_MS,
+  MIN_PERMITS_PER_S,
+  PERMIT_BURST_MS,
+  SHARERS_WINDOW_MS,
+} from './constants.ts';
+import type { EndpointPermits, PermitRole } from './types.ts';
+
+/** Whether an endpoint names a limit on the requests that it takes. */
+export function isLimited({ limit }: EndpointView): boolean {
+  return limit?.perS !== undefined;
+}
+
+/** Returns the time until a limited endpoint may have a permit for this host, in ms; 0 without a limit. */
+export function getKnownPermitWaitMs(view: EndpointView, now: number): number {
+  return isLimited(view) ? Math.max(0, (view.limit?.nextPermitAt ?? now) - now) : 0;
+}
+
+/** Whether this host hands out the permits of an endpoint. */
+export function isPermitOwner({ owners, host }: State, { endpoint }: EndpointView): boolean {
+  return getOwner(owners, endpoint.id, endpoint.zone)?.host === host.id;
+}
+
+/**
+ * Returns the permits of a limited endpoint that this host hands out in `role`. A host that starts to
+ * hand them out has none at first, since others may have used those of the last second.
+ */
+export function getPermits(
+  state: State,
+  view: EndpointView,
+  role: PermitRole,
+  now: number,
+): EndpointPermits {
+  const { id, startedAt } = view.endpoint;
+  const { permits } = state.limits;
+  const known = permits.get(id);
+  const perS = getPermitsPerS(state, view, role, now);
+  if (known?.role === role && known.startedAt === startedAt) {
+    if (known.bucket.ratePerS !== perS)
+      known.bucket = newBucket(perS, known.bucket.getTokens(now), now);
+    return known;
+  }
+  const created: EndpointPermits = {
+    role,
+    startedAt,
+    bucket: newBucket(perS, 0, now),
+    queue: known?.queue ?? [],
+    nextServeAt: -Infinity,
+    returnsUntil: -Infinity,
+    granted: 0,
+    refused: 0,
+  };
+  permits.set(id, created);
+  return created;
+}
+
+/** Takes one permit; returns whether there was one. */
+export function tryTakePermit(permits: EndpointPermits, now: number): boolean {
+  if (!permits.bucket.tryTake(now)) return false;
+  permits.granted += 1;
+  return true;
+}
+
+/**
+ * Returns the time after which the caller of a refused request should return, in ms. Each refusal takes
+ * the next time at which there is a permit, so that callers return at the rate of the permits; beyond a
+ * maximum they are spread at random.
+ */
+export function takeReturnMs(
+  { random }: State,
+  permits: EndpointPermits,
+  waitMs: number,
+  now: number,
+): number {
+  permits.refused += 1;
+  const intervalMs = 1_000 / Math.max(permits.bucket.ratePerS, MIN_PERMITS_PER_S);
+  const at = Math.max(permits.returnsUntil + intervalMs, now + waitMs);
+  if (at - now > MAX_RETURN_MS) return MAX_RETURN_MS * (0.5 + random.getFraction() / 2);
+  permits.returnsUntil = at;
+  return at - now;
+}
+
+/**
+ * Returns the permits per second of this host. The owner has those of all members with a link to it, and
+ * each other member its own part, so that all parts add up to no more than the limit, however links are
+ * cut. Without a members row the number of parts is unknown, so there are none.
+ */
+function getPermitsPerS(
+  { owners, host }: State,
+  { limit }: EndpointView,
+  role: PermitRole,
+  now: number,
+): number {
+  const members = owners.row?.members ?? [];
+  if (members.length === 0) return 0;
+  const linked = members.filter(
+    (member) => member.host !== host.id && owners.linkedHosts.has(member.host),
+  );
+  const sharers = countRecentLimitSharers(owners, SHARERS_WINDOW_MS, now);
+  const parts = role === 'owner' ? 1 + linked.length : 1;
+  const perS = Math.max(limit?.perS ?? 0, MIN_PERMITS_PER_S);
+  return (perS * Math.min(parts, sharers)) / sharers;
+}
+
+function newBucket(perS: number, tokens: number, now: number): TokenBucket {
+  const limit = Math.max(1, (perS * PERMIT_BURST_MS) / 1_000);
+  return TokenBucket.create(perS, limit, now, Math.min(tokens, limit));
+}
--- a/src/limits/types.ts
+++ b/src/limits/types.ts
@@ -1,3 +1,7 @@
+import { z } from 'zod';
+import type { TokenBucket } from '../base/tokenBucket.ts';
+import type { ReservationRequest } from '../residency/types.ts';
+
 /** What an answer of an endpoint says of the requests that the endpoint takes. */
 export type NamedLimit =
   | { type: 'none' }
@@ -12,6 +16,80 @@
   perS: number | undefined;
   /** The limit before the last change. */
   formerPerS: number | undefined;
+  /** Grows with each change that a host learns from an answer; hosts adopt the highest. */
+  revision: number;
   /** Monotonic ms at which this host learned of `perS`. */
   adoptedAt: number;
+  /** Monotonic ms before which the endpoint is known to have no permit for this host. */
+  nextPermitAt: number;
 }
+
+const AnnouncedLimit = z.object({
+  endpoint: z.string().min(1).max(200),
+  /** Unix ms of the start of the endpoint that named the limit. */
+  startedAt: z.number(),
+  /** Absent once the endpoint names none any more. */
+  perS: z.number().min(0).optional(),
+  revision: z.int().min(1),
+});
+export type AnnouncedLimit = z.infer<typeof AnnouncedLimit>;
+
+/** Tells other hosts of limits that endpoints named to the sender, or that it was told of. */
+export const EndpointLimitsAnnounced = z.object({
+  type: z.literal('endpointLimitsAnnounced'),
+  limits: z.array(AnnouncedLimit),
+});
+
+/**
+ * `owner`: the host hands out the permits of all hosts with a link to it; `share`: it has no link to the
+ * owner of the endpoint and uses its own part.
+ */
+export type PermitRole = 'owner' | 'share';
+
+/** A request that waits at the owner of a limited endpoint. */
+export interface QueuedPermit extends ReservationRequest {
+  from: string;
+  arrivedAt: number;
+  isAcknowledged: boolean;
+}
+
+/** The permits of one limited endpoint that this host hands out. */
+export interface EndpointPermits {
+  role: PermitRole;
+  /** Unix ms of the start of the endpoint. */
+  startedAt: number;
+  bucket: TokenBucket;
+  /** Requests to endpoints of plain services; those to engines wait in the engine's queue. */
+  queue: QueuedPermit[];
+  /** Monotonic ms of the next timer that serves the queue; -Infinity before the first one. */
+  nextServeAt: number;
+  /** Monotonic ms up to which returns of refused callers are spread. */
+  returnsUntil: number;
+  /** Permits and refusals since the last report. */
+  granted: number;
+  refused: number;
+}
+
+/** Limits that endpoints named, and the permits that follow from them. */
+export class Limits {
+  /** Endpoints whose limit changed since the last announcement. */
+  readonly changed = new Set<string>();
+  /** Monotonic ms of the last announcement. */
+  announcedAt = -Infinity;
+  isAnnouncementScheduled = false;
+  isReportScheduled = false;
+  /** Permits by endpoint. */
+  readonly permits = new Map<string, EndpointPermits>();
+
+  private constructor() {}
+
+  static create(): Limits {
+    return new Limits();
+  }
+}
+
+export type LimitTimer =
+  | { type: 'announceEndpointLimits' }
+  | { type: 'reportLimitUse' }
+  /** Serves the requests that wait for permits of an endpoint of a plain service. */
+  | { type: 'servePermits'; endpoint: string };
--- a/src/residency/handlers.ts
+++ b/src/residency/handlers.ts
@@ -1,5 +1,6 @@
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import { newLog } from '../core/observations.ts';
+import { dropQueuedPermit } from '../limits/permitQueue.ts';
 import { CANCELLED_REQUEST_MAX_RUN_MS } from './constants.ts';
 import { handleOrderAnswer, requireReport, applyAdapterReport } from './adapterOrders.ts';
 import { completePrefill } from './prefill.ts';
@@ -20,7 +21,10 @@
   },
   placeReleased: (state, { request, engine, result }, _from, now) => {
     const owned = state.residency.owned.get(engine);
-    if (owned === undefined) return [];
+    if (owned === undefined) {
+      dropQueuedPermit(state, engine, request);
+      return [];
+    }
     const adapter = owned.reservations.get(request)?.adapter;
     releaseReservation(owned, request);
     const copy = adapter === undefined ? undefined : owned.copies.get(adapter);
--- a/src/residency/reservations.ts
+++ b/src/residency/reservations.ts
@@ -5,6 +5,8 @@
 import { schedule } from '../core/timers.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { isRoutable } from '../fleet/endpointChoice.ts';
+import { queuePermit, refuseLongWait } from '../limits/permitQueue.ts';
+import { getPermits, isLimited, tryTakePermit } from '../limits/permits.ts';
 import type { EngineClass } from '../routes/types.ts';
 import {
   USABLE_MEMORY_SHARE,
@@ -20,13 +22,17 @@
   ReservationRequest,
   WaitReason,
   ReservationRefusalReason,
+  ReservationRefused,
   QueuedReservation,
 } from './types.ts';
 import { canSendPrompt, expirePrefills, getPrefillBacklogMs, completePrefill } from './prefill.ts';
 import { sortReservationQueue } from './reservationQueue.ts';
 import { scheduleAnnouncement } from './engineStatus.ts';
 
-/** Queues a reservation request; refuses it if the engine is leaving or not owned by this host. */
+/**
+ * Queues a reservation request; refuses it if the engine is leaving or not owned by this host. At an
+ * endpoint of a plain service, a request waits only for a permit.
+ */
 export function queueReservation(
   state: State,
   message: ReservationRequest,
@@ -35,6 +41,8 @@
 ): Effect[] {
   const owned = state.residency.owned.get(message.engine);
   const view = state.fleet.views.get(message.engine);
+  if (view !== undefined && getEngineClass(state, view) === undefined)
+    return queuePermit(state, view, message, from, now);
   if (owned === undefined || view === undefined)
     return refuseReservation(state, message, from, 'notOwner');
   if (!isRoutable(view)) return refuseReservation(state, message, from, 'leaving');
@@ -63,6 +71,11 @@
   expirePrefills(owned, now);
   owned.queue = owned.queue.filter(({ deadlineAt }) => deadlineAt - MIN_REMAINING_MS > now);
   sortReservationQueue(owned, now);
+  const view = state.fleet.views.get(owned.id);
+  const permits =
+    view === undefined || !isLimited(view) ? undefined : getPermits(state, view, 'owner', now);
+  // A limited engine serves few requests, so that the order of the routes decides which.
+  if (permits !== undefined) owned.queue.sort((a, b) => (a.priority ?? 0) - (b.priority ?? 0));
   const left: QueuedReservation[] = [];
   for (const queued of owned.queue) {
     // The engine may have restarted with other software.
@@ -74,12 +87,21 @@
       effects.push(...refuseReservation(state, queued, queued.from, 'replacing'));
       continue;
     }
-    const waitReason = getWaitReason(state, owned, engine, queued);
-    if (waitReason === undefined) effects.push(...grantReservation(state, owned, queued, now));
-    else {
-      queued.waitedFor = waitReason;
-      left.push(queued);
+    const waitReason =
+      getWaitReason(state, owned, engine, queued) ??
+      (permits === undefined || tryTakePermit(permits, now) ? undefined : 'limit');
+    if (waitReason === undefined) {
+      effects.push(...grantReservation(state, owned, queued, now));
+      continue;
+    }
+    const refusal =
+      permits === undefined ? undefined : refuseLongWait(state, permits, queued, left.length, now);
+    if (refusal !== undefined) {
+      effects.push(...refuseReservation(state, queued, queued.from, 'limited', refusal));
+      continue;
     }
+    queued.waitedFor = waitReason;
+    left.push(queued);
   }
   owned.queue = left;
   effects.push(...issueNextOrder(state, owned, engine, now));
@@ -275,9 +297,10 @@
   { request, ask, engine }: ReservationRequest,
   from: string,
   reason: ReservationRefusalReason,
+  limit?: ReservationRefused['limit'],
 ): Effect[] {
   return [
     newCount('fireflywick_decisions_total', { decision: 'placeRefused', reason }),
-    sendMessage(state, from, { type: 'placeRefused', request, ask, engine, reason }),
+    sendMessage(state, from, { type: 'placeRefused', request, ask, engine, reason, limit }),
   ];
 }
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -25,6 +25,13 @@
   /** Time until the request's deadline, and until its first event is late, in ms. */
   remainingMs: z.number(),
   goalMs: z.number(),
+  /** Rank of the route, 0 is the most urgent; hosts of earlier versions omit it. */
+  priority: z.number().optional(),
+  /**
+   * Longest time to wait for a permit of an endpoint that limits its requests, in ms; hosts of earlier
+   * versions omit it.
+   */
+  maxWaitMs: z.number().optional(),
 });
 export type ReservationRequest = z.infer<typeof ReservationRequest>;
 
@@ -54,6 +61,8 @@
   'leaving',
   'replacing',
   'otherSoftware',
+  /** The endpoint limits its requests, and the wait for a permit would be too long. */
+  'limited',
 ]);
 export type ReservationRefusalReason = z.infer<typeof ReservationRefusalReason>;
 
@@ -63,7 +72,10 @@
   ask: z.int().min(0),
   engine: Id,
   reason: ReservationRefusalReason,
+  /** Of `limited`: time until there is a permit, and until the caller should return, in ms. */
+  limit: z.object({ waitMs: z.number(), returnMs: z.number() }).optional(),
 });
+export type ReservationRefused = z.infer<typeof ReservationRefused>;
 
 /** Releases a reservation, or withdraws a request that was not answered. */
 export const ReservationReleased = z.object({
@@ -112,8 +124,11 @@
 export type EngineStatusAnnouncement = z.infer<typeof EngineStatusAnnouncement>;
 export type EngineStatus = EngineStatusAnnouncement['engines'][number];
 
-/** What a queued reservation waits for: adapter, room in batch or memory, or pending prefill. */
-export type WaitReason = 'adapter' | 'batch' | 'memory' | 'prompts';
+/**
+ * What a queued reservation waits for: adapter, room in batch or memory, pending prefill, or a permit of
+ * an engine that limits its requests.
+ */
+export type WaitReason = 'adapter' | 'batch' | 'memory' | 'prompts' | 'limit';
 
 /** A reservation request in the owner's queue. */
 export interface QueuedReservation extends ReservationRequest {
