Hand out permits from the moment at which a limit is known

Callers of an endpoint that had just named a limit waited for the first permit from their own arrival on, and requests that a new owner could have granted at once were refused. Cause: the owner's token bucket began with the first request that asked, not with the limit. Change: it begins when the host learns of the limit or becomes the owner.

--- a/src/core/hostHandlers.ts
+++ b/src/core/hostHandlers.ts
@@ -11,7 +11,7 @@
 import { extendLookups } from '../forwards/resumption.ts';
 import { membershipEvents } from '../membership/handlers.ts';
 import { sendKnownLimits } from '../limits/endpointLimits.ts';
-import { schedulePermitQueues } from '../limits/permitQueue.ts';
+import { updatePermits } from '../limits/permitQueue.ts';
 import { recordLinkClosed, recordLinkOpened, startOwners } from '../owners/members.ts';
 import { releaseHostReservations } from '../residency/reservations.ts';
 import { scheduleAnnouncement } from '../residency/engineStatus.ts';
@@ -59,7 +59,7 @@
   },
   linkClosed: (state, event, now) => {
     if (state.policy.directory === undefined) return membershipEvents.linkClosed(state, event, now);
-    schedulePermitQueues(state, now);
+    updatePermits(state, now);
     return [
       newLog('warn', 'link closed', { to: event.host, reason: event.reason }),
       ...recordLinkClosed(state, event.host, now),
--- a/src/limits/endpointLimits.ts
+++ b/src/limits/endpointLimits.ts
@@ -5,7 +5,7 @@
 import { schedule } from '../core/timers.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { LIMIT_ANNOUNCE_INTERVAL_MS, LIMIT_REPORT_INTERVAL_MS } from './constants.ts';
-import { isLimited } from './permits.ts';
+import { getPermits, isLimited, isPermitOwner } from './permits.ts';
 import type { AnnouncedLimit, EndpointLimit, NamedLimit } from './types.ts';
 
 /** Applies what an endpoint says of its limit in the answer to an attempt that was sent at `sentAt`. */
@@ -126,6 +126,7 @@
     adoptedAt: now,
     nextPermitAt: -Infinity,
   };
+  if (isPermitOwner(state, view)) getPermits(state, view, 'owner', now);
   // Requests that wait may have to wait longer now, or no more.
   schedule(state, now, { type: 'servePermits', endpoint });
   if (state.residency.owned.has(endpoint))
--- a/src/limits/permitQueue.ts
+++ b/src/limits/permitQueue.ts
@@ -32,8 +32,14 @@
     permits.queue = permits.queue.filter((queued) => queued.request !== request);
 }
 
-/** Serves the queues of all endpoints soon, since members, links or endpoints changed. */
-export function schedulePermitQueues(state: State, now: number): void {
+/**
+ * Starts to hand out the permits of endpoints that this host owns now, and serves the queues of all
+ * endpoints soon; called after members, links or endpoints changed.
+ */
+export function updatePermits(state: State, now: number): void {
+  for (const view of state.fleet.views.values()) {
+    if (isLimited(view) && isPermitOwner(state, view)) getPermits(state, view, 'owner', now);
+  }
   for (const [endpoint, { queue }] of state.limits.permits) {
     if (queue.length > 0) schedule(state, now, { type: 'servePermits', endpoint });
   }
--- a/src/residency/ownedEngines.ts
+++ b/src/residency/ownedEngines.ts
@@ -3,7 +3,7 @@
 import type { State } from '../core/state.ts';
 import { isRoutable } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
-import { schedulePermitQueues } from '../limits/permitQueue.ts';
+import { updatePermits } from '../limits/permitQueue.ts';
 import { TAKEOVER_WAIT_MS } from '../owners/constants.ts';
 import { getMember, getOwner, getMembersRowOwner } from '../owners/owner.ts';
 import { requireReport } from './adapterOrders.ts';
@@ -13,7 +13,7 @@
 /** Starts managing engines that this host now owns and stops managing the others. */
 export function updateOwnedEngines(state: State, now: number): Effect[] {
   const effects: Effect[] = [];
-  schedulePermitQueues(state, now);
+  updatePermits(state, now);
   for (const owned of [...state.residency.owned.values()]) {
     const view = state.fleet.views.get(owned.id);
     const isStillOwned = view !== undefined && isOwnedHere(state, view);
