--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -4,7 +4,7 @@
 import type { Endpoint } from '../../src/fleet/types.ts';
 import type { ForwardOutcome, RequestLabels } from '../../src/forwards/types.ts';
 import type { Route } from '../../src/routes/types.ts';
-import { DirectoryHost, newDirectoryChange, newEndpoint } from './directoryHost.ts';
+import { DirectoryHost, newDirectoryChange, newEndpoint, newMembersRow } from './directoryHost.ts';
 
 /** What an endpoint does with an attempt. */
 export type EndpointReaction = 'crash' | 'crashSilently' | 'break' | 'answer' | 'fail';
@@ -81,6 +81,8 @@
   /** Monotonic ms until which endpoints that crashed refuse connections. */
   private readonly downUntil = new Map<string, number>();
   private readonly blockedHosts = new Set<string>();
+  /** Sides of a partition: hosts of different sides have no links. */
+  private readonly sides = new Map<string, number>();
   private readonly hostsWithoutDirectory = new Set<string>();
   private suspectsRow: { content: DirectoryContent; version: number } | undefined;
   private readonly pending: { at: number; run: () => void }[] = [];
@@ -149,9 +151,45 @@
     }
   }
 
+  /** Cuts the links between hosts of different sides, which both ends notice. */
+  partition(...sides: readonly (readonly string[])[]): void {
+    sides.forEach((ids, side) => {
+      for (const id of ids) this.sides.set(id, side);
+    });
+    for (const id of this.hosts.keys()) {
+      for (const host of this.hosts.keys()) {
+        if (this.isCut(id, host))
+          this.getHost(id).dispatch({ type: 'linkClosed', host, reason: 'cut' });
+      }
+    }
+    this.runEffects();
+  }
+
+  /** Kills a host; the others notice that its links close. */
+  stopHost(id: string): void {
+    this.hosts.delete(id);
+    for (const host of this.hosts.values())
+      host.dispatch({ type: 'linkClosed', host: id, reason: 'killed' });
+    this.runEffects();
+  }
+
+  /** Lets `hosts` read a members row; the directory has it from then on for hosts that start. */
+  setMembers(members: readonly string[], epoch: number, hosts: readonly string[] = this.ids): void {
+    const row = newMembersRow(
+      epoch,
+      members.map((host) => ({ host, zone: this.getZone(this.ids.indexOf(host)) })),
+    );
+    for (const host of hosts) {
+      if (this.hosts.has(host))
+        this.sendChange(host, 'members', 'members', { type: 'members', row });
+    }
+    this.runEffects();
+  }
+
   /** Opens all links again. */
   healLinks(): void {
-    const healed = [...this.blockedHosts];
+    this.sides.clear();
+    const healed = [...this.hosts.keys()];
     this.blockedHosts.clear();
     for (const id of healed) this.openLinks(id);
     this.runEffects();
@@ -244,9 +282,14 @@
     return `z${1 + (index % this.zones)}`;
   }
 
+  private isCut(a: string, b: string): boolean {
+    const isBlocked = this.blockedHosts.has(a) || this.blockedHosts.has(b);
+    return isBlocked || this.sides.get(a) !== this.sides.get(b);
+  }
+
   private openLinks(id: string): void {
     for (const other of this.hosts.keys()) {
-      if (other === id || this.blockedHosts.has(id) || this.blockedHosts.has(other)) continue;
+      if (other === id || this.isCut(id, other)) continue;
       this.getHost(id).dispatch({ type: 'linkOpened', host: other });
       this.getHost(other).dispatch({ type: 'linkOpened', host: id });
     }
@@ -274,8 +317,7 @@
   private runEffect(id: string, host: DirectoryHost, effect: Effect): void {
     switch (effect.type) {
       case 'sendMessage': {
-        const isBlocked = this.blockedHosts.has(id) || this.blockedHosts.has(effect.to);
-        if (effect.to !== id && !isBlocked)
+        if (effect.to !== id && !this.isCut(id, effect.to))
           this.hosts.get(effect.to)?.receiveMessage(id, effect.message);
         return;
       }
