--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -22,6 +22,9 @@
   endpoint: string;
   fingerprint: string;
   reaction: EndpointReaction;
+  /** Monotonic ms at which the present start of the endpoint first named a limit, and to this host. */
+  namedAt: number;
+  toldAt: number;
 }
 
 /** An attempt on which an endpoint works. */
@@ -67,8 +70,8 @@
   readonly crashTimes: number[] = [];
   /** Requests per second that endpoints name in their answers, by endpoint. */
   readonly namedLimits = new Map<string, number>();
-  /** Monotonic ms at which a host first had an answer of an endpoint that named a limit, by `ENDPOINT/HOST`. */
-  readonly toldAt = new Map<string, number>();
+  /** Monotonic ms at which the present start of an endpoint first named a limit to each host. */
+  private readonly toldAt = new Map<string, Map<string, number>>();
   /** Called when a request ends with a failure. */
   onFailure: (host: string, request: string, failure: Failure) => void = () => undefined;
   /** Returns what an endpoint does with an attempt of `fingerprint`. */
@@ -378,7 +381,10 @@
       this.endAttemptAfter(key, STEP_MS, { type: 'notRun', reason: 'otherEndpoint' });
       return;
     }
-    this.sent.push({ at: this.now, host: id, endpoint, fingerprint, reaction });
+    const told = this.toldAt.get(endpoint);
+    const namedAt = Math.min(Infinity, ...(told?.values() ?? []));
+    const toldAt = told?.get(id) ?? Infinity;
+    this.sent.push({ at: this.now, host: id, endpoint, fingerprint, reaction, namedAt, toldAt });
     if (this.hasOutages && reaction === 'crash') {
       this.pending.push({
         at: this.now + this.getWorkMs(reaction),
@@ -401,8 +407,10 @@
     const limit =
       perS === undefined ? ({ type: 'none' } as const) : { type: 'rate' as const, perS };
     host.dispatch({ type: 'limitRead', id, attempt, limit });
-    const key = `${endpoint}/${host.state.host.id}`;
-    if (perS !== undefined && !this.toldAt.has(key)) this.toldAt.set(key, this.now);
+    if (perS === undefined) return;
+    const told = this.toldAt.get(endpoint) ?? new Map<string, number>();
+    this.toldAt.set(endpoint, told);
+    if (!told.has(host.state.host.id)) told.set(host.state.host.id, this.now);
   }
 
   private endAttemptAfter(key: string, delayMs: number, outcome: ForwardOutcome): void {
@@ -426,6 +434,7 @@
     const former = this.endpoints.get(id);
     if (former === undefined) return;
     this.crashTimes.push(this.now);
+    this.toldAt.delete(id);
     const startedAt = this.now + (hasNewId ? afterMs : 0);
     const endpoint = { ...former, id: hasNewId ? `${id}'` : id, startedAt };
     if (hasNewId) this.endpoints.delete(id);
--- a/tests/helpers/limitedTraffic.ts
+++ b/tests/helpers/limitedTraffic.ts
@@ -98,24 +98,17 @@
 }
 
 /**
- * Returns the largest excess of requests in a window over what an endpoint allows, from hosts that it
- * had told of its limit and are not in `excused`; 0 or less if the limit is kept.
+ * Returns the largest excess of requests in a window over what an endpoint allows, from hosts that its
+ * present start had told of its limit; 0 or less if the limit is kept.
  */
-export function getLargestExcess(
-  cluster: GatewayCluster,
-  endpoint: string,
-  namedAt: number,
-  excused: readonly string[] = [],
-): number {
+export function getLargestExcess(cluster: GatewayCluster, endpoint: string): number {
   const perS = cluster.namedLimits.get(endpoint) ?? Infinity;
-  const counted = getArrivals(cluster, endpoint, namedAt + STABLE_MS - WINDOW_MS).filter(
-    ({ host, at }) =>
-      (cluster.toldAt.get(`${endpoint}/${host}`) ?? Infinity) + TOLD_AFTER_MS <= at &&
-      !excused.includes(host),
+  const counted = getArrivals(cluster, endpoint).filter(
+    ({ at, toldAt }) => toldAt + TOLD_AFTER_MS <= at,
   );
   const allowed = (EXCESS_RATIO * perS * WINDOW_MS) / 1_000 + EXCESS_SLACK;
   const counts = counted
-    .filter(({ at }) => at >= namedAt + STABLE_MS)
+    .filter(({ at, namedAt }) => at >= namedAt + STABLE_MS)
     .map((last) => counted.filter(({ at }) => at > last.at - WINDOW_MS && at <= last.at).length);
   return Math.max(0, ...counts) - allowed;
 }
--- a/tests/limits/endpointLimits.test.ts
+++ b/tests/limits/endpointLimits.test.ts
@@ -76,7 +76,7 @@
       cluster.namedLimits.set(endpoint, perS);
     traffic.run(LIMITED_MS);
     for (const [endpoint, perS] of Object.entries(options.limits)) {
-      expect(getLargestExcess(cluster, endpoint, namedAt)).toBeLessThanOrEqual(0);
+      expect(getLargestExcess(cluster, endpoint)).toBeLessThanOrEqual(0);
       const settledAt = namedAt + SETTLED_MS;
       const allowed = (perS * (cluster.now - settledAt)) / 1_000;
       const { length } = getArrivals(cluster, endpoint, settledAt);
--- a/tests/limits/limitChanges.test.ts
+++ b/tests/limits/limitChanges.test.ts
@@ -92,13 +92,12 @@
   ])('%s', (_name, minShare, disturb) => {
     const { cluster, traffic } = start();
     traffic.run(WARM_UP_MS);
-    const namedAt = cluster.now;
     cluster.namedLimits.set('e0', PER_S);
     traffic.run(4_000);
     const from = cluster.now;
     disturb(cluster, traffic);
     traffic.run(24_000);
-    expect(getLargestExcess(cluster, 'e0', namedAt)).toBeLessThanOrEqual(0);
+    expect(getLargestExcess(cluster, 'e0')).toBeLessThanOrEqual(0);
     const allowed = (PER_S * (cluster.now - from)) / 1_000;
     const { length } = getArrivals(cluster, 'e0', from);
     expect(length).toBeGreaterThanOrEqual(minShare * allowed);
