--- a/src/fleet/endpointChoice.ts
+++ b/src/fleet/endpointChoice.ts
@@ -7,6 +7,14 @@
   return !isRemoved && !endpoint.isLeaving;
 }
 
+/** Whether an endpoint runs another software version than the one that a request must run on. */
+export function runsOtherSoftware(
+  view: EndpointView | undefined,
+  softwareVersion: string | undefined,
+): boolean {
+  return softwareVersion !== undefined && view?.endpoint.softwareVersion !== softwareVersion;
+}
+
 /** Returns the routable endpoints of `service`. */
 export function getRoutableEndpoints(fleet: Fleet, service: string): EndpointView[] {
   return [...fleet.views.values()].filter(
--- a/src/forwards/forwardPlacement.ts
+++ b/src/forwards/forwardPlacement.ts
@@ -65,46 +65,54 @@
     forward.excluded.clear();
     return scheduleRetry(state, forward, forward.lastReason || 'no endpoint is available', now);
   }
-  const service = state.routeIndex.current?.services.get(forward.service);
-  const isEngineRequest = service?.engine !== undefined && forward.labels.model !== '';
-  const choose = isEngineRequest ? chooseEngine : choosePlainEndpoint;
+  const isForEngine = isEngineRequest(state, forward);
+  const choose = isForEngine ? chooseEngine : choosePlainEndpoint;
   const candidate = choose(state, forward, views, now);
   if (candidate === undefined) {
-    const missing = isEngineRequest
-      ? 'no engine can serve the request'
-      : 'no endpoint is available';
+    const missing = isForEngine ? 'no engine can serve the request' : 'no endpoint is available';
     return scheduleRetry(state, forward, missing, now);
   }
   const { view, owner } = candidate;
-  if (!isLimited(view)) {
-    if (owner !== undefined && isEngineRequest)
-      return requestReservation(state, forward, view, owner.host, now);
-    return sendUnreserved(state, forward, view, isEngineRequest, now);
+  if (isLimited(view)) {
+    const others = views.filter((other) => !isLimited(other));
+    const lowestUnlimitedCost = choose(state, forward, others, now)?.cost;
+    return placeAtLimit(state, forward, candidate, lowestUnlimitedCost, now);
   }
+  if (owner !== undefined && isForEngine)
+    return requestReservation(state, forward, view, owner.host, now);
+  return sendUnreserved(state, forward, view, now);
+}
+
+/**
+ * Asks the owner of a limited endpoint for a reservation, which includes a permit. Without a link to the
+ * owner, sends the request with a permit of this host, or places it elsewhere.
+ */
+function placeAtLimit(
+  state: State,
+  forward: Forward,
+  { view, owner, cost }: EndpointCandidate,
+  lowestUnlimitedCost: number | undefined,
+  now: number,
+): Effect[] {
   if (owner !== undefined) {
-    const unlimited = choose(
-      state,
-      forward,
-      views.filter((other) => !isLimited(other)),
-      now,
-    );
-    const maxWaitMs = getMaxPermitWaitMs(forward, candidate.cost, unlimited?.cost, now);
+    const maxWaitMs = getMaxPermitWaitMs(forward, cost, lowestUnlimitedCost, now);
     return requestReservation(state, forward, view, owner.host, now, maxWaitMs);
   }
   const refusal = takeOwnPermit(state, view, now);
-  if (refusal === undefined) return sendUnreserved(state, forward, view, isEngineRequest, now);
+  if (refusal === undefined) return sendUnreserved(state, forward, view, now);
   recordPermitRefusal(state, forward, view.endpoint.id, refusal, now);
   return placeForward(state, forward, now);
 }
 
-function sendUnreserved(
-  state: State,
-  forward: Forward,
-  view: EndpointView,
-  isEngineRequest: boolean,
-  now: number,
-): Effect[] {
-  const version = isEngineRequest ? getRequiredVersion(state, forward, view, now) : undefined;
+/** Whether a request names a model that engines of its service hold. */
+function isEngineRequest({ routeIndex }: State, { service, labels }: Forward): boolean {
+  return routeIndex.current?.services.get(service)?.engine !== undefined && labels.model !== '';
+}
+
+function sendUnreserved(state: State, forward: Forward, view: EndpointView, now: number): Effect[] {
+  const version = isEngineRequest(state, forward)
+    ? getRequiredVersion(state, forward, view, now)
+    : undefined;
   return sendAttempt(state, forward, view, undefined, version, now);
 }
 
--- a/src/limits/permitQueue.ts
+++ b/src/limits/permitQueue.ts
@@ -2,7 +2,7 @@
 import { sendMessage } from '../core/sendMessage.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
-import { isRoutable } from '../fleet/endpointChoice.ts';
+import { isRoutable, runsOtherSoftware } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import type {
   PermitRefusal,
@@ -82,7 +82,7 @@
   const effects: Effect[] = [];
   const left: QueuedPermit[] = [];
   for (const queued of getServable(state, permits.queue, now)) {
-    if (runsOtherSoftware(view, queued)) {
+    if (runsOtherSoftware(view, queued.softwareVersion)) {
       effects.push(newRefusal(state, queued, 'otherSoftware'));
     } else if (!isLimited(view) || tryTakePermit(permits, now)) {
       effects.push(newGrant(state, view, queued, now));
@@ -202,10 +202,3 @@
       return sendMessage(state, from, { type: 'placeQueued', request, ask });
     });
 }
-
-function runsOtherSoftware(
-  { endpoint }: EndpointView,
-  { softwareVersion }: ReservationRequest,
-): boolean {
-  return softwareVersion !== undefined && endpoint.softwareVersion !== softwareVersion;
-}
--- a/src/residency/reservations.ts
+++ b/src/residency/reservations.ts
@@ -4,7 +4,7 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import type { EndpointView } from '../fleet/types.ts';
-import { isRoutable } from '../fleet/endpointChoice.ts';
+import { isRoutable, runsOtherSoftware } from '../fleet/endpointChoice.ts';
 import { queuePermit, refuseLongWait } from '../limits/permitQueue.ts';
 import { getPermits, isLimited, tryTakePermit } from '../limits/permits.ts';
 import type { EngineClass } from '../routes/types.ts';
@@ -46,7 +46,7 @@
   if (owned === undefined || view === undefined)
     return refuseReservation(state, message, from, 'notOwner');
   if (!isRoutable(view)) return refuseReservation(state, message, from, 'leaving');
-  if (runsOtherSoftware(state, message))
+  if (runsOtherSoftware(view, message.softwareVersion))
     return refuseReservation(state, message, from, 'otherSoftware');
   if (message.adapter !== '')
     state.residency.popularity.recordRequest(message.adapter, 'ordinary', 0, now);
@@ -79,7 +79,7 @@
   const left: QueuedReservation[] = [];
   for (const queued of owned.queue) {
     // The engine may have restarted with other software.
-    if (runsOtherSoftware(state, queued)) {
+    if (runsOtherSoftware(view, queued.softwareVersion)) {
       effects.push(...refuseReservation(state, queued, queued.from, 'otherSoftware'));
       continue;
     }
@@ -178,15 +178,6 @@
   schedule(state, at, { type: 'serveReservations', engine: owned.id });
 }
 
-/** Whether an engine runs another software version than the one that a request must run on. */
-function runsOtherSoftware(
-  { fleet }: State,
-  { engine, softwareVersion }: ReservationRequest,
-): boolean {
-  if (softwareVersion === undefined) return false;
-  return fleet.views.get(engine)?.endpoint.softwareVersion !== softwareVersion;
-}
-
 /** Whether a request needs a newer version while other requests still run on the old one. */
 function isBeingReplaced(state: State, owned: EngineResidency, queued: QueuedReservation): boolean {
   const copy = owned.copies.get(queued.adapter);
