Tell hosts that were removed from the members row of the newer row

Ruled out: the epoch of the row in each permit. The outdated owner hands out most of its permits to itself and to other removed members, which know the same epoch. Change: a host that reads the members row tells linked hosts that are no members of it the row's epoch; they request the row from it. One message of 40 bytes for each removed host with a link, from each host that reads the row; none while rows hold all linked hosts. Measured: tests/limits/limitChanges.test.ts, "does not learn of its removal": failed before, passes.

--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -9,6 +9,7 @@
   ReservationReleased,
   ReservationStarted,
 } from '../residency/types.ts';
+import { MembersRowSeen } from '../owners/types.ts';
 import { EndpointLimitsAnnounced } from '../limits/types.ts';
 import { StreamLookup, StreamLookupAnswer, StreamsRecorded } from '../streams/types.ts';
 import { z } from 'zod';
@@ -90,5 +91,6 @@
   StreamLookup,
   StreamLookupAnswer,
   EndpointLimitsAnnounced,
+  MembersRowSeen,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -32,7 +32,7 @@
   ownershipTableHandlers,
   ownershipTimers,
 } from '../ownership/handlers.ts';
-import { ownersTimers } from '../owners/handlers.ts';
+import { ownersMessages, ownersTimers } from '../owners/handlers.ts';
 import { residencyEvents, residencyMessages, residencyTimers } from '../residency/handlers.ts';
 import { requestEvents, requestMessages, requestTimers } from '../requests/handlers.ts';
 import { streamMessages } from '../streams/handlers.ts';
@@ -65,6 +65,7 @@
   ...forwardMessages,
   ...streamMessages,
   ...limitMessages,
+  ...ownersMessages,
 };
 
 const timers: TimerHandlers<Timer['type']> = {
--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -7,7 +7,7 @@
 import type { Endpoint } from '../fleet/types.ts';
 import { rerouteFromEngine } from '../forwards/rerouting.ts';
 import { markEndpointRemoved, applyRegistration } from '../fleet/registration.ts';
-import { adoptMembersRow, recordLostMembersRow } from '../owners/members.ts';
+import { adoptMembersRow, notifyRemovedHosts, recordLostMembersRow } from '../owners/members.ts';
 import { applyAdapterVersion, updateOwnedEngines } from '../residency/ownedEngines.ts';
 import { newRouteIndex } from '../routes/match.ts';
 import { applySuspectsRow } from '../suspects/directorySuspects.ts';
@@ -59,7 +59,10 @@
       ...effects,
     ];
   },
-  members: (state, { row }, { version }, now) => adoptMembersRow(state, row, version, now),
+  members: (state, { row }, { version }, now) => [
+    ...adoptMembersRow(state, row, version, now),
+    ...notifyRemovedHosts(state),
+  ],
   suspects: (state, { row }, { version }, now) => applySuspectsRow(state, row, version, now),
   removed: (state, _content, change, now) => {
     if (!state.fleet.views.has(change.key)) return [];
--- a/src/owners/members.ts
+++ b/src/owners/members.ts
@@ -1,9 +1,11 @@
 import type { Effect } from '../core/effects.ts';
 import { newLog } from '../core/observations.ts';
+import { sendMessage } from '../core/sendMessage.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import type { DirectoryWriteAnswer } from '../directory/types.ts';
 import { splitDirectoryVersion } from '../directory/versions.ts';
+import { requestTopicChanges } from '../directory/watch.ts';
 import { isRoutable } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { getEngineClass } from '../residency/reservations.ts';
@@ -70,6 +72,25 @@
   ];
 }
 
+/**
+ * Tells linked hosts that are no members of the row that was read. A host that was removed without
+ * learning of it would own its engines and hand out their permits beside its successor.
+ */
+export function notifyRemovedHosts(state: State): Effect[] {
+  const { row, linkedHosts } = state.owners;
+  if (row === undefined) return [];
+  const members = new Set(row.members.map(({ host }) => host));
+  return [...linkedHosts]
+    .filter((host) => !members.has(host))
+    .map((host) => sendMessage(state, host, { type: 'membersRowSeen', epoch: row.epoch }));
+}
+
+/** Requests the members row from a host that has read a newer one. */
+export function handleMembersRowSeen(state: State, epoch: number, from: string): Effect[] {
+  const isNewer = epoch > (state.owners.row?.epoch ?? 0);
+  return isNewer ? [requestTopicChanges(state, 'members', from)] : [];
+}
+
 /**
  * Records that the directory has an older row than this host, or none (`version` 0), as it does after it
  * came back from an older copy.
--- a/src/owners/types.ts
+++ b/src/owners/types.ts
@@ -22,6 +22,12 @@
 });
 export type MembersRow = z.infer<typeof MembersRow>;
 
+/** Tells a host of the newest members row that the sender has read, which may lack the host. */
+export const MembersRowSeen = z.object({
+  type: z.literal('membersRowSeen'),
+  epoch: z.int().min(1),
+});
+
 /** The host that issues the orders to an engine, and the fencing number of its orders. */
 export interface Owner {
   host: string;
