Count a link as open once bytes pass in both directions

Cause: a host took a link for open as soon as the peer's hello arrived, also when its own bytes did not reach the peer. Change: a host answers a hello with a heartbeat, and a link is open once a frame follows the peer's hello; peers send none before they have received the hello of the other side. Costs one round trip at each start of a link. Measured: tests/peers, 'are not open while the bytes of this host do not reach the peer': failed before, passes.

--- a/src/peers/connection.ts
+++ b/src/peers/connection.ts
@@ -22,6 +22,8 @@
   readonly counters: PeerCounters;
   readonly hello: Hello;
   onHello(connection: Connection, hello: Hello): void;
+  /** Called once after `onHello`, when the peer has received the hello of this host. */
+  onConfirmed(connection: Connection, hello: Hello): void;
   onMessage(connection: Connection, content: unknown): void;
   onClosed(connection: Connection, reason: string): void;
 }
@@ -35,6 +37,7 @@
   peerHello: Hello | undefined;
   private readonly reader = FrameReader.create();
   private isClosed = false;
+  private isConfirmed = false;
 
   private constructor(
     private readonly socket: Socket,
@@ -127,12 +130,22 @@
         return;
       }
       this.peerHello = hello.data;
+      // Tells the peer that its hello arrived.
+      this.write(encodeFrame(FRAME_KIND.heartbeat, 0));
       this.owner.onHello(this, hello.data);
-    } else if (frame === undefined) {
-      this.owner.counters.malformed += 1;
-    } else if (frame.kind === FRAME_KIND.message) {
-      this.owner.onMessage(this, frame.content);
+      return;
     }
+    this.confirm(this.peerHello);
+    if (this.isClosed) return;
+    if (frame === undefined) this.owner.counters.malformed += 1;
+    else if (frame.kind === FRAME_KIND.message) this.owner.onMessage(this, frame.content);
+  }
+
+  /** Any frame after the hello shows that bytes of this host reach the peer, as peers send none before. */
+  private confirm(hello: Hello): void {
+    if (this.isConfirmed) return;
+    this.isConfirmed = true;
+    this.owner.onConfirmed(this, hello);
   }
 
   private refuse(reason: string): void {
--- a/src/peers/peerLinks.ts
+++ b/src/peers/peerLinks.ts
@@ -169,26 +169,29 @@
 
   onHello(connection: Connection, hello: Hello): void {
     const expectedHost = connection.dialledHost ?? hello.host;
-    const currentHello = this.peers.get(expectedHost)?.open?.peerHello;
     if (
       hello.host === this.hello.host ||
       hello.host !== expectedHost ||
       getSharedProtocolVersion(hello) === undefined ||
-      (currentHello !== undefined && currentHello.incarnation > hello.incarnation)
+      this.isOutdated(hello)
     ) {
-      this.counters.refused += 1;
-      connection.close('hello is refused');
+      this.refuse(connection);
       return;
     }
-    const peer = this.getPeer(expectedHost);
-    if (peer.dialling === connection) peer.dialling = undefined;
-    if (currentHello !== undefined && currentHello.incarnation < hello.incarnation) {
-      const old = peer.open;
-      peer.open = undefined;
-      old?.close('restarted');
-      this.reportClosed(peer, 'restarted');
+    this.closeOlderStart(hello);
+  }
+
+  /** Uses a connection over which bytes pass in both directions. */
+  onConfirmed(connection: Connection, hello: Hello): void {
+    // The peer may have started again since its hello.
+    if (this.isOutdated(hello)) {
+      this.refuse(connection);
+      return;
     }
-    const current = this.getPeer(expectedHost);
+    const peer = this.getPeer(hello.host);
+    if (peer.dialling === connection) peer.dialling = undefined;
+    this.closeOlderStart(hello);
+    const current = this.getPeer(hello.host);
     if (current.address === '') current.address = hello.address;
     this.selectConnection(current, connection);
   }
@@ -254,6 +257,28 @@
     this.options.onEvent({ type: 'linkOpened', host: peer.host });
   }
 
+  /** Whether a hello is of an earlier start of its host than the connection in use. */
+  private isOutdated({ host, incarnation }: Hello): boolean {
+    const current = this.peers.get(host)?.open?.peerHello;
+    return current !== undefined && current.incarnation > incarnation;
+  }
+
+  /** Closes the connection in use if it is of an earlier start of its host. */
+  private closeOlderStart({ host, incarnation }: Hello): void {
+    const peer = this.peers.get(host);
+    const old = peer?.open;
+    if (peer === undefined || old?.peerHello === undefined) return;
+    if (old.peerHello.incarnation >= incarnation) return;
+    peer.open = undefined;
+    old.close('restarted');
+    this.reportClosed(peer, 'restarted');
+  }
+
+  private refuse(connection: Connection): void {
+    this.counters.refused += 1;
+    connection.close('hello is refused');
+  }
+
   private getOtherHost(host: string, peer: Peer): string {
     return host === peer.host ? this.hello.host : peer.host;
   }
--- a/tests/peers/peerLinks.test.ts
+++ b/tests/peers/peerLinks.test.ts
@@ -1,4 +1,5 @@
 import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import type { Message } from '../../src/core/messages.ts';
 import { encodeFrame, FRAME_KIND, FrameReader } from '../../src/peers/frames.ts';
@@ -72,6 +73,20 @@
     expect(a.types()).not.toContain('linkClosed');
   });
 
+  it('are not open while the bytes of this host do not reach the peer', async () => {
+    const a = await newHost('a');
+    // A peer that sends its hello and receives nothing, so that it never sends more.
+    const deaf = connect(a.port, '127.0.0.1');
+    stops.push(() => Promise.resolve(void deaf.destroy()));
+    deaf.write(encodeFrame(FRAME_KIND.hello, newHello({ host: 'b' })));
+    await vi.waitFor(() => expect(a.links.counters.receivedBytes).toBeGreaterThan(0), wait);
+    await sleep(300);
+    expect(a.types()).toEqual([]);
+    expect(a.links.send('b', message)).toBe(false);
+    deaf.write(encodeFrame(FRAME_KIND.heartbeat, 0));
+    await vi.waitFor(() => expect(a.types()).toEqual(['linkOpened']), wait);
+  });
+
   it('report a stopped peer as refused, and a restarted one as opened again', async () => {
     const [a, b] = [await newHost('a'), await newHost('b')];
     a.links.open('b', b.address);
