End the process when a host can't start

Cause: a host that could not bind one of its addresses printed its error and set its exit code, but servers that had started kept the process running without a ready line. Change: a command that fails ends the process.

--- a/src/main.ts
+++ b/src/main.ts
@@ -1,5 +1,4 @@
+import { exitProcess } from './cli/exitProcess.ts';
 import { runCommand } from './cli/runCommand.ts';
 
-void runCommand(process.argv.slice(2)).then((code) => {
-  process.exitCode = code;
-});
+void runCommand(process.argv.slice(2)).then(exitProcess);
