Pass on a Retry-After that equals the default of its kind of error

Cause: a time to return of exactly the default, a second, was taken for the default and shortened to 0.25 s, so that callers of an endpoint which asks for a second returned too early. Change: a failure knows whether its time is the default.

--- a/src/errors/failure.ts
+++ b/src/errors/failure.ts
@@ -17,6 +17,8 @@
     readonly outcome: Outcome,
     readonly retryAfterS: number | undefined,
     readonly param: string | undefined,
+    /** Whether `retryAfterS` is the default of the kind. */
+    readonly hasDefaultRetryAfter: boolean,
   ) {}
 
   static create(kind: ErrorKind, message: string, options: FailureOptions = {}): Failure {
@@ -27,6 +29,7 @@
       options.outcome ?? errorResponse.outcome,
       options.retryAfterS ?? errorResponse.retryAfterS,
       options.param,
+      options.retryAfterS === undefined,
     );
   }
 }
--- a/src/forwards/forwardEnd.ts
+++ b/src/forwards/forwardEnd.ts
@@ -3,7 +3,6 @@
 import { newCount, newLog, newObserve } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
-import { getErrorResponse } from '../errors/kinds.ts';
 import { MAX_LOGGED_ID_LENGTH, RETRY_AFTER_MS, RETRY_AFTER_JITTER_MS } from './constants.ts';
 import { recordCancelledForwardAttempt } from './crashEvidence.ts';
 import type { Forward, ForwardAttempt, ForwardOutcome, NewForward } from './types.ts';
@@ -167,7 +166,6 @@
   const { kind, message, outcome, retryAfterS } = failure;
   if (outcome !== 'not_run' || retryAfterS === undefined) return failure;
   const jitterMs = RETRY_AFTER_JITTER_MS * state.random.getFraction();
-  const isDefault = retryAfterS === getErrorResponse(kind).retryAfterS;
-  const ms = (isDefault ? RETRY_AFTER_MS : retryAfterS * 1_000) + jitterMs;
+  const ms = (failure.hasDefaultRetryAfter ? RETRY_AFTER_MS : retryAfterS * 1_000) + jitterMs;
   return Failure.create(kind, message, { outcome, retryAfterS: Math.round(ms) / 1000 });
 }
