--- a/eslint.config.js
+++ b/eslint.config.js
@@ -20,6 +20,7 @@
   'directory',
   'fleet',
   'limits',
+  'notices',
   'owners',
   'residency',
   'streams',
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -5,6 +5,7 @@
 import type { ForwardEvent } from '../forwards/types.ts';
 import type { GrantEvent } from '../grants/types.ts';
 import type { MembershipEvent } from '../membership/types.ts';
+import type { NoticeEvent } from '../notices/types.ts';
 import type { OperatorRequestEvent } from '../operators/types.ts';
 import type { ResidencyEvent } from '../residency/types.ts';
 import type { RequestEvent } from '../requests/types.ts';
@@ -32,4 +33,5 @@
   | DraftEvent
   | DirectoryEvent
   | ResidencyEvent
-  | ForwardEvent;
+  | ForwardEvent
+  | NoticeEvent;
--- a/src/core/hostHandlers.ts
+++ b/src/core/hostHandlers.ts
@@ -10,7 +10,7 @@
 import { rerouteFromOwner } from '../forwards/rerouting.ts';
 import { extendLookups } from '../forwards/resumption.ts';
 import { membershipEvents } from '../membership/handlers.ts';
-import { sendKnownLimits } from '../limits/endpointLimits.ts';
+import { sendKnownNotices } from '../notices/announcements.ts';
 import { updatePermits } from '../limits/permitQueue.ts';
 import { recordLinkClosed, recordLinkOpened, startOwners } from '../owners/members.ts';
 import { releaseHostReservations } from '../residency/reservations.ts';
@@ -53,7 +53,7 @@
       newLog('info', 'link opened', { to: event.host }),
       ...sendKnownSuspects(state, event.host),
       ...sendKnownStreams(state, event.host, now),
-      ...sendKnownLimits(state, event.host),
+      ...sendKnownNotices(state, event.host),
       ...extendLookups(state, event.host),
     ];
   },
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -10,7 +10,7 @@
   ReservationStarted,
 } from '../residency/types.ts';
 import { MembersRowSeen } from '../owners/types.ts';
-import { EndpointLimitsAnnounced } from '../limits/types.ts';
+import { EndpointNoticesAnnounced } from '../notices/types.ts';
 import { StreamLookup, StreamLookupAnswer, StreamsRecorded } from '../streams/types.ts';
 import { z } from 'zod';
 import {
@@ -90,7 +90,7 @@
   StreamsRecorded,
   StreamLookup,
   StreamLookupAnswer,
-  EndpointLimitsAnnounced,
+  EndpointNoticesAnnounced,
   MembersRowSeen,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/core/metricNames.ts
+++ b/src/core/metricNames.ts
@@ -33,6 +33,14 @@
     kind: 'counter',
     help: 'Repeated sends of requests that gateways forward, by result (allowed or refused by the retry budget).',
   },
+  fireflywick_leaving_endpoints: {
+    kind: 'gauge',
+    help: 'Endpoints that are leaving and not removed yet, as far as this host knows.',
+  },
+  fireflywick_paused_endpoints: {
+    kind: 'gauge',
+    help: 'Endpoints that want no requests of this host now.',
+  },
   fireflywick_limited_endpoints: {
     kind: 'gauge',
     help: 'Endpoints that name a limit on the requests which they take, as far as this host knows.',
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -21,7 +21,8 @@
 import { engineEvents, engineTimers } from '../engines/handlers.ts';
 import { forwardEvents, forwardMessages, forwardTimers } from '../forwards/handlers.ts';
 import { grantEvents, grantMessages, grantTimers } from '../grants/handlers.ts';
-import { limitMessages, limitTimers } from '../limits/handlers.ts';
+import { limitTimers } from '../limits/handlers.ts';
+import { noticeEvents, noticeMessages, noticeTimers } from '../notices/handlers.ts';
 import { operatorTableHandlers } from '../operators/commands/index.ts';
 import { confirmTimers } from '../operators/commands/confirmPlan.ts';
 import { operatorEvents } from '../operators/handlers.ts';
@@ -64,7 +65,7 @@
   ...residencyMessages,
   ...forwardMessages,
   ...streamMessages,
-  ...limitMessages,
+  ...noticeMessages,
   ...ownersMessages,
 };
 
@@ -85,6 +86,7 @@
   ...residencyTimers,
   ...forwardTimers,
   ...limitTimers,
+  ...noticeTimers,
 };
 
 const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = {
@@ -105,6 +107,7 @@
 const events: EventHandlers<Event['type']> = {
   ...hostEvents,
   ...requestEvents,
+  ...noticeEvents,
   ...engineEvents,
   ...grantEvents,
   ...membershipEvents,
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -11,6 +11,7 @@
 import { Grants } from '../grants/types.ts';
 import { Limits } from '../limits/types.ts';
 import { Membership } from '../membership/types.ts';
+import { Notices } from '../notices/types.ts';
 import { Operators } from '../operators/types.ts';
 import { Ownership } from '../ownership/types.ts';
 import { Owners } from '../owners/types.ts';
@@ -110,6 +111,7 @@
   readonly forwards = Forwards.create();
   readonly streams = Streams.create();
   readonly limits = Limits.create();
+  readonly notices = Notices.create();
 
   private constructor(
     readonly host: HostIdentity,
--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -7,6 +7,7 @@
 import type { ForwardTimer } from '../forwards/types.ts';
 import type { GrantTimer } from '../grants/types.ts';
 import type { LimitTimer } from '../limits/types.ts';
+import type { NoticeTimer } from '../notices/types.ts';
 import type { OperatorTimer } from '../operators/types.ts';
 import type { MembershipTimer } from '../membership/types.ts';
 import type { OwnershipTimer } from '../ownership/types.ts';
@@ -35,7 +36,8 @@
   | ResidencyTimer
   | ForwardTimer
   | StreamTimer
-  | LimitTimer;
+  | LimitTimer
+  | NoticeTimer;
 
 /** Schedules `timer` for monotonic time `at`. */
 export function schedule(state: State, at: number, timer: Timer): void {
--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -6,6 +6,7 @@
 import { markRestartedAttempts } from '../forwards/endpointRestarts.ts';
 import type { Endpoint } from '../fleet/types.ts';
 import { rerouteFromEngine } from '../forwards/rerouting.ts';
+import { newNoticeGauges } from '../notices/gauges.ts';
 import { markEndpointRemoved, applyRegistration } from '../fleet/registration.ts';
 import { adoptMembersRow, notifyRemovedHosts, recordLostMembersRow } from '../owners/members.ts';
 import { applyAdapterVersion, updateOwnedEngines } from '../residency/ownedEngines.ts';
@@ -43,7 +44,8 @@
     applyAdapterVersion(state, adapter, version, now),
   endpoint: (state, { endpoint }, _change, now) => {
     state.directory.deferredRemovals.delete(endpoint.id);
-    const known = state.fleet.views.get(endpoint.id)?.endpoint;
+    const view = state.fleet.views.get(endpoint.id);
+    const known = view?.endpoint;
     const wasLeaving = known?.isLeaving === true;
     if (!applyRegistration(state.fleet, endpoint)) return [];
     const restartEffects = known === undefined ? [] : recordEndpointUpdate(state, known, now);
@@ -55,7 +57,13 @@
     if (!endpoint.isLeaving || wasLeaving) return effects;
     const { id, service, remainingMs } = endpoint;
     return [
-      newLog('info', 'endpoint is leaving', { endpoint: id, service, remainingMs }),
+      newLog('info', 'endpoint is leaving', {
+        endpoint: id,
+        service,
+        source: 'directory',
+        remainingMs,
+      }),
+      ...newNoticeGauges(state, now),
       ...effects,
     ];
   },
@@ -158,7 +166,7 @@
     newLog('info', 'endpoint was removed', { endpoint: id }),
     ...countCrashesOfEndpoint(state, id, now),
     ...updateOwnedEngines(state, now),
-    ...rerouteFromEngine(state, id, now),
+    ...rerouteFromEngine(state, id, 'the engine was removed', now),
   ];
 }
 
--- a/src/fleet/endpointChoice.ts
+++ b/src/fleet/endpointChoice.ts
@@ -1,10 +1,21 @@
 import { FAILURE_COST_MS, CROSS_ZONE_COST_MS, INITIAL_MEAN_ANSWER_MS } from './constants.ts';
 import { getKnownPermitWaitMs } from '../limits/permits.ts';
+import { isPaused } from '../notices/pauses.ts';
 import type { EndpointView, Fleet } from './types.ts';
 
-/** Whether new requests may go to an endpoint. */
-export function isRoutable({ endpoint, isRemoved }: EndpointView): boolean {
-  return !isRemoved && !endpoint.isLeaving;
+/** Whether an endpoint is known to leave, by the directory, an answer or another host. */
+export function isLeaving({ endpoint, learnedLeaving }: EndpointView): boolean {
+  return endpoint.isLeaving || learnedLeaving !== undefined;
+}
+
+/** Whether new requests may go to an endpoint, at once or after a pause that it asked for. */
+export function isRoutable(view: EndpointView): boolean {
+  return !view.isRemoved && !isLeaving(view);
+}
+
+/** Whether a request may be sent to an endpoint now. */
+export function isAvailable(view: EndpointView, now: number): boolean {
+  return isRoutable(view) && !isPaused(view, now);
 }
 
 /** Whether an endpoint runs another software version than the one that a request must run on. */
--- a/src/fleet/registration.ts
+++ b/src/fleet/registration.ts
@@ -35,5 +35,8 @@
     meanAnswerMs: 0,
     failureRate: 0,
     limit: undefined,
+    learnedLeaving: undefined,
+    pause: undefined,
+    malformedLoggedAt: -Infinity,
   };
 }
--- a/src/forwards/constants.ts
+++ b/src/forwards/constants.ts
@@ -37,6 +37,10 @@
 /** `Retry-After` of rejected requests: the base, and the random part that spreads the retries. */
 export const RETRY_AFTER_MS = 250;
 export const RETRY_AFTER_JITTER_MS = 500;
+/** Time after which callers should return whose service has leaving endpoints only. */
+export const LEAVING_RETURN_MS = 1_000;
+/** Share of a pause of endpoints over which the returns of refused callers are spread after it. */
+export const PAUSE_RETURN_SPREAD = 0.5;
 /** Longest `Retry-After` of a request that is refused because of a quarantine. */
 export const MAX_QUARANTINE_RETRY_AFTER_MS = 3_600_000;
 /** Time before a connection is refused within which broken attempts count as broken by the crash. */
--- a/src/forwards/crashEvidence.ts
+++ b/src/forwards/crashEvidence.ts
@@ -2,6 +2,7 @@
 import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
+import { isLeaving } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { type Attribute, isSharedAttribute } from '../suspects/attributes.ts';
 import { addCrash } from '../suspects/crashes.ts';
@@ -100,7 +101,7 @@
   const ended = known.filter(({ endpointStartedAt }) => hasRunEnded(view, endpointStartedAt));
   if (ended.length === 0) return [];
   unansweredAttempts.delete(endpoint);
-  const isPlanned = view.isRemoved && view.endpoint.isLeaving;
+  const isPlanned = view.isRemoved && isLeaving(view);
   if (isPlanned) return [];
   const recent = ended.filter(({ at }) => at + CRASH_VERIFICATION_DELAY_MS > now);
   const requests = recent.map(({ fingerprint, crash }) =>
--- a/src/forwards/forwardAttempts.ts
+++ b/src/forwards/forwardAttempts.ts
@@ -5,8 +5,6 @@
 import { dropEndpoint } from '../directory/apply.ts';
 import { recordAnswer, recordUnansweredAttempt } from '../fleet/health.ts';
 import type { EndpointView } from '../fleet/types.ts';
-import { recordNamedLimit } from '../limits/endpointLimits.ts';
-import type { NamedLimit } from '../limits/types.ts';
 import { recordCompletion } from '../suspects/crashes.ts';
 import { getQuarantine } from '../suspects/quarantine.ts';
 import { recordBrokenForwardAttempt } from './crashEvidence.ts';
@@ -16,9 +14,8 @@
   newAttemptLog,
   releaseForwardReservation,
 } from './forwardEnd.ts';
-import { placeForward } from './forwardPlacement.ts';
+import { placeForward, retryUnrun } from './forwardPlacement.ts';
 import { recordStream } from './resumption.ts';
-import { scheduleRetry } from './sending.ts';
 import type { Forward, ForwardAttempt, ForwardOutcome } from './types.ts';
 
 interface OutcomeContext {
@@ -82,7 +79,7 @@
       forward,
       reason === 'adapterMissing' ? 'missing' : 'ended',
     );
-    const retried = scheduleRetry(
+    const retried = retryUnrun(
       state,
       forward,
       `the endpoint did not run the request: ${reason}`,
@@ -142,19 +139,6 @@
   ];
 }
 
-/** Applies what the head of a response says of the endpoint's limit. */
-export function recordAttemptLimit(
-  state: State,
-  { endpoint, endpointStartedAt, startedAt }: ForwardAttempt,
-  limit: NamedLimit,
-  now: number,
-): Effect[] {
-  const view = state.fleet.views.get(endpoint);
-  // An answer from before a restart says nothing of the endpoint as it is now.
-  if (view?.endpoint.startedAt !== endpointStartedAt) return [];
-  return recordNamedLimit(state, view, limit, startedAt, now);
-}
-
 /**
  * Ends an attempt: passes its response on, retries the request where that is allowed, or fails it.
  */
--- a/src/forwards/forwardPlacement.ts
+++ b/src/forwards/forwardPlacement.ts
@@ -8,11 +8,12 @@
   getCost,
   getHealthyEndpoints,
   getRoutableEndpoints,
+  isAvailable,
 } from '../fleet/endpointChoice.ts';
 import { FAILURE_COST_MS, CROSS_ZONE_COST_MS } from '../fleet/constants.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { getOwner } from '../owners/owner.ts';
-import { getKnownPermitWaitMs, isLimited } from '../limits/permits.ts';
+import { getKnownPermitWaitMs, isLimited, takeOwnPermit } from '../limits/permits.ts';
 import type { Owner } from '../owners/types.ts';
 import { getPrefillMs } from '../residency/prefill.ts';
 import { getEngineStatus } from '../residency/engineStatus.ts';
@@ -28,15 +29,10 @@
 } from './constants.ts';
 import { isKnownCrashed } from './crashEvidence.ts';
 import { abandonForward } from './forwardEnd.ts';
-import {
-  areAllAtLimit,
-  getMaxPermitWaitMs,
-  recordPermitRefusal,
-  refuseAtLimit,
-  takeOwnPermit,
-} from './limitedPlacement.ts';
+import { getMaxPermitWaitMs, recordPermitRefusal } from './limitedPlacement.ts';
 import { scheduleRetry, sendAttempt } from './sending.ts';
 import { canResumeStream, type StreamOrigin } from './streamOrigin.ts';
+import { refuseIfUnavailable } from './unavailability.ts';
 import type { Forward } from './types.ts';
 
 /**
@@ -58,9 +54,12 @@
   const possible = getPossibleEndpoints(state, forward, now);
   if (possible.length === 0 && forward.origin !== undefined)
     return abandonForward(state, forward, getMissingVersionReason(forward.origin));
-  const views = possible.filter(({ endpoint }) => !forward.excluded.has(endpoint.id));
+  const refused = refuseIfUnavailable(state, forward, possible, now);
+  if (refused !== undefined) return refused;
+  const views = possible.filter(
+    (view) => isAvailable(view, now) && !forward.excluded.has(view.endpoint.id),
+  );
   if (views.length === 0) {
-    if (areAllAtLimit(possible, forward)) return refuseAtLimit(state, forward);
     // Endpoints that refused the request may accept it after the backoff.
     forward.excluded.clear();
     return scheduleRetry(state, forward, forward.lastReason || 'no endpoint is available', now);
@@ -104,6 +103,15 @@
   return placeForward(state, forward, now);
 }
 
+/** Refuses a request that no endpoint will take soon, or places it again after a backoff. */
+export function retryUnrun(state: State, forward: Forward, reason: string, now: number): Effect[] {
+  forward.lastReason = reason;
+  const possible = getPossibleEndpoints(state, forward, now);
+  return (
+    refuseIfUnavailable(state, forward, possible, now) ?? scheduleRetry(state, forward, reason, now)
+  );
+}
+
 /** Whether a request names a model that engines of its service hold. */
 function isEngineRequest({ routeIndex }: State, { service, labels }: Forward): boolean {
   return routeIndex.current?.services.get(service)?.engine !== undefined && labels.model !== '';
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -2,7 +2,7 @@
 import { newCount } from '../core/observations.ts';
 import { Failure } from '../errors/failure.ts';
 import { admitForward } from './forwardAdmission.ts';
-import { endForwardAttempt, recordAttemptLimit, startForwardResponse } from './forwardAttempts.ts';
+import { endForwardAttempt, startForwardResponse } from './forwardAttempts.ts';
 import {
   abandonForward,
   cancelRunningAttempt,
@@ -41,11 +41,6 @@
     if (forward?.attempt?.id !== attempt) return [];
     return endForwardAttempt(state, forward, forward.attempt, outcome, now);
   },
-  limitRead: (state, { id, attempt, limit }, now) => {
-    const forward = state.forwards.inFlight.get(id);
-    if (forward?.attempt?.id !== attempt) return [];
-    return recordAttemptLimit(state, forward.attempt, limit, now);
-  },
   endpointChecked: (state, check, now) => handleEndpointCheck(state, check, now),
 };
 
--- a/src/forwards/rerouting.ts
+++ b/src/forwards/rerouting.ts
@@ -1,5 +1,6 @@
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
+import { releaseForwardReservation } from './forwardEnd.ts';
 import { placeForward } from './forwardPlacement.ts';
 import type { Forward } from './types.ts';
 
@@ -11,14 +12,14 @@
   return rerouteWaiting(state, (reservation) => reservation.owner === owner, reason, now);
 }
 
-/** Places requests again that wait for a reservation on an engine that was removed. */
-export function rerouteFromEngine(state: State, engine: string, now: number): Effect[] {
-  return rerouteWaiting(
-    state,
-    (reservation) => reservation.engine === engine,
-    'the engine was removed',
-    now,
-  );
+/** Places requests again that wait for a reservation on an engine that takes no more requests. */
+export function rerouteFromEngine(
+  state: State,
+  engine: string,
+  reason: string,
+  now: number,
+): Effect[] {
+  return rerouteWaiting(state, (reservation) => reservation.engine === engine, reason, now);
 }
 
 function rerouteWaiting(
@@ -33,8 +34,8 @@
         phase === 'awaitingOwner' && reservation !== undefined && isAffected(reservation),
     )
     .flatMap((forward) => {
-      forward.pendingReservation = undefined;
+      const withdrawn = releaseForwardReservation(state, forward);
       forward.lastReason = reason;
-      return placeForward(state, forward, now);
+      return [...withdrawn, ...placeForward(state, forward, now)];
     });
 }
--- a/src/forwards/reservationAnswers.ts
+++ b/src/forwards/reservationAnswers.ts
@@ -1,7 +1,7 @@
 import { sendMessage } from '../core/sendMessage.ts';
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
-import { isRoutable } from '../fleet/endpointChoice.ts';
+import { isAvailable } from '../fleet/endpointChoice.ts';
 import type { ReservationGranted } from '../residency/types.ts';
 import { releaseForwardReservation } from './forwardEnd.ts';
 import { placeForward } from './forwardPlacement.ts';
@@ -25,7 +25,7 @@
   }
   const view = state.fleet.views.get(engine);
   forward.stallMs += stallMs;
-  if (view === undefined || !isRoutable(view) || !canResumeStream(forward.origin, view))
+  if (view === undefined || !isAvailable(view, now) || !canResumeStream(forward.origin, view))
     return [...releaseForwardReservation(state, forward), ...placeForward(state, forward, now)];
   // Otherwise one of the two hosts has not learned yet that the engine restarted.
   const isSameStart = startedAt === undefined || startedAt === view.endpoint.startedAt;
--- a/src/forwards/sending.ts
+++ b/src/forwards/sending.ts
@@ -9,6 +9,7 @@
   RETRY_BASE_MS,
   RETRY_MAX_MS,
 } from './constants.ts';
+import { recordSend } from '../notices/pauses.ts';
 import { getQuarantine } from '../suspects/quarantine.ts';
 import { abandonForward } from './forwardEnd.ts';
 import { getSentAttributes } from './crashEvidence.ts';
@@ -48,6 +49,7 @@
   forward.phase = 'running';
   forward.pendingReservation = undefined;
   view.inFlight += 1;
+  recordSend(view, now);
   const { id: endpoint, address, startedAt: endpointStartedAt, softwareVersion } = view.endpoint;
   const attempt = `${forward.id}.${forward.sends}`;
   const sent = getSentAttributes(state, forward.attributes);
@@ -72,6 +74,8 @@
         attempt,
         endpoint,
         address,
+        endpointStartedAt,
+        sentAt: now,
         isStream: route.kind === 'stream',
         deadlineAt: forward.deadlineAt,
         priority: labels.model === '' ? undefined : Math.min(9, route.priority + 4),
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -1,6 +1,5 @@
 import type { Failure } from '../errors/failure.ts';
 import { Popularity } from '../grants/popularity.ts';
-import type { NamedLimit } from '../limits/types.ts';
 import type { Route } from '../routes/types.ts';
 import type { Attribute } from '../suspects/attributes.ts';
 import type { SentAttribute } from '../suspects/types.ts';
@@ -204,8 +203,6 @@
   /** The first byte of a response was passed on. */
   | { type: 'forwardStarted'; id: string; attempt: string }
   | { type: 'forwardEnded'; id: string; attempt: string; outcome: ForwardOutcome }
-  /** The head of a response arrived; reported if it names a limit or the endpoint had named one. */
-  | { type: 'limitRead'; id: string; attempt: string; limit: NamedLimit }
   | EndpointCheck;
 
 /** One attempt that the host has to send to an endpoint. */
@@ -214,6 +211,9 @@
   attempt: string;
   endpoint: string;
   address: string;
+  /** Unix ms of the start of the endpoint, and monotonic ms of this send. */
+  endpointStartedAt: number;
+  sentAt: number;
   isStream: boolean;
   /** Monotonic ms by which the response must be complete. */
   deadlineAt: number;
--- /dev/null
+++ b/src/forwards/unavailability.ts
@@ -0,0 +1,59 @@
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import { Failure } from '../errors/failure.ts';
+import { isLeaving } from '../fleet/endpointChoice.ts';
+import type { EndpointView } from '../fleet/types.ts';
+import { isLimited } from '../limits/permits.ts';
+import { getPauseLeftMs, isPaused } from '../notices/pauses.ts';
+import { LEAVING_RETURN_MS, PAUSE_RETURN_SPREAD } from './constants.ts';
+import { abandonForward, failForward } from './forwardEnd.ts';
+import type { Forward } from './types.ts';
+
+/**
+ * Refuses a request at once, with a time to return, if no endpoint will take it soon: each one that
+ * could run it has asked for a pause or is at its limit, or all of its service leave. Returns undefined
+ * otherwise.
+ */
+export function refuseIfUnavailable(
+  state: State,
+  forward: Forward,
+  possible: readonly EndpointView[],
+  now: number,
+): Effect[] | undefined {
+  if (possible.length === 0) {
+    if (!areAllLeaving(state, forward)) return undefined;
+    return refuse(state, forward, 'all endpoints of the service are leaving', LEAVING_RETURN_MS);
+  }
+  const paused = possible.filter((view) => isPaused(view, now));
+  const others = possible.filter((view) => !isPaused(view, now));
+  if (!others.every((view) => isAtLimit(view, forward))) return undefined;
+  const reason =
+    paused.length === 0 ? forward.lastReason : 'the endpoints want no requests for a time';
+  const earliestMs = Math.min(...paused.map((view) => getPauseLeftMs(view, now)));
+  // Callers that are told the same time would return all at once.
+  const pauseReturnMs = earliestMs * (1 + PAUSE_RETURN_SPREAD * state.random.getFraction());
+  const permitReturnMs = others.length === 0 ? Infinity : (forward.returnMs ?? Infinity);
+  return refuse(state, forward, reason, Math.min(pauseReturnMs, permitReturnMs));
+}
+
+function areAllLeaving({ fleet }: State, { service }: Forward): boolean {
+  const views = [...fleet.views.values()].filter(
+    ({ endpoint, isRemoved }) => endpoint.service === service && !isRemoved,
+  );
+  return views.length > 0 && views.every(isLeaving);
+}
+
+/** Whether an endpoint limits its requests and had no permit for this one. */
+function isAtLimit(view: EndpointView, { excluded }: Forward): boolean {
+  return isLimited(view) && excluded.has(view.endpoint.id);
+}
+
+function refuse(state: State, forward: Forward, reason: string, returnMs: number): Effect[] {
+  const { mayHaveRun, ranOn, hasFailedResponse } = forward;
+  forward.lastReason = reason;
+  if (mayHaveRun || ranOn.size > 0 || hasFailedResponse)
+    return abandonForward(state, forward, reason);
+  const retryAfterS = Number.isFinite(returnMs) ? returnMs / 1_000 : undefined;
+  const message = `the request was not run: ${reason}`;
+  return failForward(state, forward, Failure.create('overloaded', message, { retryAfterS }));
+}
--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -2,7 +2,7 @@
 import { confirmCloseDelimited } from '../clients/closeDelimited.ts';
 import { SocketEndTracker, newTrackedConnector } from '../clients/connector.ts';
 import type { AttemptSpec, ForwardOutcome } from '../forwards/types.ts';
-import type { NamedLimit } from '../limits/types.ts';
+import type { EndpointNotice } from '../notices/types.ts';
 import {
   ENDPOINT_CONNECT_TIMEOUT_MS,
   ENDPOINT_KEEP_ALIVE_MS,
@@ -21,8 +21,10 @@
 
 /** Callbacks for the progress of an attempt. */
 export interface ForwardAttemptListener {
-  /** Called with what the head of a valid response says of the endpoint's limit. */
-  onLimitRead: (limit: NamedLimit) => void;
+  /** Whether the attempt may still be sent; asked when it has a connection. */
+  isStillWanted: () => boolean;
+  /** Called with what the head of a valid response says of the endpoint. */
+  onNoticeRead: (notice: EndpointNotice) => void;
   /** Called when the first event of a stream is passed on. */
   onResponseStarted: () => void;
   /** Called exactly once. */
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -73,7 +73,7 @@
     this.controller = controller;
     // The attempt was cancelled while it waited for a connection: nothing was written.
     if (this.isCancelled) controller.abort(new Error('cancelled'));
-    else this.abortIfDelayed(controller);
+    else this.abortIfOutdated(controller);
   }
 
   onResponseStart(controller: Controller, status: number, headers: IncomingHttpHeaders): void {
@@ -87,7 +87,7 @@
       return;
     }
     if (response.notRun !== undefined) {
-      if (response.notRun !== 'otherEndpoint') listener.onLimitRead(response.limit);
+      if (response.notRun !== 'otherEndpoint') listener.onNoticeRead(response.notice);
       this.startDiscarding(controller);
       this.end({ type: 'notRun', reason: response.notRun });
       return;
@@ -96,7 +96,7 @@
       this.abort(controller, `the response with status ${status} has no seal`);
       return;
     }
-    listener.onLimitRead(response.limit);
+    listener.onNoticeRead(response.notice);
     this.status = status;
     this.framing = getBodyFraming(exchange.method, status, headers);
     this.headers = labels.getResponseHeaders(raw);
@@ -202,10 +202,13 @@
     };
   }
 
-  /** Ends an attempt whose headers state more time than is left; nothing was written yet. */
-  private abortIfDelayed(controller: Controller): void {
+  /**
+   * Ends an attempt that waited for its connection until its headers state more time than is left, or
+   * until its endpoint takes no more requests; nothing was written yet.
+   */
+  private abortIfOutdated(controller: Controller): void {
     const waitedMs = performance.now() - this.sentAt;
-    if (waitedMs <= MAX_CONNECTION_WAIT_MS) return;
+    if (waitedMs <= MAX_CONNECTION_WAIT_MS && this.options.listener.isStillWanted()) return;
     const reason = `waited ${Math.round(waitedMs)} ms for a connection`;
     this.end({ type: 'unreachable', reason });
     controller.abort(new Error(reason));
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -12,7 +12,9 @@
 import type { Loop } from '../host/loop.ts';
 import { newObservedLoop } from '../host/observedLoop.ts';
 import { Observer } from '../host/observer.ts';
-import type { NamedLimit } from '../limits/types.ts';
+import { isRoutable } from '../fleet/endpointChoice.ts';
+import { isPausedSince } from '../notices/pauses.ts';
+import type { EndpointNotice } from '../notices/types.ts';
 import { Logger } from '../observe/logger.ts';
 import { ProcessSampler } from '../observe/processSampler.ts';
 import { countLimitSharers } from '../owners/owner.ts';
@@ -179,7 +181,8 @@
       return;
     }
     const running = this.endpointClient.sendAttempt(spec, exchange, {
-      onLimitRead: (limit) => this.reportLimit(spec, limit),
+      isStillWanted: () => this.isStillWanted(spec),
+      onNoticeRead: this.newNoticeReporter(spec.endpoint),
       onResponseStarted: () => this.dispatch({ type: 'forwardStarted', id, attempt }),
       onEnded: (outcome) => {
         this.runningAttempts.delete(attempt);
@@ -190,11 +193,29 @@
     if (!running.hasEnded) this.runningAttempts.set(attempt, running);
   }
 
-  /** Reports what a response says of a limit, unless it names none and none is known. */
-  private reportLimit({ id, attempt, endpoint }: AttemptSpec, limit: NamedLimit): void {
-    const isLimited = this.state.fleet.views.get(endpoint)?.limit?.perS !== undefined;
-    if (limit.type !== 'none' || isLimited)
-      this.dispatch({ type: 'limitRead', id, attempt, limit });
+  /**
+   * Returns a function that reports what the answer to a request says of its endpoint; create it when the
+   * request is sent. Answers that change nothing are not reported.
+   */
+  newNoticeReporter(endpoint: string): (notice: EndpointNotice | undefined) => void {
+    const startedAt = this.state.fleet.views.get(endpoint)?.endpoint.startedAt ?? 0;
+    const sentAt = this.state.now;
+    return (notice) => {
+      if (notice === undefined) return;
+      const view = this.state.fleet.views.get(endpoint);
+      const isKnown = view?.limit?.perS !== undefined || view?.pause !== undefined;
+      const isSilent = Object.values(notice).every(({ type }) => type === 'none');
+      if (isKnown || !isSilent)
+        this.dispatch({ type: 'noticeRead', endpoint, startedAt, sentAt, notice });
+    };
+  }
+
+  /** Whether an endpoint still takes a request that was to be sent to it at `sentAt`. */
+  private isStillWanted({ endpoint, sentAt }: AttemptSpec): boolean {
+    const view = this.state.fleet.views.get(endpoint);
+    return (
+      view !== undefined && isRoutable(view) && !isPausedSince(view, sentAt, performance.now())
+    );
   }
 
   onStopped(): void {
--- a/src/gatewayHost/platform.ts
+++ b/src/gatewayHost/platform.ts
@@ -1,7 +1,7 @@
 import type { HttpCall } from '../clients/httpClient.ts';
 import type { DirectoryAnswer, DirectoryWriteAnswer, Topic } from '../directory/types.ts';
 import type { RequestLabels } from '../forwards/types.ts';
-import type { NamedLimit } from '../limits/types.ts';
+import type { EndpointNotice } from '../notices/types.ts';
 import type { MembersRow } from '../owners/types.ts';
 import type { SuspectsRow } from '../suspects/types.ts';
 import type { AdapterOrder, AdapterOrderAnswer, AdapterReport } from '../residency/types.ts';
@@ -44,11 +44,25 @@
   order: AdapterOrder;
 }
 
+/** What came of a call to an engine. */
+export interface EngineAnswer<T> {
+  content: T;
+  /** What the answer says of the engine; undefined if the engine gave none. */
+  notice: EndpointNotice | undefined;
+}
+
 /** Single calls to engines, each with a timeout. Their promises never reject. */
 export interface EnginePort {
-  sendOrder(order: FencedAdapterOrder, timeoutMs: number): Promise<AdapterOrderAnswer>;
+  sendOrder(
+    order: FencedAdapterOrder,
+    timeoutMs: number,
+  ): Promise<EngineAnswer<AdapterOrderAnswer>>;
   /** Returns the report, or the reason why it could not be read. */
-  readReport(engine: string, address: string, timeoutMs: number): Promise<AdapterReport | string>;
+  readReport(
+    engine: string,
+    address: string,
+    timeoutMs: number,
+  ): Promise<EngineAnswer<AdapterReport | string>>;
 }
 
 /** Alternating names and values, unmodified. */
@@ -62,7 +76,7 @@
   isSealed: boolean;
   /** Why the endpoint did not run the request; undefined when it may have run. */
   notRun: 'full' | 'adapterMissing' | 'otherEndpoint' | undefined;
-  limit: NamedLimit;
+  notice: EndpointNotice;
 }
 
 /** Metadata that is added to a request that is forwarded to an endpoint. */
--- a/src/limits/constants.ts
+++ b/src/limits/constants.ts
@@ -9,8 +9,6 @@
 export const PERMIT_BURST_MS = 1_000;
 /** Share of the time left to a request that it may wait for a permit if no endpoint is without a limit. */
 export const MAX_PERMIT_WAIT_SHARE = 0.5;
-/** Shortest interval between two announcements of changed limits. */
-export const LIMIT_ANNOUNCE_INTERVAL_MS = 200;
 /** Time ahead up to which the returns of refused callers are spread. */
 export const MAX_RETURN_MS = 10_000;
 /** Interval of the log lines that tell how much of a limit is used. */
--- a/src/limits/endpointLimits.ts
+++ b/src/limits/endpointLimits.ts
@@ -1,30 +1,28 @@
 import type { Effect } from '../core/effects.ts';
 import { newGauge, newLog } from '../core/observations.ts';
-import { sendMessage } from '../core/sendMessage.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import type { EndpointView } from '../fleet/types.ts';
-import { LIMIT_ANNOUNCE_INTERVAL_MS, LIMIT_REPORT_INTERVAL_MS } from './constants.ts';
+import { LIMIT_REPORT_INTERVAL_MS } from './constants.ts';
 import { getPermits, isLimited, isPermitOwner } from './permits.ts';
 import type { AnnouncedLimit, EndpointLimit, NamedLimit } from './types.ts';
 
-/** Applies what an endpoint says of its limit in the answer to an attempt that was sent at `sentAt`. */
+/**
+ * Applies what an endpoint says of its limit in the answer to a request that was sent at `sentAt`;
+ * returns whether the limit changed.
+ */
 export function recordNamedLimit(
   state: State,
   view: EndpointView,
   named: NamedLimit,
   sentAt: number,
   now: number,
-): Effect[] {
-  const { id: endpoint } = view.endpoint;
-  if (named.type === 'malformed')
-    return [newLog('warn', 'endpoint named a malformed limit', { endpoint, value: named.value })];
+): boolean {
+  if (named.type === 'malformed') return false;
   const perS = named.type === 'rate' ? named.perS : undefined;
-  if (perS === view.limit?.perS || isOutdated(view.limit, perS, sentAt)) return [];
+  if (perS === view.limit?.perS || isOutdated(view.limit, perS, sentAt)) return false;
   adoptLimit(state, view, perS, (view.limit?.revision ?? 0) + 1, now);
-  state.limits.changed.add(endpoint);
-  scheduleAnnouncement(state, now);
-  return [];
+  return true;
 }
 
 /** Adopts limits that another host learned of before this one. */
@@ -44,23 +42,18 @@
   return effects.length === 0 ? [] : [...effects, newLimitGauge(state)];
 }
 
-/** Logs the limits that changed and tells all linked hosts of them. */
-export function announceLimits(state: State, now: number): Effect[] {
-  const { limits, fleet, owners } = state;
-  const views = [...limits.changed].flatMap((endpoint) => fleet.views.get(endpoint) ?? []);
-  limits.changed.clear();
-  limits.isAnnouncementScheduled = false;
-  limits.announcedAt = now;
-  return [
-    ...views.map((view) => newLimitLog(view, undefined)),
-    newLimitGauge(state),
-    ...[...owners.linkedHosts].flatMap((host) => sendLimits(state, host, views)),
-  ];
+/** Returns the log lines and the gauge of the limits of endpoints, of which answers told this host. */
+export function observeNamedLimits(state: State, views: readonly EndpointView[]): Effect[] {
+  const limited = views.filter(({ limit }) => limit !== undefined);
+  if (limited.length === 0) return [];
+  return [...limited.map((view) => newLimitLog(view, undefined)), newLimitGauge(state)];
 }
 
-/** Sends a host whose link opened all limits that this host knows. */
-export function sendKnownLimits(state: State, host: string): Effect[] {
-  return sendLimits(state, host, [...state.fleet.views.values()]);
+/** Returns what other hosts have to know of the limit of an endpoint; undefined if it named none. */
+export function getAnnouncedLimit({ endpoint, limit }: EndpointView): AnnouncedLimit | undefined {
+  if (limit === undefined) return undefined;
+  const { perS, revision } = limit;
+  return { endpoint: endpoint.id, startedAt: endpoint.startedAt, perS, revision };
 }
 
 /** Logs how much of each limit this host handed out since the last report. */
@@ -134,14 +127,6 @@
   scheduleReport(state, now);
 }
 
-function scheduleAnnouncement(state: State, now: number): void {
-  const { limits } = state;
-  if (limits.isAnnouncementScheduled) return;
-  limits.isAnnouncementScheduled = true;
-  const at = Math.max(now, limits.announcedAt + LIMIT_ANNOUNCE_INTERVAL_MS);
-  schedule(state, at, { type: 'announceEndpointLimits' });
-}
-
 /** Schedules the next report while an endpoint names a limit. */
 function scheduleReport(state: State, now: number): void {
   if (state.limits.isReportScheduled || countLimitedEndpoints(state) === 0) return;
@@ -149,16 +134,6 @@
   schedule(state, now + LIMIT_REPORT_INTERVAL_MS, { type: 'reportLimitUse' });
 }
 
-function sendLimits(state: State, host: string, views: readonly EndpointView[]): Effect[] {
-  const limits = views.flatMap(({ endpoint, isRemoved, limit }): AnnouncedLimit[] => {
-    if (isRemoved || limit === undefined) return [];
-    const { perS, revision } = limit;
-    return [{ endpoint: endpoint.id, startedAt: endpoint.startedAt, perS, revision }];
-  });
-  if (limits.length === 0) return [];
-  return [sendMessage(state, host, { type: 'endpointLimitsAnnounced', limits })];
-}
-
 function newLimitLog({ endpoint, limit }: EndpointView, from: string | undefined): Effect {
   const { id, service } = endpoint;
   const { perS, formerPerS, revision } = limit ?? {};
--- a/src/limits/permitQueue.ts
+++ b/src/limits/permitQueue.ts
@@ -16,7 +16,13 @@
   MIN_PERMIT_REMAINING_MS,
   PERMIT_SERVE_INTERVAL_MS,
 } from './constants.ts';
-import { getPermits, isLimited, isPermitOwner, takeReturnMs, tryTakePermit } from './permits.ts';
+import {
+  getPermits,
+  isLimited,
+  isPermitOwner,
+  newPermitRefusal,
+  tryTakePermit,
+} from './permits.ts';
 import type { EndpointPermits, QueuedPermit } from './types.ts';
 
 /** A request that waits for a permit, in the queue of an engine or of an endpoint of a plain service. */
@@ -114,16 +120,6 @@
   return newPermitRefusal(state, permits, ahead, now);
 }
 
-function newPermitRefusal(
-  state: State,
-  permits: EndpointPermits,
-  ahead: number,
-  now: number,
-): PermitRefusal {
-  const waitMs = Math.min(permits.bucket.getWaitMs(now, ahead + 1), Number.MAX_SAFE_INTEGER);
-  return { waitMs, returnMs: takeReturnMs(state, permits, waitMs, now) };
-}
-
 /** Returns the index of a request in a queue that is sorted by priority and arrival. */
 function findPosition(queue: readonly QueuedPermit[], { priority = 0 }: QueuedPermit): number {
   const index = queue.findIndex((other) => (other.priority ?? 0) > priority);
--- a/src/limits/permits.ts
+++ b/src/limits/permits.ts
@@ -2,6 +2,7 @@
 import type { State } from '../core/state.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { countRecentLimitSharers, getOwner } from '../owners/owner.ts';
+import type { PermitRefusal } from '../residency/types.ts';
 import {
   MAX_RETURN_MS,
   MIN_PERMITS_PER_S,
@@ -65,12 +66,36 @@
   return true;
 }
 
+/**
+ * Takes a permit from this host's own part of an endpoint's limit, which it uses while it has no link to
+ * the endpoint's owner. Returns why there is none.
+ */
+export function takeOwnPermit(
+  state: State,
+  view: EndpointView,
+  now: number,
+): PermitRefusal | undefined {
+  const permits = getPermits(state, view, 'share', now);
+  return tryTakePermit(permits, now) ? undefined : newPermitRefusal(state, permits, 0, now);
+}
+
+/** Returns why a request gets no permit now; `ahead` others get one before it. */
+export function newPermitRefusal(
+  state: State,
+  permits: EndpointPermits,
+  ahead: number,
+  now: number,
+): PermitRefusal {
+  const waitMs = Math.min(permits.bucket.getWaitMs(now, ahead + 1), Number.MAX_SAFE_INTEGER);
+  return { waitMs, returnMs: takeReturnMs(state, permits, waitMs, now) };
+}
+
 /**
  * Returns the time after which the caller of a refused request should return, in ms. Each refusal takes
  * the next time at which there is a permit, so that callers return at the rate of the permits; beyond a
  * maximum they are spread at random.
  */
-export function takeReturnMs(
+function takeReturnMs(
   { random }: State,
   permits: EndpointPermits,
   waitMs: number,
--- a/src/limits/types.ts
+++ b/src/limits/types.ts
@@ -24,7 +24,7 @@
   nextPermitAt: number;
 }
 
-const AnnouncedLimit = z.object({
+export const AnnouncedLimit = z.object({
   endpoint: z.string().min(1).max(200),
   /** Unix ms of the start of the endpoint that named the limit. */
   startedAt: z.number(),
@@ -34,12 +34,6 @@
 });
 export type AnnouncedLimit = z.infer<typeof AnnouncedLimit>;
 
-/** Tells other hosts of limits that endpoints named to the sender, or that it was told of. */
-export const EndpointLimitsAnnounced = z.object({
-  type: z.literal('endpointLimitsAnnounced'),
-  limits: z.array(AnnouncedLimit),
-});
-
 /**
  * `owner`: the host hands out the permits of all hosts with a link to it; `share`: it has no link to the
  * owner of the endpoint and uses its own part.
@@ -72,11 +66,6 @@
 
 /** Limits that endpoints named, and the permits that follow from them. */
 export class Limits {
-  /** Endpoints whose limit changed since the last announcement. */
-  readonly changed = new Set<string>();
-  /** Monotonic ms of the last announcement. */
-  announcedAt = -Infinity;
-  isAnnouncementScheduled = false;
   isReportScheduled = false;
   /** Permits by endpoint. */
   readonly permits = new Map<string, EndpointPermits>();
@@ -89,7 +78,6 @@
 }
 
 export type LimitTimer =
-  | { type: 'announceEndpointLimits' }
   | { type: 'reportLimitUse' }
   /** Serves the requests that wait for permits of an endpoint of a plain service. */
   | { type: 'servePermits'; endpoint: string };
--- /dev/null
+++ b/src/notices/constants.ts
@@ -0,0 +1,10 @@
+/** Shortest interval between two announcements of what endpoints said of themselves. */
+export const ANNOUNCE_INTERVAL_MS = 200;
+/**
+ * Longest time for which an endpoint gets nothing because it asked for that, so that no value shuts it
+ * out for long: until the first trial, and after a trial that it turned away as well.
+ */
+export const MAX_PAUSE_MS = 10_000;
+export const MAX_PAUSE_AFTER_TRIAL_MS = 600_000;
+/** Shortest interval between log lines about malformed notices of one endpoint. */
+export const MALFORMED_LOG_INTERVAL_MS = 10_000;
--- /dev/null
+++ b/src/notices/endpointNotices.ts
@@ -0,0 +1,71 @@
+import type { Effect } from '../core/effects.ts';
+import { newLog } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import type { EndpointView } from '../fleet/types.ts';
+import { rerouteFromEngine } from '../forwards/rerouting.ts';
+import { recordNamedLimit } from '../limits/endpointLimits.ts';
+import { scheduleAnnouncement } from './announcements.ts';
+import { newNoticeGauges } from './gauges.ts';
+import { recordLeaving } from './leaving.ts';
+import { observeMalformed } from './malformed.ts';
+import { endPause, getPauseLeftMs, startPause } from './pauses.ts';
+import type { NamedLeaving, NamedPause, NoticeEvent } from './types.ts';
+
+/** Applies what an answer says of its endpoint. */
+export function applyNotice(
+  state: State,
+  { endpoint, startedAt, sentAt, notice }: NoticeEvent,
+  now: number,
+): Effect[] {
+  const view = state.fleet.views.get(endpoint);
+  // An answer from before a restart says nothing of the endpoint as it is now.
+  if (view?.endpoint.startedAt !== startedAt) return [];
+  if (recordNamedLimit(state, view, notice.limit, sentAt, now))
+    scheduleAnnouncement(state, view, now);
+  return [
+    ...observeMalformed(view, notice, now),
+    ...applyLeaving(state, view, notice.leaving, now),
+    ...applyPause(state, view, notice.pause, sentAt, now),
+  ];
+}
+
+function applyLeaving(
+  state: State,
+  view: EndpointView,
+  leaving: NamedLeaving,
+  now: number,
+): Effect[] {
+  if (leaving.type !== 'leaving') return [];
+  const effects = recordLeaving(state, view, undefined, now);
+  if (effects.length > 0) scheduleAnnouncement(state, view, now);
+  return effects;
+}
+
+/**
+ * The pause holds for this host only: an endpoint may turn away some hosts and serve others, and each
+ * host that it turns away is told the time itself.
+ */
+function applyPause(
+  state: State,
+  view: EndpointView,
+  pause: NamedPause,
+  sentAt: number,
+  now: number,
+): Effect[] {
+  if (pause.type === 'malformed') return [];
+  if (pause.type === 'none') return endPause(view, sentAt) ? newNoticeGauges(state, now) : [];
+  const before = view.pause?.until;
+  startPause(view, pause.ms, sentAt, now);
+  if (view.pause?.until === before) return [];
+  const { id, service } = view.endpoint;
+  return [
+    newLog('info', 'endpoint wants no requests for a time', {
+      endpoint: id,
+      service,
+      askedMs: pause.ms,
+      pauseMs: Math.round(getPauseLeftMs(view, now)),
+    }),
+    ...newNoticeGauges(state, now),
+    ...rerouteFromEngine(state, id, 'the engine wants no requests for a time', now),
+  ];
+}
--- /dev/null
+++ b/src/notices/malformed.ts
@@ -0,0 +1,22 @@
+import type { Effect } from '../core/effects.ts';
+import { newLog } from '../core/observations.ts';
+import type { EndpointView } from '../fleet/types.ts';
+import { MALFORMED_LOG_INTERVAL_MS } from './constants.ts';
+import type { EndpointNotice } from './types.ts';
+
+/** Returns the log lines of what could not be read, at most once in an interval for each endpoint. */
+export function observeMalformed(
+  view: EndpointView,
+  notice: EndpointNotice,
+  now: number,
+): Effect[] {
+  const malformed = Object.entries(notice).flatMap(([subject, { type, ...content }]) =>
+    type === 'malformed' ? [{ subject, ...content }] : [],
+  );
+  if (malformed.length === 0 || view.malformedLoggedAt + MALFORMED_LOG_INTERVAL_MS > now) return [];
+  view.malformedLoggedAt = now;
+  const { id: endpoint } = view.endpoint;
+  return malformed.map((fields) =>
+    newLog('warn', 'endpoint sent a malformed notice', { endpoint, ...fields }),
+  );
+}
--- /dev/null
+++ b/src/notices/pauses.ts
@@ -0,0 +1,58 @@
+import { MAX_PAUSE_AFTER_TRIAL_MS, MAX_PAUSE_MS } from './constants.ts';
+import type { EndpointPause } from './types.ts';
+
+/** An endpoint that may ask for a time without requests. */
+interface Pausable {
+  pause: EndpointPause | undefined;
+}
+
+/** Whether an endpoint wants no request of this host now. */
+export function isPaused({ pause }: Pausable, now: number): boolean {
+  return pause !== undefined && pause.until > now;
+}
+
+/** Whether an endpoint asked for a pause after `sentAt`, so that a request from then must not be sent. */
+export function isPausedSince({ pause }: Pausable, sentAt: number, now: number): boolean {
+  return pause !== undefined && pause.learnedAt > sentAt && pause.until > now;
+}
+
+/** Returns the time until an endpoint may get a request of this host again, in ms. */
+export function getPauseLeftMs({ pause }: Pausable, now: number): number {
+  return Math.max(0, (pause?.until ?? now) - now);
+}
+
+/**
+ * Starts or extends the pause of an endpoint that turned a request from `sentAt` away for `askedMs`.
+ * Requests that were under way together may be told different times, of which the longest holds.
+ */
+export function startPause(endpoint: Pausable, askedMs: number, sentAt: number, now: number): void {
+  const { pause: known } = endpoint;
+  const askedUntil = now + askedMs;
+  const isUnderWayTogether = known !== undefined && sentAt <= known.learnedAt;
+  if (isUnderWayTogether) {
+    known.until = Math.max(known.until, now + Math.min(askedMs, MAX_PAUSE_MS));
+    known.askedUntil = Math.max(known.askedUntil, askedUntil);
+    return;
+  }
+  const wasTrial = known !== undefined && sentAt < known.askedUntil;
+  const longestMs = wasTrial ? MAX_PAUSE_AFTER_TRIAL_MS : MAX_PAUSE_MS;
+  const until = now + Math.min(askedMs, longestMs);
+  endpoint.pause = { learnedAt: now, until, askedUntil };
+}
+
+/** Ends the pause of an endpoint that served a request which was sent after it had asked for the pause. */
+export function endPause(endpoint: Pausable, sentAt: number): boolean {
+  const { pause } = endpoint;
+  if (pause === undefined || sentAt <= pause.learnedAt) return false;
+  endpoint.pause = undefined;
+  return true;
+}
+
+/**
+ * Records that a request is sent to an endpoint. Within the time that the endpoint asked for it is a
+ * trial, and the only one.
+ */
+export function recordSend({ pause }: Pausable, now: number): void {
+  if (pause === undefined || pause.askedUntil <= now) return;
+  pause.until = Math.min(pause.askedUntil, now + MAX_PAUSE_AFTER_TRIAL_MS);
+}
--- a/src/residency/adapterOrders.ts
+++ b/src/residency/adapterOrders.ts
@@ -2,6 +2,7 @@
 import { newCount, newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { isRoutable } from '../fleet/endpointChoice.ts';
+import { getPauseLeftMs, recordSend } from '../notices/pauses.ts';
 import type { EngineClass } from '../routes/types.ts';
 import { isModelOrder, applyModelOrderAnswer, issueModelOrder } from './modelOrders.ts';
 import {
@@ -30,17 +31,36 @@
   (state: State, owned: EngineResidency, order: AdapterOrder, now: number) => void
 >;
 
-/** Issues the next order for the queued reservations; at most one order per engine is in flight. */
+/**
+ * Issues the next order for the queued reservations; at most one order per engine is in flight, and none
+ * while the engine wants nothing from this host.
+ */
 export function issueNextOrder(
   state: State,
   owned: EngineResidency,
   engine: EngineClass,
   now: number,
 ): Effect[] {
-  if (owned.orderInFlight !== undefined || owned.isReadingReport || owned.isFenced) return [];
-  // A leaving engine gets no new requests: its loads would only slow those of other engines.
   const view = state.fleet.views.get(owned.id);
+  // A leaving engine gets no new requests: its loads would only slow those of other engines.
   if (view === undefined || !isRoutable(view)) return [];
+  const pauseLeftMs = getPauseLeftMs(view, now);
+  if (pauseLeftMs > 0) {
+    scheduleReservationServing(state, owned, now + pauseLeftMs, now);
+    return [];
+  }
+  const effects = chooseNextOrder(state, owned, engine, now);
+  if (effects.length > 0) recordSend(view, now);
+  return effects;
+}
+
+function chooseNextOrder(
+  state: State,
+  owned: EngineResidency,
+  engine: EngineClass,
+  now: number,
+): Effect[] {
+  if (owned.orderInFlight !== undefined || owned.isReadingReport || owned.isFenced) return [];
   if (owned.ordersAllowedAt > now) {
     scheduleReservationServing(state, owned, owned.ordersAllowedAt, now);
     return [];
--- a/stand-ins/platform/platformEndpoint.ts
+++ b/stand-ins/platform/platformEndpoint.ts
@@ -74,6 +74,8 @@
   target: string;
   headers: IncomingMessage['headers'];
   body: string;
+  /** Monotonic ms. */
+  arrivedAt: number;
   isExecuted: boolean;
   /** Whether the connection closed before the answer was complete. */
   isCancelled: boolean;
@@ -90,9 +92,10 @@
 });
 type Order = z.infer<typeof Order>;
 
-/** Order that an endpoint received, with the HTTP status of its answer. */
+/** Order that an endpoint received, with the HTTP status of its answer and monotonic ms of its arrival. */
 export interface ReceivedOrder extends Order {
   status: number;
+  arrivedAt: number;
 }
 
 /** Endpoint of the platform: executes requests, and holds adapters when it has slots. */
@@ -103,6 +106,10 @@
   readonly plannedBehaviours: EndpointBehaviour[] = [];
   /** Values of the header that names a limit on requests, in each answer. */
   namedLimits: string[] = [];
+  /** Whether the endpoint says in all its answers that it leaves. */
+  isLeaving = false;
+  /** Values of `Retry-After` with which it turns all requests and orders away; empty while it serves. */
+  retryAfter: string[] = [];
   /** Version of each resident adapter, by `model/adapter`. */
   readonly adapters = new Map<string, number>();
   /** Bytes sent on connections that are sent bytes without end, and how many of these are open. */
@@ -176,7 +183,7 @@
     const call = await readCall(request, response);
     const expected = call.headers['expect-instance'];
     if (expected !== undefined && expected !== this.id) {
-      response.writeHead(421, { 'instance-id': this.id }).end();
+      response.writeHead(421, { 'instance-id': this.id, ...this.getNoticeHeaders() }).end();
       return;
     }
     if (call.path === '/-/order') this.handleOrder(call);
@@ -186,9 +193,9 @@
 
   private handleOrder(call: ReceivedCall): void {
     const order = Order.parse(JSON.parse(call.body));
-    const status = this.executeOrder(order);
-    this.orders.push({ ...order, status });
-    call.response.writeHead(status).end();
+    const status = this.retryAfter.length > 0 ? 503 : this.executeOrder(order);
+    this.orders.push({ ...order, status, arrivedAt: performance.now() });
+    call.response.writeHead(status, this.getNoticeHeaders()).end();
   }
 
   private executeOrder(order: Order): number {
@@ -225,7 +232,8 @@
       models: [...models].map(([name, adapters]) => ({ name, version: 1, adapters })),
       coming: [...this.loadingVersions].map(([adapter, version]) => `${adapter}@${version}`),
     };
-    call.response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(body));
+    const headers = { 'content-type': 'application/json', ...this.getNoticeHeaders() };
+    call.response.writeHead(200, headers).end(JSON.stringify(body));
   }
 
   private async handleCall(call: ReceivedCall): Promise<void> {
@@ -234,6 +242,7 @@
       target: call.target,
       headers: call.headers,
       body: call.body,
+      arrivedAt: performance.now(),
       isExecuted: false,
       isCancelled: false,
     };
@@ -241,12 +250,17 @@
     call.response.once('close', () => {
       if (!call.response.writableFinished) served.isCancelled = true;
     });
+    if (this.retryAfter.length > 0) {
+      await this.respond(call, 'shed');
+      return;
+    }
     const model = call.headers.model;
     if (this.options.slots > 0 && typeof model === 'string' && model.includes('/')) {
       const wanted = call.headers['expect-version'];
       const held = this.adapters.get(model);
       if (held === undefined || (wanted !== undefined && Number(wanted) !== held)) {
-        call.response.writeHead(421, { 'not-executed': '1', 'instance-id': this.id }).end();
+        const headers = { 'not-executed': '1', 'instance-id': this.id, ...this.getNoticeHeaders() };
+        call.response.writeHead(421, headers).end();
         return;
       }
     }
@@ -368,7 +382,16 @@
     return {
       'attempt-id': typeof attempt === 'string' ? attempt : '',
       'response-seal': `seal-${this.id}`,
+      ...this.getNoticeHeaders(),
+    };
+  }
+
+  /** Returns the headers that say something of the endpoint itself. */
+  private getNoticeHeaders(): Record<string, string | string[]> {
+    return {
       'server-limit': this.namedLimits,
+      ...(this.isLeaving ? { 'server-leaving': '1' } : {}),
+      ...(this.retryAfter.length > 0 ? { 'retry-after': this.retryAfter } : {}),
     };
   }
 }
--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -2,12 +2,13 @@
 import { type DirectoryContent, Topic } from '../../src/directory/types.ts';
 import type { Failure } from '../../src/errors/failure.ts';
 import type { Endpoint } from '../../src/fleet/types.ts';
-import type { ForwardOutcome, RequestLabels } from '../../src/forwards/types.ts';
+import type { AttemptSpec, ForwardOutcome, RequestLabels } from '../../src/forwards/types.ts';
 import type { Route } from '../../src/routes/types.ts';
 import { DirectoryHost, newDirectoryChange, newEndpoint, newMembersRow } from './directoryHost.ts';
+import { newNoticeEvent } from './notices.ts';
 
 /** What an endpoint does with an attempt. */
-export type EndpointReaction = 'crash' | 'crashSilently' | 'break' | 'answer' | 'fail';
+export type EndpointReaction = 'crash' | 'crashSilently' | 'break' | 'answer' | 'fail' | 'turnAway';
 
 /** What a request has besides its fingerprint. */
 export interface RequestTraits {
@@ -22,11 +23,24 @@
   endpoint: string;
   fingerprint: string;
   reaction: EndpointReaction;
+  /** Unix ms of the start of the endpoint. */
+  startedAt: number;
   /** Monotonic ms at which the present start of the endpoint first named a limit, and to this host. */
   namedAt: number;
   toldAt: number;
 }
 
+/** An answer that told a host that its endpoint leaves, or wants nothing for `pauseMs`. */
+export interface ReceivedNotice {
+  at: number;
+  host: string;
+  endpoint: string;
+  /** Unix ms of the start of the endpoint. */
+  startedAt: number;
+  isLeaving: boolean;
+  pauseMs: number | undefined;
+}
+
 /** An attempt on which an endpoint works. */
 interface RunningAttempt {
   endpoint: string;
@@ -41,6 +55,7 @@
   crashSilently: undefined,
   answer: { type: 'answered', status: 200 },
   fail: { type: 'answered', status: 500 },
+  turnAway: { type: 'notRun', reason: 'full' },
 };
 const DEFAULT_ENDPOINTS = 4;
 /** How an endpoint that crashed comes back. */
@@ -70,8 +85,16 @@
   readonly crashTimes: number[] = [];
   /** Requests per second that endpoints name in their answers, by endpoint. */
   readonly namedLimits = new Map<string, number>();
+  /** Endpoints that say in their answers that they leave. */
+  readonly leaving = new Set<string>();
+  /** Times in ms for which endpoints turn all requests away, by endpoint. */
+  readonly namedPauses = new Map<string, number>();
+  /** Answers by which endpoints told hosts that they leave, or turned their requests away. */
+  readonly notices: ReceivedNotice[] = [];
   /** Monotonic ms at which the present start of an endpoint first named a limit to each host. */
   private readonly toldAt = new Map<string, Map<string, number>>();
+  /** Monotonic ms of the last start of each host. */
+  readonly hostStartedAt = new Map<string, number>();
   /** Called when a request ends with a failure. */
   onFailure: (host: string, request: string, failure: Failure) => void = () => undefined;
   /** Returns what an endpoint does with an attempt of `fingerprint`. */
@@ -129,8 +152,24 @@
     return cluster;
   }
 
+  /** Writes a changed entry of an endpoint to the directory, for new ones too. */
+  register(id: string, change: Partial<Endpoint>): void {
+    const endpoint = { ...(this.endpoints.get(id) ?? newEndpoint({ id })), ...change };
+    this.endpoints.set(id, endpoint);
+    this.announce(id, { type: 'endpoint', endpoint });
+    this.runEffects();
+  }
+
+  /** Starts an endpoint again under its id, without what its earlier start said. */
+  restartAtOnce(id: string): void {
+    this.leaving.delete(id);
+    this.namedPauses.delete(id);
+    this.register(id, { startedAt: this.now, isLeaving: false });
+  }
+
   /** Starts a host, or restarts it without what its earlier process knew. */
   startHost(id: string): void {
+    this.hostStartedAt.set(id, this.now);
     const host = DirectoryHost.create(id, this.getZone(this.ids.indexOf(id)), this.now);
     this.hosts.set(id, host);
     host.configure({
@@ -356,20 +395,16 @@
     }
   }
 
-  private handleAttempt(
-    id: string,
-    host: DirectoryHost,
-    spec: { id: string; attempt: string; endpoint: string },
-  ): void {
+  private handleAttempt(id: string, host: DirectoryHost, spec: AttemptSpec): void {
     const { id: request, attempt, endpoint } = spec;
     const { fingerprint, traits } = this.requests.get(request) ?? { fingerprint: '', traits: {} };
-    const reaction = this.react(fingerprint, traits);
+    const reaction = this.namedPauses.has(endpoint) ? 'turnAway' : this.react(fingerprint, traits);
     const key = `${id}/${attempt}`;
     this.running.set(key, {
       endpoint,
       end: (outcome) => {
         this.running.delete(key);
-        if (outcome.type === 'answered') this.reportLimit(host, spec);
+        if (outcome.type === 'answered' || outcome.type === 'notRun') this.reportNotice(host, spec);
         host.dispatch({ type: 'forwardEnded', id: request, attempt, outcome });
       },
     });
@@ -384,7 +419,17 @@
     const told = this.toldAt.get(endpoint);
     const namedAt = Math.min(Infinity, ...(told?.values() ?? []));
     const toldAt = told?.get(id) ?? Infinity;
-    this.sent.push({ at: this.now, host: id, endpoint, fingerprint, reaction, namedAt, toldAt });
+    const { startedAt = 0 } = this.endpoints.get(endpoint) ?? {};
+    this.sent.push({
+      at: this.now,
+      host: id,
+      endpoint,
+      fingerprint,
+      reaction,
+      startedAt,
+      namedAt,
+      toldAt,
+    });
     if (this.hasOutages && reaction === 'crash') {
       this.pending.push({
         at: this.now + this.getWorkMs(reaction),
@@ -399,18 +444,26 @@
     if (outcome !== undefined) this.endAttemptAfter(key, this.getWorkMs(reaction), outcome);
   }
 
-  private reportLimit(
-    host: DirectoryHost,
-    { id, attempt, endpoint }: { id: string; attempt: string; endpoint: string },
-  ): void {
+  private reportNotice(host: DirectoryHost, spec: AttemptSpec): void {
+    const { endpoint } = spec;
+    const id = host.state.host.id;
     const perS = this.namedLimits.get(endpoint);
-    const limit =
-      perS === undefined ? ({ type: 'none' } as const) : { type: 'rate' as const, perS };
-    host.dispatch({ type: 'limitRead', id, attempt, limit });
+    const pauseMs = this.namedPauses.get(endpoint);
+    const isLeaving = this.leaving.has(endpoint);
+    const { startedAt = 0 } = this.endpoints.get(endpoint) ?? {};
+    host.dispatch(
+      newNoticeEvent(spec, {
+        ...(perS === undefined ? {} : { limit: { type: 'rate', perS } }),
+        ...(pauseMs === undefined ? {} : { pause: { type: 'pause', ms: pauseMs } }),
+        ...(isLeaving ? { leaving: { type: 'leaving' } } : {}),
+      }),
+    );
+    if (isLeaving || pauseMs !== undefined)
+      this.notices.push({ at: this.now, host: id, endpoint, startedAt, isLeaving, pauseMs });
     if (perS === undefined) return;
     const told = this.toldAt.get(endpoint) ?? new Map<string, number>();
     this.toldAt.set(endpoint, told);
-    if (!told.has(host.state.host.id)) told.set(host.state.host.id, this.now);
+    if (!told.has(id)) told.set(id, this.now);
   }
 
   private endAttemptAfter(key: string, delayMs: number, outcome: ForwardOutcome): void {
--- a/tests/helpers/limitedTraffic.ts
+++ b/tests/helpers/limitedTraffic.ts
@@ -27,9 +27,8 @@
 
 /** Random requests of callers that come back once after `Retry-After`. */
 export class LimitedTraffic {
-  /** Times in ms from arrival to refusal. */
-  readonly refusedAfterMs: number[] = [];
-  readonly retryAfterMs: number[] = [];
+  /** Refused requests: monotonic ms of arrival and refusal, and the time to return in ms. */
+  readonly refused: { arrivedAt: number; refusedAt: number; returnMs: number | undefined }[] = [];
   private readonly random: Random;
   private readonly requests = new Map<string, CallerRequest>();
   private readonly returns: { at: number; fingerprint: string }[] = [];
@@ -45,9 +44,10 @@
     cluster.onFailure = (host, request, { retryAfterS }) => {
       const known = this.requests.get(`${host}/${request}`);
       if (known === undefined) return;
-      this.refusedAfterMs.push(cluster.now - known.arrivedAt);
+      const { arrivedAt } = known;
+      const returnMs = retryAfterS === undefined ? undefined : retryAfterS * 1_000;
+      this.refused.push({ arrivedAt, refusedAt: cluster.now, returnMs });
       if (retryAfterS === undefined) return;
-      this.retryAfterMs.push(retryAfterS * 1_000);
       const { fingerprint } = known;
       if (!known.isReturn)
         this.returns.push({ at: cluster.now + retryAfterS * 1_000, fingerprint });
--- a/tests/limits/namedLimits.test.ts
+++ b/tests/limits/namedLimits.test.ts
@@ -3,6 +3,7 @@
 import type { NamedLimit } from '../../src/limits/types.ts';
 import type { ReservationRequest } from '../../src/residency/types.ts';
 import { DirectoryHost, newDirectoryChange, newEndpoint } from '../helpers/directoryHost.ts';
+import { newNoticeEvent } from '../helpers/notices.ts';
 
 const PERMIT_INTERVAL_MS = 500;
 const LIMIT = newRate(1_000 / PERMIT_INTERVAL_MS);
@@ -30,8 +31,7 @@
   host.receiveForward({ id, fingerprint: id });
   const [sent] = host.takeEffects('sendForward');
   if (sent === undefined) throw new Error(`request ${id} was not sent`);
-  const { attempt } = sent.spec;
-  return (limit) => host.dispatch({ type: 'limitRead', id, attempt, limit });
+  return (limit) => host.dispatch(newNoticeEvent(sent.spec, { limit }));
 }
 
 /** Lets the endpoint name a limit, so that the host hands out permits from now on. */
@@ -40,8 +40,9 @@
     const id = `first ${endpoint}`;
     host.receiveForward({ id, fingerprint: id });
     const [sent] = host.takeEffects('sendForward');
-    const attempt = sent?.spec.attempt ?? '';
-    host.dispatch({ type: 'limitRead', id, attempt, limit: LIMIT });
+    if (sent === undefined) throw new Error(`request ${id} was not sent`);
+    host.dispatch(newNoticeEvent(sent.spec, { limit: LIMIT }));
+    const { attempt } = sent.spec;
     host.dispatch({ type: 'forwardEnded', id, attempt, outcome: ANSWERED });
   }
   host.takeAllEffects();
@@ -111,8 +112,9 @@
     const host = start(['e0', 'e1']);
     host.receiveForward({ id: 'first', fingerprint: 'first' });
     const [first] = host.takeEffects('sendForward');
-    const { attempt, endpoint: limited } = first?.spec ?? { attempt: '', endpoint: '' };
-    host.dispatch({ type: 'limitRead', id: 'first', attempt, limit: newRate(0.5) });
+    if (first === undefined) throw new Error('the request was not sent');
+    const { endpoint: limited } = first.spec;
+    host.dispatch(newNoticeEvent(first.spec, { limit: newRate(0.5) }));
     for (let request = 0; request < 6; request++) host.receiveForward({ id: `f${request}` });
     const sent = host.takeEffects('sendForward').map(({ spec }) => spec.endpoint);
     expect(sent).toHaveLength(6);
--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -184,7 +184,53 @@
     ['two numbers', ['Server-Limit', '5', 'Server-Limit', '2'], 2],
     ['a number and text', ['Server-Limit', '5', 'Server-Limit', 'x'], 'malformed'],
   ])('reads a limit: %s', (_name, headers, expected) => {
-    const { limit } = headerLabels.readResponseLabels(200, headers, 'e1');
+    const { limit } = headerLabels.readResponseLabels(200, headers, 'e1').notice;
     expect(limit.type === 'rate' ? limit.perS : limit.type).toBe(expected);
   });
+
+  it.each<[string, string[], 'none' | 'leaving' | 'malformed']>([
+    ['nothing', [], 'none'],
+    ['1', ['Server-Leaving', '1'], 'leaving'],
+    ['0', ['server-leaving', '0'], 'none'],
+    ['1 twice', ['Server-Leaving', '1', 'Server-Leaving', '1'], 'leaving'],
+    ['both', ['Server-Leaving', '0', 'Server-Leaving', '1'], 'leaving'],
+    ['text', ['Server-Leaving', 'soon'], 'malformed'],
+    ['an empty value', ['Server-Leaving', ''], 'malformed'],
+  ])('reads that an engine leaves: %s', (_name, headers, expected) => {
+    for (const status of [200, 421, 429, 500, 503])
+      expect(headerLabels.readResponseLabels(status, headers, 'e1').notice.leaving.type).toBe(
+        expected,
+      );
+  });
+
+  const DATE = 'Fri, 04 Dec 2026 12:00:00 GMT';
+  it.each<[string, number, string[], number | 'none' | 'malformed']>([
+    ['nothing', 503, [], 'none'],
+    ['seconds', 503, ['Retry-After', '5'], 5_000],
+    ['seconds of 429', 429, ['Retry-After', '5'], 5_000],
+    ['a fraction', 503, ['retry-after', '0.25'], 250],
+    ['zero', 503, ['Retry-After', '0'], 0],
+    ['nothing of another status', 500, ['Retry-After', '5'], 'none'],
+    ['text', 503, ['Retry-After', 'later'], 'malformed'],
+    ['an empty value', 503, ['Retry-After', ''], 'malformed'],
+    ['a negative number', 503, ['Retry-After', '-5'], 'malformed'],
+    ['a huge number', 503, ['Retry-After', '9'.repeat(400)], Number.MAX_SAFE_INTEGER],
+    ['two numbers', 503, ['Retry-After', '2', 'Retry-After', '5'], 5_000],
+    ['a number and text', 503, ['Retry-After', '2', 'Retry-After', 'x'], 'malformed'],
+    ['a date', 503, ['Date', DATE, 'Retry-After', 'Fri, 04 Dec 2026 12:00:07 GMT'], 7_000],
+    ['a date in the past', 503, ['Date', DATE, 'Retry-After', 'Fri, 04 Dec 2026 11:00:00 GMT'], 0],
+    ['a date without that of the answer', 503, ['Retry-After', DATE], 'malformed'],
+    [
+      'an impossible date',
+      503,
+      ['Date', DATE, 'Retry-After', 'Fri, 99 Dec 2026 12:00:00 GMT'],
+      'malformed',
+    ],
+  ])(
+    'reads the time of an engine that turns requests away: %s',
+    (_name, status, headers, expected) => {
+      const { pause } = headerLabels.readResponseLabels(status, headers, 'e1').notice;
+      expect(pause.type === 'pause' ? pause.ms : pause.type).toBe(expected);
+    },
+  );
 });
