Load the adapters of a leaving engine elsewhere before they are missed

Cause: the adapters of an engine that leaves were loaded on other engines only when a request missed them. Change: its owner asks the owners of the engines on which hosts will place the requests to load those that had recent requests and that no other engine holds; a copy in more demand is not evicted for them.

--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -1,6 +1,7 @@
 import { SuspectsReported } from '../suspects/types.ts';
 import { ReaderHeartbeat, TopicChangesRequest, TopicChanges } from '../directory/types.ts';
 import {
+  AdapterWanted,
   EngineStatusAnnouncement,
   ReservationRequest,
   ReservationGranted,
@@ -87,6 +88,7 @@
   ReservationReleased,
   ReservationStarted,
   EngineStatusAnnouncement,
+  AdapterWanted,
   StreamsRecorded,
   StreamLookup,
   StreamLookupAnswer,
--- a/src/residency/adapterOrders.ts
+++ b/src/residency/adapterOrders.ts
@@ -17,6 +17,7 @@
   UNLOAD_TIMEOUT_MS,
 } from './constants.ts';
 import { countLoading, getSlotLimit, getEvictableCopy, canServeVersion } from './copies.ts';
+import { getWantedAdapter } from './relocation.ts';
 import { getWantedVersion, serveReservations, scheduleReservationServing } from './reservations.ts';
 import type {
   AdapterOrder,
@@ -83,7 +84,9 @@
     const type = check.phase === 'loading' ? 'load' : 'unload';
     return issueOrder(owned, type, check.adapter, check.version);
   }
-  const wanted = getLoadCandidate(state, owned);
+  const wanted =
+    getLoadCandidate(state, owned) ??
+    getWantedAdapter(state, owned, getSlotLimit(engine, owned.models), now);
   if (wanted !== undefined) {
     const effects = orderLoad(state, owned, engine, wanted, now);
     if (effects.length > 0) return effects;
--- a/src/residency/constants.ts
+++ b/src/residency/constants.ts
@@ -62,6 +62,10 @@
 export const EXPECTED_FIRST_EVENT_MS = 40;
 /** Remaining time to the deadline below which a queued request is dropped. */
 export const MIN_REMAINING_MS = 250;
+/** Recent requests for an adapter from which on it is relocated when its engine leaves. */
+export const MIN_RELOCATED_DEMAND = 1;
+/** Time after which a relocated adapter that was not loaded is left until it is asked for. */
+export const WANTED_ADAPTER_TTL_MS = 2_000;
 /** Interval between announcements of engine status. */
 export const ANNOUNCE_INTERVAL_MS = 150;
 /** Announcement interval for each linked host; applies when it gives a longer interval in total. */
--- a/src/residency/handlers.ts
+++ b/src/residency/handlers.ts
@@ -6,10 +6,11 @@
 import { completePrefill } from './prefill.ts';
 import { queueReservation, releaseReservation, serveReservations } from './reservations.ts';
 import { applyEngineStatus, announceEngineStatus } from './engineStatus.ts';
+import { addWantedAdapter } from './relocation.ts';
 import type { ResidencyEvent, ResidencyTimer } from './types.ts';
 
 export const residencyMessages: MessageHandlers<
-  'placeAsked' | 'placeStarted' | 'placeReleased' | 'enginesTold'
+  'placeAsked' | 'placeStarted' | 'placeReleased' | 'enginesTold' | 'adapterWanted'
 > = {
   placeAsked: (state, message, from, now) => queueReservation(state, message, from, now),
   placeStarted: (state, { request, engine }, _from, now) => {
@@ -36,6 +37,7 @@
     }
     return serveReservations(state, owned, now);
   },
+  adapterWanted: (state, message, _from, now) => addWantedAdapter(state, message, now),
   enginesTold: (state, announcement, from, now) => {
     applyEngineStatus(state, announcement, from, now);
     return [];
--- a/src/residency/ownedEngines.ts
+++ b/src/residency/ownedEngines.ts
@@ -8,6 +8,7 @@
 import { getMember, getOwner, getMembersRowOwner } from '../owners/owner.ts';
 import { requireReport } from './adapterOrders.ts';
 import { getEngineClass, refuseQueuedReservations, serveReservations } from './reservations.ts';
+import { relocateAdapters } from './relocation.ts';
 import type { EngineResidency } from './types.ts';
 
 /** Starts managing engines that this host now owns and stops managing the others. */
@@ -19,6 +20,10 @@
     const isStillOwned = view !== undefined && isOwnedHere(state, view);
     if (isStillOwned && isRoutable(view)) continue;
     if (!isStillOwned) state.residency.owned.delete(owned.id);
+    else if (!owned.isRelocated) {
+      owned.isRelocated = true;
+      effects.push(...relocateAdapters(state, owned, now));
+    }
     effects.push(...refuseQueuedReservations(state, owned, isStillOwned ? 'leaving' : 'notOwner'));
   }
   for (const view of state.fleet.views.values()) {
@@ -71,6 +76,8 @@
     known.models = new Set(endpoint.models);
     known.modelLoad = undefined;
     known.copies.clear();
+    known.wanted.clear();
+    known.isRelocated = false;
     known.reservations.clear();
     known.reservedTokens = 0;
     known.pendingPrefillTokens = 0;
@@ -105,6 +112,8 @@
     models: new Set(models),
     modelLoad: undefined,
     copies: new Map(),
+    wanted: new Map(),
+    isRelocated: false,
     queue: [],
     reservations: new Map(),
     reservedTokens: 0,
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -105,6 +105,19 @@
   engine: Id,
 });
 
+/** Asks the owner of an engine to load an adapter whose engine leaves. */
+export const AdapterWanted = z.object({
+  type: z.literal('adapterWanted'),
+  engine: Id,
+  /** `model/adapter` */
+  adapter: z.string().min(1).max(400),
+  /** Newest announced version; 0 if none was announced. */
+  version: z.int().min(0),
+  /** Decayed number of recent requests for it. */
+  demand: z.number().min(0),
+});
+export type AdapterWanted = z.infer<typeof AdapterWanted>;
+
 /** Announces the status of the sender's engines to the other hosts. */
 export const EngineStatusAnnouncement = z.object({
   type: z.literal('enginesTold'),
@@ -221,6 +234,10 @@
   /** Base model load in progress; the engine accepts no other order meanwhile. */
   modelLoad: ModelLoad | undefined;
   copies: Map<string, AdapterCopy>;
+  /** Adapters that are to be loaded without a request, by name; `expiresAt` is monotonic ms. */
+  wanted: Map<string, { version: number; demand: number; expiresAt: number }>;
+  /** Whether the adapters of this start of the engine were relocated, since it takes no more requests. */
+  isRelocated: boolean;
   queue: QueuedReservation[];
   reservations: Map<string, Reservation>;
   /** Tokens of all reservations. */
