Entry host: send nothing to engines that ask for time

Cause: an engine that answers 429 or 503 with Retry-After was tried again by the next request. Change: the same pauses as in gateways; a grant that arrives within one is returned, and callers are told the earliest end when no other engine is left. Measured: tests/requests/limits.test.ts: both new cases failed before, pass.

--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import type { EndpointPause } from '../notices/types.ts';
 import type { HolderList } from './holderList.ts';
 
 /** Load report that an engine publishes; it lags behind the engine's state. */
@@ -36,6 +37,8 @@
   sequence = 0;
   /** Highest ownership epoch seen for the engine. */
   epoch = 0;
+  /** The last time for which it wanted no requests of this host; undefined if there was none. */
+  pause: EndpointPause | undefined;
 
   private constructor(readonly id: string) {}
 
--- a/src/engines/views.ts
+++ b/src/engines/views.ts
@@ -77,6 +77,7 @@
     if (!reported.has(model)) removeResident(engines, engine, model);
   }
   for (const model of reported) addResident(engines, engine, model);
+  if (view.bootId !== report.bootId) view.pause = undefined;
   view.bootId = report.bootId;
   view.reportedAt = now;
   view.running = Object.values(report.running).reduce((sum, count) => sum + count, 0);
--- a/src/requests/grantRequests.ts
+++ b/src/requests/grantRequests.ts
@@ -6,6 +6,7 @@
 import { Failure } from '../errors/failure.ts';
 import { isFullMesh } from '../membership/hosts.ts';
 import { openOnDemandLink } from '../membership/linkSelection.ts';
+import { getShortestPauseMs } from '../engines/availability.ts';
 import { adjustSentSinceReport } from '../engines/views.ts';
 import { chooseSuspectPlacement } from '../suspects/suspectPlacement.ts';
 import {
@@ -47,7 +48,7 @@
   if (placement === undefined) {
     const placementAfterLink = choose((owner) => canLink(state, request, owner));
     if (placementAfterLink === undefined)
-      return failRequest(state, request, getUnavailableFailure(request));
+      return failRequest(state, request, getUnavailableFailure(state, request));
     return waitForLink(state, request, placementAfterLink.owner.host, now);
   }
   const owner = placement.owner.host;
@@ -189,11 +190,18 @@
   return [];
 }
 
-function getUnavailableFailure(request: Request): Failure {
-  const reason = request.lastRefusal ?? 'no engine is available';
+function getUnavailableFailure(state: State, request: Request): Failure {
+  const { adapter, lastRefusal, mayHaveRun } = request;
+  const model = state.configuration.adapters.get(adapter)?.model;
+  const pauseMs = getShortestPauseMs(state, model);
+  const pauseReason = pauseMs === undefined ? undefined : 'the engines want no requests for a time';
+  const reason = pauseReason ?? lastRefusal ?? 'no engine is available';
   return Failure.create(
     'adapter_unavailable',
     `no engine can run adapter "${request.model}": ${reason}`,
-    { outcome: request.mayHaveRun ? 'unknown' : 'not_run' },
+    {
+      outcome: mayHaveRun ? 'unknown' : 'not_run',
+      retryAfterS: pauseMs === undefined ? undefined : Math.ceil(pauseMs / 1_000),
+    },
   );
 }
--- a/src/requests/handlers.ts
+++ b/src/requests/handlers.ts
@@ -7,6 +7,8 @@
 import { isEndpointLeaving } from '../membership/endpoints.ts';
 import { isReachable, isStaleGrantEpoch, recordGrantEpoch } from '../ownership/owner.ts';
 import { adjustSentSinceReport } from '../engines/views.ts';
+import { isEnginePaused } from '../engines/availability.ts';
+import { recordSend } from '../notices/pauses.ts';
 import { admitRequest } from './admission.ts';
 import { MAX_OWNER_CHANGES } from './constants.ts';
 import { endRequestAttempt } from './requestAttempts.ts';
@@ -47,12 +49,15 @@
     if (request?.attempt?.grant === grant) return [];
     const isCurrentRequest =
       request?.phase === 'awaitingOwner' && request.grantRequestNumber === ask;
-    const isUnusable = isStaleGrantEpoch(state, engine, epoch) || isEndpointLeaving(state, engine);
+    const isUnusable =
+      isStaleGrantEpoch(state, engine, epoch) ||
+      isEndpointLeaving(state, engine) ||
+      isEnginePaused(state, engine);
     if (!isCurrentRequest || address === undefined || isUnusable) {
       const released = { request: id, engine, grant, bootId, result: 'unused' as const };
       const effects = [sendMessage(state, from, { type: 'grantReleased', ...released })];
       if (!isCurrentRequest) return effects;
-      // The engine was removed or is leaving, or a new owner may evict the adapter.
+      // The engine was removed, is leaving or wants no requests, or a new owner may evict the adapter.
       adjustSentSinceReport(state.engines, engine, -1);
       return [...effects, ...requestGrantAfterBackoff(state, request, now)];
     }
@@ -138,7 +143,10 @@
     epoch,
     bootId,
     hasResponseStarted: false,
+    sentAt: state.now,
   };
+  const view = state.engines.views.get(engine);
+  if (view !== undefined) recordSend(view, state.now);
   return [
     {
       type: 'startAttempt',
--- a/src/requests/requestAttempts.ts
+++ b/src/requests/requestAttempts.ts
@@ -3,6 +3,8 @@
 import { newCount } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
+import type { EngineView } from '../engines/types.ts';
+import { endPause, startPause } from '../notices/pauses.ts';
 import { retryWithBudget, retryWithoutBudget } from './grantRequests.ts';
 import { failRequest, finishRequest } from './requestEnd.ts';
 import { recordBrokenEngineAttempt } from '../suspects/crashes.ts';
@@ -92,7 +94,10 @@
   request.attempt = undefined;
   if (outcome.type !== 'completed') request.excluded.add(attempt.engine);
   const view = state.engines.views.get(attempt.engine);
-  if (view !== undefined) view.sentSinceReport = Math.max(0, view.sentSinceReport - 1);
+  if (view !== undefined) {
+    view.sentSinceReport = Math.max(0, view.sentSinceReport - 1);
+    updatePause(view, attempt, outcome, now);
+  }
   return [
     newCount('fireflywick_attempts_total', { result: outcome.type }),
     sendMessage(state, attempt.owner, {
@@ -107,6 +112,18 @@
   ];
 }
 
+/** Applies what the outcome of an attempt says of the time in which its engine wants no requests. */
+function updatePause(
+  view: EngineView,
+  { sentAt }: Attempt,
+  outcome: AttemptOutcome,
+  now: number,
+): void {
+  if (outcome.type === 'completed') endPause(view, sentAt);
+  if (outcome.type === 'refused' && outcome.pause?.type === 'pause')
+    startPause(view, outcome.pause.ms, sentAt, now);
+}
+
 function getEnding(outcome: AttemptOutcome, attempt: Attempt, request: Request): Ending {
   const newEnding = endings[outcome.type] as (o: AttemptOutcome, a: Attempt, r: Request) => Ending;
   return newEnding(outcome, attempt, request);
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -1,5 +1,6 @@
 import type { Failure } from '../errors/failure.ts';
 import type { RefusalReason } from '../grants/types.ts';
+import type { NamedPause } from '../notices/types.ts';
 import { RetryBudget } from './retryBudget.ts';
 
 export type RequestKind = 'urgent' | 'ordinary' | 'draft';
@@ -40,6 +41,8 @@
   bootId: string;
   /** Whether the first byte of the response was relayed. */
   hasResponseStarted: boolean;
+  /** Monotonic ms. */
+  sentAt: number;
 }
 
 /** A request in flight on the host that received it. */
@@ -94,8 +97,8 @@
   | { type: 'completed'; adapter: string; version: string; tokens: number }
   /** The engine answered that the adapter is not resident; nothing ran. */
   | { type: 'notResident' }
-  /** The engine refused the request; `status` is its HTTP status. */
-  | { type: 'refused'; status: number; message: string }
+  /** The engine refused the request; `status` is its HTTP status, `pause` the time that it asks for. */
+  | { type: 'refused'; status: number; message: string; pause?: NamedPause }
   /** The engine reported another adapter or version. */
   | { type: 'wrongAdapter'; reported: string }
   /** No connection was established; nothing ran. */
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -1,6 +1,6 @@
 import type { State } from '../core/state.ts';
 import { REMOTE_REPORT_MAX_AGE_MS } from '../engines/constants.ts';
-import { isEngineAvailable } from '../engines/availability.ts';
+import { isEngineAvailable, isEnginePaused } from '../engines/availability.ts';
 import { getLoad, isLoadRecent } from '../engines/views.ts';
 import { getActingOwner, isReachable, type ActingOwner } from '../ownership/owner.ts';
 import type { Request } from '../requests/types.ts';
@@ -104,7 +104,7 @@
   const { configuration, engines } = state;
   const known = configuration.engines.get(engine);
   if (known === undefined || request.excluded.has(engine)) return undefined;
-  if (!isEngineAvailable(state, engine)) return undefined;
+  if (!isEngineAvailable(state, engine) || isEnginePaused(state, engine)) return undefined;
   const owner = getActingOwner(state, engine);
   if (owner === undefined || !ownerFilter(owner.host)) return undefined;
   return { engine, owner, load: getLoad(engines, engine), batch: known.batch };
--- a/src/suspects/suspectPlacement.ts
+++ b/src/suspects/suspectPlacement.ts
@@ -1,4 +1,5 @@
 import type { State } from '../core/state.ts';
+import { isEnginePaused } from '../engines/availability.ts';
 import { isEndpointLeaving } from '../membership/endpoints.ts';
 import { getActingOwner, isReachable } from '../ownership/owner.ts';
 import type { OwnerFilter, Placement } from '../routing/placement.ts';
@@ -26,6 +27,7 @@
   return (
     !isEndpointLeaving(state, engine) &&
     state.engines.views.get(engine)?.state !== 'unreachable' &&
+    !isEnginePaused(state, engine) &&
     owner !== undefined &&
     ownerFilter(owner.host)
   );
--- a/tests/requests/limits.test.ts
+++ b/tests/requests/limits.test.ts
@@ -108,3 +108,47 @@
     expect([...host.state.requests.countByCaller.values()]).toEqual([1, 1]);
   });
 });
+
+describe('an engine that turns a request away for a time', () => {
+  it.each([
+    { status: 429, pauseMs: 5_000, outcome: 'not_run' },
+    { status: 503, pauseMs: 5_000, outcome: 'unknown' },
+  ])(
+    'with $status gets no more within it, and callers are told it',
+    ({ status, pauseMs, outcome }) => {
+      const pause = { type: 'pause' as const, ms: pauseMs };
+      const { simulation, seen, host } = newSimulation({
+        type: 'refused',
+        status,
+        message: '',
+        pause,
+      });
+      const send = (id: string): void => {
+        simulation.dispatch(host, { type: 'requestArrived', request: newRequest(id) });
+      };
+      send('r0');
+      simulation.runUntil(() => seen.some(({ type }) => type === 'failRequest'));
+      const turnedAwayAt = simulation.now;
+      for (let request = 1; request <= 5; request++) {
+        send(`r${request}`);
+        simulation.runUntil(
+          () => seen.filter(({ type }) => type === 'failRequest').length > request,
+        );
+      }
+      expect(simulation.now - turnedAwayAt).toBeLessThan(1_000);
+      // The first request was tried on both engines.
+      expect(seen.filter(({ type }) => type === 'startAttempt')).toHaveLength(2);
+      const [first, last] = [0, -1].map((index) =>
+        seen.filter((effect) => effect.type === 'failRequest').at(index),
+      );
+      expect(first?.failure).toMatchObject({ kind: 'adapter_unavailable', outcome });
+      expect(last?.failure.outcome).toBe('not_run');
+      expect(last?.failure.retryAfterS).toBeGreaterThanOrEqual(4);
+      expect(last?.failure.retryAfterS).toBeLessThanOrEqual(5);
+      const { now } = simulation;
+      simulation.runUntil(() => simulation.now > now + pauseMs);
+      send('later');
+      simulation.runUntil(() => seen.filter(({ type }) => type === 'startAttempt').length > 2);
+    },
+  );
+});
