--- a/src/notices/malformed.ts
+++ b/src/notices/malformed.ts
@@ -10,9 +10,11 @@
   notice: EndpointNotice,
   now: number,
 ): Effect[] {
-  const malformed = Object.entries(notice).flatMap(([subject, { type, ...content }]) =>
-    type === 'malformed' ? [{ subject, ...content }] : [],
-  );
+  const subjects = ['limit', 'leaving', 'pause'] as const;
+  const malformed = subjects.flatMap((subject) => {
+    const said = notice[subject];
+    return said.type === 'malformed' ? [{ subject, value: said.value }] : [];
+  });
   if (malformed.length === 0 || view.malformedLoggedAt + MALFORMED_LOG_INTERVAL_MS > now) return [];
   view.malformedLoggedAt = now;
   const { id: endpoint } = view.endpoint;
