Derive the software version of streams whose hosts all stopped at once

Ruled out: a row in the store for each stream, which needs a write before each first event; lists of what engines keep in memory, which name no run and slow engines down. Change: while a service has several software versions, the version on which a resumable stream begins follows from the id of its attempt, by weighted rendezvous hashing over the shares of the versions. One row in the directory holds these shares and since when they are in force, by the directory's clock. It changes when a version comes or goes, or its share changes by a quarter. A host without a record of a stream derives its version from all splits that were in force in the time in which it can have begun, and refuses it if they differ. Without splits, the service had one version always. Cost: nothing for each stream; one write and one answered watch of each host for each change of the row.

--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -12,6 +12,7 @@
 import { applyAdapterVersion, updateOwnedEngines } from '../residency/ownedEngines.ts';
 import { newRouteIndex } from '../routes/match.ts';
 import { applySuspectsRow } from '../suspects/directorySuspects.ts';
+import { applyVersionSplits, scheduleSplitUpdate } from '../streams/versionSplits.ts';
 import { recordFormerVersion } from '../streams/softwareVersions.ts';
 import { EXPIRY_GRACE_MS, MAX_REMOVAL_DEFERRAL_MS } from './constants.ts';
 import type { DirectoryChange, DirectoryContent, Topic } from './types.ts';
@@ -49,6 +50,7 @@
     const wasLeaving = known?.isLeaving === true;
     if (!applyRegistration(state.fleet, endpoint)) return [];
     const restartEffects = known === undefined ? [] : recordEndpointUpdate(state, known, now);
+    scheduleSplitUpdate(state, now);
     const effects = [
       ...restartEffects,
       ...countCrashesOfEndpoint(state, endpoint.id, now),
@@ -72,6 +74,7 @@
     ...notifyRemovedHosts(state),
   ],
   suspects: (state, { row }, { version }, now) => applySuspectsRow(state, row, version, now),
+  versionSplits: (state, { row }, { version }, now) => applyVersionSplits(state, row, version, now),
   removed: (state, _content, change, now) => {
     if (!state.fleet.views.has(change.key)) return [];
     if (!mayEntriesHaveExpired(state, now)) return dropEndpoint(state, change.key, now);
@@ -139,6 +142,7 @@
 
 /** Has a row of the hosts written again that is no longer in the directory. */
 function handleRemovedRow(state: State, { type }: DirectoryContent, now: number): Effect[] {
+  if (type === 'versionSplits') return applyVersionSplits(state, { services: [] }, 0, now);
   if (type === 'suspects') return applySuspectsRow(state, { suspects: [] }, 0, now);
   if (type === 'members') recordLostMembersRow(state.owners, 0);
   return [];
@@ -162,6 +166,7 @@
   const view = state.fleet.views.get(id);
   if (view !== undefined) recordFormerVersion(state, view.endpoint, now);
   markEndpointRemoved(state.fleet, id);
+  scheduleSplitUpdate(state, now);
   return [
     newLog('info', 'endpoint was removed', { endpoint: id }),
     ...countCrashesOfEndpoint(state, id, now),
--- a/src/directory/handlers.ts
+++ b/src/directory/handlers.ts
@@ -1,5 +1,6 @@
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import { handleMembersWriteAnswer } from '../owners/members.ts';
+import { handleSplitsWriteAnswer } from '../streams/versionSplits.ts';
 import { handleSuspectsWriteAnswer } from '../suspects/directorySuspects.ts';
 import { applyDeferredRemovals } from './apply.ts';
 import { runReaderHeartbeatRound, handleReaderHeartbeat } from './readerHeartbeats.ts';
@@ -12,6 +13,8 @@
     handleTopicAnswer(state, topic, call, isRead, answer, now),
   membersWriteAnswered: (state, { row, answer }, now) =>
     handleMembersWriteAnswer(state, row, answer, now),
+  splitsWriteAnswered: (state, { row, answer }, now) =>
+    handleSplitsWriteAnswer(state, row, answer, now),
   suspectsWriteAnswered: (state, { row, answer }, now) =>
     handleSuspectsWriteAnswer(state, row, answer, now),
 };
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -2,6 +2,7 @@
 import { Endpoint } from '../fleet/types.ts';
 import { MembersRow } from '../owners/types.ts';
 import { RoutingTable } from '../routes/types.ts';
+import { VersionSplitsRow } from '../streams/types.ts';
 import { SuspectsRow } from '../suspects/types.ts';
 
 /**
@@ -22,6 +23,7 @@
   z.object({ type: z.literal('endpoint'), endpoint: Endpoint }),
   z.object({ type: z.literal('members'), row: MembersRow }),
   z.object({ type: z.literal('suspects'), row: SuspectsRow }),
+  z.object({ type: z.literal('versionSplits'), row: VersionSplitsRow }),
   z.object({ type: z.literal('removed') }),
   /** The entry cannot be parsed and is ignored. */
   z.object({ type: z.literal('malformed'), reason: z.string() }),
@@ -38,8 +40,11 @@
 
 /** The answer to a read or a watch of a topic. */
 export type DirectoryAnswer =
-  /** `version` is that of the directory; the next watch continues from it. */
-  | { type: 'changes'; changes: DirectoryChange[]; version: number }
+  /**
+   * `version` is that of the directory; the next watch continues from it. `clockMs` is the time of its
+   * steady clock, if it tells it.
+   */
+  | { type: 'changes'; changes: DirectoryChange[]; version: number; clockMs?: number }
   /**
    * The directory no longer keeps the changes since the requested version; `isRestored` if it came back
    * from an older copy.
@@ -96,6 +101,8 @@
    * watches the directory itself because the heartbeats stopped.
    */
   lastHeartbeatAt = -Infinity;
+  /** Time of the directory's steady clock, and monotonic ms at which an answer told it. */
+  clock: { ms: number; readAt: number } | undefined;
   /**
    * Deferred removals by endpoint: the entry of a live endpoint may have expired in an outage.
    */
@@ -164,14 +171,16 @@
       answer: DirectoryAnswer;
     }
   | { type: 'membersWriteAnswered'; row: MembersRow; answer: DirectoryWriteAnswer }
-  | { type: 'suspectsWriteAnswered'; row: SuspectsRow; answer: DirectoryWriteAnswer };
+  | { type: 'suspectsWriteAnswered'; row: SuspectsRow; answer: DirectoryWriteAnswer }
+  | { type: 'splitsWriteAnswered'; row: VersionSplitsRow; answer: DirectoryWriteAnswer };
 
 export type DirectoryEffect =
   | { type: 'readTopic'; topic: Topic; call: number }
   | { type: 'watchTopic'; topic: Topic; call: number; after: number; waitMs: number }
   /** These write the row if it still has `version`; 0 when it must be absent. */
   | { type: 'writeMembers'; row: MembersRow; version: number }
-  | { type: 'writeSuspects'; row: SuspectsRow; version: number };
+  | { type: 'writeSuspects'; row: SuspectsRow; version: number }
+  | { type: 'writeVersionSplits'; row: VersionSplitsRow; version: number };
 
 export type DirectoryTimer =
   | { type: 'startTopicCall'; topic: Topic }
--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -17,6 +17,7 @@
   WATCH_WAIT_MS,
 } from './constants.ts';
 import { isFollower, hasFollowers } from './group.ts';
+import { recordDirectoryClock } from './clock.ts';
 import { announceTopicChanges } from './announcements.ts';
 import { type DirectoryAnswer, Topic, type TopicState } from './types.ts';
 
@@ -92,6 +93,7 @@
     if (answer.isRestored) effects.push(recordRestore(known, topic, now));
     return [...effects, ...startTopicCall(state, topic, now)];
   }
+  if (answer.clockMs !== undefined) recordDirectoryClock(state, answer.clockMs, now);
   // A read is not announced: it does not list the keys that were removed since the last call.
   // Followers request the changes, removals included, when a heartbeat names the new version.
   if (isRead) known.announcedVersion = answer.version;
--- a/src/forwards/forwardPlacement.ts
+++ b/src/forwards/forwardPlacement.ts
@@ -9,6 +9,7 @@
   getHealthyEndpoints,
   getRoutableEndpoints,
   isAvailable,
+  runsOtherSoftware,
 } from '../fleet/endpointChoice.ts';
 import { FAILURE_COST_MS, CROSS_ZONE_COST_MS } from '../fleet/constants.ts';
 import type { EndpointView } from '../fleet/types.ts';
@@ -27,6 +28,7 @@
   UNKNOWN_LOAD_COST_MS,
   WARM_LOAD_COST_MS,
 } from './constants.ts';
+import { getSplitVersion } from '../streams/versionSplits.ts';
 import { isKnownCrashed } from './crashEvidence.ts';
 import { abandonForward } from './forwardEnd.ts';
 import { getMaxPermitWaitMs, recordPermitRefusal } from './limitedPlacement.ts';
@@ -140,13 +142,14 @@
  * Returns the endpoints that can run a request, those that it should avoid included. An endpoint that
  * refused connections may come back with other software, so it resumes no stream until then.
  */
-function getPossibleEndpoints(
-  state: State,
-  { service, origin }: Forward,
-  now: number,
-): EndpointView[] {
+function getPossibleEndpoints(state: State, forward: Forward, now: number): EndpointView[] {
+  const { service, origin, route, labels } = forward;
   const views = getRoutableEndpoints(state.fleet, service);
-  if (origin === undefined) return views;
+  if (origin === undefined) {
+    if (route.kind !== 'stream' || !route.isResumable) return views;
+    const version = getSplitVersion(state, service, labels.attemptId);
+    return views.filter((view) => !runsOtherSoftware(view, version));
+  }
   return views.filter((view) => canResumeStream(origin, view) && !isKnownCrashed(state, view, now));
 }
 
--- a/src/forwards/resumption.ts
+++ b/src/forwards/resumption.ts
@@ -6,6 +6,7 @@
 import { Failure } from '../errors/failure.ts';
 import { STREAM_LOOKUP_TIMEOUT_MS } from '../streams/constants.ts';
 import { getLookupHosts, replicateStream } from '../streams/replication.ts';
+import { deriveStreamVersion } from '../streams/versionSplits.ts';
 import { getOnlySoftwareVersion } from '../streams/softwareVersions.ts';
 import { addStream, findStream } from '../streams/streamRecords.ts';
 import { AttemptId, type KnownStream, type StreamLookupAnswer } from '../streams/types.ts';
@@ -116,15 +117,20 @@
 }
 
 /**
- * Places a request of whose stream nothing is known if its service had only one software version since
- * the stream can have begun; refuses it otherwise.
+ * Places a request of whose stream no host has a record if its service had only one software version since
+ * the stream can have begun, or if the splits tell the version; refuses it otherwise.
  */
 function resumeUnknownStream(state: State, forward: Forward, now: number): Effect[] {
   state.streams.lookups.delete(forward.id);
   const { route, labels, service } = forward;
   const services = route.targets.filter(({ weight }) => weight > 0);
   const windowMs = route.timeoutMs * STREAM_WINDOW_TIMEOUTS;
-  const softwareVersion = getOnlySoftwareVersion(state, service, windowMs, now);
+  // The time that its caller still waits is not over, so that the stream began later.
+  const derivedWindowMs = windowMs - Math.min(labels.waitMs, route.timeoutMs);
+  const attempt = labels.resumedAttempt ?? '';
+  const softwareVersion =
+    getOnlySoftwareVersion(state, service, windowMs, now) ??
+    deriveStreamVersion(state, service, attempt, derivedWindowMs, now);
   if (softwareVersion !== undefined && services.length === 1) {
     forward.origin = { softwareVersion };
     return placeForward(state, forward, now);
--- a/src/gatewayHost/platform.ts
+++ b/src/gatewayHost/platform.ts
@@ -3,6 +3,7 @@
 import type { RequestLabels } from '../forwards/types.ts';
 import type { EndpointNotice } from '../notices/types.ts';
 import type { MembersRow } from '../owners/types.ts';
+import type { VersionSplitsRow } from '../streams/types.ts';
 import type { SuspectsRow } from '../suspects/types.ts';
 import type { AdapterOrder, AdapterOrderAnswer, AdapterReport } from '../residency/types.ts';
 
@@ -26,6 +27,12 @@
   watch(topic: Topic, after: number, waitMs: number, timeoutMs: number): Promise<DirectoryAnswer>;
   /** Writes the members row if its version is `version`; 0 means that it must not exist. */
   writeMembers(row: MembersRow, version: number, timeoutMs: number): Promise<DirectoryWriteAnswer>;
+  /** Writes the row of version splits in the same way. */
+  writeVersionSplits(
+    row: VersionSplitsRow,
+    version: number,
+    timeoutMs: number,
+  ): Promise<DirectoryWriteAnswer>;
   /** Writes the row of suspects in the same way. */
   writeSuspects(
     row: SuspectsRow,
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -41,6 +41,11 @@
       host.dispatch({ type: 'membersWriteAnswered', row, answer });
     });
   },
+  writeVersionSplits: (host, { row, version }) => {
+    void host.platform.directory
+      .writeVersionSplits(row, version, DIRECTORY_TIMEOUT_MS)
+      .then((answer) => host.dispatch({ type: 'splitsWriteAnswered', row, answer }));
+  },
   writeSuspects: (host, { row, version }) => {
     void host.platform.directory
       .writeSuspects(row, version, DIRECTORY_TIMEOUT_MS)
--- a/src/notices/leaving.ts
+++ b/src/notices/leaving.ts
@@ -5,6 +5,7 @@
 import type { EndpointView } from '../fleet/types.ts';
 import { rerouteFromEngine } from '../forwards/rerouting.ts';
 import { updateOwnedEngines } from '../residency/ownedEngines.ts';
+import { scheduleSplitUpdate } from '../streams/versionSplits.ts';
 import { newNoticeGauges } from './gauges.ts';
 
 /**
@@ -20,6 +21,7 @@
 ): Effect[] {
   if (view.isRemoved || isLeaving(view)) return [];
   const { id, service } = view.endpoint;
+  scheduleSplitUpdate(state, now);
   view.learnedLeaving = { learnedAt: now, from };
   return [
     newLog('info', 'endpoint is leaving', {
--- a/src/streams/constants.ts
+++ b/src/streams/constants.ts
@@ -19,3 +19,16 @@
 export const MAX_HOST_HASHES = 4_096;
 /** Former software versions that are kept of each service. */
 export const MAX_FORMER_VERSIONS = 8;
+/**
+ * Change of the share of a software version from which on the split is changed; resumed streams whose
+ * version differs between the two splits can't be derived for a time.
+ */
+export const MIN_SHARE_CHANGE = 0.25;
+/** Shortest and longest delay between a change of endpoints and the check of the splits. */
+export const MIN_SPLIT_DELAY_MS = 50;
+export const MAX_SPLIT_DELAY_MS = 500;
+/** Time after a change of a split within which hosts learn of it. */
+export const SPLIT_LAG_MS = 2_000;
+/** Time for which a split that was replaced is kept, and the most splits of a service. */
+export const SPLIT_AGE_MS = 120_000;
+export const MAX_SPLITS = 8;
--- a/src/streams/types.ts
+++ b/src/streams/types.ts
@@ -33,6 +33,32 @@
 });
 export type StreamsRecorded = z.infer<typeof StreamsRecorded>;
 
+const VersionShare = z.object({
+  /** Software version. */
+  version: z.string().max(200),
+  share: z.number().min(0).max(1),
+});
+export type VersionShare = z.infer<typeof VersionShare>;
+
+/** Shares of the software versions of a service among its new resumable streams. */
+const VersionSplit = z.object({
+  /** Time of the directory's clock in ms from which it holds; 0 if it held from the beginning. */
+  since: z.number(),
+  shares: z.array(VersionShare),
+});
+export type VersionSplit = z.infer<typeof VersionSplit>;
+
+const ServiceSplits = z.object({
+  service: z.string().max(200),
+  /** The last one is in force. */
+  splits: z.array(VersionSplit),
+});
+export type ServiceSplits = z.infer<typeof ServiceSplits>;
+
+/** Splits of the services that have or lately had several software versions. */
+export const VersionSplitsRow = z.object({ services: z.array(ServiceSplits) });
+export type VersionSplitsRow = z.infer<typeof VersionSplitsRow>;
+
 const Request = z.string().min(1).max(200);
 
 /** Asks another host for the record of a stream that `request` resumes. */
@@ -62,6 +88,13 @@
   readonly formerVersions = new Map<string, Map<string | undefined, number>>();
   /** Hashes of the ids of hosts. */
   readonly hostHashes = new Map<string, number>();
+  /** Row of splits in the directory and its version; empty and 0 while it is absent. */
+  splitsRow: VersionSplitsRow = { services: [] };
+  splitsVersion = 0;
+  isWritingSplits = false;
+  isSplitUpdateScheduled = false;
+  /** Shares of software versions when the splits were last checked, by service. */
+  readonly lastShares = new Map<string, VersionShare[]>();
   /** Monotonic ms at which this host started. */
   startedAt = Infinity;
 
@@ -72,7 +105,7 @@
   }
 }
 
-export interface StreamTimer {
-  type: 'streamLookupTimeout';
-  request: string;
-}
+export type StreamTimer =
+  | { type: 'streamLookupTimeout'; request: string }
+  /** Writes the row of splits if the endpoints have other shares than it says. */
+  | { type: 'updateVersionSplits' };
--- a/tests/helpers/directoryHost.ts
+++ b/tests/helpers/directoryHost.ts
@@ -93,15 +93,16 @@
       .map(({ message }) => message);
   }
 
-  /** Answers the directory call of `topic` that is in flight with changes. */
+  /** Answers the directory call of `topic` that is in flight with changes, and the directory's clock. */
   answerDirectoryCall(
     topic: Topic,
     changes: DirectoryChange[],
     version: number,
     isRead = false,
+    clockMs?: number,
   ): this {
     const { call } = this.state.directory.topics[topic];
-    const answer = { type: 'changes' as const, changes, version };
+    const answer = { type: 'changes' as const, changes, version, clockMs };
     return this.dispatch({ type: 'directoryAnswered', topic, call, isRead, answer });
   }
 
--- a/tests/streams/streamHosts.ts
+++ b/tests/streams/streamHosts.ts
@@ -2,7 +2,13 @@
 import type { Endpoint } from '../../src/fleet/types.ts';
 import type { ForwardOutcome, RequestLabels } from '../../src/forwards/types.ts';
 import type { Route } from '../../src/routes/types.ts';
-import { DirectoryHost, newDirectoryChange, newEndpoint } from '../helpers/directoryHost.ts';
+import type { DirectoryChange } from '../../src/directory/types.ts';
+import {
+  DirectoryHost,
+  type EffectOf,
+  newDirectoryChange,
+  newEndpoint,
+} from '../helpers/directoryHost.ts';
 
 const ROUTE: Partial<Route> = {
   kind: 'stream',
@@ -11,6 +17,8 @@
   timeoutMs: 12_000,
   goalMs: 1_000,
 };
+/** Time of the directory's clock when the clocks of hosts start. */
+const CLOCK_MS = 5_000_000;
 /** Time after which hosts call the directory again. */
 const WATCH_INTERVAL_MS = 500;
 /** Longest time until a resumed stream is placed or refused. */
@@ -29,11 +37,18 @@
   private readonly unlinked = new Set<string>();
   private readonly members: { host: string; zone: string }[];
   private directoryVersion = 100;
+  private splits: DirectoryChange | undefined;
+  /** Monotonic ms of the last kill. */
+  private killedAt = 1_000;
   private nextRequest = 0;
   /** Whether a host drops a message, as one of an earlier version drops types that it does not know. */
   isDropped: (to: string, message: Message) => boolean = () => false;
 
-  private constructor(count: number) {
+  private constructor(
+    count: number,
+    /** Whether hosts know the directory's clock, without which they write no splits. */
+    private readonly hasClock: boolean,
+  ) {
     this.members = Array.from({ length: count }, (_, index) => ({
       host: `h${index}`,
       zone: index % 2 === 0 ? 'z1' : 'z2',
@@ -41,8 +56,8 @@
   }
 
   /** Creates hosts that have been running for `ageMs` with endpoints `e0` and `e1` of version v1. */
-  static create(count: number, ageMs = 100_000): StreamHosts {
-    const cluster = new StreamHosts(count);
+  static create(count: number, ageMs = 100_000, hasClock = false): StreamHosts {
+    const cluster = new StreamHosts(count, hasClock);
     for (const id of ['e0', 'e1'])
       cluster.endpoints.set(id, newEndpoint({ id, zone: 'z9', softwareVersion: 'v1' }));
     for (const { host } of cluster.members) cluster.start(host, 1_000);
@@ -57,6 +72,7 @@
 
   /** Kills a host, which closes its links. */
   kill(id: string): void {
+    this.killedAt = this.hosts.get(id)?.now ?? this.killedAt;
     this.hosts.delete(id);
     for (const other of this.hosts.values())
       other.dispatch({ type: 'linkClosed', host: id, reason: 'killed' });
@@ -66,7 +82,7 @@
   restart(id: string): void {
     const [other] = this.hosts.values();
     this.kill(id);
-    this.start(id, other?.now ?? 1_000);
+    this.start(id, other?.now ?? this.killedAt);
     this.openLinks(id);
   }
 
@@ -161,6 +177,9 @@
     const endpoints = [...this.endpoints.values()];
     host.configure({ routes: [ROUTE], endpoints, members: this.members });
     this.hosts.set(id, host);
+    if (!this.hasClock) return;
+    const changes = this.splits === undefined ? [] : [this.splits];
+    host.answerDirectoryCall('members', changes, this.directoryVersion, false, CLOCK_MS + now);
   }
 
   private openLinks(id: string): void {
@@ -203,6 +222,18 @@
     return placement;
   }
 
+  /** Writes the row of splits, which all hosts read at once. */
+  private writeSplits(host: DirectoryHost, { row }: EffectOf<'writeVersionSplits'>): void {
+    this.directoryVersion += 1;
+    const version = this.directoryVersion;
+    this.splits = newDirectoryChange('versionSplits', version, { type: 'versionSplits', row });
+    const answer = { type: 'written' as const, version };
+    host.dispatch({ type: 'splitsWriteAnswered', row, answer });
+    const told = { type: 'topicTold' as const, topic: 'members' as const, after: 0, upTo: version };
+    for (const other of this.hosts.values())
+      other.receiveMessage('directory', { ...told, changes: [this.splits] });
+  }
+
   /** Delivers the messages of all hosts until none is left. */
   private deliver(
     observe: (from: string, effects: ReturnType<DirectoryHost['takeAllEffects']>) => void = () =>
@@ -214,6 +245,7 @@
         const effects = host.takeAllEffects();
         observe(from, effects);
         for (const effect of effects) {
+          if (effect.type === 'writeVersionSplits') this.writeSplits(host, effect);
           if (effect.type !== 'sendMessage' || effect.to === from) continue;
           if (this.unlinked.has(from) || this.unlinked.has(effect.to)) continue;
           if (this.isDropped(effect.to, effect.message)) continue;
