--- a/tests/gatewayHost/endpointNotices.test.ts
+++ b/tests/gatewayHost/endpointNotices.test.ts
@@ -1,8 +1,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 import type { PlatformEndpoint } from '../../stand-ins/platform/platformEndpoint.ts';
+import { newNotice } from '../helpers/notices.ts';
+import { waitUntil } from '../support.ts';
 import { type CallerResponse, GatewayDeployment } from './deployment.ts';
 
+/** Connections that a host opens to an endpoint of the deployment. */
+const CONNECTIONS = 50;
 const INTERVAL_MS = 60;
 /** Requests that are sent together, so that all endpoints get some. */
 const TOGETHER = 4;
@@ -127,3 +131,24 @@
     expect(answer.status).toBe(200);
   });
 });
+
+it('a request that waits for a connection is not sent once its endpoint is known to leave', async () => {
+  const { deployment, endpoints } = await start(1, 'desk', 1);
+  const [endpoint] = endpoints;
+  const [host] = deployment.hosts;
+  if (endpoint === undefined || host === undefined) throw new Error('not started');
+  endpoint.plannedBehaviours.push(...Array<'hang'>(CONNECTIONS).fill('hang'));
+  const hanging = Array.from({ length: CONNECTIONS }, () =>
+    deployment.send({ path: '/booking/slow', headers: { 'deadline-ms': '1200' } }),
+  );
+  await waitUntil(() => endpoint.calls.length === CONNECTIONS);
+  const waiting = deployment.send({ path: '/booking/next' });
+  await sleep(100);
+  const notice = newNotice({ leaving: { type: 'leaving' } });
+  const view = host.state.fleet.views.get('e0');
+  const startedAt = view?.endpoint.startedAt ?? 0;
+  host.dispatch({ type: 'noticeRead', endpoint: 'e0', startedAt, sentAt: 0, notice });
+  expect((await waiting).status).toBe(503);
+  await Promise.all(hanging);
+  expect(endpoint.calls).toHaveLength(CONNECTIONS);
+});
