--- a/tests/drafts/drafts.test.ts
+++ b/tests/drafts/drafts.test.ts
@@ -190,12 +190,14 @@
 
   // Guards against drafts that wait for the next sweep, a minute later, when a host restarts in an outage.
   it('runs soon after the table is back when its host restarted while that was unavailable', () => {
-    let outcome: AttemptOutcome | undefined;
-    const { simulation, getRow } = newSimulation((model) => outcome && newCompletedOutcome(model));
+    let canRun = false;
+    const { simulation, getRow } = newSimulation((model) =>
+      canRun ? newCompletedOutcome(model) : undefined,
+    );
     const host = simulation.getHost('h1');
     simulation.dispatch(host, { type: 'draftArrived', draft: newDraft('d') });
     simulation.runUntil(() => getRow('d')?.state === 'queued');
-    outcome = newCompletedOutcome('');
+    canRun = true;
     simulation.faultRate = 1;
     simulation.startHost('h1');
     const restartedAt = simulation.now;
