Split the choice of endpoints from placement, and what stood twice

The time of a suspect's last change and the start of the traffic of two tests stood twice. No behaviour changed.

--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -12,7 +12,7 @@
 import { applyAdapterVersion, updateOwnedEngines } from '../residency/ownedEngines.ts';
 import { newRouteIndex } from '../routes/match.ts';
 import { applySuspectsRow } from '../suspects/directorySuspects.ts';
-import { applyVersionSplits, scheduleSplitUpdate } from '../streams/versionSplits.ts';
+import { applyVersionSplits, scheduleSplitUpdate } from '../streams/splitsRow.ts';
 import { recordFormerVersion } from '../streams/softwareVersions.ts';
 import { EXPIRY_GRACE_MS, MAX_REMOVAL_DEFERRAL_MS } from './constants.ts';
 import type { DirectoryChange, DirectoryContent, Topic } from './types.ts';
--- a/src/directory/handlers.ts
+++ b/src/directory/handlers.ts
@@ -1,6 +1,6 @@
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import { handleMembersWriteAnswer } from '../owners/members.ts';
-import { handleSplitsWriteAnswer } from '../streams/versionSplits.ts';
+import { handleSplitsWriteAnswer } from '../streams/splitsRow.ts';
 import { handleSuspectsWriteAnswer } from '../suspects/directorySuspects.ts';
 import { applyDeferredRemovals } from './apply.ts';
 import { runReaderHeartbeatRound, handleReaderHeartbeat } from './readerHeartbeats.ts';
--- /dev/null
+++ b/src/forwards/endpointCandidates.ts
@@ -0,0 +1,154 @@
+import { getRendezvousOrder } from '../base/hash.ts';
+import type { State } from '../core/state.ts';
+import { CROSS_ZONE_COST_MS, FAILURE_COST_MS } from '../fleet/constants.ts';
+import {
+  chooseEndpoint,
+  getCost,
+  getHealthyEndpoints,
+  getRoutableEndpoints,
+  runsOtherSoftware,
+} from '../fleet/endpointChoice.ts';
+import type { EndpointView } from '../fleet/types.ts';
+import { getKnownPermitWaitMs } from '../limits/permits.ts';
+import { getOwner } from '../owners/owner.ts';
+import type { Owner } from '../owners/types.ts';
+import { getEngineStatus } from '../residency/engineStatus.ts';
+import { getSplitVersion } from '../streams/versionSplits.ts';
+import {
+  MAX_RANK_COST_MS,
+  RANK_COST_MS,
+  RUNNING_REQUEST_COST_MS,
+  SLOT_SHARING_REQUESTS,
+  SLOT_WAIT_COST_MS,
+  UNKNOWN_LOAD_COST_MS,
+  WARM_LOAD_COST_MS,
+} from './constants.ts';
+import { isKnownCrashed } from './crashEvidence.ts';
+import { canResumeStream } from './streamOrigin.ts';
+import type { Forward } from './types.ts';
+
+/**
+ * An endpoint that can serve a request. Without an `owner` that is reachable, the request is sent
+ * unreserved; an endpoint of a plain service needs a reservation only while it limits its requests.
+ */
+export interface EndpointCandidate {
+  view: EndpointView;
+  owner: Owner | undefined;
+  cost: number;
+}
+
+/** Chooses the endpoint among `views` that is expected to serve a request first. */
+export function chooseCandidate(
+  state: State,
+  forward: Forward,
+  views: EndpointView[],
+  now: number,
+): EndpointCandidate | undefined {
+  return isEngineRequest(state, forward)
+    ? chooseEngine(state, forward, views, now)
+    : choosePlainEndpoint(state, views, now);
+}
+
+/** Whether a request names a model that engines of its service hold. */
+export function isEngineRequest({ routeIndex }: State, { service, labels }: Forward): boolean {
+  return routeIndex.current?.services.get(service)?.engine !== undefined && labels.model !== '';
+}
+
+/**
+ * Returns the endpoints that can run a request, those that it should avoid included. An endpoint that
+ * refused connections may come back with other software, so it resumes no stream until then.
+ */
+export function getPossibleEndpoints(state: State, forward: Forward, now: number): EndpointView[] {
+  const { service, origin, route, labels } = forward;
+  const views = getRoutableEndpoints(state.fleet, service);
+  if (origin === undefined) {
+    if (route.kind !== 'stream' || !route.isResumable) return views;
+    const version = getSplitVersion(state, service, labels.attemptId);
+    return views.filter((view) => !runsOtherSoftware(view, version));
+  }
+  return views.filter((view) => canResumeStream(origin, view) && !isKnownCrashed(state, view, now));
+}
+
+function choosePlainEndpoint(
+  state: State,
+  views: EndpointView[],
+  now: number,
+): EndpointCandidate | undefined {
+  const { zone } = state.host;
+  const view = chooseEndpoint(views, zone, now, state.random.getFraction());
+  if (view === undefined) return undefined;
+  return { view, owner: getReachableOwner(state, view), cost: getCost(view, zone, now) };
+}
+
+/** Chooses the engine that is expected to respond first. */
+function chooseEngine(
+  state: State,
+  forward: Forward,
+  available: EndpointView[],
+  now: number,
+): EndpointCandidate | undefined {
+  const views = getHealthyEndpoints(available, now);
+  const { adapter } = forward.labels;
+  const engines = views.map(({ endpoint }) => endpoint.id);
+  // All hosts compute the same order, so that they load an adapter on the same engines.
+  const rendezvousOrder = adapter === '' ? [] : getRendezvousOrder(adapter, engines);
+  let best: EndpointCandidate | undefined;
+  for (const view of views) {
+    const candidate = newEngineCandidate(
+      state,
+      forward,
+      view,
+      rendezvousOrder.indexOf(view.endpoint.id),
+      now,
+    );
+    if (candidate !== undefined && (best === undefined || candidate.cost < best.cost))
+      best = candidate;
+  }
+  return best;
+}
+
+function newEngineCandidate(
+  state: State,
+  forward: Forward,
+  view: EndpointView,
+  rank: number,
+  now: number,
+): EndpointCandidate | undefined {
+  const { id, zone } = view.endpoint;
+  const status = getEngineStatus(state, id, now);
+  const owner = getReachableOwner(state, view);
+  const { adapter } = forward.labels;
+  const models = status?.models ?? view.endpoint.models;
+  // A restarted engine holds no base model until its owner has had it loaded again.
+  if (!models.includes(getModel(forward))) return undefined;
+  const isResident = adapter === '' || status?.adapters.some(([name]) => name === adapter) === true;
+  // Only a reachable owner can order the load of the adapter.
+  if (owner === undefined && !isResident) return undefined;
+  let cost = zone === state.host.zone ? 0 : CROSS_ZONE_COST_MS;
+  cost += view.failureRate * FAILURE_COST_MS;
+  cost +=
+    status === undefined
+      ? UNKNOWN_LOAD_COST_MS
+      : status.backlogMs + status.running * RUNNING_REQUEST_COST_MS;
+  if (!isResident) {
+    cost += WARM_LOAD_COST_MS + Math.min(MAX_RANK_COST_MS, rank * RANK_COST_MS);
+    if (status !== undefined && status.openSlots <= 0) {
+      // The requests for a popular adapter share the wait for one slot.
+      const sharing = 1 + state.forwards.popularity.getValue(adapter, now) / SLOT_SHARING_REQUESTS;
+      cost += (SLOT_WAIT_COST_MS * (1 - status.openSlots)) / sharing;
+    }
+  }
+  return { view, owner, cost: cost + getKnownPermitWaitMs(view, now) };
+}
+
+/** Returns the owner of an endpoint if it is this host or has a link to it. */
+function getReachableOwner({ owners, host }: State, { endpoint }: EndpointView): Owner | undefined {
+  const owner = getOwner(owners, endpoint.id, endpoint.zone);
+  const isReachable =
+    owner !== undefined && (owner.host === host.id || owners.linkedHosts.has(owner.host));
+  return isReachable ? owner : undefined;
+}
+
+function getModel({ labels }: Forward): string {
+  return labels.model.split('/')[0] ?? '';
+}
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -17,7 +17,7 @@
 import { scheduleRetry } from './sending.ts';
 import { acceptReservation } from './reservationAnswers.ts';
 import { endLookup, handleLookupAnswer } from './resumption.ts';
-import { updateVersionSplits } from '../streams/versionSplits.ts';
+import { updateVersionSplits } from '../streams/splitsRow.ts';
 import type { StreamTimer } from '../streams/types.ts';
 import type { ForwardEvent, ForwardTimer } from './types.ts';
 
--- a/src/notices/leaving.ts
+++ b/src/notices/leaving.ts
@@ -5,7 +5,7 @@
 import type { EndpointView } from '../fleet/types.ts';
 import { rerouteFromEngine } from '../forwards/rerouting.ts';
 import { updateOwnedEngines } from '../residency/ownedEngines.ts';
-import { scheduleSplitUpdate } from '../streams/versionSplits.ts';
+import { scheduleSplitUpdate } from '../streams/splitsRow.ts';
 import { newNoticeGauges } from './gauges.ts';
 
 /**
--- a/src/suspects/quarantine.ts
+++ b/src/suspects/quarantine.ts
@@ -39,6 +39,11 @@
   return getRemainingMs(state, key, now) > 0;
 }
 
+/** Returns the monotonic ms of the last change of a suspect; -Infinity for an unknown one. */
+export function getSuspectChangedAt({ suspects }: State, key: string): number {
+  return (suspects.expiresAt.get(key) ?? -Infinity) - SUSPECT_TTL_MS;
+}
+
 /** Returns the records of a request's quarantined attributes with one more trial. */
 export function newTrials({ suspects }: State, attributes: readonly Attribute[]): Suspect[] {
   return attributes.flatMap(({ key }) => {
@@ -100,13 +105,13 @@
   return compareBreadth({ key: a.attribute, depth: a.depth }, { key: b.attribute, depth: b.depth });
 }
 
-function getRemainingMs({ suspects }: State, key: string, now: number): number {
+function getRemainingMs(state: State, key: string, now: number): number {
+  const { suspects } = state;
   const suspect = suspects.byAttribute.get(key);
   if (suspect === undefined || !suspects.quarantined.has(key)) return 0;
   if (suspect.isQuarantined) return Infinity;
   const { quarantineMs } = QUARANTINE_RULES[getAttributeKind(key)];
-  const changedAt = (suspects.expiresAt.get(key) ?? -Infinity) - SUSPECT_TTL_MS;
-  return changedAt + (quarantineMs[suspect.trials] ?? Infinity) - now;
+  return getSuspectChangedAt(state, key) + (quarantineMs[suspect.trials] ?? Infinity) - now;
 }
 
 function newQuarantineLog({ byAttribute }: Suspects, attribute: string): Effect {
--- a/src/suspects/suspicion.ts
+++ b/src/suspects/suspicion.ts
@@ -2,8 +2,8 @@
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
 import type { OwnedEngine } from '../grants/types.ts';
-import { UNREACHABLE_CRASH_HOLD_MS, SUSPECT_TTL_MS } from './constants.ts';
-import { isQuarantined } from './quarantine.ts';
+import { UNREACHABLE_CRASH_HOLD_MS } from './constants.ts';
+import { getSuspectChangedAt, isQuarantined } from './quarantine.ts';
 import type { Suspicion } from './types.ts';
 
 /** Returns whether the requests of a fingerprint are clear, suspects or quarantined. */
@@ -12,11 +12,6 @@
   return isQuarantined(state, fingerprint, state.now) ? 'quarantined' : 'suspect';
 }
 
-/** Returns the monotonic ms of the last change of a suspect; -Infinity for an unknown one. */
-export function getSuspectChangedAt({ suspects }: State, fingerprint: string): number {
-  return (suspects.expiresAt.get(fingerprint) ?? -Infinity) - SUSPECT_TTL_MS;
-}
-
 /** Returns the failure of a quarantined request, or undefined when it is not quarantined. */
 export function getQuarantineFailure(
   state: State,
--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -215,7 +215,7 @@
     this.runEffects();
   }
 
-  /** Lets `hosts` read a members row; the directory has it from then on for hosts that start. */
+  /** Lets `hosts` read a members row; hosts that start later read the row of the beginning. */
   setMembers(members: readonly string[], epoch: number, hosts: readonly string[] = this.ids): void {
     const row = newMembersRow(
       epoch,
--- a/tests/notices/leaving.test.ts
+++ b/tests/notices/leaving.test.ts
@@ -1,37 +1,13 @@
 import { describe, expect, it } from 'vitest';
-import { GatewayCluster, type RequestTraits } from '../helpers/gatewayCluster.ts';
-import { getArrivals, LimitedTraffic } from '../helpers/limitedTraffic.ts';
+import { getArrivals } from '../helpers/limitedTraffic.ts';
 import { getSendsAfterLeaving } from '../helpers/noticeChecks.ts';
+import { type NoticeTraffic, startNoticeTraffic } from './noticeTraffic.ts';
 
-const WARM_UP_MS = 3_000;
 /** Time within which a host tells the others. */
 const TOLD_MS = 300;
-const ENGINE_REQUEST: RequestTraits = {
-  labels: { model: 'base', promptTokens: 100, outputTokens: 10 },
-};
 
-interface World {
-  cluster: GatewayCluster;
-  traffic: LimitedTraffic;
-}
-
-function start(hosts: number, service: 'desk' | 'llm', endpoints = 3): World {
-  const cluster = GatewayCluster.create({
-    hosts,
-    endpoints,
-    service,
-    zones: Math.min(3, hosts),
-    route: { kind: 'safe', attempts: 2, timeoutMs: 2_500, targets: [{ service, weight: 1 }] },
-  });
-  cluster.getWorkMs = () => 40;
-  const traffic = LimitedTraffic.create(cluster, {
-    seed: 3,
-    perS: 40,
-    chooseHost: (random, count) => random.getInteger(count),
-    traits: service === 'llm' ? ENGINE_REQUEST : {},
-  });
-  traffic.run(WARM_UP_MS);
-  return { cluster, traffic };
+function start(hosts: number, service: 'desk' | 'llm', endpoints = 3): NoticeTraffic {
+  return startNoticeTraffic({ hosts, service, endpoints, perS: 40 });
 }
 
 describe('an endpoint that says that it leaves gets no more requests', () => {
@@ -54,7 +30,7 @@
     expect(traffic.refused).toEqual([]);
   });
 
-  it.each<[string, (world: World) => void]>([
+  it.each<[string, (world: NoticeTraffic) => void]>([
     ['while hosts have no links', ({ cluster }) => cluster.cutLinks(cluster.ids)],
     [
       'while links are cut and open again',
--- a/tests/notices/pauses.test.ts
+++ b/tests/notices/pauses.test.ts
@@ -1,35 +1,10 @@
 import { describe, expect, it } from 'vitest';
-import { GatewayCluster, type RequestTraits } from '../helpers/gatewayCluster.ts';
-import { getArrivals, LimitedTraffic } from '../helpers/limitedTraffic.ts';
+import { getArrivals } from '../helpers/limitedTraffic.ts';
 import { getMostSendsInPause } from '../helpers/noticeChecks.ts';
+import { type NoticeTraffic, startNoticeTraffic } from './noticeTraffic.ts';
 
-const WARM_UP_MS = 3_000;
-const ENGINE_REQUEST: RequestTraits = {
-  labels: { model: 'base', promptTokens: 100, outputTokens: 10 },
-};
-
-interface World {
-  cluster: GatewayCluster;
-  traffic: LimitedTraffic;
-}
-
-function start(hosts: number, service: 'desk' | 'llm', endpoints: number): World {
-  const cluster = GatewayCluster.create({
-    hosts,
-    endpoints,
-    service,
-    zones: Math.min(3, hosts),
-    route: { kind: 'safe', attempts: 2, timeoutMs: 2_500, targets: [{ service, weight: 1 }] },
-  });
-  cluster.getWorkMs = () => 40;
-  const traffic = LimitedTraffic.create(cluster, {
-    seed: 5,
-    perS: 60,
-    chooseHost: (random, count) => random.getInteger(count),
-    traits: service === 'llm' ? ENGINE_REQUEST : {},
-  });
-  traffic.run(WARM_UP_MS);
-  return { cluster, traffic };
+function start(hosts: number, service: 'desk' | 'llm', endpoints: number): NoticeTraffic {
+  return startNoticeTraffic({ hosts, service, endpoints, perS: 60 });
 }
 
 describe('an endpoint that turns requests away for a time gets none of that host within it', () => {
