--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -110,6 +110,8 @@
   /** Sides of a partition: hosts of different sides have no links. */
   private readonly sides = new Map<string, number>();
   private readonly hostsWithoutDirectory = new Set<string>();
+  /** Monotonic ms until which hosts do not run. */
+  private readonly frozenUntil = new Map<string, number>();
   private suspectsRow: { content: DirectoryContent; version: number } | undefined;
   private readonly pending: { at: number; run: () => void }[] = [];
   private version = 100;
@@ -181,6 +183,11 @@
     this.openLinks(id);
   }
 
+  /** Stops hosts for `ms`; what arrives meanwhile is handled afterwards. */
+  freeze(ids: readonly string[], ms: number): void {
+    for (const id of ids) this.frozenUntil.set(id, this.now + ms);
+  }
+
   /** Cuts the links of the hosts to all others, which both ends notice. */
   cutLinks(ids: readonly string[]): void {
     for (const id of ids) {
@@ -291,7 +298,10 @@
     const id = this.nextRequestId;
     this.nextRequest += 1;
     this.requests.set(id, { fingerprint, traits });
-    this.getHost(host).receiveForward({ id, fingerprint, arrivedAt: this.now, ...traits });
+    const arrivedAt = this.now;
+    this.runOnHost(host, () => {
+      this.hosts.get(host)?.receiveForward({ id, fingerprint, arrivedAt, ...traits });
+    });
     this.runEffects();
     return id;
   }
@@ -306,7 +316,8 @@
     const until = this.now + ms;
     while (this.now < until) {
       this.now += STEP_MS;
-      for (const host of this.hosts.values()) host.advance(this.now - host.now);
+      for (const [id, host] of this.hosts)
+        if (!this.isFrozen(id)) host.advance(this.now - host.now);
       for (const due of this.pending.filter(({ at }) => at <= this.now)) {
         this.pending.splice(this.pending.indexOf(due), 1);
         due.run();
@@ -359,8 +370,9 @@
   private runEffect(id: string, host: DirectoryHost, effect: Effect): void {
     switch (effect.type) {
       case 'sendMessage': {
-        if (effect.to !== id && !this.isCut(id, effect.to))
-          this.hosts.get(effect.to)?.receiveMessage(id, effect.message);
+        const { to, message } = effect;
+        if (to !== id && !this.isCut(id, to))
+          this.runOnHost(to, () => void this.hosts.get(to)?.receiveMessage(id, message));
         return;
       }
       case 'sendForward':
@@ -469,10 +481,20 @@
   private endAttemptAfter(key: string, delayMs: number, outcome: ForwardOutcome): void {
     this.pending.push({
       at: this.now + delayMs,
-      run: () => this.running.get(key)?.end(outcome),
+      run: () => this.runOnHost(key.split('/')[0] ?? '', () => this.running.get(key)?.end(outcome)),
     });
   }
 
+  private isFrozen(id: string): boolean {
+    return (this.frozenUntil.get(id) ?? -Infinity) > this.now;
+  }
+
+  /** Runs what happens on a host, once it runs again if it is frozen. */
+  private runOnHost(id: string, run: () => void): void {
+    if (this.isFrozen(id)) this.pending.push({ at: this.frozenUntil.get(id) ?? this.now, run });
+    else run();
+  }
+
   /** Breaks all attempts of an endpoint, which refuses connections until it has restarted. */
   private crashEndpoint(id: string): void {
     this.downUntil.set(id, this.now + this.restart.afterMs);
--- a/tests/notices/leaving.test.ts
+++ b/tests/notices/leaving.test.ts
@@ -50,6 +50,7 @@
         }
       },
     ],
+    ['while hosts are frozen', ({ cluster }) => cluster.freeze(cluster.ids.slice(0, 3), 2_500)],
     [
       'when the directory has a row from before',
       ({ cluster }) => cluster.register('e0', { sequence: 5, isLeaving: false }),
--- a/tests/notices/pauses.test.ts
+++ b/tests/notices/pauses.test.ts
@@ -36,6 +36,36 @@
     expect(getMostSendsInPause(cluster)).toBe(1);
   });
 
+  it.each<[string, (world: NoticeTraffic) => void]>([
+    ['while hosts are frozen', ({ cluster }) => cluster.freeze(cluster.ids.slice(0, 3), 1_500)],
+    ['while hosts have no links', ({ cluster }) => cluster.cutLinks(cluster.ids)],
+    [
+      'while hosts restart',
+      ({ cluster, traffic }) => {
+        for (const id of cluster.ids) {
+          cluster.startHost(id);
+          traffic.run(400);
+        }
+      },
+    ],
+    [
+      'when its limit makes some wait for permits',
+      ({ cluster, traffic }) => {
+        cluster.namedPauses.delete('e0');
+        for (const endpoint of ['e0', 'e1']) cluster.namedLimits.set(endpoint, 2);
+        traffic.run(5_000);
+        cluster.namedPauses.set('e0', 4_000);
+      },
+    ],
+  ])('%s', (_name, disturb) => {
+    const world = start(7, 'desk', 2);
+    world.cluster.namedPauses.set('e0', 4_000);
+    world.traffic.run(300);
+    disturb(world);
+    world.traffic.run(8_000);
+    expect(getMostSendsInPause(world.cluster)).toBe(0);
+  });
+
   it('and gets them again after a trial that it serves', () => {
     const { cluster, traffic } = start(3, 'desk', 2);
     cluster.namedPauses.set('e0', 3_600_000);
