Log a pause once, and write no splits while the directory is unavailable

Each of the requests that were under way when an endpoint asked for time logged a line and rerouted waiting requests. While the directory was unavailable, a host with other shares tried to write them twice a second.

--- a/src/notices/endpointNotices.ts
+++ b/src/notices/endpointNotices.ts
@@ -54,9 +54,7 @@
 ): Effect[] {
   if (pause.type === 'malformed') return [];
   if (pause.type === 'none') return endPause(view, sentAt) ? newNoticeGauges(state, now) : [];
-  const before = view.pause?.until;
-  startPause(view, pause.ms, sentAt, now);
-  if (view.pause?.until === before) return [];
+  if (!startPause(view, pause.ms, sentAt, now)) return [];
   const { id, service } = view.endpoint;
   return [
     newLog('info', 'endpoint wants no requests for a time', {
--- a/src/notices/pauses.ts
+++ b/src/notices/pauses.ts
@@ -23,21 +23,28 @@
 
 /**
  * Starts or extends the pause of an endpoint that turned a request from `sentAt` away for `askedMs`.
- * Requests that were under way together may be told different times, of which the longest holds.
+ * Requests that were under way together may be told different times, of which the longest holds. Returns
+ * whether a new pause began.
  */
-export function startPause(endpoint: Pausable, askedMs: number, sentAt: number, now: number): void {
+export function startPause(
+  endpoint: Pausable,
+  askedMs: number,
+  sentAt: number,
+  now: number,
+): boolean {
   const { pause: known } = endpoint;
   const askedUntil = now + askedMs;
   const isUnderWayTogether = known !== undefined && sentAt <= known.learnedAt;
   if (isUnderWayTogether) {
     known.until = Math.max(known.until, now + Math.min(askedMs, MAX_PAUSE_MS));
     known.askedUntil = Math.max(known.askedUntil, askedUntil);
-    return;
+    return false;
   }
   const wasTrial = known !== undefined && sentAt < known.askedUntil;
   const longestMs = wasTrial ? MAX_PAUSE_AFTER_TRIAL_MS : MAX_PAUSE_MS;
   const until = now + Math.min(askedMs, longestMs);
   endpoint.pause = { learnedAt: now, until, askedUntil };
+  return askedMs > 0;
 }
 
 /** Ends the pause of an endpoint that served a request which was sent after it had asked for the pause. */
--- a/src/streams/splitsRow.ts
+++ b/src/streams/splitsRow.ts
@@ -31,7 +31,12 @@
   streams.isSplitUpdateScheduled = false;
   const clock = getDirectoryClock(state, now);
   if (streams.isWritingSplits || clock === undefined) return [];
-  if (directory.topics.members.version === undefined) return [];
+  const { version, unavailableSince } = directory.topics.members;
+  if (version === undefined) return [];
+  if (unavailableSince !== undefined) {
+    scheduleSplitUpdate(state, now);
+    return [];
+  }
   const services = getResumableServices(state).map((service) =>
     updateServiceSplits(state, service, clock),
   );
