--- a/src/residency/relocation.ts
+++ b/src/residency/relocation.ts
@@ -12,8 +12,9 @@
 import type { AdapterWanted, EngineResidency, EngineStatus } from './types.ts';
 
 /**
- * Has the adapters in demand that only a leaving engine holds loaded on other engines, before requests
- * miss them there. Adapters in little demand are left until they are asked for.
+ * Has the adapters in demand that only this engine holds loaded on other engines, before requests miss
+ * them there; called when the engine leaves or is removed. Adapters in little demand are left until they
+ * are asked for.
  */
 export function relocateAdapters(state: State, owned: EngineResidency, now: number): Effect[] {
   const { popularity, versions } = state.residency;
