--- a/tests/notices/leaving.test.ts
+++ b/tests/notices/leaving.test.ts
@@ -95,6 +95,16 @@
     expect(getArrivals(cluster, 'e1', cluster.now - 3_000).length).toBeGreaterThan(0);
   });
 
+  it('of hosts that get few requests, when one gets most', () => {
+    const options = { hosts: 7, service: 'desk' as const, endpoints: 3, perS: 40, isSkewed: true };
+    const { cluster, traffic } = startNoticeTraffic(options);
+    cluster.leaving.add('e0');
+    traffic.run(10_000);
+    expect(getSendsAfterLeaving(cluster)).toEqual([]);
+    const firstToldAt = cluster.notices[0]?.at ?? Infinity;
+    expect(getArrivals(cluster, 'e0', firstToldAt + TOLD_MS)).toEqual([]);
+  });
+
   it('until it has started again, under the same id and address', () => {
     const { cluster, traffic } = start(3, 'desk');
     cluster.leaving.add('e0');
--- a/tests/notices/noticeTraffic.ts
+++ b/tests/notices/noticeTraffic.ts
@@ -3,6 +3,7 @@
 
 const WARM_UP_MS = 3_000;
 const WORK_MS = 40;
+const SKEWED_SHARE = 0.8;
 const ENGINE_REQUEST = { labels: { model: 'base', promptTokens: 100, outputTokens: 10 } };
 
 /** Linked hosts that have got requests for some time. */
@@ -11,14 +12,18 @@
   traffic: LimitedTraffic;
 }
 
-/** Starts hosts in up to three zones and requests of all of them; `perS` counts these together. */
+/**
+ * Starts hosts in up to three zones and requests of all of them; `perS` counts these together. If they are
+ * skewed, four of five arrive at the first host.
+ */
 export function startNoticeTraffic(options: {
   hosts: number;
   service: 'desk' | 'llm';
   endpoints: number;
   perS: number;
+  isSkewed?: boolean;
 }): NoticeTraffic {
-  const { hosts, service, endpoints, perS } = options;
+  const { hosts, service, endpoints, perS, isSkewed = false } = options;
   const cluster = GatewayCluster.create({
     hosts,
     endpoints,
@@ -30,7 +35,8 @@
   const traffic = LimitedTraffic.create(cluster, {
     seed: 3,
     perS,
-    chooseHost: (random, count) => random.getInteger(count),
+    chooseHost: (random, count) =>
+      isSkewed && random.getFraction() < SKEWED_SHARE ? 0 : random.getInteger(count),
     traits: service === 'llm' ? ENGINE_REQUEST : {},
   });
   traffic.run(WARM_UP_MS);
--- a/tests/notices/pauses.test.ts
+++ b/tests/notices/pauses.test.ts
@@ -84,6 +84,15 @@
     expect(getArrivals(cluster, 'e0', cluster.now - 800).length).toBeGreaterThan(5);
   });
 
+  it('when one host gets most requests', () => {
+    const options = { hosts: 7, service: 'desk' as const, endpoints: 2, perS: 60, isSkewed: true };
+    const { cluster, traffic } = startNoticeTraffic(options);
+    cluster.namedPauses.set('e0', 4_000);
+    traffic.run(10_000);
+    expect(cluster.notices.length).toBeGreaterThan(0);
+    expect(getMostSendsInPause(cluster)).toBe(0);
+  });
+
   it('while a host that it serves goes on', () => {
     const { cluster, traffic } = start(3, 'desk', 1);
     cluster.namedPauses.set('e0', 5_000);
