Drop state that nothing reads, and what stood twice, from the reading of notices

When and from whom a host learned that an endpoint leaves was kept and never read; the spec of an attempt held its start and time, and the host looked both up again. Joined header values and malformed values stood twice. Each placement filtered its endpoints twice before it knew whether one may take the request; now it stops at the first. A written or conflicting row of splits scheduled its check twice. No behaviour changed.

--- a/src/clients/completion.ts
+++ b/src/clients/completion.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createParser } from 'eventsource-parser';
 import { z } from 'zod';
+import { joinHeaderValues } from '../http/headerValues.ts';
 import { readRetryAfter } from '../http/retryAfter.ts';
 import type { AttemptOutcome } from '../requests/types.ts';
 import { ChunkSequencer, DONE_DATA } from './chunkSequencer.ts';
@@ -53,11 +54,6 @@
 /** Result of reading one response: the outcome of the attempt, or why the response failed. */
 type ReadResult = { outcome: AttemptOutcome } | { failure: string };
 
-/** Returns the values of a header, joined by commas. */
-function getValue(value: string | string[] | undefined): string | undefined {
-  return Array.isArray(value) ? value.join(', ') : value;
-}
-
 function getMessage(body: string): string {
   try {
     return EngineFailure.parse(JSON.parse(body)).error.message;
@@ -186,7 +182,8 @@
     }
     if (opened.status === 404) return { outcome: { type: 'notResident' } };
     const { status, headers } = opened;
-    const pause = readRetryAfter(status, getValue(headers['retry-after']), getValue(headers.date));
+    const retryAfter = joinHeaderValues(headers['retry-after']);
+    const pause = readRetryAfter(status, retryAfter, joinHeaderValues(headers.date));
     return { outcome: { type: 'refused', status, message, pause } };
   }
 
--- a/src/fleet/endpointChoice.ts
+++ b/src/fleet/endpointChoice.ts
@@ -4,8 +4,8 @@
 import type { EndpointView, Fleet } from './types.ts';
 
 /** Whether an endpoint is known to leave, by the directory, an answer or another host. */
-export function isLeaving({ endpoint, learnedLeaving }: EndpointView): boolean {
-  return endpoint.isLeaving || learnedLeaving !== undefined;
+export function isLeaving({ endpoint, isToldLeaving }: EndpointView): boolean {
+  return endpoint.isLeaving || isToldLeaving;
 }
 
 /** Whether new requests may go to an endpoint, at once or after a pause that it asked for. */
--- a/src/fleet/registration.ts
+++ b/src/fleet/registration.ts
@@ -35,7 +35,7 @@
     meanAnswerMs: 0,
     failureRate: 0,
     limit: undefined,
-    learnedLeaving: undefined,
+    isToldLeaving: false,
     pause: undefined,
     malformedLoggedAt: -Infinity,
   };
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import type { EndpointLimit } from '../limits/types.ts';
-import type { EndpointPause, LearnedLeaving } from '../notices/types.ts';
+import type { EndpointPause } from '../notices/types.ts';
 
 /** An adapter that is loaded on an engine. */
 export const LoadedAdapter = z.object({
@@ -52,8 +52,8 @@
   failureRate: number;
   /** Limit on requests that the endpoint has named since its start; undefined if it named none. */
   limit: EndpointLimit | undefined;
-  /** Set once an answer or another host told that it leaves; the directory's word is in `endpoint`. */
-  learnedLeaving: LearnedLeaving | undefined;
+  /** Whether an answer or another host told that it leaves; the directory's word is in `endpoint`. */
+  isToldLeaving: boolean;
   /** The last time for which it wanted no requests of this host; undefined if there was none. */
   pause: EndpointPause | undefined;
   /** Monotonic ms of the last log line about a malformed notice of it. */
--- a/src/forwards/unavailability.ts
+++ b/src/forwards/unavailability.ts
@@ -24,15 +24,16 @@
     if (!areAllLeaving(state, forward)) return undefined;
     return refuse(state, forward, 'all endpoints of the service are leaving', LEAVING_RETURN_MS);
   }
+  const mayTake = possible.some((view) => !isPaused(view, now) && !isAtLimit(view, forward));
+  if (mayTake) return undefined;
   const paused = possible.filter((view) => isPaused(view, now));
-  const others = possible.filter((view) => !isPaused(view, now));
-  if (!others.every((view) => isAtLimit(view, forward))) return undefined;
   const reason =
     paused.length === 0 ? forward.lastReason : 'the endpoints want no requests for a time';
   const earliestMs = Math.min(...paused.map((view) => getPauseLeftMs(view, now)));
   // Callers that are told the same time would return all at once.
   const pauseReturnMs = earliestMs * (1 + PAUSE_RETURN_SPREAD * state.random.getFraction());
-  const permitReturnMs = others.length === 0 ? Infinity : (forward.returnMs ?? Infinity);
+  const isAnyAtLimit = paused.length < possible.length;
+  const permitReturnMs = isAnyAtLimit ? (forward.returnMs ?? Infinity) : Infinity;
   return refuse(state, forward, reason, Math.min(pauseReturnMs, permitReturnMs));
 }
 
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -39,6 +39,9 @@
   headerBytes: MAX_HEADER_BYTES,
   slowSenderMs: DEFAULT_HEADER_TIMEOUT_MS,
 };
+/** A call to an endpoint: the start of the endpoint and the time at which it was sent. */
+type SentCall = Pick<AttemptSpec, 'endpoint' | 'endpointStartedAt' | 'sentAt'>;
+
 /** Interval at which connections to removed endpoints are closed. */
 const CONNECTION_SWEEP_INTERVAL_MS = 2_000;
 
@@ -182,7 +185,7 @@
     }
     const running = this.endpointClient.sendAttempt(spec, exchange, {
       isStillWanted: () => this.isStillWanted(spec),
-      onNoticeRead: this.newNoticeReporter(spec.endpoint),
+      onNoticeRead: (notice) => this.reportNotice(spec, notice),
       onResponseStarted: () => this.dispatch({ type: 'forwardStarted', id, attempt }),
       onEnded: (outcome) => {
         this.runningAttempts.delete(attempt);
@@ -193,21 +196,23 @@
     if (!running.hasEnded) this.runningAttempts.set(attempt, running);
   }
 
-  /**
-   * Returns a function that reports what the answer to a request says of its endpoint; create it when the
-   * request is sent. Answers that change nothing are not reported.
-   */
-  newNoticeReporter(endpoint: string): (notice: EndpointNotice | undefined) => void {
-    const startedAt = this.state.fleet.views.get(endpoint)?.endpoint.startedAt ?? 0;
-    const sentAt = this.state.now;
-    return (notice) => {
-      if (notice === undefined) return;
-      const view = this.state.fleet.views.get(endpoint);
-      const isKnown = view?.limit?.perS !== undefined || view?.pause !== undefined;
-      const isSilent = Object.values(notice).every(({ type }) => type === 'none');
-      if (isKnown || !isSilent)
-        this.dispatch({ type: 'noticeRead', endpoint, startedAt, sentAt, notice });
-    };
+  /** Returns what has to be known of a call to an endpoint, which is sent now, when its answer arrives. */
+  newSentCall(endpoint: string): SentCall {
+    const endpointStartedAt = this.state.fleet.views.get(endpoint)?.endpoint.startedAt ?? 0;
+    return { endpoint, endpointStartedAt, sentAt: this.state.now };
+  }
+
+  /** Reports what the answer to a call says of its endpoint, unless that changes nothing. */
+  reportNotice(
+    { endpoint, endpointStartedAt: startedAt, sentAt }: SentCall,
+    notice: EndpointNotice | undefined,
+  ): void {
+    if (notice === undefined) return;
+    const view = this.state.fleet.views.get(endpoint);
+    const isKnown = view?.limit?.perS !== undefined || view?.pause !== undefined;
+    const isSilent = Object.values(notice).every(({ type }) => type === 'none');
+    if (isKnown || !isSilent)
+      this.dispatch({ type: 'noticeRead', endpoint, startedAt, sentAt, notice });
   }
 
   /** Whether an endpoint still takes a request that was to be sent to it at `sentAt`. */
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -54,20 +54,20 @@
   sendAdapterOrder: (host, { engine, address, epoch, order }) => {
     const { id } = host.state.host;
     const engineOrder = { engine, address, host: id, epoch, order };
-    const reportNotice = host.newNoticeReporter(engine);
+    const sent = host.newSentCall(engine);
     void host.platform.engines
       .sendOrder(engineOrder, ADAPTER_ORDER_TIMEOUT_MS)
       .then(({ content: answer, notice }) => {
-        reportNotice(notice);
+        host.reportNotice(sent, notice);
         host.dispatch({ type: 'adapterOrderAnswered', engine, epoch, order, answer });
       });
   },
   readAdapterReport: (host, { engine, address }) => {
-    const reportNotice = host.newNoticeReporter(engine);
+    const sent = host.newSentCall(engine);
     void host.platform.engines
       .readReport(engine, address, ADAPTER_REPORT_TIMEOUT_MS)
       .then(({ content: report, notice }) => {
-        reportNotice(notice);
+        host.reportNotice(sent, notice);
         const isReport = typeof report !== 'string';
         host.dispatch({
           type: 'adapterReportRead',
--- a/src/http/retryAfter.ts
+++ b/src/http/retryAfter.ts
@@ -1,9 +1,9 @@
+import { newMalformed } from '../notices/malformed.ts';
 import type { NamedPause } from '../notices/types.ts';
 
 /** Without a limit on the digits, since a long time is bounded where it is used. */
 const SECONDS = /^\d+(\.\d+)?$/;
 const HTTP_DATE = /^[A-Z][a-z]{2}, \d{2} [A-Z][a-z]{2} \d{4} \d{2}:\d{2}:\d{2} GMT$/;
-const MAX_LOGGED_VALUE_LENGTH = 40;
 
 /** Statuses by which a server turns a request away; other answers with `Retry-After` name no time. */
 const TURNED_AWAY = new Set([429, 503]);
@@ -24,9 +24,7 @@
     return newPause(Math.max(...seconds.map(Number)) * 1_000);
   const isDated = HTTP_DATE.test(value) && HTTP_DATE.test(date ?? '');
   const ms = isDated ? Date.parse(value) - Date.parse(date ?? '') : NaN;
-  if (Number.isNaN(ms))
-    return { type: 'malformed', value: value.slice(0, MAX_LOGGED_VALUE_LENGTH) };
-  return newPause(ms);
+  return Number.isNaN(ms) ? newMalformed(value) : newPause(ms);
 }
 
 function newPause(ms: number): NamedPause {
--- a/src/notices/announcements.ts
+++ b/src/notices/announcements.ts
@@ -66,7 +66,7 @@
 
 function getLeavingEndpoint({
   endpoint,
-  learnedLeaving,
+  isToldLeaving,
 }: EndpointView): LeavingEndpoint | undefined {
-  return learnedLeaving && { endpoint: endpoint.id, startedAt: endpoint.startedAt };
+  return isToldLeaving ? { endpoint: endpoint.id, startedAt: endpoint.startedAt } : undefined;
 }
--- a/src/notices/constants.ts
+++ b/src/notices/constants.ts
@@ -8,3 +8,5 @@
 export const MAX_PAUSE_AFTER_TRIAL_MS = 600_000;
 /** Shortest interval between log lines about malformed notices of one endpoint. */
 export const MALFORMED_LOG_INTERVAL_MS = 10_000;
+/** Length to which values that could not be read are cut in log lines. */
+export const MAX_LOGGED_VALUE_LENGTH = 40;
--- a/src/notices/leaving.ts
+++ b/src/notices/leaving.ts
@@ -22,7 +22,7 @@
   if (view.isRemoved || isLeaving(view)) return [];
   const { id, service } = view.endpoint;
   scheduleSplitUpdate(state, now);
-  view.learnedLeaving = { learnedAt: now, from };
+  view.isToldLeaving = true;
   return [
     newLog('info', 'endpoint is leaving', {
       endpoint: id,
--- a/src/notices/malformed.ts
+++ b/src/notices/malformed.ts
@@ -1,9 +1,14 @@
 import type { Effect } from '../core/effects.ts';
 import { newLog } from '../core/observations.ts';
 import type { EndpointView } from '../fleet/types.ts';
-import { MALFORMED_LOG_INTERVAL_MS } from './constants.ts';
+import { MALFORMED_LOG_INTERVAL_MS, MAX_LOGGED_VALUE_LENGTH } from './constants.ts';
 import type { EndpointNotice } from './types.ts';
 
+/** Returns what stands for a header value of another form than expected, cut for the log. */
+export function newMalformed(value: string): { type: 'malformed'; value: string } {
+  return { type: 'malformed', value: value.slice(0, MAX_LOGGED_VALUE_LENGTH) };
+}
+
 /** Returns the log lines of what could not be read, at most once in an interval for each endpoint. */
 export function observeMalformed(
   view: EndpointView,
--- a/src/notices/types.ts
+++ b/src/notices/types.ts
@@ -22,14 +22,6 @@
   pause: NamedPause;
 }
 
-/** How this host learned that an endpoint leaves, other than by the directory. */
-export interface LearnedLeaving {
-  /** Monotonic ms. */
-  learnedAt: number;
-  /** Host that told it; undefined if an answer to this host did. */
-  from: string | undefined;
-}
-
 /** The time for which an endpoint wants nothing from this host. Times are monotonic ms. */
 export interface EndpointPause {
   learnedAt: number;
--- a/src/streams/splitsRow.ts
+++ b/src/streams/splitsRow.ts
@@ -63,6 +63,7 @@
   return [newLog('info', 'shares of software versions changed', { version, services })];
 }
 
+/** Adopts the written or the conflicting row; after a failed write, the splits are checked again. */
 export function handleSplitsWriteAnswer(
   state: State,
   row: VersionSplitsRow,
@@ -71,13 +72,13 @@
 ): Effect[] {
   state.streams.isWritingSplits = false;
   if (answer.type === 'written') return applyVersionSplits(state, row, answer.version, now);
-  scheduleSplitUpdate(state, now);
   if (answer.type === 'conflict') {
     const content = answer.current?.content;
     // A row that is absent or malformed is replaced.
     const current = content?.type === 'versionSplits' ? content.row : { services: [] };
     return applyVersionSplits(state, current, answer.current?.version ?? 0, now);
   }
+  scheduleSplitUpdate(state, now);
   return [newLog('warn', 'write of the version splits failed', { reason: answer.reason })];
 }
 
