Write the rows of the hosts by one effect, and answer it by one event

The row of version splits had become the third copy of a conditional write: a method of the directory's interface, an effect, a runner, an event and a decoder each, beside those of the members and of the suspects. One of each serves all three now; a table names the handler of each row's answer. Tests read the same writes and give the same answers under the new names; their assertions are unchanged.

--- a/src/directory/handlers.ts
+++ b/src/directory/handlers.ts
@@ -1,3 +1,5 @@
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import { handleMembersWriteAnswer } from '../owners/members.ts';
 import { handleSplitsWriteAnswer } from '../streams/splitsRow.ts';
@@ -5,18 +7,29 @@
 import { applyDeferredRemovals } from './apply.ts';
 import { runReaderHeartbeatRound, handleReaderHeartbeat } from './readerHeartbeats.ts';
 import { applyTopicChanges } from './announcements.ts';
-import type { DirectoryEvent, DirectoryTimer } from './types.ts';
+import type { DirectoryEvent, DirectoryTimer, DirectoryWriteAnswer, HostRow } from './types.ts';
 import { pollPeer, startTopicCall, handleTopicAnswer, sendTopicChanges } from './watch.ts';
 
+type RowWriteHandler<T extends HostRow['type'] = HostRow['type']> = (
+  state: State,
+  row: Extract<HostRow, { type: T }>['row'],
+  answer: DirectoryWriteAnswer,
+  now: number,
+) => Effect[];
+
+const rowWriteHandlers: { [T in HostRow['type']]: RowWriteHandler<T> } = {
+  members: handleMembersWriteAnswer,
+  suspects: handleSuspectsWriteAnswer,
+  versionSplits: handleSplitsWriteAnswer,
+};
+
 export const directoryEvents: EventHandlers<DirectoryEvent['type']> = {
   directoryAnswered: (state, { topic, call, isRead, answer }, now) =>
     handleTopicAnswer(state, topic, call, isRead, answer, now),
-  membersWriteAnswered: (state, { row, answer }, now) =>
-    handleMembersWriteAnswer(state, row, answer, now),
-  splitsWriteAnswered: (state, { row, answer }, now) =>
-    handleSplitsWriteAnswer(state, row, answer, now),
-  suspectsWriteAnswered: (state, { row, answer }, now) =>
-    handleSuspectsWriteAnswer(state, row, answer, now),
+  rowWriteAnswered: (state, { content, answer }, now) => {
+    const handle = rowWriteHandlers[content.type] as RowWriteHandler;
+    return handle(state, content.row, answer, now);
+  },
 };
 
 export const directoryMessages: MessageHandlers<'topicAsked' | 'topicTold' | 'directoryFed'> = {
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -12,6 +12,14 @@
 export const Topic = z.enum(['operator', 'endpoints', 'members']);
 export type Topic = z.infer<typeof Topic>;
 
+/** A row that hosts write under a condition, for all hosts; in the topic `members`. */
+export const HostRow = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('members'), row: MembersRow }),
+  z.object({ type: z.literal('suspects'), row: SuspectsRow }),
+  z.object({ type: z.literal('versionSplits'), row: VersionSplitsRow }),
+]);
+export type HostRow = z.infer<typeof HostRow>;
+
 export const DirectoryContent = z.discriminatedUnion('type', [
   z.object({ type: z.literal('routing'), table: RoutingTable }),
   z.object({
@@ -21,9 +29,7 @@
     version: z.int().min(0),
   }),
   z.object({ type: z.literal('endpoint'), endpoint: Endpoint }),
-  z.object({ type: z.literal('members'), row: MembersRow }),
-  z.object({ type: z.literal('suspects'), row: SuspectsRow }),
-  z.object({ type: z.literal('versionSplits'), row: VersionSplitsRow }),
+  ...HostRow.options,
   z.object({ type: z.literal('removed') }),
   /** The entry cannot be parsed and is ignored. */
   z.object({ type: z.literal('malformed'), reason: z.string() }),
@@ -170,17 +176,13 @@
       isRead: boolean;
       answer: DirectoryAnswer;
     }
-  | { type: 'membersWriteAnswered'; row: MembersRow; answer: DirectoryWriteAnswer }
-  | { type: 'suspectsWriteAnswered'; row: SuspectsRow; answer: DirectoryWriteAnswer }
-  | { type: 'splitsWriteAnswered'; row: VersionSplitsRow; answer: DirectoryWriteAnswer };
+  | { type: 'rowWriteAnswered'; content: HostRow; answer: DirectoryWriteAnswer };
 
 export type DirectoryEffect =
   | { type: 'readTopic'; topic: Topic; call: number }
   | { type: 'watchTopic'; topic: Topic; call: number; after: number; waitMs: number }
-  /** These write the row if it still has `version`; 0 when it must be absent. */
-  | { type: 'writeMembers'; row: MembersRow; version: number }
-  | { type: 'writeSuspects'; row: SuspectsRow; version: number }
-  | { type: 'writeVersionSplits'; row: VersionSplitsRow; version: number };
+  /** Writes the row if it still has `version`; 0 when it must be absent. */
+  | { type: 'writeRow'; content: HostRow; version: number };
 
 export type DirectoryTimer =
   | { type: 'startTopicCall'; topic: Topic }
--- a/src/gatewayHost/platform.ts
+++ b/src/gatewayHost/platform.ts
@@ -1,10 +1,7 @@
 import type { HttpCall } from '../clients/httpClient.ts';
-import type { DirectoryAnswer, DirectoryWriteAnswer, Topic } from '../directory/types.ts';
+import type { DirectoryAnswer, DirectoryWriteAnswer, HostRow, Topic } from '../directory/types.ts';
 import type { RequestLabels } from '../forwards/types.ts';
 import type { EndpointNotice } from '../notices/types.ts';
-import type { MembersRow } from '../owners/types.ts';
-import type { VersionSplitsRow } from '../streams/types.ts';
-import type { SuspectsRow } from '../suspects/types.ts';
 import type { AdapterOrder, AdapterOrderAnswer, AdapterReport } from '../residency/types.ts';
 
 /**
@@ -25,20 +22,8 @@
   read(topic: Topic, timeoutMs: number): Promise<DirectoryAnswer>;
   /** Waits up to `waitMs` for changes after version `after`. */
   watch(topic: Topic, after: number, waitMs: number, timeoutMs: number): Promise<DirectoryAnswer>;
-  /** Writes the members row if its version is `version`; 0 means that it must not exist. */
-  writeMembers(row: MembersRow, version: number, timeoutMs: number): Promise<DirectoryWriteAnswer>;
-  /** Writes the row of version splits in the same way. */
-  writeVersionSplits(
-    row: VersionSplitsRow,
-    version: number,
-    timeoutMs: number,
-  ): Promise<DirectoryWriteAnswer>;
-  /** Writes the row of suspects in the same way. */
-  writeSuspects(
-    row: SuspectsRow,
-    version: number,
-    timeoutMs: number,
-  ): Promise<DirectoryWriteAnswer>;
+  /** Writes a row of the hosts if its version is `version`; 0 means that it must not exist. */
+  writeRow(content: HostRow, version: number, timeoutMs: number): Promise<DirectoryWriteAnswer>;
 }
 
 /** An adapter order with the engine instance that it is for and the host that sends it. */
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -36,20 +36,10 @@
       host.dispatch({ type: 'directoryAnswered', topic, call, isRead: false, answer });
     });
   },
-  writeMembers: (host, { row, version }) => {
-    void host.platform.directory.writeMembers(row, version, DIRECTORY_TIMEOUT_MS).then((answer) => {
-      host.dispatch({ type: 'membersWriteAnswered', row, answer });
-    });
-  },
-  writeVersionSplits: (host, { row, version }) => {
-    void host.platform.directory
-      .writeVersionSplits(row, version, DIRECTORY_TIMEOUT_MS)
-      .then((answer) => host.dispatch({ type: 'splitsWriteAnswered', row, answer }));
-  },
-  writeSuspects: (host, { row, version }) => {
+  writeRow: (host, { content, version }) => {
     void host.platform.directory
-      .writeSuspects(row, version, DIRECTORY_TIMEOUT_MS)
-      .then((answer) => host.dispatch({ type: 'suspectsWriteAnswered', row, answer }));
+      .writeRow(content, version, DIRECTORY_TIMEOUT_MS)
+      .then((answer) => host.dispatch({ type: 'rowWriteAnswered', content, answer }));
   },
   sendAdapterOrder: (host, { engine, address, epoch, order }) => {
     const { id } = host.state.host;
--- a/src/owners/members.ts
+++ b/src/owners/members.ts
@@ -254,7 +254,7 @@
     epoch: Math.max(owners.row?.epoch ?? 0, getEpochFloor(state)) + 1,
     members: ensureOwners(change(owners.row?.members ?? [])),
   };
-  return [{ type: 'writeMembers', row, version: owners.version ?? 0 }];
+  return [{ type: 'writeRow', content: { type: 'members', row }, version: owners.version ?? 0 }];
 }
 
 /**
--- a/src/streams/splitsRow.ts
+++ b/src/streams/splitsRow.ts
@@ -43,7 +43,9 @@
   const row: VersionSplitsRow = { services: services.filter(({ splits }) => splits.length > 0) };
   if (isSameRow(row, streams.splitsRow)) return [];
   streams.isWritingSplits = true;
-  return [{ type: 'writeVersionSplits', row, version: streams.splitsVersion }];
+  return [
+    { type: 'writeRow', content: { type: 'versionSplits', row }, version: streams.splitsVersion },
+  ];
 }
 
 /** Adopts the row of splits; its absence is an empty row of version 0. */
--- a/src/suspects/directorySuspects.ts
+++ b/src/suspects/directorySuspects.ts
@@ -43,7 +43,9 @@
   const row = newSuspectsRow(state);
   if (row.suspects.every((suspect) => isStored(suspects.storedRow, suspect))) return [];
   suspects.isWritingRow = true;
-  return [{ type: 'writeSuspects', row, version: suspects.storedVersion }];
+  return [
+    { type: 'writeRow', content: { type: 'suspects', row }, version: suspects.storedVersion },
+  ];
 }
 
 /** Adopts the written or the conflicting row, and writes again what it still lacks. */
--- a/tests/helpers/directoryHost.ts
+++ b/tests/helpers/directoryHost.ts
@@ -3,7 +3,12 @@
 import type { Message } from '../../src/core/messages.ts';
 import { reduce } from '../../src/core/reduce.ts';
 import { State } from '../../src/core/state.ts';
-import type { DirectoryChange, DirectoryContent, Topic } from '../../src/directory/types.ts';
+import type {
+  DirectoryChange,
+  DirectoryContent,
+  HostRow,
+  Topic,
+} from '../../src/directory/types.ts';
 import type { Endpoint } from '../../src/fleet/types.ts';
 import type { RequestLabels, NewForward } from '../../src/forwards/types.ts';
 import type { Member, MembersRow } from '../../src/owners/types.ts';
@@ -12,6 +17,9 @@
 /** Effects of one type. */
 export type EffectOf<T extends Effect['type']> = Extract<Effect, { type: T }>;
 
+/** Content of a row of one type that hosts write. */
+type RowOf<T extends HostRow['type']> = Extract<HostRow, { type: T }>['row'];
+
 /** The reducer of one host with a directory; tests dispatch its events and read its effects. */
 export class DirectoryHost {
   now: number;
@@ -79,6 +87,13 @@
     return taken;
   }
 
+  /** Returns the writes of one row since the last call and discards all other effects. */
+  takeRowWrites<T extends HostRow['type']>(type: T): { row: RowOf<T>; version: number }[] {
+    return this.takeEffects('writeRow')
+      .filter(({ content }) => content.type === type)
+      .map(({ content, version }) => ({ row: content.row as RowOf<T>, version }));
+  }
+
   /** Returns all effects since the last call and clears them. */
   takeAllEffects(): Effect[] {
     const { effects } = this;
--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -1,5 +1,10 @@
 import type { Effect } from '../../src/core/effects.ts';
-import { type DirectoryContent, Topic } from '../../src/directory/types.ts';
+import {
+  type DirectoryContent,
+  type DirectoryWriteAnswer,
+  type HostRow,
+  Topic,
+} from '../../src/directory/types.ts';
 import type { Failure } from '../../src/errors/failure.ts';
 import type { Endpoint } from '../../src/fleet/types.ts';
 import type { AttemptSpec, ForwardOutcome, RequestLabels } from '../../src/forwards/types.ts';
@@ -387,13 +392,15 @@
       case 'cancelForward':
         this.running.delete(`${id}/${effect.attempt}`);
         return;
-      case 'writeSuspects': {
-        if (this.hostsWithoutDirectory.has(id)) {
-          const answer = { type: 'unavailable' as const, reason: 'cut' };
-          host.dispatch({ type: 'suspectsWriteAnswered', row: effect.row, answer });
-          return;
-        }
-        this.writeSuspects(host, effect);
+      case 'writeRow': {
+        const { content, version } = effect;
+        if (content.type !== 'suspects') return;
+        const answer: DirectoryWriteAnswer = this.hostsWithoutDirectory.has(id)
+          ? { type: 'unavailable', reason: 'cut' }
+          : this.writeSuspects(content, version);
+        host.dispatch({ type: 'rowWriteAnswered', content, answer });
+        if (answer.type !== 'written') return;
+        for (const other of this.hosts.keys()) this.sendSuspectsRow(other);
         return;
       }
       case 'failForward':
@@ -530,31 +537,15 @@
     for (const host of this.hosts.keys()) this.sendChange(host, 'endpoints', id, content);
   }
 
-  private writeSuspects(
-    host: DirectoryHost,
-    {
-      row,
-      version,
-    }: { row: Extract<DirectoryContent, { type: 'suspects' }>['row']; version: number },
-  ): void {
-    const current = this.suspectsRow;
-    if ((current?.version ?? 0) !== version) {
-      const change = current && newDirectoryChange(SUSPECTS_KEY, current.version, current.content);
-      host.dispatch({
-        type: 'suspectsWriteAnswered',
-        row,
-        answer: { type: 'conflict', current: change },
-      });
-      return;
+  private writeSuspects(content: HostRow, version: number): DirectoryWriteAnswer {
+    const known = this.suspectsRow;
+    if ((known?.version ?? 0) !== version) {
+      const current = known && newDirectoryChange(SUSPECTS_KEY, known.version, known.content);
+      return { type: 'conflict', current };
     }
     this.version += 1;
-    this.suspectsRow = { content: { type: 'suspects', row }, version: this.version };
-    host.dispatch({
-      type: 'suspectsWriteAnswered',
-      row,
-      answer: { type: 'written', version: this.version },
-    });
-    for (const id of this.hosts.keys()) this.sendSuspectsRow(id);
+    this.suspectsRow = { content, version: this.version };
+    return { type: 'written', version: this.version };
   }
 
   private sendSuspectsRow(id: string): void {
--- a/tests/owners/members.test.ts
+++ b/tests/owners/members.test.ts
@@ -15,7 +15,7 @@
   it('writes the first row when there is none', () => {
     const host = DirectoryHost.create();
     host.answerDirectoryCall('members', [], 5, true).advance(1_000);
-    const [write] = host.takeEffects('writeMembers');
+    const [write] = host.takeRowWrites('members');
     expect(write).toMatchObject({
       version: 0,
       row: { epoch: 1, members: [{ host: 'h0', isOwner: true }] },
@@ -24,25 +24,25 @@
 
   it('joins when its first read is answered after the first attempt to join', () => {
     const host = DirectoryHost.create().advance(2_000);
-    expect(host.takeEffects('writeMembers')).toEqual([]);
+    expect(host.takeRowWrites('members')).toEqual([]);
     host.answerDirectoryCall('members', [], 5, true).advance(1_000);
-    expect(host.takeEffects('writeMembers')).toHaveLength(1);
+    expect(host.takeRowWrites('members')).toHaveLength(1);
   });
 
   it('retries on top of the row that another host wrote first', () => {
     const host = DirectoryHost.create();
     host.answerDirectoryCall('members', [], 5, true).advance(1_000);
-    const [write] = host.takeEffects('writeMembers');
+    const [write] = host.takeRowWrites('members');
     if (write === undefined) throw new Error('nothing was written');
     const row = newMembersRow(1, [{ host: 'h1' }]);
     const current = newDirectoryChange('members', 6, { type: 'members', row });
     host.dispatch({
-      type: 'membersWriteAnswered',
-      row: write.row,
+      type: 'rowWriteAnswered',
+      content: { type: 'members', row: write.row },
       answer: { type: 'conflict', current },
     });
     host.advance(1_000);
-    const [again] = host.takeEffects('writeMembers');
+    const [again] = host.takeRowWrites('members');
     expect(again).toMatchObject({ version: 6, row: { epoch: 2 } });
     expect(again?.row.members.map((member) => [member.host, member.isOwner])).toEqual([
       ['h1', true],
@@ -62,7 +62,7 @@
       9,
       true,
     );
-    const [write] = host.takeEffects('writeMembers');
+    const [write] = host.takeRowWrites('members');
     expect(write?.row.members).toContainEqual(
       expect.objectContaining({ host: 'h0', incarnation: 1, isOwner: true }),
     );
@@ -71,7 +71,7 @@
   it('does not start a second write while one is in flight', () => {
     const host = DirectoryHost.create();
     host.answerDirectoryCall('members', [], 5, true).advance(5_000);
-    expect(host.takeEffects('writeMembers')).toHaveLength(1);
+    expect(host.takeRowWrites('members')).toHaveLength(1);
   });
 });
 
@@ -82,18 +82,18 @@
     const host = DirectoryHost.create().configure({ members: MEMBERS });
     host.dispatch({ type: 'linkOpened', host: 'h1' });
     host.dispatch({ type: 'linkClosed', host: 'h1', reason: 'refused' }).advance(2_000);
-    const [suspicion] = host.takeEffects('writeMembers');
+    const [suspicion] = host.takeRowWrites('members');
     if (suspicion === undefined) throw new Error('h1 is not suspected');
     expect(suspicion.row.members[1]).toMatchObject({ host: 'h1', suspectedBy: 'h0' });
     host.dispatch({
-      type: 'membersWriteAnswered',
-      row: suspicion.row,
+      type: 'rowWriteAnswered',
+      content: { type: 'members', row: suspicion.row },
       answer: { type: 'written', version: 21 },
     });
     host.advance(2_000);
-    expect(host.takeEffects('writeMembers')).toEqual([]);
+    expect(host.takeRowWrites('members')).toEqual([]);
     host.advance(1_500);
-    expect(host.takeEffects('writeMembers')[0]?.row.members.map((member) => member.host)).toEqual([
+    expect(host.takeRowWrites('members')[0]?.row.members.map((member) => member.host)).toEqual([
       'h0',
     ]);
   });
@@ -101,7 +101,7 @@
   it('refute the suspicion when they are alive', () => {
     const suspected = DirectoryHost.create('h1').configure({ members: MEMBERS });
     adopt(suspected, newMembersRow(2, [{ host: 'h0' }, { host: 'h1', suspectedBy: 'h0' }]), 21);
-    const [refutation] = suspected.takeEffects('writeMembers');
+    const [refutation] = suspected.takeRowWrites('members');
     expect(refutation?.row.members).toContainEqual(expect.objectContaining({ host: 'h1' }));
     expect(refutation?.row.members.some(({ suspectedBy }) => suspectedBy !== undefined)).toBe(
       false,
@@ -114,7 +114,7 @@
       .dispatch({ type: 'linkClosed', host: 'h1', reason: 'silent' })
       .failDirectoryCall('members');
     host.advance(3_000);
-    expect(host.takeEffects('writeMembers')).toEqual([]);
+    expect(host.takeRowWrites('members')).toEqual([]);
   });
 });
 
@@ -124,7 +124,7 @@
       members: [{ host: 'h0' }, { host: 'h1', isOwner: false }, { host: 'h2', zone: 'z2' }],
     });
     host.dispatch({ type: 'stopRequested' });
-    expect(host.takeEffects('writeMembers')[0]?.row.members).toMatchObject([
+    expect(host.takeRowWrites('members')[0]?.row.members).toMatchObject([
       { host: 'h1', isOwner: true },
       { host: 'h2', isOwner: true },
     ]);
--- a/tests/streams/streamHosts.ts
+++ b/tests/streams/streamHosts.ts
@@ -223,12 +223,12 @@
   }
 
   /** Writes the row of splits, which all hosts read at once. */
-  private writeSplits(host: DirectoryHost, { row }: EffectOf<'writeVersionSplits'>): void {
+  private writeSplits(host: DirectoryHost, { content }: EffectOf<'writeRow'>): void {
     this.directoryVersion += 1;
     const version = this.directoryVersion;
-    this.splits = newDirectoryChange('versionSplits', version, { type: 'versionSplits', row });
+    this.splits = newDirectoryChange('versionSplits', version, content);
     const answer = { type: 'written' as const, version };
-    host.dispatch({ type: 'splitsWriteAnswered', row, answer });
+    host.dispatch({ type: 'rowWriteAnswered', content, answer });
     const told = { type: 'topicTold' as const, topic: 'members' as const, after: 0, upTo: version };
     for (const other of this.hosts.values())
       other.receiveMessage('directory', { ...told, changes: [this.splits] });
@@ -245,7 +245,8 @@
         const effects = host.takeAllEffects();
         observe(from, effects);
         for (const effect of effects) {
-          if (effect.type === 'writeVersionSplits') this.writeSplits(host, effect);
+          if (effect.type === 'writeRow' && effect.content.type === 'versionSplits')
+            this.writeSplits(host, effect);
           if (effect.type !== 'sendMessage' || effect.to === from) continue;
           if (this.unlinked.has(from) || this.unlinked.has(effect.to)) continue;
           if (this.isDropped(effect.to, effect.message)) continue;
--- a/tests/streams/versionSplits.test.ts
+++ b/tests/streams/versionSplits.test.ts
@@ -107,7 +107,7 @@
   ])('%s', (_name, versions, splits, isWritten) => {
     const host = createHost(newRow(splits), CLOCK_MS, versions);
     host.advance(1_000);
-    expect(host.takeEffects('writeVersionSplits')).toHaveLength(isWritten ? 1 : 0);
+    expect(host.takeRowWrites('versionSplits')).toHaveLength(isWritten ? 1 : 0);
   });
 
   it('when the only version was replaced by another one', () => {
@@ -117,7 +117,7 @@
     const change = newDirectoryChange('e0', 50, { type: 'endpoint', endpoint });
     host.answerDirectoryCall('endpoints', [change], 50);
     host.advance(1_000);
-    const [written] = host.takeEffects('writeVersionSplits');
+    const [written] = host.takeRowWrites('versionSplits');
     const shares = written?.row.services[0]?.splits.map((split) => split.shares[0]?.version);
     expect(shares).toEqual(['v1', 'v2']);
   });
