--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -36,7 +36,7 @@
 import { ownersMessages, ownersTimers } from '../owners/handlers.ts';
 import { residencyEvents, residencyMessages, residencyTimers } from '../residency/handlers.ts';
 import { requestEvents, requestMessages, requestTimers } from '../requests/handlers.ts';
-import { streamMessages } from '../streams/handlers.ts';
+import { streamMessages, streamTimers } from '../streams/handlers.ts';
 import type { Effect } from './effects.ts';
 import type { Event } from './events.ts';
 import type {
@@ -85,6 +85,7 @@
   ...ownersTimers,
   ...residencyTimers,
   ...forwardTimers,
+  ...streamTimers,
   ...limitTimers,
   ...noticeTimers,
 };
--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -13,7 +13,7 @@
 import type { OwnershipTimer } from '../ownership/types.ts';
 import type { OwnersTimer } from '../owners/types.ts';
 import type { ResidencyTimer } from '../residency/types.ts';
-import type { StreamTimer } from '../streams/types.ts';
+import type { StreamLookupTimer, VersionSplitTimer } from '../streams/types.ts';
 import type { RequestTimer } from '../requests/types.ts';
 import type { LifecycleTimer } from './lifecycle.ts';
 import type { State } from './state.ts';
@@ -35,7 +35,8 @@
   | OwnersTimer
   | ResidencyTimer
   | ForwardTimer
-  | StreamTimer
+  | StreamLookupTimer
+  | VersionSplitTimer
   | LimitTimer
   | NoticeTimer;
 
--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -6,7 +6,7 @@
 import { markRestartedAttempts } from '../forwards/endpointRestarts.ts';
 import type { Endpoint } from '../fleet/types.ts';
 import { rerouteFromEngine } from '../forwards/rerouting.ts';
-import { newNoticeGauges } from '../notices/gauges.ts';
+import { observeLeaving } from '../notices/leaving.ts';
 import { markEndpointRemoved, applyRegistration } from '../fleet/registration.ts';
 import { adoptMembersRow, notifyRemovedHosts, recordLostMembersRow } from '../owners/members.ts';
 import { applyAdapterVersion, updateOwnedEngines } from '../residency/ownedEngines.ts';
@@ -45,8 +45,7 @@
     applyAdapterVersion(state, adapter, version, now),
   endpoint: (state, { endpoint }, _change, now) => {
     state.directory.deferredRemovals.delete(endpoint.id);
-    const view = state.fleet.views.get(endpoint.id);
-    const known = view?.endpoint;
+    const known = state.fleet.views.get(endpoint.id)?.endpoint;
     const wasLeaving = known?.isLeaving === true;
     if (!applyRegistration(state.fleet, endpoint)) return [];
     const restartEffects = known === undefined ? [] : recordEndpointUpdate(state, known, now);
@@ -57,15 +56,9 @@
       ...updateOwnedEngines(state, now),
     ];
     if (!endpoint.isLeaving || wasLeaving) return effects;
-    const { id, service, remainingMs } = endpoint;
+    const { remainingMs } = endpoint;
     return [
-      newLog('info', 'endpoint is leaving', {
-        endpoint: id,
-        service,
-        source: 'directory',
-        remainingMs,
-      }),
-      ...newNoticeGauges(state, now),
+      ...observeLeaving(state, endpoint, { source: 'directory', remainingMs }, now),
       ...effects,
     ];
   },
--- a/src/engines/availability.ts
+++ b/src/engines/availability.ts
@@ -1,6 +1,6 @@
 import type { State } from '../core/state.ts';
 import { isEndpointLeaving } from '../membership/endpoints.ts';
-import { getPauseLeftMs, isPaused } from '../notices/pauses.ts';
+import { getShortestPauseMs, isPaused } from '../notices/pauses.ts';
 
 /** Whether new requests may go to `engine`: it is neither leaving nor unreachable. */
 export function isEngineAvailable(state: State, engine: string): boolean {
@@ -15,11 +15,10 @@
 }
 
 /** Returns the time until the first paused engine of a base model wants requests again, in ms. */
-export function getShortestPauseMs(state: State, model: string | undefined): number | undefined {
+export function getModelPauseMs(state: State, model: string | undefined): number | undefined {
   const { configuration, engines, now } = state;
   const paused = [...engines.views.values()].filter(
     (view) => isPaused(view, now) && configuration.engines.get(view.id)?.model === model,
   );
-  if (paused.length === 0) return undefined;
-  return Math.min(...paused.map((view) => getPauseLeftMs(view, now)));
+  return getShortestPauseMs(paused, now);
 }
--- a/src/fleet/endpointChoice.ts
+++ b/src/fleet/endpointChoice.ts
@@ -26,6 +26,13 @@
   return softwareVersion !== undefined && view?.endpoint.softwareVersion !== softwareVersion;
 }
 
+/** Returns the endpoints of `service` that are not removed, leaving ones too. */
+export function getPresentEndpoints(fleet: Fleet, service: string): EndpointView[] {
+  return [...fleet.views.values()].filter(
+    ({ endpoint, isRemoved }) => endpoint.service === service && !isRemoved,
+  );
+}
+
 /** Returns the routable endpoints of `service`. */
 export function getRoutableEndpoints(fleet: Fleet, service: string): EndpointView[] {
   return [...fleet.views.values()].filter(
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -17,8 +17,7 @@
 import { scheduleRetry } from './sending.ts';
 import { acceptReservation } from './reservationAnswers.ts';
 import { endLookup, handleLookupAnswer } from './resumption.ts';
-import { updateVersionSplits } from '../streams/splitsRow.ts';
-import type { StreamTimer } from '../streams/types.ts';
+import type { StreamLookupTimer } from '../streams/types.ts';
 import type { ForwardEvent, ForwardTimer } from './types.ts';
 
 export const forwardEvents: EventHandlers<ForwardEvent['type']> = {
@@ -70,7 +69,7 @@
   },
 };
 
-export const forwardTimers: TimerHandlers<(ForwardTimer | StreamTimer)['type']> = {
+export const forwardTimers: TimerHandlers<(ForwardTimer | StreamLookupTimer)['type']> = {
   forwardDeadline: (state, { id }) => {
     const forward = state.forwards.inFlight.get(id);
     if (forward === undefined) return [];
@@ -98,7 +97,6 @@
     const forward = state.forwards.inFlight.get(id);
     return forward?.phase === 'backoff' ? placeForward(state, forward, now) : [];
   },
-  updateVersionSplits: (state, _timer, now) => updateVersionSplits(state, now),
   streamLookupTimeout: (state, { request }, now) => endLookup(state, request, now),
   verifyCrash: (state, timer, now) => verifyCrash(state, timer, now),
   endQuarantinedForwards: (state, _timer, now) => endQuarantinedForwards(state, now),
--- a/src/forwards/unavailability.ts
+++ b/src/forwards/unavailability.ts
@@ -1,10 +1,10 @@
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
-import { isLeaving } from '../fleet/endpointChoice.ts';
+import { getPresentEndpoints, isLeaving } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { isLimited } from '../limits/permits.ts';
-import { getPauseLeftMs, isPaused } from '../notices/pauses.ts';
+import { getShortestPauseMs, isPaused } from '../notices/pauses.ts';
 import { LEAVING_RETURN_MS, PAUSE_RETURN_SPREAD } from './constants.ts';
 import { abandonForward, failForward } from './forwardEnd.ts';
 import type { Forward } from './types.ts';
@@ -29,7 +29,7 @@
   const paused = possible.filter((view) => isPaused(view, now));
   const reason =
     paused.length === 0 ? forward.lastReason : 'the endpoints want no requests for a time';
-  const earliestMs = Math.min(...paused.map((view) => getPauseLeftMs(view, now)));
+  const earliestMs = getShortestPauseMs(paused, now) ?? Infinity;
   // Callers that are told the same time would return all at once.
   const pauseReturnMs = earliestMs * (1 + PAUSE_RETURN_SPREAD * state.random.getFraction());
   const isAnyAtLimit = paused.length < possible.length;
@@ -38,9 +38,7 @@
 }
 
 function areAllLeaving({ fleet }: State, { service }: Forward): boolean {
-  const views = [...fleet.views.values()].filter(
-    ({ endpoint, isRemoved }) => endpoint.service === service && !isRemoved,
-  );
+  const views = getPresentEndpoints(fleet, service);
   return views.length > 0 && views.every(isLeaving);
 }
 
--- a/src/limits/types.ts
+++ b/src/limits/types.ts
@@ -1,14 +1,10 @@
 import { z } from 'zod';
 import type { TokenBucket } from '../base/tokenBucket.ts';
+import type { HeaderContent } from '../notices/types.ts';
 import type { ReservationRequest } from '../residency/types.ts';
 
-/** What an answer of an endpoint says of the requests that the endpoint takes. */
-export type NamedLimit =
-  | { type: 'none' }
-  /** Requests per second that it takes from all hosts together. */
-  | { type: 'rate'; perS: number }
-  /** The value is no decimal number, so it says nothing. */
-  | { type: 'malformed'; value: string };
+/** The requests per second that an endpoint says it takes from all hosts together. */
+export type NamedLimit = HeaderContent<{ type: 'rate'; perS: number }>;
 
 /** The limit of an endpoint as this host knows it. */
 export interface EndpointLimit {
--- a/src/notices/announcements.ts
+++ b/src/notices/announcements.ts
@@ -13,7 +13,11 @@
 import type { EndpointNoticesAnnounced, LeavingEndpoint } from './types.ts';
 
 /** Has other hosts told soon of what an endpoint said of itself. */
-export function scheduleAnnouncement(state: State, { endpoint }: EndpointView, now: number): void {
+export function scheduleNoticeAnnouncement(
+  state: State,
+  { endpoint }: EndpointView,
+  now: number,
+): void {
   const { notices } = state;
   notices.changed.add(endpoint.id);
   if (notices.isAnnouncementScheduled) return;
--- a/src/notices/endpointNotices.ts
+++ b/src/notices/endpointNotices.ts
@@ -4,7 +4,7 @@
 import type { EndpointView } from '../fleet/types.ts';
 import { rerouteFromEngine } from '../forwards/rerouting.ts';
 import { recordNamedLimit } from '../limits/endpointLimits.ts';
-import { scheduleAnnouncement } from './announcements.ts';
+import { scheduleNoticeAnnouncement } from './announcements.ts';
 import { newNoticeGauges } from './gauges.ts';
 import { recordLeaving } from './leaving.ts';
 import { observeMalformed } from './malformed.ts';
@@ -21,7 +21,7 @@
   // An answer from before a restart says nothing of the endpoint as it is now.
   if (view?.endpoint.startedAt !== startedAt) return [];
   if (recordNamedLimit(state, view, notice.limit, sentAt, now))
-    scheduleAnnouncement(state, view, now);
+    scheduleNoticeAnnouncement(state, view, now);
   return [
     ...observeMalformed(view, notice, now),
     ...applyLeaving(state, view, notice.leaving, now),
@@ -37,7 +37,7 @@
 ): Effect[] {
   if (leaving.type !== 'leaving') return [];
   const effects = recordLeaving(state, view, undefined, now);
-  if (effects.length > 0) scheduleAnnouncement(state, view, now);
+  if (effects.length > 0) scheduleNoticeAnnouncement(state, view, now);
   return effects;
 }
 
--- a/src/notices/leaving.ts
+++ b/src/notices/leaving.ts
@@ -2,7 +2,7 @@
 import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { isLeaving } from '../fleet/endpointChoice.ts';
-import type { EndpointView } from '../fleet/types.ts';
+import type { Endpoint, EndpointView } from '../fleet/types.ts';
 import { rerouteFromEngine } from '../forwards/rerouting.ts';
 import { updateOwnedEngines } from '../residency/ownedEngines.ts';
 import { scheduleSplitUpdate } from '../streams/splitsRow.ts';
@@ -20,18 +20,30 @@
   now: number,
 ): Effect[] {
   if (view.isRemoved || isLeaving(view)) return [];
-  const { id, service } = view.endpoint;
-  scheduleSplitUpdate(state, now);
+  const source = from === undefined ? 'answer' : 'host';
   view.isToldLeaving = true;
+  scheduleSplitUpdate(state, now);
   return [
-    newLog('info', 'endpoint is leaving', {
-      endpoint: id,
-      service,
-      source: from === undefined ? 'answer' : 'host',
-      from,
-    }),
-    ...newNoticeGauges(state, now),
+    ...observeLeaving(state, view.endpoint, { source, from }, now),
     ...updateOwnedEngines(state, now),
-    ...rerouteFromEngine(state, id, 'the engine is leaving', now),
+    ...rerouteFromEngine(state, view.endpoint.id, 'the engine is leaving', now),
+  ];
+}
+
+/** Where a host knows from that an endpoint leaves, as log lines say it. */
+type LeavingNews =
+  | { source: 'directory'; remainingMs: number | undefined }
+  | { source: 'answer' | 'host'; from: string | undefined };
+
+/** Returns the log line and the gauges of an endpoint of which this host has just learned that it leaves. */
+export function observeLeaving(
+  state: State,
+  { id, service }: Endpoint,
+  news: LeavingNews,
+  now: number,
+): Effect[] {
+  return [
+    newLog('info', 'endpoint is leaving', { endpoint: id, service, ...news }),
+    ...newNoticeGauges(state, now),
   ];
 }
--- a/src/notices/types.ts
+++ b/src/notices/types.ts
@@ -2,18 +2,18 @@
 import type { NamedLimit } from '../limits/types.ts';
 import { AnnouncedLimit } from '../limits/types.ts';
 
-/** What a header of an answer says, if it is readable. */
-type Readable<T extends object> =
+/** What a header of an answer says. */
+export type HeaderContent<T extends object> =
   | { type: 'none' }
   | T
   /** The value has another form, so it says nothing. */
   | { type: 'malformed'; value: string };
 
 /** The time for which an endpoint that turned a request away wants nothing from this host. */
-export type NamedPause = Readable<{ type: 'pause'; ms: number }>;
+export type NamedPause = HeaderContent<{ type: 'pause'; ms: number }>;
 
 /** Whether an endpoint says that it leaves. */
-export type NamedLeaving = Readable<{ type: 'leaving' }>;
+export type NamedLeaving = HeaderContent<{ type: 'leaving' }>;
 
 /** What an answer of an endpoint says of the endpoint itself. */
 export interface EndpointNotice {
--- a/src/requests/grantRequests.ts
+++ b/src/requests/grantRequests.ts
@@ -6,7 +6,7 @@
 import { Failure } from '../errors/failure.ts';
 import { isFullMesh } from '../membership/hosts.ts';
 import { openOnDemandLink } from '../membership/linkSelection.ts';
-import { getShortestPauseMs } from '../engines/availability.ts';
+import { getModelPauseMs } from '../engines/availability.ts';
 import { adjustSentSinceReport } from '../engines/views.ts';
 import { chooseSuspectPlacement } from '../suspects/suspectPlacement.ts';
 import {
@@ -193,7 +193,7 @@
 function getUnavailableFailure(state: State, request: Request): Failure {
   const { adapter, lastRefusal, mayHaveRun } = request;
   const model = state.configuration.adapters.get(adapter)?.model;
-  const pauseMs = getShortestPauseMs(state, model);
+  const pauseMs = getModelPauseMs(state, model);
   const pauseReason = pauseMs === undefined ? undefined : 'the engines want no requests for a time';
   const reason = pauseReason ?? lastRefusal ?? 'no engine is available';
   return Failure.create(
--- a/src/streams/handlers.ts
+++ b/src/streams/handlers.ts
@@ -1,7 +1,9 @@
 import { sendMessage } from '../core/sendMessage.ts';
-import type { MessageHandlers } from '../core/handlers.ts';
+import type { MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import { resumeFoundStreams } from '../forwards/resumption.ts';
+import { updateVersionSplits } from './splitsRow.ts';
 import { addStream, findStream, newStreamRecord } from './streamRecords.ts';
+import type { VersionSplitTimer } from './types.ts';
 
 export const streamMessages: MessageHandlers<'streamsRecorded' | 'streamLookup'> = {
   streamsRecorded: (state, { streams }, _from, now) => {
@@ -14,3 +16,7 @@
     return [sendMessage(state, from, { type: 'streamLookupAnswer', request, stream })];
   },
 };
+
+export const streamTimers: TimerHandlers<VersionSplitTimer['type']> = {
+  updateVersionSplits: (state, _timer, now) => updateVersionSplits(state, now),
+};
--- a/src/streams/softwareVersions.ts
+++ b/src/streams/softwareVersions.ts
@@ -1,4 +1,5 @@
 import type { State } from '../core/state.ts';
+import { getPresentEndpoints } from '../fleet/endpointChoice.ts';
 import type { Endpoint } from '../fleet/types.ts';
 import { MAX_FORMER_VERSIONS } from './constants.ts';
 
@@ -19,6 +20,11 @@
   streams.formerVersions.set(service, versions);
 }
 
+/** Returns the software versions of the endpoints that a service has, leaving ones too. */
+export function getPresentVersions({ fleet }: State, service: string): (string | undefined)[] {
+  return getPresentEndpoints(fleet, service).map(({ endpoint }) => endpoint.softwareVersion);
+}
+
 /**
  * Returns the software version of all endpoints that a service had in the last `windowMs`; undefined if
  * there was more than one, or if this host can't know because it started within this time or the
@@ -30,16 +36,19 @@
   windowMs: number,
   now: number,
 ): string | undefined {
-  const { streams, fleet, directory } = state;
+  const { streams, directory } = state;
   const { unavailableSince, recoveredAt } = directory.topics.endpoints;
   const knownSince = Math.max(streams.startedAt, recoveredAt);
   if (unavailableSince !== undefined || knownSince + windowMs > now) return undefined;
-  const current = [...fleet.views.values()]
-    .filter(({ endpoint, isRemoved }) => !isRemoved && endpoint.service === service)
-    .map(({ endpoint }) => endpoint.softwareVersion);
+  const current = getPresentVersions(state, service);
   const former = [...(streams.formerVersions.get(service) ?? [])]
     .filter(([, lastSeenAt]) => lastSeenAt + windowMs > now)
     .map(([version]) => version);
-  const versions = new Set([...current, ...former]);
-  return versions.size === 1 ? [...versions][0] : undefined;
+  return getOnly([...current, ...former]);
+}
+
+/** Returns the element that all of `versions` are; undefined if they differ or if there is none. */
+export function getOnly(versions: readonly (string | undefined)[]): string | undefined {
+  const [first, ...others] = new Set(versions);
+  return others.length === 0 ? first : undefined;
 }
--- a/src/streams/types.ts
+++ b/src/streams/types.ts
@@ -105,7 +105,12 @@
   }
 }
 
-export type StreamTimer =
-  | { type: 'streamLookupTimeout'; request: string }
-  /** Writes the row of splits if the endpoints have other shares than it says. */
-  | { type: 'updateVersionSplits' };
+export interface StreamLookupTimer {
+  type: 'streamLookupTimeout';
+  request: string;
+}
+
+/** Writes the row of splits if the endpoints have other shares than it says. */
+export interface VersionSplitTimer {
+  type: 'updateVersionSplits';
+}
--- a/src/streams/versionSplits.ts
+++ b/src/streams/versionSplits.ts
@@ -2,6 +2,7 @@
 import type { State } from '../core/state.ts';
 import { getDirectoryClock } from '../directory/clock.ts';
 import { SPLIT_LAG_MS } from './constants.ts';
+import { getOnly, getPresentVersions } from './softwareVersions.ts';
 import type { VersionSplit, VersionSplitsRow } from './types.ts';
 
 const HASH_VALUES = 2 ** 32;
@@ -36,7 +37,7 @@
   const [first] = splits;
   if (clock === undefined || state.directory.topics.members.version === undefined) return undefined;
   // Without splits, the service never had another version than the one that it has now.
-  if (first === undefined) return getOnlyVersion(state, service);
+  if (first === undefined) return getOnly(getPresentVersions(state, service));
   const from = clock - windowMs;
   // Streams began on any version before the first split.
   if (first.since > from) return undefined;
@@ -44,8 +45,7 @@
     const replacedAt = splits[index + 1]?.since ?? Infinity;
     return replacedAt + SPLIT_LAG_MS > from;
   });
-  const versions = new Set(inForce.map((split) => chooseVersion(split, attempt)));
-  return versions.size === 1 ? [...versions][0] : undefined;
+  return getOnly(inForce.map((split) => chooseVersion(split, attempt)));
 }
 
 /** Chooses a version by weighted rendezvous hashing: a change of shares moves as few streams as possible. */
@@ -62,14 +62,6 @@
   return best;
 }
 
-/** Returns the software version of all endpoints of a service, leaving ones too; undefined if they differ. */
-function getOnlyVersion({ fleet }: State, service: string): string | undefined {
-  const versions = [...fleet.views.values()]
-    .filter(({ endpoint, isRemoved }) => endpoint.service === service && !isRemoved)
-    .map(({ endpoint }) => endpoint.softwareVersion);
-  return new Set(versions).size === 1 ? versions[0] : undefined;
-}
-
 /** Returns the splits of a service in their order; none if it never had several versions. */
 export function getSplits(row: VersionSplitsRow, service: string): VersionSplit[] {
   return row.services.find((each) => each.service === service)?.splits ?? [];
