Log when no endpoint sends anything to a host while attempts wait

Change: a host logs, and counts in fireflywick_silent_paths_total, each 400 ms in which no byte of any endpoint arrives while attempts wait. It has one timer, and none while no attempt waits.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,6 +22,7 @@
   'limits',
   'notices',
   'owners',
+  'paths',
   'residency',
   'streams',
   'forwards',
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -6,6 +6,7 @@
 import type { GrantEvent } from '../grants/types.ts';
 import type { MembershipEvent } from '../membership/types.ts';
 import type { NoticeEvent } from '../notices/types.ts';
+import type { PathEvent } from '../paths/types.ts';
 import type { OperatorRequestEvent } from '../operators/types.ts';
 import type { ResidencyEvent } from '../residency/types.ts';
 import type { RequestEvent } from '../requests/types.ts';
@@ -34,4 +35,5 @@
   | DirectoryEvent
   | ResidencyEvent
   | ForwardEvent
-  | NoticeEvent;
+  | NoticeEvent
+  | PathEvent;
--- a/src/core/metricNames.ts
+++ b/src/core/metricNames.ts
@@ -29,6 +29,10 @@
     kind: 'counter',
     help: 'Attempts at an endpoint, by result.',
   },
+  fireflywick_silent_paths_total: {
+    kind: 'counter',
+    help: 'Times that no endpoint sent anything to this host for 0.4 s while attempts waited for answers.',
+  },
   fireflywick_retries_total: {
     kind: 'counter',
     help: 'Repeated sends of requests that gateways forward, by result (allowed or refused by the retry budget).',
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -34,6 +34,7 @@
   ownershipTimers,
 } from '../ownership/handlers.ts';
 import { ownersMessages, ownersTimers } from '../owners/handlers.ts';
+import { pathEvents } from '../paths/handlers.ts';
 import { residencyEvents, residencyMessages, residencyTimers } from '../residency/handlers.ts';
 import { requestEvents, requestMessages, requestTimers } from '../requests/handlers.ts';
 import { streamMessages, streamTimers } from '../streams/handlers.ts';
@@ -118,6 +119,7 @@
   ...directoryEvents,
   ...residencyEvents,
   ...forwardEvents,
+  ...pathEvents,
   ...linkEvents,
   tick: (state, _event, now) => runDueTimers(state, now),
   messageReceived: (state, { from, message }, now) => {
--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -23,12 +23,14 @@
 export interface ForwardAttemptListener {
   /** Whether the attempt may still be sent; asked when it has a connection. */
   isStillWanted: () => boolean;
+  /** Called when bytes of an answer arrive. */
+  onReceived: () => void;
   /** Called with what the head of a valid response says of the endpoint. */
   onNoticeRead: (notice: EndpointNotice) => void;
   /** Called when the first event of a stream is passed on. */
   onResponseStarted: () => void;
-  /** Called exactly once. */
-  onEnded: (outcome: ForwardOutcome) => void;
+  /** Called exactly once; `hasReceived` tells whether a byte of an answer arrived. */
+  onEnded: (outcome: ForwardOutcome, hasReceived: boolean) => void;
 }
 
 /** Pooled connections to one endpoint, and the dispatcher that confirms their responses. */
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -42,6 +42,8 @@
   private size = 0;
   private discardTimer: NodeJS.Timeout | undefined;
   private readonly splitter = EventSplitter.create();
+  /** Whether a byte of an answer arrived. */
+  private hasReceived = false;
   private hasPassedEvent = false;
   private lastPassedAt = 0;
   private longestPauseMs = 0;
@@ -77,6 +79,7 @@
   }
 
   onResponseStart(controller: Controller, status: number, headers: IncomingHttpHeaders): void {
+    this.recordReceived();
     if (status < 200) return;
     const { labels, spec, exchange, listener } = this.options;
     const raw = getRawHeaders(controller);
@@ -107,6 +110,7 @@
   }
 
   onResponseData(controller: Controller, chunk: Buffer): void {
+    this.recordReceived();
     if (this.mode === 'streaming') {
       for (const event of this.splitter.push(chunk)) this.passEvent(controller, event);
       if (this.splitter.pendingBytes > MAX_EVENT_BYTES)
@@ -220,10 +224,15 @@
       this.options.onUnresponsive();
   }
 
+  private recordReceived(): void {
+    this.hasReceived = true;
+    this.options.listener.onReceived();
+  }
+
   private end(outcome: ForwardOutcome): void {
     if (this.isEnded) return;
     this.isEnded = true;
-    this.options.listener.onEnded(outcome);
+    this.options.listener.onEnded(outcome, this.hasReceived);
   }
 }
 
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -31,6 +31,7 @@
 import { LogOutputStream } from './logOutputStream.ts';
 import type { LabelPort, Platform, PlatformFactory } from './platform.ts';
 import { EndpointClient, type RunningForwardAttempt } from './endpointClient.ts';
+import { PathMonitor } from './pathMonitor.ts';
 import { runGatewayEffect } from './runners.ts';
 
 /** Limits of the requests of operators, whose commands have no body. */
@@ -55,6 +56,7 @@
   readonly links: PeerLinks;
   readonly endpointClient: EndpointClient;
   readonly labels: LabelPort;
+  private readonly pathMonitor: PathMonitor;
   private readonly http: HttpClient;
   private readonly loop: Loop;
   readonly frontServer: FrontServer;
@@ -93,6 +95,9 @@
       localAddress: host.sourceAddress,
       maxConnections: (endpoint) => this.getMaxConnections(endpoint),
     });
+    this.pathMonitor = PathMonitor.create((silentMs) =>
+      this.dispatch({ type: 'pathSilent', silentMs }),
+    );
     this.loop = newObservedLoop({
       state: this.state,
       observer: this.observer,
@@ -143,6 +148,7 @@
     await this.frontServer.stop();
     await this.adminServer?.stop();
     this.loop.stop();
+    this.pathMonitor.stop();
     this.sampler.stop();
     for (const server of this.servers) server.close();
     for (const server of this.servers) server.closeAllConnections();
@@ -183,11 +189,14 @@
       this.dispatch({ type: 'forwardEnded', id, attempt, outcome: { type: 'cancelled' } });
       return;
     }
+    this.pathMonitor.recordSent();
     const running = this.endpointClient.sendAttempt(spec, exchange, {
       isStillWanted: () => this.isStillWanted(spec),
+      onReceived: () => this.pathMonitor.recordReceived(),
       onNoticeRead: (notice) => this.reportNotice(spec, notice),
       onResponseStarted: () => this.dispatch({ type: 'forwardStarted', id, attempt }),
-      onEnded: (outcome) => {
+      onEnded: (outcome, hasReceived) => {
+        this.pathMonitor.recordEnded(hasReceived);
         this.runningAttempts.delete(attempt);
         this.dispatch({ type: 'forwardEnded', id, attempt, outcome });
       },
