--- a/stand-ins/platform/platformEndpoint.ts
+++ b/stand-ins/platform/platformEndpoint.ts
@@ -151,6 +151,11 @@
     return address;
   }
 
+  /** Address at which it listens, once it was started. */
+  get address(): string {
+    return `127.0.0.1:${this.port}`;
+  }
+
   async stop(): Promise<void> {
     const { server } = this;
     this.server = undefined;
--- a/stand-ins/proxy/faultProxy.ts
+++ b/stand-ins/proxy/faultProxy.ts
@@ -123,6 +123,15 @@
     }
   }
 
+  /** Resets the open connections from the IP address `source`. */
+  resetConnections(source: string): void {
+    for (const connection of this.openConnections) {
+      if (connection.source !== source) continue;
+      connection.client.resetAndDestroy();
+      connection.server.destroy();
+    }
+  }
+
   private async openListener(): Promise<void> {
     if (this.listener !== undefined) return;
     this.listener = createServer({ allowHalfOpen: true }, (client) =>
--- /dev/null
+++ b/tests/gatewayHost/unreachableEndpoints.test.ts
@@ -0,0 +1,86 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { describe, expect, it } from 'vitest';
+import { type Cut, EndpointLinks, getSourceAddress } from '../helpers/endpointLinks.ts';
+import { type CallerResponse, GatewayDeployment } from './deployment.ts';
+
+const HOSTS = 3;
+const ENDPOINTS = 2;
+/** Time after which callers of a host that is cut off must be served as those of the others are. */
+const STABLE_MS = 3_000;
+const INTERVAL_MS = 60;
+const REQUESTS = 25;
+/** Share of requests that may fail at hosts that are cut off. */
+const MAX_FAILED_SHARE = 1 / 50;
+
+type Kind = 'reads' | 'bookings' | 'streams';
+
+const SENDERS: Record<
+  Kind,
+  (deployment: GatewayDeployment, host: number) => Promise<CallerResponse>
+> = {
+  reads: (deployment, host) => deployment.send({ path: '/status/1' }, host),
+  bookings: (deployment, host) => deployment.send({ path: '/booking/1', body: '{}' }, host),
+  streams: (deployment, host) => deployment.stream('/notes/1', undefined, host),
+};
+
+async function start(kind: Kind) {
+  const deployment = await GatewayDeployment.create();
+  deployment.configure(1);
+  const links = EndpointLinks.create(deployment);
+  const service = kind === 'streams' ? 'llm' : 'desk';
+  for (let index = 0; index < ENDPOINTS; index++) await links.addEndpoint(service, `e${index}`);
+  for (let host = 0; host < HOSTS; host++)
+    await deployment.addHost({ 'source-address': getSourceAddress(host) });
+  await deployment.waitReady(ENDPOINTS);
+  return { deployment, links };
+}
+
+/** Sends requests to each host at an even rate; returns the answers by host. */
+async function sendToAll(deployment: GatewayDeployment, kind: Kind, count: number) {
+  const sent: Promise<CallerResponse>[][] = deployment.hosts.map(() => []);
+  for (let index = 0; index < count; index++) {
+    for (const [host, answers] of sent.entries()) answers.push(SENDERS[kind](deployment, host));
+    await sleep(INTERVAL_MS);
+  }
+  return Promise.all(sent.map((answers) => Promise.all(answers)));
+}
+
+function countFailed(answers: CallerResponse[]): number {
+  return answers.filter(({ status, error }) => status !== 200 || error !== undefined).length;
+}
+
+/** Expects that no request was executed twice. */
+function expectAtMostOnce({ endpoints }: EndpointLinks): void {
+  const executed = endpoints
+    .flatMap(({ calls }) => calls)
+    .filter(({ isExecuted }) => isExecuted)
+    .map(({ headers }) => headers['attempt-id']);
+  expect(executed).toHaveLength(new Set(executed).size);
+}
+
+const CASES: [Kind, Cut, number][] = (['reads', 'bookings', 'streams'] as const).flatMap((kind) =>
+  (['reset', 'hang', 'newRefused'] as const).flatMap((cut) =>
+    [1, 2].map((cutHosts): [Kind, Cut, number] => [kind, cut, cutHosts]),
+  ),
+);
+
+describe('callers of hosts without links to endpoints are served', () => {
+  it.each(CASES)('%s, links %s, at %d of 3 hosts', async (kind, cut, cutHosts) => {
+    const { deployment, links } = await start(kind);
+    await sendToAll(deployment, kind, 5);
+    for (let host = 0; host < cutHosts; host++) await links.cut(host, cut);
+    const cutAt = performance.now();
+    // Callers keep on sending, so that the hosts can notice.
+    await sendToAll(deployment, kind, Math.floor(STABLE_MS / INTERVAL_MS));
+    await sleep(Math.max(0, cutAt + STABLE_MS - performance.now()));
+    const answers = await sendToAll(deployment, kind, REQUESTS);
+    const failedShares = answers.map((each) => countFailed(each) / each.length);
+    for (const [host, failedShare] of failedShares.entries())
+      expect(failedShare, `host ${host}`).toBeLessThanOrEqual(MAX_FAILED_SHARE);
+    if (kind === 'bookings') expectAtMostOnce(links);
+    for (let host = 0; host < cutHosts; host++) await links.heal(host);
+    await sleep(1_500);
+    const healed = await sendToAll(deployment, kind, 10);
+    expect(healed.map(countFailed)).toEqual(deployment.hosts.map(() => 0));
+  });
+});
