Send requests through other hosts when endpoints are not reachable directly

Change: a host that can't reach an endpoint has a linked host pass the bytes of its connection on. The host that took the request keeps everything else: time, retry budget, records, limits, cancellation. Paths are lost by a failed connection, or by a probe that fails after 400 ms in which no endpoint sent anything; a probe each 500 ms finds out when they are back. Attempts that wait in vain are sent again only if they may run twice. A refused connection counts as a crash of the endpoint only if it is refused to another host too, since a cut resets and refuses the connections of a whole host. Ruled out: that hosts stop saying that they are ready (open connections stay, and the balancer uses all hosts of a zone once most of them say so); passing on whole requests (two hosts would count and retry one request).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -32,6 +32,7 @@
 const io = [
   'clients',
   'peers',
+  'relays',
   'observe',
   'callers',
   'admin',
--- a/src/clients/closeDelimited.ts
+++ b/src/clients/closeDelimited.ts
@@ -1,16 +1,13 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
-import { isServerRunning } from './connectionCheck.ts';
 import type { SocketEndTracker } from './connector.ts';
 
 type Controller = Dispatcher.DispatchController;
 type Handler = Dispatcher.DispatchHandler;
 
 interface Options {
-  /** Address of the server, `HOST:PORT`. */
-  address: string;
-  /** Local IP address of the connections. */
-  localAddress: string | undefined;
+  /** Returns whether the server accepts another connection; never rejects. */
+  isServerRunning: () => Promise<boolean>;
   /** Tracks the connections of the dispatcher that is composed. */
   endTracker: SocketEndTracker;
 }
@@ -77,11 +74,10 @@
   }
 
   private async confirmEnd(controller: Controller, trailers: IncomingHttpHeaders): Promise<void> {
-    const { address, localAddress, endTracker } = this.options;
+    const { isServerRunning, endTracker } = this.options;
     if (!endTracker.isGracefulClose())
       this.fail(controller, 'the connection was reset during a response without a length');
-    else if (await isServerRunning(address, localAddress))
-      this.handler.onResponseEnd?.(controller, trailers);
+    else if (await isServerRunning()) this.handler.onResponseEnd?.(controller, trailers);
     else this.fail(controller, 'the server is gone after a response without a length');
   }
 
--- a/src/clients/connectionCheck.ts
+++ b/src/clients/connectionCheck.ts
@@ -1,4 +1,5 @@
 import { createConnection } from 'node:net';
+import { splitAddress } from './address.ts';
 import { RUN_CHECK_HOLD_MS, RUN_CHECK_TIMEOUT_MS, RUN_CHECK_TRIES } from './constants.ts';
 
 /** `closed`: the connection was accepted and closed at once; `unanswered` includes other errors. */
@@ -40,11 +41,8 @@
   timeoutMs: number,
   holdMs: number,
 ): Promise<ConnectionCheck> {
-  const separator = address.lastIndexOf(':');
-  const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
-  const port = Number(address.slice(separator + 1));
   return new Promise((resolve) => {
-    const socket = createConnection({ host, port, localAddress });
+    const socket = createConnection({ ...splitAddress(address), localAddress });
     let isOpened = false;
     const end = (check: ConnectionCheck): void => {
       socket.destroy();
--- a/src/clients/httpClient.ts
+++ b/src/clients/httpClient.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { Agent, Client, type Dispatcher } from 'undici';
 import { confirmCloseDelimited } from './closeDelimited.ts';
+import { isServerRunning } from './connectionCheck.ts';
 import { SocketEndTracker, newTrackedConnector } from './connector.ts';
 import {
   CONNECT_TIMEOUT_MS,
@@ -226,7 +227,10 @@
     const address = getAddress(origin);
     return dispatcher.compose(
       markSent,
-      confirmCloseDelimited({ address, localAddress, endTracker }),
+      confirmCloseDelimited({
+        isServerRunning: () => isServerRunning(address, localAddress),
+        endTracker,
+      }),
     );
   }
 
--- a/src/core/hostHandlers.ts
+++ b/src/core/hostHandlers.ts
@@ -12,6 +12,7 @@
 import { membershipEvents } from '../membership/handlers.ts';
 import { sendKnownNotices } from '../notices/announcements.ts';
 import { updatePermits } from '../limits/permitQueue.ts';
+import { dropRelay } from '../paths/pathOutcomes.ts';
 import { recordLinkClosed, recordLinkOpened, startOwners } from '../owners/members.ts';
 import { releaseHostReservations } from '../residency/reservations.ts';
 import { scheduleAnnouncement } from '../residency/engineStatus.ts';
@@ -65,6 +66,7 @@
       ...recordLinkClosed(state, event.host, now),
       ...releaseHostReservations(state, event.host, now),
       ...rerouteFromOwner(state, event.host, now),
+      ...dropRelay(state, event.host),
     ];
   },
 };
--- a/src/core/metricNames.ts
+++ b/src/core/metricNames.ts
@@ -33,6 +33,14 @@
     kind: 'counter',
     help: 'Times that no endpoint sent anything to this host for 0.4 s while attempts waited for answers.',
   },
+  fireflywick_relayed_endpoints: {
+    kind: 'gauge',
+    help: 'Endpoints that this host cannot reach directly, so that its requests to them go through other hosts.',
+  },
+  fireflywick_relayed_connections: {
+    kind: 'gauge',
+    help: 'Connections that this host relays between other hosts and endpoints.',
+  },
   fireflywick_retries_total: {
     kind: 'counter',
     help: 'Repeated sends of requests that gateways forward, by result (allowed or refused by the retry budget).',
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -34,7 +34,7 @@
   ownershipTimers,
 } from '../ownership/handlers.ts';
 import { ownersMessages, ownersTimers } from '../owners/handlers.ts';
-import { pathEvents } from '../paths/handlers.ts';
+import { pathEvents, pathTimers } from '../paths/handlers.ts';
 import { residencyEvents, residencyMessages, residencyTimers } from '../residency/handlers.ts';
 import { requestEvents, requestMessages, requestTimers } from '../requests/handlers.ts';
 import { streamMessages, streamTimers } from '../streams/handlers.ts';
@@ -89,6 +89,7 @@
   ...streamTimers,
   ...limitTimers,
   ...noticeTimers,
+  ...pathTimers,
 };
 
 const tableAnswers: TableAnswerHandlers<TablePurpose['type']> = {
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -15,6 +15,7 @@
 import { Operators } from '../operators/types.ts';
 import { Ownership } from '../ownership/types.ts';
 import { Owners } from '../owners/types.ts';
+import { Paths } from '../paths/types.ts';
 import { Requests } from '../requests/types.ts';
 import { Residency } from '../residency/types.ts';
 import type { RouteIndex } from '../routes/types.ts';
@@ -112,6 +113,7 @@
   readonly streams = Streams.create();
   readonly limits = Limits.create();
   readonly notices = Notices.create();
+  readonly paths = Paths.create();
 
   private constructor(
     readonly host: HostIdentity,
--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -12,6 +12,7 @@
 import type { MembershipTimer } from '../membership/types.ts';
 import type { OwnershipTimer } from '../ownership/types.ts';
 import type { OwnersTimer } from '../owners/types.ts';
+import type { PathTimer } from '../paths/types.ts';
 import type { ResidencyTimer } from '../residency/types.ts';
 import type { StreamLookupTimer, VersionSplitTimer } from '../streams/types.ts';
 import type { RequestTimer } from '../requests/types.ts';
@@ -38,7 +39,8 @@
   | StreamLookupTimer
   | VersionSplitTimer
   | LimitTimer
-  | NoticeTimer;
+  | NoticeTimer
+  | PathTimer;
 
 /** Schedules `timer` for monotonic time `at`. */
 export function schedule(state: State, at: number, timer: Timer): void {
--- a/src/forwards/crashEvidence.ts
+++ b/src/forwards/crashEvidence.ts
@@ -4,6 +4,7 @@
 import { schedule } from '../core/timers.ts';
 import { isLeaving } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
+import { findRelay, getRelay } from '../paths/relayChoice.ts';
 import { type Attribute, isSharedAttribute } from '../suspects/attributes.ts';
 import { addCrash } from '../suspects/crashes.ts';
 import { getCountedCrashes } from '../suspects/mergeSuspects.ts';
@@ -56,7 +57,7 @@
   rememberAttempt(state, forward, attempt, true, now);
   if (state.forwards.crashedEndpoints.get(endpoint)?.startedAt === startedAt)
     return [...effects, ...attributeCrash(state, endpoint, startedAt, now)];
-  return [...effects, ...checkEndpoint(state, endpoint, startedAt)];
+  return [...effects, ...checkEndpoint(state, endpoint, startedAt, now)];
 }
 
 /**
@@ -73,14 +74,25 @@
   return countCrashesOfEndpoint(state, attempt.endpoint, now);
 }
 
-/** Counts the broken attempts of an endpoint that refuses connections as crashes. */
+/**
+ * Counts the broken attempts of an endpoint that refuses connections as crashes. One that refuses only those
+ * of this host runs on: the path to it is lost, and its crashes are taken back.
+ */
 export function handleEndpointCheck(
   state: State,
-  { endpoint, startedAt, isRefused }: EndpointCheck,
+  { endpoint, startedAt, relay, isRefused, isRunning = false }: EndpointCheck,
   now: number,
 ): Effect[] {
   const { checkedEndpoints, crashedEndpoints } = state.forwards;
+  const view = state.fleet.views.get(endpoint);
+  const secondHost =
+    relay === undefined && view !== undefined ? findRelay(state, view, now) : undefined;
+  if (isRefused && view !== undefined && secondHost !== undefined) {
+    const { address } = view.endpoint;
+    return [{ type: 'checkEndpoint', endpoint, address, relay: secondHost, startedAt }];
+  }
   checkedEndpoints.delete(endpoint);
+  if (relay !== undefined && isRunning) return clearCrashes(state, endpoint, startedAt, now);
   if (!isRefused) return [];
   crashedEndpoints.set(endpoint, { startedAt, at: now });
   return attributeCrash(state, endpoint, startedAt, now);
@@ -120,16 +132,33 @@
     return [];
   }
   if (isRunKnownToHaveEnded(state, endpoint, endpointStartedAt)) return [];
+  return clearCrash(state, fingerprint, crash, now);
+}
+
+/** Takes a counted crash of a request back. */
+function clearCrash(state: State, fingerprint: string, crash: string, now: number): Effect[] {
+  const known = state.suspects.byAttribute.get(fingerprint);
+  if (known === undefined || !getCountedCrashes(known).includes(crash)) return [];
   const cleared = [...known.cleared, crash].sort();
   return publishSuspects(state, [{ ...known, cleared }], now);
 }
 
+/** Takes back the crashes of the recent attempts at an endpoint that runs on. */
+function clearCrashes(state: State, endpoint: string, startedAt: number, now: number): Effect[] {
+  const attempts = state.forwards.unansweredAttempts.get(endpoint) ?? [];
+  return attempts
+    .filter(({ isBroken, endpointStartedAt }) => isBroken && endpointStartedAt === startedAt)
+    .flatMap(({ fingerprint, crash }) => clearCrash(state, fingerprint, crash, now));
+}
+
 /** Checks whether an endpoint has crashed, unless a check of it is in flight. */
-function checkEndpoint({ fleet, forwards }: State, endpoint: string, startedAt: number): Effect[] {
-  const address = fleet.views.get(endpoint)?.endpoint.address;
-  if (address === undefined || forwards.checkedEndpoints.has(endpoint)) return [];
+function checkEndpoint(state: State, endpoint: string, startedAt: number, now: number): Effect[] {
+  const { fleet, forwards } = state;
+  const view = fleet.views.get(endpoint);
+  if (view === undefined || forwards.checkedEndpoints.has(endpoint)) return [];
   forwards.checkedEndpoints.add(endpoint);
-  return [{ type: 'checkEndpoint', endpoint, address, startedAt }];
+  const relay = getRelay(state, view, now);
+  return [{ type: 'checkEndpoint', endpoint, address: view.endpoint.address, relay, startedAt }];
 }
 
 /** Counts the attempts that broke together with an endpoint that crashed. */
--- a/src/forwards/forwardAdmission.ts
+++ b/src/forwards/forwardAdmission.ts
@@ -103,6 +103,7 @@
     hasResponseStarted: false,
     hasFailedResponse: false,
     origin: undefined,
+    pathChanges: 0,
     backoffs: 0,
     returnMs: undefined,
     lastEventId: undefined,
--- a/src/forwards/forwardAttempts.ts
+++ b/src/forwards/forwardAttempts.ts
@@ -5,9 +5,12 @@
 import { dropEndpoint } from '../directory/apply.ts';
 import { recordAnswer, recordUnansweredAttempt } from '../fleet/health.ts';
 import type { EndpointView } from '../fleet/types.ts';
+import { MAX_PATH_CHANGES } from '../paths/constants.ts';
+import { recordPathOutcome } from '../paths/pathOutcomes.ts';
+import { getRelay } from '../paths/relayChoice.ts';
 import { recordCompletion } from '../suspects/crashes.ts';
 import { getQuarantine } from '../suspects/quarantine.ts';
-import { recordBrokenForwardAttempt } from './crashEvidence.ts';
+import { recordBrokenForwardAttempt, recordCancelledForwardAttempt } from './crashEvidence.ts';
 import {
   abandonForward,
   endForward,
@@ -15,6 +18,7 @@
   releaseForwardReservation,
 } from './forwardEnd.ts';
 import { placeForward, retryUnrun } from './forwardPlacement.ts';
+import { hasAttemptsLeft, isRetryAllowed } from './repetition.ts';
 import { recordStream } from './resumption.ts';
 import type { Forward, ForwardAttempt, ForwardOutcome } from './types.ts';
 
@@ -87,19 +91,26 @@
     );
     return [...dropped, ...released, ...retried];
   },
-  unreachable: ({ state, forward, attempt, view, now }, { reason }) => {
-    if (view !== undefined) recordUnansweredAttempt(view, now);
-    forward.excluded.add(attempt.endpoint);
+  unreachable: (context, { reason }) => {
+    const { state, forward, attempt, view, now } = context;
+    if (!hasOtherPath(context)) {
+      if (view !== undefined) recordUnansweredAttempt(view, now);
+      forward.excluded.add(attempt.endpoint);
+    }
     forward.lastReason = `the endpoint is unreachable: ${reason}`;
     // The endpoint received nothing, so the attempt counts neither as a send nor against the
     // budget.
     forward.sends -= 1;
     return [...releaseForwardReservation(state, forward), ...placeForward(state, forward, now)];
   },
-  broken: ({ state, forward, attempt, view, now }, { reason, lastEventId }) => {
-    if (view !== undefined) recordUnansweredAttempt(view, now);
+  broken: (context, { reason, lastEventId, problem }) => {
+    const { state, forward, attempt, view, now } = context;
+    if (view !== undefined && !hasOtherPath(context)) recordUnansweredAttempt(view, now);
     forward.isTrial = false;
-    const recorded = recordBrokenForwardAttempt(state, forward, attempt, now);
+    // An attempt whose path was lost tells nothing of its endpoint.
+    const record =
+      problem === 'silent' ? recordCancelledForwardAttempt : recordBrokenForwardAttempt;
+    const recorded = record(state, forward, attempt, now);
     forward.ranOn.add(attempt.endpoint);
     forward.excluded.add(attempt.endpoint);
     forward.lastEventId = lastEventId ?? forward.lastEventId;
@@ -155,6 +166,7 @@
     outcome: ForwardOutcome,
   ) => Effect[];
   forward.bodyEnd = 'bodyEnd' in outcome ? outcome.bodyEnd : undefined;
+  const learned = recordPathOutcome(state, attempt, outcome, now);
   const hasResponse = outcome.type === 'passed' || outcome.type === 'answered';
   const log = hasResponse
     ? []
@@ -170,16 +182,17 @@
   return [
     newCount('fireflywick_attempts_total', { result: outcome.type }),
     ...log,
+    ...learned,
     ...end({ state, forward, attempt, view, now }, outcome),
   ];
 }
 
-/** Whether the route allows a request of this kind to run more than once. */
-function isRetryAllowed({ route, hasResponseStarted, lastEventId }: Forward): boolean {
-  if (route.kind === 'safe') return !hasResponseStarted;
-  // A stream can only be resumed after an event that has an id.
-  const isResumable = !hasResponseStarted || lastEventId !== undefined;
-  return route.kind === 'stream' && route.isResumable && isResumable;
+/** Whether the endpoint of a failed attempt can be tried again over another path. */
+function hasOtherPath({ state, forward, attempt, view, now }: OutcomeContext): boolean {
+  if (view === undefined || forward.pathChanges >= MAX_PATH_CHANGES) return false;
+  if (getRelay(state, view, now)?.host === attempt.relay) return false;
+  forward.pathChanges += 1;
+  return true;
 }
 
 /**
@@ -194,7 +207,3 @@
 function getKeys({ attributes }: Forward): string[] {
   return attributes.map(({ key }) => key);
 }
-
-function hasAttemptsLeft({ ranOn, route }: Forward): boolean {
-  return ranOn.size < route.attempts;
-}
--- a/src/forwards/forwardEnd.ts
+++ b/src/forwards/forwardEnd.ts
@@ -74,7 +74,7 @@
 /** Returns the log line of an attempt that ended without a response. */
 export function newAttemptLog(
   { labels, fingerprint, caller, bodyEnd }: Forward,
-  { endpoint, owner, startedAt, softwareVersion }: ForwardAttempt,
+  { endpoint, owner, relay, startedAt, softwareVersion }: ForwardAttempt,
   outcome: ForwardOutcome['type'],
   reason: string | undefined,
   now: number,
@@ -88,6 +88,7 @@
     endpoint,
     softwareVersion,
     owner,
+    relay,
     outcome,
     reason,
     elapsedMs: Math.round(now - startedAt),
--- a/src/forwards/sending.ts
+++ b/src/forwards/sending.ts
@@ -10,6 +10,7 @@
   RETRY_MAX_MS,
 } from './constants.ts';
 import { recordSend } from '../notices/pauses.ts';
+import { getRelay } from '../paths/relayChoice.ts';
 import { getQuarantine } from '../suspects/quarantine.ts';
 import { abandonForward } from './forwardEnd.ts';
 import { getSentAttributes } from './crashEvidence.ts';
@@ -51,6 +52,7 @@
   view.inFlight += 1;
   recordSend(view, now);
   const { id: endpoint, address, startedAt: endpointStartedAt, softwareVersion } = view.endpoint;
+  const relay = getRelay(state, view, now);
   const attempt = `${forward.id}.${forward.sends}`;
   const sent = getSentAttributes(state, forward.attributes);
   forward.lastSoftwareVersion = softwareVersion;
@@ -60,6 +62,7 @@
     endpointStartedAt,
     softwareVersion,
     owner,
+    relay: relay?.host,
     startedAt: now,
     sent,
   };
@@ -74,6 +77,7 @@
         attempt,
         endpoint,
         address,
+        relay,
         endpointStartedAt,
         sentAt: now,
         isStream: route.kind === 'stream',
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -1,5 +1,6 @@
 import type { Failure } from '../errors/failure.ts';
 import { Popularity } from '../grants/popularity.ts';
+import type { ConnectionProblem, Relay } from '../paths/types.ts';
 import type { Route } from '../routes/types.ts';
 import type { Attribute } from '../suspects/attributes.ts';
 import type { SentAttribute } from '../suspects/types.ts';
@@ -60,6 +61,8 @@
   endpointStartedAt: number;
   /** Host that granted the reservation; undefined when the attempt was sent unreserved. */
   owner: string | undefined;
+  /** Host that relays it; undefined for a direct connection. */
+  relay: string | undefined;
   startedAt: number;
   /** Software version of the endpoint as it was known when the attempt was sent. */
   softwareVersion: string | undefined;
@@ -114,6 +117,8 @@
   hasFailedResponse: boolean;
   /** Where the stream began that the request resumes or whose first event was passed on. */
   origin: StreamOrigin | undefined;
+  /** How often the path to an endpoint changed under an attempt. */
+  pathChanges: number;
   /** Backoffs so far. */
   backoffs: number;
   /** Time after which its caller should return, from the endpoints whose limits it met, in ms. */
@@ -154,9 +159,15 @@
    */
   | { type: 'notRun'; reason: 'full' | 'adapterMissing' | 'otherEndpoint' }
   /** No connection was opened, or nothing was written to it. */
-  | { type: 'unreachable'; reason: string }
+  | { type: 'unreachable'; reason: string; problem?: ConnectionProblem }
   /** The request was sent and no complete, valid response arrived. */
-  | { type: 'broken'; reason: string; lastEventId: string | undefined; bodyEnd?: BodyEnd }
+  | {
+      type: 'broken';
+      reason: string;
+      lastEventId: string | undefined;
+      bodyEnd?: BodyEnd;
+      problem?: ConnectionProblem;
+    }
   | { type: 'cancelled' };
 
 /** Start of an endpoint, in Unix ms, and monotonic ms at which it refused a connection. */
@@ -192,8 +203,12 @@
   type: 'endpointChecked';
   endpoint: string;
   startedAt: number;
+  /** Host that opened the connection; absent for this host. */
+  relay?: string;
   /** Whether it refused the connection. */
   isRefused: boolean;
+  /** Whether the connection was opened. */
+  isRunning?: boolean;
 }
 
 export type ForwardEvent =
@@ -211,6 +226,8 @@
   attempt: string;
   endpoint: string;
   address: string;
+  /** Host through which it is sent; undefined for a direct connection. */
+  relay: Relay | undefined;
   /** Unix ms of the start of the endpoint, and monotonic ms of this send. */
   endpointStartedAt: number;
   sentAt: number;
@@ -234,7 +251,14 @@
   /** Ends the response after the last event of the stream. */
   | { type: 'endResponse'; id: string }
   /** Opens a connection to an endpoint and closes it; the result arrives as `endpointChecked`. */
-  | { type: 'checkEndpoint'; endpoint: string; address: string; startedAt: number }
+  | {
+      type: 'checkEndpoint';
+      endpoint: string;
+      address: string;
+      /** Host that opens the connection; undefined for this host. */
+      relay: Relay | undefined;
+      startedAt: number;
+    }
   /** Answers with a failure, or aborts the response if it has started. */
   | { type: 'failForward'; id: string; failure: Failure };
 
--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -1,8 +1,12 @@
 import { type Dispatcher, Pool } from 'undici';
 import { confirmCloseDelimited } from '../clients/closeDelimited.ts';
+import { isServerRunning } from '../clients/connectionCheck.ts';
 import { SocketEndTracker, newTrackedConnector } from '../clients/connector.ts';
 import type { AttemptSpec, ForwardOutcome } from '../forwards/types.ts';
 import type { EndpointNotice } from '../notices/types.ts';
+import type { Relay } from '../paths/types.ts';
+import { isRunningBehindRelay } from '../relays/relayClient.ts';
+import { newRelayedConnector } from '../relays/relayedConnector.ts';
 import {
   ENDPOINT_CONNECT_TIMEOUT_MS,
   ENDPOINT_KEEP_ALIVE_MS,
@@ -17,6 +21,8 @@
   /** Whether the outcome was reported. */
   readonly hasEnded: boolean;
   cancel(): void;
+  /** Ends it as broken if nothing has arrived for `silentMs`. */
+  breakIfSilent(silentMs: number): void;
 }
 
 /** Callbacks for the progress of an attempt. */
@@ -33,8 +39,11 @@
   onEnded: (outcome: ForwardOutcome, hasReceived: boolean) => void;
 }
 
-/** Pooled connections to one endpoint, and the dispatcher that confirms their responses. */
+/** Pooled connections to one endpoint over one path, and the dispatcher that confirms their responses. */
 interface EndpointPool {
+  endpoint: string;
+  /** Host that relays the connections; undefined for direct ones. */
+  relay: string | undefined;
   pool: Pool;
   dispatcher: Dispatcher;
 }
@@ -66,7 +75,7 @@
     exchange: ForwardExchange,
     listener: ForwardAttemptListener,
   ): RunningForwardAttempt {
-    const { endpoint, address, deadlineAt, priority, version, resumeAfter } = spec;
+    const { endpoint, address, relay, deadlineAt, priority, version, resumeAfter } = spec;
     const remainingMs = Math.max(1, Math.floor(deadlineAt - performance.now()));
     const headers = this.labels.getForwardHeaders(exchange.headers, {
       endpoint,
@@ -75,13 +84,13 @@
       version,
       resumeAfter,
     });
-    const pool = this.getPool(endpoint, address);
+    const pool = this.getPool(endpoint, address, relay);
     const handler = ForwardResponseHandler.create({
       spec,
       exchange,
       labels: this.labels,
       listener,
-      onUnresponsive: () => this.retirePool(endpoint, pool),
+      onUnresponsive: () => this.retirePool(pool),
     });
     const hasBody = exchange.body.length > 0;
     try {
@@ -104,8 +113,16 @@
 
   /** Closes the connections to all endpoints that are not known. */
   retainKnownEndpoints(isKnown: (endpoint: string) => boolean): void {
-    for (const [endpoint, pool] of this.pools)
-      if (!isKnown(endpoint)) this.retirePool(endpoint, pool);
+    for (const pool of this.pools.values()) if (!isKnown(pool.endpoint)) this.retirePool(pool);
+  }
+
+  /** Closes the connections to an endpoint, or over a relay, or both, once their requests have ended. */
+  retireConnections({ endpoint, relay }: { endpoint?: string; relay?: string }): void {
+    for (const pool of this.pools.values()) {
+      const isOfEndpoint = endpoint === undefined || pool.endpoint === endpoint;
+      const isOverRelay = relay === undefined || pool.relay === relay;
+      if (isOfEndpoint && isOverRelay) this.retirePool(pool);
+    }
   }
 
   async close(): Promise<void> {
@@ -115,16 +132,19 @@
   }
 
   /** Stops reusing the connections of `pool`; requests in flight on them continue. */
-  private retirePool(endpoint: string, retired: EndpointPool): void {
-    if (this.pools.get(endpoint) !== retired) return;
-    this.pools.delete(endpoint);
+  private retirePool(retired: EndpointPool): void {
+    const key = getPoolKey(retired.endpoint, retired.relay);
+    if (this.pools.get(key) !== retired) return;
+    this.pools.delete(key);
     retired.pool.close().catch(() => undefined);
   }
 
-  private getPool(endpoint: string, address: string): EndpointPool {
-    const known = this.pools.get(endpoint);
+  private getPool(endpoint: string, address: string, relay: Relay | undefined): EndpointPool {
+    const key = getPoolKey(endpoint, relay?.host);
+    const known = this.pools.get(key);
     if (known !== undefined) return known;
     const { localAddress, endTracker } = this;
+    const target = relay === undefined ? undefined : { relay, endpoint, localAddress };
     const pool = new Pool(`http://${address}`, {
       connections: this.maxConnections(endpoint),
       localAddress,
@@ -132,11 +152,25 @@
       keepAliveTimeout: ENDPOINT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: ENDPOINT_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      connect: newTrackedConnector(ENDPOINT_CONNECT_TIMEOUT_MS, endTracker),
+      connect:
+        target === undefined
+          ? newTrackedConnector(ENDPOINT_CONNECT_TIMEOUT_MS, endTracker)
+          : newRelayedConnector(target, endTracker),
     });
-    const confirm = confirmCloseDelimited({ address, localAddress, endTracker });
-    const created = { pool, dispatcher: pool.compose(confirm) };
-    this.pools.set(endpoint, created);
+    const confirm = confirmCloseDelimited({
+      isServerRunning: () =>
+        target === undefined
+          ? isServerRunning(address, localAddress)
+          : isRunningBehindRelay(target),
+      endTracker,
+    });
+    const dispatcher = pool.compose(confirm);
+    const created = { endpoint, relay: relay?.host, pool, dispatcher };
+    this.pools.set(key, created);
     return created;
   }
 }
+
+function getPoolKey(endpoint: string, relay = ''): string {
+  return `${endpoint} ${relay}`;
+}
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -2,6 +2,8 @@
 import type { Dispatcher } from 'undici';
 import { type BodyFraming, getBodyFraming } from '../clients/closeDelimited.ts';
 import type { AttemptSpec, BodyEnd, ForwardOutcome } from '../forwards/types.ts';
+import type { ConnectionProblem } from '../paths/types.ts';
+import { RelayError } from '../relays/relayClient.ts';
 import {
   DISCARD_TIMEOUT_MS,
   MAX_BUFFERED_RESPONSE_BYTES,
@@ -26,6 +28,9 @@
   onUnresponsive: () => void;
 }
 
+/** Codes of errors of connections that the other side reset or closed. */
+const LOST_CONNECTION_CODES = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'UND_ERR_SOCKET']);
+
 type Mode = 'waiting' | 'buffering' | 'streaming' | 'discarding';
 
 /** Handles the response to one attempt: passes on a stream event by event, buffers any other. */
@@ -44,6 +49,7 @@
   private readonly splitter = EventSplitter.create();
   /** Whether a byte of an answer arrived. */
   private hasReceived = false;
+  private receivedAt = this.sentAt;
   private hasPassedEvent = false;
   private lastPassedAt = 0;
   private longestPauseMs = 0;
@@ -66,6 +72,13 @@
     this.end({ type: 'cancelled' });
   }
 
+  breakIfSilent(silentMs: number): void {
+    if (this.isEnded || performance.now() - this.receivedAt < silentMs) return;
+    this.endBroken('the path to the endpoint is lost', 'silent');
+    this.controller?.abort(new Error('the path to the endpoint is lost'));
+    this.isCancelled = true;
+  }
+
   /** Ends an attempt that failed before anything was written. */
   failUnsent(reason: string): void {
     this.end({ type: 'unreachable', reason });
@@ -153,8 +166,9 @@
   onResponseError(_controller: Controller, error: Error): void {
     clearTimeout(this.discardTimer);
     const reason = error.message === '' ? error.name : error.message;
-    if (this.controller === undefined) this.end({ type: 'unreachable', reason });
-    else this.endBroken(reason);
+    if (this.controller === undefined)
+      this.end({ type: 'unreachable', reason, problem: getConnectProblem(error) });
+    else this.endBroken(reason, this.isConnectionLost(error) ? 'lost' : undefined);
   }
 
   private passEvent(controller: Controller, { bytes, id }: StreamEvent): void {
@@ -191,10 +205,10 @@
     controller.abort(new Error(reason));
   }
 
-  private endBroken(reason: string): void {
+  private endBroken(reason: string, problem?: ConnectionProblem): void {
     const { lastEventId } = this.options.exchange;
     const bodyEnd = this.getBodyEnd(this.splitter.pendingBytes);
-    this.end({ type: 'broken', reason, lastEventId, bodyEnd });
+    this.end({ type: 'broken', reason, lastEventId, bodyEnd, problem });
   }
 
   private getBodyEnd(bytesAfterLastEvent = 0): BodyEnd | undefined {
@@ -218,6 +232,13 @@
     controller.abort(new Error(reason));
   }
 
+  /** Whether the connection broke before a byte of the answer arrived. */
+  private isConnectionLost(error: Error): boolean {
+    return (
+      !this.hasReceived && LOST_CONNECTION_CODES.has((error as NodeJS.ErrnoException).code ?? '')
+    );
+  }
+
   private reportIfUnresponsive(): void {
     const hasResponse = this.mode !== 'waiting';
     if (!hasResponse && performance.now() - this.sentAt > UNRESPONSIVE_AFTER_MS)
@@ -226,6 +247,7 @@
 
   private recordReceived(): void {
     this.hasReceived = true;
+    this.receivedAt = performance.now();
     this.options.listener.onReceived();
   }
 
@@ -247,3 +269,8 @@
   const raw = (controller as { rawHeaders?: unknown }).rawHeaders;
   return Array.isArray(raw) ? raw.map(String) : [];
 }
+
+/** Returns why a connection could not be opened, as far as it tells something of the path. */
+function getConnectProblem(error: Error): ConnectionProblem {
+  return error instanceof RelayError ? error.problem : 'unanswered';
+}
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -6,6 +6,7 @@
 import { hash32 } from '../base/hash.ts';
 import { HttpClient } from '../clients/httpClient.ts';
 import type { Event } from '../core/events.ts';
+import { newGauge } from '../core/observations.ts';
 import { isReady } from '../core/lifecycle.ts';
 import { type Policy, State } from '../core/state.ts';
 import type { AttemptSpec } from '../forwards/types.ts';
@@ -18,7 +19,9 @@
 import { Logger } from '../observe/logger.ts';
 import { ProcessSampler } from '../observe/processSampler.ts';
 import { countLimitSharers } from '../owners/owner.ts';
+import { getRelayedAddress } from '../paths/relayedEndpoints.ts';
 import { PeerLinks } from '../peers/peerLinks.ts';
+import { RelayServer } from '../relays/relayServer.ts';
 import type { GatewaySettings } from '../settings/gatewayGroups.ts';
 import type { SocketAddress } from '../settings/values.ts';
 import {
@@ -56,7 +59,9 @@
   readonly links: PeerLinks;
   readonly endpointClient: EndpointClient;
   readonly labels: LabelPort;
-  private readonly pathMonitor: PathMonitor;
+  /** Monitors of the paths to endpoints, by relay; that of direct connections under an empty name. */
+  private readonly pathMonitors = new Map<string, PathMonitor>();
+  private readonly relayServer: RelayServer;
   private readonly http: HttpClient;
   private readonly loop: Loop;
   readonly frontServer: FrontServer;
@@ -89,15 +94,19 @@
       listen: listen.peers,
       localAddress: host.sourceAddress,
       onEvent: (event) => this.dispatch(event),
+      onRelayRequested: (socket, content) => this.relayServer.accept(socket, content),
+    });
+    this.relayServer = RelayServer.create({
+      localAddress: host.sourceAddress,
+      findAddress: (endpoint) => getRelayedAddress(this.state, endpoint),
+      onCountChanged: (count) =>
+        this.observer.observe(newGauge('fireflywick_relayed_connections', {}, count)),
     });
     this.endpointClient = EndpointClient.create({
       labels: this.labels,
       localAddress: host.sourceAddress,
       maxConnections: (endpoint) => this.getMaxConnections(endpoint),
     });
-    this.pathMonitor = PathMonitor.create((silentMs) =>
-      this.dispatch({ type: 'pathSilent', silentMs }),
-    );
     this.loop = newObservedLoop({
       state: this.state,
       observer: this.observer,
@@ -148,10 +157,11 @@
     await this.frontServer.stop();
     await this.adminServer?.stop();
     this.loop.stop();
-    this.pathMonitor.stop();
+    for (const monitor of this.pathMonitors.values()) monitor.stop();
     this.sampler.stop();
     for (const server of this.servers) server.close();
     for (const server of this.servers) server.closeAllConnections();
+    await this.relayServer.stop();
     await this.links.stop();
     await this.endpointClient.close();
     await this.http.close();
@@ -189,14 +199,15 @@
       this.dispatch({ type: 'forwardEnded', id, attempt, outcome: { type: 'cancelled' } });
       return;
     }
-    this.pathMonitor.recordSent();
+    const monitor = this.getPathMonitor(spec.relay?.host);
+    monitor.recordSent();
     const running = this.endpointClient.sendAttempt(spec, exchange, {
       isStillWanted: () => this.isStillWanted(spec),
-      onReceived: () => this.pathMonitor.recordReceived(),
+      onReceived: () => monitor.recordReceived(),
       onNoticeRead: (notice) => this.reportNotice(spec, notice),
       onResponseStarted: () => this.dispatch({ type: 'forwardStarted', id, attempt }),
       onEnded: (outcome, hasReceived) => {
-        this.pathMonitor.recordEnded(hasReceived);
+        monitor.recordEnded(hasReceived);
         this.runningAttempts.delete(attempt);
         this.dispatch({ type: 'forwardEnded', id, attempt, outcome });
       },
@@ -249,6 +260,25 @@
     return AdminServer.create({ state, observer, settings, dispatch }, suspectRoutes);
   }
 
+  /** Returns the path of an endpoint's health check; undefined for an engine. */
+  getHealthPath(endpoint: string): string | undefined {
+    const service = this.state.fleet.views.get(endpoint)?.endpoint.service ?? '';
+    const known = this.state.routeIndex.current?.services.get(service);
+    return known === undefined || known.engine !== undefined
+      ? undefined
+      : (known.healthPath ?? '/');
+  }
+
+  private getPathMonitor(relay: string | undefined): PathMonitor {
+    const known = this.pathMonitors.get(relay ?? '');
+    if (known !== undefined) return known;
+    const monitor = PathMonitor.create((silentMs) =>
+      this.dispatch({ type: 'pathSilent', relay, silentMs }),
+    );
+    this.pathMonitors.set(relay ?? '', monitor);
+    return monitor;
+  }
+
   private getMaxConnections(endpoint: string): number {
     const service = this.state.fleet.views.get(endpoint)?.endpoint.service ?? '';
     const limit = this.state.routeIndex.current?.services.get(service)?.connectionLimit ?? 0;
--- a/src/gatewayHost/platform.ts
+++ b/src/gatewayHost/platform.ts
@@ -13,6 +13,7 @@
   readonly readyPath: string;
   readonly directory: DirectoryPort;
   readonly engines: EnginePort;
+  readonly health: HealthPort;
   readonly labels: LabelPort;
 }
 
@@ -57,6 +58,20 @@
   ): Promise<EngineAnswer<AdapterReport | string>>;
 }
 
+/** An endpoint whose health is checked. */
+export interface HealthTarget {
+  endpoint: string;
+  address: string;
+  /** Path of the health check; undefined for an engine, which answers reports while it is busy. */
+  healthPath: string | undefined;
+}
+
+/** Health checks of endpoints. Their promises never reject. */
+export interface HealthPort {
+  /** Whether the endpoint answers over a new connection, whatever the answer says. */
+  check(target: HealthTarget, timeoutMs: number): Promise<boolean>;
+}
+
 /** Alternating names and values, unmodified. */
 export type RawHeaders = readonly string[];
 
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -1,5 +1,6 @@
 import { isConnectionRefused } from '../clients/connectionCheck.ts';
 import type { Effect } from '../core/effects.ts';
+import { checkThroughRelay } from '../relays/relayClient.ts';
 import {
   DIRECTORY_TIMEOUT_MS,
   ENDPOINT_CONNECT_TIMEOUT_MS,
@@ -67,14 +68,37 @@
         });
       });
   },
-  checkEndpoint: (host, { endpoint, address, startedAt }) => {
-    const { sourceAddress } = host.settings.host;
-    void isConnectionRefused(address, sourceAddress, ENDPOINT_CONNECT_TIMEOUT_MS).then(
-      (isRefused) => {
-        host.dispatch({ type: 'endpointChecked', endpoint, startedAt, isRefused });
-      },
-    );
+  checkEndpoint: (host, { endpoint, address, relay, startedAt }) => {
+    const { sourceAddress: localAddress } = host.settings.host;
+    if (relay === undefined) {
+      void isConnectionRefused(address, localAddress, ENDPOINT_CONNECT_TIMEOUT_MS).then(
+        (isRefused) => host.dispatch({ type: 'endpointChecked', endpoint, startedAt, isRefused }),
+      );
+      return;
+    }
+    void checkThroughRelay({ relay, endpoint, localAddress }).then((result) => {
+      host.dispatch({
+        type: 'endpointChecked',
+        endpoint,
+        startedAt,
+        relay: relay.host,
+        isRefused: result === 'refused',
+        isRunning: result === 'running',
+      });
+    });
+  },
+  probeEndpoint: (host, { endpoint, address, timeoutMs }) => {
+    const healthPath = host.getHealthPath(endpoint);
+    void host.platform.health
+      .check({ endpoint, address, healthPath }, timeoutMs)
+      .then((isAnswered) => {
+        host.dispatch({ type: 'endpointProbed', endpoint, isAnswered });
+      });
   },
+  retireConnections: (host, { endpoint, relay }) =>
+    host.endpointClient.retireConnections({ endpoint, relay }),
+  breakSilentAttempt: (host, { attempt, silentMs }) =>
+    host.runningAttempts.get(attempt)?.breakIfSilent(silentMs),
   sendForward: (host, { spec }) => host.sendForward(spec),
   cancelForward: (host, { attempt }) => host.runningAttempts.get(attempt)?.cancel(),
   passResponse: (host, { id }) => host.exchanges.get(id)?.sendBufferedResponse(),
--- a/src/owners/members.ts
+++ b/src/owners/members.ts
@@ -8,6 +8,7 @@
 import { requestTopicChanges } from '../directory/watch.ts';
 import { isRoutable } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
+import { dropRelay } from '../paths/pathOutcomes.ts';
 import { getEngineClass } from '../residency/reservations.ts';
 import { updateOwnedEngines } from '../residency/ownedEngines.ts';
 import {
@@ -289,6 +290,7 @@
   for (const { host } of previous?.members ?? []) {
     if (hosts.has(host) || host === state.host.id) continue;
     state.owners.linkClosedAt.delete(host);
+    effects.push(...dropRelay(state, host));
     // A stopping host requests reservations until its requests have ended, so its link stays open.
     if (!state.owners.linkedHosts.has(host)) effects.push({ type: 'closeLink', host });
   }
--- /dev/null
+++ b/src/paths/constants.ts
@@ -0,0 +1,17 @@
+/** Time for which a relay that failed is not chosen again. */
+export const RELAY_AVOIDANCE_MS = 2_000;
+/** Interval between probes of the endpoints that this host can't reach directly, one endpoint each. */
+export const PROBE_INTERVAL_MS = 500;
+/** Time within which an endpoint must answer a probe. */
+export const PROBE_TIMEOUT_MS = 400;
+/** The same while nothing else tells that the endpoint can't be reached; a sound one answers in a few ms. */
+export const SILENCE_PROBE_TIMEOUT_MS = 250;
+/**
+ * Time within which two endpoints must become unreachable, with no answer of any between, for all to be taken
+ * for unreachable.
+ */
+export const COMMON_FAILURE_WINDOW_MS = 1_000;
+/** Changes of its path for which a request is sent to the same endpoint again. */
+export const MAX_PATH_CHANGES = 4;
+/** Endpoints that one log line names. */
+export const MAX_LOGGED_ENDPOINTS = 8;
--- a/src/paths/handlers.ts
+++ b/src/paths/handlers.ts
@@ -1,17 +1,16 @@
-import type { EventHandlers } from '../core/handlers.ts';
-import { newCount, newLog } from '../core/observations.ts';
-import type { PathEvent } from './types.ts';
+import type { EventHandlers, TimerHandlers } from '../core/handlers.ts';
+import { handlePathSilence } from './pathOutcomes.ts';
+import { handleProbeEnd, probeNextPath } from './probes.ts';
+import type { PathEvent, PathTimer } from './types.ts';
 
 export const pathEvents: EventHandlers<PathEvent['type']> = {
-  pathSilent: ({ forwards }, { silentMs }) => {
-    const waiting = [...forwards.inFlight.values()].flatMap(({ attempt }) => attempt ?? []);
-    return [
-      newCount('fireflywick_silent_paths_total', {}),
-      newLog('warn', 'no endpoint sends anything to this host', {
-        silentMs: Math.round(silentMs),
-        waiting: waiting.length,
-        endpoints: [...new Set(waiting.map(({ endpoint }) => endpoint))],
-      }),
-    ];
+  pathSilent: (state, event, now) => handlePathSilence(state, event, now),
+  endpointProbed: (state, event, now) => handleProbeEnd(state, event, now),
+};
+
+export const pathTimers: TimerHandlers<PathTimer['type']> = {
+  probePaths: (state, _timer, now) => {
+    state.paths.isProbeScheduled = false;
+    return probeNextPath(state, now);
   },
 };
--- /dev/null
+++ b/src/paths/pathOutcomes.ts
@@ -0,0 +1,120 @@
+import type { Effect } from '../core/effects.ts';
+import { newCount, newLog } from '../core/observations.ts';
+import type { State } from '../core/state.ts';
+import { breakSilentAttempts } from '../forwards/silentAttempts.ts';
+import type { ForwardAttempt, ForwardOutcome } from '../forwards/types.ts';
+import { COMMON_FAILURE_WINDOW_MS } from './constants.ts';
+import { getDirectEndpoints, losePaths } from './lostPaths.ts';
+import { probeEndpoint, scheduleProbe } from './probes.ts';
+import { avoidRelay } from './relayChoice.ts';
+import type { ConnectionProblem, PathSilence } from './types.ts';
+
+type ProblemHandlers = Record<
+  ConnectionProblem,
+  (state: State, attempt: ForwardAttempt, now: number) => Effect[]
+>;
+
+/** Problems of attempts over direct connections. */
+const directProblems: ProblemHandlers = {
+  unanswered: (state, attempt, now) => loseAttemptPath(state, attempt, now),
+  lost: (state, { endpoint }) => probeEndpoint(state, endpoint, 'failure'),
+  refusedToRelay: () => [],
+  relay: () => [],
+  declined: () => [],
+  silent: () => [],
+};
+
+/** Problems of attempts over a relay. */
+const relayProblems: ProblemHandlers = {
+  unanswered: (state, attempt, now) => leaveRelay(state, attempt, attempt.endpoint, now),
+  lost: (state, attempt, now) => leaveRelay(state, attempt, attempt.endpoint, now),
+  refusedToRelay: () => [],
+  relay: (state, attempt, now) => leaveRelay(state, attempt, undefined, now),
+  declined: (state, attempt, now) => leaveRelay(state, attempt, attempt.endpoint, now),
+  silent: () => [],
+};
+
+/** Learns from the end of an attempt whether its endpoint can be reached in the way that it was sent. */
+export function recordPathOutcome(
+  state: State,
+  attempt: ForwardAttempt,
+  outcome: ForwardOutcome,
+  now: number,
+): Effect[] {
+  const isDirect = attempt.relay === undefined;
+  const problem = 'problem' in outcome ? outcome.problem : undefined;
+  if (problem !== undefined)
+    return (isDirect ? directProblems : relayProblems)[problem](state, attempt, now);
+  const isAnswered = outcome.type !== 'unreachable' && outcome.type !== 'cancelled';
+  if (isDirect && isAnswered) state.paths.lastDirectAnswerAt = now;
+  return [];
+}
+
+/** Finds out whether this host is cut off, or leaves a relay, after nothing arrived for a time. */
+export function handlePathSilence(
+  state: State,
+  { relay, silentMs }: PathSilence,
+  now: number,
+): Effect[] {
+  const attempts = [...state.forwards.inFlight.values()]
+    .flatMap(({ attempt }) => attempt ?? [])
+    .filter((attempt) => attempt.relay === relay);
+  const endpoints = [...new Set(attempts.map(({ endpoint }) => endpoint))];
+  const observations = [
+    newCount('fireflywick_silent_paths_total', {}),
+    newLog('warn', 'no endpoint sends anything to this host', {
+      silentMs: Math.round(silentMs),
+      relay,
+      waiting: attempts.length,
+      endpoints,
+    }),
+  ];
+  if (relay !== undefined) {
+    avoidRelay(state, relay, undefined, now);
+    const moved = breakSilentAttempts(state, relay);
+    return [...observations, { type: 'retireConnections', relay }, ...moved];
+  }
+  const [endpoint = getAnyEndpoint(state)] = endpoints;
+  const probed = endpoint === undefined ? [] : probeEndpoint(state, endpoint, 'silence');
+  return [...observations, ...probed];
+}
+
+/** Has the connections over a relay closed whose host leaves or whose link closed. */
+export function dropRelay({ paths }: State, relay: string): Effect[] {
+  return paths.lost.size === 0 ? [] : [{ type: 'retireConnections', relay }];
+}
+
+function loseAttemptPath(state: State, { endpoint }: ForwardAttempt, now: number): Effect[] {
+  const { paths, fleet } = state;
+  const view = fleet.views.get(endpoint);
+  if (view === undefined) return [];
+  const last = paths.lastFailure;
+  paths.lastFailure = { endpoint, at: now };
+  const isCommon =
+    last !== undefined &&
+    last.endpoint !== endpoint &&
+    last.at + COMMON_FAILURE_WINDOW_MS > now &&
+    paths.lastDirectAnswerAt < last.at;
+  const reason = 'a connection could not be opened';
+  const views = isCommon ? getDirectEndpoints(state) : [view];
+  const lost = losePaths(state, views, reason, now);
+  return [...lost, ...scheduleProbe(state, now)];
+}
+
+function leaveRelay(
+  state: State,
+  { relay }: ForwardAttempt,
+  endpoint: string | undefined,
+  now: number,
+): Effect[] {
+  if (relay === undefined) return [];
+  avoidRelay(state, relay, endpoint, now);
+  return [
+    newLog('info', 'relay is avoided', { relay, endpoint }),
+    { type: 'retireConnections', relay, endpoint },
+  ];
+}
+
+function getAnyEndpoint({ fleet }: State): string | undefined {
+  return [...fleet.views.values()].find(({ isRemoved }) => !isRemoved)?.endpoint.id;
+}
--- a/src/peers/connection.ts
+++ b/src/peers/connection.ts
@@ -1,4 +1,5 @@
 import { connect, type Socket } from 'node:net';
+import { splitAddress } from '../clients/address.ts';
 import { MAX_FRAME_BYTES, MAX_HELLO_BYTES } from './constants.ts';
 import { decodeFrameBody, encodeFrame, FRAME_KIND, FrameReader } from './frames.ts';
 import { Hello } from './hello.ts';
@@ -26,6 +27,8 @@
   onConfirmed(connection: Connection, hello: Hello): void;
   onMessage(connection: Connection, content: unknown): void;
   onClosed(connection: Connection, reason: string): void;
+  /** Called instead of `onHello` with a connection that another host wants to be relayed. */
+  onRelayRequested(connection: Connection, socket: Socket, content: unknown): void;
 }
 
 /** One TCP connection to another host. */
@@ -53,12 +56,7 @@
   }
 
   static dial(host: string, address: string, owner: ConnectionOwner): Connection {
-    const separator = address.lastIndexOf(':');
-    const socket = connect({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
-      localAddress: owner.localAddress,
-    });
+    const socket = connect({ ...splitAddress(address), localAddress: owner.localAddress });
     const connection = new Connection(socket, owner, host);
     connection.attach();
     return connection;
@@ -96,13 +94,16 @@
     this.owner.onClosed(this, reason);
   }
 
+  private readonly onData = (chunk: Buffer): void => this.readChunk(chunk);
+  private readonly onError = (error: NodeJS.ErrnoException): void =>
+    this.close(error.code === 'ECONNREFUSED' ? 'refused' : 'ended');
+  private readonly onClose = (): void => this.close('ended');
+
   private attach(): void {
     this.socket.setNoDelay(true);
-    this.socket.on('data', (chunk: Buffer) => this.readChunk(chunk));
-    this.socket.on('error', (error: NodeJS.ErrnoException) => {
-      this.close(error.code === 'ECONNREFUSED' ? 'refused' : 'ended');
-    });
-    this.socket.on('close', () => this.close('ended'));
+    this.socket.on('data', this.onData);
+    this.socket.on('error', this.onError);
+    this.socket.on('close', this.onClose);
     this.write(encodeFrame(FRAME_KIND.hello, this.owner.hello));
   }
 
@@ -124,6 +125,10 @@
   private readBody(body: Buffer): void {
     const frame = decodeFrameBody(body);
     if (this.peerHello === undefined) {
+      if (frame?.kind === FRAME_KIND.relayRequest && this.dialledHost === undefined) {
+        this.releaseSocket(frame.content);
+        return;
+      }
       const hello = Hello.safeParse(frame?.kind === FRAME_KIND.hello ? frame.content : undefined);
       if (!hello.success) {
         this.refuse('hello is malformed');
@@ -141,6 +146,15 @@
     else if (frame.kind === FRAME_KIND.message) this.owner.onMessage(this, frame.content);
   }
 
+  /** Hands the socket of an accepted connection over, which is no link to another host. */
+  private releaseSocket(content: unknown): void {
+    const { socket } = this;
+    this.isClosed = true;
+    socket.pause();
+    socket.off('data', this.onData).off('error', this.onError).off('close', this.onClose);
+    this.owner.onRelayRequested(this, socket, content);
+  }
+
   /** Any frame after the hello shows that bytes of this host reach the peer, as peers send none before. */
   private confirm(hello: Hello): void {
     if (this.isConfirmed) return;
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -3,7 +3,13 @@
 const LENGTH_BYTES = 4;
 
 /** Kinds of frames. The body of a frame is the array [kind, content]. */
-export const FRAME_KIND = { hello: 0, heartbeat: 1, message: 2 } as const;
+export const FRAME_KIND = {
+  hello: 0,
+  heartbeat: 1,
+  message: 2,
+  relayRequest: 3,
+  relayAnswer: 4,
+} as const;
 
 /** Encodes `content` as a frame: four bytes of body length, then the body in CBOR. */
 export function encodeFrame(kind: number, content: unknown): Buffer {
--- a/src/peers/peerLinks.ts
+++ b/src/peers/peerLinks.ts
@@ -1,4 +1,4 @@
-import { createServer, type AddressInfo, type Server } from 'node:net';
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { Random } from '../base/random.ts';
 import { Message } from '../core/messages.ts';
 import type { HostIdentity } from '../core/state.ts';
@@ -33,6 +33,8 @@
   /** Local IP address of dialled links; chosen by the operating system when undefined. */
   localAddress?: string;
   onEvent: (event: PeerEvent) => void;
+  /** Called with a connection that another host wants to be relayed, and its request. */
+  onRelayRequested?: (socket: Socket, content: unknown) => void;
 }
 
 interface Peer {
@@ -232,6 +234,13 @@
     }
   }
 
+  onRelayRequested(connection: Connection, socket: Socket, content: unknown): void {
+    this.connections.delete(connection);
+    const { onRelayRequested } = this.options;
+    if (onRelayRequested === undefined || this.isStopped) socket.destroy();
+    else onRelayRequested(socket, content);
+  }
+
   /**
    * Uses `connection`, except when both hosts dialled at the same time: then both use the connection
    * that the host with the smaller id dialled.
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -57,6 +57,8 @@
   name: z.string(),
   /** Most connections that one endpoint accepts from all callers together. */
   connectionLimit: z.int().min(1),
+  /** Path of the health check; hosts of earlier versions omit it. */
+  healthPath: z.string().optional(),
   /** Absent for plain services. */
   engine: EngineClass.optional(),
 });
--- a/stand-ins/platform/platformEndpoint.ts
+++ b/stand-ins/platform/platformEndpoint.ts
@@ -193,6 +193,8 @@
     }
     if (call.path === '/-/order') this.handleOrder(call);
     else if (call.path === '/-/report') this.handleReport(call);
+    else if (call.path === '/health')
+      call.response.writeHead(200, { 'instance-id': this.id }).end();
     else await this.handleCall(call);
   }
 
--- a/tests/helpers/gatewayCluster.ts
+++ b/tests/helpers/gatewayCluster.ts
@@ -384,9 +384,16 @@
         this.handleAttempt(id, host, effect.spec);
         return;
       case 'checkEndpoint': {
-        const { endpoint, startedAt } = effect;
+        const { endpoint, startedAt, relay } = effect;
         const isRefused = this.now < (this.downUntil.get(endpoint) ?? -Infinity);
-        host.dispatch({ type: 'endpointChecked', endpoint, startedAt, isRefused });
+        host.dispatch({
+          type: 'endpointChecked',
+          endpoint,
+          startedAt,
+          relay: relay?.host,
+          isRefused,
+          isRunning: !isRefused,
+        });
         return;
       }
       case 'cancelForward':
--- a/tests/streams/streamHosts.ts
+++ b/tests/streams/streamHosts.ts
@@ -143,11 +143,14 @@
     this.deliver();
   }
 
-  /** A host learns that an endpoint refuses connections. */
+  /** A host learns that an endpoint refuses its connections and those of another host. */
   refuseConnections(host: string, endpoint: string): void {
     const startedAt = this.endpoints.get(endpoint)?.startedAt ?? 0;
     const check = { type: 'endpointChecked' as const, endpoint, startedAt, isRefused: true };
-    this.hosts.get(host)?.dispatch(check);
+    this.hosts
+      .get(host)
+      ?.dispatch(check)
+      .dispatch({ ...check, relay: this.ids.at(-1) });
   }
 
   /** Breaks the attempt in flight of a host's newest request; returns where it goes on. */
