Let other hosts own engines that their owner can't reach

Change: an owner that can't reach one of its engines for 0.4 s lists it in its entry of the row, or says that it reaches no endpoint at all; owners that reach the engine come first. It issues no orders from the loss on, so that the next owner waits only for the rest of the usual time. It takes the engine back after 3 s with a path. Orders are not relayed: they would come from two hosts under one fencing number. Growth: a row of the hosts is written once when an owner loses its engines and once when it has them back; an entry names at most 32 engines.

--- a/src/owners/constants.ts
+++ b/src/owners/constants.ts
@@ -29,3 +29,9 @@
 export const TAKEOVER_WAIT_MS = 3_300;
 /** Epochs that are reserved for each restore of the directory from an older copy. */
 export const EPOCHS_PER_RESTORE = 1_000_000;
+/** Time without a direct path to an engine after which its owner lists it as unreachable. */
+export const UNREACHABLE_AFTER_MS = 400;
+/** Time with a direct path after which an engine is no longer listed, so that ownership does not flap. */
+export const REACHABLE_AFTER_MS = 3_000;
+/** Engines that one member lists as unreachable. */
+export const MAX_UNREACHABLE_ENGINES = 32;
--- a/src/owners/members.ts
+++ b/src/owners/members.ts
@@ -24,6 +24,7 @@
 } from './constants.ts';
 import { getRendezvousChoice } from '../base/hash.ts';
 import { ensureOwners, getMember, recordFormerRow } from './owner.ts';
+import { updateOwnReachability } from './reachability.ts';
 import type { Member, MembersRow, Owners } from './types.ts';
 
 /** Schedules the join after a random delay and the periodic maintenance of the members row. */
@@ -143,7 +144,8 @@
     return writeMembersRow(state, (members) => withoutHosts(members, hosts), now);
   }
   const silent = owners.row.members.filter((member) => trackSilence(state, member, now));
-  if (silent.length === 0) return becomeOwner(state, now);
+  if (silent.length === 0)
+    return [...becomeOwner(state, now), ...updateOwnReachability(state, now)];
   const hosts = new Set(silent.map(({ host }) => host));
   return writeMembersRow(
     state,
@@ -241,7 +243,8 @@
   return members.filter(({ host }) => !hosts.includes(host));
 }
 
-function writeMembersRow(
+/** Writes the members row with a change, unless a write is in flight or failed shortly before. */
+export function writeMembersRow(
   state: State,
   change: (members: readonly Member[]) => Member[],
   now: number,
--- a/src/owners/owner.ts
+++ b/src/owners/owner.ts
@@ -14,20 +14,39 @@
 
 /**
  * Returns the host that owns an engine under `row`: an owner in its availability zone, so that an
- * isolated zone continues to manage its engines, or any owner if the zone has none.
+ * isolated zone continues to manage its engines, or any owner if the zone has none. An engine that its
+ * owner can't reach is owned by another one.
  */
 export function getMembersRowOwner(
   row: MembersRow,
   engine: string,
   zone: string,
 ): string | undefined {
-  const all = row.members.filter(({ isOwner }) => isOwner);
-  const zoneMembers = all.filter((member) => member.zone === zone);
-  const candidates = zoneMembers.length === 0 ? all : zoneMembers;
-  return getRendezvousChoice(
+  const owner = chooseOwner(row.members, engine, zone);
+  if (owner === undefined || !isUnreachableFor(owner, engine)) return owner?.host;
+  const reaching = row.members.filter((member) => !isUnreachableFor(member, engine));
+  // Standby hosts come last: those of a zone that is cut off as a whole would take over one after the other.
+  const successor = chooseOwner(reaching, engine, zone) ?? chooseMember(reaching, engine) ?? owner;
+  return successor.host;
+}
+
+function chooseOwner(members: readonly Member[], engine: string, zone: string): Member | undefined {
+  const owners = members.filter(({ isOwner }) => isOwner);
+  const zoneOwners = owners.filter((member) => member.zone === zone);
+  return chooseMember(zoneOwners.length === 0 ? owners : zoneOwners, engine);
+}
+
+function chooseMember(members: readonly Member[], engine: string): Member | undefined {
+  const choice = getRendezvousChoice(
     engine,
-    candidates.map(({ host }) => host),
+    members.map(({ host }) => host),
   );
+  return members.find(({ host }) => host === choice);
+}
+
+/** Whether a member can't order an engine. */
+export function isUnreachableFor({ unreachable, isCutOff }: Member, engine: string): boolean {
+  return isCutOff === true || unreachable?.includes(engine) === true;
 }
 
 /** Returns the number of hosts that share a deployment-wide limit; at least 1. */
--- /dev/null
+++ b/src/owners/reachability.ts
@@ -0,0 +1,71 @@
+import type { Effect } from '../core/effects.ts';
+import type { State } from '../core/state.ts';
+import { isRoutable } from '../fleet/endpointChoice.ts';
+import { isPathLost } from '../paths/lostPaths.ts';
+import { MAX_UNREACHABLE_ENGINES, REACHABLE_AFTER_MS, UNREACHABLE_AFTER_MS } from './constants.ts';
+import { writeMembersRow } from './members.ts';
+import { getMember } from './owner.ts';
+import type { Member } from './types.ts';
+
+/** What a member says of the engines that it can't order. */
+type Reachability = Required<Pick<Member, 'unreachable' | 'isCutOff'>>;
+
+/** Writes which of its engines this host can't reach, so that other hosts own them. */
+export function updateOwnReachability(state: State, now: number): Effect[] {
+  const { owners, host } = state;
+  const own = getMember(owners, host.id);
+  if (own === undefined || owners.isLeaving) return [];
+  const current = getReachability(state, own, now);
+  const isSame =
+    current.isCutOff === (own.isCutOff ?? false) &&
+    current.unreachable.join() === (own.unreachable ?? []).join();
+  if (isSame) return [];
+  const change = (members: readonly Member[]): Member[] =>
+    members.map((member) => (member.host === host.id ? { ...member, ...current } : member));
+  return writeMembersRow(state, change, now);
+}
+
+function getReachability(state: State, own: Member, now: number): Reachability {
+  const isCutOff = isOwnerCutOff(state, own, now);
+  return { isCutOff, unreachable: isCutOff ? [] : getUnreachableEngines(state, own, now) };
+}
+
+function isOwnerCutOff(
+  { paths, residency }: State,
+  { isOwner, isCutOff = false }: Member,
+  now: number,
+): boolean {
+  if (paths.cutOffSince !== undefined) {
+    const ownsEngines = isOwner || residency.owned.size > 0;
+    return isCutOff || (ownsEngines && paths.cutOffSince + UNREACHABLE_AFTER_MS <= now);
+  }
+  return isCutOff && paths.cutOffEndedAt + REACHABLE_AFTER_MS > now;
+}
+
+/** Returns the engines that this host owns or lists and can't order, in the order of their ids. */
+function getUnreachableEngines(state: State, { unreachable = [] }: Member, now: number): string[] {
+  const listed = unreachable.filter((engine) => !isReachableAgain(state, engine, now));
+  const owned = [...state.residency.owned.keys()].filter((engine) =>
+    isUnreachable(state, engine, now),
+  );
+  return [...new Set([...listed, ...owned])].sort().slice(0, MAX_UNREACHABLE_ENGINES);
+}
+
+/** Whether this host has been unable to reach an engine directly for so long that others should order it. */
+function isUnreachable({ paths, fleet }: State, engine: string, now: number): boolean {
+  const view = fleet.views.get(engine);
+  const lost = paths.lost.get(engine);
+  return (
+    view !== undefined &&
+    lost?.startedAt === view.endpoint.startedAt &&
+    lost.lostAt + UNREACHABLE_AFTER_MS <= now
+  );
+}
+
+/** Whether an engine is gone, or this host has reached it directly for so long that it may order it again. */
+function isReachableAgain(state: State, engine: string, now: number): boolean {
+  const view = state.fleet.views.get(engine);
+  if (view === undefined || !isRoutable(view)) return true;
+  const restoredAt = state.paths.restoredAt.get(engine) ?? -Infinity;
+  return !isPathLost(state, view) && restoredAt + REACHABLE_AFTER_MS <= now;
+}
--- a/src/owners/types.ts
+++ b/src/owners/types.ts
@@ -12,6 +12,10 @@
   isOwner: z.boolean(),
   /** Host that suspects this one to have failed; the member itself clears it. */
   suspectedBy: z.string().optional(),
+  /** Engines that it would own and can't order, as it doesn't reach them directly. */
+  unreachable: z.array(z.string()).optional(),
+  /** Whether it is an owner that reaches no endpoint directly. */
+  isCutOff: z.boolean().optional(),
 });
 export type Member = z.infer<typeof Member>;
 
--- a/src/paths/handlers.ts
+++ b/src/paths/handlers.ts
@@ -1,4 +1,5 @@
 import type { EventHandlers, TimerHandlers } from '../core/handlers.ts';
+import { updateOwnReachability } from '../owners/reachability.ts';
 import { handlePathSilence } from './pathOutcomes.ts';
 import { handleProbeEnd, probeNextPath } from './probes.ts';
 import type { PathEvent, PathTimer } from './types.ts';
@@ -11,6 +12,6 @@
 export const pathTimers: TimerHandlers<PathTimer['type']> = {
   probePaths: (state, _timer, now) => {
     state.paths.isProbeScheduled = false;
-    return probeNextPath(state, now);
+    return [...probeNextPath(state, now), ...updateOwnReachability(state, now)];
   },
 };
--- a/src/paths/lostPaths.ts
+++ b/src/paths/lostPaths.ts
@@ -37,10 +37,14 @@
 }
 
 /** Records that an endpoint can be reached directly again. */
-export function restorePath(state: State, endpoint: string): Effect[] {
+export function restorePath(state: State, endpoint: string, now: number): Effect[] {
   const { paths } = state;
   if (!paths.lost.delete(endpoint)) return [];
-  paths.isCutOff = false;
+  paths.restoredAt.set(endpoint, now);
+  if (paths.cutOffSince !== undefined) {
+    paths.cutOffSince = undefined;
+    paths.cutOffEndedAt = now;
+  }
   return [
     newLog('info', 'endpoint is reachable directly again', { endpoint }),
     observeLostPaths(state),
@@ -48,9 +52,11 @@
   ];
 }
 
-/** Forgets the lost paths to endpoints that are gone or have started again. */
+/** Forgets the paths to endpoints that are gone or have started again. */
 export function dropOutdatedPaths(state: State): void {
   const { paths, fleet } = state;
+  for (const endpoint of paths.restoredAt.keys())
+    if (fleet.views.get(endpoint)?.isRemoved !== false) paths.restoredAt.delete(endpoint);
   for (const endpoint of paths.lost.keys()) {
     const view = fleet.views.get(endpoint);
     if (view === undefined || view.isRemoved || !isPathLost(state, view))
--- a/src/paths/probes.ts
+++ b/src/paths/probes.ts
@@ -28,7 +28,7 @@
   const probe = paths.probe;
   paths.probe = undefined;
   if (isAnswered) {
-    const restored = restorePath(state, endpoint);
+    const restored = restorePath(state, endpoint, now);
     return [...restored, ...(paths.lost.size > 0 ? probeNextPath(state, now) : [])];
   }
   if (probe?.reason === 'silence') {
@@ -40,7 +40,7 @@
   const view = fleet.views.get(endpoint);
   const lost = view === undefined ? [] : losePaths(state, [view], 'it did not answer a probe', now);
   markProbed(state, endpoint, now);
-  return [...lost, ...confirmCut(state), ...scheduleProbe(state, now)];
+  return [...lost, ...confirmCut(state, now), ...scheduleProbe(state, now)];
 }
 
 /** Probes the endpoint that was probed longest ago of those that this host can't reach directly. */
@@ -74,10 +74,11 @@
 }
 
 /** Once a probe failed too while no endpoint can be reached, moves the attempts that wait in vain. */
-function confirmCut(state: State): Effect[] {
+function confirmCut(state: State, now: number): Effect[] {
   const { paths } = state;
-  if (paths.isCutOff || paths.lost.size === 0 || getDirectEndpoints(state).length > 0) return [];
-  paths.isCutOff = true;
+  const isKnown = paths.cutOffSince !== undefined || paths.lost.size === 0;
+  if (isKnown || getDirectEndpoints(state).length > 0) return [];
+  paths.cutOffSince = now;
   return [
     newLog('warn', 'this host reaches no endpoint directly', { endpoints: paths.lost.size }),
     ...breakSilentAttempts(state, undefined),
--- a/src/paths/types.ts
+++ b/src/paths/types.ts
@@ -35,6 +35,8 @@
 export class Paths {
   /** Endpoints that this host can't reach directly. */
   readonly lost = new Map<string, LostPath>();
+  /** Monotonic ms at which the direct paths to endpoints came back. */
+  readonly restoredAt = new Map<string, number>();
   /** Monotonic ms until which a relay is avoided, by host, or by host and endpoint. */
   readonly avoidedRelays = new Map<string, number>();
   /** The probe in flight; at most one is. */
@@ -44,8 +46,9 @@
   lastFailure: { endpoint: string; at: number } | undefined;
   /** Monotonic ms of the last answer that arrived directly. */
   lastDirectAnswerAt = -Infinity;
-  /** Whether a probe confirmed that this host can't reach any endpoint directly. */
-  isCutOff = false;
+  /** Monotonic ms at which a probe confirmed that this host reaches no endpoint directly, while that holds. */
+  cutOffSince: number | undefined;
+  cutOffEndedAt = -Infinity;
 
   private constructor() {}
 
--- a/src/residency/adapterOrders.ts
+++ b/src/residency/adapterOrders.ts
@@ -3,6 +3,8 @@
 import type { State } from '../core/state.ts';
 import { isRoutable } from '../fleet/endpointChoice.ts';
 import { getPauseLeftMs, recordSend } from '../notices/pauses.ts';
+import { isPathLost } from '../paths/lostPaths.ts';
+import { probeEndpoint } from '../paths/probes.ts';
 import type { EngineClass } from '../routes/types.ts';
 import { isModelOrder, applyModelOrderAnswer, issueModelOrder } from './modelOrders.ts';
 import {
@@ -45,6 +47,8 @@
   const view = state.fleet.views.get(owned.id);
   // A leaving engine gets no new requests: its loads would only slow those of other engines.
   if (view === undefined || !isRoutable(view)) return [];
+  // Orders that another host sends on would come from two hosts under one fencing number.
+  if (isPathLost(state, view)) return [];
   const pauseLeftMs = getPauseLeftMs(view, now);
   if (pauseLeftMs > 0) {
     scheduleReservationServing(state, owned, now + pauseLeftMs, now);
@@ -125,6 +129,7 @@
       answer: answer.type,
       reason,
     }),
+    ...(answer.type === 'unknown' ? probeEndpoint(state, owned.id, 'failure') : []),
     ...serveReservations(state, owned, now),
   ];
 }
@@ -140,7 +145,7 @@
   if (report === undefined) {
     owned.reportAllowedAt = now + REPORT_RETRY_MS;
     scheduleReservationServing(state, owned, owned.reportAllowedAt, now);
-    return [];
+    return probeEndpoint(state, owned.id, 'failure');
   }
   owned.sequence = report.sequence;
   owned.models = new Set(report.models);
--- a/src/residency/ownedEngines.ts
+++ b/src/residency/ownedEngines.ts
@@ -4,8 +4,8 @@
 import { isRoutable } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { updatePermits } from '../limits/permitQueue.ts';
-import { TAKEOVER_WAIT_MS } from '../owners/constants.ts';
-import { getMember, getOwner, getMembersRowOwner } from '../owners/owner.ts';
+import { TAKEOVER_WAIT_MS, UNREACHABLE_AFTER_MS } from '../owners/constants.ts';
+import { getMember, getOwner, getMembersRowOwner, isUnreachableFor } from '../owners/owner.ts';
 import { requireReport } from './adapterOrders.ts';
 import { getEngineClass, refuseQueuedReservations, serveReservations } from './reservations.ts';
 import { relocateAdapters } from './relocation.ts';
@@ -138,7 +138,11 @@
   const predecessor =
     previousRow === undefined ? undefined : getMembersRowOwner(previousRow, engine, zone);
   if (predecessor === undefined || predecessor === host.id) return now;
-  const isMember = getMember(owners, predecessor) !== undefined;
+  const member = getMember(owners, predecessor);
+  const isMember = member !== undefined;
+  // It has issued no orders since it lost the path to the engine.
+  if (member !== undefined && isUnreachableFor(member, engine))
+    return Math.max(now, adoptedAt - UNREACHABLE_AFTER_MS + TAKEOVER_WAIT_MS);
   if (!isMember && owners.linkedHosts.has(predecessor)) return now;
   const lastContactAt = isMember ? adoptedAt : (owners.linkClosedAt.get(predecessor) ?? adoptedAt);
   return Math.max(now, Math.min(lastContactAt, adoptedAt) + TAKEOVER_WAIT_MS);
--- a/tests/gatewayHost/unreachableEndpoints.test.ts
+++ b/tests/gatewayHost/unreachableEndpoints.test.ts
@@ -12,22 +12,27 @@
 /** Share of requests that may fail at hosts that are cut off. */
 const MAX_FAILED_SHARE = 1 / 50;
 
-type Kind = 'reads' | 'bookings' | 'streams';
+type Kind = 'reads' | 'bookings' | 'streams' | 'adapters';
+
+/** Requests at one host after which they name another adapter, which an engine then has to load. */
+const REQUESTS_PER_ADAPTER = 10;
 
 const SENDERS: Record<
   Kind,
-  (deployment: GatewayDeployment, host: number) => Promise<CallerResponse>
+  (deployment: GatewayDeployment, host: number, index: number) => Promise<CallerResponse>
 > = {
   reads: (deployment, host) => deployment.send({ path: '/status/1' }, host),
   bookings: (deployment, host) => deployment.send({ path: '/booking/1', body: '{}' }, host),
   streams: (deployment, host) => deployment.stream('/notes/1', undefined, host),
+  adapters: (deployment, host, index) =>
+    deployment.stream('/notes/1', `a${Math.floor(index / REQUESTS_PER_ADAPTER)}`, host),
 };
 
 async function start(kind: Kind) {
   const deployment = await GatewayDeployment.create();
   deployment.configure(1);
   const links = EndpointLinks.create(deployment);
-  const service = kind === 'streams' ? 'llm' : 'desk';
+  const service = kind === 'streams' || kind === 'adapters' ? 'llm' : 'desk';
   for (let index = 0; index < ENDPOINTS; index++) await links.addEndpoint(service, `e${index}`);
   for (let host = 0; host < HOSTS; host++)
     await deployment.addHost({ 'source-address': getSourceAddress(host) });
@@ -35,11 +40,15 @@
   return { deployment, links };
 }
 
+let nextIndex = 0;
+
 /** Sends requests to each host at an even rate; returns the answers by host. */
 async function sendToAll(deployment: GatewayDeployment, kind: Kind, count: number) {
   const sent: Promise<CallerResponse>[][] = deployment.hosts.map(() => []);
   for (let index = 0; index < count; index++) {
-    for (const [host, answers] of sent.entries()) answers.push(SENDERS[kind](deployment, host));
+    for (const [host, answers] of sent.entries())
+      answers.push(SENDERS[kind](deployment, host, nextIndex));
+    nextIndex += 1;
     await sleep(INTERVAL_MS);
   }
   return Promise.all(sent.map((answers) => Promise.all(answers)));
@@ -58,7 +67,9 @@
   expect(executed).toHaveLength(new Set(executed).size);
 }
 
-const CASES: [Kind, Cut, number][] = (['reads', 'bookings', 'streams'] as const).flatMap((kind) =>
+const CASES: [Kind, Cut, number][] = (
+  ['reads', 'bookings', 'streams', 'adapters'] as const
+).flatMap((kind) =>
   (['reset', 'hang', 'newRefused'] as const).flatMap((cut) =>
     [1, 2].map((cutHosts): [Kind, Cut, number] => [kind, cut, cutHosts]),
   ),
