Probe a relay before it is left, and prefer relays that reach endpoints

Cause: a relayed path carries few requests, so that 0.4 s without a byte is common; a host that declined for one endpoint was tried again for each of the others; an owner listed only what it owned already, so that engines went from one cut owner to the next. Change: a silent relay is probed with a health check through it before it is left; hosts that declined come last for 6 s; owners say at once which engines they can't reach, standby hosts once no owner can.

--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -1,11 +1,10 @@
-import { type Dispatcher, Pool } from 'undici';
+import { type buildConnector, Client, type Dispatcher, Pool } from 'undici';
 import { confirmCloseDelimited } from '../clients/closeDelimited.ts';
 import { isServerRunning } from '../clients/connectionCheck.ts';
 import { SocketEndTracker, newTrackedConnector } from '../clients/connector.ts';
 import type { AttemptSpec, ForwardOutcome } from '../forwards/types.ts';
 import type { EndpointNotice } from '../notices/types.ts';
-import type { Relay } from '../paths/types.ts';
-import { isRunningBehindRelay } from '../relays/relayClient.ts';
+import { isRunningBehindRelay, type RelayTarget } from '../relays/relayClient.ts';
 import { newRelayedConnector } from '../relays/relayedConnector.ts';
 import {
   ENDPOINT_CONNECT_TIMEOUT_MS,
@@ -14,7 +13,7 @@
 } from './constants.ts';
 import type { ForwardExchange } from './forwardExchange.ts';
 import { ForwardResponseHandler } from './forwardResponseHandler.ts';
-import type { LabelPort } from './platform.ts';
+import type { HealthCheck, LabelPort } from './platform.ts';
 
 /** An attempt in flight. */
 export interface RunningForwardAttempt {
@@ -48,6 +47,9 @@
   dispatcher: Dispatcher;
 }
 
+/** How an endpoint is reached. */
+export type EndpointPath = Pick<AttemptSpec, 'endpoint' | 'address' | 'relay'>;
+
 /** Sends requests to endpoints over pooled connections. */
 export class EndpointClient {
   private readonly pools = new Map<string, EndpointPool>();
@@ -75,7 +77,7 @@
     exchange: ForwardExchange,
     listener: ForwardAttemptListener,
   ): RunningForwardAttempt {
-    const { endpoint, address, relay, deadlineAt, priority, version, resumeAfter } = spec;
+    const { endpoint, deadlineAt, priority, version, resumeAfter } = spec;
     const remainingMs = Math.max(1, Math.floor(deadlineAt - performance.now()));
     const headers = this.labels.getForwardHeaders(exchange.headers, {
       endpoint,
@@ -84,7 +86,7 @@
       version,
       resumeAfter,
     });
-    const pool = this.getPool(endpoint, address, relay);
+    const pool = this.getPool(spec);
     const handler = ForwardResponseHandler.create({
       spec,
       exchange,
@@ -111,6 +113,22 @@
     return handler;
   }
 
+  /** Whether an endpoint answers a health check over a new connection, whatever it says. Never rejects. */
+  async probe(path: EndpointPath, check: HealthCheck, timeoutMs: number): Promise<boolean> {
+    const { localAddress } = this;
+    const connect = this.newConnector(this.getRelayTarget(path));
+    const client = new Client(`http://${path.address}`, { localAddress, connect });
+    try {
+      const signal = AbortSignal.timeout(timeoutMs);
+      await client.request({ ...check, method: 'GET', signal });
+      return true;
+    } catch {
+      return false;
+    } finally {
+      client.destroy().catch(() => undefined);
+    }
+  }
+
   /** Closes the connections to all endpoints that are not known. */
   retainKnownEndpoints(isKnown: (endpoint: string) => boolean): void {
     for (const pool of this.pools.values()) if (!isKnown(pool.endpoint)) this.retirePool(pool);
@@ -139,12 +157,12 @@
     retired.pool.close().catch(() => undefined);
   }
 
-  private getPool(endpoint: string, address: string, relay: Relay | undefined): EndpointPool {
+  private getPool({ endpoint, address, relay }: EndpointPath): EndpointPool {
     const key = getPoolKey(endpoint, relay?.host);
     const known = this.pools.get(key);
     if (known !== undefined) return known;
     const { localAddress, endTracker } = this;
-    const target = relay === undefined ? undefined : { relay, endpoint, localAddress };
+    const target = this.getRelayTarget({ endpoint, address, relay });
     const pool = new Pool(`http://${address}`, {
       connections: this.maxConnections(endpoint),
       localAddress,
@@ -152,10 +170,7 @@
       keepAliveTimeout: ENDPOINT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: ENDPOINT_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      connect:
-        target === undefined
-          ? newTrackedConnector(ENDPOINT_CONNECT_TIMEOUT_MS, endTracker)
-          : newRelayedConnector(target, endTracker),
+      connect: this.newConnector(target),
     });
     const confirm = confirmCloseDelimited({
       isServerRunning: () =>
@@ -169,6 +184,17 @@
     this.pools.set(key, created);
     return created;
   }
+
+  private getRelayTarget({ endpoint, relay }: EndpointPath): RelayTarget | undefined {
+    const { localAddress } = this;
+    return relay === undefined ? undefined : { relay, endpoint, localAddress };
+  }
+
+  private newConnector(target: RelayTarget | undefined): buildConnector.connector {
+    return target === undefined
+      ? newTrackedConnector(ENDPOINT_CONNECT_TIMEOUT_MS, this.endTracker)
+      : newRelayedConnector(target, this.endTracker);
+  }
 }
 
 function getPoolKey(endpoint: string, relay = ''): string {
--- a/src/gatewayHost/platform.ts
+++ b/src/gatewayHost/platform.ts
@@ -58,18 +58,16 @@
   ): Promise<EngineAnswer<AdapterReport | string>>;
 }
 
-/** An endpoint whose health is checked. */
-export interface HealthTarget {
-  endpoint: string;
-  address: string;
-  /** Path of the health check; undefined for an engine, which answers reports while it is busy. */
-  healthPath: string | undefined;
+/** A request that an endpoint answers whatever its state. */
+export interface HealthCheck {
+  path: string;
+  headers: Record<string, string>;
 }
 
-/** Health checks of endpoints. Their promises never reject. */
+/** Health checks of endpoints. */
 export interface HealthPort {
-  /** Whether the endpoint answers over a new connection, whatever the answer says. */
-  check(target: HealthTarget, timeoutMs: number): Promise<boolean>;
+  /** `healthPath` is undefined for an engine, which answers reports while it is busy. */
+  getCheck(endpoint: string, healthPath: string | undefined): HealthCheck;
 }
 
 /** Alternating names and values, unmodified. */
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -87,13 +87,12 @@
       });
     });
   },
-  probeEndpoint: (host, { endpoint, address, timeoutMs }) => {
-    const healthPath = host.getHealthPath(endpoint);
-    void host.platform.health
-      .check({ endpoint, address, healthPath }, timeoutMs)
-      .then((isAnswered) => {
-        host.dispatch({ type: 'endpointProbed', endpoint, isAnswered });
-      });
+  probeEndpoint: (host, { endpoint, address, relay, timeoutMs }) => {
+    const check = host.platform.health.getCheck(endpoint, host.getHealthPath(endpoint));
+    const path = { endpoint, address, relay };
+    void host.endpointClient.probe(path, check, timeoutMs).then((isAnswered) => {
+      host.dispatch({ type: 'endpointProbed', endpoint, isAnswered });
+    });
   },
   retireConnections: (host, { endpoint, relay }) =>
     host.endpointClient.retireConnections({ endpoint, relay }),
--- a/src/owners/reachability.ts
+++ b/src/owners/reachability.ts
@@ -2,6 +2,7 @@
 import type { State } from '../core/state.ts';
 import { isRoutable } from '../fleet/endpointChoice.ts';
 import { isPathLost } from '../paths/lostPaths.ts';
+import { getEngineClass } from '../residency/reservations.ts';
 import { MAX_UNREACHABLE_ENGINES, REACHABLE_AFTER_MS, UNREACHABLE_AFTER_MS } from './constants.ts';
 import { writeMembersRow } from './members.ts';
 import { getMember } from './owner.ts';
@@ -26,37 +27,44 @@
 }
 
 function getReachability(state: State, own: Member, now: number): Reachability {
-  const isCutOff = isOwnerCutOff(state, own, now);
+  const isCutOff = saysCutOff(state, own, now);
   return { isCutOff, unreachable: isCutOff ? [] : getUnreachableEngines(state, own, now) };
 }
 
-function isOwnerCutOff(
-  { paths, residency }: State,
-  { isOwner, isCutOff = false }: Member,
-  now: number,
-): boolean {
-  if (paths.cutOffSince !== undefined) {
-    const ownsEngines = isOwner || residency.owned.size > 0;
-    return isCutOff || (ownsEngines && paths.cutOffSince + UNREACHABLE_AFTER_MS <= now);
-  }
-  return isCutOff && paths.cutOffEndedAt + REACHABLE_AFTER_MS > now;
+/**
+ * Whether this host says that it can order no engine. Standby hosts say so only once no owner can, so that
+ * few hosts write at once.
+ */
+function saysCutOff(state: State, { isOwner, isCutOff = false }: Member, now: number): boolean {
+  const { paths, residency, owners } = state;
+  if (paths.cutOffSince === undefined)
+    return isCutOff && paths.cutOffEndedAt + REACHABLE_AFTER_MS > now;
+  const others = owners.row?.members.filter((member) => member.isOwner) ?? [];
+  const isNeeded =
+    isOwner || residency.owned.size > 0 || others.every((member) => member.isCutOff === true);
+  return isCutOff || (isNeeded && paths.cutOffSince + UNREACHABLE_AFTER_MS <= now);
 }
 
-/** Returns the engines that this host owns or lists and can't order, in the order of their ids. */
-function getUnreachableEngines(state: State, { unreachable = [] }: Member, now: number): string[] {
+/** Returns the engines that an owner lists, or has to list, in the order of their ids. */
+function getUnreachableEngines(
+  state: State,
+  { isOwner, unreachable = [] }: Member,
+  now: number,
+): string[] {
   const listed = unreachable.filter((engine) => !isReachableAgain(state, engine, now));
-  const owned = [...state.residency.owned.keys()].filter((engine) =>
-    isUnreachable(state, engine, now),
-  );
-  return [...new Set([...listed, ...owned])].sort().slice(0, MAX_UNREACHABLE_ENGINES);
+  const candidates = isOwner ? state.paths.lost.keys() : state.residency.owned.keys();
+  const lost = [...candidates].filter((engine) => isUnreachable(state, engine, now));
+  return [...new Set([...listed, ...lost])].sort().slice(0, MAX_UNREACHABLE_ENGINES);
 }
 
 /** Whether this host has been unable to reach an engine directly for so long that others should order it. */
-function isUnreachable({ paths, fleet }: State, engine: string, now: number): boolean {
+function isUnreachable(state: State, engine: string, now: number): boolean {
+  const { paths, fleet } = state;
   const view = fleet.views.get(engine);
   const lost = paths.lost.get(engine);
   return (
     view !== undefined &&
+    getEngineClass(state, view) !== undefined &&
     lost?.startedAt === view.endpoint.startedAt &&
     lost.lostAt + UNREACHABLE_AFTER_MS <= now
   );
--- a/src/owners/types.ts
+++ b/src/owners/types.ts
@@ -12,9 +12,9 @@
   isOwner: z.boolean(),
   /** Host that suspects this one to have failed; the member itself clears it. */
   suspectedBy: z.string().optional(),
-  /** Engines that it would own and can't order, as it doesn't reach them directly. */
+  /** Engines that it can't order, as it doesn't reach them directly; some of them, if there are many. */
   unreachable: z.array(z.string()).optional(),
-  /** Whether it is an owner that reaches no endpoint directly. */
+  /** Whether it reaches no engine directly, so that it can order none. */
   isCutOff: z.boolean().optional(),
 });
 export type Member = z.infer<typeof Member>;
--- a/src/paths/constants.ts
+++ b/src/paths/constants.ts
@@ -1,5 +1,7 @@
 /** Time for which a relay that failed is not chosen again. */
 export const RELAY_AVOIDANCE_MS = 2_000;
+/** Time for which a host that declined to relay to one endpoint is the last choice for the others. */
+export const DECLINED_PREFERENCE_MS = 6_000;
 /** Interval between probes of the endpoints that this host can't reach directly, one endpoint each. */
 export const PROBE_INTERVAL_MS = 500;
 /** Time within which an endpoint must answer a probe. */
@@ -12,6 +14,6 @@
  */
 export const COMMON_FAILURE_WINDOW_MS = 1_000;
 /** Changes of its path for which a request is sent to the same endpoint again. */
-export const MAX_PATH_CHANGES = 4;
+export const MAX_PATH_CHANGES = 8;
 /** Endpoints that one log line names. */
 export const MAX_LOGGED_ENDPOINTS = 8;
--- a/src/paths/handlers.ts
+++ b/src/paths/handlers.ts
@@ -5,7 +5,7 @@
 import type { PathEvent, PathTimer } from './types.ts';
 
 export const pathEvents: EventHandlers<PathEvent['type']> = {
-  pathSilent: (state, event, now) => handlePathSilence(state, event, now),
+  pathSilent: (state, event) => handlePathSilence(state, event),
   endpointProbed: (state, event, now) => handleProbeEnd(state, event, now),
 };
 
--- a/src/paths/pathOutcomes.ts
+++ b/src/paths/pathOutcomes.ts
@@ -1,13 +1,13 @@
 import type { Effect } from '../core/effects.ts';
 import { newCount, newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
-import { breakSilentAttempts } from '../forwards/silentAttempts.ts';
 import type { ForwardAttempt, ForwardOutcome } from '../forwards/types.ts';
+import { getMember } from '../owners/owner.ts';
 import { COMMON_FAILURE_WINDOW_MS } from './constants.ts';
 import { getDirectEndpoints, losePaths } from './lostPaths.ts';
 import { probeEndpoint, scheduleProbe } from './probes.ts';
 import { avoidRelay } from './relayChoice.ts';
-import type { ConnectionProblem, PathSilence } from './types.ts';
+import type { ConnectionProblem, PathSilence, Relay } from './types.ts';
 
 type ProblemHandlers = Record<
   ConnectionProblem,
@@ -30,7 +30,10 @@
   lost: (state, attempt, now) => leaveRelay(state, attempt, attempt.endpoint, now),
   refusedToRelay: () => [],
   relay: (state, attempt, now) => leaveRelay(state, attempt, undefined, now),
-  declined: (state, attempt, now) => leaveRelay(state, attempt, attempt.endpoint, now),
+  declined: (state, attempt, now) => {
+    if (attempt.relay !== undefined) state.paths.declinedAt.set(attempt.relay, now);
+    return leaveRelay(state, attempt, attempt.endpoint, now);
+  },
   silent: () => [],
 };
 
@@ -50,12 +53,8 @@
   return [];
 }
 
-/** Finds out whether this host is cut off, or leaves a relay, after nothing arrived for a time. */
-export function handlePathSilence(
-  state: State,
-  { relay, silentMs }: PathSilence,
-  now: number,
-): Effect[] {
+/** Finds out by a probe whether a path is lost over which nothing arrived for a time. */
+export function handlePathSilence(state: State, { relay, silentMs }: PathSilence): Effect[] {
   const attempts = [...state.forwards.inFlight.values()]
     .flatMap(({ attempt }) => attempt ?? [])
     .filter((attempt) => attempt.relay === relay);
@@ -69,14 +68,11 @@
       endpoints,
     }),
   ];
-  if (relay !== undefined) {
-    avoidRelay(state, relay, undefined, now);
-    const moved = breakSilentAttempts(state, relay);
-    return [...observations, { type: 'retireConnections', relay }, ...moved];
-  }
   const [endpoint = getAnyEndpoint(state)] = endpoints;
-  const probed = endpoint === undefined ? [] : probeEndpoint(state, endpoint, 'silence');
-  return [...observations, ...probed];
+  if (endpoint === undefined) return observations;
+  const through = relay === undefined ? undefined : findMember(state, relay);
+  if (relay !== undefined && through === undefined) return observations;
+  return [...observations, ...probeEndpoint(state, endpoint, 'silence', through)];
 }
 
 /** Has the connections over a relay closed whose host leaves or whose link closed. */
@@ -115,6 +111,11 @@
   ];
 }
 
+function findMember({ owners }: State, host: string): Relay | undefined {
+  const member = getMember(owners, host);
+  return member === undefined ? undefined : { host, address: member.address };
+}
+
 function getAnyEndpoint({ fleet }: State): string | undefined {
   return [...fleet.views.values()].find(({ isRemoved }) => !isRemoved)?.endpoint.id;
 }
--- a/src/paths/probes.ts
+++ b/src/paths/probes.ts
@@ -2,20 +2,29 @@
 import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
+import { isRoutable } from '../fleet/endpointChoice.ts';
+import type { EndpointView } from '../fleet/types.ts';
 import { breakSilentAttempts } from '../forwards/silentAttempts.ts';
+import { getEngineClass } from '../residency/reservations.ts';
 import { PROBE_INTERVAL_MS, PROBE_TIMEOUT_MS, SILENCE_PROBE_TIMEOUT_MS } from './constants.ts';
 import { dropOutdatedPaths, getDirectEndpoints, losePaths, restorePath } from './lostPaths.ts';
-import type { ProbeEnd, ProbeReason } from './types.ts';
+import { avoidRelay } from './relayChoice.ts';
+import type { ProbeEnd, ProbeReason, Relay } from './types.ts';
 
-/** Probes an endpoint unless a probe is in flight. */
-export function probeEndpoint(state: State, endpoint: string, reason: ProbeReason): Effect[] {
+/** Probes an endpoint, directly or through a relay, unless a probe is in flight. */
+export function probeEndpoint(
+  state: State,
+  endpoint: string,
+  reason: ProbeReason,
+  relay?: Relay,
+): Effect[] {
   const { paths, fleet } = state;
   const view = fleet.views.get(endpoint);
   if (paths.probe !== undefined || view === undefined) return [];
-  paths.probe = { endpoint, reason };
+  paths.probe = { endpoint, reason, relay: relay?.host };
   const { address } = view.endpoint;
   const timeoutMs = reason === 'silence' ? SILENCE_PROBE_TIMEOUT_MS : PROBE_TIMEOUT_MS;
-  return [{ type: 'probeEndpoint', endpoint, address, timeoutMs }];
+  return [{ type: 'probeEndpoint', endpoint, address, relay, timeoutMs }];
 }
 
 /** Applies the result of a probe, and probes the next endpoint at once after one that answered. */
@@ -27,6 +36,8 @@
   const { paths, fleet } = state;
   const probe = paths.probe;
   paths.probe = undefined;
+  if (probe?.relay !== undefined)
+    return isAnswered ? [] : leaveSilentRelay(state, probe.relay, now);
   if (isAnswered) {
     const restored = restorePath(state, endpoint, now);
     return [...restored, ...(paths.lost.size > 0 ? probeNextPath(state, now) : [])];
@@ -68,6 +79,16 @@
   return [];
 }
 
+/** Leaves a relay over which nothing arrives, not even the answer to a probe. */
+function leaveSilentRelay(state: State, relay: string, now: number): Effect[] {
+  avoidRelay(state, relay, undefined, now);
+  return [
+    newLog('info', 'relay is avoided', { relay, reason: 'nothing arrives through it' }),
+    { type: 'retireConnections', relay },
+    ...breakSilentAttempts(state, relay),
+  ];
+}
+
 function markProbed({ paths }: State, endpoint: string, now: number): void {
   const lost = paths.lost.get(endpoint);
   if (lost !== undefined) lost.probedAt = now;
@@ -77,10 +98,20 @@
 function confirmCut(state: State, now: number): Effect[] {
   const { paths } = state;
   const isKnown = paths.cutOffSince !== undefined || paths.lost.size === 0;
-  if (isKnown || getDirectEndpoints(state).length > 0) return [];
+  if (isKnown || isAnyReachable(state)) return [];
   paths.cutOffSince = now;
   return [
-    newLog('warn', 'this host reaches no endpoint directly', { endpoints: paths.lost.size }),
+    newLog('warn', 'this host reaches no engine directly', { lost: paths.lost.size }),
     ...breakSilentAttempts(state, undefined),
   ];
 }
+
+/** Whether this host reaches an engine directly, or another endpoint where there are no engines. */
+function isAnyReachable(state: State): boolean {
+  const direct = getDirectEndpoints(state);
+  const isEngine = (view: EndpointView): boolean => getEngineClass(state, view) !== undefined;
+  const hasEngines = [...state.fleet.views.values()].some(
+    (view) => isRoutable(view) && isEngine(view),
+  );
+  return hasEngines ? direct.some(isEngine) : direct.length > 0;
+}
--- a/src/paths/relayChoice.ts
+++ b/src/paths/relayChoice.ts
@@ -1,8 +1,9 @@
 import { getRendezvousChoice } from '../base/hash.ts';
 import type { State } from '../core/state.ts';
 import type { EndpointView } from '../fleet/types.ts';
+import { isUnreachableFor } from '../owners/owner.ts';
 import type { Member } from '../owners/types.ts';
-import { RELAY_AVOIDANCE_MS } from './constants.ts';
+import { DECLINED_PREFERENCE_MS, RELAY_AVOIDANCE_MS } from './constants.ts';
 import { isPathLost } from './lostPaths.ts';
 import type { Relay } from './types.ts';
 
@@ -27,9 +28,17 @@
       owners.linkedHosts.has(member.host) &&
       !isAvoided(state, member.host, endpoint.id, now),
   );
+  // Hosts that can't reach one endpoint probably can't reach others.
+  const willing = usable.filter((member) => !isUnpromising(state, member, endpoint.id, now));
   // A relay in either zone sends no more bytes between zones than a direct connection does.
-  const near = usable.filter(({ zone }) => zone === host.zone || zone === endpoint.zone);
-  return chooseRelay(near.length === 0 ? usable : near, `${host.id}/${endpoint.id}`);
+  const near = willing.filter(({ zone }) => zone === host.zone || zone === endpoint.zone);
+  const candidates = [near, willing, usable].find(({ length }) => length > 0) ?? [];
+  return chooseRelay(candidates, `${host.id}/${endpoint.id}`);
+}
+
+function isUnpromising({ paths }: State, member: Member, endpoint: string, now: number): boolean {
+  const declinedAt = paths.declinedAt.get(member.host) ?? -Infinity;
+  return declinedAt + DECLINED_PREFERENCE_MS > now || isUnreachableFor(member, endpoint);
 }
 
 /** Has a relay avoided for a time, for one endpoint or for all. */
--- a/src/paths/types.ts
+++ b/src/paths/types.ts
@@ -39,8 +39,10 @@
   readonly restoredAt = new Map<string, number>();
   /** Monotonic ms until which a relay is avoided, by host, or by host and endpoint. */
   readonly avoidedRelays = new Map<string, number>();
+  /** Monotonic ms at which hosts last declined to relay, by host. */
+  readonly declinedAt = new Map<string, number>();
   /** The probe in flight; at most one is. */
-  probe: { endpoint: string; reason: ProbeReason } | undefined;
+  probe: { endpoint: string; reason: ProbeReason; relay: string | undefined } | undefined;
   isProbeScheduled = false;
   /** The last endpoint that became unreachable, and monotonic ms. */
   lastFailure: { endpoint: string; at: number } | undefined;
@@ -77,7 +79,14 @@
 
 export type PathEffect =
   /** Sends a health check over a connection of its own; the result arrives as `endpointProbed`. */
-  | { type: 'probeEndpoint'; endpoint: string; address: string; timeoutMs: number }
+  | {
+      type: 'probeEndpoint';
+      endpoint: string;
+      address: string;
+      /** Host through which it is sent; undefined for a direct connection. */
+      relay: Relay | undefined;
+      timeoutMs: number;
+    }
   /** Closes the connections to an endpoint, or over a relay, once their requests have ended. */
   | { type: 'retireConnections'; endpoint?: string; relay?: string }
   /** Breaks an attempt off that has received nothing for `silentMs`; it ends as broken. */
