Send brittle endpoints no more requests than they have room for

Cause: no host read the notice, and each counts its own requests and refusals only. Change: the decoder of notices reads it; hosts tell linked hosts. Requests to a brittle endpoint of a plain service need a permit of its owner, who admits as many as it has slots and a quarter more, from all hosts together, one fewer after each refusal and one more after each 2 s without. Others wait at the owner, or are refused at once with a time to return. A host without a link to the owner uses its part. An endpoint that starts again is taken for brittle while another of its service is. Engines are bounded by their reservations already. Growth: one message to linked hosts when an endpoint becomes brittle; three a request between its host and the owner while it is.

--- a/src/fleet/registration.ts
+++ b/src/fleet/registration.ts
@@ -1,3 +1,4 @@
+import type { Brittleness } from '../notices/types.ts';
 import type { Endpoint, EndpointView, Fleet } from './types.ts';
 
 /**
@@ -7,7 +8,9 @@
 export function applyRegistration(fleet: Fleet, endpoint: Endpoint): boolean {
   const known = fleet.views.get(endpoint.id);
   if (known === undefined || endpoint.startedAt > known.endpoint.startedAt) {
-    fleet.views.set(endpoint.id, newView(endpoint));
+    // Endpoints of a service are brittle together, and one that starts has not said so yet.
+    const brittleness = findBrittleness(fleet, endpoint.service);
+    fleet.views.set(endpoint.id, { ...newView(endpoint), brittleness });
     return true;
   }
   const { startedAt, sequence, isLeaving, softwareVersion } = known.endpoint;
@@ -36,7 +39,15 @@
     failureRate: 0,
     limit: undefined,
     isToldLeaving: false,
+    brittleness: undefined,
     pause: undefined,
     malformedLoggedAt: -Infinity,
   };
 }
+
+function findBrittleness({ views }: Fleet, service: string): Brittleness | undefined {
+  const brittle = [...views.values()].find(
+    ({ endpoint, brittleness }) => endpoint.service === service && brittleness !== undefined,
+  );
+  return brittle?.brittleness === undefined ? undefined : { ...brittle.brittleness };
+}
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import type { EndpointLimit } from '../limits/types.ts';
-import type { EndpointPause } from '../notices/types.ts';
+import type { Brittleness, EndpointPause } from '../notices/types.ts';
 
 /** An adapter that is loaded on an engine. */
 export const LoadedAdapter = z.object({
@@ -54,6 +54,8 @@
   limit: EndpointLimit | undefined;
   /** Whether an answer or another host told that it leaves; the directory's word is in `endpoint`. */
   isToldLeaving: boolean;
+  /** Present while it says that it stops if it has to turn away many requests. */
+  brittleness: Brittleness | undefined;
   /** The last time for which it wanted no requests of this host; undefined if there was none. */
   pause: EndpointPause | undefined;
   /** Monotonic ms of the last log line about a malformed notice of it. */
--- a/src/forwards/forwardAttempts.ts
+++ b/src/forwards/forwardAttempts.ts
@@ -5,6 +5,7 @@
 import { dropEndpoint } from '../directory/apply.ts';
 import { recordAnswer, recordUnansweredAttempt } from '../fleet/health.ts';
 import type { EndpointView } from '../fleet/types.ts';
+import { recordRefusal } from '../notices/brittleness.ts';
 import { MAX_PATH_CHANGES } from '../paths/constants.ts';
 import { recordPathOutcome } from '../paths/pathOutcomes.ts';
 import { getRelay } from '../paths/relayChoice.ts';
@@ -73,7 +74,10 @@
   notRun: (context, { reason }) => {
     const { state, forward, attempt, view, now } = context;
     const dropped = reason === 'otherEndpoint' ? dropEndpoint(state, attempt.endpoint, now) : [];
-    if (reason === 'full' && view !== undefined) recordAnswer(view, now - attempt.startedAt, false);
+    if (reason === 'full' && view !== undefined) {
+      recordAnswer(view, now - attempt.startedAt, false);
+      if (attempt.owner === undefined) recordRefusal(view, now);
+    }
     // An engine without the adapter can be chosen again: its owner learns that it is missing.
     if (reason !== 'adapterMissing' || attempt.owner === undefined) {
       forward.excluded.add(attempt.endpoint);
@@ -82,6 +86,7 @@
       state,
       forward,
       reason === 'adapterMissing' ? 'missing' : 'ended',
+      reason === 'full' ? true : undefined,
     );
     const retried = retryUnrun(
       state,
--- a/src/forwards/forwardEnd.ts
+++ b/src/forwards/forwardEnd.ts
@@ -145,6 +145,7 @@
   state: State,
   forward: Forward,
   result: 'ended' | 'brokenOff' | 'missing' = 'ended',
+  isRefused?: true,
 ): Effect[] {
   const { attempt, pendingReservation, id } = forward;
   const endpoint = attempt?.endpoint ?? pendingReservation?.engine;
@@ -155,7 +156,13 @@
   forward.pendingReservation = undefined;
   if (owner === undefined || endpoint === undefined) return [];
   return [
-    sendMessage(state, owner, { type: 'placeReleased', request: id, engine: endpoint, result }),
+    sendMessage(state, owner, {
+      type: 'placeReleased',
+      request: id,
+      engine: endpoint,
+      result,
+      isRefused,
+    }),
   ];
 }
 
--- a/src/forwards/forwardPlacement.ts
+++ b/src/forwards/forwardPlacement.ts
@@ -4,7 +4,7 @@
 import { schedule } from '../core/timers.ts';
 import { isAvailable } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
-import { isLimited, takeOwnPermit } from '../limits/permits.ts';
+import { isLimited, needsPermit, takeOwnPermit } from '../limits/permits.ts';
 import { getEngineStatus } from '../residency/engineStatus.ts';
 import { getPrefillMs } from '../residency/prefill.ts';
 import { RESERVATION_TIMEOUT_MS } from './constants.ts';
@@ -47,8 +47,10 @@
     return scheduleRetry(state, forward, missing, now);
   }
   const { view, owner } = candidate;
-  if (isLimited(view)) {
-    const others = views.filter((other) => !isLimited(other));
+  // The owner of a brittle engine lets no more requests run than it has room for.
+  const isPermitNeeded = isForEngine && owner !== undefined ? isLimited(view) : needsPermit(view);
+  if (isPermitNeeded) {
+    const others = views.filter((other) => !needsPermit(other));
     const lowestUnlimitedCost = chooseCandidate(state, forward, others, now)?.cost;
     return placeAtLimit(state, forward, candidate, lowestUnlimitedCost, now);
   }
--- a/src/forwards/limitedPlacement.ts
+++ b/src/forwards/limitedPlacement.ts
@@ -26,8 +26,9 @@
   { waitMs, returnMs }: PermitRefusal,
   now: number,
 ): void {
-  const limit = fleet.views.get(endpoint)?.limit;
+  const { limit, brittleness } = fleet.views.get(endpoint) ?? {};
   if (limit !== undefined) limit.nextPermitAt = now + waitMs;
+  if (brittleness !== undefined) brittleness.nextPermitAt = now + waitMs;
   forward.excluded.add(endpoint);
   forward.returnMs = Math.min(forward.returnMs ?? Infinity, returnMs);
   forward.lastReason = 'the endpoints take no more requests now';
--- a/src/forwards/unavailability.ts
+++ b/src/forwards/unavailability.ts
@@ -3,7 +3,7 @@
 import { Failure } from '../errors/failure.ts';
 import { getPresentEndpoints, isLeaving } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
-import { isLimited } from '../limits/permits.ts';
+import { needsPermit } from '../limits/permits.ts';
 import { getShortestPauseMs, isPaused } from '../notices/pauses.ts';
 import { LEAVING_RETURN_MS, PAUSE_RETURN_SPREAD } from './constants.ts';
 import { abandonForward, failForward } from './forwardEnd.ts';
@@ -42,9 +42,9 @@
   return views.length > 0 && views.every(isLeaving);
 }
 
-/** Whether an endpoint limits its requests and had no permit for this one. */
+/** Whether an endpoint had no permit for this request. */
 function isAtLimit(view: EndpointView, { excluded }: Forward): boolean {
-  return isLimited(view) && excluded.has(view.endpoint.id);
+  return needsPermit(view) && excluded.has(view.endpoint.id);
 }
 
 function refuse(state: State, forward: Forward, reason: string, returnMs: number): Effect[] {
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -229,7 +229,10 @@
   ): void {
     if (notice === undefined) return;
     const view = this.state.fleet.views.get(endpoint);
-    const isKnown = view?.limit?.perS !== undefined || view?.pause !== undefined;
+    const isKnown =
+      view?.limit?.perS !== undefined ||
+      view?.pause !== undefined ||
+      view?.brittleness !== undefined;
     const isSilent = Object.values(notice).every(({ type }) => type === 'none');
     if (isKnown || !isSilent)
       this.dispatch({ type: 'noticeRead', endpoint, startedAt, sentAt, notice });
--- a/src/limits/constants.ts
+++ b/src/limits/constants.ts
@@ -20,3 +20,5 @@
 export const MAX_SERVE_INTERVAL_MS = 1_000;
 /** Time to the deadline below which a queued request is dropped. */
 export const MIN_PERMIT_REMAINING_MS = 20;
+/** Answer time that is assumed of a brittle endpoint before its first answer to this host. */
+export const BRITTLE_MEAN_ANSWER_MS = 100;
--- a/src/limits/permitQueue.ts
+++ b/src/limits/permitQueue.ts
@@ -16,12 +16,14 @@
   MIN_PERMIT_REMAINING_MS,
   PERMIT_SERVE_INTERVAL_MS,
 } from './constants.ts';
+import { recordRefusal } from '../notices/brittleness.ts';
 import {
+  getAdmissionWaitMs,
   getPermits,
   isLimited,
   isPermitOwner,
   newPermitRefusal,
-  tryTakePermit,
+  tryAdmit,
 } from './permits.ts';
 import type { EndpointPermits, QueuedPermit } from './types.ts';
 
@@ -50,18 +52,30 @@
   const position = findPosition(queue, queued);
   const refusal =
     queue.length < MAX_QUEUED_PERMITS
-      ? refuseLongWait(state, permits, queued, position, now)
-      : newPermitRefusal(state, permits, queue.length, now);
+      ? refuseLongWait(state, view, permits, queued, position, now)
+      : newPermitRefusal(state, view, permits, queue.length, now);
   if (refusal !== undefined) return [newRefusal(state, queued, 'limited', refusal)];
   queue.splice(position, 0, queued);
   return acknowledge(state, [queued]);
 }
 
-/** Removes a request that no longer waits. */
-export function dropQueuedPermit(state: State, endpoint: string, request: string): void {
+/**
+ * Removes a request that no longer waits for an endpoint of a plain service, or that the endpoint has ended,
+ * and admits others. `isRefused` tells whether the endpoint turned it away.
+ */
+export function releasePermit(
+  state: State,
+  endpoint: string,
+  request: string,
+  isRefused: boolean,
+  now: number,
+): Effect[] {
   const permits = state.limits.permits.get(endpoint);
-  if (permits !== undefined)
-    permits.queue = permits.queue.filter((queued) => queued.request !== request);
+  if (permits === undefined) return [];
+  permits.queue = permits.queue.filter((queued) => queued.request !== request);
+  const view = state.fleet.views.get(endpoint);
+  if (isRefused && view !== undefined) recordRefusal(view, now);
+  return permits.inFlight.delete(request) ? servePermits(state, endpoint, now) : [];
 }
 
 /**
@@ -90,16 +104,16 @@
   for (const queued of getServable(state, permits.queue, now)) {
     if (runsOtherSoftware(view, queued.softwareVersion)) {
       effects.push(newRefusal(state, queued, 'otherSoftware'));
-    } else if (!isLimited(view) || tryTakePermit(permits, now)) {
+    } else if (tryAdmit(view, permits, queued, now)) {
       effects.push(newGrant(state, view, queued, now));
     } else {
-      const refusal = refuseLongWait(state, permits, queued, left.length, now);
+      const refusal = refuseLongWait(state, view, permits, queued, left.length, now);
       if (refusal === undefined) left.push(queued);
       else effects.push(newRefusal(state, queued, 'limited', refusal));
     }
   }
   permits.queue = left;
-  scheduleServing(state, endpoint, permits, now);
+  scheduleServing(state, view, permits, now);
   return [...effects, ...acknowledge(state, left)];
 }
 
@@ -109,15 +123,16 @@
  */
 export function refuseLongWait(
   state: State,
+  view: EndpointView,
   permits: EndpointPermits,
   { maxWaitMs, remainingMs, arrivedAt }: Waiting,
   ahead: number,
   now: number,
 ): PermitRefusal | undefined {
-  const waitMs = permits.bucket.getWaitMs(now, ahead + 1);
+  const waitMs = getAdmissionWaitMs(view, permits, ahead + 1, now);
   const longestMs = maxWaitMs ?? remainingMs * MAX_PERMIT_WAIT_SHARE;
   if (now + waitMs <= arrivedAt + longestMs) return undefined;
-  return newPermitRefusal(state, permits, ahead, now);
+  return newPermitRefusal(state, view, permits, ahead, now);
 }
 
 /** Returns the index of a request in a queue that is sorted by priority and arrival. */
@@ -141,16 +156,17 @@
 
 function scheduleServing(
   state: State,
-  endpoint: string,
+  view: EndpointView,
   permits: EndpointPermits,
   now: number,
 ): void {
   if (permits.queue.length === 0) return;
-  const waitMs = Math.max(PERMIT_SERVE_INTERVAL_MS, permits.bucket.getWaitMs(now));
+  const admissionMs = getAdmissionWaitMs(view, permits, 1, now);
+  const waitMs = Math.max(PERMIT_SERVE_INTERVAL_MS, admissionMs);
   const at = now + Math.min(waitMs, MAX_SERVE_INTERVAL_MS);
   if (permits.nextServeAt > now && permits.nextServeAt <= at) return;
   permits.nextServeAt = at;
-  schedule(state, at, { type: 'servePermits', endpoint });
+  schedule(state, at, { type: 'servePermits', endpoint: view.endpoint.id });
 }
 
 function newGrant(
--- a/src/limits/permits.ts
+++ b/src/limits/permits.ts
@@ -4,21 +4,29 @@
 import { countRecentLimitSharers, getOwner } from '../owners/owner.ts';
 import type { PermitRefusal } from '../residency/types.ts';
 import {
+  BRITTLE_MEAN_ANSWER_MS,
   MAX_RETURN_MS,
   MIN_PERMITS_PER_S,
   PERMIT_BURST_MS,
   SHARERS_WINDOW_MS,
 } from './constants.ts';
-import type { EndpointPermits, PermitRole } from './types.ts';
+import { getMaxInFlight } from '../notices/brittleness.ts';
+import type { AdmittedRequest, EndpointPermits, PermitRole, QueuedPermit } from './types.ts';
 
 /** Whether an endpoint names a limit on the requests that it takes. */
 export function isLimited({ limit }: EndpointView): boolean {
   return limit?.perS !== undefined;
 }
 
+/** Whether requests to an endpoint need a permit: it limits them, or is brittle. */
+export function needsPermit(view: EndpointView): boolean {
+  return isLimited(view) || view.brittleness !== undefined;
+}
+
 /** Returns the time until a limited endpoint may have a permit for this host, in ms; 0 without a limit. */
 export function getKnownPermitWaitMs(view: EndpointView, now: number): number {
-  return isLimited(view) ? Math.max(0, (view.limit?.nextPermitAt ?? now) - now) : 0;
+  const nextPermitAt = view.limit?.nextPermitAt ?? view.brittleness?.nextPermitAt ?? now;
+  return needsPermit(view) ? Math.max(0, nextPermitAt - now) : 0;
 }
 
 /** Whether this host hands out the permits of an endpoint. */
@@ -50,6 +58,7 @@
     startedAt,
     bucket: newBucket(perS, 0, now),
     queue: known?.queue ?? [],
+    inFlight: known?.startedAt === startedAt ? known.inFlight : new Map<string, AdmittedRequest>(),
     nextServeAt: -Infinity,
     returnsUntil: -Infinity,
     granted: 0,
@@ -66,6 +75,36 @@
   return true;
 }
 
+/** Takes what a request needs to be sent: a permit of the limit, and room at a brittle endpoint. */
+export function tryAdmit(
+  view: EndpointView,
+  permits: EndpointPermits,
+  { request, from, remainingMs }: Pick<QueuedPermit, 'request' | 'from' | 'remainingMs'>,
+  now: number,
+): boolean {
+  const { brittleness } = view;
+  if (brittleness !== undefined) {
+    for (const [id, { endsAt }] of permits.inFlight) if (endsAt <= now) permits.inFlight.delete(id);
+    if (permits.inFlight.size >= getMaxInFlight(view, brittleness, now)) return false;
+  }
+  if (isLimited(view) && !tryTakePermit(permits, now)) return false;
+  if (brittleness !== undefined)
+    permits.inFlight.set(request, { host: from, endsAt: now + remainingMs });
+  return true;
+}
+
+/** Returns the expected time until request number `position` of a queue is admitted, in ms. */
+export function getAdmissionWaitMs(
+  view: EndpointView,
+  permits: EndpointPermits,
+  position: number,
+  now: number,
+): number {
+  const limitMs = isLimited(view) ? permits.bucket.getWaitMs(now, position) : 0;
+  if (view.brittleness === undefined) return limitMs;
+  return Math.max(limitMs, position * getAdmissionIntervalMs(view, permits, now));
+}
+
 /**
  * Takes a permit from this host's own part of an endpoint's limit, which it uses while it has no link to
  * the endpoint's owner. Returns why there is none.
@@ -76,18 +115,30 @@
   now: number,
 ): PermitRefusal | undefined {
   const permits = getPermits(state, view, 'share', now);
-  return tryTakePermit(permits, now) ? undefined : newPermitRefusal(state, permits, 0, now);
+  const isAdmitted =
+    hasOwnRoom(state, view, now) && (!isLimited(view) || tryTakePermit(permits, now));
+  return isAdmitted ? undefined : newPermitRefusal(state, view, permits, 0, now);
+}
+
+/** Whether this host has fewer requests under way to a brittle endpoint than its own part of those allows. */
+function hasOwnRoom({ owners }: State, view: EndpointView, now: number): boolean {
+  const { brittleness, inFlight } = view;
+  if (brittleness === undefined) return true;
+  const sharers = countRecentLimitSharers(owners, SHARERS_WINDOW_MS, now);
+  return inFlight < Math.max(1, Math.floor(getMaxInFlight(view, brittleness, now) / sharers));
 }
 
 /** Returns why a request gets no permit now; `ahead` others get one before it. */
 export function newPermitRefusal(
   state: State,
+  view: EndpointView,
   permits: EndpointPermits,
   ahead: number,
   now: number,
 ): PermitRefusal {
-  const waitMs = Math.min(permits.bucket.getWaitMs(now, ahead + 1), Number.MAX_SAFE_INTEGER);
-  return { waitMs, returnMs: takeReturnMs(state, permits, waitMs, now) };
+  const admissionMs = getAdmissionWaitMs(view, permits, ahead + 1, now);
+  const waitMs = Math.min(admissionMs, Number.MAX_SAFE_INTEGER);
+  return { waitMs, returnMs: takeReturnMs(state, view, permits, waitMs, now) };
 }
 
 /**
@@ -97,18 +148,32 @@
  */
 function takeReturnMs(
   { random }: State,
+  view: EndpointView,
   permits: EndpointPermits,
   waitMs: number,
   now: number,
 ): number {
   permits.refused += 1;
-  const intervalMs = 1_000 / Math.max(permits.bucket.ratePerS, MIN_PERMITS_PER_S);
+  const intervalMs = getAdmissionIntervalMs(view, permits, now);
   const at = Math.max(permits.returnsUntil + intervalMs, now + waitMs);
   if (at - now > MAX_RETURN_MS) return MAX_RETURN_MS * (0.5 + random.getFraction() / 2);
   permits.returnsUntil = at;
   return at - now;
 }
 
+/** Returns the time between two requests that an endpoint can take, in ms. */
+function getAdmissionIntervalMs(
+  view: EndpointView,
+  { bucket }: EndpointPermits,
+  now: number,
+): number {
+  const limitMs = isLimited(view) ? 1_000 / Math.max(bucket.ratePerS, MIN_PERMITS_PER_S) : 0;
+  const { brittleness, meanAnswerMs } = view;
+  if (brittleness === undefined) return limitMs;
+  const meanMs = meanAnswerMs === 0 ? BRITTLE_MEAN_ANSWER_MS : meanAnswerMs;
+  return Math.max(limitMs, meanMs / getMaxInFlight(view, brittleness, now));
+}
+
 /**
  * Returns the permits per second of this host. The owner has those of all members with a link to it, and
  * each other member its own part, so that all parts add up to no more than the limit, however links are
--- a/src/notices/announcements.ts
+++ b/src/notices/announcements.ts
@@ -9,6 +9,7 @@
   observeNamedLimits,
 } from '../limits/endpointLimits.ts';
 import { ANNOUNCE_INTERVAL_MS } from './constants.ts';
+import { getBrittleEndpoint, recordBrittle } from './brittleness.ts';
 import { recordLeaving } from './leaving.ts';
 import type { EndpointNoticesAnnounced, LeavingEndpoint } from './types.ts';
 
@@ -47,7 +48,7 @@
 /** Adopts what another host learned of endpoints before this one. */
 export function applyAnnouncedNotices(
   state: State,
-  { limits, leaving = [] }: EndpointNoticesAnnounced,
+  { limits, leaving = [], brittle = [] }: EndpointNoticesAnnounced,
   from: string,
   now: number,
 ): Effect[] {
@@ -57,6 +58,10 @@
       const view = state.fleet.views.get(endpoint);
       return view?.endpoint.startedAt === startedAt ? recordLeaving(state, view, from, now) : [];
     }),
+    ...brittle.flatMap(({ endpoint, startedAt }) => {
+      const view = state.fleet.views.get(endpoint);
+      return view?.endpoint.startedAt === startedAt ? recordBrittle(state, view, from, now) : [];
+    }),
   ];
 }
 
@@ -64,8 +69,9 @@
   const present = views.filter(({ isRemoved }) => !isRemoved);
   const limits = present.flatMap((view) => getAnnouncedLimit(view) ?? []);
   const leaving = present.flatMap((view) => getLeavingEndpoint(view) ?? []);
-  if (limits.length + leaving.length === 0) return [];
-  return [sendMessage(state, host, { type: 'endpointLimitsAnnounced', limits, leaving })];
+  const brittle = present.flatMap((view) => getBrittleEndpoint(view) ?? []);
+  if (limits.length + leaving.length + brittle.length === 0) return [];
+  return [sendMessage(state, host, { type: 'endpointLimitsAnnounced', limits, leaving, brittle })];
 }
 
 function getLeavingEndpoint({
--- a/src/notices/endpointNotices.ts
+++ b/src/notices/endpointNotices.ts
@@ -5,6 +5,7 @@
 import { rerouteFromEngine } from '../forwards/rerouting.ts';
 import { recordNamedLimit } from '../limits/endpointLimits.ts';
 import { scheduleNoticeAnnouncement } from './announcements.ts';
+import { applyBrittleness } from './brittleness.ts';
 import { newNoticeGauges } from './gauges.ts';
 import { recordLeaving } from './leaving.ts';
 import { observeMalformed } from './malformed.ts';
@@ -22,7 +23,10 @@
   if (view?.endpoint.startedAt !== startedAt) return [];
   if (recordNamedLimit(state, view, notice.limit, sentAt, now))
     scheduleNoticeAnnouncement(state, view, now);
+  const brittle = applyBrittleness(state, view, notice.brittle, sentAt, now);
+  if (brittle.length > 0) scheduleNoticeAnnouncement(state, view, now);
   return [
+    ...brittle,
     ...observeMalformed(view, notice, now),
     ...applyLeaving(state, view, notice.leaving, now),
     ...applyPause(state, view, notice.pause, sentAt, now),
--- a/src/notices/malformed.ts
+++ b/src/notices/malformed.ts
@@ -15,7 +15,7 @@
   notice: EndpointNotice,
   now: number,
 ): Effect[] {
-  const subjects = ['limit', 'leaving', 'pause'] as const;
+  const subjects = ['limit', 'leaving', 'brittle', 'pause'] as const;
   const malformed = subjects.flatMap((subject) => {
     const said = notice[subject];
     return said.type === 'malformed' ? [{ subject, value: said.value }] : [];
--- a/src/notices/types.ts
+++ b/src/notices/types.ts
@@ -15,10 +15,14 @@
 /** Whether an endpoint says that it leaves. */
 export type NamedLeaving = HeaderContent<{ type: 'leaving' }>;
 
+/** How many requests an endpoint may turn away in a second before it stops. */
+export type NamedBrittleness = HeaderContent<{ type: 'brittle'; maxRefusalsPerS: number }>;
+
 /** What an answer of an endpoint says of the endpoint itself. */
 export interface EndpointNotice {
   limit: NamedLimit;
   leaving: NamedLeaving;
+  brittle: NamedBrittleness;
   pause: NamedPause;
 }
 
@@ -37,12 +41,20 @@
 });
 export type LeavingEndpoint = z.infer<typeof LeavingEndpoint>;
 
+const BrittleEndpoint = z.object({
+  endpoint: z.string().min(1).max(200),
+  /** Unix ms of the start of the endpoint. */
+  startedAt: z.number(),
+});
+export type BrittleEndpoint = z.infer<typeof BrittleEndpoint>;
+
 /** Tells other hosts of what endpoints said of themselves to the sender, or that it was told of. */
 export const EndpointNoticesAnnounced = z.object({
   type: z.literal('endpointLimitsAnnounced'),
   limits: z.array(AnnouncedLimit),
-  /** Hosts of earlier versions omit it. */
+  /** Hosts of earlier versions omit these. */
   leaving: z.array(LeavingEndpoint).optional(),
+  brittle: z.array(BrittleEndpoint).optional(),
 });
 export type EndpointNoticesAnnounced = z.infer<typeof EndpointNoticesAnnounced>;
 
@@ -57,6 +69,17 @@
   notice: EndpointNotice;
 }
 
+/** An endpoint that stops if it has to turn away many requests. Times are monotonic ms. */
+export interface Brittleness {
+  learnedAt: number;
+  /** Most requests that may be under way to it, from all hosts together. */
+  maxInFlight: number;
+  /** Time of the last request that it turned away, or of the last change of `maxInFlight`. */
+  changedAt: number;
+  /** Time before which it is known to have no room for this host. */
+  nextPermitAt: number;
+}
+
 /** What this host has to tell other hosts of endpoints. */
 export class Notices {
   /** Endpoints of which answers to this host said something new since the last announcement. */
--- a/src/residency/handlers.ts
+++ b/src/residency/handlers.ts
@@ -1,6 +1,6 @@
 import type { EventHandlers, MessageHandlers, TimerHandlers } from '../core/handlers.ts';
 import { newLog } from '../core/observations.ts';
-import { dropQueuedPermit } from '../limits/permitQueue.ts';
+import { releasePermit } from '../limits/permitQueue.ts';
 import { CANCELLED_REQUEST_MAX_RUN_MS } from './constants.ts';
 import { handleOrderAnswer, requireReport, applyAdapterReport } from './adapterOrders.ts';
 import { completePrefill } from './prefill.ts';
@@ -20,12 +20,9 @@
     completePrefill(owned, reservation);
     return serveReservations(state, owned, now);
   },
-  placeReleased: (state, { request, engine, result }, _from, now) => {
+  placeReleased: (state, { request, engine, result, isRefused = false }, _from, now) => {
     const owned = state.residency.owned.get(engine);
-    if (owned === undefined) {
-      dropQueuedPermit(state, engine, request);
-      return [];
-    }
+    if (owned === undefined) return releasePermit(state, engine, request, isRefused, now);
     const adapter = owned.reservations.get(request)?.adapter;
     releaseReservation(owned, request);
     const copy = adapter === undefined ? undefined : owned.copies.get(adapter);
--- a/src/residency/reservations.ts
+++ b/src/residency/reservations.ts
@@ -95,7 +95,9 @@
       continue;
     }
     const refusal =
-      permits === undefined ? undefined : refuseLongWait(state, permits, queued, left.length, now);
+      permits === undefined || view === undefined
+        ? undefined
+        : refuseLongWait(state, view, permits, queued, left.length, now);
     if (refusal !== undefined) {
       effects.push(...refuseReservation(state, queued, queued.from, 'limited', refusal));
       continue;
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -95,6 +95,8 @@
    * answered that it does not hold the adapter in that version.
    */
   result: z.enum(['ended', 'brokenOff', 'missing']),
+  /** Whether the endpoint turned the request away for want of room. */
+  isRefused: z.boolean().optional(),
 });
 export type ReservationReleased = z.infer<typeof ReservationReleased>;
 
--- a/tests/helpers/notices.ts
+++ b/tests/helpers/notices.ts
@@ -5,7 +5,7 @@
 
 /** Returns what an answer says of its endpoint; nothing but what `said` holds. */
 export function newNotice(said: Partial<EndpointNotice> = {}): EndpointNotice {
-  return { limit: NONE, leaving: NONE, pause: NONE, ...said };
+  return { limit: NONE, leaving: NONE, brittle: NONE, pause: NONE, ...said };
 }
 
 /** Returns the event that the answer to an attempt says something of its endpoint. */
--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -188,6 +188,17 @@
     expect(limit.type === 'rate' ? limit.perS : limit.type).toBe(expected);
   });
 
+  it.each<[string, string[], number | 'none' | 'malformed']>([
+    ['nothing', [], 'none'],
+    ['a number', ['Server-Brittle', '3'], 3],
+    ['two numbers', ['server-brittle', '5', 'Server-Brittle', '2'], 2],
+    ['text', ['Server-Brittle', 'very'], 'malformed'],
+    ['an empty value', ['Server-Brittle', ''], 'malformed'],
+  ])('reads that an engine is brittle: %s', (_name, headers, expected) => {
+    const { brittle } = headerLabels.readResponseLabels(200, headers, 'e1').notice;
+    expect(brittle.type === 'brittle' ? brittle.maxRefusalsPerS : brittle.type).toBe(expected);
+  });
+
   it.each<[string, string[], 'none' | 'leaving' | 'malformed']>([
     ['nothing', [], 'none'],
     ['1', ['Server-Leaving', '1'], 'leaving'],
