Let resumable streams begin only on versions that the row of splits names

Cause: a service without a row was taken for one that never had another version, also by a host that had not read the row; streams began on a new version up to 0.5 s before the row named it, so that the version derived for them could be another one. Hosts also dropped what they knew when the directory lost the row. Change: hosts write the row for each service with resumable streams from the first look on; streams begin on the versions that it names, and wait until it is read; nothing is derived without it.

--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -27,10 +27,11 @@
 };
 
 const appliers: Appliers = {
-  routing: (state, { table }) => {
+  routing: (state, { table }, _change, now) => {
     const known = state.routeIndex.current;
     if (known !== undefined && table.version <= known.table.version) return [];
     state.routeIndex.current = newRouteIndex(table);
+    scheduleSplitUpdate(state, now);
     const { version, routes, services } = table;
     return [
       newLog('info', 'routing table applied', {
@@ -135,7 +136,7 @@
 
 /** Has a row of the hosts written again that is no longer in the directory. */
 function handleRemovedRow(state: State, { type }: DirectoryContent, now: number): Effect[] {
-  if (type === 'versionSplits') return applyVersionSplits(state, { services: [] }, 0, now);
+  if (type === 'versionSplits') return applyVersionSplits(state, state.streams.splitsRow, 0, now);
   if (type === 'suspects') return applySuspectsRow(state, { suspects: [] }, 0, now);
   if (type === 'members') recordLostMembersRow(state.owners, 0);
   return [];
--- a/src/forwards/endpointCandidates.ts
+++ b/src/forwards/endpointCandidates.ts
@@ -6,14 +6,13 @@
   getCost,
   getHealthyEndpoints,
   getRoutableEndpoints,
-  runsOtherSoftware,
 } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { getKnownPermitWaitMs } from '../limits/permits.ts';
 import { getOwner } from '../owners/owner.ts';
 import type { Owner } from '../owners/types.ts';
 import { getEngineStatus } from '../residency/engineStatus.ts';
-import { getSplitVersion } from '../streams/versionSplits.ts';
+import { filterByVersionSplit } from '../streams/versionSplits.ts';
 import {
   MAX_RANK_COST_MS,
   RANK_COST_MS,
@@ -63,8 +62,7 @@
   const views = getRoutableEndpoints(state.fleet, service);
   if (origin === undefined) {
     if (route.kind !== 'stream' || !route.isResumable) return views;
-    const version = getSplitVersion(state, service, labels.attemptId);
-    return views.filter((view) => !runsOtherSoftware(view, version));
+    return filterByVersionSplit(state, service, labels.attemptId, views, now);
   }
   return views.filter((view) => canResumeStream(origin, view) && !isKnownCrashed(state, view, now));
 }
--- a/src/streams/splitsRow.ts
+++ b/src/streams/splitsRow.ts
@@ -5,6 +5,7 @@
 import { getDirectoryClock } from '../directory/clock.ts';
 import type { DirectoryWriteAnswer } from '../directory/types.ts';
 import { getRoutableEndpoints } from '../fleet/endpointChoice.ts';
+import type { RoutingTable } from '../routes/types.ts';
 import {
   MAX_SPLIT_DELAY_MS,
   MAX_SPLITS,
@@ -12,10 +13,11 @@
   MIN_SPLIT_DELAY_MS,
   SPLIT_AGE_MS,
 } from './constants.ts';
+import { getPresentVersions } from './softwareVersions.ts';
 import type { ServiceSplits, VersionShare, VersionSplitsRow } from './types.ts';
 import { getSplits } from './versionSplits.ts';
 
-/** Schedules the check of the splits after endpoints changed. Delays differ, so that one host writes. */
+/** Schedules the check of the splits after endpoints or routes changed. Delays differ, so that one host writes. */
 export function scheduleSplitUpdate(state: State, now: number): void {
   const { streams, random } = state;
   if (streams.isSplitUpdateScheduled) return;
@@ -29,26 +31,27 @@
 export function updateVersionSplits(state: State, now: number): Effect[] {
   const { streams, directory } = state;
   streams.isSplitUpdateScheduled = false;
-  const clock = getDirectoryClock(state, now);
-  if (streams.isWritingSplits || clock === undefined) return [];
   const { version, unavailableSince } = directory.topics.members;
-  if (version === undefined) return [];
-  if (unavailableSince !== undefined) {
+  if (version === undefined || unavailableSince !== undefined) {
     scheduleSplitUpdate(state, now);
     return [];
   }
-  const services = getResumableServices(state).map((service) =>
+  const clock = getDirectoryClock(state, now);
+  const { current: routeIndex } = state.routeIndex;
+  if (streams.isWritingSplits || clock === undefined || routeIndex === undefined) return [];
+  const services = getResumableServices(routeIndex.table).map((service) =>
     updateServiceSplits(state, service, clock),
   );
   const row: VersionSplitsRow = { services: services.filter(({ splits }) => splits.length > 0) };
-  if (isSameRow(row, streams.splitsRow)) return [];
+  const isInDirectory = streams.splitsVersion > 0 || row.services.length === 0;
+  if (isInDirectory && isSameRow(row, streams.splitsRow)) return [];
   streams.isWritingSplits = true;
   return [
     { type: 'writeRow', content: { type: 'versionSplits', row }, version: streams.splitsVersion },
   ];
 }
 
-/** Adopts the row of splits; its absence is an empty row of version 0. */
+/** Adopts the row of splits; `version` is 0 while the directory has none. */
 export function applyVersionSplits(
   state: State,
   row: VersionSplitsRow,
@@ -77,7 +80,7 @@
   if (answer.type === 'conflict') {
     const content = answer.current?.content;
     // A row that is absent or malformed is replaced.
-    const current = content?.type === 'versionSplits' ? content.row : { services: [] };
+    const current = content?.type === 'versionSplits' ? content.row : state.streams.splitsRow;
     return applyVersionSplits(state, current, answer.current?.version ?? 0, now);
   }
   scheduleSplitUpdate(state, now);
@@ -85,38 +88,31 @@
 }
 
 function updateServiceSplits(state: State, service: string, clock: number): ServiceSplits {
-  const { streams } = state;
   const shares = getShares(state, service);
-  const known = getSplits(streams.splitsRow, service);
-  const former = streams.lastShares.get(service);
-  if (shares.length > 0) streams.lastShares.set(service, shares);
+  const known = getSplits(state.streams.splitsRow, service);
   const last = known.at(-1);
-  if (last === undefined) {
-    const isReplaced = former !== undefined && !isSimilar(former, shares);
-    if (shares.length === 0 || (shares.length === 1 && !isReplaced)) return { service, splits: [] };
-    // A service that had one version until now began all its streams there.
-    const before = former?.length === 1 ? [{ since: 0, shares: former }] : [];
-    return { service, splits: [...before, { since: clock, shares }] };
-  }
-  if (shares.length === 0 || isSimilar(last.shares, shares)) return { service, splits: known };
+  const isUnchanged = last !== undefined && isSimilar(last.shares, shares);
+  if (shares.length === 0 || isUnchanged) return { service, splits: known };
+  // A service that has one version when hosts first look began all its streams there.
+  const hadOneVersion = new Set(getPresentVersions(state, service)).size === 1;
+  const since = last === undefined && hadOneVersion ? 0 : clock;
   const recent = known.filter((_, index) => {
     const replacedAt = known[index + 1]?.since ?? clock;
     return replacedAt + SPLIT_AGE_MS > clock;
   });
-  return { service, splits: [...recent, { since: clock, shares }].slice(-MAX_SPLITS) };
+  return { service, splits: [...recent, { since, shares }].slice(-MAX_SPLITS) };
 }
 
 /** Returns the share of each software version among the routable endpoints of a service. */
 function getShares({ fleet }: State, service: string): VersionShare[] {
   const views = getRoutableEndpoints(fleet, service);
-  const counts = new Map<string, number>();
+  const counts = new Map<string | undefined, number>();
   for (const { endpoint } of views) {
     const { softwareVersion: version } = endpoint;
-    if (version === undefined) return [];
     counts.set(version, (counts.get(version) ?? 0) + 1);
   }
   return [...counts]
-    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .sort(([a = ''], [b = '']) => (a < b ? -1 : 1))
     .map(([version, count]) => ({ version, share: count / views.length }));
 }
 
@@ -134,8 +130,7 @@
 }
 
 /** Returns the services to which routes of resumable streams lead. */
-function getResumableServices({ routeIndex }: State): string[] {
-  const routes = routeIndex.current?.table.routes ?? [];
+function getResumableServices({ routes }: RoutingTable): string[] {
   const services = routes
     .filter(({ kind, isResumable }) => kind === 'stream' && isResumable)
     .flatMap(({ targets }) => targets.map(({ service }) => service));
--- a/src/streams/types.ts
+++ b/src/streams/types.ts
@@ -34,8 +34,8 @@
 export type StreamsRecorded = z.infer<typeof StreamsRecorded>;
 
 const VersionShare = z.object({
-  /** Software version. */
-  version: z.string().max(200),
+  /** Software version; undefined for endpoints that tell none. */
+  version: z.string().max(200).optional(),
   share: z.number().min(0).max(1),
 });
 export type VersionShare = z.infer<typeof VersionShare>;
@@ -55,7 +55,7 @@
 });
 export type ServiceSplits = z.infer<typeof ServiceSplits>;
 
-/** Splits of the services that have or lately had several software versions. */
+/** Splits of the services with resumable streams. */
 export const VersionSplitsRow = z.object({ services: z.array(ServiceSplits) });
 export type VersionSplitsRow = z.infer<typeof VersionSplitsRow>;
 
@@ -93,8 +93,6 @@
   splitsVersion = 0;
   isWritingSplits = false;
   isSplitUpdateScheduled = false;
-  /** Shares of software versions when the splits were last checked, by service. */
-  readonly lastShares = new Map<string, VersionShare[]>();
   /** Monotonic ms at which this host started. */
   startedAt = Infinity;
 
--- a/src/streams/versionSplits.ts
+++ b/src/streams/versionSplits.ts
@@ -1,24 +1,34 @@
 import { hash32 } from '../base/hash.ts';
 import type { State } from '../core/state.ts';
 import { getDirectoryClock } from '../directory/clock.ts';
+import type { EndpointView } from '../fleet/types.ts';
 import { SPLIT_LAG_MS } from './constants.ts';
-import { getOnly, getPresentVersions } from './softwareVersions.ts';
+import { getOnly } from './softwareVersions.ts';
 import type { VersionSplit, VersionSplitsRow } from './types.ts';
 
 const HASH_VALUES = 2 ** 32;
 
 /**
- * Returns the software version on which the stream of an attempt begins, by the split in force; undefined
- * if the service has none. All hosts return the same, so that the version of a stream is known even if
- * every host that served it is gone.
+ * Returns those of `views` at which the stream of an attempt may begin. All hosts choose its software version
+ * by the split in force, so that the version is known even if every host that served the stream is gone.
  */
-export function getSplitVersion(
-  { streams }: State,
+export function filterByVersionSplit(
+  state: State,
   service: string,
   attempt: string,
-): string | undefined {
-  const split = getSplits(streams.splitsRow, service).at(-1);
-  return split === undefined ? undefined : chooseVersion(split, attempt);
+  views: EndpointView[],
+  now: number,
+): EndpointView[] {
+  const split = getSplits(state.streams.splitsRow, service).at(-1);
+  if (split !== undefined) {
+    const version = chooseVersion(split, attempt);
+    return views.filter(({ endpoint }) => endpoint.softwareVersion === version);
+  }
+  // Without the directory's clock, hosts write no splits.
+  if (getDirectoryClock(state, now) === undefined) return views;
+  // Until this host has read the row, streams of several versions could begin on other ones than it says.
+  const versions = new Set(views.map(({ endpoint }) => endpoint.softwareVersion));
+  return hasReadMembers(state) && versions.size <= 1 ? views : [];
 }
 
 /**
@@ -35,12 +45,10 @@
   const clock = getDirectoryClock(state, now);
   const splits = getSplits(state.streams.splitsRow, service);
   const [first] = splits;
-  if (clock === undefined || state.directory.topics.members.version === undefined) return undefined;
-  // Without splits, the service never had another version than the one that it has now.
-  if (first === undefined) return getOnly(getPresentVersions(state, service));
+  if (clock === undefined || first === undefined) return undefined;
   const from = clock - windowMs;
-  // Streams began on any version before the first split.
-  if (first.since > from) return undefined;
+  // Streams began on any version before hosts learned of the first split.
+  if (first.since > 0 && first.since + SPLIT_LAG_MS > from) return undefined;
   const inForce = splits.filter((_, index) => {
     const replacedAt = splits[index + 1]?.since ?? Infinity;
     return replacedAt + SPLIT_LAG_MS > from;
@@ -48,12 +56,17 @@
   return getOnly(inForce.map((split) => chooseVersion(split, attempt)));
 }
 
+/** Whether this host has read the topic of the rows that hosts write. */
+function hasReadMembers({ directory }: State): boolean {
+  return directory.topics.members.version !== undefined;
+}
+
 /** Chooses a version by weighted rendezvous hashing: a change of shares moves as few streams as possible. */
 function chooseVersion({ shares }: VersionSplit, attempt: string): string | undefined {
   let best: string | undefined;
   let highest = 0;
   for (const { version, share } of shares) {
-    const fraction = (hash32(`${attempt} ${version}`) + 0.5) / HASH_VALUES;
+    const fraction = (hash32(`${attempt} ${version ?? ''}`) + 0.5) / HASH_VALUES;
     const score = share / -Math.log(fraction);
     if (score <= highest) continue;
     best = version;
@@ -62,7 +75,7 @@
   return best;
 }
 
-/** Returns the splits of a service in their order; none if it never had several versions. */
+/** Returns the splits of a service in their order; none before the first write of the row. */
 export function getSplits(row: VersionSplitsRow, service: string): VersionSplit[] {
   return row.services.find((each) => each.service === service)?.splits ?? [];
 }
--- a/tests/streams/streamHosts.ts
+++ b/tests/streams/streamHosts.ts
@@ -98,6 +98,15 @@
 
   /** Registers an endpoint on all hosts, or on those named. */
   register(change: Partial<Endpoint> & { id: string }, hosts: readonly string[] = this.ids): void {
+    this.registerAtOnce(change, hosts);
+    this.advance(WATCH_INTERVAL_MS);
+  }
+
+  /** Registers an endpoint without any time for the hosts to do more than learn of it. */
+  registerAtOnce(
+    change: Partial<Endpoint> & { id: string },
+    hosts: readonly string[] = this.ids,
+  ): void {
     const endpoint = newEndpoint({ zone: 'z9', sequence: this.directoryVersion, ...change });
     this.endpoints.set(endpoint.id, endpoint);
     this.directoryVersion += 1;
@@ -105,7 +114,6 @@
     const changes = [newDirectoryChange(endpoint.id, this.directoryVersion, content)];
     for (const id of hosts)
       this.hosts.get(id)?.answerDirectoryCall('endpoints', changes, this.directoryVersion);
-    this.advance(WATCH_INTERVAL_MS);
   }
 
   remove(id: string): void {
