Refuse unknown streams at a host that may have missed a new software version

Cause: a host without a record took its own endpoints and its own row of splits for the newest. A follower learns of endpoints from its reader only, and takes itself for one for 0.5 s after it stood still. Change: such a request waits, for at most 0.6 s, until the directory or a reader has confirmed after its arrival that the host has the newest endpoints; otherwise it is refused. Nothing is derived from a row that does not name the version of each endpoint. A new stream begins at another version than the row says once all endpoints of that one refuse connections, so that it is not refused.

--- a/src/directory/readerHeartbeats.ts
+++ b/src/directory/readerHeartbeats.ts
@@ -54,7 +54,9 @@
     if (known.version === undefined) return [];
     // While members change, this host's own watch returns the changes as well.
     const isLeftToWatch = topic === 'members' && known.changedAt + WATCH_PAUSE_RESET_MS > now;
-    const isBehind = (heartbeat.told[index] ?? 0) > known.version && !isLeftToWatch;
+    const isOutdated = (heartbeat.told[index] ?? 0) > known.version;
+    if (!isOutdated) known.confirmedAt = now;
+    const isBehind = isOutdated && !isLeftToWatch;
     return isBehind ? [requestTopicChanges(state, topic, from)] : [];
   });
 }
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -93,6 +93,8 @@
   unavailableSince: number | undefined;
   /** Monotonic ms at which calls succeeded again after failures. */
   recoveredAt: number;
+  /** Monotonic ms at which the directory, or a reader, last confirmed that this host knows the newest version. */
+  confirmedAt: number;
 }
 
 /** What this host knows of the directory. */
@@ -134,6 +136,7 @@
     failures: 0,
     unavailableSince: undefined,
     recoveredAt: -Infinity,
+    confirmedAt: -Infinity,
   };
 }
 
--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -99,6 +99,7 @@
   if (isRead) known.announcedVersion = answer.version;
   else effects.push(...announceTopicChanges(state, topic, answer));
   known.version = Math.max(known.version ?? 0, answer.version);
+  known.confirmedAt = now;
   const applied = isRead
     ? applySnapshot(state, topic, answer.changes, answer.version, now)
     : applyChanges(state, topic, answer.changes, now);
--- a/src/forwards/endpointCandidates.ts
+++ b/src/forwards/endpointCandidates.ts
@@ -62,7 +62,11 @@
   const views = getRoutableEndpoints(state.fleet, service);
   if (origin === undefined) {
     if (route.kind !== 'stream' || !route.isResumable) return views;
-    return filterByVersionSplit(state, service, labels.attemptId, views, now);
+    const chosen = filterByVersionSplit(state, service, labels.attemptId, views, now);
+    // Records tell the version as long as a host lives; refusing the stream would help nobody.
+    const areAllCrashed =
+      chosen.length > 0 && chosen.every((view) => isKnownCrashed(state, view, now));
+    return areAllCrashed ? views : chosen;
   }
   return views.filter((view) => canResumeStream(origin, view) && !isKnownCrashed(state, view, now));
 }
--- a/src/forwards/resumption.ts
+++ b/src/forwards/resumption.ts
@@ -4,7 +4,12 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { Failure } from '../errors/failure.ts';
-import { STREAM_LOOKUP_TIMEOUT_MS } from '../streams/constants.ts';
+import {
+  CONFIRMATION_CHECK_MS,
+  CONFIRMATION_MARGIN_MS,
+  MAX_CONFIRMATION_WAIT_MS,
+  STREAM_LOOKUP_TIMEOUT_MS,
+} from '../streams/constants.ts';
 import { getLookupHosts, replicateStream } from '../streams/replication.ts';
 import { deriveStreamVersion } from '../streams/versionSplits.ts';
 import { getOnlySoftwareVersion } from '../streams/softwareVersions.ts';
@@ -32,15 +37,14 @@
 export function startResumption(state: State, forward: Forward, now: number): Effect[] {
   const { labels, fingerprint, id } = forward;
   const { resumedAttempt: attempt } = labels;
-  if (attempt === undefined) return resumeUnknownStream(state, forward, now);
-  const known = findStream(state, attempt, fingerprint, now);
+  const known = attempt === undefined ? undefined : findStream(state, attempt, fingerprint, now);
   if (known !== undefined) return resumeStream(state, forward, known, now);
   if ((state.owners.row?.members.length ?? 0) <= 1) return resumeUnknownStream(state, forward, now);
-  const hosts = getLookupHosts(state, attempt);
+  const hosts = attempt === undefined ? [] : getLookupHosts(state, attempt);
   forward.phase = 'awaitingStreamRecord';
   state.streams.lookups.set(id, new Set(hosts));
   schedule(state, now + STREAM_LOOKUP_TIMEOUT_MS, { type: 'streamLookupTimeout', request: id });
-  return hosts.map((host) => newLookup(state, forward, attempt, host));
+  return attempt === undefined ? [] : hosts.map((host) => newLookup(state, forward, attempt, host));
 }
 
 /** Asks a host whose link opened for the records that requests wait for. */
@@ -81,11 +85,25 @@
 /** Ends the wait for a record that no host has. */
 export function endLookup(state: State, request: string, now: number): Effect[] {
   const forward = state.forwards.inFlight.get(request);
-  if (forward?.phase === 'awaitingStreamRecord') return resumeUnknownStream(state, forward, now);
-  state.streams.lookups.delete(request);
+  if (forward?.phase !== 'awaitingStreamRecord') {
+    state.streams.lookups.delete(request);
+    return [];
+  }
+  if (isInStep(state, forward) || forward.arrivedAt + MAX_CONFIRMATION_WAIT_MS <= now)
+    return resumeUnknownStream(state, forward, now);
+  schedule(state, now + CONFIRMATION_CHECK_MS, { type: 'streamLookupTimeout', request });
   return [];
 }
 
+/**
+ * Whether this host is known to have had the newest endpoints after a request arrived. One that stood still
+ * or is cut off may not know of a software version at which other hosts began streams.
+ */
+function isInStep({ directory, owners }: State, { arrivedAt }: Forward): boolean {
+  if ((owners.row?.members.length ?? 0) <= 1) return true;
+  return directory.topics.endpoints.confirmedAt >= arrivedAt + CONFIRMATION_MARGIN_MS;
+}
+
 /** Records on this and other hosts which software version began or resumes a stream. */
 export function recordStream(state: State, forward: Forward, now: number): Effect[] {
   const { labels, route, fingerprint, service, origin, deadlineAt, arrivedAt } = forward;
@@ -128,9 +146,10 @@
   // The time that its caller still waits is not over, so that the stream began later.
   const derivedWindowMs = windowMs - Math.min(labels.waitMs, route.timeoutMs);
   const attempt = labels.resumedAttempt ?? '';
-  const softwareVersion =
-    getOnlySoftwareVersion(state, service, windowMs, now) ??
-    deriveStreamVersion(state, service, attempt, derivedWindowMs, now);
+  const softwareVersion = isInStep(state, forward)
+    ? (getOnlySoftwareVersion(state, service, windowMs, now) ??
+      deriveStreamVersion(state, service, attempt, derivedWindowMs, now))
+    : undefined;
   if (softwareVersion !== undefined && services.length === 1) {
     forward.origin = { softwareVersion };
     return placeForward(state, forward, now);
--- a/src/streams/constants.ts
+++ b/src/streams/constants.ts
@@ -32,3 +32,12 @@
 /** Time for which a split that was replaced is kept, and the most splits of a service. */
 export const SPLIT_AGE_MS = 120_000;
 export const MAX_SPLITS = 8;
+/** Longest time for which a request waits until its host is known to have the newest endpoints. */
+export const MAX_CONFIRMATION_WAIT_MS = 600;
+/** Interval at which it is checked whether that is known. */
+export const CONFIRMATION_CHECK_MS = 50;
+/**
+ * Time after the arrival of a request from which on confirmations count: messages that were sent while this
+ * host stood still arrive at once when it goes on.
+ */
+export const CONFIRMATION_MARGIN_MS = 30;
--- a/src/streams/versionSplits.ts
+++ b/src/streams/versionSplits.ts
@@ -3,7 +3,7 @@
 import { getDirectoryClock } from '../directory/clock.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { SPLIT_LAG_MS } from './constants.ts';
-import { getOnly } from './softwareVersions.ts';
+import { getOnly, getPresentVersions } from './softwareVersions.ts';
 import type { VersionSplit, VersionSplitsRow } from './types.ts';
 
 const HASH_VALUES = 2 ** 32;
@@ -46,6 +46,9 @@
   const splits = getSplits(state.streams.splitsRow, service);
   const [first] = splits;
   if (clock === undefined || first === undefined) return undefined;
+  // The row is older than the endpoints that this host knows.
+  const named = new Set(splits.flatMap(({ shares }) => shares.map(({ version }) => version)));
+  if (!getPresentVersions(state, service).every((version) => named.has(version))) return undefined;
   const from = clock - windowMs;
   // Streams began on any version before hosts learned of the first split.
   if (first.since > 0 && first.since + SPLIT_LAG_MS > from) return undefined;
