Send a request that an endpoint refused there again on a connection of its own

Callers saw (report of other operators): requests that an engine had run were said not to have run. Cause: a faulty endpoint that writes an earlier refusal again on a kept connection answers the next attempt of the same request with it, which has the same id; a refusal without an id was taken for the answer to any request. Change: the next attempt at an endpoint that refused a request opens a connection, which is closed after it. A refusal that does not name the attempt breaks it (502 where it may not run twice).

--- a/src/forwards/forwardAdmission.ts
+++ b/src/forwards/forwardAdmission.ts
@@ -99,6 +99,7 @@
     sends: 0,
     ranOn: new Set(),
     excluded: new Set(),
+    refusedBy: new Set(),
     mayHaveRun: false,
     hasResponseStarted: false,
     hasFailedResponse: false,
--- a/src/forwards/forwardAttempts.ts
+++ b/src/forwards/forwardAttempts.ts
@@ -73,6 +73,7 @@
   },
   notRun: (context, { reason }) => {
     const { state, forward, attempt, view, now } = context;
+    forward.refusedBy.add(attempt.endpoint);
     const dropped = reason === 'otherEndpoint' ? dropEndpoint(state, attempt.endpoint, now) : [];
     if (reason === 'full' && view !== undefined) {
       recordAnswer(view, now - attempt.startedAt, false);
--- a/src/forwards/sending.ts
+++ b/src/forwards/sending.ts
@@ -78,6 +78,7 @@
         endpoint,
         address,
         relay,
+        hasOwnConnection: forward.refusedBy.has(endpoint),
         endpointStartedAt,
         sentAt: now,
         isStream: route.kind === 'stream',
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -109,6 +109,8 @@
   ranOn: Set<string>;
   /** Endpoints that refused the request or failed to serve it. */
   excluded: Set<string>;
+  /** Endpoints that answered that they did not run it. */
+  refusedBy: Set<string>;
   /** Whether the request may have run and must not run again. */
   mayHaveRun: boolean;
   /** Whether bytes of a response were passed on to the caller. */
@@ -228,6 +230,11 @@
   address: string;
   /** Host through which it is sent; undefined for a direct connection. */
   relay: Relay | undefined;
+  /**
+   * Whether it needs a connection of its own: the endpoint has refused the request before and may send that
+   * answer again, which could not be told from a new one.
+   */
+  hasOwnConnection: boolean;
   /** Unix ms of the start of the endpoint, and monotonic ms of this send. */
   endpointStartedAt: number;
   sentAt: number;
--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -86,7 +86,7 @@
       version,
       resumeAfter,
     });
-    const pool = this.getPool(spec);
+    const pool = spec.hasOwnConnection ? this.newPool(spec, 1) : this.getPool(spec);
     const handler = ForwardResponseHandler.create({
       spec,
       exchange,
@@ -110,6 +110,8 @@
     } catch (error) {
       handler.failUnsent(error instanceof Error ? error.message : String(error));
     }
+    // Closes the connection once the request has ended.
+    if (spec.hasOwnConnection) pool.pool.close().catch(() => undefined);
     return handler;
   }
 
@@ -161,10 +163,16 @@
     const key = getPoolKey(endpoint, relay?.host);
     const known = this.pools.get(key);
     if (known !== undefined) return known;
+    const created = this.newPool({ endpoint, address, relay }, this.maxConnections(endpoint));
+    this.pools.set(key, created);
+    return created;
+  }
+
+  private newPool({ endpoint, address, relay }: EndpointPath, connections: number): EndpointPool {
     const { localAddress, endTracker } = this;
     const target = this.getRelayTarget({ endpoint, address, relay });
     const pool = new Pool(`http://${address}`, {
-      connections: this.maxConnections(endpoint),
+      connections,
       localAddress,
       pipelining: 1,
       keepAliveTimeout: ENDPOINT_KEEP_ALIVE_MS,
@@ -180,9 +188,7 @@
       endTracker,
     });
     const dispatcher = pool.compose(confirm);
-    const created = { endpoint, relay: relay?.host, pool, dispatcher };
-    this.pools.set(key, created);
-    return created;
+    return { endpoint, relay: relay?.host, pool, dispatcher };
   }
 
   private getRelayTarget({ endpoint, relay }: EndpointPath): RelayTarget | undefined {
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -98,7 +98,8 @@
     const raw = getRawHeaders(controller);
     const response = labels.readResponseLabels(status, raw, spec.endpoint);
     const isOwn = response.attemptId === exchange.attemptId;
-    if (!isOwn && (response.attemptId !== '' || response.notRun === undefined)) {
+    // Endpoints echo the attempt in refusals too; one without it may be an earlier one, sent again.
+    if (!isOwn) {
       this.abort(controller, `the response belongs to attempt "${response.attemptId}"`);
       return;
     }
--- a/stand-ins/platform/platformEndpoint.ts
+++ b/stand-ins/platform/platformEndpoint.ts
@@ -188,7 +188,8 @@
     const call = await readCall(request, response);
     const expected = call.headers['expect-instance'];
     if (expected !== undefined && expected !== this.id) {
-      response.writeHead(421, { 'instance-id': this.id, ...this.getNoticeHeaders() }).end();
+      const identity = this.getIdentityHeaders(call);
+      response.writeHead(421, { ...identity, 'instance-id': this.id }).end();
       return;
     }
     if (call.path === '/-/order') this.handleOrder(call);
@@ -266,7 +267,8 @@
       const wanted = call.headers['expect-version'];
       const held = this.adapters.get(model);
       if (held === undefined || (wanted !== undefined && Number(wanted) !== held)) {
-        const headers = { 'not-executed': '1', 'instance-id': this.id, ...this.getNoticeHeaders() };
+        const identity = this.getIdentityHeaders(call);
+        const headers = { ...identity, 'not-executed': '1', 'instance-id': this.id };
         call.response.writeHead(421, headers).end();
         return;
       }
