Probe no endpoint for the silence of a path that is lost already

Cause: attempts that may not run twice keep waiting on connections that hang, so that their silence was reported each 400 ms, and each time an endpoint was probed whose path was lost.

--- a/src/paths/pathOutcomes.ts
+++ b/src/paths/pathOutcomes.ts
@@ -68,11 +68,25 @@
       endpoints,
     }),
   ];
-  const [endpoint = getAnyEndpoint(state)] = endpoints;
-  if (endpoint === undefined) return observations;
-  const through = relay === undefined ? undefined : findMember(state, relay);
-  if (relay !== undefined && through === undefined) return observations;
-  return [...observations, ...probeEndpoint(state, endpoint, 'silence', through)];
+  const probed =
+    relay === undefined
+      ? probeSilentEndpoint(state, endpoints)
+      : probeSilentRelay(state, endpoints, relay);
+  return [...observations, ...probed];
+}
+
+/** Probes an endpoint that this host takes for reachable, first one at which attempts wait. */
+function probeSilentEndpoint(state: State, waitingAt: readonly string[]): Effect[] {
+  const direct = getDirectEndpoints(state).map(({ endpoint }) => endpoint.id);
+  const endpoint = waitingAt.find((id) => direct.includes(id)) ?? direct[0];
+  const isEachLost = waitingAt.length > 0 && !waitingAt.some((id) => direct.includes(id));
+  return endpoint === undefined || isEachLost ? [] : probeEndpoint(state, endpoint, 'silence');
+}
+
+function probeSilentRelay(state: State, [endpoint]: readonly string[], relay: string): Effect[] {
+  const through = findMember(state, relay);
+  if (endpoint === undefined || through === undefined) return [];
+  return probeEndpoint(state, endpoint, 'silence', through);
 }
 
 /** Has the connections over a relay closed whose host leaves or whose link closed. */
@@ -115,7 +129,3 @@
   const member = getMember(owners, host);
   return member === undefined ? undefined : { host, address: member.address };
 }
-
-function getAnyEndpoint({ fleet }: State): string | undefined {
-  return [...fleet.views.values()].find(({ isRemoved }) => !isRemoved)?.endpoint.id;
-}
