--- a/src/limits/permits.ts
+++ b/src/limits/permits.ts
@@ -11,7 +11,7 @@
   SHARERS_WINDOW_MS,
 } from './constants.ts';
 import { getMaxInFlight } from '../notices/brittleness.ts';
-import type { AdmittedRequest, EndpointPermits, PermitRole, QueuedPermit } from './types.ts';
+import type { EndpointPermits, PermitRole, QueuedPermit } from './types.ts';
 
 /** Whether an endpoint names a limit on the requests that it takes. */
 export function isLimited({ limit }: EndpointView): boolean {
@@ -58,7 +58,7 @@
     startedAt,
     bucket: newBucket(perS, 0, now),
     queue: known?.queue ?? [],
-    inFlight: known?.startedAt === startedAt ? known.inFlight : new Map<string, AdmittedRequest>(),
+    inFlight: known?.startedAt === startedAt ? known.inFlight : new Map<string, number>(),
     nextServeAt: -Infinity,
     returnsUntil: -Infinity,
     granted: 0,
@@ -79,17 +79,16 @@
 export function tryAdmit(
   view: EndpointView,
   permits: EndpointPermits,
-  { request, from, remainingMs }: Pick<QueuedPermit, 'request' | 'from' | 'remainingMs'>,
+  { request, remainingMs }: Pick<QueuedPermit, 'request' | 'remainingMs'>,
   now: number,
 ): boolean {
   const { brittleness } = view;
   if (brittleness !== undefined) {
-    for (const [id, { endsAt }] of permits.inFlight) if (endsAt <= now) permits.inFlight.delete(id);
+    for (const [id, endsAt] of permits.inFlight) if (endsAt <= now) permits.inFlight.delete(id);
     if (permits.inFlight.size >= getMaxInFlight(view, brittleness, now)) return false;
   }
   if (isLimited(view) && !tryTakePermit(permits, now)) return false;
-  if (brittleness !== undefined)
-    permits.inFlight.set(request, { host: from, endsAt: now + remainingMs });
+  if (brittleness !== undefined) permits.inFlight.set(request, now + remainingMs);
   return true;
 }
 
--- a/src/limits/types.ts
+++ b/src/limits/types.ts
@@ -43,14 +43,6 @@
   isAcknowledged: boolean;
 }
 
-/** A request under way to a brittle endpoint. */
-export interface AdmittedRequest {
-  /** Host that sends it. */
-  host: string;
-  /** Monotonic ms of its deadline. */
-  endsAt: number;
-}
-
 /** The permits of one limited endpoint that this host hands out. */
 export interface EndpointPermits {
   role: PermitRole;
@@ -59,8 +51,8 @@
   bucket: TokenBucket;
   /** Requests to endpoints of plain services; those to engines wait in the engine's queue. */
   queue: QueuedPermit[];
-  /** Requests under way to a brittle endpoint. */
-  inFlight: Map<string, AdmittedRequest>;
+  /** Monotonic ms of the deadline of each request under way to a brittle endpoint. */
+  inFlight: Map<string, number>;
   /** Monotonic ms of the next timer that serves the queue; -Infinity before the first one. */
   nextServeAt: number;
   /** Monotonic ms up to which returns of refused callers are spread. */
