Take the owner from the members row in the test of its takeover

The known red "loads adapters through another host after the owner of their engine was killed" was a fault of the test. It took the second host for the owner if the first had not logged `engine is owned` yet, killed the standby host then, and found one holder of orders.

The row is written before any member can be owner, so it is asked now; the checks are the same.

--- a/tests/faults/gateway.test.ts
+++ b/tests/faults/gateway.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { PlatformEndpoint } from '../../stand-ins/platform/platformEndpoint.ts';
+import type { MembersRow } from '../../src/owners/types.ts';
 import { GatewayDeployment } from '../gatewayHost/deployment.ts';
 import { GatewayProcess } from '../helpers/gatewayProcess.ts';
 import { waitUntil } from '../support.ts';
@@ -17,9 +18,9 @@
     return gateway;
   }
 
-  function countMembers(): number {
+  function getMembers(): { host: string; isOwner: boolean }[] {
     const row = deployment.store.get('fireflywick', 'members');
-    return (row as { members: unknown[] } | undefined)?.members.length ?? 0;
+    return (row as Pick<MembersRow, 'members'> | undefined)?.members ?? [];
   }
 
   beforeEach(async () => {
@@ -74,9 +75,10 @@
   it('loads adapters through another host after the owner of their engine was killed', async () => {
     deployment.configure(1);
     const [first, second] = [await start('h0'), await start('h1')];
-    await waitUntil(() => countMembers() === 2);
-    const owner = first.hasLogged('engine is owned') ? first : second;
-    const other = owner === first ? 1 : 0;
+    await waitUntil(() => getMembers().length === 2);
+    const [owner, other] = getMembers().some(({ host, isOwner }) => isOwner && host === 'h0')
+      ? [first, 1]
+      : [second, 0];
     await waitUntil(async () => (await deployment.stream('/labels/1', 'a1', other)).status === 200);
     owner.signal('SIGKILL');
     await owner.waitForExit();
