--- a/tests/helpers/endpointLinks.ts
+++ b/tests/helpers/endpointLinks.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { FaultProxy } from '../../stand-ins/proxy/faultProxy.ts';
 import type { PlatformEndpoint } from '../../stand-ins/platform/platformEndpoint.ts';
 import type { GatewayDeployment } from '../gatewayHost/deployment.ts';
@@ -24,6 +25,7 @@
 export class EndpointLinks {
   readonly endpoints: PlatformEndpoint[] = [];
   private readonly proxies: FaultProxy[] = [];
+  private readonly entries = new Map<string, [service: 'desk' | 'llm', address: string]>();
 
   private constructor(private readonly deployment: GatewayDeployment) {}
 
@@ -41,6 +43,7 @@
     const proxy = FaultProxy.create({ target: endpoint.address });
     const address = await startStandIn(proxy);
     this.deployment.register(service, id, address);
+    this.entries.set(id, [service, address]);
     this.endpoints.push(endpoint);
     this.proxies.push(proxy);
     return endpoint;
@@ -52,6 +55,21 @@
     await Promise.all(proxies.map((proxy) => CUTS[cut](proxy, getSourceAddress(host))));
   }
 
+  /** Has the directory say that an endpoint leaves. */
+  leave(id: string): void {
+    const [service, address] = this.entries.get(id) ?? [];
+    if (service !== undefined && address !== undefined)
+      this.deployment.register(service, id, address, { state: 'draining' });
+  }
+
+  /** Holds all bytes of an endpoint for some ms. */
+  async silence(id: string, ms: number): Promise<void> {
+    const proxy = this.proxies[[...this.entries.keys()].indexOf(id)];
+    await proxy?.setFaults({ cutToClient: true, cutToServer: true });
+    await sleep(ms);
+    await proxy?.setFaults({ cutToClient: false, cutToServer: false });
+  }
+
   async heal(host: number): Promise<void> {
     await Promise.all(this.proxies.map((proxy) => proxy.clearFaults(getSourceAddress(host))));
   }
