Tell a relay and the hosts behind it of a pause

An endpoint that asks for a pause can't tell a relay from the hosts whose connections it relays. Only the host that read the answer kept the pause; others went on sending from the same address, each until it was turned away itself.

The host that was asked now tells the relay that the answer came through, and the hosts whose connections to the endpoint it relays; a new pause is passed on once. A request for a relay names its host, so that the relay knows them; earlier versions omit it.

--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -6,6 +6,7 @@
 import type { GrantEffect } from '../grants/types.ts';
 import type { MembershipEffect } from '../membership/types.ts';
 import type { OperatorEffect } from '../operators/types.ts';
+import type { NoticeEffect } from '../notices/types.ts';
 import type { PathEffect } from '../paths/types.ts';
 import type { ResidencyEffect } from '../residency/types.ts';
 import type { RequestEffect } from '../requests/types.ts';
@@ -15,7 +16,8 @@
 import type { ObjectCall, TableCall } from './store.ts';
 
 /** Effects that only hosts with a directory return. */
-export type DirectoryHostEffect = DirectoryEffect | ResidencyEffect | ForwardEffect | PathEffect;
+export type DirectoryHostEffect =
+  DirectoryEffect | ResidencyEffect | ForwardEffect | PathEffect | NoticeEffect;
 
 /** Side effects that the reducer returns and the host executes. */
 export type Effect =
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -11,7 +11,7 @@
   ReservationStarted,
 } from '../residency/types.ts';
 import { MembersRowSeen } from '../owners/types.ts';
-import { EndpointNoticesAnnounced } from '../notices/types.ts';
+import { EndpointNoticesAnnounced, EndpointPaused } from '../notices/types.ts';
 import { StreamLookup, StreamLookupAnswer, StreamsRecorded } from '../streams/types.ts';
 import { z } from 'zod';
 import {
@@ -93,6 +93,7 @@
   StreamLookup,
   StreamLookupAnswer,
   EndpointNoticesAnnounced,
+  EndpointPaused,
   MembersRowSeen,
 ]);
 export type Message = z.infer<typeof Message>;
--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -57,18 +57,22 @@
 
   private constructor(
     private readonly labels: LabelPort,
+    private readonly host: string,
     private readonly localAddress: string | undefined,
     private readonly maxConnections: (endpoint: string) => number,
   ) {}
 
   static create(options: {
     labels: LabelPort;
+    /** Id of this host. */
+    host: string;
     /** Local IP address of the connections. */
     localAddress: string | undefined;
     /** Returns the maximum number of connections to an endpoint. */
     maxConnections: (endpoint: string) => number;
   }): EndpointClient {
-    return new EndpointClient(options.labels, options.localAddress, options.maxConnections);
+    const { labels, host, localAddress, maxConnections } = options;
+    return new EndpointClient(labels, host, localAddress, maxConnections);
   }
 
   /** Sends a request once. */
@@ -192,8 +196,8 @@
   }
 
   private getRelayTarget({ endpoint, relay }: EndpointPath): RelayTarget | undefined {
-    const { localAddress } = this;
-    return relay === undefined ? undefined : { relay, endpoint, localAddress };
+    const { host, localAddress } = this;
+    return relay === undefined ? undefined : { relay, endpoint, host, localAddress };
   }
 
   private newConnector(target: RelayTarget | undefined): buildConnector.connector {
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -15,7 +15,7 @@
 import { Observer } from '../host/observer.ts';
 import { isRoutable } from '../fleet/endpointChoice.ts';
 import { isPausedSince } from '../notices/pauses.ts';
-import type { EndpointNotice } from '../notices/types.ts';
+import type { EndpointNotice, EndpointPaused } from '../notices/types.ts';
 import { Logger } from '../observe/logger.ts';
 import { ProcessSampler } from '../observe/processSampler.ts';
 import { countLimitSharers } from '../owners/owner.ts';
@@ -44,7 +44,7 @@
   slowSenderMs: DEFAULT_HEADER_TIMEOUT_MS,
 };
 /** A call to an endpoint: the start of the endpoint and the time at which it was sent. */
-type SentCall = Pick<AttemptSpec, 'endpoint' | 'endpointStartedAt' | 'sentAt'>;
+type SentCall = Pick<AttemptSpec, 'endpoint' | 'endpointStartedAt' | 'sentAt' | 'relay'>;
 
 /** Interval at which connections to removed endpoints are closed. */
 const CONNECTION_SWEEP_INTERVAL_MS = 2_000;
@@ -109,6 +109,7 @@
     });
     this.endpointClient = EndpointClient.create({
       labels: this.labels,
+      host: host.id,
       localAddress: host.sourceAddress,
       maxConnections: (endpoint) => this.getMaxConnections(endpoint),
     });
@@ -225,12 +226,18 @@
   /** Returns what has to be known of a call to an endpoint, which is sent now, when its answer arrives. */
   newSentCall(endpoint: string): SentCall {
     const endpointStartedAt = this.state.fleet.views.get(endpoint)?.endpoint.startedAt ?? 0;
-    return { endpoint, endpointStartedAt, sentAt: this.state.now };
+    return { endpoint, endpointStartedAt, sentAt: this.state.now, relay: undefined };
+  }
+
+  /** Sends a message to the hosts whose connections to its endpoint are relayed here. */
+  tellRelayedHosts(message: EndpointPaused, except: string | undefined): void {
+    for (const host of this.relayServer.getHosts(message.endpoint))
+      if (host !== except) this.links.send(host, message);
   }
 
   /** Reports what the answer to a call says of its endpoint, unless that changes nothing. */
   reportNotice(
-    { endpoint, endpointStartedAt: startedAt, sentAt }: SentCall,
+    { endpoint, endpointStartedAt: startedAt, sentAt, relay }: SentCall,
     notice: EndpointNotice | undefined,
   ): void {
     if (notice === undefined) return;
@@ -241,7 +248,14 @@
       view?.brittleness !== undefined;
     const isSilent = Object.values(notice).every(({ type }) => type === 'none');
     if (isKnown || !isSilent)
-      this.dispatch({ type: 'noticeRead', endpoint, startedAt, sentAt, notice });
+      this.dispatch({
+        type: 'noticeRead',
+        endpoint,
+        startedAt,
+        sentAt,
+        relay: relay?.host,
+        notice,
+      });
   }
 
   /** Whether an endpoint still takes a request that was to be sent to it at `sentAt`. */
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -69,14 +69,14 @@
       });
   },
   checkEndpoint: (host, { endpoint, address, relay, startedAt }) => {
-    const { sourceAddress: localAddress } = host.settings.host;
+    const { id, sourceAddress: localAddress } = host.settings.host;
     if (relay === undefined) {
       void isConnectionRefused(address, localAddress, ENDPOINT_CONNECT_TIMEOUT_MS).then(
         (isRefused) => host.dispatch({ type: 'endpointChecked', endpoint, startedAt, isRefused }),
       );
       return;
     }
-    void checkThroughRelay({ relay, endpoint, localAddress }).then((result) => {
+    void checkThroughRelay({ relay, endpoint, host: id, localAddress }).then((result) => {
       host.dispatch({
         type: 'endpointChecked',
         endpoint,
@@ -106,6 +106,7 @@
   },
   retireConnections: (host, { endpoint, relay }) =>
     host.endpointClient.retireConnections({ endpoint, relay }),
+  tellRelayedHosts: (host, { message, except }) => host.tellRelayedHosts(message, except),
   breakSilentAttempt: (host, { attempt, silentMs }) =>
     host.runningAttempts.get(attempt)?.breakIfSilent(silentMs),
   sendForward: (host, { spec }) => host.sendForward(spec),
--- a/src/notices/endpointNotices.ts
+++ b/src/notices/endpointNotices.ts
@@ -1,21 +1,20 @@
 import type { Effect } from '../core/effects.ts';
-import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import type { EndpointView } from '../fleet/types.ts';
-import { rerouteFromEngine } from '../forwards/rerouting.ts';
 import { recordNamedLimit } from '../limits/endpointLimits.ts';
 import { scheduleNoticeAnnouncement } from './announcements.ts';
 import { applyBrittleness } from './brittleness.ts';
 import { newNoticeGauges } from './gauges.ts';
 import { recordLeaving } from './leaving.ts';
 import { observeMalformed } from './malformed.ts';
-import { endPause, getPauseLeftMs, startPause } from './pauses.ts';
+import { endPause, startPause } from './pauses.ts';
+import { observePause, tellPause } from './relayedPauses.ts';
 import type { NamedLeaving, NamedPause, NoticeEvent } from './types.ts';
 
 /** Applies what an answer says of its endpoint. */
 export function applyNotice(
   state: State,
-  { endpoint, startedAt, sentAt, notice }: NoticeEvent,
+  { endpoint, startedAt, sentAt, relay, notice }: NoticeEvent,
   now: number,
 ): Effect[] {
   const view = state.fleet.views.get(endpoint);
@@ -29,7 +28,7 @@
     ...brittle,
     ...observeMalformed(view, notice, now),
     ...applyLeaving(state, view, notice.leaving, now),
-    ...applyPause(state, view, notice.pause, sentAt, now),
+    ...applyPause(state, view, notice.pause, { sentAt, relay }, now),
   ];
 }
 
@@ -46,28 +45,23 @@
 }
 
 /**
- * The pause holds for this host only: an endpoint may turn away some hosts and serve others, and each
- * host that it turns away is told the time itself.
+ * The pause holds for this host, and those that it relays for or that relay for it: an endpoint may turn
+ * away some hosts and serve others, and each host that it turns away is told the time itself.
  */
 function applyPause(
   state: State,
   view: EndpointView,
   pause: NamedPause,
-  sentAt: number,
+  { sentAt, relay }: Pick<NoticeEvent, 'sentAt' | 'relay'>,
   now: number,
 ): Effect[] {
   if (pause.type === 'malformed') return [];
   if (pause.type === 'none') return endPause(view, sentAt) ? newNoticeGauges(state, now) : [];
-  if (!startPause(view, pause.ms, sentAt, now)) return [];
-  const { id, service } = view.endpoint;
+  const untilBefore = view.pause?.until ?? -Infinity;
+  const isNew = startPause(view, pause.ms, sentAt, now);
+  const isLonger = (view.pause?.until ?? -Infinity) > untilBefore;
   return [
-    newLog('info', 'endpoint wants no requests for a time', {
-      endpoint: id,
-      service,
-      askedMs: pause.ms,
-      pauseMs: Math.round(getPauseLeftMs(view, now)),
-    }),
-    ...newNoticeGauges(state, now),
-    ...rerouteFromEngine(state, id, 'the engine wants no requests for a time', now),
+    ...(isNew ? observePause(state, view, pause.ms, undefined, now) : []),
+    ...(isLonger ? tellPause(state, view, { relay }, now) : []),
   ];
 }
--- a/src/notices/types.ts
+++ b/src/notices/types.ts
@@ -58,6 +58,16 @@
 });
 export type EndpointNoticesAnnounced = z.infer<typeof EndpointNoticesAnnounced>;
 
+/** Tells a host that an endpoint wants nothing for `ms` of the sender, which relays for that host or the reverse. */
+export const EndpointPaused = z.object({
+  type: z.literal('endpointPaused'),
+  endpoint: z.string().min(1).max(200),
+  /** Unix ms of the start of the endpoint. */
+  startedAt: z.number(),
+  ms: z.number().min(0),
+});
+export type EndpointPaused = z.infer<typeof EndpointPaused>;
+
 /** An answer arrived that says something of its endpoint, or may end what the endpoint said before. */
 export interface NoticeEvent {
   type: 'noticeRead';
@@ -66,9 +76,18 @@
   startedAt: number;
   /** Monotonic ms at which the request was sent. */
   sentAt: number;
+  /** Host that relayed the answer; undefined for a direct connection. */
+  relay?: string | undefined;
   notice: EndpointNotice;
 }
 
+export interface NoticeEffect {
+  /** Sends a message to the hosts whose connections to its endpoint this host relays, but one. */
+  type: 'tellRelayedHosts';
+  message: EndpointPaused;
+  except: string | undefined;
+}
+
 /** An endpoint that stops if it has to turn away many requests. Times are monotonic ms. */
 export interface Brittleness {
   learnedAt: number;
--- a/src/relays/messages.ts
+++ b/src/relays/messages.ts
@@ -1,7 +1,11 @@
 import { z } from 'zod';
 
 /** Asks a host to pass bytes on to an endpoint; the first frame of a connection. */
-export const RelayRequest = z.object({ endpoint: z.string().min(1).max(200) });
+export const RelayRequest = z.object({
+  endpoint: z.string().min(1).max(200),
+  /** Host that asks; hosts of earlier versions omit it. */
+  host: z.string().min(1).max(200).optional(),
+});
 export type RelayRequest = z.infer<typeof RelayRequest>;
 
 /**
--- a/src/relays/relayClient.ts
+++ b/src/relays/relayClient.ts
@@ -25,6 +25,8 @@
 export interface RelayTarget {
   relay: Relay;
   endpoint: string;
+  /** Id of this host. */
+  host: string;
   /** Local IP address of the connection to the relay. */
   localAddress: string | undefined;
 }
@@ -37,7 +39,7 @@
 
 /** Opens a connection to an endpoint through another host; rejects with a `RelayError`. */
 export function openRelayedConnection(target: RelayTarget): Promise<Socket> {
-  const { relay, endpoint, localAddress } = target;
+  const { relay, endpoint, host, localAddress } = target;
   return new Promise((resolve, reject) => {
     const socket = connect({ ...splitAddress(relay.address), localAddress, noDelay: true });
     const reader = FrameReader.create();
@@ -80,7 +82,7 @@
     };
     socket.on('data', read).on('error', onError).on('close', onClose);
     socket.once('connect', () => {
-      socket.write(encodeFrame(FRAME_KIND.relayRequest, { endpoint }));
+      socket.write(encodeFrame(FRAME_KIND.relayRequest, { endpoint, host }));
     });
   });
 }
--- a/src/relays/relayServer.ts
+++ b/src/relays/relayServer.ts
@@ -17,7 +17,7 @@
 /** Passes bytes on between other hosts and endpoints that they can't reach directly. */
 export class RelayServer {
   /** Connections of other hosts that are relayed, or wait for their endpoint. */
-  private readonly sockets = new Set<Socket>();
+  private readonly sockets = new Map<Socket, RelayRequest>();
   private isStopping = false;
 
   private constructor(private readonly options: Options) {}
@@ -31,11 +31,11 @@
     socket.on('error', () => undefined);
     const request = RelayRequest.safeParse(content);
     const address = request.success ? this.findAddress(request.data.endpoint) : undefined;
-    if (address === undefined) {
+    if (!request.success || address === undefined) {
       endWith(socket, 'declined');
       return;
     }
-    this.sockets.add(socket);
+    this.sockets.set(socket, request.data);
     this.options.onCountChanged(this.sockets.size);
     socket.once('close', () => {
       this.sockets.delete(socket);
@@ -44,15 +44,21 @@
     this.connect(socket, address);
   }
 
+  /** Returns the hosts whose connections to an endpoint are relayed. */
+  getHosts(endpoint: string): Set<string> {
+    const requests = [...this.sockets.values()].filter((request) => request.endpoint === endpoint);
+    return new Set(requests.flatMap(({ host }) => host ?? []));
+  }
+
   /** Stops relaying; connections that other hosts still use get some time to end. */
   async stop(): Promise<void> {
     this.isStopping = true;
     const deadline = performance.now() + RELAY_DRAIN_MS;
-    for (const socket of this.sockets) {
+    for (const socket of this.sockets.keys()) {
       const remainingMs = Math.max(0, deadline - performance.now());
       await waitForClose(socket, remainingMs);
     }
-    for (const socket of this.sockets) socket.destroy();
+    for (const socket of this.sockets.keys()) socket.destroy();
   }
 
   private findAddress(endpoint: string): string | undefined {
