Keep the owner of an engine that no other host reaches

An owner whose engine is down takes the path to it for lost and listed the engine as unreachable, so that it got another owner, which waited 3.3 s before its first order. In a trace an engine that was down for 2.5 s changed its owner twice and could be ordered again from 5.0 s on.

An owner now lists only engines that another host reaches: up to eight hosts in turn open a connection, when the path is lost and again each 500 ms. The result of a check that nobody asked for because of a broken attempt counts no crash.

--- a/src/forwards/crashEvidence.ts
+++ b/src/forwards/crashEvidence.ts
@@ -4,6 +4,7 @@
 import { schedule } from '../core/timers.ts';
 import { isLeaving } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
+import { recordOtherHostCheck } from '../paths/otherHosts.ts';
 import { findRelay, getRelay } from '../paths/relayChoice.ts';
 import { type Attribute, isSharedAttribute } from '../suspects/attributes.ts';
 import { addCrash } from '../suspects/crashes.ts';
@@ -78,12 +79,11 @@
  * Counts the broken attempts of an endpoint that refuses connections as crashes. One that refuses only those
  * of this host runs on: the path to it is lost, and its crashes are taken back.
  */
-export function handleEndpointCheck(
-  state: State,
-  { endpoint, startedAt, relay, isRefused, isRunning = false }: EndpointCheck,
-  now: number,
-): Effect[] {
+export function handleEndpointCheck(state: State, check: EndpointCheck, now: number): Effect[] {
+  const { endpoint, startedAt, relay, isRefused, isRunning = false } = check;
   const { checkedEndpoints, crashedEndpoints } = state.forwards;
+  const next = recordOtherHostCheck(state, check, now);
+  if (!checkedEndpoints.has(endpoint)) return next;
   const view = state.fleet.views.get(endpoint);
   const secondHost =
     relay === undefined && view !== undefined ? findRelay(state, view, now) : undefined;
@@ -93,7 +93,7 @@
   }
   checkedEndpoints.delete(endpoint);
   if (relay !== undefined && isRunning) return clearCrashes(state, endpoint, startedAt, now);
-  if (!isRefused) return [];
+  if (!isRefused) return next;
   crashedEndpoints.set(endpoint, { startedAt, at: now });
   return attributeCrash(state, endpoint, startedAt, now);
 }
--- a/src/owners/reachability.ts
+++ b/src/owners/reachability.ts
@@ -71,6 +71,7 @@
     getEngineClass(state, view) !== undefined &&
     lost?.startedAt === view.endpoint.startedAt &&
     !lost.canOrder &&
+    lost.isReachedByOthers &&
     lost.orderCheckedAt + UNREACHABLE_AFTER_MS <= now
   );
 }
--- a/src/paths/handlers.ts
+++ b/src/paths/handlers.ts
@@ -1,6 +1,7 @@
 import type { EventHandlers, TimerHandlers } from '../core/handlers.ts';
 import { updateOwnReachability } from '../owners/reachability.ts';
 import { checkLostOrderConnections, handleOrderCheckEnd } from './orderConnections.ts';
+import { checkOtherHostsAgain } from './otherHosts.ts';
 import { handlePathSilence } from './pathOutcomes.ts';
 import { handleProbeEnd, probeNextPath } from './probes.ts';
 import type { PathEvent, PathTimer } from './types.ts';
@@ -17,6 +18,7 @@
     return [
       ...probeNextPath(state, now),
       ...checkLostOrderConnections(state, now),
+      ...checkOtherHostsAgain(state, now),
       ...updateOwnReachability(state, now),
     ];
   },
--- a/src/paths/lostPaths.ts
+++ b/src/paths/lostPaths.ts
@@ -5,6 +5,7 @@
 import type { EndpointView } from '../fleet/types.ts';
 import { MAX_LOGGED_ENDPOINTS } from './constants.ts';
 import { checkLostOrderConnection } from './orderConnections.ts';
+import { checkOtherHosts } from './otherHosts.ts';
 
 /** Records that this host can't reach endpoints directly; later requests to them go through relays. */
 export function losePaths(
@@ -14,18 +15,19 @@
   now: number,
 ): Effect[] {
   const { paths } = state;
-  const endpoints = views
-    .filter((view) => !isPathLost(state, view))
-    .map(({ endpoint }) => {
-      paths.lost.set(endpoint.id, {
-        startedAt: endpoint.startedAt,
-        lostAt: now,
-        probedAt: -Infinity,
-        orderCheckedAt: now,
-        canOrder: false,
-      });
-      return endpoint.id;
+  const newlyLost = views.filter((view) => !isPathLost(state, view));
+  const endpoints = newlyLost.map(({ endpoint }) => {
+    paths.lost.set(endpoint.id, {
+      startedAt: endpoint.startedAt,
+      lostAt: now,
+      probedAt: -Infinity,
+      orderCheckedAt: now,
+      canOrder: false,
+      isReachedByOthers: false,
+      hostsAsked: 0,
     });
+    return endpoint.id;
+  });
   if (endpoints.length === 0) return [];
   return [
     newLog('warn', 'endpoints are not reachable directly', {
@@ -37,6 +39,7 @@
     // Connections that are open may hang; those that live on end with the requests that they carry.
     ...endpoints.map((endpoint): Effect => ({ type: 'retireConnections', endpoint })),
     ...endpoints.flatMap((endpoint) => checkLostOrderConnection(state, endpoint, now)),
+    ...checkOtherHosts(state, newlyLost, now),
   ];
 }
 
--- a/src/paths/types.ts
+++ b/src/paths/types.ts
@@ -30,6 +30,10 @@
   orderCheckedAt: number;
   /** Whether that check was answered, so that the owner of the engine can still order it. */
   canOrder: boolean;
+  /** Whether another host is known to reach the endpoint. */
+  isReachedByOthers: boolean;
+  /** Hosts that were asked for that since the last probe. */
+  hostsAsked: number;
 }
 
 /** Why an endpoint is probed. */
