Count refusals to a second host as crashes again

It is recorded now when the second host is asked. Other hosts are asked again only about engines that this host owns, as docs/CAPACITY.md says.

--- a/src/forwards/crashEvidence.ts
+++ b/src/forwards/crashEvidence.ts
@@ -83,12 +83,14 @@
   const { endpoint, startedAt, relay, isRefused, isRunning = false } = check;
   const { checkedEndpoints, crashedEndpoints } = state.forwards;
   const next = recordOtherHostCheck(state, check, now);
-  if (!checkedEndpoints.has(endpoint)) return next;
+  // Other hosts are also asked for lost paths, which tells of no crash.
+  if (relay !== undefined && !checkedEndpoints.has(endpoint)) return next;
   const view = state.fleet.views.get(endpoint);
   const secondHost =
     relay === undefined && view !== undefined ? findRelay(state, view, now) : undefined;
   if (isRefused && view !== undefined && secondHost !== undefined) {
     const { address } = view.endpoint;
+    checkedEndpoints.add(endpoint);
     return [{ type: 'checkEndpoint', endpoint, address, relay: secondHost, startedAt }];
   }
   checkedEndpoints.delete(endpoint);
--- a/src/paths/otherHosts.ts
+++ b/src/paths/otherHosts.ts
@@ -28,10 +28,16 @@
 
 /** Tries again for the engines of this host that no other host is known to reach. */
 export function checkOtherHostsAgain(state: State, now: number): Effect[] {
-  const engines = [...state.paths.lost].filter(([, lost]) => !lost.isReachedByOthers);
-  for (const [, lost] of engines) lost.hostsAsked = 0;
-  const views = engines.flatMap(([engine]) => state.fleet.views.get(engine) ?? []);
-  return checkOtherHosts(state, views, now);
+  const { paths, residency, fleet } = state;
+  const engines = [...paths.lost]
+    .filter(([engine, lost]) => residency.owned.has(engine) && !lost.isReachedByOthers)
+    .map(([engine, lost]) => {
+      lost.hostsAsked = 0;
+      return engine;
+    });
+  return engines
+    .flatMap((engine) => fleet.views.get(engine) ?? [])
+    .flatMap((view) => checkNextHost(state, view, now));
 }
 
 /** Applies what another host found out; asks the next one if this one can't reach the engine either. */
