--- a/src/paths/constants.ts
+++ b/src/paths/constants.ts
@@ -17,5 +17,7 @@
 export const COMMON_FAILURE_WINDOW_MS = 1_000;
 /** Changes of its path for which a request is sent to the same endpoint again. */
 export const MAX_PATH_CHANGES = 8;
+/** Hosts that are asked in turn whether they reach an engine, after each probe. */
+export const MAX_HOSTS_ASKED = 8;
 /** Endpoints that one log line names. */
 export const MAX_LOGGED_ENDPOINTS = 8;
--- a/src/paths/otherHosts.ts
+++ b/src/paths/otherHosts.ts
@@ -5,7 +5,7 @@
 import { MAX_UNREACHABLE_ENGINES } from '../owners/constants.ts';
 import { getMember } from '../owners/owner.ts';
 import { getEngineClass } from '../residency/reservations.ts';
-import { MAX_PATH_CHANGES } from './constants.ts';
+import { MAX_HOSTS_ASKED } from './constants.ts';
 import { avoidRelay, findRelay } from './relayChoice.ts';
 import type { LostPath } from './types.ts';
 
@@ -62,5 +62,5 @@
 }
 
 function isAskingOthers({ isReachedByOthers, hostsAsked }: LostPath): boolean {
-  return !isReachedByOthers && hostsAsked < MAX_PATH_CHANGES;
+  return !isReachedByOthers && hostsAsked < MAX_HOSTS_ASKED;
 }
