Take a report for the call that tells of a leaving engine in a test

Owners read a report over each order connection each 2 s, so an engine that begins to leave may say so there before a request reaches it. The test took only requests for calls that tell, and would wait for one in vain then. It counts the time from the first call of either kind, so it is not less strict.

--- a/stand-ins/platform/platformEndpoint.ts
+++ b/stand-ins/platform/platformEndpoint.ts
@@ -102,6 +102,8 @@
 export class PlatformEndpoint implements StandIn {
   readonly calls: EndpointCall[] = [];
   readonly orders: ReceivedOrder[] = [];
+  /** Monotonic ms at which its report was read. */
+  readonly reportedAt: number[] = [];
   /** Behaviours of the next requests, in order; later requests are served. */
   readonly plannedBehaviours: EndpointBehaviour[] = [];
   /** Values of the header that names a limit on requests, in each answer. */
@@ -230,6 +232,7 @@
   }
 
   private handleReport(call: ReceivedCall): void {
+    this.reportedAt.push(performance.now());
     const models = new Map<string, string[]>([['base', []]]);
     for (const [adapter, version] of this.adapters) {
       const [model = '', name = ''] = adapter.split('/');
--- a/tests/gatewayHost/endpointNotices.test.ts
+++ b/tests/gatewayHost/endpointNotices.test.ts
@@ -67,8 +67,9 @@
     leaving.isLeaving = true;
     const from = performance.now();
     const answers = await sendFor(3_000, deployment, service);
-    // Nobody knows before the first request that arrives from then on is answered.
-    const toldAt = leaving.calls.find(({ arrivedAt }) => arrivedAt >= from)?.arrivedAt ?? Infinity;
+    // Nobody knows before the first call that arrives from then on is answered.
+    const calledAt = [...leaving.calls.map(({ arrivedAt }) => arrivedAt), ...leaving.reportedAt];
+    const toldAt = Math.min(...calledAt.filter((at) => at >= from));
     expect(toldAt).toBeLessThan(from + 2_000);
     expect(countArrivals(leaving, toldAt + TOLD_MS)).toBe(0);
     expect(countArrivals(other, from + TOLD_MS)).toBeGreaterThan(50);
