Drop a field that nothing reads, and one of two constants of 400 ms

`LostPath.lostAt` has no reader since the check of order connections took its place. `MIN_SILENCE_MS` and `PATH_SILENCE_MS` named the same time; the paths own it now. Behaviour stays as it is.

--- a/src/forwards/constants.ts
+++ b/src/forwards/constants.ts
@@ -75,5 +75,3 @@
 export const STREAM_WINDOW_TIMEOUTS = 2;
 /** Length to which ids that callers choose are cut in log lines. */
 export const MAX_LOGGED_ID_LENGTH = 64;
-/** Time without a byte after which an attempt is broken off when its path turns out to be lost. */
-export const MIN_SILENCE_MS = 400;
--- a/src/forwards/silentAttempts.ts
+++ b/src/forwards/silentAttempts.ts
@@ -1,6 +1,6 @@
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
-import { MIN_SILENCE_MS } from './constants.ts';
+import { PATH_SILENCE_MS } from '../paths/constants.ts';
 import { mayRunAgain } from './repetition.ts';
 
 /**
@@ -11,6 +11,6 @@
   return [...forwards.inFlight.values()].flatMap((forward): Effect[] => {
     const { attempt } = forward;
     if (attempt === undefined || attempt.relay !== relay || !mayRunAgain(forward)) return [];
-    return [{ type: 'breakSilentAttempt', attempt: attempt.id, silentMs: MIN_SILENCE_MS }];
+    return [{ type: 'breakSilentAttempt', attempt: attempt.id, silentMs: PATH_SILENCE_MS }];
   });
 }
--- a/src/gatewayHost/constants.ts
+++ b/src/gatewayHost/constants.ts
@@ -11,11 +11,6 @@
 export const MAX_CONNECTION_WAIT_MS = 450;
 /** Minimum of a host's share of the connection limit of an endpoint. */
 export const MIN_CONNECTIONS_PER_ENDPOINT = 8;
-/**
- * Time without a byte of any endpoint, while attempts wait for answers, after which the path to the endpoints
- * is taken for silent.
- */
-export const PATH_SILENCE_MS = 400;
 /** Age from which cancelling an attempt without a response replaces the endpoint's connections. */
 export const UNRESPONSIVE_AFTER_MS = 1_000;
 /** Maximum size of a response that is buffered before it is passed on. */
--- a/src/gatewayHost/pathMonitor.ts
+++ b/src/gatewayHost/pathMonitor.ts
@@ -1,4 +1,4 @@
-import { PATH_SILENCE_MS } from './constants.ts';
+import { PATH_SILENCE_MS } from '../paths/constants.ts';
 
 /** Watches whether anything arrives over a path to endpoints while attempts wait for answers. */
 export class PathMonitor {
--- a/src/paths/constants.ts
+++ b/src/paths/constants.ts
@@ -17,6 +17,11 @@
 export const COMMON_FAILURE_WINDOW_MS = 1_000;
 /** Changes of its path for which a request is sent to the same endpoint again. */
 export const MAX_PATH_CHANGES = 8;
+/**
+ * Time without a byte of any endpoint, while attempts wait for answers, after which the path to the endpoints
+ * is taken for silent. An attempt that waited so long is broken off when its path turns out to be lost.
+ */
+export const PATH_SILENCE_MS = 400;
 /** Hosts that are asked in turn whether they reach an engine, after each probe. */
 export const MAX_HOSTS_ASKED = 8;
 /** Endpoints that one log line names. */
--- a/src/paths/lostPaths.ts
+++ b/src/paths/lostPaths.ts
@@ -19,7 +19,6 @@
   const endpoints = newlyLost.map(({ endpoint }) => {
     paths.lost.set(endpoint.id, {
       startedAt: endpoint.startedAt,
-      lostAt: now,
       probedAt: -Infinity,
       orderCheckedAt: now,
       canOrder: false,
--- a/src/paths/types.ts
+++ b/src/paths/types.ts
@@ -24,9 +24,8 @@
 export interface LostPath {
   /** Unix ms of the start of the endpoint. */
   startedAt: number;
-  lostAt: number;
   probedAt: number;
-  /** Start of the last check of the open order connection; `lostAt` where none was made. */
+  /** Start of the last check of the open order connection; the loss of the path where none was made. */
   orderCheckedAt: number;
   /** Whether that check was answered, so that the owner of the engine can still order it. */
   canOrder: boolean;
--- a/tests/gatewayHost/pathMonitor.test.ts
+++ b/tests/gatewayHost/pathMonitor.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, it, vi } from 'vitest';
-import { PATH_SILENCE_MS } from '../../src/gatewayHost/constants.ts';
+import { PATH_SILENCE_MS } from '../../src/paths/constants.ts';
 import { PathMonitor } from '../../src/gatewayHost/pathMonitor.ts';
 
 beforeEach(() => void vi.useFakeTimers());
--- a/tests/helpers/hostTraffic.ts
+++ b/tests/helpers/hostTraffic.ts
@@ -5,9 +5,9 @@
 
 /** Hosts of a deployment, each linked with the others, and endpoints behind links that can be cut. */
 export const HOSTS = 3;
-export const ENDPOINTS = 2;
+const ENDPOINTS = 2;
 /** Time between two requests at one host. */
-export const INTERVAL_MS = 60;
+const INTERVAL_MS = 60;
 /** Share of requests that may fail at hosts that are cut off. */
 export const MAX_FAILED_SHARE = 1 / 50;
 
