--- a/src/callers/routes/completions.ts
+++ b/src/callers/routes/completions.ts
@@ -44,8 +44,7 @@
     timeoutMs: limits.slowSenderMs,
   });
   if (bytes.err) {
-    context.response.setHeader('connection', 'close');
-    sendFailure(context.response, bytes.val);
+    sendFailure(context.response, bytes.val, { connection: 'close' });
     return;
   }
   const completion = parseCompletionRequest(bytes.val, schema);
--- a/src/callers/routes/services.ts
+++ b/src/callers/routes/services.ts
@@ -52,8 +52,7 @@
     timeoutMs: limits.slowSenderMs,
   });
   if (body.err) {
-    response.setHeader('connection', 'close');
-    sendFailure(response, body.val);
+    sendFailure(response, body.val, { connection: 'close' });
     return;
   }
   const method = request.method ?? 'GET';
--- a/src/gatewayHost/frontServer.ts
+++ b/src/gatewayHost/frontServer.ts
@@ -58,10 +58,8 @@
     const { state, labels: labelPort } = this.host;
     const limits = state.routeIndex.current?.table.limits;
     if (limits !== undefined) this.server?.setIdleTimeoutMs(limits.idleTimeoutMs);
-    const refuse = (failure: Failure): void => {
-      response.setHeader('connection', 'close');
-      sendFailure(response, failure);
-    };
+    const refuse = (failure: Failure): void =>
+      sendFailure(response, failure, { connection: 'close' });
     const headerBytes = getHeaderBytes(request);
     if (limits !== undefined && headerBytes > limits.headerBytes) {
       refuse(
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -25,9 +25,11 @@
       request.off('close', handleClose);
       resolve(result);
     };
-    const timer = setTimeout(() => {
+    const rejectSlowSender = () => {
       end(Err(Failure.create('slow_sender', `the body did not arrive within ${timeoutMs} ms`)));
-    }, timeoutMs);
+    };
+    // After the process was suspended, timers fire before the bytes that arrived meanwhile are read.
+    const timer = setTimeout(() => setImmediate(rejectSlowSender), timeoutMs);
     const addChunk = (chunk: Buffer) => {
       size += chunk.length;
       if (size <= maxBytes) chunks.push(chunk);
--- a/src/http/constants.ts
+++ b/src/http/constants.ts
@@ -6,3 +6,6 @@
 
 /** Interval at which a stopping server closes connections that became idle. */
 export const IDLE_CHECK_INTERVAL_MS = 50;
+
+/** Time for which a connection stays open after its last request was rejected while it arrived. */
+export const REJECTED_LINGER_MS = 1_000;
--- a/src/http/reply.ts
+++ b/src/http/reply.ts
@@ -19,9 +19,16 @@
   response.end(body);
 }
 
-/** Sends the error response of a failure, with `Retry-After` if the failure has one. */
-export function sendFailure(response: ServerResponse, failure: Failure): void {
-  const headers: Record<string, string> = {};
+/**
+ * Sends the error response of a failure, with `Retry-After` if the failure has one; does nothing if the
+ * response was started or closed.
+ */
+export function sendFailure(
+  response: ServerResponse,
+  failure: Failure,
+  extraHeaders: Record<string, string> = {},
+): void {
+  const headers = { ...extraHeaders };
   if (failure.retryAfterS !== undefined) headers['retry-after'] = String(failure.retryAfterS);
   if (failure.kind === 'unauthorized') headers['www-authenticate'] = 'Bearer';
   sendJson(response, getErrorResponse(failure.kind).status, getFailureBody(failure), headers);
