Go on after errors that no code handles, in place of ending the process

Cause: the end of a response without a length is handled after a check of the server, in a promise that nobody handles. An exception there became its rejection, and Node.js ends a process at a rejection or an exception that nothing handles. Neither program had a handler at its top.

Ruled out: an exception in the parser of undici. It catches those of the calls that it makes itself; only the delayed end is ours.

Change: the delayed end reports an exception as a broken response. An error in the handler of a request is answered with `internal`, for the servers of both programs. Any other error is logged and counted, and the process goes on. An exception around an event no longer blocks the loop.

--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -37,12 +37,9 @@
       router.on(method, path, (_request, response) => handle(host, response));
     }
     for (const route of routes) {
-      router.on(route.method, route.path, (request, response, params) => {
-        server.handleCommand(route, request, response, params).catch((error: unknown) => {
-          const reason = error instanceof Error ? error.message : String(error);
-          sendFailure(response, Failure.create('internal', `the request failed: ${reason}`));
-        });
-      });
+      router.on(route.method, route.path, (request, response, params) =>
+        server.handleCommand(route, request, response, params),
+      );
     }
     return server;
   }
@@ -51,7 +48,7 @@
   async start(): Promise<number> {
     const { listen, limits } = this.host.settings;
     this.server = await startServer(
-      (request, response) => void this.router.lookup(request, response),
+      (request, response) => this.router.lookup(request, response) as void | Promise<void>,
       listen.operators,
       limits,
     );
--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -40,7 +40,7 @@
   async start(): Promise<number> {
     const { listen, limits } = this.host.settings;
     this.server = await startServer(
-      (request, response) => void this.router.lookup(request, response),
+      (request, response) => this.router.lookup(request, response) as void | Promise<void>,
       listen.callers,
       limits,
     );
@@ -53,9 +53,9 @@
   }
 
   private addRoute(route: Route): void {
-    this.router.on(getMethods(route), route.path, (request, response, params) => {
-      void this.handle(route, request, response, params);
-    });
+    this.router.on(getMethods(route), route.path, (request, response, params) =>
+      this.handle(route, request, response, params),
+    );
   }
 
   private async handle(
--- a/src/clients/closeDelimited.ts
+++ b/src/clients/closeDelimited.ts
@@ -77,10 +77,19 @@
     const { isServerRunning, endTracker } = this.options;
     if (!endTracker.isGracefulClose())
       this.fail(controller, 'the connection was reset during a response without a length');
-    else if (await isServerRunning()) this.handler.onResponseEnd?.(controller, trailers);
+    else if (await isServerRunning()) this.end(controller, trailers);
     else this.fail(controller, 'the server is gone after a response without a length');
   }
 
+  /** undici has returned from the response, so nothing else would handle an error of the handler. */
+  private end(controller: Controller, trailers: IncomingHttpHeaders): void {
+    try {
+      this.handler.onResponseEnd?.(controller, trailers);
+    } catch (error) {
+      this.fail(controller, error instanceof Error ? error.message : String(error));
+    }
+  }
+
   private fail(controller: Controller, reason: string): void {
     this.handler.onResponseError?.(controller, new Error(reason));
   }
--- a/src/core/metricNames.ts
+++ b/src/core/metricNames.ts
@@ -81,6 +81,10 @@
     kind: 'counter',
     help: 'Bytes exchanged with other hosts, by direction.',
   },
+  fireflywick_unhandled_errors_total: {
+    kind: 'counter',
+    help: 'Errors that no code of the host handled, by origin; each is a defect and is logged.',
+  },
   fireflywick_loop_turn_ms: {
     kind: 'histogram',
     help: 'Time that one event took in the loop.',
--- a/src/gatewayHost/frontServer.ts
+++ b/src/gatewayHost/frontServer.ts
@@ -40,7 +40,7 @@
   async start(address: SocketAddress): Promise<number> {
     const limits = { headerBytes: MAX_HEADER_BYTES, slowSenderMs: DEFAULT_HEADER_TIMEOUT_MS };
     this.server = await startServer(
-      (request, response) => void this.handleRequest(request, response),
+      (request, response) => this.handleRequest(request, response),
       address,
       limits,
     );
--- a/src/gatewayHost/runGateway.ts
+++ b/src/gatewayHost/runGateway.ts
@@ -1,6 +1,7 @@
 import type { Result } from '../base/result.ts';
 import { Err } from '../base/result.ts';
 import type { GatewaySettings } from '../settings/gatewayGroups.ts';
+import { handleProcessErrors } from '../host/processErrors.ts';
 import { describeSettingProblems, parseGatewaySettings } from '../settings/parse.ts';
 import { readSettingsFile } from '../settings/settingsFile.ts';
 import { GatewayHost } from './gatewayHost.ts';
@@ -30,6 +31,7 @@
     return 2;
   }
   const host = GatewayHost.create(settings.val, options.newPlatform);
+  handleProcessErrors(host.observer);
   await host.start();
   const reload = (): void => reloadSettings(host, options);
   process.on('SIGHUP', reload);
--- a/src/host/loop.ts
+++ b/src/host/loop.ts
@@ -36,8 +36,11 @@
     if (this.isDispatching) return;
     this.isDispatching = true;
     const startedAt = performance.now();
-    this.handleQueue();
-    this.isDispatching = false;
+    try {
+      this.handleQueue();
+    } finally {
+      this.isDispatching = false;
+    }
     this.onTurn(performance.now() - startedAt);
     this.scheduleTick();
   }
--- a/src/host/observedLoop.ts
+++ b/src/host/observedLoop.ts
@@ -3,6 +3,7 @@
 import type { State } from '../core/state.ts';
 import { Loop } from './loop.ts';
 import type { Observer } from './observer.ts';
+import { describeError } from './processErrors.ts';
 
 /** Creates a loop that records the duration of its turns and logs events whose handlers throw. */
 export function newObservedLoop(options: {
@@ -16,7 +17,7 @@
     runEffect,
     onTurn: (turnMs) => observer.observe(newObserve('fireflywick_loop_turn_ms', {}, turnMs)),
     onError: (event, error) => {
-      const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      const reason = describeError(error);
       observer.logger.write('error', 'event handler failed', { event: event.type, reason });
     },
   });
--- a/src/host/runEntry.ts
+++ b/src/host/runEntry.ts
@@ -1,5 +1,6 @@
 import { describeSettingProblems, parseEntrySettings } from '../settings/parse.ts';
 import { EntryHost } from './entryHost.ts';
+import { handleProcessErrors } from './processErrors.ts';
 
 /**
  * Runs one entry host until SIGTERM or SIGINT. Prints one JSON line with its ports when it listens.
@@ -13,6 +14,7 @@
     return 2;
   }
   const host = EntryHost.create(settings.val);
+  handleProcessErrors(host.observer);
   const ports = await host.start();
   console.log(JSON.stringify({ ready: true, ...ports }));
   await waitForSignal();
--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -1,7 +1,8 @@
 import { once } from 'node:events';
-import { createServer, type RequestListener, type Server } from 'node:http';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
+import { Failure } from '../errors/failure.ts';
 import type { SocketAddress } from '../settings/values.ts';
 import { CallerConnection, type ReceiveLimits } from './callerConnection.ts';
 import {
@@ -9,6 +10,10 @@
   IDLE_CHECK_INTERVAL_MS,
   CALLER_KEEP_ALIVE_MS,
 } from './constants.ts';
+import { sendFailure } from './reply.ts';
+
+/** Handles a request; an error that it throws or rejects with is answered with `internal`. */
+type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
 
 type Connections = Map<Duplex, CallerConnection>;
 
@@ -23,7 +28,7 @@
 
 /** Starts an HTTP server; rejects when the address is in use. Port 0 takes any free port. */
 export async function startServer(
-  listener: RequestListener,
+  handle: RequestHandler,
   address: SocketAddress,
   limits: ReceiveLimits,
 ): Promise<RunningServer> {
@@ -39,7 +44,7 @@
     },
     (request, response) => {
       if (connections.get(request.socket)?.receive(request, response) === true)
-        listener(request, response);
+        void handleRequest(handle, request, response);
     },
   );
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
@@ -63,6 +68,20 @@
   };
 }
 
+async function handleRequest(
+  handle: RequestHandler,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  try {
+    await handle(request, response);
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    sendFailure(response, Failure.create('internal', `the request failed: ${reason}`));
+    throw error;
+  }
+}
+
 function stopServer(server: Server, connections: Connections): Promise<void> {
   const closeIdle = () => {
     server.closeIdleConnections();
--- a/tests/helpers/rawEndpoint.ts
+++ b/tests/helpers/rawEndpoint.ts
@@ -88,7 +88,7 @@
     const answer = this.plannedAnswers.shift() ?? this.answer;
     for (const step of answer(request)) {
       if (typeof step === 'number') await sleep(step);
-      else if (typeof step === 'string') socket.write(step);
+      else if (typeof step === 'string') socket.write(step, 'latin1');
       else if (step instanceof Promise) await step;
       else this.end(socket, step);
     }
