Pass header values and event ids on octet by octet

Cause: header values of endpoints were decoded as UTF-8. writeHead refuses U+FFFD, which stands for octets that are not UTF-8; other octets were changed on their way. Event ids were decoded in the same way, so that a stream could not be resumed after an id with such octets.

Change: header values and event ids of endpoints are decoded octet by octet. An id that no header can carry counts as absent.

--- a/src/gatewayHost/eventSplitter.ts
+++ b/src/gatewayHost/eventSplitter.ts
@@ -1,14 +1,16 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 /** Lines that set the id of an event; a byte order mark may precede the first line of a stream. */
-const ID_LINES = /(?:^\uFEFF?|[\r\n])id: ?([^\r\n]*)/g;
+const ID_LINES = /(?:^(?:\xEF\xBB\xBF)?|[\r\n])id: ?([^\r\n]*)/g;
+/** Octets of a header value, one or more. */
+const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]+$/;
 /** Empty lines and complete comment lines. */
-const ONLY_COMMENTS = /^\uFEFF?(?::[^\r\n]*[\r\n]|[\r\n])*$/;
+const ONLY_COMMENTS = /^(?:\xEF\xBB\xBF)?(?::[^\r\n]*[\r\n]|[\r\n])*$/;
 
 /** An unmodified event of a stream, including the empty line that ends it. */
 export interface StreamEvent {
   bytes: Buffer;
-  /** Undefined for an event without an id. */
+  /** Octets of its id, each as one character, as a header carries them; undefined without an id. */
   id: string | undefined;
 }
 
@@ -35,7 +37,7 @@
 
   /** Whether a part of an event, or of a line, follows the last complete event. */
   get isWithinEvent(): boolean {
-    return !ONLY_COMMENTS.test(this.rest.toString('utf8'));
+    return !ONLY_COMMENTS.test(this.rest.toString('latin1'));
   }
 
   /** Returns the events that `chunk` completes. */
@@ -46,7 +48,7 @@
       const end = this.findEnd();
       if (end === undefined) return events;
       const bytes = this.rest.subarray(0, end);
-      events.push({ bytes, id: getId(bytes.toString('utf8')) });
+      events.push({ bytes, id: getId(bytes.toString('latin1')) });
       this.rest = this.rest.subarray(end);
       this.lineStart = 0;
       this.searchedTo = 0;
@@ -81,8 +83,8 @@
   }
 }
 
-/** Returns the id that the last id line of an event sets; undefined if it is empty. */
+/** Returns the id that the last id line of an event sets; undefined if no header can carry it. */
 function getId(event: string): string | undefined {
   const [, id = ''] = [...event.matchAll(ID_LINES)].at(-1) ?? [];
-  return id === '' ? undefined : id;
+  return HEADER_VALUE.test(id) ? id : undefined;
 }
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -266,9 +266,14 @@
   return Number.isFinite(number) && Number.isFinite(before) ? number <= before : id === last;
 }
 
+/** Returns names and values of the headers, each octet as the character with its number. */
 function getRawHeaders(controller: Controller): string[] {
   const raw = (controller as { rawHeaders?: unknown }).rawHeaders;
-  return Array.isArray(raw) ? raw.map(String) : [];
+  return Array.isArray(raw) ? raw.map(decodeOctets) : [];
+}
+
+function decodeOctets(value: unknown): string {
+  return Buffer.isBuffer(value) ? value.toString('latin1') : String(value);
 }
 
 /** Returns why a connection could not be opened, as far as it tells something of the path. */
--- a/tests/gatewayHost/eventSplitter.test.ts
+++ b/tests/gatewayHost/eventSplitter.test.ts
@@ -30,6 +30,8 @@
     ['two events', 'data: a\r\rid:2\r\r', ['data: a\r\r', 'id:2\r\r'], [undefined, '2'], '', false],
     ['several ids', 'id: 1\nid: 2\ndata\n\n', ['id: 1\nid: 2\ndata\n\n'], ['2'], '', false],
     ['an empty id', 'id:\ndata: a\n\n', ['id:\ndata: a\n\n'], [undefined], '', false],
+    ['an id in other octets', 'id: é\n\n', ['id: é\n\n'], ['\xc3\xa9'], '', false],
+    ['an id that no header carries', 'id: \x01\n\n', ['id: \x01\n\n'], [undefined], '', false],
     ['a byte order mark', '\uFEFFid: 1\n\n', ['\uFEFFid: 1\n\n'], ['1'], '', false],
     ['a comment at the end', 'id: 1\n\n: bye\r\n', ['id: 1\n\n'], ['1'], ': bye\r\n', false],
     ['half a comment', 'id: 1\n\n: by', ['id: 1\n\n'], ['1'], ': by', true],
