Answer the request of an effect or a handler that fails

Cause: the loop ran the effects of an event in one block. An effect that threw took those after it with it, a timer that threw took the effects of all timers due with it, and nothing ended the request. Calls whose promises "never reject" had no handler for a rejection, so that the topic of a directory that was read would not be read again.

Ruled out: catching in the reducer. Tests run the reducer without the loop and must see what throws.

Change: effects run one by one, for both programs. The request of an event, an effect or a timer that fails is answered with `internal`, or its connection closes if the answer has begun, and its attempt is cancelled. A call that rejects counts as one that failed, with an effect that is unknown where it may have had one.

--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -64,9 +64,9 @@
   answer(id: string, answer: OperatorAnswer): void {
     const response = this.pendingResponses.get(id);
     if (response === undefined) return;
-    this.pendingResponses.delete(id);
     if (answer.type === 'done') sendJson(response, answer.status, answer.body);
     else sendRefusal(response, answer.failure, answer.details);
+    this.pendingResponses.delete(id);
   }
 
   /**
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -51,6 +51,7 @@
 import type { Message } from './messages.ts';
 import type { ObjectPurpose, TablePurpose } from './purposes.ts';
 import type { State } from './state.ts';
+import { TimerError } from './timerError.ts';
 import type { Timer } from './timers.ts';
 
 type AnyHandler = (...args: unknown[]) => Effect[];
@@ -139,7 +140,8 @@
 
 /**
  * Applies one event to `state` in place and returns the effects to execute. `now` is in monotonic
- * milliseconds and never decreases between calls.
+ * milliseconds and never decreases between calls. Throws a `TimerError` if the handler of a timer throws;
+ * timers that are due after it have not run yet.
  */
 export function reduce(state: State, event: Event, now: number): Effect[] {
   state.now = now;
@@ -154,6 +156,10 @@
     const timer = state.timers.popDue(now);
     if (timer === undefined) return effects;
     const handler = timers[timer.type] as AnyHandler;
-    effects.push(...handler(state, timer, now));
+    try {
+      effects.push(...handler(state, timer, now));
+    } catch (error) {
+      throw TimerError.create(timer, effects, error);
+    }
   }
 }
--- a/src/gatewayHost/forwardExchange.ts
+++ b/src/gatewayHost/forwardExchange.ts
@@ -88,6 +88,15 @@
     sendFailure(this.response, failure);
   }
 
+  /** Fails after an error on this host, which may have left the response in any state; never throws. */
+  abandon(failure: Failure): void {
+    try {
+      this.fail(failure);
+    } catch {
+      this.response.destroy();
+    }
+  }
+
   /** Closes the connection without the end of the response; what was written before is sent. */
   private abortResponse(): void {
     const { socket, writableNeedDrain, req } = this.response;
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -9,6 +9,7 @@
 import { newGauge } from '../core/observations.ts';
 import { isReady } from '../core/lifecycle.ts';
 import { type Policy, State } from '../core/state.ts';
+import type { Failure } from '../errors/failure.ts';
 import type { AttemptSpec } from '../forwards/types.ts';
 import type { Loop } from '../host/loop.ts';
 import { newObservedLoop } from '../host/observedLoop.ts';
@@ -117,6 +118,7 @@
       state: this.state,
       observer: this.observer,
       runEffect: (effect) => runGatewayEffect(this, effect),
+      abandonRequest: (id, failure) => this.abandonRequest(id, failure),
     });
     this.frontServer = FrontServer.create(this);
     this.adminServer = this.newAdminServer();
@@ -270,6 +272,15 @@
     this.resolveStopped();
   }
 
+  /** Gives a request its final answer after an error on this host. */
+  private abandonRequest(id: string, failure: Failure): void {
+    const exchange = this.exchanges.get(id);
+    exchange?.abandon(failure);
+    // Ends its attempt; not for a request that is gone, since the handler of this event may have failed.
+    if (this.exchanges.delete(id)) this.dispatch({ type: 'forwardCancelled', id });
+    this.adminServer?.answer(id, { type: 'refused', failure, details: [] });
+  }
+
   private newAdminServer(): AdminServer | undefined {
     const { listen, access } = this.settings;
     if (listen.operators === undefined) return undefined;
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -1,3 +1,4 @@
+import { catchRejection } from '../base/rejection.ts';
 import { isConnectionRefused } from '../clients/connectionCheck.ts';
 import type { Effect } from '../core/effects.ts';
 import { checkThroughRelay } from '../relays/relayClient.ts';
@@ -7,7 +8,9 @@
   ADAPTER_ORDER_TIMEOUT_MS,
   ADAPTER_REPORT_TIMEOUT_MS,
 } from './constants.ts';
+import type { AdapterOrderAnswer, AdapterReport } from '../residency/types.ts';
 import type { GatewayHost } from './gatewayHost.ts';
+import type { EngineAnswer } from './platform.ts';
 
 type Runners = {
   [T in Effect['type']]?: (host: GatewayHost, effect: Extract<Effect, { type: T }>) => void;
@@ -27,37 +30,42 @@
   openLink: (host, { host: to, address }) => host.links.open(to, address),
   closeLink: (host, { host: to }) => host.links.close(to),
   readTopic: (host, { topic, call }) => {
-    void host.platform.directory.read(topic, DIRECTORY_TIMEOUT_MS).then((answer) => {
+    const read = host.platform.directory.read(topic, DIRECTORY_TIMEOUT_MS);
+    void catchRejection(read, newUnavailableAnswer).then((answer) => {
       host.dispatch({ type: 'directoryAnswered', topic, call, isRead: true, answer });
     });
   },
   watchTopic: (host, { topic, call, after, waitMs }) => {
     const timeoutMs = waitMs + DIRECTORY_TIMEOUT_MS;
-    void host.platform.directory.watch(topic, after, waitMs, timeoutMs).then((answer) => {
+    const watched = host.platform.directory.watch(topic, after, waitMs, timeoutMs);
+    void catchRejection(watched, newUnavailableAnswer).then((answer) => {
       host.dispatch({ type: 'directoryAnswered', topic, call, isRead: false, answer });
     });
   },
   writeRow: (host, { content, version }) => {
-    void host.platform.directory
-      .writeRow(content, version, DIRECTORY_TIMEOUT_MS)
-      .then((answer) => host.dispatch({ type: 'rowWriteAnswered', content, answer }));
+    const written = host.platform.directory.writeRow(content, version, DIRECTORY_TIMEOUT_MS);
+    void catchRejection(written, newUnknownAnswer).then((answer) =>
+      host.dispatch({ type: 'rowWriteAnswered', content, answer }),
+    );
   },
   sendAdapterOrder: (host, { engine, address, epoch, order }) => {
     const { id } = host.state.host;
     const engineOrder = { engine, address, host: id, epoch, order };
     const sent = host.newSentCall(engine);
-    void host.platform.engines
-      .sendOrder(engineOrder, ADAPTER_ORDER_TIMEOUT_MS)
-      .then(({ content: answer, notice }) => {
-        host.reportNotice(sent, notice);
-        host.dispatch({ type: 'adapterOrderAnswered', engine, epoch, order, answer });
-      });
+    const call = host.platform.engines.sendOrder(engineOrder, ADAPTER_ORDER_TIMEOUT_MS);
+    const ordered = catchRejection<EngineAnswer<AdapterOrderAnswer>>(call, (reason) => ({
+      content: newUnknownAnswer(reason),
+      notice: undefined,
+    }));
+    void ordered.then(({ content: answer, notice }) => {
+      host.reportNotice(sent, notice);
+      host.dispatch({ type: 'adapterOrderAnswered', engine, epoch, order, answer });
+    });
   },
   readAdapterReport: (host, { engine, address }) => {
     const sent = host.newSentCall(engine);
-    void host.platform.engines
-      .readReport(engine, address, ADAPTER_REPORT_TIMEOUT_MS)
-      .then(({ content: report, notice }) => {
+    void readReport(host, engine, address, ADAPTER_REPORT_TIMEOUT_MS).then(
+      ({ content: report, notice }) => {
         host.reportNotice(sent, notice);
         const isReport = typeof report !== 'string';
         host.dispatch({
@@ -66,7 +74,8 @@
           report: isReport ? report : undefined,
           reason: isReport ? '' : report,
         });
-      });
+      },
+    );
   },
   checkEndpoint: (host, { endpoint, address, relay, startedAt }) => {
     const { id, sourceAddress: localAddress } = host.settings.host;
@@ -96,13 +105,11 @@
   },
   checkOrderConnection: (host, { engine, address, checkedAt, timeoutMs }) => {
     const sent = host.newSentCall(engine);
-    void host.platform.engines
-      .readReport(engine, address, timeoutMs)
-      .then(({ content: report, notice }) => {
-        host.reportNotice(sent, notice);
-        const isAnswered = typeof report !== 'string' || notice !== undefined;
-        host.dispatch({ type: 'orderConnectionChecked', engine, checkedAt, isAnswered });
-      });
+    void readReport(host, engine, address, timeoutMs).then(({ content: report, notice }) => {
+      host.reportNotice(sent, notice);
+      const isAnswered = typeof report !== 'string' || notice !== undefined;
+      host.dispatch({ type: 'orderConnectionChecked', engine, checkedAt, isAnswered });
+    });
   },
   retireConnections: (host, { endpoint, relay }) =>
     host.endpointClient.retireConnections({ endpoint, relay }),
@@ -119,6 +126,26 @@
   stopped: (host) => host.onStopped(),
 };
 
+/** Reads the report of an engine; a call that fails on this host counts as one without an answer. */
+function readReport(
+  host: GatewayHost,
+  engine: string,
+  address: string,
+  timeoutMs: number,
+): Promise<EngineAnswer<AdapterReport | string>> {
+  const call = host.platform.engines.readReport(engine, address, timeoutMs);
+  return catchRejection(call, (reason) => ({ content: reason, notice: undefined }));
+}
+
+function newUnavailableAnswer(reason: string): { type: 'unavailable'; reason: string } {
+  return { type: 'unavailable', reason };
+}
+
+/** Returns the answer of a write or an order that failed on this host: it may have taken effect. */
+function newUnknownAnswer(reason: string): { type: 'unknown'; reason: string } {
+  return { type: 'unknown', reason };
+}
+
 /** Runs one effect. */
 export function runGatewayEffect(host: GatewayHost, effect: Effect): void {
   const run = runners[effect.type] as ((host: GatewayHost, effect: Effect) => void) | undefined;
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -18,6 +18,7 @@
 import { ProcessSampler } from '../observe/processSampler.ts';
 import { PeerLinks } from '../peers/peerLinks.ts';
 import type { EntrySettings } from '../settings/entryGroups.ts';
+import { abandonRequest } from './abandonRequest.ts';
 import type { HostContext, RunningAttempt } from './context.ts';
 import type { Loop } from './loop.ts';
 import { newObservedLoop } from './observedLoop.ts';
@@ -70,6 +71,7 @@
       state: this.state,
       observer: this.observer,
       runEffect: (effect) => runEffect(this, effect),
+      abandonRequest: (id, failure) => abandonRequest(this, id, failure),
     });
     this.sampler = ProcessSampler.create((observation) => this.observer.observe(observation));
     this.callerServer = CallerServer.create(this);
--- a/src/host/loop.ts
+++ b/src/host/loop.ts
@@ -2,6 +2,11 @@
 import type { Event } from '../core/events.ts';
 import { reduce } from '../core/reduce.ts';
 import type { State } from '../core/state.ts';
+import { TimerError } from '../core/timerError.ts';
+import type { Timer } from '../core/timers.ts';
+
+/** What failed in a turn of the loop. */
+export type FailedStep = Event | Effect | Timer;
 
 /** Passes events to the reducer one at a time, runs their effects, and schedules the next timer. */
 export class Loop {
@@ -15,7 +20,7 @@
     private readonly state: State,
     private readonly runEffect: (effect: Effect) => void,
     private readonly onTurn: (turnMs: number) => void,
-    private readonly onError: (event: Event, error: unknown) => void,
+    private readonly onError: (step: FailedStep, error: unknown) => void,
   ) {}
 
   static create(options: {
@@ -23,7 +28,8 @@
     runEffect: (effect: Effect) => void;
     /** Called after each turn with its duration in ms. */
     onTurn: (turnMs: number) => void;
-    onError: (event: Event, error: unknown) => void;
+    /** Called for each handler and each effect that throws; the other effects run nevertheless. */
+    onError: (step: FailedStep, error: unknown) => void;
   }): Loop {
     return new Loop(options.state, options.runEffect, options.onTurn, options.onError);
   }
@@ -57,12 +63,29 @@
     }
   }
 
-  /** Drops an event whose handler throws, so that other requests on the host are not affected. */
   private handle(event: Event): void {
+    for (const effect of this.getEffects(event)) {
+      try {
+        this.runEffect(effect);
+      } catch (error) {
+        this.onError(effect, error);
+      }
+    }
+  }
+
+  /** Drops an event whose handler throws, so that other requests on the host are not affected. */
+  private getEffects(event: Event): readonly Effect[] {
     try {
-      for (const effect of reduce(this.state, event, performance.now())) this.runEffect(effect);
+      return reduce(this.state, event, performance.now());
     } catch (error) {
-      this.onError(event, error);
+      if (!(error instanceof TimerError)) {
+        this.onError(event, error);
+        return [];
+      }
+      this.onError(error.timer, error.cause);
+      // Timers that are due after the one that failed run next.
+      this.queue.unshift({ type: 'tick' });
+      return error.effects;
     }
   }
 
--- a/src/host/runners/actionsAndDrafts.ts
+++ b/src/host/runners/actionsAndDrafts.ts
@@ -1,4 +1,5 @@
 import type { ServiceCallOutcome } from '../../actions/types.ts';
+import { catchRejection } from '../../base/rejection.ts';
 import { DraftResultSink } from '../../callers/draftResultSink.ts';
 import type { CompletionPath } from '../../callers/completionExchange.ts';
 import type { ServiceExchange } from '../../callers/serviceExchange.ts';
@@ -52,10 +53,10 @@
   dropDraftRequest: (context, { id }) => void context.completionExchanges.delete(id),
   answerDraftRead: (context, { id, answer }) => {
     const handler = context.draftReadHandlers.get(id);
-    context.draftReadHandlers.delete(id);
     // Reads without a handler of a caller come from operators.
     if (handler === undefined) context.answerDraftRead(id, answer);
     else handler(answer);
+    context.draftReadHandlers.delete(id);
   },
   answerDraftList: (context, { id, answer }) => context.answerDraftList(id, answer),
 };
@@ -67,7 +68,7 @@
 ): Promise<void> {
   const { method, target, headers, body } = exchange;
   const remainingMs = Math.max(1, Math.ceil(effect.deadline - performance.now()));
-  const answer = await context.services.call({
+  const call = context.services.call({
     address: effect.address,
     method: method as HttpCall['method'],
     path: target,
@@ -76,6 +77,7 @@
     timeoutMs: remainingMs,
     mustNotRetry: !effect.isRepeatable,
   });
+  const answer = await catchRejection<HttpAnswer>(call, (reason) => ({ type: 'lost', reason }));
   context.dispatch({
     type: 'serviceCallEnded',
     id: effect.id,
--- a/src/host/runners/attempts.ts
+++ b/src/host/runners/attempts.ts
@@ -35,26 +35,22 @@
   },
   cancelAttempt: (context, { attempt }) => context.attempts.get(attempt)?.cancel(),
   failRequest: (context, { id, failure }) => {
-    const exchange = removeExchange(context, id);
+    const exchange = context.completionExchanges.get(id);
     if (exchange === undefined) return;
     exchange.sink.fail(failure);
+    context.completionExchanges.delete(id);
     const { kind, message, outcome } = failure;
     logRequestEnd(context, exchange, kind, { failure: message, outcome });
   },
   finishRequest: (context, { id }) => {
-    const exchange = removeExchange(context, id);
+    const exchange = context.completionExchanges.get(id);
     if (exchange === undefined) return;
     exchange.sink.finish();
+    context.completionExchanges.delete(id);
     logRequestEnd(context, exchange, 'completed');
   },
 };
 
-function removeExchange(context: HostContext, id: string): CompletionExchange | undefined {
-  const exchange = context.completionExchanges.get(id);
-  context.completionExchanges.delete(id);
-  return exchange;
-}
-
 function logRequestEnd(
   context: HostContext,
   { logFields, arrivedAt }: CompletionExchange,
--- a/src/host/runners/externalCalls.ts
+++ b/src/host/runners/externalCalls.ts
@@ -1,3 +1,5 @@
+import { catchRejection } from '../../base/rejection.ts';
+import { Err } from '../../base/result.ts';
 import type { EffectRunners, HostContext } from '../context.ts';
 
 type ExternalCallEffect =
@@ -7,7 +9,8 @@
 export const externalCallRunners: EffectRunners<ExternalCallEffect> = {
   callTable: (context, { call, purpose }) => {
     const sentAt = performance.now();
-    void context.table.call(call).then((answer) => {
+    const tableCall = catchRejection(context.table.call(call), newUnknownAnswer);
+    void tableCall.then((answer) => {
       context.observer.observe({
         type: 'count',
         metric: 'fireflywick_table_calls_total',
@@ -18,7 +21,8 @@
     });
   },
   callObjects: (context, { call, purpose }) => {
-    void context.objects.call(call).then((answer) => {
+    const objectCall = catchRejection(context.objects.call(call), newUnknownAnswer);
+    void objectCall.then((answer) => {
       context.dispatch({ type: 'objectAnswered', purpose, answer });
     });
   },
@@ -26,19 +30,27 @@
     void readEngine(context, engine, address);
   },
   orderEngine: (context, { engine, address, epoch, order }) => {
-    void context.engines.sendOrder(address, epoch, order).then((answer) => {
+    const sent = context.engines.sendOrder(address, epoch, order);
+    void catchRejection(sent, newUnknownAnswer).then((answer) => {
       context.dispatch({ type: 'orderAnswered', engine, epoch, order, answer });
     });
   },
   readHostList: (context) => {
-    void context.hostList.read().then((read) => {
+    void catchRejection(context.hostList.read(), Err).then((read) => {
       if (read.ok) context.dispatch({ type: 'hostListRead', entries: read.val });
     });
   },
 };
 
+/** Returns the answer of a call that failed on this host: it may have taken effect. */
+function newUnknownAnswer(reason: string): { type: 'unknown'; reason: string } {
+  return { type: 'unknown', reason };
+}
+
 async function readEngine(context: HostContext, engine: string, address: string): Promise<void> {
-  const read = await context.engines.readLoad(address);
+  const read = await catchRejection(context.engines.readLoad(address), (reason) =>
+    Err({ refused: false, reason }),
+  );
   context.dispatch(
     read.ok
       ? { type: 'engineReported', engine, report: read.val }
--- a/tests/host/processErrors.test.ts
+++ b/tests/host/processErrors.test.ts
@@ -20,3 +20,12 @@
   expect(JSON.parse(stderr)).toMatchObject({ message: 'unhandled error', origin });
   expect(stderr).toContain('planned');
 });
+
+it('an error in the handler of a request is answered, logged and counted', () => {
+  const { status, stdout } = spawnSync(process.execPath, ['--import', 'tsx', PROGRAM, 'request'], {
+    encoding: 'utf8',
+  });
+  expect(status).toBe(0);
+  expect(stdout).toContain('answered 500');
+  expect(stdout).toContain('fireflywick_unhandled_errors_total{origin="unhandledRejection"} 1');
+});
