Hold signals from the first module on while a host starts

Users saw processes that ended by themselves or did not start, without logs. This is one of the ways found for it: a SIGHUP, which the platform sends when settings change, ended a process that had not come to the end of its start yet.

Cause: SIGHUP was handled once the host had started, over 0.4 s after the process; SIGTERM as well. Until then the default action ends the process. The entry host never handled SIGHUP.

Change: the first module of both entry points holds the signals of the commands that run hosts; they are delivered when the host can handle them. A stop that is requested during the start ends the process with 0. The entry host opens its callers' address last, as the gateway does, so that nothing has been accepted by then.

--- a/src/gatewayHost/runGateway.ts
+++ b/src/gatewayHost/runGateway.ts
@@ -2,6 +2,7 @@
 import { Err } from '../base/result.ts';
 import type { GatewaySettings } from '../settings/gatewayGroups.ts';
 import { handleProcessErrors } from '../host/processErrors.ts';
+import { holdSignals } from '../host/processSignals.ts';
 import { describeSettingProblems, parseGatewaySettings } from '../settings/parse.ts';
 import { readSettingsFile } from '../settings/settingsFile.ts';
 import { GatewayHost } from './gatewayHost.ts';
@@ -25,6 +26,8 @@
  * 2 for invalid settings. Exits with 1 when the shutdown does not complete in time.
  */
 export async function runGateway(options: Options): Promise<number> {
+  const signals = holdSignals();
+  const stopRequested = signals.waitForStop();
   const settings = readSettings(options);
   if (settings.err) {
     options.err(settings.val);
@@ -32,11 +35,13 @@
   }
   const host = GatewayHost.create(settings.val, options.newPlatform);
   handleProcessErrors(host.observer);
-  await host.start();
+  const isStarted = await Promise.race([host.start().then(() => true), stopRequested]);
+  // No request has been accepted before the end of the start.
+  if (isStarted !== true) return 0;
   const reload = (): void => reloadSettings(host, options);
-  process.on('SIGHUP', reload);
+  signals.on('SIGHUP', reload);
   const timer = setInterval(reload, SETTINGS_POLL_INTERVAL_MS);
-  await waitForStopSignal();
+  await stopRequested;
   clearInterval(timer);
   const limit = setTimeout(() => {
     host.observer.logger.write('warn', 'graceful shutdown timed out');
@@ -44,16 +49,9 @@
   }, host.settings.limits.graceMs * GRACE_PERIOD_SHARE);
   await host.stop();
   clearTimeout(limit);
-  process.off('SIGHUP', reload);
   return 0;
 }
 
-function waitForStopSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.on(signal, () => resolve());
-  });
-}
-
 function readSettings({ argv, env, settingsFile }: Options): Result<GatewaySettings, string> {
   const file = settingsFile === undefined ? undefined : readSettingsFile(settingsFile);
   if (file?.err === true) return Err(file.val);
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -87,9 +87,9 @@
 
   /** Starts the servers and the loop; returns the ports of the caller and operator servers. */
   async start(): Promise<{ callerPort: number; operatorPort: number }> {
-    const callerPort = await this.callerServer.start();
-    const operatorPort = await this.adminServer.start();
     await this.links.start();
+    const operatorPort = await this.adminServer.start();
+    const callerPort = await this.callerServer.start();
     this.sampler.start();
     this.dispatch({ type: 'started' });
     return { callerPort, operatorPort };
--- a/src/host/runEntry.ts
+++ b/src/host/runEntry.ts
@@ -1,6 +1,7 @@
 import { describeSettingProblems, parseEntrySettings } from '../settings/parse.ts';
 import { EntryHost } from './entryHost.ts';
 import { handleProcessErrors } from './processErrors.ts';
+import { holdSignals } from './processSignals.ts';
 
 /**
  * Runs one entry host until SIGTERM or SIGINT. Prints one JSON line with its ports when it listens.
@@ -8,6 +9,10 @@
  * shutdown does not complete in time.
  */
 export async function runEntry(argv: string[], env: NodeJS.ProcessEnv): Promise<number> {
+  const signals = holdSignals();
+  const stopRequested = signals.waitForStop();
+  // The settings are read at the start only.
+  signals.on('SIGHUP', () => undefined);
   const settings = parseEntrySettings(argv, env);
   if (settings.err) {
     console.error(describeSettingProblems(settings.val));
@@ -15,19 +20,14 @@
   }
   const host = EntryHost.create(settings.val);
   handleProcessErrors(host.observer);
-  const ports = await host.start();
+  const ports = await Promise.race([host.start(), stopRequested]);
+  // No request has been accepted before the end of the start.
+  if (ports === undefined) return 0;
   console.log(JSON.stringify({ ready: true, ...ports }));
-  await waitForSignal();
+  await stopRequested;
   return stopWithin(host, settings.val.limits.shutdownMs);
 }
 
-/** Resolves at the first SIGTERM or SIGINT. */
-export function waitForSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => resolve());
-  });
-}
-
 async function stopWithin(host: EntryHost, limitMs: number): Promise<number> {
   const limit = setTimeout(() => {
     console.error(`graceful shutdown did not end within ${limitMs} ms`);
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,3 +1,4 @@
+import './cli/holdSignals.ts';
 import { exitProcess } from './cli/exitProcess.ts';
 import { runCommand } from './cli/runCommand.ts';
 
--- a/tests/helpers/gatewayProcess.ts
+++ b/tests/helpers/gatewayProcess.ts
@@ -78,6 +78,10 @@
     writeSettings(this.folder, { ...this.settings, ...settings });
   }
 
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
   signal(name: NodeJS.Signals): void {
     this.child.kill(name);
   }
