Wait for an address that is taken when a host starts

Users saw processes that ended by themselves or did not start, without logs. This is the second way found for it: a process that starts while the one before it still holds one of its addresses ended with 1 at once, also if it was the address of its metrics only.

Cause: each server rejected at the first EADDRINUSE, and the start of the host with it.

Change: servers of both programs, and the links between hosts, try again for up to 10 s, which is longer than the grace period of a process that stops; then the process ends with 1 and names the address. The metrics are opened beside the start, for as long as it takes.

--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -1,5 +1,4 @@
 import { createServer, type Server } from 'node:http';
-import { once } from 'node:events';
 import { isDeepStrictEqual } from 'node:util';
 import { suspectRoutes } from '../admin/routes/commands.ts';
 import { AdminServer } from '../admin/server.ts';
@@ -13,7 +12,9 @@
 import type { AttemptSpec } from '../forwards/types.ts';
 import type { Loop } from '../host/loop.ts';
 import { newObservedLoop } from '../host/observedLoop.ts';
+import { listen } from '../http/listen.ts';
 import { Observer } from '../host/observer.ts';
+import { describeError } from '../host/processErrors.ts';
 import { isRoutable } from '../fleet/endpointChoice.ts';
 import { isPausedSince } from '../notices/pauses.ts';
 import type { EndpointNotice, EndpointPaused } from '../notices/types.ts';
@@ -71,6 +72,8 @@
   readonly adminServer: AdminServer | undefined;
   private readonly sampler: ProcessSampler;
   private readonly servers: Server[] = [];
+  /** Aborted when no further address is to be opened. */
+  private readonly listening = new AbortController();
   private settingsProblem = '';
   private connectionSweep: NodeJS.Timeout | undefined;
   private readonly stopped: Promise<void>;
@@ -140,10 +143,7 @@
       if (path !== this.platform.readyPath) return { status: 404, body: '' };
       return { status: isReady(this.state) ? 200 : 503, body: '' };
     });
-    await this.serve(listen.metrics, (path) => {
-      if (path !== '/metrics') return { status: 404, body: '' };
-      return { status: 200, body: this.observer.metrics.render() };
-    });
+    this.startMetrics(listen.metrics);
     const operatorPort = await this.adminServer?.start();
     const frontPort = await this.frontServer.start(listen.front);
     this.sampler.start();
@@ -162,6 +162,7 @@
     this.dispatch({ type: 'stopRequested' });
     await this.stopped;
     clearInterval(this.connectionSweep);
+    this.listening.abort();
     await this.frontServer.stop();
     await this.adminServer?.stop();
     this.loop.stop();
@@ -322,9 +323,22 @@
     );
   }
 
+  /** Serves the metrics as soon as their address is free; requests are served without them. */
+  private startMetrics(address: SocketAddress | undefined): void {
+    const getResponse = (path: string) =>
+      path === '/metrics'
+        ? { status: 200, body: this.observer.metrics.render() }
+        : { status: 404, body: '' };
+    this.serve(address, getResponse, Infinity).catch((error: unknown) => {
+      const reason = describeError(error);
+      this.observer.logger.write('error', 'metrics are not served', { reason });
+    });
+  }
+
   private async serve(
     address: SocketAddress | undefined,
     getResponse: (path: string) => { status: number; body: string },
+    timeoutMs?: number,
   ): Promise<void> {
     if (address === undefined) return;
     const server = createServer((request, response) => {
@@ -332,9 +346,15 @@
       response.writeHead(status, { 'content-type': 'text/plain; charset=utf-8' });
       response.end(body);
     });
-    server.listen(address.port, address.host);
-    await once(server, 'listening');
     this.servers.push(server);
+    const { signal } = this.listening;
+    const { host, port } = address;
+    await listen(server, address, {
+      timeoutMs,
+      signal,
+      onTaken: ({ message }) =>
+        this.observer.logger.write('warn', 'address is taken', { host, port, reason: message }),
+    });
   }
 }
 
--- a/src/http/constants.ts
+++ b/src/http/constants.ts
@@ -9,3 +9,10 @@
 
 /** Time for which a connection stays open after its last request was rejected while it arrived. */
 export const REJECTED_LINGER_MS = 1_000;
+
+/**
+ * Time for which a server waits for an address that is taken; a process that was told to stop may hold
+ * it for its grace period.
+ */
+export const LISTEN_TIMEOUT_MS = 10_000;
+export const LISTEN_RETRY_MS = 100;
--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -1,4 +1,3 @@
-import { once } from 'node:events';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
@@ -10,6 +9,7 @@
   IDLE_CHECK_INTERVAL_MS,
   CALLER_KEEP_ALIVE_MS,
 } from './constants.ts';
+import { listen } from './listen.ts';
 import { sendFailure } from './reply.ts';
 
 /** Handles a request; an error that it throws or rejects with is answered with `internal`. */
@@ -26,7 +26,7 @@
   setIdleTimeoutMs: (idleMs: number) => void;
 }
 
-/** Starts an HTTP server; rejects when the address is in use. Port 0 takes any free port. */
+/** Starts an HTTP server; rejects when the address stays in use. Port 0 takes any free port. */
 export async function startServer(
   handle: RequestHandler,
   address: SocketAddress,
@@ -56,8 +56,7 @@
     connections.set(socket, CallerConnection.create(socket, limits));
     socket.once('close', () => connections.delete(socket));
   });
-  server.listen(address.port, address.host);
-  await once(server, 'listening');
+  await listen(server, address);
   const { port } = server.address() as AddressInfo;
   return {
     port,
--- a/src/peers/peerLinks.ts
+++ b/src/peers/peerLinks.ts
@@ -2,6 +2,7 @@
 import { Random } from '../base/random.ts';
 import { Message } from '../core/messages.ts';
 import type { HostIdentity } from '../core/state.ts';
+import { listen } from '../http/listen.ts';
 import { MIN_PROTOCOL_VERSION, PROTOCOL_VERSION } from '../membership/constants.ts';
 import type { MembershipEvent } from '../membership/types.ts';
 import { Connection, type ConnectionOwner, type PeerCounters } from './connection.ts';
@@ -97,16 +98,10 @@
     return new PeerLinks(options);
   }
 
-  /** Starts to listen and returns the port; rejects when the address cannot be bound. */
+  /** Starts to listen and returns the port; rejects when the address stays in use or cannot be bound. */
   async start(): Promise<number> {
     const { host, port } = this.options.listen;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        this.server.off('error', reject);
-        resolve();
-      });
-    });
+    await listen(this.server, { host, port });
     const bound = (this.server.address() as AddressInfo).port;
     // With port 0 the operating system chooses the port, and the hello must carry the actual one.
     if (port === 0) this.hello.address = `${host}:${bound}`;
