Take requests while stopping only if they can end in time, and answer the rest

Cause: a stopping gateway took requests for a fixed 2.5 s, whatever its grace period and whatever time they needed, and ended at 0.93 of the grace period with what was in flight, with exit code 1.

Change: it takes requests for at most half of the grace period, and then only those whose deadline or whose route's recent durations fit into what is left; others are refused with 503 at once. At 0.9 of the grace period requests in flight get their final answers. Relayed connections stay until then. The entry host stops taking requests early enough for the longest deadline.

Growth: 32 durations for each route in use, for at most 1,024 routes, on each host alone.

--- a/src/core/lifecycle.ts
+++ b/src/core/lifecycle.ts
@@ -34,8 +34,12 @@
   if (state.phase !== 'running') return [];
   state.phase = 'lameDuck';
   schedule(state, now + state.policy.lameDuckMs, { type: 'lameDuckEnded' });
-  const leaveEffects = state.policy.directory === undefined ? [] : leaveMembers(state, now);
-  return [newLog('info', 'graceful shutdown started'), ...leaveEffects];
+  const started = newLog('info', 'graceful shutdown started');
+  const { directory } = state.policy;
+  if (directory === undefined) return [started];
+  state.stopAt = now + directory.stopMs;
+  schedule(state, state.stopAt, { type: 'stopDeadline' });
+  return [started, ...leaveMembers(state, now)];
 }
 
 /** Stops taking new requests and waits for those in flight. */
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -49,6 +49,8 @@
 export interface DirectoryPolicy {
   /** Limit on the retries of all hosts together to one service. */
   readonly retries: RetryPolicy;
+  /** Time after a request to stop at which requests in flight get their final answers. */
+  readonly stopMs: number;
 }
 
 /** Settings that the reducer uses. */
@@ -90,6 +92,8 @@
   phase: Phase = 'running';
   /** Monotonic ms of the current event. */
   now = 0;
+  /** Monotonic ms at which a host that forwards requests ends them; undefined until it stops. */
+  stopAt: number | undefined;
   readonly random: Random;
   readonly timers = MinHeap.create<Timer>();
   readonly configuration = Configuration.create();
--- a/src/forwards/constants.ts
+++ b/src/forwards/constants.ts
@@ -75,3 +75,12 @@
 export const STREAM_WINDOW_TIMEOUTS = 2;
 /** Length to which ids that callers choose are cut in log lines. */
 export const MAX_LOGGED_ID_LENGTH = 64;
+/** Requests of a route whose durations are kept, and routes for which they are. */
+export const DURATION_SAMPLES = 32;
+export const MAX_MEASURED_ROUTES = 1_024;
+/**
+ * Share of a route's requests that must have taken less than the time that is left to a host that stops,
+ * for it to take another one. A request that may be repeated costs its caller less if it is broken off.
+ */
+export const STOP_DURATION_SHARE = 1;
+export const STOP_REPEATABLE_DURATION_SHARE = 0.75;
--- a/src/forwards/forwardAdmission.ts
+++ b/src/forwards/forwardAdmission.ts
@@ -18,11 +18,12 @@
 import { placeForward } from './forwardPlacement.ts';
 import { rejectQuarantined } from './quarantinedForwards.ts';
 import { findResumptionProblem, isResumption, startResumption } from './resumption.ts';
+import { canEndBeforeStop, newStopRefusal } from './stopAdmission.ts';
 import type { Forward, NewForward } from './types.ts';
 
 /** Routes a request that arrived; rejects it at once when this host cannot serve it. */
 export function admitForward(state: State, arrival: NewForward, now: number): Effect[] {
-  const found = getAdmissibleRoute(state, arrival);
+  const found = getAdmissibleRoute(state, arrival, now);
   if (found.err) return rejectForward(state, arrival, found.val);
   const route = found.val;
   const version = state.residency.versions.get(arrival.labels.adapter) ?? 0;
@@ -48,7 +49,11 @@
 }
 
 /** Returns the route of a request, or why the request is refused on arrival. */
-function getAdmissibleRoute(state: State, arrival: NewForward): Result<Route, Failure> {
+function getAdmissibleRoute(
+  state: State,
+  arrival: NewForward,
+  now: number,
+): Result<Route, Failure> {
   // A stream that starts while the host drains would be cut off when the process exits.
   if (state.phase === 'draining' || state.phase === 'stopped')
     return Err(Failure.create('shutting_down', 'this host is shutting down'));
@@ -60,6 +65,8 @@
     const message = `no route matches host "${arrival.host}" and path "${arrival.target}"`;
     return Err(Failure.create('not_found', message));
   }
+  if (!canEndBeforeStop(state, route, getDeadline(arrival, route), now))
+    return Err(newStopRefusal());
   const problem = isResumption({ ...arrival, route }) ? findResumptionProblem(arrival) : undefined;
   return problem === undefined ? Ok(route) : Err(Failure.create('bad_request', problem));
 }
@@ -77,20 +84,25 @@
   );
 }
 
+/** Returns monotonic ms by which the response must be complete. */
+function getDeadline({ arrivedAt, labels }: NewForward, route: Route): number {
+  return arrivedAt + Math.min(route.timeoutMs, labels.waitMs);
+}
+
 function newForward(
   arrival: NewForward,
   route: Route,
   service: string,
   attributes: readonly Attribute[],
 ): Forward {
-  const { arrivedAt, labels } = arrival;
+  const { arrivedAt } = arrival;
   return {
     ...arrival,
     route,
     service,
     attributes,
     isTrial: false,
-    deadlineAt: arrivedAt + Math.min(route.timeoutMs, labels.waitMs),
+    deadlineAt: getDeadline(arrival, route),
     goalAt: arrivedAt + route.goalMs,
     phase: 'backoff',
     reservationRequestNumber: 0,
--- a/src/forwards/forwardEnd.ts
+++ b/src/forwards/forwardEnd.ts
@@ -107,6 +107,7 @@
   const { route, labels, arrivedAt, excluded, ranOn, sends, stallMs } = forward;
   const durationMs = Math.round(state.now - arrivedAt);
   const metricLabels = { firm: '', kind: route.kind };
+  if (result !== 'cancelled') state.forwards.durations.add(route.name, durationMs);
   return [
     newCount('fireflywick_requests_total', { ...metricLabels, result }),
     newObserve('fireflywick_request_duration_ms', metricLabels, durationMs),
--- a/src/forwards/handlers.ts
+++ b/src/forwards/handlers.ts
@@ -14,6 +14,7 @@
 import { recordPermitRefusal } from './limitedPlacement.ts';
 import { handleEndpointCheck, verifyCrash } from './crashEvidence.ts';
 import { endQuarantinedForwards } from './quarantinedForwards.ts';
+import { endForwardsAtStop } from './stopAdmission.ts';
 import { scheduleRetry } from './sending.ts';
 import { acceptReservation } from './reservationAnswers.ts';
 import { endLookup, handleLookupAnswer } from './resumption.ts';
@@ -99,6 +100,7 @@
   },
   streamLookupTimeout: (state, { request }, now) => endLookup(state, request, now),
   verifyCrash: (state, timer, now) => verifyCrash(state, timer, now),
+  stopDeadline: (state) => endForwardsAtStop(state),
   endQuarantinedForwards: (state, _timer, now) => endQuarantinedForwards(state, now),
   reservationTimeout: (state, { id, reservationRequestNumber }, now) => {
     const forward = state.forwards.inFlight.get(id);
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -7,6 +7,7 @@
 import { SharedRetryBudget } from './sharedRetryBudget.ts';
 import { PLACEMENT_POPULARITY_HALF_LIFE_MS } from './constants.ts';
 import type { StreamOrigin } from './streamOrigin.ts';
+import { RouteDurations } from './routeDurations.ts';
 
 /** Metadata that the caller provides with a request, beside its method, path and body. */
 export interface RequestLabels {
@@ -192,6 +193,7 @@
   readonly crashedEndpoints = new Map<string, CrashedEndpoint>();
   /** Decayed counts of this host's requests by adapter and by base model. */
   readonly popularity = Popularity.create(PLACEMENT_POPULARITY_HALF_LIFE_MS);
+  readonly durations = RouteDurations.create();
 
   private constructor() {}
 
@@ -284,6 +286,8 @@
   /** Abandons the request if it was not sent yet. */
   | { type: 'placementTimeout'; id: string }
   | { type: 'forwardRetry'; id: string }
+  /** Ends all requests in flight, since the host has to stop. */
+  | { type: 'stopDeadline' }
   /** Ends requests in flight whose attributes are quarantined. */
   | { type: 'endQuarantinedForwards' }
   | CrashVerification
--- a/src/gatewayHost/constants.ts
+++ b/src/gatewayHost/constants.ts
@@ -36,3 +36,10 @@
 export const MAX_LOG_LINES_PER_S = 200;
 /** Maximum number of lines that are queued for standard output. */
 export const MAX_QUEUED_LOG_LINES = 2_000;
+/**
+ * Shares of the grace period after SIGTERM: until the first, the host takes requests; at the second, those
+ * in flight get their final answers; at the third, the process ends.
+ */
+export const LAME_DUCK_GRACE_SHARE = 0.5;
+export const STOP_GRACE_SHARE = 0.9;
+export const EXIT_GRACE_SHARE = 0.95;
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -28,8 +28,10 @@
 import type { SocketAddress } from '../settings/values.ts';
 import {
   DEFAULT_HEADER_TIMEOUT_MS,
+  LAME_DUCK_GRACE_SHARE,
   MAX_HEADER_BYTES,
   MIN_CONNECTIONS_PER_ENDPOINT,
+  STOP_GRACE_SHARE,
 } from './constants.ts';
 import type { ForwardExchange } from './forwardExchange.ts';
 import { FrontServer } from './frontServer.ts';
@@ -170,7 +172,7 @@
     this.sampler.stop();
     for (const server of this.servers) server.close();
     for (const server of this.servers) server.closeAllConnections();
-    await this.relayServer.stop();
+    await this.relayServer.stop(Math.max(0, (this.state.stopAt ?? 0) - performance.now()));
     await this.links.stop();
     await this.endpointClient.close();
     await this.http.close();
@@ -370,7 +372,7 @@
 }
 
 function newPolicy({ directory, limits }: GatewaySettings): Policy {
-  const { lameDuckMs } = limits;
+  const { graceMs } = limits;
   const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = directory;
   return {
     // The first four values apply to requests to entry hosts, which belong to firms; a gateway receives none.
@@ -378,7 +380,7 @@
     loadsPerS: 1,
     maxRequests: 0,
     maxRequestsPerCaller: 0,
-    lameDuckMs,
-    directory: { retries: { ratio, slack, windowMs } },
+    lameDuckMs: Math.min(limits.lameDuckMs, graceMs * LAME_DUCK_GRACE_SHARE),
+    directory: { retries: { ratio, slack, windowMs }, stopMs: graceMs * STOP_GRACE_SHARE },
   };
 }
--- a/src/gatewayHost/runGateway.ts
+++ b/src/gatewayHost/runGateway.ts
@@ -5,13 +5,12 @@
 import { holdSignals } from '../host/processSignals.ts';
 import { describeSettingProblems, parseGatewaySettings } from '../settings/parse.ts';
 import { readSettingsFile } from '../settings/settingsFile.ts';
+import { EXIT_GRACE_SHARE } from './constants.ts';
 import { GatewayHost } from './gatewayHost.ts';
 import type { PlatformFactory } from './platform.ts';
 
 /** Interval at which the settings file is read and compared with the current settings. */
 const SETTINGS_POLL_INTERVAL_MS = 1_000;
-/** Share of the grace period after SIGTERM within which the shutdown must complete. */
-const GRACE_PERIOD_SHARE = 0.93;
 
 interface Options {
   argv: readonly string[];
@@ -23,7 +22,7 @@
 
 /**
  * Runs one gateway host until SIGTERM or SIGINT. Returns the exit code: 0 after a graceful shutdown,
- * 2 for invalid settings. Exits with 1 when the shutdown does not complete in time.
+ * 2 for invalid settings. Exits with 1 when requests are still in flight near the end of the grace period.
  */
 export async function runGateway(options: Options): Promise<number> {
   const signals = holdSignals();
@@ -44,9 +43,11 @@
   await stopRequested;
   clearInterval(timer);
   const limit = setTimeout(() => {
-    host.observer.logger.write('warn', 'graceful shutdown timed out');
-    process.exit(1);
-  }, host.settings.limits.graceMs * GRACE_PERIOD_SHARE);
+    const requests = host.state.forwards.inFlight.size;
+    host.observer.logger.write('warn', 'graceful shutdown timed out', { requests });
+    // Connections whose callers do not read their answers do not make the shutdown fail.
+    process.exit(requests === 0 ? 0 : 1);
+  }, host.settings.limits.graceMs * EXIT_GRACE_SHARE);
   await host.stop();
   clearTimeout(limit);
   return 0;
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -144,12 +144,17 @@
   }
 }
 
+/** Returns the time for which new requests are accepted, of which each can still end in time. */
+function getLameDuckMs({ lameDuckMs, shutdownMs, maxRequestMs }: EntrySettings['limits']): number {
+  return Math.min(lameDuckMs, shutdownMs - maxRequestMs);
+}
+
 function newState({ host, listen, policy, limits }: EntrySettings): State {
   const { id, zone, region, incarnation, seeds } = host;
   const state = State.create({
     host: { id, zone, region, incarnation, address: listen.advertised },
     seeds,
-    policy: { ...policy, ...limits },
+    policy: { ...policy, ...limits, lameDuckMs: getLameDuckMs(limits) },
     // Random numbers differ between hosts and between restarts of a host.
     randomSeed: hash32(`${id}/${incarnation}`),
   });
--- a/src/relays/constants.ts
+++ b/src/relays/constants.ts
@@ -4,5 +4,3 @@
 export const RELAY_ANSWER_TIMEOUT_MS = 400;
 /** Maximum number of connections that a host relays. */
 export const MAX_RELAYED_CONNECTIONS = 1_024;
-/** Time for which a stopping host keeps relayed connections open that are in use. */
-export const RELAY_DRAIN_MS = 2_000;
--- a/src/relays/relayServer.ts
+++ b/src/relays/relayServer.ts
@@ -1,7 +1,7 @@
 import { connect, type Socket } from 'node:net';
 import { splitAddress } from '../clients/address.ts';
 import { encodeFrame, FRAME_KIND } from '../peers/frames.ts';
-import { MAX_RELAYED_CONNECTIONS, RELAY_CONNECT_TIMEOUT_MS, RELAY_DRAIN_MS } from './constants.ts';
+import { MAX_RELAYED_CONNECTIONS, RELAY_CONNECT_TIMEOUT_MS } from './constants.ts';
 import { joinSockets } from './joinSockets.ts';
 import { type RelayAnswer, RelayRequest } from './messages.ts';
 
@@ -50,10 +50,10 @@
     return new Set(requests.flatMap(({ host }) => host ?? []));
   }
 
-  /** Stops relaying; connections that other hosts still use get some time to end. */
-  async stop(): Promise<void> {
+  /** Stops relaying; connections that other hosts still use get `drainMs` to end. */
+  async stop(drainMs: number): Promise<void> {
     this.isStopping = true;
-    const deadline = performance.now() + RELAY_DRAIN_MS;
+    const deadline = performance.now() + drainMs;
     for (const socket of this.sockets.keys()) {
       const remainingMs = Math.max(0, deadline - performance.now());
       await waitForClose(socket, remainingMs);
--- a/tests/helpers/directoryHost.ts
+++ b/tests/helpers/directoryHost.ts
@@ -43,7 +43,7 @@
         maxRequests: 100,
         maxRequestsPerCaller: 100,
         lameDuckMs: 100,
-        directory: { retries: { ratio: 0.2, slack: 50, windowMs: 10_000 } },
+        directory: { retries: { ratio: 0.2, slack: 50, windowMs: 10_000 }, stopMs: 30_000 },
       },
       randomSeed: 7,
     });
