Bound the memory and the processor time of answers that have no end

Cause: each answer had a bound, all together had none. undici parses the rest of a piece of 64 KiB after it has destroyed the connection, with an error for each header beyond its limit. Nothing bounded interim responses. Parts of a body were kept as one object each, so that chunks of one byte took about 100 times their memory, and an event was copied for each of its parts.

Ruled out: a lower limit for heads. The errors come from the bytes after the limit.

Change: one budget of 64 MiB for the request bodies and answers of a gateway, and one for the calls of a client; the largest incomplete one gives way. undici gets 8 KiB at a time, and nothing once the connection is destroyed. A call ends after 16 interim responses. Parts are collected in one buffer, and after 1,024 parts other connections have their turn. Reports of engines are bounded by 1 MiB.

Parsing 4 KiB at a time slowed large bodies (0.51 s for the slowest sound request), 64 KiB kept the stall of headers (0.46 to 0.81 s).

--- a/src/clients/completion.ts
+++ b/src/clients/completion.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createParser } from 'eventsource-parser';
 import { z } from 'zod';
+import { ByteBuffer } from '../base/byteBuffer.ts';
 import { joinHeaderValues } from '../http/headerValues.ts';
 import { readRetryAfter } from '../http/retryAfter.ts';
 import type { AttemptOutcome } from '../requests/types.ts';
@@ -259,14 +260,12 @@
   /** Returns the text of a response, or undefined if it is larger than the limit. */
   private async readText(opened: OpenResponse): Promise<string | undefined> {
     const body = opened.body[Symbol.asyncIterator]() as AsyncIterator<Uint8Array>;
-    const parts: Uint8Array[] = [];
-    let size = 0;
+    const received = ByteBuffer.create();
     for await (const part of this.readParts(body)) {
-      size += part.length;
-      if (size > MAX_RESPONSE_BYTES) return undefined;
-      parts.push(part);
+      received.append(part);
+      if (received.length > MAX_RESPONSE_BYTES) return undefined;
     }
-    return Buffer.concat(parts).toString();
+    return received.content.toString();
   }
 
   /** Checks the model of a chunk and passes it on; returns an outcome if the attempt must end. */
--- a/src/clients/connector.ts
+++ b/src/clients/connector.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 import { buildConnector } from 'undici';
+import { MAX_READ_BYTES } from './constants.ts';
 
 /** Records which connection the peer ended in the current iteration of the event loop. */
 export class SocketEndTracker {
@@ -15,6 +16,7 @@
   track(socket: Socket): void {
     // The write in `isGracefulClose` may fail after undici has removed its error listener.
     socket.on('error', () => undefined);
+    limitReads(socket);
     socket.prependListener('end', () => {
       this.endingSocket = socket;
       setImmediate(() => {
@@ -36,6 +38,20 @@
   }
 }
 
+/**
+ * Has undici parse what arrives in small pieces. It parses the rest of a piece after it has destroyed the
+ * connection, with an error for each header beyond its limit, which blocks the event loop for 0.1 s and
+ * more in a piece of 64 KiB.
+ */
+function limitReads(socket: Socket): void {
+  const read = socket.read.bind(socket) as (size?: number) => unknown;
+  socket.read = (size?: number) => {
+    if (socket.destroyed) return null;
+    if (size !== undefined || socket.readableLength <= MAX_READ_BYTES) return read(size);
+    return read(MAX_READ_BYTES);
+  };
+}
+
 /**
  * Returns a connector that registers its connections with `tracker`; opening one takes at most
  * `timeoutMs`.
--- a/src/clients/constants.ts
+++ b/src/clients/constants.ts
@@ -34,3 +34,9 @@
 export const RUN_CHECK_TIMEOUT_MS = 200;
 export const RUN_CHECK_HOLD_MS = 10;
 export const RUN_CHECK_TRIES = 2;
+/** Bytes that are parsed at a time; a response that breaks a limit is parsed to the end of them. */
+export const MAX_READ_BYTES = 8_192;
+/** Interim responses (status 1xx) of one call after which it is broken off. */
+export const MAX_INTERIM_RESPONSES = 16;
+/** Bytes that the responses to all calls of a client hold together while they are read. */
+export const MAX_HELD_RESPONSE_BYTES = 64 * 1024 * 1024;
--- a/src/clients/httpClient.ts
+++ b/src/clients/httpClient.ts
@@ -1,5 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { Agent, Client, type Dispatcher } from 'undici';
+import { ByteBuffer } from '../base/byteBuffer.ts';
+import { type BytesHolder, MemoryBudget } from '../base/memoryBudget.ts';
 import { confirmCloseDelimited } from './closeDelimited.ts';
 import { isServerRunning } from './connectionCheck.ts';
 import { SocketEndTracker, newTrackedConnector } from './connector.ts';
@@ -7,8 +9,10 @@
   CONNECT_TIMEOUT_MS,
   MAX_CONNECTIONS_PER_ADDRESS,
   KEEP_ALIVE_TIMEOUT_MS,
+  MAX_HELD_RESPONSE_BYTES,
   MAX_RESPONSE_BYTES,
 } from './constants.ts';
+import { limitInterimResponses } from './interimResponses.ts';
 
 /** An HTTP call. */
 export interface HttpCall {
@@ -69,17 +73,34 @@
   return `${hostname}:${port || (protocol === 'https:' ? 443 : 80)}`;
 }
 
-/** Reads a whole body; rejects and closes the connection when it is larger than the limit. */
-async function readLimitedBody(body: OpenResponse['body']): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of body as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > MAX_RESPONSE_BYTES)
-      throw new Error(`the response is larger than ${MAX_RESPONSE_BYTES} bytes`);
-    chunks.push(chunk);
+/** Limits of the bodies that are read as a whole. */
+interface BodyLimits {
+  maxBytes: number;
+  /** Bytes of all bodies that are being read. */
+  budget: MemoryBudget;
+}
+
+/** Reads a whole body; rejects and closes the connection when it is larger than the limits. */
+async function readLimitedBody(
+  body: OpenResponse['body'],
+  { maxBytes, budget }: BodyLimits,
+): Promise<Buffer> {
+  const received = ByteBuffer.create();
+  const holder: BytesHolder = {
+    isComplete: false,
+    evict: () => body.destroy(new Error('the responses to all calls need too much memory')),
+  };
+  try {
+    for await (const chunk of body as AsyncIterable<Buffer>) {
+      received.append(chunk);
+      if (received.length > maxBytes)
+        throw new Error(`the response is larger than ${maxBytes} bytes`);
+      budget.hold(holder, received.capacity);
+    }
+    return received.take();
+  } finally {
+    budget.release(holder);
   }
-  return Buffer.concat(chunks);
 }
 
 /** Whether a byte of a call may have been written; passed through undici as the call's `opaque`. */
@@ -130,6 +151,7 @@
   private constructor(
     private readonly localAddress: string | undefined,
     private readonly maxConnections: number,
+    private readonly bodyLimits: BodyLimits,
   ) {}
 
   static create(
@@ -138,10 +160,14 @@
       localAddress?: string;
       /** Maximum number of connections to one address; further calls wait for one. */
       maxConnections?: number;
+      /** Maximum size of a response that is read as a whole. */
+      maxResponseBytes?: number;
     } = {},
   ): HttpClient {
     const { localAddress, maxConnections = MAX_CONNECTIONS_PER_ADDRESS } = options;
-    return new HttpClient(localAddress, maxConnections);
+    const { maxResponseBytes: maxBytes = MAX_RESPONSE_BYTES } = options;
+    const budget = MemoryBudget.create(MAX_HELD_RESPONSE_BYTES);
+    return new HttpClient(localAddress, maxConnections, { maxBytes, budget });
   }
 
   /** Makes a call and reads the whole response. */
@@ -155,7 +181,7 @@
       Math.ceil(remainingMs),
     );
     try {
-      const body = await readLimitedBody(opened.body);
+      const body = await readLimitedBody(opened.body, this.bodyLimits);
       return { type: 'answered', status: opened.status, headers: opened.headers, body };
     } catch (error) {
       this.retireConnections(call.address);
@@ -237,6 +263,7 @@
     const address = getAddress(origin);
     return dispatcher.compose(
       markSent,
+      limitInterimResponses,
       confirmCloseDelimited({
         isServerRunning: () => isServerRunning(address, localAddress),
         endTracker,
--- a/src/gatewayHost/constants.ts
+++ b/src/gatewayHost/constants.ts
@@ -43,3 +43,12 @@
 export const LAME_DUCK_GRACE_SHARE = 0.5;
 export const STOP_GRACE_SHARE = 0.9;
 export const EXIT_GRACE_SHARE = 0.95;
+/**
+ * Memory that all requests and responses hold together. It takes up to twice as much until it is
+ * collected, and a machine of 350 MB has about 200 MB for it.
+ */
+export const MAX_HELD_BYTES = 64 * 1024 * 1024;
+/** Parts of a body that are handled before other connections have their turn; about 2 ms of work. */
+export const MAX_PARTS_PER_TURN = 1_024;
+/** Maximum size of an engine's answer to an order or a request for its report. */
+export const MAX_REPORT_BYTES = 1024 * 1024;
--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -1,7 +1,9 @@
 import { type buildConnector, Client, type Dispatcher, Pool } from 'undici';
+import type { MemoryBudget } from '../base/memoryBudget.ts';
 import { confirmCloseDelimited } from '../clients/closeDelimited.ts';
 import { isServerRunning } from '../clients/connectionCheck.ts';
 import { SocketEndTracker, newTrackedConnector } from '../clients/connector.ts';
+import { limitInterimResponses } from '../clients/interimResponses.ts';
 import type { AttemptSpec, ForwardOutcome } from '../forwards/types.ts';
 import type { EndpointNotice } from '../notices/types.ts';
 import { isRunningBehindRelay, type RelayTarget } from '../relays/relayClient.ts';
@@ -60,6 +62,7 @@
     private readonly host: string,
     private readonly localAddress: string | undefined,
     private readonly maxConnections: (endpoint: string) => number,
+    private readonly budget: MemoryBudget,
   ) {}
 
   static create(options: {
@@ -70,9 +73,11 @@
     localAddress: string | undefined;
     /** Returns the maximum number of connections to an endpoint. */
     maxConnections: (endpoint: string) => number;
+    /** Bytes of all requests and responses of the host. */
+    budget: MemoryBudget;
   }): EndpointClient {
-    const { labels, host, localAddress, maxConnections } = options;
-    return new EndpointClient(labels, host, localAddress, maxConnections);
+    const { labels, host, localAddress, maxConnections, budget } = options;
+    return new EndpointClient(labels, host, localAddress, maxConnections, budget);
   }
 
   /** Sends a request once. */
@@ -95,6 +100,7 @@
       spec,
       exchange,
       labels: this.labels,
+      budget: this.budget,
       listener,
       onUnresponsive: () => this.retirePool(pool),
     });
@@ -191,7 +197,7 @@
           : isRunningBehindRelay(target),
       endTracker,
     });
-    const dispatcher = pool.compose(confirm);
+    const dispatcher = pool.compose(limitInterimResponses, confirm);
     return { endpoint, relay: relay?.host, pool, dispatcher };
   }
 
--- a/src/gatewayHost/eventSplitter.ts
+++ b/src/gatewayHost/eventSplitter.ts
@@ -1,3 +1,5 @@
+import { ByteBuffer } from '../base/byteBuffer.ts';
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 /** Lines that set the id of an event; a byte order mark may precede the first line of a stream. */
@@ -19,7 +21,7 @@
  * arrives after the carriage return that ends an event belongs to the next event.
  */
 export class EventSplitter {
-  private rest: Buffer = Buffer.alloc(0);
+  private readonly rest = ByteBuffer.create();
   /** Start of the last line in `rest`, and the index up to which it was searched for line ends. */
   private lineStart = 0;
   private searchedTo = 0;
@@ -37,19 +39,20 @@
 
   /** Whether a part of an event, or of a line, follows the last complete event. */
   get isWithinEvent(): boolean {
-    return !ONLY_COMMENTS.test(this.rest.toString('latin1'));
+    return !ONLY_COMMENTS.test(this.rest.content.toString('latin1'));
   }
 
   /** Returns the events that `chunk` completes. */
   push(chunk: Buffer): StreamEvent[] {
-    this.rest = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    this.rest.append(chunk);
     const events: StreamEvent[] = [];
     for (;;) {
       const end = this.findEnd();
       if (end === undefined) return events;
-      const bytes = this.rest.subarray(0, end);
+      // A copy, since it may wait for a caller that reads slowly.
+      const bytes = Buffer.from(this.rest.content.subarray(0, end));
       events.push({ bytes, id: getId(bytes.toString('latin1')) });
-      this.rest = this.rest.subarray(end);
+      this.rest.drop(end);
       this.lineStart = 0;
       this.searchedTo = 0;
     }
@@ -57,14 +60,12 @@
 
   /** Returns and removes the bytes after the last complete event. */
   takeRemainder(): Buffer {
-    const { rest } = this;
-    this.rest = Buffer.alloc(0);
-    return rest;
+    return this.rest.take();
   }
 
   /** Returns the index after the first empty line that follows another line. */
   private findEnd(): number | undefined {
-    const { rest } = this;
+    const rest = this.rest.content;
     for (let index = this.searchedTo; index < rest.length; index++) {
       const byte = rest[index];
       if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) continue;
--- a/src/gatewayHost/forwardExchange.ts
+++ b/src/gatewayHost/forwardExchange.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type { Failure } from '../errors/failure.ts';
+import type { BytesHolder, MemoryBudget } from '../base/memoryBudget.ts';
 import { sendFailure } from '../http/reply.ts';
 import type { RawHeaders } from './platform.ts';
 
@@ -11,9 +12,10 @@
 }
 
 /** A caller's request and the response to it. */
-export class ForwardExchange {
+export class ForwardExchange implements BytesHolder {
+  readonly isComplete = true;
   /** Last complete response of an endpoint; sent when the reducer requests it. */
-  bufferedResponse: BufferedResponse | undefined;
+  private bufferedResponse: BufferedResponse | undefined;
   lastEventId: string | undefined;
 
   private constructor(
@@ -24,7 +26,10 @@
     readonly attemptId: string,
     private readonly response: ServerResponse,
     private readonly isShuttingDown: () => boolean,
-  ) {}
+    private readonly budget: MemoryBudget,
+  ) {
+    budget.hold(this, body.length);
+  }
 
   static create(options: {
     method: string;
@@ -35,9 +40,37 @@
     response: ServerResponse;
     /** Whether the host is shutting down, so that callers must not reuse the connection. */
     isShuttingDown: () => boolean;
+    /** Bytes of all requests and responses of the host. */
+    budget: MemoryBudget;
   }): ForwardExchange {
-    const { method, target, headers, body, attemptId, response, isShuttingDown } = options;
-    return new ForwardExchange(method, target, headers, body, attemptId, response, isShuttingDown);
+    const { method, target, headers, body, attemptId } = options;
+    const { response, isShuttingDown, budget } = options;
+    return new ForwardExchange(
+      method,
+      target,
+      headers,
+      body,
+      attemptId,
+      response,
+      isShuttingDown,
+      budget,
+    );
+  }
+
+  /** Keeps the complete response of an endpoint. */
+  setResponse(response: BufferedResponse): void {
+    this.bufferedResponse = response;
+    this.budget.hold(this, this.body.length + response.body.length);
+  }
+
+  /** Releases the memory that is accounted to it. */
+  release(): void {
+    this.budget.release(this);
+  }
+
+  /** Closes the connection of a caller that does not read its response. */
+  evict(): void {
+    this.response.destroy();
   }
 
   get hasResponseStarted(): boolean {
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -1,5 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
+import { ByteBuffer } from '../base/byteBuffer.ts';
+import type { BytesHolder, MemoryBudget } from '../base/memoryBudget.ts';
 import { type BodyFraming, getBodyFraming } from '../clients/closeDelimited.ts';
 import type { AttemptSpec, BodyEnd, ForwardOutcome } from '../forwards/types.ts';
 import type { ConnectionProblem } from '../paths/types.ts';
@@ -10,6 +12,7 @@
   MAX_CONNECTION_WAIT_MS,
   MAX_DISCARDED_BYTES,
   MAX_EVENT_BYTES,
+  MAX_PARTS_PER_TURN,
   UNRESPONSIVE_AFTER_MS,
 } from './constants.ts';
 import { EventSplitter, type StreamEvent } from './eventSplitter.ts';
@@ -23,6 +26,8 @@
   spec: AttemptSpec;
   exchange: ForwardExchange;
   labels: LabelPort;
+  /** Bytes of all requests and responses of the host. */
+  budget: MemoryBudget;
   listener: ForwardAttemptListener;
   /** Called when a cancelled attempt got no response for so long that connections may be dead. */
   onUnresponsive: () => void;
@@ -34,7 +39,10 @@
 type Mode = 'waiting' | 'buffering' | 'streaming' | 'discarding';
 
 /** Handles the response to one attempt: passes on a stream event by event, buffers any other. */
-export class ForwardResponseHandler implements Dispatcher.DispatchHandler, RunningForwardAttempt {
+export class ForwardResponseHandler
+  implements Dispatcher.DispatchHandler, RunningForwardAttempt, BytesHolder
+{
+  readonly isComplete = false;
   private readonly sentAt = performance.now();
   private controller: Controller | undefined;
   private mode: Mode = 'waiting';
@@ -43,8 +51,12 @@
   private status = 0;
   private framing: BodyFraming | undefined;
   private headers: string[] = [];
-  private readonly chunks: Buffer[] = [];
-  private size = 0;
+  private readonly received = ByteBuffer.create();
+  private discardedBytes = 0;
+  private partsInTurn = 0;
+  /** Why reading is paused. */
+  private isCallerBusy = false;
+  private isYielding = false;
   private discardTimer: NodeJS.Timeout | undefined;
   private readonly splitter = EventSplitter.create();
   /** Whether a byte of an answer arrived. */
@@ -79,6 +91,13 @@
     this.isCancelled = true;
   }
 
+  /** Breaks the response off because all responses together need too much memory. */
+  evict(): void {
+    this.endBroken('the responses of all endpoints need too much memory');
+    this.mode = 'discarding';
+    this.controller?.abort(new Error('the responses of all endpoints need too much memory'));
+  }
+
   /** Ends an attempt that failed before anything was written. */
   failUnsent(reason: string): void {
     this.end({ type: 'unreachable', reason });
@@ -125,18 +144,21 @@
 
   onResponseData(controller: Controller, chunk: Buffer): void {
     this.recordReceived();
+    this.yieldAfterManyParts(controller);
     if (this.mode === 'streaming') {
       for (const event of this.splitter.push(chunk)) this.passEvent(controller, event);
       if (this.splitter.pendingBytes > MAX_EVENT_BYTES)
         this.abort(controller, `an event is larger than ${MAX_EVENT_BYTES} bytes`);
+      else this.hold(this.splitter.pendingBytes);
     } else if (this.mode === 'buffering') {
-      this.size += chunk.length;
-      if (this.size <= MAX_BUFFERED_RESPONSE_BYTES) this.chunks.push(Buffer.from(chunk));
-      else
+      this.received.append(chunk);
+      if (this.received.length > MAX_BUFFERED_RESPONSE_BYTES)
         this.abort(controller, `the response is larger than ${MAX_BUFFERED_RESPONSE_BYTES} bytes`);
+      else this.hold(this.received.capacity);
     } else if (this.mode === 'discarding') {
-      this.size += chunk.length;
-      if (this.size > MAX_DISCARDED_BYTES) controller.abort(new Error('the response has no end'));
+      this.discardedBytes += chunk.length;
+      if (this.discardedBytes > MAX_DISCARDED_BYTES)
+        controller.abort(new Error('the response has no end'));
     }
   }
 
@@ -156,11 +178,8 @@
       this.end({ type: 'passed', longestPauseMs: this.longestPauseMs, bodyEnd });
       return;
     }
-    exchange.bufferedResponse = {
-      status: this.status,
-      headers: this.headers,
-      body: Buffer.concat(this.chunks),
-    };
+    const { status, headers } = this;
+    exchange.setResponse({ status, headers, body: this.received.take() });
     this.end({ type: 'answered', status: this.status, bodyEnd: this.getBodyEnd() });
   }
 
@@ -187,7 +206,28 @@
     if (id !== undefined) exchange.lastEventId = id;
     if (exchange.write(bytes)) return;
     controller.pause();
-    exchange.onceDrained(() => controller.resume());
+    this.isCallerBusy = true;
+    exchange.onceDrained(() => {
+      this.isCallerBusy = false;
+      this.resume(controller);
+    });
+  }
+
+  /** Lets other connections have their turn, also while an endpoint sends tiny parts without a pause. */
+  private yieldAfterManyParts(controller: Controller): void {
+    this.partsInTurn += 1;
+    if (this.partsInTurn < MAX_PARTS_PER_TURN) return;
+    this.partsInTurn = 0;
+    this.isYielding = true;
+    controller.pause();
+    setImmediate(() => {
+      this.isYielding = false;
+      this.resume(controller);
+    });
+  }
+
+  private resume(controller: Controller): void {
+    if (!this.isCallerBusy && !this.isYielding) controller.resume();
   }
 
   /** Reads the rest of a response, so that its connection can be reused, if it ends soon. */
@@ -200,6 +240,10 @@
     this.discardTimer.unref();
   }
 
+  private hold(bytes: number): void {
+    if (!this.isEnded) this.options.budget.hold(this, bytes);
+  }
+
   private abort(controller: Controller, reason: string): void {
     this.endBroken(reason);
     this.mode = 'discarding';
@@ -255,6 +299,8 @@
   private end(outcome: ForwardOutcome): void {
     if (this.isEnded) return;
     this.isEnded = true;
+    this.options.budget.release(this);
+    this.received.clear();
     this.options.listener.onEnded(outcome, this.hasReceived);
   }
 }
--- a/src/gatewayHost/frontServer.ts
+++ b/src/gatewayHost/frontServer.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { MemoryBudget } from '../base/memoryBudget.ts';
 import type { Event } from '../core/events.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
@@ -21,6 +22,8 @@
   readonly state: State;
   readonly labels: LabelPort;
   readonly exchanges: Map<string, ForwardExchange>;
+  /** Bytes of all requests and responses of the host. */
+  readonly budget: MemoryBudget;
   dispatch(event: Event): void;
 }
 
@@ -76,7 +79,8 @@
       return;
     }
     const maxBytes = limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const body = await readBody(request, { maxBytes, timeoutMs: BODY_TIMEOUT_MS });
+    const { budget } = this.host;
+    const body = await readBody(request, { maxBytes, timeoutMs: BODY_TIMEOUT_MS, budget });
     if (body.err) {
       refuse(body.val);
       return;
@@ -92,14 +96,17 @@
       attemptId: labels.attemptId,
       response,
       isShuttingDown: () => state.phase !== 'running',
+      budget,
     });
     this.host.exchanges.set(id, exchange);
     response.once('close', () => {
+      exchange.release();
       this.host.exchanges.delete(id);
       if (!response.writableFinished) this.host.dispatch({ type: 'forwardCancelled', id });
     });
     // The caller closed its connection while the body was read.
     if (response.destroyed || request.socket.destroyed) {
+      exchange.release();
       this.host.exchanges.delete(id);
       return;
     }
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -2,6 +2,7 @@
 import { isDeepStrictEqual } from 'node:util';
 import { suspectRoutes } from '../admin/routes/commands.ts';
 import { AdminServer } from '../admin/server.ts';
+import { MemoryBudget } from '../base/memoryBudget.ts';
 import { hash32 } from '../base/hash.ts';
 import { HttpClient } from '../clients/httpClient.ts';
 import type { Event } from '../core/events.ts';
@@ -29,6 +30,8 @@
 import {
   DEFAULT_HEADER_TIMEOUT_MS,
   LAME_DUCK_GRACE_SHARE,
+  MAX_HELD_BYTES,
+  MAX_REPORT_BYTES,
   MAX_HEADER_BYTES,
   MIN_CONNECTIONS_PER_ENDPOINT,
   STOP_GRACE_SHARE,
@@ -56,6 +59,7 @@
 /** A host that forwards requests to the endpoints of a directory: loop, clients and servers. */
 export class GatewayHost {
   readonly exchanges = new Map<string, ForwardExchange>();
+  readonly budget = MemoryBudget.create(MAX_HELD_BYTES);
   readonly runningAttempts = new Map<string, RunningForwardAttempt>();
   readonly state: State;
   readonly observer: Observer;
@@ -93,7 +97,11 @@
     const { sourceAddress: localAddress } = host;
     this.http = HttpClient.create({ localAddress });
     // A second connection could not be opened while only the first one lives on.
-    this.engineHttp = HttpClient.create({ localAddress, maxConnections: 1 });
+    this.engineHttp = HttpClient.create({
+      localAddress,
+      maxConnections: 1,
+      maxResponseBytes: MAX_REPORT_BYTES,
+    });
     this.platform = newPlatform({
       directoryUrl: settings.directory.url,
       call: (call) => this.http.call(call),
@@ -118,6 +126,7 @@
       host: host.id,
       localAddress: host.sourceAddress,
       maxConnections: (endpoint) => this.getMaxConnections(endpoint),
+      budget: this.budget,
     });
     this.loop = newObservedLoop({
       state: this.state,
