Pass on only what is an event of a stream

Cause: any block of lines before an empty line was passed on as an event, in first and in second answers, whatever their framing. With chunks or a length the stream then ended as if it were complete.

Change: each line of an event must be a comment or a field with a token for its name, and one must be a field of events. Anything else breaks the attempt.

--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -15,6 +15,7 @@
   MAX_PARTS_PER_TURN,
   UNRESPONSIVE_AFTER_MS,
 } from './constants.ts';
+import { isEvent } from './eventCheck.ts';
 import { EventSplitter, type StreamEvent } from './eventSplitter.ts';
 import type { ForwardExchange } from './forwardExchange.ts';
 import type { LabelPort } from './platform.ts';
@@ -194,6 +195,10 @@
   private passEvent(controller: Controller, { bytes, id }: StreamEvent): void {
     const { exchange, listener } = this.options;
     if (this.isEnded || isRepeated(id, exchange.lastEventId)) return;
+    if (!isEvent(bytes)) {
+      this.abort(controller, 'the stream holds bytes that are no event');
+      return;
+    }
     const now = performance.now();
     if (this.hasPassedEvent)
       this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastPassedAt);
