--- a/src/settings/gatewayGroups.ts
+++ b/src/settings/gatewayGroups.ts
@@ -94,7 +94,7 @@
 export const GatewayLimitSettings = z.object({
   lameDuckMs: newSetting(newDuration(0, MAX_DURATION_MS), {
     name: 'lame-duck',
-    help: 'Time after SIGTERM for which the host waits for requests that are on their way.',
+    help: 'Time after SIGTERM for which the host takes requests that can still end in time; at most half of --shutdown-grace.',
     allowed: 'a duration from 0ms to 10m',
     default: '3s',
   }),
