--- a/src/host/processErrors.ts
+++ b/src/host/processErrors.ts
@@ -8,20 +8,15 @@
 
 /**
  * Logs and counts errors that no code handles, in callbacks and in promises, in place of ending the
- * process: one of them must not cost the requests of all callers. Returns a function that ends this.
+ * process: one of them must not cost the requests of all callers.
  */
-export function handleProcessErrors(observer: Observer): () => void {
+export function handleProcessErrors(observer: Observer): void {
   const logError = (error: unknown, origin: NodeJS.UncaughtExceptionOrigin): void => {
     observer.observe(newCount('fireflywick_unhandled_errors_total', { origin }));
     observer.logger.write('error', 'unhandled error', { origin, reason: describeError(error) });
   };
   // Once its reader is gone, an output fails with each line, and each error would write another line.
   const ignoreClosedOutput = (): void => undefined;
-  const outputs = [process.stdout, process.stderr];
   process.on('uncaughtException', logError);
-  for (const output of outputs) output.on('error', ignoreClosedOutput);
-  return () => {
-    process.off('uncaughtException', logError);
-    for (const output of outputs) output.off('error', ignoreClosedOutput);
-  };
+  for (const output of [process.stdout, process.stderr]) output.on('error', ignoreClosedOutput);
 }
