Pass interim responses on again, and say once which requests may be repeated

Cause: the bound on interim responses kept them from the handler of the attempt, which counts them as a sign of life of the path; that was not meant. The rule for requests that may be repeated stood in two places; two comments gave figures of a machine and of a run.

--- a/src/clients/interimResponses.ts
+++ b/src/clients/interimResponses.ts
@@ -11,13 +11,10 @@
   return {
     onRequestStart: (...args) => handler.onRequestStart?.(...args),
     onResponseStart: (controller, status, headers, statusText) => {
-      if (status >= 200) {
+      if (status < 200) interimResponses += 1;
+      if (interimResponses <= MAX_INTERIM_RESPONSES)
         handler.onResponseStart?.(controller, status, headers, statusText);
-        return;
-      }
-      interimResponses += 1;
-      if (interimResponses > MAX_INTERIM_RESPONSES)
-        controller.abort(new Error(`more than ${MAX_INTERIM_RESPONSES} interim responses`));
+      else controller.abort(new Error(`more than ${MAX_INTERIM_RESPONSES} interim responses`));
     },
     onResponseData: (...args) => handler.onResponseData?.(...args),
     onResponseEnd: (...args) => handler.onResponseEnd?.(...args),
--- a/src/forwards/repetition.ts
+++ b/src/forwards/repetition.ts
@@ -1,5 +1,11 @@
+import type { Route } from '../routes/types.ts';
 import type { Forward } from './types.ts';
 
+/** Whether the route allows a request that broke off to be sent again, or its stream to be resumed. */
+export function isRepeatable({ kind, isResumable }: Route): boolean {
+  return kind === 'safe' || (kind === 'stream' && isResumable);
+}
+
 /** Whether the route allows a request of this kind to run more than once. */
 export function isRetryAllowed({ route, hasResponseStarted, lastEventId }: Forward): boolean {
   if (route.kind === 'safe') return !hasResponseStarted;
@@ -16,7 +22,6 @@
 export function mayRunAgain(forward: Forward): boolean {
   const { route, ranOn, hasResponseStarted } = forward;
   // The id of the last event is known once the attempt has ended.
-  const isStream = route.kind === 'stream' && route.isResumable;
-  const isRepeatable = isStream || (route.kind === 'safe' && !hasResponseStarted);
-  return isRepeatable && ranOn.size + 1 < route.attempts;
+  const isLost = route.kind === 'safe' && hasResponseStarted;
+  return isRepeatable(route) && !isLost && ranOn.size + 1 < route.attempts;
 }
--- a/src/forwards/stopAdmission.ts
+++ b/src/forwards/stopAdmission.ts
@@ -4,6 +4,7 @@
 import type { Route } from '../routes/types.ts';
 import { STOP_DURATION_SHARE, STOP_REPEATABLE_DURATION_SHARE } from './constants.ts';
 import { abandonForward } from './forwardEnd.ts';
+import { isRepeatable } from './repetition.ts';
 
 /**
  * Whether a request that arrives while this host stops will probably have ended before the host does: its
@@ -17,8 +18,7 @@
 ): boolean {
   if (stopAt === undefined || deadlineAt <= stopAt) return true;
   // The caller of a request that may be repeated sends it again if it is broken off.
-  const isRepeatable = route.kind === 'safe' || (route.kind === 'stream' && route.isResumable);
-  const share = isRepeatable ? STOP_REPEATABLE_DURATION_SHARE : STOP_DURATION_SHARE;
+  const share = isRepeatable(route) ? STOP_REPEATABLE_DURATION_SHARE : STOP_DURATION_SHARE;
   const expectedMs = forwards.durations.getQuantile(route.name, share);
   return expectedMs !== undefined && now + expectedMs <= stopAt;
 }
--- a/src/gatewayHost/constants.ts
+++ b/src/gatewayHost/constants.ts
@@ -44,11 +44,11 @@
 export const STOP_GRACE_SHARE = 0.9;
 export const EXIT_GRACE_SHARE = 0.95;
 /**
- * Memory that all requests and responses hold together. It takes up to twice as much until it is
- * collected, and a machine of 350 MB has about 200 MB for it.
+ * Memory that all requests and responses hold together. The process takes up to twice as much for them
+ * until the garbage collector has run.
  */
 export const MAX_HELD_BYTES = 64 * 1024 * 1024;
-/** Parts of a body that are handled before other connections have their turn; about 2 ms of work. */
+/** Parts of a body that are handled before other connections have their turn. */
 export const MAX_PARTS_PER_TURN = 1_024;
 /** Maximum size of an engine's answer to an order or a request for its report. */
 export const MAX_REPORT_BYTES = 1024 * 1024;
