Tell for how long a request may have waited to be read

Cause: neither logs nor metrics tell a host that reads late from one that holds requests back: the time of a request began when its headers were read. Change: a clock of the event loop gives the longest time for which bytes that are read now may have waited in the kernel: the time in which the loop was busy since it last read everything, or the delay of a timer, which shows a suspension. The line `request ended` and a histogram tell it for each request. Nothing is decided by it yet.

--- a/src/core/metricNames.ts
+++ b/src/core/metricNames.ts
@@ -101,6 +101,10 @@
     kind: 'histogram',
     help: 'Time by which a timer fired late because the event loop was busy, sampled every second.',
   },
+  fireflywick_read_delay_ms: {
+    kind: 'histogram',
+    help: 'Longest time for which a request may have waited before this host read its headers.',
+  },
   process_cpu_seconds_total: {
     kind: 'counter',
     help: 'User and system processor time of the process, in seconds.',
--- a/src/forwards/forwardEnd.ts
+++ b/src/forwards/forwardEnd.ts
@@ -111,6 +111,7 @@
   return [
     newCount('fireflywick_requests_total', { ...metricLabels, result }),
     newObserve('fireflywick_request_duration_ms', metricLabels, durationMs),
+    newObserve('fireflywick_read_delay_ms', {}, forward.readDelayMs),
     newLog('info', 'request ended', {
       requestId: labels.attemptId,
       fingerprint: forward.fingerprint,
@@ -119,6 +120,7 @@
       model: labels.model,
       result,
       reason,
+      readDelayMs: Math.round(forward.readDelayMs),
       durationMs,
       firstMs:
         forward.firstByteAt === undefined ? undefined : Math.round(forward.firstByteAt - arrivedAt),
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -44,8 +44,10 @@
   caller: string;
   /** Hash of method, target, adapter and body; equal for retries of the same request. */
   fingerprint: string;
-  /** Monotonic ms at which its headers arrived. */
+  /** Monotonic ms at which its headers were read. */
   arrivedAt: number;
+  /** Longest time in ms for which its headers may have waited before this host read them. */
+  readDelayMs: number;
 }
 
 /**
--- a/src/gatewayHost/frontServer.ts
+++ b/src/gatewayHost/frontServer.ts
@@ -4,6 +4,7 @@
 import type { Event } from '../core/events.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
+import type { PollClock } from '../eventLoop/pollClock.ts';
 import { readBody } from '../http/body.ts';
 import { type RunningServer, startServer } from '../http/httpServer.ts';
 import { sendFailure } from '../http/reply.ts';
@@ -24,6 +25,7 @@
   readonly exchanges: Map<string, ForwardExchange>;
   /** Bytes of all requests and responses of the host. */
   readonly budget: MemoryBudget;
+  readonly pollClock: PollClock;
   dispatch(event: Event): void;
 }
 
@@ -58,7 +60,8 @@
 
   private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = performance.now();
-    const { state, labels: labelPort } = this.host;
+    const { state, labels: labelPort, pollClock } = this.host;
+    const readDelayMs = pollClock.getReadDelayMs();
     const limits = state.routeIndex.current?.table.limits;
     if (limits !== undefined) this.server?.setIdleTimeoutMs(limits.idleTimeoutMs);
     const refuse = (failure: Failure): void =>
@@ -120,6 +123,7 @@
         caller: request.socket.remoteAddress ?? '',
         fingerprint: getFingerprint(method, target, labels.adapter, body.val),
         arrivedAt,
+        readDelayMs,
       },
     });
   }
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -10,6 +10,7 @@
 import { isReady } from '../core/lifecycle.ts';
 import { type Policy, State } from '../core/state.ts';
 import type { Failure } from '../errors/failure.ts';
+import { PollClock } from '../eventLoop/pollClock.ts';
 import type { AttemptSpec } from '../forwards/types.ts';
 import type { Loop } from '../host/loop.ts';
 import { newObservedLoop } from '../host/observedLoop.ts';
@@ -60,6 +61,7 @@
 export class GatewayHost {
   readonly exchanges = new Map<string, ForwardExchange>();
   readonly budget = MemoryBudget.create(MAX_HELD_BYTES);
+  readonly pollClock = PollClock.create();
   readonly runningAttempts = new Map<string, RunningForwardAttempt>();
   readonly state: State;
   readonly observer: Observer;
@@ -131,6 +133,7 @@
     this.loop = newObservedLoop({
       state: this.state,
       observer: this.observer,
+      pollClock: this.pollClock,
       runEffect: (effect) => runGatewayEffect(this, effect),
       abandonRequest: (id, failure) => this.abandonRequest(id, failure),
     });
@@ -158,6 +161,7 @@
     const operatorPort = await this.adminServer?.start();
     const frontPort = await this.frontServer.start(listen.front);
     this.sampler.start();
+    this.pollClock.start();
     this.connectionSweep = setInterval(() => {
       this.endpointClient.retainKnownEndpoints(
         (endpoint) => this.state.fleet.views.get(endpoint)?.isRemoved === false,
@@ -179,6 +183,7 @@
     this.loop.stop();
     for (const monitor of this.pathMonitors.values()) monitor.stop();
     this.sampler.stop();
+    this.pollClock.stop();
     for (const server of this.servers) server.close();
     for (const server of this.servers) server.closeAllConnections();
     await this.relayServer.stop(Math.max(0, (this.state.stopAt ?? 0) - performance.now()));
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -11,6 +11,7 @@
 import { TableClient } from '../clients/tableClient.ts';
 import { hash32 } from '../base/hash.ts';
 import type { Event } from '../core/events.ts';
+import { PollClock } from '../eventLoop/pollClock.ts';
 import { State } from '../core/state.ts';
 import type { DraftListAnswer, DraftReadAnswer } from '../drafts/types.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
@@ -40,6 +41,7 @@
   readonly services: ServiceClient;
   readonly hostList: HostListClient;
   readonly links: PeerLinks;
+  readonly pollClock = PollClock.create();
   private readonly http: HttpClient;
   private readonly loop: Loop;
   private readonly callerServer: CallerServer;
@@ -70,6 +72,7 @@
     this.loop = newObservedLoop({
       state: this.state,
       observer: this.observer,
+      pollClock: this.pollClock,
       runEffect: (effect) => runEffect(this, effect),
       abandonRequest: (id, failure) => abandonRequest(this, id, failure),
     });
@@ -91,6 +94,7 @@
     const operatorPort = await this.adminServer.start();
     const callerPort = await this.callerServer.start();
     this.sampler.start();
+    this.pollClock.start();
     this.dispatch({ type: 'started' });
     return { callerPort, operatorPort };
   }
@@ -101,6 +105,7 @@
     await this.stopped;
     this.loop.stop();
     this.sampler.stop();
+    this.pollClock.stop();
     await this.callerServer.stop();
     await this.adminServer.stop();
     await this.links.stop();
--- a/src/host/loop.ts
+++ b/src/host/loop.ts
@@ -19,6 +19,7 @@
   private constructor(
     private readonly state: State,
     private readonly runEffect: (effect: Effect) => void,
+    private readonly onTimer: (dueAt: number) => void,
     private readonly onTurn: (turnMs: number) => void,
     private readonly onError: (step: FailedStep, error: unknown) => void,
   ) {}
@@ -26,12 +27,15 @@
   static create(options: {
     state: State;
     runEffect: (effect: Effect) => void;
+    /** Called when a timer runs, with the monotonic ms at which it was due. */
+    onTimer: (dueAt: number) => void;
     /** Called after each turn with its duration in ms. */
     onTurn: (turnMs: number) => void;
     /** Called for each handler and each effect that throws; the other effects run nevertheless. */
     onError: (step: FailedStep, error: unknown) => void;
   }): Loop {
-    return new Loop(options.state, options.runEffect, options.onTurn, options.onError);
+    const { state, runEffect, onTimer, onTurn, onError } = options;
+    return new Loop(state, runEffect, onTimer, onTurn, onError);
   }
 
   /** Handles `event`; queues it if it is dispatched while another event is handled. */
@@ -98,6 +102,7 @@
     const delay = Math.max(0, Math.ceil(due - performance.now()));
     this.timeout = setTimeout(() => {
       this.scheduledFor = Infinity;
+      this.onTimer(due);
       this.dispatch({ type: 'tick' });
     }, delay);
   }
--- a/src/host/observedLoop.ts
+++ b/src/host/observedLoop.ts
@@ -2,6 +2,7 @@
 import { newObserve } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
+import type { PollClock } from '../eventLoop/pollClock.ts';
 import { Loop } from './loop.ts';
 import type { Observer } from './observer.ts';
 import { describeError } from './processErrors.ts';
@@ -14,14 +15,17 @@
 export function newObservedLoop(options: {
   state: State;
   observer: Observer;
+  /** Learns of the timers of the loop that run late. */
+  pollClock: PollClock;
   runEffect: (effect: Effect) => void;
   /** Gives a request its final answer, or closes its connection if the answer has begun; never throws. */
   abandonRequest: (id: string, failure: Failure) => void;
 }): Loop {
-  const { state, observer, runEffect, abandonRequest } = options;
+  const { state, observer, pollClock, runEffect, abandonRequest } = options;
   return Loop.create({
     state,
     runEffect,
+    onTimer: (dueAt) => pollClock.recordTimer(dueAt),
     onTurn: (turnMs) => observer.observe(newObserve('fireflywick_loop_turn_ms', {}, turnMs)),
     onError: (step, error) => {
       const requestId = getRequestId(step);
--- a/tests/helpers/directoryHost.ts
+++ b/tests/helpers/directoryHost.ts
@@ -174,6 +174,7 @@
         caller: '10.9.0.1',
         fingerprint: 'p1',
         arrivedAt: this.now,
+        readDelayMs: 0,
         ...rest,
         labels: {
           attemptId: 'a1',
--- a/tests/host/loop.test.ts
+++ b/tests/host/loop.test.ts
@@ -28,6 +28,7 @@
       if (effect === FAILING) throw new Error('planned');
       run.push(effect);
     },
+    onTimer: () => undefined,
     onTurn: () => undefined,
     onError: (step) => failed.push(step),
   });
