--- a/tests/helpers/rawEndpoint.ts
+++ b/tests/helpers/rawEndpoint.ts
@@ -7,6 +7,8 @@
   method: string;
   target: string;
   headers: Record<string, string>;
+  /** Monotonic ms at which it had arrived as a whole. */
+  arrivedAt: number;
 }
 
 /** One step of an answer: bytes that are sent, a pause in ms or until a promise resolves, or an end. */
@@ -109,7 +111,7 @@
   const bodyLength = Number(headers['content-length'] ?? 0);
   if (received.length < end + 4 + bodyLength) return undefined;
   const [method = '', target = ''] = first.split(' ');
-  return { method, target, headers };
+  return { method, target, headers, arrivedAt: performance.now() };
 }
 
 /** Returns the head of an answer with the labels that prove which endpoint and attempt it is of. */
