Work only for callers that still wait

Callers saw: requests that they had given up ran up to 3.5 s later, and a host that was asked for more than it can do served fewer of them the more it was asked, and told none so (GONE). Cause: each step that could wait (the kernel's queue of connections, a request that was read, a connection to an endpoint, a retry, a relay) was followed by the send at once, while the end of the caller's connection lay unread behind its request; and the event loop accepts one connection in each iteration, so that a host with long iterations reads callers only after they have left. Change: requests are taken and attempts are sent in short turns of the event loop, after a poll that has read who has left; relays pass bytes on in turns. A caller has left when the end of its connection is read, not when it is closed. Calls of entry hosts that may be repeated are cancelled. Deadlines count the time for which a request may have waited to be read. A host with a standing queue rejects with 503 what would wait for too long, and closes connections unread that have waited for 300 ms. Both programs have the same parts.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,6 +4,7 @@
 
 // Folders of src/ with pure logic, which does no I/O. They must not import from the folders of `io`.
 const pure = [
+  'arrivals',
   'errors',
   'base',
   'configuration',
--- a/src/actions/handlers.ts
+++ b/src/actions/handlers.ts
@@ -7,7 +7,7 @@
 } from '../core/handlers.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
-import { failAction } from './actionEnd.ts';
+import { cancelAction, failAction } from './actionEnd.ts';
 import { admitAction } from './actionAdmission.ts';
 import { handleClaimWriteAnswer, handleClaimReadAnswer, replayStoredResponse } from './claims.ts';
 import {
@@ -39,6 +39,8 @@
   actionArrived: (state, { action }, now) => admitAction(state, action, now),
   serviceCallEnded: (state, { id, answer }, now) =>
     withAction(state, id, 'sending', (action) => handleServiceCallEnd(state, action, answer, now)),
+  actionCancelled: (state, { id }) =>
+    withAction(state, id, 'sending', (action) => cancelAction(state, action)),
 };
 
 export const actionTimers: TimerHandlers<ActionTimer['type']> = {
--- a/src/actions/types.ts
+++ b/src/actions/types.ts
@@ -143,8 +143,10 @@
 
 export type ActionEvent =
   | { type: 'actionArrived'; action: NewAction }
-  /** Follows every `callService`, at the latest at the action's deadline. */
-  | { type: 'serviceCallEnded'; id: string; answer: ServiceCallOutcome };
+  /** Follows every `callService`, at the latest at the action's deadline; ignored once it is cancelled. */
+  | { type: 'serviceCallEnded'; id: string; answer: ServiceCallOutcome }
+  /** The caller closed its connection. */
+  | { type: 'actionCancelled'; id: string };
 
 export type ActionEffect =
   /** A call that is not repeatable requires a connection that is new or known to be alive. */
@@ -156,6 +158,8 @@
       isRepeatable: boolean;
       deadline: number;
     }
+  /** Closes the connection of a call, which nobody waits for any more. */
+  | { type: 'cancelServiceCall'; id: string }
   | { type: 'answerAction'; id: string; answer: ActionAnswer };
 
 export type ActionTimer =
--- a/src/callers/requestHeaders.ts
+++ b/src/callers/requestHeaders.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import { getTimeLeftMs } from '../arrivals/deadline.ts';
 import { Err, Ok, type Result } from '../base/result.ts';
 import { Failure } from '../errors/failure.ts';
 import type { RequestKind } from '../requests/types.ts';
@@ -14,12 +15,14 @@
 }
 
 /**
- * Parses kind and deadline from the headers of a request. The time to the deadline defaults to
- * `defaultRequestMs` and is at most `maxRequestMs`. Fails with `bad_request`.
+ * Parses kind and deadline from the headers of a request, which may have waited for up to `readDelayMs`
+ * before they were read. The time to the deadline defaults to `defaultRequestMs` and is at most
+ * `maxRequestMs`. Fails with `bad_request`.
  */
 export function parseRequestHeaders(
   headers: IncomingHttpHeaders,
   { defaultRequestMs, maxRequestMs }: EntrySettings['limits'],
+  readDelayMs: number,
 ): Result<RequestHeaders, Failure> {
   const kind = getHeader(headers, 'x-request-kind') ?? 'ordinary';
   if (kind !== 'urgent' && kind !== 'ordinary') {
@@ -32,7 +35,7 @@
     );
   }
   const deadline = getHeader(headers, 'x-request-deadline-ms');
-  const remainingMs = deadline === undefined ? defaultRequestMs : Number(deadline);
+  const waitMs = deadline === undefined ? defaultRequestMs : Number(deadline);
   if (deadline !== undefined && !DEADLINE_PATTERN.test(deadline)) {
     return Err(
       Failure.create(
@@ -42,7 +45,7 @@
       ),
     );
   }
-  return Ok({ kind, remainingMs: Math.min(remainingMs, maxRequestMs) });
+  return Ok({ kind, remainingMs: getTimeLeftMs(Math.min(waitMs, maxRequestMs), readDelayMs) });
 }
 
 /** Whether the caller prefers an asynchronous response (`Prefer: respond-async`, RFC 7240). */
--- a/src/callers/routes/completions.ts
+++ b/src/callers/routes/completions.ts
@@ -1,5 +1,5 @@
-import { Failure } from '../../errors/failure.ts';
 import { readBody } from '../../http/body.ts';
+import { hasCallerLeft, onCallerLeft } from '../../http/callerDeparture.ts';
 import { sendFailure, sendJson } from '../../http/reply.ts';
 import { formatTraceparent } from '../../observe/traceparent.ts';
 import type { RequestContext, Route } from '../types.ts';
@@ -33,27 +33,28 @@
   schema: typeof CompletionBody | typeof ChatBody,
 ): Promise<void> {
   const { limits } = context.host.settings;
-  const headers = parseRequestHeaders(context.request.headers, limits);
+  const { request, response, reading } = context;
+  const headers = parseRequestHeaders(request.headers, limits, reading.delayMs);
   if (headers.err) {
-    sendFailure(context.response, headers.val);
+    sendFailure(response, headers.val);
     return;
   }
-  const arrivedAt = performance.now();
-  const bytes = await readBody(context.request, {
+  const bytes = await readBody(request, {
     maxBytes: limits.bodyBytes,
     timeoutMs: limits.slowSenderMs,
   });
   if (bytes.err) {
-    sendFailure(context.response, bytes.val, { connection: 'close' });
+    sendFailure(response, bytes.val, { connection: 'close' });
     return;
   }
   const completion = parseCompletionRequest(bytes.val, schema);
   if (completion.err) {
-    sendFailure(context.response, completion.val);
+    sendFailure(response, completion.val);
     return;
   }
-  if (isAsyncRequest(context.request.headers)) startDraft(context, path, completion.val);
-  else startRequest(context, path, completion.val, headers.val, arrivedAt);
+  if (hasCallerLeft(request, response)) return;
+  if (isAsyncRequest(request.headers)) startDraft(context, path, completion.val);
+  else startRequest(context, path, completion.val, headers.val, reading.at);
 }
 
 /** Submits the request as a draft and answers 202 once the draft is durable. */
@@ -97,12 +98,8 @@
   { kind, remainingMs }: RequestHeaders,
   arrivedAt: number,
 ): void {
-  const { id, host, key, response } = context;
+  const { id, host, key, request, response } = context;
   const sink = HttpResponseSink.create(response, completion.isStream);
-  if (response.destroyed) {
-    sink.fail(Failure.create('cancelled', 'the caller closed the connection'));
-    return;
-  }
   host.addCompletionExchange(id, {
     path,
     body: completion.body,
@@ -118,9 +115,7 @@
     },
     arrivedAt,
   });
-  response.once('close', () => {
-    if (!response.writableFinished) host.dispatch({ type: 'requestCancelled', id });
-  });
+  onCallerLeft(request, response, () => host.dispatch({ type: 'requestCancelled', id }));
   host.dispatch({
     type: 'requestArrived',
     request: {
--- a/src/callers/routes/services.ts
+++ b/src/callers/routes/services.ts
@@ -3,6 +3,7 @@
 import { sha256 } from '../../base/hash.ts';
 import { Failure } from '../../errors/failure.ts';
 import { readBody } from '../../http/body.ts';
+import { hasCallerLeft, onCallerLeft } from '../../http/callerDeparture.ts';
 import { sendFailure } from '../../http/reply.ts';
 import { formatTraceparent } from '../../observe/traceparent.ts';
 import type { RequestContext, Route } from '../types.ts';
@@ -28,9 +29,9 @@
 export const serviceRoot: Route = { ...services, path: '/services/:service' };
 
 async function callService(context: RequestContext): Promise<void> {
-  const { id, request, response, host, key, params } = context;
+  const { id, request, response, reading, host, key, params } = context;
   const { limits } = host.settings;
-  const headers = parseRequestHeaders(request.headers, limits);
+  const headers = parseRequestHeaders(request.headers, limits, reading.delayMs);
   if (headers.err) {
     sendFailure(response, headers.val);
     return;
@@ -46,7 +47,6 @@
     sendFailure(response, Failure.create('bad_request', message, { param: 'Idempotency-Key' }));
     return;
   }
-  const arrivedAt = performance.now();
   const body = await readBody(request, {
     maxBytes: limits.bodyBytes,
     timeoutMs: limits.slowSenderMs,
@@ -55,6 +55,7 @@
     sendFailure(response, body.val, { connection: 'close' });
     return;
   }
+  if (hasCallerLeft(request, response)) return;
   const method = request.method ?? 'GET';
   const { path, query } = target.val;
   host.addServiceExchange(id, {
@@ -68,6 +69,7 @@
     body: body.val,
     onAnswer: (answer) => sendAnswer(context, answer),
   });
+  onCallerLeft(request, response, () => host.dispatch({ type: 'actionCancelled', id }));
   host.dispatch({
     type: 'actionArrived',
     action: {
@@ -79,7 +81,7 @@
       path,
       idempotencyKey: idempotencyKey === undefined ? undefined : String(idempotencyKey),
       bodyHash: sha256(Buffer.concat([Buffer.from(`${path}${query}\n`), body.val])),
-      deadline: arrivedAt + headers.val.remainingMs,
+      deadline: reading.at + headers.val.remainingMs,
     },
   });
 }
--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -1,15 +1,18 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import createRouter, { type HTTPMethod, type HTTPVersion, type Instance } from 'find-my-way';
+import { newCount, newLog } from '../core/observations.ts';
 import { Failure } from '../errors/failure.ts';
 import { findAccessKey } from '../http/accessKey.ts';
-import { type RunningServer, startServer } from '../http/httpServer.ts';
+import { type Reading, type RunningServer, startServer } from '../http/httpServer.ts';
 import { sendFailure } from '../http/reply.ts';
 import { newTraceContext, parseTraceparent } from '../observe/traceparent.ts';
-import type { CallerHost, Route } from './types.ts';
+import { parseRequestHeaders } from './requestHeaders.ts';
+import type { CallerHost, RequestContext, Route } from './types.ts';
 import { routes } from './routes/index.ts';
 
 type Router = Instance<HTTPVersion.V1>;
+type Params = Record<string, string | undefined>;
 
 const ALL_METHODS = [...new Set(routes.flatMap(getMethods))];
 
@@ -38,11 +41,24 @@
 
   /** Starts listening and returns the port. */
   async start(): Promise<number> {
-    const { listen, limits } = this.host.settings;
+    const { settings, backlog, arrivals, pollClock, observer } = this.host;
+    const { listen, limits } = settings;
     this.server = await startServer(
-      (request, response) => this.router.lookup(request, response) as void | Promise<void>,
+      (request, response, reading) =>
+        this.router.lookup(request, response, reading) as void | Promise<void>,
       listen.callers,
       limits,
+      {
+        backlog,
+        arrivals,
+        pollClock,
+        getWaitMs: ({ headers }) => {
+          const parsed = parseRequestHeaders(headers, limits, 0);
+          return parsed.ok ? parsed.val.remainingMs : Infinity;
+        },
+        onRejected: (_request, failure) => this.observeRejection(failure),
+        onClosed: () => observer.observe(newCount('fireflywick_closed_connections_total', {})),
+      },
     );
     return this.server.port;
   }
@@ -53,16 +69,38 @@
   }
 
   private addRoute(route: Route): void {
-    this.router.on(getMethods(route), route.path, (request, response, params) =>
-      this.handle(route, request, response, params),
+    const { path } = route;
+    // The router calls handlers with the context of the lookup as `this`.
+    const handle = (
+      reading: Reading,
+      request: IncomingMessage,
+      response: ServerResponse,
+      params: Params,
+    ): Promise<void> => this.handle(route, { request, response, reading, params });
+    this.router.on(
+      getMethods(route),
+      path,
+      function (this: Reading, request, response, params: Params) {
+        return handle(this, request, response, params);
+      },
     );
   }
 
+  private observeRejection({ kind: result, message: reason }: Failure): void {
+    const { observer } = this.host;
+    const labels = { firm: '', kind: 'ordinary', result };
+    observer.observe(newCount('fireflywick_requests_total', labels));
+    observer.observe(newLog('info', 'request refused', { result, reason }));
+  }
+
   private async handle(
     route: Route,
-    request: IncomingMessage,
-    response: ServerResponse,
-    params: Record<string, string | undefined>,
+    {
+      request,
+      response,
+      reading,
+      params,
+    }: Pick<RequestContext, 'request' | 'response' | 'reading' | 'params'>,
   ): Promise<void> {
     const id = randomUUID();
     response.setHeader('x-request-id', id);
@@ -80,7 +118,7 @@
     }
     const trace = newTraceContext(parseTraceparent(getTraceHeader(request)));
     try {
-      await route.handle({ id, trace, request, response, key, params, host: this.host });
+      await route.handle({ id, trace, request, response, reading, key, params, host: this.host });
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       sendFailure(response, Failure.create('internal', `request ${id} failed: ${reason}`));
--- a/src/callers/types.ts
+++ b/src/callers/types.ts
@@ -1,6 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ArrivalQueue } from '../http/arrivalQueue.ts';
+import type { Reading } from '../http/httpServer.ts';
 import type { Event } from '../core/events.ts';
 import type { State } from '../core/state.ts';
+import type { AcceptBacklog } from '../eventLoop/acceptBacklog.ts';
+import type { PollClock } from '../eventLoop/pollClock.ts';
+import type { Observer } from '../host/observer.ts';
 import type { TraceContext } from '../observe/traceparent.ts';
 import type { AccessKey } from '../settings/accessKeys.ts';
 import type { EntrySettings } from '../settings/entryGroups.ts';
@@ -19,6 +24,10 @@
   /** Routes only read it. */
   readonly state: State;
   readonly settings: EntrySettings;
+  readonly pollClock: PollClock;
+  readonly arrivals: ArrivalQueue;
+  readonly backlog: AcceptBacklog;
+  readonly observer: Observer;
   dispatch(event: Event): void;
   /** Keeps the body and response sink of a completion request until its response ends. */
   addCompletionExchange(id: string, exchange: CompletionExchange): void;
@@ -38,6 +47,7 @@
   trace: TraceContext;
   request: IncomingMessage;
   response: ServerResponse;
+  reading: Reading;
   key: AccessKey;
   params: Record<string, string | undefined>;
   host: CallerHost;
--- a/src/clients/connector.ts
+++ b/src/clients/connector.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 import { buildConnector } from 'undici';
+import type { TurnQueue } from '../eventLoop/turnQueue.ts';
 import { MAX_READ_BYTES } from './constants.ts';
 
 /** Records which connection the peer ended in the current iteration of the event loop. */
@@ -69,3 +70,15 @@
     });
   };
 }
+
+/**
+ * Returns a connector that hands its connections over in a turn, since the request that waits for one is
+ * written at once.
+ */
+export function handOverInTurns(
+  connect: buildConnector.connector,
+  turns: TurnQueue,
+): buildConnector.connector {
+  return (options, callback) =>
+    connect(options, (...args) => turns.run('send', () => callback(...args)));
+}
--- a/src/clients/httpClient.ts
+++ b/src/clients/httpClient.ts
@@ -1,10 +1,11 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { Agent, Client, type Dispatcher } from 'undici';
+import type { TurnQueue } from '../eventLoop/turnQueue.ts';
 import { ByteBuffer } from '../base/byteBuffer.ts';
 import { type BytesHolder, MemoryBudget } from '../base/memoryBudget.ts';
 import { confirmCloseDelimited } from './closeDelimited.ts';
 import { isServerRunning } from './connectionCheck.ts';
-import { SocketEndTracker, newTrackedConnector } from './connector.ts';
+import { handOverInTurns, newTrackedConnector, SocketEndTracker } from './connector.ts';
 import {
   CONNECT_TIMEOUT_MS,
   MAX_CONNECTIONS_PER_ADDRESS,
@@ -133,6 +134,10 @@
   return error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
 }
 
+function isCancelled({ signal }: HttpCall): boolean {
+  return signal?.aborted === true;
+}
+
 function getReason(error: unknown): string {
   return error instanceof Error ? error.message || error.name : String(error);
 }
@@ -152,6 +157,7 @@
     private readonly localAddress: string | undefined,
     private readonly maxConnections: number,
     private readonly bodyLimits: BodyLimits,
+    private readonly turns: TurnQueue | undefined,
   ) {}
 
   static create(
@@ -162,12 +168,14 @@
       maxConnections?: number;
       /** Maximum size of a response that is read as a whole. */
       maxResponseBytes?: number;
+      /** Turns in which calls are written that may be cancelled; without, they are written at once. */
+      turns?: TurnQueue;
     } = {},
   ): HttpClient {
     const { localAddress, maxConnections = MAX_CONNECTIONS_PER_ADDRESS } = options;
     const { maxResponseBytes: maxBytes = MAX_RESPONSE_BYTES } = options;
     const budget = MemoryBudget.create(MAX_HELD_RESPONSE_BYTES);
-    return new HttpClient(localAddress, maxConnections, { maxBytes, budget });
+    return new HttpClient(localAddress, maxConnections, { maxBytes, budget }, options.turns);
   }
 
   /** Makes a call and reads the whole response. */
@@ -194,6 +202,8 @@
 
   /** Makes a call and returns once the response headers have arrived. */
   async open(call: HttpCall): Promise<OpenResponse | HttpFailure> {
+    if (call.signal !== undefined) await this.turns?.wait('send');
+    if (isCancelled(call)) return { type: 'notSent', refused: false, reason: 'cancelled' };
     const origin = getOrigin(call.address);
     const client =
       call.hasOwnConnection === true ? new Client(origin, this.getOptions()) : undefined;
@@ -226,7 +236,7 @@
       close();
       const reason = getReason(error);
       if (!progress.isSent) return { type: 'notSent', refused: isRefused(error), reason };
-      if (call.signal?.aborted !== true) this.retireConnections(call.address);
+      if (!isCancelled(call)) this.retireConnections(call.address);
       return { type: 'lost', reason };
     } finally {
       clearTimeout(timer);
@@ -250,11 +260,12 @@
   }
 
   private getOptions() {
-    const { localAddress, endTracker } = this;
+    const { localAddress, endTracker, turns } = this;
+    const connect = newTrackedConnector(CONNECT_TIMEOUT_MS, endTracker);
     return {
       ...OPTIONS,
       localAddress,
-      connect: newTrackedConnector(CONNECT_TIMEOUT_MS, endTracker),
+      connect: turns === undefined ? connect : handOverInTurns(connect, turns),
     };
   }
 
--- a/src/core/metricNames.ts
+++ b/src/core/metricNames.ts
@@ -101,6 +101,18 @@
     kind: 'histogram',
     help: 'Time by which a timer fired late because the event loop was busy, sampled every second.',
   },
+  fireflywick_arrivals_total: {
+    kind: 'counter',
+    help: 'Requests that were received as a whole, by result: taken, left (their callers had closed the connection) or rejected (the host is overloaded).',
+  },
+  fireflywick_closed_connections_total: {
+    kind: 'counter',
+    help: 'Connections of callers that an overloaded host closed unread.',
+  },
+  fireflywick_arrival_wait_ms: {
+    kind: 'histogram',
+    help: 'Time for which a request that was received waited for its turn.',
+  },
   fireflywick_read_delay_ms: {
     kind: 'histogram',
     help: 'Longest time for which a request may have waited before this host read its headers.',
--- a/src/eventLoop/constants.ts
+++ b/src/eventLoop/constants.ts
@@ -1,4 +1,8 @@
 /** Time for which jobs run before everything that arrived meanwhile is read. */
 export const TURN_MS = 10;
+/** Longest time for which no request is taken while further connections are accepted. */
+export const MAX_ACCEPT_MS = 100;
+/** Time for which connections must have waited to be accepted without a break for new ones to be closed. */
+export const ACCEPT_OVERLOAD_MS = 300;
 /** Idle time in a poll of the event loop from which on nothing had been waiting to be read, in ms. */
 export const MIN_IDLE_MS = 1;
--- a/src/forwards/forwardAdmission.ts
+++ b/src/forwards/forwardAdmission.ts
@@ -1,3 +1,4 @@
+import { getTimeLeftMs } from '../arrivals/deadline.ts';
 import { Err, Ok, type Result } from '../base/result.ts';
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
@@ -8,6 +9,7 @@
 import { type Attribute, getAttributes } from '../suspects/attributes.ts';
 import { getQuarantine } from '../suspects/quarantine.ts';
 import {
+  MIN_ATTEMPT_MS,
   MIN_CALLER_IDLE_TIMEOUT_MS,
   CALLER_IDLE_TIMEOUT_GOALS,
   CALLER_IDLE_TIMEOUT_PAUSE_GOALS,
@@ -65,8 +67,10 @@
     const message = `no route matches host "${arrival.host}" and path "${arrival.target}"`;
     return Err(Failure.create('not_found', message));
   }
-  if (!canEndBeforeStop(state, route, getDeadline(arrival, route), now))
-    return Err(newStopRefusal());
+  const deadlineAt = getDeadline(arrival, route);
+  if (deadlineAt - now < MIN_ATTEMPT_MS)
+    return Err(Failure.create('overloaded', 'too little time is left before the deadline'));
+  if (!canEndBeforeStop(state, route, deadlineAt, now)) return Err(newStopRefusal());
   const problem = isResumption({ ...arrival, route }) ? findResumptionProblem(arrival) : undefined;
   return problem === undefined ? Ok(route) : Err(Failure.create('bad_request', problem));
 }
@@ -85,8 +89,8 @@
 }
 
 /** Returns monotonic ms by which the response must be complete. */
-function getDeadline({ arrivedAt, labels }: NewForward, route: Route): number {
-  return arrivedAt + Math.min(route.timeoutMs, labels.waitMs);
+function getDeadline({ arrivedAt, readDelayMs, labels }: NewForward, route: Route): number {
+  return arrivedAt + getTimeLeftMs(Math.min(route.timeoutMs, labels.waitMs), readDelayMs);
 }
 
 function newForward(
--- a/src/forwards/forwardAttempts.ts
+++ b/src/forwards/forwardAttempts.ts
@@ -130,6 +130,10 @@
     forward.mayHaveRun = true;
     return [...released, ...abandonForward(state, forward, forward.lastReason)];
   },
+  unsent: ({ state, forward }) => {
+    forward.sends -= 1;
+    return releaseForwardReservation(state, forward);
+  },
   cancelled: () => [],
 };
 
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -173,6 +173,8 @@
       bodyEnd?: BodyEnd;
       problem?: ConnectionProblem;
     }
+  /** It was not sent, since nobody waits for the answer any more; its request ends in a moment. */
+  | { type: 'unsent' }
   | { type: 'cancelled' };
 
 /** Start of an endpoint, in Unix ms, and monotonic ms at which it refused a connection. */
--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -2,8 +2,9 @@
 import type { MemoryBudget } from '../base/memoryBudget.ts';
 import { confirmCloseDelimited } from '../clients/closeDelimited.ts';
 import { isServerRunning } from '../clients/connectionCheck.ts';
-import { SocketEndTracker, newTrackedConnector } from '../clients/connector.ts';
+import { handOverInTurns, newTrackedConnector, SocketEndTracker } from '../clients/connector.ts';
 import { limitInterimResponses } from '../clients/interimResponses.ts';
+import type { TurnQueue } from '../eventLoop/turnQueue.ts';
 import type { AttemptSpec, ForwardOutcome } from '../forwards/types.ts';
 import type { EndpointNotice } from '../notices/types.ts';
 import { isRunningBehindRelay, type RelayTarget } from '../relays/relayClient.ts';
@@ -30,6 +31,8 @@
 export interface ForwardAttemptListener {
   /** Whether the attempt may still be sent; asked when it has a connection. */
   isStillWanted: () => boolean;
+  /** Whether its caller has left, or its deadline has passed; asked when it has a connection. */
+  isTooLate: () => boolean;
   /** Called when bytes of an answer arrive. */
   onReceived: () => void;
   /** Called with what the head of a valid response says of the endpoint. */
@@ -63,6 +66,7 @@
     private readonly localAddress: string | undefined,
     private readonly maxConnections: (endpoint: string) => number,
     private readonly budget: MemoryBudget,
+    private readonly turns: TurnQueue,
   ) {}
 
   static create(options: {
@@ -75,9 +79,11 @@
     maxConnections: (endpoint: string) => number;
     /** Bytes of all requests and responses of the host. */
     budget: MemoryBudget;
+    /** Turns in which requests are written to new connections. */
+    turns: TurnQueue;
   }): EndpointClient {
-    const { labels, host, localAddress, maxConnections, budget } = options;
-    return new EndpointClient(labels, host, localAddress, maxConnections, budget);
+    const { labels, host, localAddress, maxConnections, budget, turns } = options;
+    return new EndpointClient(labels, host, localAddress, maxConnections, budget, turns);
   }
 
   /** Sends a request once. */
@@ -207,9 +213,11 @@
   }
 
   private newConnector(target: RelayTarget | undefined): buildConnector.connector {
-    return target === undefined
-      ? newTrackedConnector(ENDPOINT_CONNECT_TIMEOUT_MS, this.endTracker)
-      : newRelayedConnector(target, this.endTracker);
+    const connect =
+      target === undefined
+        ? newTrackedConnector(ENDPOINT_CONNECT_TIMEOUT_MS, this.endTracker)
+        : newRelayedConnector(target, this.endTracker);
+    return handOverInTurns(connect, this.turns);
   }
 }
 
--- a/src/gatewayHost/forwardExchange.ts
+++ b/src/gatewayHost/forwardExchange.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Failure } from '../errors/failure.ts';
 import type { BytesHolder, MemoryBudget } from '../base/memoryBudget.ts';
+import { hasCallerLeft } from '../http/callerDeparture.ts';
 import { sendFailure } from '../http/reply.ts';
 import type { RawHeaders } from './platform.ts';
 
@@ -73,6 +74,11 @@
     this.response.destroy();
   }
 
+  /** Whether the caller has closed its connection, as far as this host has read. */
+  get hasCallerLeft(): boolean {
+    return hasCallerLeft(this.response.req, this.response);
+  }
+
   get hasResponseStarted(): boolean {
     return this.response.headersSent;
   }
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -108,6 +108,7 @@
     this.controller = controller;
     // The attempt was cancelled while it waited for a connection: nothing was written.
     if (this.isCancelled) controller.abort(new Error('cancelled'));
+    else if (this.options.listener.isTooLate()) this.abortTooLate(controller);
     else this.abortIfOutdated(controller);
   }
 
@@ -270,6 +271,12 @@
     };
   }
 
+  /** Ends an attempt of which nothing was written, and whose request ends in a moment. */
+  private abortTooLate(controller: Controller): void {
+    this.end({ type: 'unsent' });
+    controller.abort(new Error('nobody waits for the answer'));
+  }
+
   /**
    * Ends an attempt that waited for its connection until its headers state more time than is left, or
    * until its endpoint takes no more requests; nothing was written yet.
--- a/src/gatewayHost/frontServer.ts
+++ b/src/gatewayHost/frontServer.ts
@@ -2,11 +2,16 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { MemoryBudget } from '../base/memoryBudget.ts';
 import type { Event } from '../core/events.ts';
+import { newCount, newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
+import type { AcceptBacklog } from '../eventLoop/acceptBacklog.ts';
 import type { PollClock } from '../eventLoop/pollClock.ts';
 import { readBody } from '../http/body.ts';
-import { type RunningServer, startServer } from '../http/httpServer.ts';
+import type { Observer } from '../host/observer.ts';
+import type { ArrivalQueue } from '../http/arrivalQueue.ts';
+import { onCallerLeft } from '../http/callerDeparture.ts';
+import { type Reading, type RunningServer, startServer } from '../http/httpServer.ts';
 import { sendFailure } from '../http/reply.ts';
 import type { SocketAddress } from '../settings/values.ts';
 import {
@@ -26,6 +31,9 @@
   /** Bytes of all requests and responses of the host. */
   readonly budget: MemoryBudget;
   readonly pollClock: PollClock;
+  readonly arrivals: ArrivalQueue;
+  readonly backlog: AcceptBacklog;
+  readonly observer: Observer;
   dispatch(event: Event): void;
 }
 
@@ -44,10 +52,19 @@
   /** Starts listening and returns the port; rejects when the address is in use. */
   async start(address: SocketAddress): Promise<number> {
     const limits = { headerBytes: MAX_HEADER_BYTES, slowSenderMs: DEFAULT_HEADER_TIMEOUT_MS };
+    const { backlog, arrivals, pollClock, labels, observer } = this.host;
     this.server = await startServer(
-      (request, response) => this.handleRequest(request, response),
+      (request, response, reading) => this.handleRequest(request, response, reading),
       address,
       limits,
+      {
+        backlog,
+        arrivals,
+        pollClock,
+        getWaitMs: ({ rawHeaders }) => labels.readRequestLabels(rawHeaders).waitMs,
+        onRejected: (request, failure) => this.observeRejection(request, failure),
+        onClosed: () => observer.observe(newCount('fireflywick_closed_connections_total', {})),
+      },
     );
     return this.server.port;
   }
@@ -58,10 +75,12 @@
     await this.stopping;
   }
 
-  private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const arrivedAt = performance.now();
-    const { state, labels: labelPort, pollClock } = this.host;
-    const readDelayMs = pollClock.getReadDelayMs();
+  private async handleRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    reading: Reading,
+  ): Promise<void> {
+    const { state, labels: labelPort } = this.host;
     const limits = state.routeIndex.current?.table.limits;
     if (limits !== undefined) this.server?.setIdleTimeoutMs(limits.idleTimeoutMs);
     const refuse = (failure: Failure): void =>
@@ -105,10 +124,10 @@
     response.once('close', () => {
       exchange.release();
       this.host.exchanges.delete(id);
-      if (!response.writableFinished) this.host.dispatch({ type: 'forwardCancelled', id });
     });
+    onCallerLeft(request, response, () => this.host.dispatch({ type: 'forwardCancelled', id }));
     // The caller closed its connection while the body was read.
-    if (response.destroyed || request.socket.destroyed) {
+    if (exchange.hasCallerLeft) {
       exchange.release();
       this.host.exchanges.delete(id);
       return;
@@ -122,12 +141,20 @@
         labels,
         caller: request.socket.remoteAddress ?? '',
         fingerprint: getFingerprint(method, target, labels.adapter, body.val),
-        arrivedAt,
-        readDelayMs,
+        arrivedAt: reading.at,
+        readDelayMs: reading.delayMs,
       },
     });
   }
 
+  private observeRejection({ url, rawHeaders }: IncomingMessage, failure: Failure): void {
+    const { observer, labels } = this.host;
+    const { kind: result, message: reason } = failure;
+    const { attemptId: requestId } = labels.readRequestLabels(rawHeaders);
+    observer.observe(newCount('fireflywick_requests_total', { firm: '', kind: 'forward', result }));
+    observer.observe(newLog('info', 'request refused', { requestId, target: url, result, reason }));
+  }
+
   private newForwardId(): string {
     this.nextId += 1;
     const { id, incarnation } = this.host.state.host;
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -2,6 +2,7 @@
 import { isDeepStrictEqual } from 'node:util';
 import { suspectRoutes } from '../admin/routes/commands.ts';
 import { AdminServer } from '../admin/server.ts';
+import { ArrivalQueue } from '../http/arrivalQueue.ts';
 import { MemoryBudget } from '../base/memoryBudget.ts';
 import { hash32 } from '../base/hash.ts';
 import { HttpClient } from '../clients/httpClient.ts';
@@ -10,9 +11,12 @@
 import { isReady } from '../core/lifecycle.ts';
 import { type Policy, State } from '../core/state.ts';
 import type { Failure } from '../errors/failure.ts';
+import { AcceptBacklog } from '../eventLoop/acceptBacklog.ts';
 import { PollClock } from '../eventLoop/pollClock.ts';
+import { TurnQueue } from '../eventLoop/turnQueue.ts';
 import type { AttemptSpec } from '../forwards/types.ts';
 import type { Loop } from '../host/loop.ts';
+import { observeArrival } from '../host/observeArrival.ts';
 import { newObservedLoop } from '../host/observedLoop.ts';
 import { listen } from '../http/listen.ts';
 import { Observer } from '../host/observer.ts';
@@ -62,6 +66,15 @@
   readonly exchanges = new Map<string, ForwardExchange>();
   readonly budget = MemoryBudget.create(MAX_HELD_BYTES);
   readonly pollClock = PollClock.create();
+  readonly backlog = AcceptBacklog.create();
+  readonly turns = TurnQueue.create(this.backlog, (error) => this.logJobError(error));
+  readonly arrivals = ArrivalQueue.create({
+    turns: this.turns,
+    getFraction: () => this.state.random.getFraction(),
+    onResult: (result) => observeArrival(this.observer, result),
+  });
+  /** Attempts that are sent in the next turn. */
+  private readonly queuedAttempts = new Set<string>();
   readonly runningAttempts = new Map<string, RunningForwardAttempt>();
   readonly state: State;
   readonly observer: Observer;
@@ -120,6 +133,7 @@
     this.relayServer = RelayServer.create({
       localAddress: host.sourceAddress,
       findAddress: (endpoint) => getRelayedAddress(this.state, endpoint),
+      turns: this.turns,
       onCountChanged: (count) =>
         this.observer.observe(newGauge('fireflywick_relayed_connections', {}, count)),
     });
@@ -129,6 +143,7 @@
       localAddress: host.sourceAddress,
       maxConnections: (endpoint) => this.getMaxConnections(endpoint),
       budget: this.budget,
+      turns: this.turns,
     });
     this.loop = newObservedLoop({
       state: this.state,
@@ -217,18 +232,31 @@
     this.loop.dispatch(event);
   }
 
-  /** Sends one attempt of a request to an endpoint. */
+  /** Sends one attempt of a request to an endpoint, unless its caller is found to have left. */
   sendForward(spec: AttemptSpec): void {
+    this.queuedAttempts.add(spec.attempt);
+    this.turns.run('send', () => {
+      if (!this.queuedAttempts.delete(spec.attempt)) return;
+      this.loop.guard({ type: 'sendForward', spec }, () => this.sendQueuedAttempt(spec));
+    });
+  }
+
+  cancelForward(attempt: string): void {
+    if (!this.queuedAttempts.delete(attempt)) this.runningAttempts.get(attempt)?.cancel();
+  }
+
+  private sendQueuedAttempt(spec: AttemptSpec): void {
     const { id, attempt } = spec;
     const exchange = this.exchanges.get(id);
-    if (exchange === undefined) {
-      this.dispatch({ type: 'forwardEnded', id, attempt, outcome: { type: 'cancelled' } });
+    if (exchange === undefined || isTooLate(spec, exchange)) {
+      this.dispatch({ type: 'forwardEnded', id, attempt, outcome: { type: 'unsent' } });
       return;
     }
     const monitor = this.getPathMonitor(spec.relay?.host);
     monitor.recordSent();
     const running = this.endpointClient.sendAttempt(spec, exchange, {
       isStillWanted: () => this.isStillWanted(spec),
+      isTooLate: () => isTooLate(spec, exchange),
       onReceived: () => monitor.recordReceived(),
       onNoticeRead: (notice) => this.reportNotice(spec, notice),
       onResponseStarted: () => this.dispatch({ type: 'forwardStarted', id, attempt }),
@@ -289,6 +317,10 @@
     this.resolveStopped();
   }
 
+  private logJobError(error: unknown): void {
+    this.observer.logger.write('error', 'queued job failed', { reason: describeError(error) });
+  }
+
   /** Gives a request its final answer after an error on this host. */
   private abandonRequest(id: string, failure: Failure): void {
     const exchange = this.exchanges.get(id);
@@ -374,6 +406,11 @@
   }
 }
 
+/** Whether nobody waits for the answer to an attempt any more; its request ends without another attempt. */
+function isTooLate({ deadlineAt }: AttemptSpec, exchange: ForwardExchange): boolean {
+  return exchange.hasCallerLeft || performance.now() >= deadlineAt;
+}
+
 function newState(settings: GatewaySettings): State {
   const { host, listen } = settings;
   const { id, zone, region, incarnation } = host;
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -117,7 +117,7 @@
   breakSilentAttempt: (host, { attempt, silentMs }) =>
     host.runningAttempts.get(attempt)?.breakIfSilent(silentMs),
   sendForward: (host, { spec }) => host.sendForward(spec),
-  cancelForward: (host, { attempt }) => host.runningAttempts.get(attempt)?.cancel(),
+  cancelForward: (host, { attempt }) => host.cancelForward(attempt),
   passResponse: (host, { id }) => host.exchanges.get(id)?.sendBufferedResponse(),
   endResponse: (host, { id }) => host.exchanges.get(id)?.end(),
   failForward: (host, { id, failure }) => host.exchanges.get(id)?.fail(failure),
--- a/src/host/context.ts
+++ b/src/host/context.ts
@@ -32,6 +32,8 @@
   readonly links: PeerLinks;
   readonly completionExchanges: Map<string, CompletionExchange>;
   readonly serviceExchanges: Map<string, ServiceExchange>;
+  /** Calls to services in flight, by the id of their request. */
+  readonly serviceCalls: Map<string, AbortController>;
   readonly draftAcceptanceHandlers: Map<string, DraftAcceptanceHandler>;
   readonly draftReadHandlers: Map<string, DraftReadHandler>;
   readonly services: ServiceClient;
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -1,4 +1,5 @@
 import { AdminServer } from '../admin/server.ts';
+import { ArrivalQueue } from '../http/arrivalQueue.ts';
 import type { DraftReadHandler, DraftAcceptanceHandler } from '../callers/types.ts';
 import type { CompletionExchange } from '../callers/completionExchange.ts';
 import type { ServiceExchange } from '../callers/serviceExchange.ts';
@@ -11,7 +12,9 @@
 import { TableClient } from '../clients/tableClient.ts';
 import { hash32 } from '../base/hash.ts';
 import type { Event } from '../core/events.ts';
+import { AcceptBacklog } from '../eventLoop/acceptBacklog.ts';
 import { PollClock } from '../eventLoop/pollClock.ts';
+import { TurnQueue } from '../eventLoop/turnQueue.ts';
 import { State } from '../core/state.ts';
 import type { DraftListAnswer, DraftReadAnswer } from '../drafts/types.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
@@ -22,14 +25,17 @@
 import { abandonRequest } from './abandonRequest.ts';
 import type { HostContext, RunningAttempt } from './context.ts';
 import type { Loop } from './loop.ts';
+import { observeArrival } from './observeArrival.ts';
 import { newObservedLoop } from './observedLoop.ts';
 import { Observer } from './observer.ts';
+import { describeError } from './processErrors.ts';
 import { runEffect } from './runners/index.ts';
 
 /** An entry host: loop, clients and servers. */
 export class EntryHost implements HostContext {
   readonly completionExchanges = new Map<string, CompletionExchange>();
   readonly serviceExchanges = new Map<string, ServiceExchange>();
+  readonly serviceCalls = new Map<string, AbortController>();
   readonly draftAcceptanceHandlers = new Map<string, DraftAcceptanceHandler>();
   readonly draftReadHandlers = new Map<string, DraftReadHandler>();
   readonly attempts = new Map<string, RunningAttempt>();
@@ -42,6 +48,8 @@
   readonly hostList: HostListClient;
   readonly links: PeerLinks;
   readonly pollClock = PollClock.create();
+  readonly backlog = AcceptBacklog.create();
+  readonly arrivals: ArrivalQueue;
   private readonly http: HttpClient;
   private readonly loop: Loop;
   private readonly callerServer: CallerServer;
@@ -55,7 +63,15 @@
     const { host, log } = settings;
     const fields = { host: host.id, zone: host.zone };
     this.observer = Observer.create(Logger.create({ level: log.level, fields }));
-    const http = HttpClient.create({ localAddress: settings.host.sourceAddress });
+    const turns = TurnQueue.create(this.backlog, (error) => {
+      this.observer.logger.write('error', 'queued job failed', { reason: describeError(error) });
+    });
+    this.arrivals = ArrivalQueue.create({
+      turns,
+      getFraction: () => this.state.random.getFraction(),
+      onResult: (result) => observeArrival(this.observer, result),
+    });
+    const http = HttpClient.create({ localAddress: settings.host.sourceAddress, turns });
     this.http = http;
     const { tableUrl, objectsUrl, hostsUrl } = settings.platform;
     this.table = TableClient.create({ address: tableUrl, http });
--- a/src/host/loop.ts
+++ b/src/host/loop.ts
@@ -68,12 +68,15 @@
   }
 
   private handle(event: Event): void {
-    for (const effect of this.getEffects(event)) {
-      try {
-        this.runEffect(effect);
-      } catch (error) {
-        this.onError(effect, error);
-      }
+    for (const effect of this.getEffects(event)) this.guard(effect, () => this.runEffect(effect));
+  }
+
+  /** Runs an effect, or a part of one that was put off; what it throws is handled as that of any effect. */
+  guard(effect: Effect, run: () => void): void {
+    try {
+      run();
+    } catch (error) {
+      this.onError(effect, error);
     }
   }
 
--- a/src/host/runners/actionsAndDrafts.ts
+++ b/src/host/runners/actionsAndDrafts.ts
@@ -9,6 +9,7 @@
 
 type ActionOrDraftEffect =
   | 'callService'
+  | 'cancelServiceCall'
   | 'answerAction'
   | 'answerDraft'
   | 'prepareDraftRequest'
@@ -30,6 +31,10 @@
     }
     void callService(context, effect, exchange);
   },
+  cancelServiceCall: (context, { id }) => {
+    context.serviceCalls.get(id)?.abort(new Error('cancelled'));
+    context.serviceExchanges.delete(id);
+  },
   answerAction: (context, { id, answer }) => {
     context.serviceExchanges.get(id)?.onAnswer(answer);
     context.serviceExchanges.delete(id);
@@ -68,6 +73,8 @@
 ): Promise<void> {
   const { method, target, headers, body } = exchange;
   const remainingMs = Math.max(1, Math.ceil(effect.deadline - performance.now()));
+  const abort = new AbortController();
+  context.serviceCalls.set(effect.id, abort);
   const call = context.services.call({
     address: effect.address,
     method: method as HttpCall['method'],
@@ -76,8 +83,10 @@
     body: body.length === 0 ? undefined : body,
     timeoutMs: remainingMs,
     mustNotRetry: !effect.isRepeatable,
+    signal: abort.signal,
   });
   const answer = await catchRejection<HttpAnswer>(call, (reason) => ({ type: 'lost', reason }));
+  if (context.serviceCalls.get(effect.id) === abort) context.serviceCalls.delete(effect.id);
   context.dispatch({
     type: 'serviceCallEnded',
     id: effect.id,
--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -2,8 +2,12 @@
 import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { Failure } from '../errors/failure.ts';
+import type { AcceptBacklog } from '../eventLoop/acceptBacklog.ts';
+import type { PollClock } from '../eventLoop/pollClock.ts';
 import type { SocketAddress } from '../settings/values.ts';
+import type { ArrivalQueue } from './arrivalQueue.ts';
 import { CallerConnection, type ReceiveLimits } from './callerConnection.ts';
+import { hasCallerLeft } from './callerDeparture.ts';
 import {
   CONNECTION_CHECK_INTERVAL_MS,
   IDLE_CHECK_INTERVAL_MS,
@@ -12,8 +16,33 @@
 import { listen } from './listen.ts';
 import { sendFailure } from './reply.ts';
 
+/** When the head of a request was read. */
+export interface Reading {
+  /** Monotonic ms. */
+  at: number;
+  /** Longest time in ms for which it may have waited before. */
+  delayMs: number;
+}
+
 /** Handles a request; an error that it throws or rejects with is answered with `internal`. */
-type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
+type RequestHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  reading: Reading,
+) => void | Promise<void>;
+
+/** How a server lets requests wait for their turn. */
+export interface Intake {
+  backlog: AcceptBacklog;
+  arrivals: ArrivalQueue;
+  pollClock: PollClock;
+  /** Returns the time in ms that the caller of a request waits; Infinity if it set no limit. */
+  getWaitMs: (request: IncomingMessage) => number;
+  /** Called for each request that is rejected because the host is overloaded. */
+  onRejected: (request: IncomingMessage, failure: Failure) => void;
+  /** Called for each connection that is closed unread because the host is overloaded. */
+  onClosed: () => void;
+}
 
 type Connections = Map<Duplex, CallerConnection>;
 
@@ -26,11 +55,15 @@
   setIdleTimeoutMs: (idleMs: number) => void;
 }
 
-/** Starts an HTTP server; rejects when the address stays in use. Port 0 takes any free port. */
+/**
+ * Starts an HTTP server; rejects when the address stays in use. Port 0 takes any free port. Without an
+ * `intake`, requests are handled as soon as their head is read.
+ */
 export async function startServer(
   handle: RequestHandler,
   address: SocketAddress,
   limits: ReceiveLimits,
+  intake?: Intake,
 ): Promise<RunningServer> {
   const connections: Connections = new Map();
   const server = createServer(
@@ -43,8 +76,11 @@
       connectionsCheckingInterval: Math.min(limits.slowSenderMs, CONNECTION_CHECK_INTERVAL_MS),
     },
     (request, response) => {
-      if (connections.get(request.socket)?.receive(request, response) === true)
-        void handleRequest(handle, request, response);
+      if (connections.get(request.socket)?.receive(request, response) !== true) return;
+      const reading = { at: performance.now(), delayMs: intake?.pollClock.getReadDelayMs() ?? 0 };
+      const take = (): void => void handleRequest(handle, request, response, reading);
+      if (intake === undefined) take();
+      else queueRequest(intake, request, response, take);
     },
   );
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
@@ -53,6 +89,10 @@
     else connection.handleError(error);
   });
   server.on('connection', (socket) => {
+    if (intake !== undefined && !mayKeep(intake)) {
+      socket.destroy();
+      return;
+    }
     connections.set(socket, CallerConnection.create(socket, limits));
     socket.once('close', () => connections.delete(socket));
   });
@@ -67,13 +107,43 @@
   };
 }
 
+/**
+ * Records a new connection and returns whether to keep it. A host that can't keep up with the connections that
+ * are opened would read each one only after its caller has left; callers of those that it closes unread try
+ * another host at once.
+ */
+function mayKeep({ backlog, onClosed }: Intake): boolean {
+  backlog.recordConnection();
+  if (!backlog.isOverloaded) return true;
+  onClosed();
+  return false;
+}
+
+function queueRequest(
+  { arrivals, getWaitMs, onRejected }: Intake,
+  request: IncomingMessage,
+  response: ServerResponse,
+  take: () => void,
+): void {
+  arrivals.push({
+    getWaitMs: () => getWaitMs(request),
+    hasCallerLeft: () => hasCallerLeft(request, response),
+    take,
+    reject: (failure) => {
+      onRejected(request, failure);
+      sendFailure(response, failure);
+    },
+  });
+}
+
 async function handleRequest(
   handle: RequestHandler,
   request: IncomingMessage,
   response: ServerResponse,
+  reading: Reading,
 ): Promise<void> {
   try {
-    await handle(request, response);
+    await handle(request, response, reading);
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
     sendFailure(response, Failure.create('internal', `the request failed: ${reason}`));
--- a/src/relays/joinSockets.ts
+++ b/src/relays/joinSockets.ts
@@ -1,19 +1,33 @@
 import type { Socket } from 'node:net';
+import type { TurnQueue } from '../eventLoop/turnQueue.ts';
 
 /**
  * Passes the bytes of a caller and of an endpoint on to each other, as fast as each takes them, and ends one
  * connection in the way that the other ended: a reset must not look like a graceful end.
  */
-export function joinSockets(caller: Socket, endpoint: Socket): void {
-  passOn(caller, endpoint, () => endpoint.end());
-  passOn(endpoint, caller, () => {
+export function joinSockets(caller: Socket, endpoint: Socket, turns: TurnQueue): void {
+  passRequestsOn(caller, endpoint, turns);
+  passEndOn(caller, endpoint, () => endpoint.end());
+  endpoint.pipe(caller, { end: false });
+  passEndOn(endpoint, caller, () => {
     if (wasReset(endpoint)) caller.resetAndDestroy();
     else caller.end();
   });
 }
 
-function passOn(from: Socket, to: Socket, onEnd: () => void): void {
-  from.pipe(to, { end: false });
+/** Passes bytes on in turns: a caller that has closed its connection has cancelled its request. */
+function passRequestsOn(caller: Socket, endpoint: Socket, turns: TurnQueue): void {
+  caller.on('data', (bytes) => {
+    turns.push('send', () => {
+      if (caller.destroyed || caller.readableEnded || endpoint.write(bytes)) return;
+      caller.pause();
+      endpoint.once('drain', () => caller.resume());
+    });
+  });
+  caller.resume();
+}
+
+function passEndOn(from: Socket, to: Socket, onEnd: () => void): void {
   from.once('end', onEnd);
   from.once('error', () => to.resetAndDestroy());
   from.once('close', () => {
--- a/src/relays/relayServer.ts
+++ b/src/relays/relayServer.ts
@@ -1,5 +1,6 @@
 import { connect, type Socket } from 'node:net';
 import { splitAddress } from '../clients/address.ts';
+import type { TurnQueue } from '../eventLoop/turnQueue.ts';
 import { encodeFrame, FRAME_KIND } from '../peers/frames.ts';
 import { MAX_RELAYED_CONNECTIONS, RELAY_CONNECT_TIMEOUT_MS } from './constants.ts';
 import { joinSockets } from './joinSockets.ts';
@@ -10,6 +11,8 @@
   localAddress: string | undefined;
   /** Returns the `IP:PORT` of an endpoint to which this host relays now; undefined if it declines. */
   findAddress: (endpoint: string) => string | undefined;
+  /** Turns in which requests are passed on. */
+  turns: TurnQueue;
   /** Called when the number of relayed connections changes. */
   onCountChanged: (count: number) => void;
 }
@@ -86,7 +89,7 @@
       clearTimeout(timer);
       endpoint.off('error', onError);
       socket.write(encodeFrame(FRAME_KIND.relayAnswer, { result: 'opened' }));
-      joinSockets(socket, endpoint);
+      joinSockets(socket, endpoint, this.options.turns);
     });
   }
 }
--- a/tests/fuzz/input.test.ts
+++ b/tests/fuzz/input.test.ts
@@ -90,7 +90,7 @@
     fc.assert(
       fc.property(value, value, (kind, deadline) => {
         const headers = { 'x-request-kind': kind, 'x-request-deadline-ms': deadline };
-        const parsed = parseRequestHeaders(headers, LIMITS as never);
+        const parsed = parseRequestHeaders(headers, LIMITS as never, 0);
         if (parsed.err) expect(parsed.val.message).toMatch(/^header X-Request-(Kind|Deadline-Ms) /);
         else expect(parsed.val.remainingMs).toBeLessThanOrEqual(LIMITS.maxRequestMs);
       }),
@@ -99,7 +99,7 @@
   });
 
   it.each(['0x10', '1e3', ' 5', '', 'Infinity', '5ms', '--5'])('%j is no deadline', (deadline) => {
-    const parsed = parseRequestHeaders({ 'x-request-deadline-ms': deadline }, LIMITS as never);
+    const parsed = parseRequestHeaders({ 'x-request-deadline-ms': deadline }, LIMITS as never, 0);
     expect(parsed.err && parsed.val.param).toBe('X-Request-Deadline-Ms');
   });
 
