Decide seldom what is quarantined while many crashes are reported

Callers saw: hosts a second late when many endpoints were lost at once. Cause: each host tells all others of each broken request. For each report, a host looked at all known suspects, sorted by their crashes, wrote a log line, and prepared a write of the shared row, which all hosts then tried at once. Change: up to 50 suspects a host decides at once, as before; beyond that at most each 100 ms, with one line for all reports since.

--- a/src/suspects/constants.ts
+++ b/src/suspects/constants.ts
@@ -32,6 +32,21 @@
 export const SUSPECT_SYNC_RETRY_MS = 2_000;
 /** Maximum suspects that a host knows; cleared ones are dropped first, and of each the least recently changed. */
 export const MAX_KNOWN_SUSPECTS = 4_000;
+/**
+ * Interval at which a host decides again what is quarantined while records change: none up to the first number
+ * of suspects, then longer with each further one, up to the maximum. A decision looks at all suspects, and a
+ * loss of many endpoints changes a record for each of their requests.
+ */
+export const FREELY_DECIDED_SUSPECTS = 50;
+export const DECISION_INTERVAL_PER_SUSPECT_MS = 0.5;
+export const MAX_DECISION_INTERVAL_MS = 100;
+/** Attributes that are named in one log line of reports. */
+export const MAX_LOGGED_ATTRIBUTES = 20;
+/** Time over which the hosts' writes of the row of suspects are spread, for each member of the row. */
+export const ROW_WRITE_SPREAD_PER_HOST_MS = 50;
+/** Pause before the row is written again after another host wrote it first; doubles with each such write. */
+export const ROW_CONFLICT_RETRY_MS = 20;
+export const MAX_ROW_CONFLICT_RETRY_MS = 640;
 /** Different requests that are kept with a suspect. */
 export const MAX_SUSPECT_REQUESTS = 2;
 /**
--- a/src/suspects/directorySuspects.ts
+++ b/src/suspects/directorySuspects.ts
@@ -3,11 +3,14 @@
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import type { DirectoryWriteAnswer } from '../directory/types.ts';
-import { isLinkedToMostMembers } from '../owners/owner.ts';
+import { countLimitSharers, isLinkedToMostMembers } from '../owners/owner.ts';
 import {
   MAX_STORED_CRASHES,
   MAX_STORED_SUSPECTS,
+  MAX_ROW_CONFLICT_RETRY_MS,
   MIN_STORED_CRASHES,
+  ROW_CONFLICT_RETRY_MS,
+  ROW_WRITE_SPREAD_PER_HOST_MS,
   SUSPECT_SYNC_RETRY_MS,
 } from './constants.ts';
 import { getCountedCrashes, isSameSuspect } from './mergeSuspects.ts';
@@ -57,6 +60,7 @@
 ): Effect[] {
   state.suspects.isWritingRow = false;
   if (answer.type === 'written') {
+    state.suspects.rowConflicts = 0;
     return [...applySuspectsRow(state, row, answer.version, now), ...writeSuspectsRow(state)];
   }
   if (answer.type === 'conflict') {
@@ -64,17 +68,35 @@
     // A row that is absent or malformed is replaced.
     const current = content?.type === 'suspects' ? content.row : { suspects: [] };
     const version = answer.current?.version ?? 0;
-    return [...applySuspectsRow(state, current, version, now), ...writeSuspectsRow(state)];
+    const effects = applySuspectsRow(state, current, version, now);
+    scheduleConflictRetry(state, now);
+    return effects;
   }
   scheduleRowWrite(state, now);
   return [newLog('warn', 'write of the suspects row failed', { reason: answer.reason })];
 }
 
-/** Schedules a write of the row, which is left out if the row lacks nothing by then. */
+/**
+ * Schedules a write of the row, which is left out if the row lacks nothing by then. The writes of all hosts
+ * are spread, so that the first ones reach the others before they would write the same.
+ */
 export function scheduleRowWrite(state: State, now: number): void {
   if (state.suspects.isRowWriteScheduled) return;
   state.suspects.isRowWriteScheduled = true;
-  const delayMs = SUSPECT_SYNC_RETRY_MS * (0.5 + state.random.getFraction() / 2);
+  const spreadMs = Math.max(
+    SUSPECT_SYNC_RETRY_MS / 2,
+    ROW_WRITE_SPREAD_PER_HOST_MS * countLimitSharers(state.owners),
+  );
+  const delayMs = SUSPECT_SYNC_RETRY_MS / 2 + spreadMs * state.random.getFraction();
+  schedule(state, now + delayMs, { type: 'writeSuspectsRow' });
+}
+
+/** Writes the row again soon after another host was first; many hosts may do so at once. */
+function scheduleConflictRetry(state: State, now: number): void {
+  const { suspects, random } = state;
+  const maxDelayMs = ROW_CONFLICT_RETRY_MS * 2 ** suspects.rowConflicts;
+  const delayMs = Math.min(MAX_ROW_CONFLICT_RETRY_MS, maxDelayMs) * random.getFraction();
+  suspects.rowConflicts = Math.min(suspects.rowConflicts + 1, 8);
   schedule(state, now + delayMs, { type: 'writeSuspectsRow' });
 }
 
--- a/src/suspects/handlers.ts
+++ b/src/suspects/handlers.ts
@@ -2,6 +2,7 @@
 import { resumeRequestsWaitingForSuspect } from '../requests/grantRequests.ts';
 import { attributeCrashToPins } from './crashes.ts';
 import { writeSuspectsRow } from './directorySuspects.ts';
+import { decideQuarantines } from './quarantine.ts';
 import { expireSuspect } from './suspectRecords.ts';
 import { handleSuspectReport } from './suspectReports.ts';
 import {
@@ -23,6 +24,10 @@
   syncSuspect: (_state, { attribute }) => [readSuspectRow(attribute)],
   attributeCrashToPins: (state, timer, now) => attributeCrashToPins(state, timer, now),
   pollSuspects: (state, _timer, now) => pollSuspects(state, now),
+  decideQuarantines: (state, _timer, now) => {
+    state.suspects.isDecisionScheduled = false;
+    return decideQuarantines(state, now);
+  },
   writeSuspectsRow: (state) => {
     state.suspects.isRowWriteScheduled = false;
     return writeSuspectsRow(state);
--- a/src/suspects/quarantine.ts
+++ b/src/suspects/quarantine.ts
@@ -9,7 +9,14 @@
   isSharedAttribute,
   QUARANTINE_RULES,
 } from './attributes.ts';
-import { MIN_CRASH_STREAK, SUSPECT_TTL_MS } from './constants.ts';
+import {
+  DECISION_INTERVAL_PER_SUSPECT_MS,
+  FREELY_DECIDED_SUSPECTS,
+  MAX_DECISION_INTERVAL_MS,
+  MAX_LOGGED_ATTRIBUTES,
+  MIN_CRASH_STREAK,
+  SUSPECT_TTL_MS,
+} from './constants.ts';
 import { getCountedCrashes, getCrashedRuns } from './mergeSuspects.ts';
 import type { Suspect, Suspects } from './types.ts';
 
@@ -54,10 +61,27 @@
 }
 
 /**
- * Decides again which attributes are quarantined; called after each change of the records. Requests in
- * flight that have a new one of them are ended by a timer.
+ * Decides again which attributes are quarantined, at once or after the interval between two decisions; called
+ * after each change of the records.
  */
 export function updateQuarantines(state: State, now: number): Effect[] {
+  const { suspects } = state;
+  const intervalMs = getDecisionIntervalMs(suspects);
+  const dueAt = suspects.decidedAt + intervalMs;
+  if (intervalMs === 0 || now >= dueAt) return decideQuarantines(state, now);
+  if (suspects.isDecisionScheduled) return [];
+  suspects.isDecisionScheduled = true;
+  schedule(state, dueAt, { type: 'decideQuarantines' });
+  return [];
+}
+
+/** Decides which attributes are quarantined. Requests in flight that have a new one are ended by a timer. */
+export function decideQuarantines(state: State, now: number): Effect[] {
+  state.suspects.decidedAt = now;
+  return [...logReports(state.suspects), ...replaceQuarantines(state, now)];
+}
+
+function replaceQuarantines(state: State, now: number): Effect[] {
   const { suspects } = state;
   const before = suspects.quarantined;
   const quarantined = findCauses(suspects);
@@ -73,6 +97,24 @@
   ];
 }
 
+function getDecisionIntervalMs({ active }: Suspects): number {
+  const costly = Math.max(0, active.size - FREELY_DECIDED_SUSPECTS);
+  return Math.min(MAX_DECISION_INTERVAL_MS, costly * DECISION_INTERVAL_PER_SUSPECT_MS);
+}
+
+/** Returns one log line of what other hosts have reported since the last decision. */
+function logReports({ reports: { hosts, attributes } }: Suspects): Effect[] {
+  if (hosts.size === 0) return [];
+  const fields = {
+    from: [...hosts],
+    attributes: [...attributes].slice(0, MAX_LOGGED_ATTRIBUTES),
+    changed: attributes.size,
+  };
+  hosts.clear();
+  attributes.clear();
+  return [newLog('info', 'suspects updated by peer report', fields)];
+}
+
 /**
  * Returns the attributes that explain the crashes: those with the most crashes first, the narrower
  * first among equals. Crashes that one explains do not count against the others.
--- a/src/suspects/suspectReports.ts
+++ b/src/suspects/suspectReports.ts
@@ -1,5 +1,4 @@
 import type { Effect } from '../core/effects.ts';
-import { newLog } from '../core/observations.ts';
 import { sendMessage } from '../core/sendMessage.ts';
 import type { State } from '../core/state.ts';
 import { MAX_SENT_SUSPECTS } from './constants.ts';
@@ -39,13 +38,14 @@
   if (changed.length === 0) return answers;
   // The reporting host may not know of crashes that others reported at the same time.
   if (state.policy.directory !== undefined) scheduleRowWrite(state, now);
-  const attributes = changed.map(({ attribute }) => attribute);
+  const { hosts, attributes } = state.suspects.reports;
+  hosts.add(from);
+  for (const { attribute } of changed) attributes.add(attribute);
   const proven = changed.filter((suspect) => {
     const reported = suspects.find(({ attribute }) => attribute === suspect.attribute);
     return suspect.isProven && reported?.isProven !== true;
   });
   return [
-    newLog('info', 'suspects updated by peer report', { from, attributes }),
     ...answers,
     ...newSuspectReports(state, proven, [from]),
     ...newSuspectReports(state, changed, getHostsToForwardTo(state, from)),
@@ -72,9 +72,10 @@
   hosts: readonly string[],
 ): Effect[] {
   if (suspects.length === 0) return [];
+  const report = { type: 'suspectsReported' as const, suspects: [...suspects] };
   return hosts
     .filter((host) => host !== state.host.id)
-    .map((host) => sendMessage(state, host, { type: 'suspectsReported', suspects: [...suspects] }));
+    .map((host) => sendMessage(state, host, report));
 }
 
 /** Returns the known records of suspects that were cleared since the reported ones were written. */
--- a/src/suspects/types.ts
+++ b/src/suspects/types.ts
@@ -69,6 +69,11 @@
   readonly active = new Set<string>();
   /** Attributes that explain crashes, as decided after the last change of a record. */
   quarantined: ReadonlySet<string> = new Set();
+  /** Monotonic ms at which that was decided last. */
+  decidedAt = -Infinity;
+  isDecisionScheduled = false;
+  /** What other hosts have reported since then, for the log. */
+  readonly reports = { hosts: new Set<string>(), attributes: new Set<string>() };
   readonly completions = Completions.create();
   /** Monotonic ms at which each suspect expires. */
   readonly expiresAt = new Map<string, number>();
@@ -85,6 +90,8 @@
   storedVersion = 0;
   isWritingRow = false;
   isRowWriteScheduled = false;
+  /** Writes in a row before which another host had written the row. */
+  rowConflicts = 0;
 
   private constructor() {}
 
@@ -97,6 +104,8 @@
   | { type: 'suspectExpiry'; attribute: string }
   | { type: 'syncSuspect'; attribute: string }
   | { type: 'pollSuspects' }
+  /** Decides again what is quarantined. */
+  | { type: 'decideQuarantines' }
   | { type: 'writeSuspectsRow' }
   | { type: 'attributeCrashToPins'; engine: string; bootId: string; before: number };
 
