Take a stream that ends right behind its head for broken off

Reported of another system: clients got a 200 with an empty body, framed as whole, from an engine that stopped within its answer's head. Cause here: a stream without a length ends with its connection, and one that closes right behind the head was passed on as a whole stream without an event. Change: such a stream was broken off, unless it goes on after an event that the caller or this host knows.

--- a/src/gatewayHost/forwardExchange.ts
+++ b/src/gatewayHost/forwardExchange.ts
@@ -25,6 +25,8 @@
     readonly headers: RawHeaders,
     readonly body: Buffer,
     readonly attemptId: string,
+    /** Whether the caller names the last event that it received of a stream. */
+    readonly resumesStream: boolean,
     private readonly response: ServerResponse,
     private readonly isShuttingDown: () => boolean,
     private readonly budget: MemoryBudget,
@@ -38,13 +40,14 @@
     headers: RawHeaders;
     body: Buffer;
     attemptId: string;
+    resumesStream: boolean;
     response: ServerResponse;
     /** Whether the host is shutting down, so that callers must not reuse the connection. */
     isShuttingDown: () => boolean;
     /** Bytes of all requests and responses of the host. */
     budget: MemoryBudget;
   }): ForwardExchange {
-    const { method, target, headers, body, attemptId } = options;
+    const { method, target, headers, body, attemptId, resumesStream } = options;
     const { response, isShuttingDown, budget } = options;
     return new ForwardExchange(
       method,
@@ -52,6 +55,7 @@
       headers,
       body,
       attemptId,
+      resumesStream,
       response,
       isShuttingDown,
       budget,
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -173,6 +173,10 @@
         this.abort(controller, 'the stream ended within an event');
         return;
       }
+      if (this.mayHaveStoppedBehindHead()) {
+        this.abort(controller, 'the stream ended without an event');
+        return;
+      }
       const rest = this.splitter.takeRemainder();
       const bodyEnd = this.getBodyEnd(rest.length);
       if (rest.length > 0) this.passEvent(controller, { bytes: rest, id: undefined });
@@ -193,6 +197,16 @@
     else this.endBroken(reason, this.isConnectionLost(error) ? 'lost' : undefined);
   }
 
+  /**
+   * Whether nothing tells the end of the stream from an endpoint that stopped right behind the head. A stream
+   * that goes on may have no further event.
+   */
+  private mayHaveStoppedBehindHead(): boolean {
+    const { exchange } = this.options;
+    const isContinued = exchange.hasResponseStarted || exchange.resumesStream;
+    return this.framing === 'connectionClose' && !this.hasPassedEvent && !isContinued;
+  }
+
   private passEvent(controller: Controller, { bytes, id }: StreamEvent): void {
     const { exchange, listener } = this.options;
     if (this.isEnded || isRepeated(id, exchange.lastEventId)) return;
--- a/src/gatewayHost/frontServer.ts
+++ b/src/gatewayHost/frontServer.ts
@@ -116,6 +116,7 @@
       headers: request.rawHeaders,
       body: body.val,
       attemptId: labels.attemptId,
+      resumesStream: labels.hasLastEventId === true,
       response,
       isShuttingDown: () => state.phase !== 'running',
       budget,
