Close connections unread only where many are opened

Cause: a slow host that was busy for a moment accepts a few connections in as many long iterations, and would close the last ones. A request that was answered while it waited for its turn, since it is malformed further on, is dropped. Measured: tests/eventLoop/acceptBacklog.test.ts, with a case of ten slow connections.

--- a/src/eventLoop/acceptBacklog.ts
+++ b/src/eventLoop/acceptBacklog.ts
@@ -1,4 +1,4 @@
-import { ACCEPT_OVERLOAD_MS } from './constants.ts';
+import { ACCEPT_OVERLOAD_MS, MIN_OVERLOAD_CONNECTIONS } from './constants.ts';
 
 /**
  * Knows whether connections wait in the kernel to be accepted. The event loop accepts one in each
@@ -6,7 +6,9 @@
  */
 export class AcceptBacklog {
   private hasAccepted = false;
+  /** Monotonic ms since which each iteration accepted one, and how many that were. */
   private since: number | undefined;
+  private accepted = 0;
 
   private constructor() {}
 
@@ -17,6 +19,7 @@
   /** Records that a connection was accepted. */
   recordConnection(): void {
     this.hasAccepted = true;
+    this.accepted += 1;
     if (this.since !== undefined) return;
     this.since = performance.now();
     this.check();
@@ -29,13 +32,15 @@
 
   /** Whether connections have waited for so long that this process will not catch up with them. */
   get isOverloaded(): boolean {
-    return this.since !== undefined && performance.now() - this.since >= ACCEPT_OVERLOAD_MS;
+    if (this.since === undefined || this.accepted < MIN_OVERLOAD_CONNECTIONS) return false;
+    return performance.now() - this.since >= ACCEPT_OVERLOAD_MS;
   }
 
   private check(): void {
     setImmediate(() => {
       if (!this.hasAccepted) {
         this.since = undefined;
+        this.accepted = 0;
         return;
       }
       this.hasAccepted = false;
--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -127,7 +127,8 @@
 ): void {
   arrivals.push({
     getWaitMs: () => getWaitMs(request),
-    hasCallerLeft: () => hasCallerLeft(request, response),
+    // A request that is malformed further on may have been answered meanwhile.
+    hasCallerLeft: () => response.headersSent || hasCallerLeft(request, response),
     take,
     reject: (failure) => {
       onRejected(request, failure);
--- a/tests/eventLoop/acceptBacklog.test.ts
+++ b/tests/eventLoop/acceptBacklog.test.ts
@@ -2,10 +2,10 @@
 import { setImmediate as nextIteration } from 'node:timers/promises';
 import { expect, it } from 'vitest';
 import { AcceptBacklog } from '../../src/eventLoop/acceptBacklog.ts';
-import { ACCEPT_OVERLOAD_MS } from '../../src/eventLoop/constants.ts';
+import { ACCEPT_OVERLOAD_MS, MIN_OVERLOAD_CONNECTIONS } from '../../src/eventLoop/constants.ts';
 import { cleanUpAfterTest, waitUntil } from '../support.ts';
 
-const CONNECTIONS = 20;
+const CONNECTIONS = 2 * MIN_OVERLOAD_CONNECTIONS;
 
 function block(ms: number): void {
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
@@ -14,6 +14,7 @@
 /** Opens connections at once; returns whether the backlog was overloaded as each one was accepted. */
 async function acceptAll(
   workMs: number,
+  connections = CONNECTIONS,
 ): Promise<{ backlog: AcceptBacklog; overloaded: boolean[] }> {
   const backlog = AcceptBacklog.create();
   const overloaded: boolean[] = [];
@@ -26,11 +27,11 @@
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   cleanUpAfterTest(() => new Promise((resolve) => server.close(() => resolve())));
   const { port } = server.address() as AddressInfo;
-  for (let count = 0; count < CONNECTIONS; count++)
+  for (let count = 0; count < connections; count++)
     connect(port, '127.0.0.1').on('error', () => undefined);
   await nextIteration();
   block(50);
-  await waitUntil(() => overloaded.length === CONNECTIONS && !backlog.isWaiting);
+  await waitUntil(() => overloaded.length === connections && !backlog.isWaiting);
   return { backlog, overloaded };
 }
 
@@ -42,7 +43,10 @@
   expect(backlog.isOverloaded).toBe(false);
 });
 
-it('many connections that are accepted soon are none', async () => {
-  const { overloaded } = await acceptAll(1);
-  expect(overloaded).toEqual(Array(CONNECTIONS).fill(false));
+it.each([
+  ['many connections that are accepted soon', 1, CONNECTIONS],
+  ['a few connections that are accepted slowly', ACCEPT_OVERLOAD_MS / 4, 10],
+])('%s are none', async (_name, workMs, connections) => {
+  const { overloaded } = await acceptAll(workMs, connections);
+  expect(overloaded).toEqual(Array(connections).fill(false));
 });
