List the fields of a new forward one by one

Cause: a profile of 4,000 requests in one gateway showed 250 ms in the spread of the arrival, the largest part of its own code. Change: as the entry host does, the fields are listed. Measured: type check and the tests of the forwards pass; not profiled again.

--- a/src/forwards/forwardAdmission.ts
+++ b/src/forwards/forwardAdmission.ts
@@ -100,8 +100,16 @@
   attributes: readonly Attribute[],
 ): Forward {
   const { arrivedAt } = arrival;
+  // Fields are listed one by one, since spreading `arrival` is slow.
   return {
-    ...arrival,
+    id: arrival.id,
+    host: arrival.host,
+    target: arrival.target,
+    labels: arrival.labels,
+    caller: arrival.caller,
+    fingerprint: arrival.fingerprint,
+    arrivedAt,
+    readDelayMs: arrival.readDelayMs,
     route,
     service,
     attributes,
