--- a/src/core/metricNames.ts
+++ b/src/core/metricNames.ts
@@ -103,7 +103,7 @@
   },
   fireflywick_arrivals_total: {
     kind: 'counter',
-    help: 'Requests that were received as a whole, by result: taken, left (their callers had closed the connection) or rejected (the host is overloaded).',
+    help: 'Requests that were received, by result: taken, left (their callers had closed the connection) or rejected (the host is overloaded).',
   },
   fireflywick_closed_connections_total: {
     kind: 'counter',
