--- a/tests/faults/departedCallers.test.ts
+++ b/tests/faults/departedCallers.test.ts
@@ -14,7 +14,7 @@
 import { GatewayProcess } from '../helpers/gatewayProcess.ts';
 import { getFirmAdapters, SINGLE_HOST } from '../helpers/layouts.ts';
 import { ProcessThrottle } from '../helpers/processThrottle.ts';
-import { getRawHead, RawEndpoint } from '../helpers/rawEndpoint.ts';
+import { getRawHead, RawEndpoint, type RawRequest } from '../helpers/rawEndpoint.ts';
 import { cleanUpAfterTest, startStandIn, waitUntil } from '../support.ts';
 
 /** Time after the departure of a caller from which its request must not reach an endpoint. */
@@ -32,12 +32,12 @@
   endpoints: RawEndpoint[];
 }
 
-/** Starts a gateway in front of two endpoints that answer at once. */
-async function startGateway(): Promise<Gateway> {
+/** Starts a gateway in front of two endpoints that answer after `workMs`. */
+async function startGateway(workMs = 0): Promise<Gateway> {
   const deployment = await GatewayDeployment.create();
   deployment.configure(1, { limits: { bodyBytes: 100_000 } });
   const endpoints = ['d1', 'd2'].map(() =>
-    RawEndpoint.create((request) => [`${getRawHead(request, 'content-length: 2')}ok`]),
+    RawEndpoint.create((request) => [workMs, `${getRawHead(request, 'content-length: 2')}ok`]),
   );
   for (const [index, endpoint] of endpoints.entries())
     deployment.register('desk', `d${index + 1}`, await startStandIn(endpoint));
@@ -46,7 +46,7 @@
   await waitUntil(async () => (await process.getReadyStatus()) === 200);
   const port = Number(process.frontAddress.split(':')[1]);
   await waitUntil(async () => {
-    const attempt = await sendOnce(port, { id: 'first', path: '/booking/1', waitMs: 2_000 });
+    const attempt = await sendOnce(port, { id: 'first', path: '/booking/1', waitMs: 5_000 });
     return attempt.status === 200;
   });
   return { process, port, endpoints };
@@ -105,6 +105,29 @@
   });
 });
 
+// Guards against endpoints that work on for callers that have left a late host.
+it('a host that was suspended cancels at once what its departed callers asked for', async () => {
+  const gateway = await startGateway(2_500);
+  const headers = { 'deadline-ms': '5000' };
+  const waitMs = 1_500;
+  const leaving = Array.from({ length: CALLERS }, (_, index) =>
+    sendOnce(gateway.port, { id: `left-${index}`, path: '/booking/1', waitMs, headers }),
+  );
+  const getRequests = (): RawRequest[] =>
+    gateway.endpoints
+      .flatMap(({ requests }) => requests)
+      .filter((request) => request.headers['attempt-id']?.startsWith('left-') === true);
+  await waitUntil(() => getRequests().length === CALLERS);
+  gateway.process.signal('SIGSTOP');
+  const left = await Promise.all(leaving);
+  expect(left.every(({ hasLeft }) => hasLeft)).toBe(true);
+  const resumedAt = performance.now();
+  gateway.process.signal('SIGCONT');
+  await sleep(2 * GRACE_MS);
+  const late = getRequests().filter(({ closedAt = Infinity }) => closedAt > resumedAt + GRACE_MS);
+  expect(late).toEqual([]);
+});
+
 // Guards against a host that is asked for more than it can do and serves what nobody waits for any more.
 describe('a host with a fifth of a core serves callers that still wait', () => {
   const OVERLOAD_WAIT_MS = 600;
--- a/tests/helpers/rawEndpoint.ts
+++ b/tests/helpers/rawEndpoint.ts
@@ -9,6 +9,8 @@
   headers: Record<string, string>;
   /** Monotonic ms at which it had arrived as a whole. */
   arrivedAt: number;
+  /** Monotonic ms at which its connection was closed; absent while that is open. */
+  closedAt?: number;
 }
 
 /** One step of an answer: bytes that are sent, a pause in ms or until a promise resolves, or an end. */
@@ -72,11 +74,16 @@
     socket.on('close', () => this.sockets.delete(socket));
     socket.on('error', () => undefined);
     let received = '';
+    let last: RawRequest | undefined;
+    socket.on('close', () => {
+      if (last !== undefined) last.closedAt = performance.now();
+    });
     socket.on('data', (chunk) => {
       received += chunk.toString('latin1');
       const request = parseRequest(received);
       if (request === undefined) return;
       received = '';
+      last = request;
       void this.respond(socket, request);
     });
   }
