Close connections unread only while callers leave before their turn

Cause: that each iteration of the event loop accepts a connection does not show that connections wait for long. Change: they are closed only while, besides, half of the last callers had left before their requests were taken.

--- a/src/arrivals/constants.ts
+++ b/src/arrivals/constants.ts
@@ -6,6 +6,12 @@
 /** Longest wait of a request at an overloaded host, and the share of its time that it may wait. */
 export const MAX_WAIT_MS = 250;
 export const MAX_WAIT_SHARE = 0.25;
+/**
+ * Share of the requests whose callers had left before their turn, from which on a host is late; it is an
+ * average in which each request weighs so much.
+ */
+export const LATE_SHARE = 0.5;
+export const LATE_WEIGHT = 0.1;
 /**
  * Shortest `Retry-After` of a rejected request, and the time over which the returns are spread beyond it.
  * Callers try another host, and the requests that wait here are taken or rejected within MAX_WAIT_MS.
--- a/src/http/arrivalQueue.ts
+++ b/src/http/arrivalQueue.ts
@@ -1,3 +1,4 @@
+import { LATE_SHARE, LATE_WEIGHT } from '../arrivals/constants.ts';
 import { Failure } from '../errors/failure.ts';
 import type { TurnQueue } from '../eventLoop/turnQueue.ts';
 import {
@@ -44,6 +45,8 @@
 export class ArrivalQueue {
   private readonly waiting: QueuedArrival[] = [];
   private busySince: number | undefined;
+  /** Share of the last requests whose callers had left before their turn. */
+  private leftShare = 0;
 
   private constructor(private readonly options: Options) {}
 
@@ -62,6 +65,11 @@
     this.options.turns.push('take', () => this.handleNext());
   }
 
+  /** Whether most callers leave before this host comes to their requests. */
+  get isLate(): boolean {
+    return this.leftShare >= LATE_SHARE;
+  }
+
   private get backlog(): Backlog {
     return { since: this.busySince, firstQueuedAt: this.waiting[0]?.queuedAt };
   }
@@ -75,7 +83,9 @@
     const { arrival, queuedAt } = next;
     const { onResult } = this.options;
     const waitedMs = now - queuedAt;
-    if (arrival.hasCallerLeft()) {
+    const hasLeft = arrival.hasCallerLeft();
+    this.leftShare += LATE_WEIGHT * (Number(hasLeft) - this.leftShare);
+    if (hasLeft) {
       onResult({ result: 'left', waitedMs });
     } else if (wasOverloaded && waitedMs > getMaxWaitMs(arrival.getWaitMs())) {
       this.reject(arrival, waitedMs);
--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -112,9 +112,9 @@
  * are opened would read each one only after its caller has left; callers of those that it closes unread try
  * another host at once.
  */
-function mayKeep({ backlog, onClosed }: Intake): boolean {
+function mayKeep({ backlog, arrivals, onClosed }: Intake): boolean {
   backlog.recordConnection();
-  if (!backlog.isOverloaded) return true;
+  if (!backlog.isOverloaded || !arrivals.isLate) return true;
   onClosed();
   return false;
 }
