Order an engine's queue by rank and share, and have owners choose among their engines

Cause: the queue knew neither what is urgent nor tenants, a long prompt kept short ones waiting at the owner, engines counted as equally fast, and hosts chose engines by announcements up to a second old. Change: rank, share of the tenant, latest start and length of the prompt order the queue; an owner grants a request on the one of its engines that will serve it first, gathers long prompts, and learns each engine's rate of prefill from first events.

--- a/src/forwards/endpointCandidates.ts
+++ b/src/forwards/endpointCandidates.ts
@@ -12,6 +12,8 @@
 import { getOwner } from '../owners/owner.ts';
 import type { Owner } from '../owners/types.ts';
 import { getEngineStatus } from '../residency/engineStatus.ts';
+import { getPrefillMs } from '../residency/prefill.ts';
+import type { EngineStatus } from '../residency/types.ts';
 import { filterByVersionSplit } from '../streams/versionSplits.ts';
 import {
   MAX_RANK_COST_MS,
@@ -131,7 +133,9 @@
   cost +=
     status === undefined
       ? UNKNOWN_LOAD_COST_MS
-      : status.backlogMs + status.running * RUNNING_REQUEST_COST_MS;
+      : status.backlogMs +
+        status.running * RUNNING_REQUEST_COST_MS +
+        getReadingCostMs(forward, status);
   if (!isResident) {
     cost += WARM_LOAD_COST_MS + Math.min(MAX_RANK_COST_MS, rank * RANK_COST_MS);
     if (status !== undefined && status.openSlots <= 0) {
@@ -143,6 +147,11 @@
   return { view, owner, cost: cost + getKnownPermitWaitMs(view, now) };
 }
 
+/** Returns how much longer an engine takes to read a prompt than one of the usual speed, in ms. */
+function getReadingCostMs({ labels }: Forward, { tokensPerMs }: EngineStatus): number {
+  return getPrefillMs(labels.promptTokens, tokensPerMs) - getPrefillMs(labels.promptTokens);
+}
+
 /** Returns the owner of an endpoint if it is this host or has a link to it. */
 function getReachableOwner({ owners, host }: State, { endpoint }: EndpointView): Owner | undefined {
   const owner = getOwner(owners, endpoint.id, endpoint.zone);
--- a/src/forwards/forwardPlacement.ts
+++ b/src/forwards/forwardPlacement.ts
@@ -7,6 +7,7 @@
 import { isLimited, needsPermit, takeOwnPermit } from '../limits/permits.ts';
 import { getEngineStatus } from '../residency/engineStatus.ts';
 import { getPrefillMs } from '../residency/prefill.ts';
+import { getRank } from './priorities.ts';
 import { RESERVATION_TIMEOUT_MS } from './constants.ts';
 import {
   chooseCandidate,
@@ -130,7 +131,8 @@
   forward.pendingReservation = { engine: endpoint.id, owner, isQueued: false };
   const status = state.residency.remoteStatuses.get(endpoint.id);
   // Until the owner's next status, this host adds the prefill time that it sends itself.
-  if (status !== undefined) status.sentPrefillMs += getPrefillMs(labels.promptTokens);
+  if (status !== undefined)
+    status.sentPrefillMs += getPrefillMs(labels.promptTokens, status.tokensPerMs);
   schedule(state, now + RESERVATION_TIMEOUT_MS, {
     type: 'reservationTimeout',
     id: forward.id,
@@ -149,8 +151,12 @@
       outputTokens: labels.outputTokens,
       remainingMs: forward.deadlineAt - now,
       goalMs: forward.goalAt - now,
-      priority: forward.route.priority,
+      priority: getRank(state, forward),
       maxWaitMs,
+      tenant: forward.tenant,
+      // A limited engine and one that resumes a stream are meant as they are.
+      canMove: maxWaitMs === undefined && forward.origin === undefined ? true : undefined,
+      excluded: [...forward.excluded],
     }),
   ];
 }
--- a/src/forwards/reservationAnswers.ts
+++ b/src/forwards/reservationAnswers.ts
@@ -23,6 +23,8 @@
     if (forward?.attempt?.endpoint === engine) return [];
     return [sendMessage(state, from, { type: 'placeReleased', request, engine, result: 'ended' })];
   }
+  // The owner may have found another engine that serves it earlier.
+  if (forward.pendingReservation !== undefined) forward.pendingReservation.engine = engine;
   const view = state.fleet.views.get(engine);
   forward.stallMs += stallMs;
   if (view === undefined || !isAvailable(view, now) || !canResumeStream(forward.origin, view))
@@ -40,11 +42,10 @@
 }
 
 /** Whether a request waits for this answer to its last reservation request. */
-function isWaitingFor(forward: Forward, { ask, engine }: ReservationGranted): boolean {
-  const { phase, reservationRequestNumber, pendingReservation } = forward;
-  return (
-    phase === 'awaitingOwner' &&
-    reservationRequestNumber === ask &&
-    pendingReservation?.engine === engine
-  );
+function isWaitingFor(
+  { phase, reservationRequestNumber, pendingReservation, origin }: Forward,
+  { ask, engine }: ReservationGranted,
+): boolean {
+  if (phase !== 'awaitingOwner' || reservationRequestNumber !== ask) return false;
+  return pendingReservation?.engine === engine || origin === undefined;
 }
--- a/src/forwards/sending.ts
+++ b/src/forwards/sending.ts
@@ -16,6 +16,7 @@
 import { getSentAttributes } from './crashEvidence.ts';
 import { refuseInvalidKey } from './keyChecks.ts';
 import { endQuarantined, startTrial } from './quarantinedForwards.ts';
+import { getEnginePriority } from './priorities.ts';
 import { consumeServiceRetry, observeRetry } from './retryBudgets.ts';
 import type { Forward } from './types.ts';
 
@@ -86,7 +87,7 @@
         sentAt: now,
         isStream: route.kind === 'stream',
         deadlineAt: forward.deadlineAt,
-        priority: labels.model === '' ? undefined : Math.min(9, route.priority + 4),
+        priority: labels.model === '' ? undefined : getEnginePriority(state, forward),
         version,
         resumeAfter: forward.lastEventId,
         tenant: getTenantLabel(state, forward),
--- a/src/residency/constants.ts
+++ b/src/residency/constants.ts
@@ -42,10 +42,27 @@
 /** Additional prefill time of a prompt for each million token pairs (quadratic attention cost). */
 export const ATTENTION_MS_PER_MILLION_PAIRS = 1.1;
 /**
- * Most prompt tokens that wait for prefill on an engine at once. The engine processes them between
- * two events of all its streams, whose pauses may last up to 400 ms.
+ * Time in which an engine reads the prompts that are sent to it at once. It reads them between two events of
+ * all its streams, whose pauses may last up to 400 ms.
  */
-export const MAX_PENDING_PREFILL_TOKENS = 6_500;
+export const PREFILL_BUDGET_MS = 270;
+/** Share of the budget from which on a prompt is long. */
+export const LONG_PROMPT_SHARE = 0.5;
+/** Share of the budget that short prompts have beside a long one. */
+export const SHORT_PROMPT_RESERVE = 0.25;
+/** Cost of each running request when an owner compares its engines. */
+export const RUNNING_REQUEST_START_MS = 2;
+/** Cost of loading an adapter on an engine that its host did not choose, beside the load. */
+export const ABSENT_ADAPTER_COST_MS = 150;
+/** Time that another engine must save for a request to be moved there. */
+export const MIN_SAVING_MS = 10;
+/** Share of the time until its first event is late that a long prompt may wait to join others. */
+export const GATHERING_SLACK_SHARE = 0.4;
+/** Time before its latest start from which on a request no longer waits for shorter ones. */
+export const URGENT_MS = 150;
+/** Half-life of the tokens that an engine granted to a tenant, and the excess over its share that counts. */
+export const TENANT_USE_HALF_LIFE_MS = 2_000;
+export const OVERUSE_RATIO = 1.25;
 /** Time after which prefill counts as completed even if no first event was reported. */
 export const PREFILL_TIMEOUT_MS = 1_500;
 /** Share of an engine's memory that reservations may fill; above it the engine preempts requests. */
--- a/src/residency/engineStatus.ts
+++ b/src/residency/engineStatus.ts
@@ -89,6 +89,7 @@
     isLoadingModel: isLoadingModel(state, owned, now),
     openSlots: countOpenSlots(owned, limit) - waiting.size,
     adapters,
+    tokensPerMs: owned.speed.rate,
   };
 }
 
@@ -99,6 +100,9 @@
 
 function getQueuePrefillMs(owned: EngineResidency): number {
   return Math.round(
-    owned.queue.reduce((sum, queued) => sum + getPrefillMs(queued.promptTokens), 0),
+    owned.queue.reduce(
+      (sum, queued) => sum + getPrefillMs(queued.promptTokens, owned.speed.rate),
+      0,
+    ),
   );
 }
--- a/src/residency/handlers.ts
+++ b/src/residency/handlers.ts
@@ -8,7 +8,23 @@
 import { queueReservation, releaseReservation, serveReservations } from './reservations.ts';
 import { applyEngineStatus, announceEngineStatus } from './engineStatus.ts';
 import { addWantedAdapter } from './relocation.ts';
-import type { ResidencyEvent, ResidencyTimer } from './types.ts';
+import type { State } from '../core/state.ts';
+import type { EngineResidency, ResidencyEvent, ResidencyTimer } from './types.ts';
+
+/** Returns the engine at which a request waits or runs; its host may not have learned yet that it was moved. */
+function findEngineOf(
+  { residency }: State,
+  engine: string,
+  request: string,
+): EngineResidency | undefined {
+  const asked = residency.owned.get(engine);
+  if (asked === undefined || holdsRequest(asked, request)) return asked;
+  return [...residency.owned.values()].find((owned) => holdsRequest(owned, request)) ?? asked;
+}
+
+function holdsRequest({ queue, reservations }: EngineResidency, request: string): boolean {
+  return reservations.has(request) || queue.some((queued) => queued.request === request);
+}
 
 export const residencyMessages: MessageHandlers<
   'placeAsked' | 'placeStarted' | 'placeReleased' | 'enginesTold' | 'adapterWanted'
@@ -17,12 +33,13 @@
   placeStarted: (state, { request, engine }, _from, now) => {
     const owned = state.residency.owned.get(engine);
     const reservation = owned?.reservations.get(request);
-    if (owned === undefined || reservation === undefined) return [];
+    if (owned === undefined || reservation?.isPrefilling !== true) return [];
+    owned.speed.recordStart(reservation.promptTokens, reservation.grantedAt, now);
     completePrefill(owned, reservation);
     return serveReservations(state, owned, now);
   },
   placeReleased: (state, { request, engine, result, isRefused = false }, _from, now) => {
-    const owned = state.residency.owned.get(engine);
+    const owned = findEngineOf(state, engine, request);
     if (owned === undefined) return releasePermit(state, engine, request, isRefused, now);
     const adapter = owned.reservations.get(request)?.adapter;
     releaseReservation(owned, request);
--- a/src/residency/ownedEngines.ts
+++ b/src/residency/ownedEngines.ts
@@ -7,6 +7,7 @@
 import { TAKEOVER_WAIT_MS, UNREACHABLE_AFTER_MS } from '../owners/constants.ts';
 import { getMember, getOwner, getMembersRowOwner, isUnreachableFor } from '../owners/owner.ts';
 import { requireReport } from './adapterOrders.ts';
+import { EngineSpeed } from './engineSpeed.ts';
 import { openOrderConnection } from './orderKeepAlive.ts';
 import { getEngineClass, refuseQueuedReservations, serveReservations } from './reservations.ts';
 import { relocateAdapters } from './relocation.ts';
@@ -84,6 +85,8 @@
     known.reservations.clear();
     known.reservedTokens = 0;
     known.pendingPrefillTokens = 0;
+    known.longPrefillTokens = 0;
+    known.speed = EngineSpeed.create();
     known.orderInFlight = undefined;
     requireReport(known, now);
   }
@@ -121,6 +124,9 @@
     reservations: new Map(),
     reservedTokens: 0,
     pendingPrefillTokens: 0,
+    longPrefillTokens: 0,
+    speed: EngineSpeed.create(),
+    tenantUse: new Map(),
   };
 }
 
--- a/src/residency/prefill.ts
+++ b/src/residency/prefill.ts
@@ -1,35 +1,55 @@
 import {
   ATTENTION_MS_PER_MILLION_PAIRS,
-  MAX_PENDING_PREFILL_TOKENS,
+  LONG_PROMPT_SHARE,
+  PREFILL_BUDGET_MS,
   PREFILL_TOKENS_PER_MS,
+  SHORT_PROMPT_RESERVE,
   PREFILL_TIMEOUT_MS,
 } from './constants.ts';
 import type { EngineResidency, Reservation } from './types.ts';
 
-/** Returns the expected prefill time of a prompt, in ms. */
-export function getPrefillMs(promptTokens: number): number {
+/** Returns the expected prefill time of a prompt at `rate` tokens per ms, in ms. */
+export function getPrefillMs(promptTokens: number, rate = PREFILL_TOKENS_PER_MS): number {
   return (
-    promptTokens / PREFILL_TOKENS_PER_MS +
-    (promptTokens ** 2 / 1e6) * ATTENTION_MS_PER_MILLION_PAIRS
+    promptTokens / rate +
+    (promptTokens ** 2 / 1e6) * ATTENTION_MS_PER_MILLION_PAIRS * (PREFILL_TOKENS_PER_MS / rate)
   );
 }
 
 /** Returns the expected time until an engine has processed its pending prompts, in ms. */
-export function getPrefillBacklogMs({ pendingPrefillTokens }: EngineResidency): number {
-  return pendingPrefillTokens / PREFILL_TOKENS_PER_MS;
+export function getPrefillBacklogMs({ pendingPrefillTokens, speed }: EngineResidency): number {
+  return pendingPrefillTokens / speed.rate;
 }
 
 /**
- * Whether an engine may be sent another prompt. The engine processes pending prompts between two
- * events of all its streams, so their total size bounds the pauses of the streams.
+ * Whether an engine may be sent another prompt. It reads pending prompts between two events of all its
+ * streams, so the time to read them bounds the pauses of the streams. Beside a long prompt, short ones have a
+ * reserve, so that they need not wait until it has been read.
  */
-export function canSendPrompt(
-  { pendingPrefillTokens }: EngineResidency,
-  promptTokens: number,
-): boolean {
-  return (
-    pendingPrefillTokens === 0 || pendingPrefillTokens + promptTokens <= MAX_PENDING_PREFILL_TOKENS
-  );
+export function canSendPrompt(owned: EngineResidency, promptTokens: number): boolean {
+  const { pendingPrefillTokens, longPrefillTokens } = owned;
+  const budget = getPrefillBudget(owned);
+  if (pendingPrefillTokens === 0 || pendingPrefillTokens + promptTokens <= budget) return true;
+  const pendingShortTokens = pendingPrefillTokens - longPrefillTokens;
+  const fitsReserve = pendingShortTokens + promptTokens <= budget * SHORT_PROMPT_RESERVE;
+  return longPrefillTokens > 0 && fitsReserve;
+}
+
+/** Whether a prompt takes so long to read that it holds up others on an engine. */
+export function isLongPrompt(owned: EngineResidency, promptTokens: number): boolean {
+  return promptTokens > getPrefillBudget(owned) * LONG_PROMPT_SHARE;
+}
+
+function getPrefillBudget({ speed }: EngineResidency): number {
+  return PREFILL_BUDGET_MS * speed.rate;
+}
+
+/** Records that a prompt is sent to an engine; returns whether it is a long one. */
+export function startPrefill(owned: EngineResidency, promptTokens: number): boolean {
+  const isLong = isLongPrompt(owned, promptTokens);
+  owned.pendingPrefillTokens += promptTokens;
+  if (isLong) owned.longPrefillTokens += promptTokens;
+  return isLong;
 }
 
 /** Records that an engine has processed the prompt of a reservation. */
@@ -37,6 +57,7 @@
   if (!reservation.isPrefilling) return;
   reservation.isPrefilling = false;
   owned.pendingPrefillTokens -= reservation.promptTokens;
+  if (reservation.isLong) owned.longPrefillTokens -= reservation.promptTokens;
 }
 
 /** Completes the prefill of reservations without a first event after `PREFILL_TIMEOUT_MS`. */
--- a/src/residency/reservationQueue.ts
+++ b/src/residency/reservationQueue.ts
@@ -3,29 +3,60 @@
   MAX_QUEUE_DELAY_MS,
   EXPECTED_FIRST_EVENT_MS,
   QUEUE_DELAY_PER_TOKEN_MS,
+  URGENT_MS,
 } from './constants.ts';
-import { getPrefillBacklogMs, getPrefillMs } from './prefill.ts';
+import { getPrefillBacklogMs, getPrefillMs, isLongPrompt } from './prefill.ts';
 import type { EngineResidency, QueuedReservation } from './types.ts';
 
 /**
- * Sorts the queue of an engine. Requests that can still meet their goal come first. Among them,
- * requests whose adapter is resident but unused precede the others, so that its slot soon becomes free
- * again; then older requests precede younger ones. Long answers count as younger, since they occupy a
- * slot and the batch for longer. Late requests follow, the latest deadline first: serving a late
- * request makes another one late while the queue is long.
+ * Sorts the queue of an engine for the load of more requests than it starts in time. Requests that can still
+ * meet their goal come first. Among them, the more urgent rank precedes, then tenants that used no more than
+ * their share. Then a request that has to start now to be on time precedes those that can wait; of the others,
+ * those whose adapter is resident but unused do, so that its slot soon becomes free again, then short prompts,
+ * then older requests. Long answers count as younger, since they occupy a slot and the batch for longer.
+ * Late requests follow, the latest deadline first: serving a late request makes another one late while the
+ * queue is long.
  */
-export function sortReservationQueue(owned: EngineResidency, now: number): void {
-  const late = new Map(owned.queue.map((queued) => [queued, isLate(owned, queued, now)]));
-  owned.queue.sort((a, b) => {
-    const lateA = late.get(a) === true;
-    const lateB = late.get(b) === true;
-    if (lateA !== lateB) return lateA ? 1 : -1;
-    if (lateA) return b.deadlineAt - a.deadlineAt;
-    const idleA = holdsIdleCopy(owned, a);
-    const idleB = holdsIdleCopy(owned, b);
-    if (idleA !== idleB) return idleA ? -1 : 1;
-    return getQueueRank(a) - getQueueRank(b);
-  });
+export function sortReservationQueue(
+  owned: EngineResidency,
+  overusers: ReadonlySet<string>,
+  now: number,
+): void {
+  const positions = new Map(
+    owned.queue.map((queued) => [queued, newPosition(owned, overusers, queued, now)]),
+  );
+  owned.queue.sort((a, b) => comparePositions(positions.get(a), positions.get(b)));
+}
+
+/** What decides the place of a request in the queue, the most important first; the lowest value precedes. */
+type Position = readonly number[];
+
+function newPosition(
+  owned: EngineResidency,
+  overusers: ReadonlySet<string>,
+  queued: QueuedReservation,
+  now: number,
+): Position {
+  const slackMs = getSlackMs(owned, queued, now);
+  if (slackMs < 0) return [1, -queued.deadlineAt];
+  const isUrgent = slackMs < URGENT_MS;
+  return [
+    0,
+    queued.priority ?? 0,
+    Number(overusers.has(queued.tenant ?? '')),
+    Number(!isUrgent),
+    Number(!holdsIdleCopy(owned, queued)),
+    Number(!isUrgent && isLongPrompt(owned, queued.promptTokens)),
+    getQueueRank(queued),
+  ];
+}
+
+function comparePositions(a: Position = [], b: Position = []): number {
+  for (const [index, value] of a.entries()) {
+    const difference = value - (b[index] ?? 0);
+    if (difference !== 0) return difference;
+  }
+  return 0;
 }
 
 /** Whether the adapter of a reservation request is resident and has no reservations. */
@@ -34,14 +65,12 @@
   return copy?.phase === 'resident' && copy.reservations === 0;
 }
 
-/** Whether the first event would miss the goal even if the reservation were granted now. */
-function isLate(owned: EngineResidency, queued: QueuedReservation, now: number): boolean {
+/** Returns for how long a request can wait without missing its goal, in ms; below 0 if it is late anyway. */
+function getSlackMs(owned: EngineResidency, queued: QueuedReservation, now: number): number {
   const backlogMs = getPrefillBacklogMs(owned);
-  const prefillMs = getPrefillMs(queued.promptTokens);
-  return (
-    now + getLoadMs(owned, queued, now) + backlogMs + prefillMs + EXPECTED_FIRST_EVENT_MS >
-    queued.goalAt
-  );
+  const prefillMs = getPrefillMs(queued.promptTokens, owned.speed.rate);
+  const startMs = getLoadMs(owned, queued, now) + backlogMs + prefillMs + EXPECTED_FIRST_EVENT_MS;
+  return queued.goalAt - now - startMs;
 }
 
 /** Returns the expected time until the adapter is resident if its load begins now, in ms. */
--- a/src/residency/reservations.ts
+++ b/src/residency/reservations.ts
@@ -25,7 +25,15 @@
   ReservationRefusalReason,
   QueuedReservation,
 } from './types.ts';
-import { canSendPrompt, expirePrefills, getPrefillBacklogMs, completePrefill } from './prefill.ts';
+import {
+  canSendPrompt,
+  completePrefill,
+  expirePrefills,
+  getPrefillBacklogMs,
+  startPrefill,
+} from './prefill.ts';
+import { moveReservation } from './reservationMoves.ts';
+import { findOverusers, recordTenantUse } from './tenantShares.ts';
 import { sortReservationQueue } from './reservationQueue.ts';
 import { scheduleAnnouncement } from './engineStatus.ts';
 
@@ -38,11 +46,21 @@
   message: ReservationRequest,
   from: string,
   now: number,
+): Effect[] {
+  const askedView = state.fleet.views.get(message.engine);
+  if (askedView !== undefined && getEngineClass(state, askedView) === undefined)
+    return queuePermit(state, askedView, message, from, now);
+  return queueEngineReservation(state, moveReservation(state, message, now), from, now);
+}
+
+function queueEngineReservation(
+  state: State,
+  message: ReservationRequest,
+  from: string,
+  now: number,
 ): Effect[] {
   const owned = state.residency.owned.get(message.engine);
   const view = state.fleet.views.get(message.engine);
-  if (view !== undefined && getEngineClass(state, view) === undefined)
-    return queuePermit(state, view, message, from, now);
   if (owned === undefined || view === undefined)
     return refuseReservation(state, message, from, 'notOwner');
   if (!isRoutable(view)) return refuseReservation(state, message, from, 'leaving');
@@ -70,7 +88,7 @@
   removeExpiredReservations(owned, now);
   expirePrefills(owned, now);
   owned.queue = owned.queue.filter(({ deadlineAt }) => deadlineAt - MIN_REMAINING_MS > now);
-  sortReservationQueue(owned, now);
+  sortReservationQueue(owned, findOverusers(state, owned, now), now);
   const view = state.fleet.views.get(owned.id);
   const permits =
     view === undefined || !isLimited(view) ? undefined : getPermits(state, view, 'owner', now);
@@ -228,11 +246,12 @@
     tokens,
     promptTokens: queued.promptTokens,
     isPrefilling: true,
+    isLong: startPrefill(owned, queued.promptTokens),
     grantedAt: now,
     expiresAt: queued.deadlineAt + RESERVATION_GRACE_MS,
   });
   owned.reservedTokens += tokens;
-  owned.pendingPrefillTokens += queued.promptTokens;
+  recordTenantUse(owned, queued.tenant, tokens, now);
   const copy = owned.copies.get(queued.adapter);
   if (copy !== undefined) {
     copy.reservations += 1;
@@ -264,7 +283,8 @@
   ];
 }
 
-function getReservedTokens({ promptTokens, outputTokens }: ReservationRequest): number {
+/** Returns the tokens that a request takes of an engine's memory, as far as they can be foreseen. */
+export function getReservedTokens({ promptTokens, outputTokens }: ReservationRequest): number {
   return promptTokens + outputTokens * EXPECTED_OUTPUT_SHARE;
 }
 
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
+import type { DecayingCounter } from '../base/decayingCounter.ts';
 import type { TokenBucket } from '../base/tokenBucket.ts';
+import type { EngineSpeed } from './engineSpeed.ts';
 import { Popularity } from '../grants/popularity.ts';
 
 /** Half-life of the demand that evictions are decided by; demand shifts within seconds. */
@@ -32,6 +34,11 @@
    * versions omit it.
    */
   maxWaitMs: z.number().optional(),
+  /** Tenant of the caller; absent without tenants. */
+  tenant: z.string().optional(),
+  /** Whether the owner may grant a reservation on another engine that it owns; not on the `excluded` ones. */
+  canMove: z.boolean().optional(),
+  excluded: z.array(Id).optional(),
 });
 export type ReservationRequest = z.infer<typeof ReservationRequest>;
 
@@ -141,6 +148,8 @@
       openSlots: z.int(),
       /** Resident and loading adapters that are not outdated, with their versions; 0 if unknown. */
       adapters: z.array(z.tuple([z.string(), z.int().min(0)])),
+      /** Tokens of prompts that it reads in a ms; hosts of earlier versions omit it. */
+      tokensPerMs: z.number().positive().optional(),
     }),
   ),
 });
@@ -175,6 +184,8 @@
   promptTokens: number;
   /** Whether the engine has not sent the first event of the request yet. */
   isPrefilling: boolean;
+  /** Whether its prompt counted as long when it was granted. */
+  isLong: boolean;
   grantedAt: number;
   /** Monotonic ms after which the request cannot be running. */
   expiresAt: number;
@@ -246,6 +257,11 @@
   reservedTokens: number;
   /** Prompt tokens that were sent to the engine and wait for prefill. */
   pendingPrefillTokens: number;
+  /** Those of them that belong to long prompts. */
+  longPrefillTokens: number;
+  speed: EngineSpeed;
+  /** Decayed tokens of the reservations of each tenant. */
+  tenantUse: Map<string, DecayingCounter>;
 }
 
 export interface AdapterOrder {
