Show that crowds of callers end a gateway or keep it from others

Cause: bodies that stop short, requests sent ahead, answers that are not read and open connections are bounded by what 64 MiB and the kernel allow, and not by the machine. Crowds and bounds stand before the product changes.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,6 +21,8 @@
   'directory',
   'fleet',
   'limits',
+  'quotas',
+  'tenants',
   'notices',
   'owners',
   'paths',
--- a/tests/helpers/gatewayProcess.ts
+++ b/tests/helpers/gatewayProcess.ts
@@ -29,6 +29,7 @@
     id: string,
     storeAddress: string,
     change: Record<string, string> = {},
+    nodeFlags: readonly string[] = [],
   ): Promise<GatewayProcess> {
     const [front, ready, peers, metrics] = await Promise.all(
       [1, 2, 3, 4].map(async () => `127.0.0.1:${await findFreePort('127.0.0.1')}`),
@@ -49,10 +50,8 @@
     const folder = mkdtempSync(join(tmpdir(), 'fireflywick-'));
     writeSettings(folder, settings);
     const file = join(folder, 'host.env');
-    const child = spawn(process.execPath, [GATEWAY_BUNDLE, 'gateway', `--settings-file=${file}`], {
-      stdio: ['ignore', 'pipe', 'inherit'],
-      env: {},
-    });
+    const argv = [...nodeFlags, GATEWAY_BUNDLE, 'gateway', `--settings-file=${file}`];
+    const child = spawn(process.execPath, argv, { stdio: ['ignore', 'pipe', 'inherit'], env: {} });
     const exited = once(child, 'exit');
     const gateway = new GatewayProcess(
       front ?? '',
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -10,7 +10,7 @@
           ...shared,
           name: 'modules',
           include: ['tests/**/*.test.ts'],
-          exclude: ['tests/faults/**'],
+          exclude: ['tests/faults/**', 'tests/crowds/**'],
           maxWorkers: 4,
           sequence: { groupOrder: 0 },
         },
@@ -27,6 +27,18 @@
           sequence: { groupOrder: 1 },
         },
       },
+      {
+        test: {
+          ...shared,
+          name: 'crowds',
+          include: ['tests/crowds/**/*.test.ts'],
+          globalSetup: 'tests/helpers/buildBundle.ts',
+          testTimeout: 120_000,
+          // What a process takes of memory depends on how fast it is served, so one runs at a time.
+          maxWorkers: 1,
+          sequence: { groupOrder: 2 },
+        },
+      },
     ],
   },
 });
