Bound what callers make a gateway hold, and check configurations before they are sent

Cause: bodies, connections, requests sent ahead and unread answers were bounded by constants and not by the machine; the status listeners had no limit at all; 64 MB of dead buffers gathered before the runtime collected them. Change: one budget and one limit of connections follow from the machine's memory and descriptors; who stalls longest and holds most gives way; 32 requests may wait on a connection; young garbage is collected after each 4 MiB of bodies. `config check` decodes a file with the decoder of the hosts and lists what can never match or contradicts itself, and what differs.

--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -1,6 +1,7 @@
 import type { Command } from '../types.ts';
 import { audit } from './audit.ts';
 import { checkSettings } from './checkSettings.ts';
+import { config } from './config.ts';
 import { configuration } from './configuration.ts';
 import { confirm } from './confirm.ts';
 import { drafts } from './drafts.ts';
@@ -21,6 +22,7 @@
     plan,
     confirm,
     configuration,
+    config,
     audit,
     hosts,
     engines,
--- a/src/cli/runCommand.ts
+++ b/src/cli/runCommand.ts
@@ -1,4 +1,4 @@
-import type { PlatformFactory } from '../gatewayHost/platform.ts';
+import type { ConfigurationPort, PlatformFactory } from '../gatewayHost/platform.ts';
 import { parseFlags, type ParsedFlags, VERSION } from '../settings/flags.ts';
 import { describeSettingProblems, getUsageProblems } from '../settings/parse.ts';
 import { COMMANDS } from './commands/index.ts';
@@ -17,6 +17,7 @@
   env: Invocation['env'] = process.env,
   output: Output = CONSOLE,
   newPlatform?: PlatformFactory,
+  configuration?: ConfigurationPort,
 ): Promise<number> {
   const [name = '', ...rest] = argv;
   if (HELP_FLAGS.includes(name)) {
@@ -46,7 +47,7 @@
     return 2;
   }
   try {
-    return await command.run({ argv: rest, flags, env, newPlatform, ...output });
+    return await command.run({ argv: rest, flags, env, newPlatform, configuration, ...output });
   } catch (error) {
     output.err(`${name} failed: ${error instanceof Error ? error.message : String(error)}`);
     return 1;
--- a/src/cli/types.ts
+++ b/src/cli/types.ts
@@ -1,4 +1,4 @@
-import type { PlatformFactory } from '../gatewayHost/platform.ts';
+import type { ConfigurationPort, PlatformFactory } from '../gatewayHost/platform.ts';
 import type { ParsedFlags } from '../settings/flags.ts';
 
 /** Standard output and standard error of a command. */
@@ -15,6 +15,8 @@
   env: Readonly<Record<string, string | undefined>>;
   /** The platform that the executable was built with; undefined when there is none. */
   newPlatform?: PlatformFactory;
+  /** Decodes configurations of that platform. */
+  configuration?: ConfigurationPort | undefined;
 }
 
 /** 0: done, 1: refused or failed, 2: invalid usage. */
--- a/src/clients/httpClient.ts
+++ b/src/clients/httpClient.ts
@@ -2,7 +2,7 @@
 import { Agent, Client, type Dispatcher } from 'undici';
 import type { TurnQueue } from '../eventLoop/turnQueue.ts';
 import { ByteBuffer } from '../base/byteBuffer.ts';
-import { type BytesHolder, MemoryBudget } from '../base/memoryBudget.ts';
+import { type BytesHolder, MemoryBudget } from '../http/memoryBudget.ts';
 import { confirmCloseDelimited } from './closeDelimited.ts';
 import { isServerRunning } from './connectionCheck.ts';
 import { handOverInTurns, newTrackedConnector, SocketEndTracker } from './connector.ts';
--- a/src/core/metricNames.ts
+++ b/src/core/metricNames.ts
@@ -49,6 +49,10 @@
     kind: 'counter',
     help: 'Quota requests that the accountant of the tenant did not answer in time.',
   },
+  fireflywick_evictions_total: {
+    kind: 'counter',
+    help: 'Requests, responses and connections of callers that gave way to others, by resource (bytes or connection).',
+  },
   fireflywick_retries_total: {
     kind: 'counter',
     help: 'Repeated sends of requests that gateways forward, by result (allowed or refused by the retry budget).',
--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -1,5 +1,5 @@
 import { type buildConnector, Client, type Dispatcher, Pool } from 'undici';
-import type { MemoryBudget } from '../base/memoryBudget.ts';
+import type { MemoryBudget } from '../http/memoryBudget.ts';
 import { confirmCloseDelimited } from '../clients/closeDelimited.ts';
 import { isServerRunning } from '../clients/connectionCheck.ts';
 import { handOverInTurns, newTrackedConnector, SocketEndTracker } from '../clients/connector.ts';
--- a/src/gatewayHost/forwardExchange.ts
+++ b/src/gatewayHost/forwardExchange.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type { Failure } from '../errors/failure.ts';
-import type { BytesHolder, MemoryBudget } from '../base/memoryBudget.ts';
+import type { BytesHolder, MemoryBudget } from '../http/memoryBudget.ts';
 import { hasCallerLeft } from '../http/callerDeparture.ts';
 import { sendFailure } from '../http/reply.ts';
 import type { RawHeaders } from './platform.ts';
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
 import { ByteBuffer } from '../base/byteBuffer.ts';
-import type { BytesHolder, MemoryBudget } from '../base/memoryBudget.ts';
+import type { BytesHolder, MemoryBudget } from '../http/memoryBudget.ts';
 import { type BodyFraming, getBodyFraming } from '../clients/closeDelimited.ts';
 import type { AttemptSpec, BodyEnd, ForwardOutcome } from '../forwards/types.ts';
 import type { ConnectionProblem } from '../paths/types.ts';
--- a/src/gatewayHost/frontServer.ts
+++ b/src/gatewayHost/frontServer.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { MemoryBudget } from '../base/memoryBudget.ts';
+import type { MemoryBudget } from '../http/memoryBudget.ts';
 import type { Event } from '../core/events.ts';
 import { newCount, newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
@@ -10,6 +10,9 @@
 import { readBody } from '../http/body.ts';
 import type { Observer } from '../host/observer.ts';
 import type { ArrivalQueue } from '../http/arrivalQueue.ts';
+import type { ConnectionLimit } from '../http/connectionLimit.ts';
+import { BodyGarbage } from '../http/bodyGarbage.ts';
+import { SmallPartLimit } from '../http/smallPartLimit.ts';
 import { onCallerLeft } from '../http/callerDeparture.ts';
 import { type Reading, type RunningServer, startServer } from '../http/httpServer.ts';
 import { sendFailure } from '../http/reply.ts';
@@ -33,6 +36,7 @@
   readonly pollClock: PollClock;
   readonly arrivals: ArrivalQueue;
   readonly backlog: AcceptBacklog;
+  readonly connectionLimit: ConnectionLimit;
   readonly observer: Observer;
   dispatch(event: Event): void;
 }
@@ -42,6 +46,8 @@
   private server: RunningServer | undefined;
   private stopping: Promise<void> | undefined;
   private nextId = 0;
+  private readonly smallParts = SmallPartLimit.create();
+  private readonly garbage = BodyGarbage.create();
 
   private constructor(private readonly host: FrontServerContext) {}
 
@@ -52,7 +58,7 @@
   /** Starts listening and returns the port; rejects when the address is in use. */
   async start(address: SocketAddress): Promise<number> {
     const limits = { headerBytes: MAX_HEADER_BYTES, slowSenderMs: DEFAULT_HEADER_TIMEOUT_MS };
-    const { backlog, arrivals, pollClock, labels, observer } = this.host;
+    const { backlog, arrivals, pollClock, labels, observer, connectionLimit } = this.host;
     this.server = await startServer(
       (request, response, reading) => this.handleRequest(request, response, reading),
       address,
@@ -65,6 +71,7 @@
         onRejected: (request, failure) => this.observeRejection(request, failure),
         onClosed: () => observer.observe(newCount('fireflywick_closed_connections_total', {})),
       },
+      connectionLimit,
     );
     return this.server.port;
   }
@@ -102,7 +109,9 @@
     }
     const maxBytes = limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     const { budget } = this.host;
-    const body = await readBody(request, { maxBytes, timeoutMs: BODY_TIMEOUT_MS, budget });
+    const { smallParts, garbage } = this;
+    const bodyLimits = { maxBytes, timeoutMs: BODY_TIMEOUT_MS, budget, smallParts, garbage };
+    const body = await readBody(request, bodyLimits);
     if (body.err) {
       refuse(body.val);
       return;
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -1,13 +1,12 @@
-import { createServer, type Server } from 'node:http';
 import { isDeepStrictEqual } from 'node:util';
 import { suspectRoutes } from '../admin/routes/commands.ts';
 import { AdminServer } from '../admin/server.ts';
 import { ArrivalQueue } from '../http/arrivalQueue.ts';
-import { MemoryBudget } from '../base/memoryBudget.ts';
+import { MemoryBudget } from '../http/memoryBudget.ts';
 import { hash32 } from '../base/hash.ts';
 import { HttpClient } from '../clients/httpClient.ts';
 import type { Event } from '../core/events.ts';
-import { newGauge } from '../core/observations.ts';
+import { newCount, newGauge, newLog } from '../core/observations.ts';
 import { isReady } from '../core/lifecycle.ts';
 import { type Policy, State } from '../core/state.ts';
 import type { Failure } from '../errors/failure.ts';
@@ -19,7 +18,8 @@
 import type { Loop } from '../host/loop.ts';
 import { observeArrival } from '../host/observeArrival.ts';
 import { newObservedLoop } from '../host/observedLoop.ts';
-import { listen } from '../http/listen.ts';
+import { ConnectionLimit } from '../http/connectionLimit.ts';
+import { StatusServer } from '../http/statusServer.ts';
 import { Observer } from '../host/observer.ts';
 import { describeError } from '../host/processErrors.ts';
 import { isRoutable } from '../fleet/endpointChoice.ts';
@@ -36,12 +36,12 @@
 import {
   DEFAULT_HEADER_TIMEOUT_MS,
   LAME_DUCK_GRACE_SHARE,
-  MAX_HELD_BYTES,
   MAX_REPORT_BYTES,
   MAX_HEADER_BYTES,
   MIN_CONNECTIONS_PER_ENDPOINT,
   STOP_GRACE_SHARE,
 } from './constants.ts';
+import { getHeldBytes, getMaxCallerConnections } from './callerLimits.ts';
 import type { ForwardExchange } from './forwardExchange.ts';
 import { FrontServer } from './frontServer.ts';
 import { LogOutputStream } from './logOutputStream.ts';
@@ -65,7 +65,8 @@
 /** A host that forwards requests to the endpoints of a directory: loop, clients and servers. */
 export class GatewayHost {
   readonly exchanges = new Map<string, ForwardExchange>();
-  readonly budget = MemoryBudget.create(MAX_HELD_BYTES);
+  readonly budget: MemoryBudget;
+  readonly connectionLimit: ConnectionLimit;
   readonly pollClock = PollClock.create();
   private readonly clockJumps = ClockJumps.create();
   readonly backlog = AcceptBacklog.create();
@@ -94,7 +95,7 @@
   /** Undefined if no address for operators is set. */
   readonly adminServer: AdminServer | undefined;
   private readonly sampler: ProcessSampler;
-  private readonly servers: Server[] = [];
+  private readonly servers: StatusServer[] = [];
   /** Aborted when no further address is to be opened. */
   private readonly listening = new AbortController();
   private settingsProblem = '';
@@ -108,6 +109,14 @@
   ) {
     const { host, listen, log } = settings;
     this.state = newState(settings);
+    const { memoryMb, descriptors } = settings.limits;
+    this.budget = MemoryBudget.create(getHeldBytes(memoryMb), (bytes) =>
+      this.observeEviction('bytes', { bytes }),
+    );
+    this.connectionLimit = ConnectionLimit.create(
+      getMaxCallerConnections(memoryMb, descriptors),
+      () => this.observeEviction('connection', {}),
+    );
     const fields = { host: host.id, zone: host.zone };
     const stream = LogOutputStream.create();
     this.observer = Observer.create(Logger.create({ level: log.level, fields, stream }));
@@ -201,8 +210,8 @@
     for (const monitor of this.pathMonitors.values()) monitor.stop();
     this.sampler.stop();
     this.pollClock.stop();
-    for (const server of this.servers) server.close();
-    for (const server of this.servers) server.closeAllConnections();
+    for (const server of this.servers) server.stop();
+    this.connectionLimit.stop();
     await this.relayServer.stop(Math.max(0, (this.state.stopAt ?? 0) - performance.now()));
     await this.links.stop();
     await this.endpointClient.close();
@@ -320,6 +329,12 @@
     this.resolveStopped();
   }
 
+  /** Records that a caller gave way to others. */
+  private observeEviction(resource: 'bytes' | 'connection', fields: { bytes?: number }): void {
+    this.observer.observe(newCount('fireflywick_evictions_total', { resource }));
+    this.observer.observe(newLog('info', 'caller gave way', { resource, ...fields }));
+  }
+
   private logJobError(error: unknown): void {
     this.observer.logger.write('error', 'queued job failed', { reason: describeError(error) });
   }
@@ -392,15 +407,11 @@
     timeoutMs?: number,
   ): Promise<void> {
     if (address === undefined) return;
-    const server = createServer((request, response) => {
-      const { status, body } = getResponse(request.url ?? '');
-      response.writeHead(status, { 'content-type': 'text/plain; charset=utf-8' });
-      response.end(body);
-    });
+    const server = StatusServer.create(getResponse);
     this.servers.push(server);
     const { signal } = this.listening;
     const { host, port } = address;
-    await listen(server, address, {
+    await server.start(address, {
       timeoutMs,
       signal,
       onTaken: ({ message }) =>
--- a/src/gatewayHost/platform.ts
+++ b/src/gatewayHost/platform.ts
@@ -2,6 +2,7 @@
 import type { DirectoryAnswer, DirectoryWriteAnswer, HostRow, Topic } from '../directory/types.ts';
 import type { RequestLabels } from '../forwards/types.ts';
 import type { EndpointNotice } from '../notices/types.ts';
+import type { RoutingTable } from '../routes/types.ts';
 import type { AdapterOrder, AdapterOrderAnswer, AdapterReport } from '../residency/types.ts';
 
 /**
@@ -58,6 +59,17 @@
   ): Promise<EngineAnswer<AdapterReport | string>>;
 }
 
+/** What is wrong with a configuration, and where. */
+export interface ConfigurationProblem {
+  path: readonly PropertyKey[];
+  message: string;
+}
+
+/** Decodes configurations as the directory does. */
+export interface ConfigurationPort {
+  decode(value: unknown): RoutingTable | ConfigurationProblem[];
+}
+
 /** A request that an endpoint answers whatever its state. */
 export interface HealthCheck {
   path: string;
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -1,29 +1,37 @@
 import type { IncomingMessage } from 'node:http';
-import { ByteBuffer } from '../base/byteBuffer.ts';
-import type { BytesHolder, MemoryBudget } from '../base/memoryBudget.ts';
+import { BlockBuffer } from '../base/blockBuffer.ts';
+import type { BytesHolder, MemoryBudget } from './memoryBudget.ts';
 import { Err, Ok, type Result } from '../base/result.ts';
 import { Failure } from '../errors/failure.ts';
+import type { BodyGarbage } from './bodyGarbage.ts';
+import type { SmallPartLimit } from './smallPartLimit.ts';
 
 interface BodyLimits {
   maxBytes: number;
   timeoutMs: number;
   /** Bytes of all requests and responses of the host; unlimited if undefined. */
   budget?: MemoryBudget;
+  /** Limits bodies in small parts; unlimited if undefined. */
+  smallParts?: SmallPartLimit;
+  garbage?: BodyGarbage;
 }
 
 /**
  * Reads a whole request body. Fails with `body_too_large`, `slow_sender`, `overloaded` if the budget is
- * exhausted, or, if the sender closed the connection, `cancelled`.
+ * exhausted or too many bodies arrive in small parts, or, if the sender closed the connection, `cancelled`.
  */
 export function readBody(
   request: IncomingMessage,
-  { maxBytes, timeoutMs, budget }: BodyLimits,
+  { maxBytes, timeoutMs, budget, smallParts, garbage }: BodyLimits,
 ): Promise<Result<Buffer, Failure>> {
   return new Promise((resolve) => {
-    const received = ByteBuffer.create();
+    const received = BlockBuffer.create();
+    const parts = smallParts?.watch();
     const end = (result: Result<Buffer, Failure>) => {
       clearTimeout(timer);
       budget?.release(holder);
+      parts?.end();
+      received.clear();
       request.off('data', addChunk);
       request.off('end', finish);
       request.off('close', handleClose);
@@ -43,14 +51,22 @@
     };
     const addChunk = (chunk: Buffer) => {
       received.append(chunk);
-      if (received.length <= maxBytes) budget?.hold(holder, received.capacity);
-      else end(Err(Failure.create('body_too_large', `the body is larger than ${maxBytes} bytes`)));
+      garbage?.add(chunk.length);
+      if (received.length > maxBytes) rejectLargeBody();
+      else if (parts?.addPart(received.length) === false) holder.evict();
+      else budget?.hold(holder, received.capacity);
     };
-    const finish = () => end(Ok(received.take()));
+    const rejectLargeBody = () =>
+      end(Err(Failure.create('body_too_large', `the body is larger than ${maxBytes} bytes`)));
+    const finish = () => end(Ok(received.concat()));
     const handleClose = () => {
       const message = 'the sender closed the connection';
       end(Err(Failure.create('cancelled', message, { outcome: 'not_run' })));
     };
+    if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
+      rejectLargeBody();
+      return;
+    }
     request.on('data', addChunk);
     request.on('end', finish);
     request.on('close', handleClose);
--- a/src/http/callerConnection.ts
+++ b/src/http/callerConnection.ts
@@ -2,7 +2,7 @@
 import type { Duplex } from 'node:stream';
 import { Failure, getFailureBody } from '../errors/failure.ts';
 import { getErrorResponse } from '../errors/kinds.ts';
-import { REJECTED_LINGER_MS } from './constants.ts';
+import { MAX_SENT_AHEAD, REJECTED_LINGER_MS } from './constants.ts';
 import { sendFailure } from './reply.ts';
 
 /** Limits for receiving a request. */
@@ -22,6 +22,8 @@
   private request: IncomingMessage | undefined;
   private response: ServerResponse | undefined;
   private isRejected = false;
+  /** Requests whose answers are not written out. */
+  private unanswered = 0;
 
   private constructor(
     private readonly socket: Duplex & { bytesRead?: number },
@@ -37,12 +39,23 @@
     return this.request === undefined && this.socket.bytesRead === 0;
   }
 
+  /** Whether a request that arrived as a whole is being served, and its caller reads what is written. */
+  get isServing(): boolean {
+    return this.unanswered > 0 && !this.isReceivingBody && this.socket.writableLength === 0;
+  }
+
   /** Records a request whose head arrived; returns false if it must not be handled. */
   receive(request: IncomingMessage, response: ServerResponse): boolean {
     if (this.isRejected) return false;
     this.request = request;
     this.response = response;
-    return true;
+    this.unanswered += 1;
+    response.once('close', () => (this.unanswered -= 1));
+    if (this.unanswered <= MAX_SENT_AHEAD) return true;
+    // Requests that are sent ahead without end would fill the memory before the first one is answered.
+    this.isRejected = true;
+    this.socket.destroy();
+    return false;
   }
 
   /** Handles a request that is malformed or did not arrive in time. */
--- a/src/http/constants.ts
+++ b/src/http/constants.ts
@@ -16,3 +16,16 @@
  */
 export const LISTEN_TIMEOUT_MS = 10_000;
 export const LISTEN_RETRY_MS = 100;
+
+/** Most requests of one connection that wait for their answers; more of them close it. */
+export const MAX_SENT_AHEAD = 32;
+
+/** Connections, size of the headers and time limit of requests for the state of the host. */
+export const MAX_STATUS_CONNECTIONS = 32;
+export const MAX_STATUS_HEADER_BYTES = 8_192;
+export const STATUS_TIMEOUT_MS = 3_000;
+
+/** Parts of a body from which on their mean size counts, the size below which they are small, and most such bodies at once. */
+export const SMALL_PARTS = 4_096;
+export const SMALL_PART_BYTES = 64;
+export const MAX_SMALL_PART_SENDERS = 2;
--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -6,6 +6,7 @@
 import type { PollClock } from '../eventLoop/pollClock.ts';
 import type { SocketAddress } from '../settings/values.ts';
 import type { ArrivalQueue } from './arrivalQueue.ts';
+import type { ConnectionLimit } from './connectionLimit.ts';
 import { CallerConnection, type ReceiveLimits } from './callerConnection.ts';
 import { hasCallerLeft } from './callerDeparture.ts';
 import {
@@ -57,13 +58,15 @@
 
 /**
  * Starts an HTTP server; rejects when the address stays in use. Port 0 takes any free port. Without an
- * `intake`, requests are handled as soon as their head is read.
+ * `intake`, requests are handled as soon as their head is read; without a `connectionLimit`, connections are
+ * not limited.
  */
 export async function startServer(
   handle: RequestHandler,
   address: SocketAddress,
   limits: ReceiveLimits,
   intake?: Intake,
+  connectionLimit?: ConnectionLimit,
 ): Promise<RunningServer> {
   const connections: Connections = new Map();
   const server = createServer(
@@ -93,7 +96,9 @@
       socket.destroy();
       return;
     }
-    connections.set(socket, CallerConnection.create(socket, limits));
+    const connection = CallerConnection.create(socket, limits);
+    if (connectionLimit?.add(socket, () => connection.isServing) === false) return;
+    connections.set(socket, connection);
     socket.once('close', () => connections.delete(socket));
   });
   await listen(server, address);
--- a/src/quotas/usage.ts
+++ b/src/quotas/usage.ts
@@ -54,10 +54,8 @@
   const accountant = findAccountant(state, tenant.name, now);
   if (accountant === undefined) return { type: 'unknown' };
   const use = getUse(state, tenant.name);
-  if (use.accountant !== accountant) {
-    use.accountant = accountant;
-    use.freeUntil = -Infinity;
-  }
+  // A tenant that had room a moment ago keeps it for that time when its accountant is no longer reached.
+  use.accountant = accountant;
   if (use.freeUntil > now) {
     addUse(state, use, cost, now);
     return { type: 'admitted', cost };
--- a/tests/crowds/callerCrowds.test.ts
+++ b/tests/crowds/callerCrowds.test.ts
@@ -27,7 +27,7 @@
 /** Bytes of an answer that is large. */
 const ANSWER_BYTES = 1_000_000;
 /** Flags under which the users' machines run the program. */
-const NODE_FLAGS = ['--max-old-space-size=200', '--max-semi-space-size=4'];
+const NODE_FLAGS = ['--expose-gc', '--max-old-space-size=200', '--max-semi-space-size=4'];
 
 type Listener = 'front' | 'ready' | 'metrics';
 
@@ -132,11 +132,11 @@
       ready: gateway.readinessAddress,
       metrics: gateway.metricsAddress,
     };
-    let isOver = false;
-    const crowded = runCrowd(addresses[listener], crowd).finally(() => (isOver = true));
+    const state = { isOver: false };
+    const crowded = runCrowd(addresses[listener], crowd).finally(() => (state.isOver = true));
     let openDescriptors = 0;
     const statuses: number[] = [];
-    while (!isOver) {
+    while (!state.isOver) {
       openDescriptors = Math.max(openDescriptors, countDescriptors(gateway.pid));
       statuses.push(await send());
       await sleep(50);
--- a/tests/base/memoryBudget.test.ts
+++ b/tests/http/memoryBudget.test.ts
@@ -1,6 +1,6 @@
 import { expect, it } from 'vitest';
 import { ByteBuffer } from '../../src/base/byteBuffer.ts';
-import { type BytesHolder, MemoryBudget } from '../../src/base/memoryBudget.ts';
+import { type BytesHolder, MemoryBudget } from '../../src/http/memoryBudget.ts';
 
 // Guards against small requests that give way to a large one, and against memory that is never released.
 it.each<[string, [string, number][], string[], number]>([
--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { getCallerIdleTimeoutMs } from '../../src/forwards/forwardAdmission.ts';
 import { decodeEndpoint, decodeAdapterReport } from '../../platform/endpoints.ts';
+import { getKeyDigest } from '../../platform/keys.ts';
 import { headerLabels } from '../../platform/headers.ts';
 import { decodeRouting } from '../../platform/routing.ts';
 
@@ -111,12 +112,90 @@
 
   it('derives the caller idle timeout of a stream from its longest goal', () => {
     const table = decodeRouting(STATE);
-    const [route] = typeof table === 'string' ? [] : table.routes;
+    const [route] = Array.isArray(table) ? [] : table.routes;
     expect(route === undefined ? undefined : getCallerIdleTimeoutMs(route)).toBe(4_000);
   });
 
   it('names the invalid field', () => {
-    expect(decodeRouting({ ...STATE, version: 'x' })).toContain('version');
+    expect(decodeRouting({ ...STATE, version: 'x' })).toMatchObject([{ path: ['version'] }]);
+  });
+});
+
+describe('tenants', () => {
+  const LIMITS = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  const STATE = { version: 7, routes: [], services: [], limits: LIMITS };
+  const TENANT = { name: 't1', apiKeys: ['k1'], unit: 'token_stream', ratePerS: 5, burst: 9 };
+
+  it('hold digests in place of their keys', () => {
+    const table = decodeRouting({ ...STATE, tenants: [TENANT] });
+    const [tenant] = Array.isArray(table) ? [] : (table.tenants ?? []);
+    expect(tenant).toMatchObject({ name: 't1', unit: 'token', ratePerS: 5, burst: 9 });
+    expect(tenant?.keyDigests).toEqual([getKeyDigest('k1')]);
+    expect(JSON.stringify(table)).not.toContain('k1');
+  });
+
+  it.each<[string, object[] | undefined, unknown]>([
+    ['none', undefined, null],
+    ['no limit', [{ name: 't', apiKeys: ['k'] }], [{ unit: 'request', ratePerS: 0, burst: 0 }]],
+  ])('may have %s', (_name, tenants, expected) => {
+    expect(decodeRouting({ ...STATE, tenants })).toMatchObject({ tenants: expected });
+  });
+
+  // Guards against a configuration that is taken in part.
+  it.each<[string, object[], PropertyKey[]]>([
+    ['an unknown unit', [{ ...TENANT, unit: 'bytes' }], ['tenants', 0, 'unit']],
+    ['a negative rate', [{ ...TENANT, ratePerS: -1 }], ['tenants', 0, 'ratePerS']],
+    ['an empty name', [{ ...TENANT, name: '' }], ['tenants', 0, 'name']],
+    ['an empty key', [{ ...TENANT, apiKeys: [''] }], ['tenants', 0, 'apiKeys', 0]],
+    ['a name twice', [TENANT, { ...TENANT, apiKeys: [] }], ['tenants', 1, 'name']],
+    ['a shared key', [TENANT, { ...TENANT, name: 't2' }], ['tenants', 1, 'apiKeys', 0]],
+  ])('are refused as a whole for %s', (_name, tenants, path) => {
+    const problems = decodeRouting({ ...STATE, tenants });
+    expect(problems).toMatchObject([{ path }]);
+    expect(JSON.stringify(problems)).not.toContain('k1');
+  });
+});
+
+describe('the key of a request', () => {
+  it.each<[string, string[], string | undefined]>([
+    ['a bearer key', ['Authorization', 'Bearer k1'], 'k1'],
+    ['another case of the scheme', ['authorization', 'bearer k1'], 'k1'],
+    ['none', [], undefined],
+    ['an empty one', ['Authorization', ''], undefined],
+    ['a scheme without a key', ['Authorization', 'Bearer '], undefined],
+    ['another scheme', ['Authorization', 'Basic k1'], undefined],
+    ['a key without a scheme', ['Authorization', 'k1'], undefined],
+    ['two keys', ['Authorization', 'Bearer k1', 'Authorization', 'Bearer k2'], undefined],
+    ['the same key twice', ['Authorization', 'Bearer k1', 'Authorization', 'Bearer k1'], undefined],
+    ['a list of keys', ['Authorization', 'Bearer k1,k2'], undefined],
+  ])('%s', (_name, headers, key) => {
+    const expected = key === undefined ? undefined : getKeyDigest(key);
+    expect(headerLabels.readRequestLabels(headers).keyDigest).toBe(expected);
+  });
+
+  // Guards against engines that learn a key, or take a caller's word for its tenant.
+  it.each<[string, string | undefined, string[]]>([
+    ['gives way to the tenant', 't1', ['x-other', '1', 'tenant', 't1']],
+    ['is removed on a public route', '', ['x-other', '1']],
+    [
+      'is passed on without tenants',
+      undefined,
+      ['Authorization', 'Bearer k1', 'Tenant', 'forged', 'x-other', '1'],
+    ],
+  ])('%s', (_name, tenant, expected) => {
+    const headers = ['Authorization', 'Bearer k1', 'Tenant', 'forged', 'x-other', '1'];
+    const forwarded = headerLabels.getForwardHeaders(headers, {
+      endpoint: 'e1',
+      remainingMs: 1,
+      priority: undefined,
+      version: undefined,
+      resumeAfter: undefined,
+      tenant,
+    });
+    const set = ['deadline-ms', '1', 'expect-instance', 'e1'];
+    expect(forwarded.filter((text) => !set.includes(text))).toEqual(
+      expected.filter((text) => !set.includes(text)),
+    );
   });
 });
 
