Take statuses above 599 for broken answers

Callers saw 600 and 999 of an engine as its answer, and calls to the store, to engines and to services took them for answers. 000, 0xx, 1xx without end and malformed statuses were broken answers already: on first tries, retries, resumed streams and calls. Cause: the HTTP client accepts any number of three digits from 200 on. Change: such an answer breaks its attempt; a safe request is repeated, others get 502.

--- a/src/clients/constants.ts
+++ b/src/clients/constants.ts
@@ -1,3 +1,6 @@
+/** Highest status of an HTTP answer. */
+export const MAX_STATUS = 599;
+
 /** Idle time after which a connection is closed; shorter than the 5 s after which servers close it. */
 export const KEEP_ALIVE_TIMEOUT_MS = 4_000;
 export const CONNECT_TIMEOUT_MS = 1_000;
--- a/src/clients/httpClient.ts
+++ b/src/clients/httpClient.ts
@@ -12,6 +12,7 @@
   KEEP_ALIVE_TIMEOUT_MS,
   MAX_HELD_RESPONSE_BYTES,
   MAX_RESPONSE_BYTES,
+  MAX_STATUS,
 } from './constants.ts';
 import { limitInterimResponses } from './interimResponses.ts';
 
@@ -225,6 +226,10 @@
         opaque: progress,
         signal: call.signal ? AbortSignal.any([abort.signal, call.signal]) : abort.signal,
       });
+      if (answer.statusCode > MAX_STATUS) {
+        answer.body.once('error', () => undefined).destroy();
+        throw new Error(`${answer.statusCode} is no status of an answer`);
+      }
       return {
         type: 'open',
         status: answer.statusCode,
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
 import { ByteBuffer } from '../base/byteBuffer.ts';
+import { MAX_STATUS } from '../clients/constants.ts';
 import type { BytesHolder, MemoryBudget } from '../http/memoryBudget.ts';
 import { type BodyFraming, getBodyFraming } from '../clients/closeDelimited.ts';
 import type { AttemptSpec, BodyEnd, ForwardOutcome } from '../forwards/types.ts';
@@ -115,6 +116,10 @@
   onResponseStart(controller: Controller, status: number, headers: IncomingHttpHeaders): void {
     this.recordReceived();
     if (status < 200) return;
+    if (status > MAX_STATUS) {
+      this.abort(controller, `${status} is no status of an answer`);
+      return;
+    }
     const { labels, spec, exchange, listener } = this.options;
     const raw = getRawHeaders(controller);
     const response = labels.readResponseLabels(status, raw, spec.endpoint);
