Replace readers that the store does not answer, and grant quotas by what fits

Cause: beside a store that refused a third of the hosts, the followers of a refused reader all read for themselves; small requests of a metered tenant were refused while a large one had put its bucket below zero. Change: a reader without heartbeats is passed over for 8 s; a request is granted if its own cost is left.

--- a/src/directory/constants.ts
+++ b/src/directory/constants.ts
@@ -43,6 +43,8 @@
 export const READER_HEARTBEAT_INTERVAL_MS = 200;
 /** Time without a reader heartbeat after which a host watches the directory itself. */
 export const READER_HEARTBEAT_TIMEOUT_MS = 500;
+/** Time for which a host that sent no heartbeats as a reader is passed over. */
+export const READER_AVOIDED_MS = 8_000;
 /**
  * Wait of a reader's watches while it has followers. A watch that is not answered stops the heartbeats, upon which
  * followers have to learn of a change by themselves in time.
--- a/src/directory/group.ts
+++ b/src/directory/group.ts
@@ -1,6 +1,10 @@
 import { getRendezvousChoice } from '../base/hash.ts';
 import type { State } from '../core/state.ts';
-import { READER_HEARTBEAT_TIMEOUT_MS, MIN_ZONE_GROUP_MEMBERS } from './constants.ts';
+import {
+  MIN_ZONE_GROUP_MEMBERS,
+  READER_HEARTBEAT_TIMEOUT_MS,
+  WATCH_ANSWER_SLACK_MS,
+} from './constants.ts';
 import type { Topic } from './types.ts';
 
 /** Whether another host is the reader and the last reader heartbeat is recent enough. */
@@ -24,7 +28,41 @@
  * time.
  */
 export function isReader(state: State): boolean {
-  return getRendezvousChoice('directory', getGroup(state)) === state.host.id;
+  return chooseReader(state) === state.host.id;
+}
+
+/**
+ * Returns the reader of this host's group; undefined if the group has none. A host that the directory does not
+ * answer is passed over, by itself at once and by others when its heartbeats stop.
+ */
+export function chooseReader(state: State): string | undefined {
+  const { directory, host, now } = state;
+  const group = getGroup(state);
+  const able = group.filter((id) =>
+    id === host.id
+      ? !isDirectoryLost(state)
+      : (directory.avoidedReaders.get(id) ?? -Infinity) <= now,
+  );
+  return getRendezvousChoice('directory', able.length === 0 ? group : able);
+}
+
+/** Whether calls of this host to the directory fail. */
+function isDirectoryLost({ directory }: State): boolean {
+  return Object.values(directory.topics).some(
+    ({ unavailableSince }) => unavailableSince !== undefined,
+  );
+}
+
+/**
+ * Whether this host's directory calls succeed: each topic was read, and none is unavailable or overdue.
+ */
+export function isDirectoryAvailable({ directory }: State, now: number): boolean {
+  return Object.values(directory.topics).every(
+    ({ unavailableSince, version, isCallInFlight, answerDueAt }) =>
+      unavailableSince === undefined &&
+      version !== undefined &&
+      (!isCallInFlight || answerDueAt + WATCH_ANSWER_SLACK_MS >= now),
+  );
 }
 
 /** Returns the linked hosts of this host's group, without itself. */
--- a/src/directory/readerHeartbeats.ts
+++ b/src/directory/readerHeartbeats.ts
@@ -1,14 +1,16 @@
 import { sendMessage } from '../core/sendMessage.ts';
 import type { Effect } from '../core/effects.ts';
+import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import {
-  WATCH_ANSWER_SLACK_MS,
   WATCH_PAUSE_RESET_MS,
+  READER_AVOIDED_MS,
   READER_HEARTBEAT_INTERVAL_MS,
+  READER_HEARTBEAT_TIMEOUT_MS,
 } from './constants.ts';
 import { recordProof } from './clock.ts';
-import { getFollowers, isFollower, isReader } from './group.ts';
+import { chooseReader, getFollowers, isDirectoryAvailable, isFollower, isReader } from './group.ts';
 import { type ReaderHeartbeat, Topic } from './types.ts';
 import { requestTopicChanges, startTopicCall } from './watch.ts';
 
@@ -25,11 +27,12 @@
 export function runReaderHeartbeatRound(state: State, now: number): Effect[] {
   schedule(state, now + READER_HEARTBEAT_INTERVAL_MS, { type: 'readerHeartbeatRound' });
   const { directory } = state;
+  const replaced = replaceSilentReader(state, now);
   if (directory.lastHeartbeatAt !== -Infinity && !isFollower(state, now)) {
     directory.lastHeartbeatAt = -Infinity;
-    return restartWatches(state, now);
+    return [...replaced, ...restartWatches(state, now)];
   }
-  if (!isReader(state) || !isDirectoryAvailable(state, now)) return [];
+  if (!isReader(state) || !isDirectoryAvailable(state, now)) return replaced;
   const { operator, endpoints, members } = directory.topics;
   const heartbeat: ReaderHeartbeat = {
     type: 'directoryFed',
@@ -37,7 +40,8 @@
     regainedMs: Math.min(now - endpoints.recoveredAt, Number.MAX_SAFE_INTEGER),
     provenMs: [operator, endpoints, members].map(({ provenAtMs }) => provenAtMs ?? null),
   };
-  return getFollowers(state).map((host) => sendMessage(state, host, heartbeat));
+  const heartbeats = getFollowers(state).map((host) => sendMessage(state, host, heartbeat));
+  return [...replaced, ...heartbeats];
 }
 
 /** Records a reader's heartbeat, and requests the changes that did not arrive from the reader. */
@@ -71,16 +75,20 @@
   });
 }
 
-/**
- * Whether this host's directory calls succeed: each topic was read, and none is unavailable or overdue.
- */
-function isDirectoryAvailable({ directory }: State, now: number): boolean {
-  return Object.values(directory.topics).every(
-    ({ unavailableSince, version, isCallInFlight, answerDueAt }) =>
-      unavailableSince === undefined &&
-      version !== undefined &&
-      (!isCallInFlight || answerDueAt + WATCH_ANSWER_SLACK_MS >= now),
-  );
+/** Passes over a reader that should have sent heartbeats by now, so that another host takes its place. */
+function replaceSilentReader(state: State, now: number): Effect[] {
+  const { directory, host } = state;
+  const reader = chooseReader(state);
+  if (reader === undefined || reader === host.id) {
+    directory.expectedReader = undefined;
+    return [];
+  }
+  if (directory.expectedReader?.host !== reader)
+    directory.expectedReader = { host: reader, since: now };
+  const expectedSince = Math.max(directory.expectedReader.since, directory.lastHeartbeatAt);
+  if (expectedSince + READER_HEARTBEAT_TIMEOUT_MS + READER_HEARTBEAT_INTERVAL_MS > now) return [];
+  directory.avoidedReaders.set(reader, now + READER_AVOIDED_MS);
+  return [newLog('info', 'reader of the directory is replaced', { reader })];
 }
 
 /** Starts the usual watches in place of the long ones of a follower, which may hang. */
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -119,6 +119,10 @@
    * watches the directory itself because the heartbeats stopped.
    */
   lastHeartbeatAt = -Infinity;
+  /** Host that is to be the reader, and monotonic ms since which this host expects its heartbeats. */
+  expectedReader: { host: string; since: number } | undefined;
+  /** Monotonic ms until which hosts that sent no heartbeats are passed over as readers. */
+  readonly avoidedReaders = new Map<string, number>();
   /** Whether the reader announces all topics; one of an earlier version announces some. */
   isReaderProving = false;
   /** Time of the directory's steady clock, and monotonic ms at which an answer told it. */
--- a/src/quotas/accounts.ts
+++ b/src/quotas/accounts.ts
@@ -30,7 +30,8 @@
     const tenant = state.routeIndex.current?.tenants.get(name);
     if (tenant === undefined || tenant.ratePerS === 0) {
       // The host knows a newer routing table; this one will count what follows.
-      answers.push({ tenant: name, granted: costs.length, isMetered: true, returnMs: 0 });
+      const granted = costs.map(() => true);
+      answers.push({ tenant: name, granted, isMetered: true, returnMs: 0 });
       continue;
     }
     const account = getAccount(state, tenant, from, now);
@@ -38,7 +39,9 @@
     bucket.add(now, -used);
     const granted = grantCosts(account, costs, now);
     account.usedUnits += used;
-    const returnMs = granted < costs.length ? takeReturnMs(state, account, costs, granted, now) : 0;
+    const refused = costs.filter((_, index) => granted[index] !== true);
+    account.refused += refused.length;
+    const returnMs = refused.length > 0 ? takeReturnMs(state, account, refused, now) : 0;
     effects.push(...updateMetering(state, tenant, account, from, now));
     answers.push({ tenant: name, granted, isMetered: account.isMetered, returnMs });
   }
@@ -71,35 +74,34 @@
   return effects;
 }
 
-/** Grants requests in their order while units are left; returns how many. */
-function grantCosts(account: Account, costs: readonly number[], now: number): number {
+/**
+ * Grants each request for which enough units are left, in their order; returns which. Small requests find room
+ * between large ones.
+ */
+function grantCosts(account: Account, costs: readonly number[], now: number): boolean[] {
   const { bucket } = account;
-  let granted = 0;
-  for (const cost of costs) {
+  return costs.map((cost) => {
     // A request may cost more than a full bucket holds; those after it wait until its cost is refilled.
-    if (bucket.getTokens(now) <= 0) break;
+    if (bucket.getTokens(now) < Math.min(cost, bucket.limit)) return false;
     bucket.add(now, -cost);
     account.usedUnits += cost;
-    granted += 1;
-  }
-  account.refused += costs.length - granted;
-  return granted;
+    return true;
+  });
 }
 
 /**
- * Returns the time after which callers of refused requests should return, in ms. Each refusal takes the time
- * that its units need, so that callers return at the rate of the quota.
+ * Returns the time after which there is room for the smallest of refused requests, in ms. Each refusal takes the
+ * time that its units need, so that callers return at the rate of the quota.
  */
 function takeReturnMs(
   { random }: State,
   account: Account,
-  costs: readonly number[],
-  granted: number,
+  refused: readonly number[],
   now: number,
 ): number {
   const { bucket } = account;
-  const units = costs.slice(granted).reduce((sum, cost) => sum + cost, 0);
-  const waitMs = bucket.getWaitMs(now, 1);
+  const units = refused.reduce((sum, cost) => sum + cost, 0);
+  const waitMs = bucket.getWaitMs(now, Math.min(bucket.limit, ...refused));
   const intervalMs = bucket.ratePerS > 0 ? (units * 1_000) / bucket.ratePerS : Infinity;
   const at = Math.max(account.returnsUntil, now + waitMs);
   if (at + intervalMs - now > MAX_RETURN_MS)
@@ -135,7 +137,7 @@
   users.set(user, now);
   const share = getLimitShare(state, role, users, now);
   const ratePerS = tenant.ratePerS * share;
-  const limit = Math.max(1, tenant.burst * share, (ratePerS * MIN_BURST_MS) / 1_000);
+  const limit = Math.max(1, tenant.burst * share, (ratePerS * MIN_BURST_MS[role]) / 1_000);
   if (known?.role === role) {
     const { bucket } = known;
     if (bucket.ratePerS !== ratePerS || bucket.limit !== limit) {
--- a/src/quotas/types.ts
+++ b/src/quotas/types.ts
@@ -28,11 +28,11 @@
     .array(
       z.object({
         tenant: z.string().min(1),
-        /** Number of the requests that may be sent, of the first ones. */
-        granted: z.int().min(0),
+        /** Whether each of the requests may be sent, in the order of their costs. */
+        granted: z.array(z.boolean()).max(MAX_COSTS),
         /** Whether the host has to ask before it admits further requests. */
         isMetered: z.boolean(),
-        /** Time after which the callers of the others should return, in ms. */
+        /** Time after which there is room for the smallest of the others, in ms. */
         returnMs: z.number().min(0),
       }),
     )
@@ -79,8 +79,9 @@
   accountant: string;
   /** Monotonic ms until which requests are admitted without asking. */
   freeUntil: number;
-  /** Monotonic ms until which requests are refused without asking. */
+  /** Monotonic ms until which requests are refused without asking that cost `refusedCost` units or more. */
   refusedUntil: number;
+  refusedCost: number;
   /** Units used since the last report. */
   unreported: number;
   /** Requests that wait and that no message has asked for yet. */
--- a/src/quotas/usage.ts
+++ b/src/quotas/usage.ts
@@ -60,7 +60,8 @@
     addUse(state, use, cost, now);
     return { type: 'admitted', cost };
   }
-  if (use.refusedUntil > now) return { type: 'refused', returnMs: use.refusedUntil - now };
+  if (use.refusedUntil > now && cost >= use.refusedCost)
+    return { type: 'refused', returnMs: use.refusedUntil - now };
   use.waiting.push({ request, cost });
   const effects = use.isAsking ? [] : askAccountant(state, accountant, [tenant.name], now);
   return { type: 'waiting', cost, effects };
@@ -105,15 +106,23 @@
   const answers = new Map(tenants.map((answer) => [answer.tenant, answer]));
   for (const { tenant, waiters } of pending.tenants) {
     const use = getUse(state, tenant);
-    const { granted = 0, isMetered = true, returnMs = 0 } = answers.get(tenant) ?? {};
+    const { granted = [], isMetered = true, returnMs = 0 } = answers.get(tenant) ?? {};
     use.freeUntil = isMetered ? -Infinity : now + FREE_TTL_MS;
     waiters.forEach((waiter, index) => {
       const decision =
-        index < granted ? { type: 'granted' as const } : { type: 'refused' as const, returnMs };
+        granted[index] === true
+          ? { type: 'granted' as const }
+          : { type: 'refused' as const, returnMs };
       decided.push({ ...waiter, tenant, decision });
     });
+    const refusedCosts = waiters
+      .filter((_, index) => granted[index] !== true)
+      .map(({ cost }) => cost);
     if (waiters.length > 0) use.isAsking = false;
-    if (granted < waiters.length) use.refusedUntil = now + Math.min(returnMs, MAX_REFUSAL_MS);
+    if (refusedCosts.length > 0) {
+      use.refusedCost = Math.min(...refusedCosts);
+      use.refusedUntil = now + Math.min(returnMs, MAX_REFUSAL_MS);
+    }
     if (use.waiting.length > 0 && !use.isAsking) remaining.push(tenant);
   }
   const effects = remaining.length === 0 ? [] : askForWaiting(state, remaining, now);
@@ -194,6 +203,7 @@
     accountant: '',
     freeUntil: -Infinity,
     refusedUntil: -Infinity,
+    refusedCost: Infinity,
     unreported: 0,
     waiting: [],
     isAsking: false,
