Read bodies from their first part on, and those in small parts slowly

Cause: parts that arrived before a request had its turn were kept one by one, and a body in chunks of one byte kept the process busy for as long as it was sent. Change: a body is collected as soon as its head was read; a sender of small parts is read each 20 ms; what still arrives after a refusal is dropped. The share of memory that callers may hold is 0.25.

--- a/src/gatewayHost/constants.ts
+++ b/src/gatewayHost/constants.ts
@@ -51,7 +51,7 @@
 export const MIN_HELD_BYTES = 8 * 1024 * 1024;
 /** Memory of a host at rest, and the share of the rest of its machine's that requests and responses hold. */
 export const REST_MEMORY_MB = 120;
-export const HELD_MEMORY_SHARE = 0.3;
+export const HELD_MEMORY_SHARE = 0.25;
 /** Memory that an open connection takes, with what has arrived and was not read. */
 export const BYTES_PER_CONNECTION = 16 * 1024;
 /** Descriptors that are kept for files, and the share of the others that connections of callers may take. */
--- a/src/gatewayHost/frontServer.ts
+++ b/src/gatewayHost/frontServer.ts
@@ -26,6 +26,8 @@
 import { ForwardExchange } from './forwardExchange.ts';
 import type { LabelPort } from './platform.ts';
 
+type BodyReading = ReturnType<typeof readBody>;
+
 /** The parts of the host that the front server uses. */
 export interface FrontServerContext {
   readonly state: State;
@@ -48,6 +50,7 @@
   private nextId = 0;
   private readonly smallParts = SmallPartLimit.create();
   private readonly garbage = BodyGarbage.create();
+  private readonly bodies = new WeakMap<IncomingMessage, BodyReading>();
 
   private constructor(private readonly host: FrontServerContext) {}
 
@@ -67,6 +70,7 @@
         backlog,
         arrivals,
         pollClock,
+        onHead: (request) => void this.startReading(request),
         getWaitMs: ({ rawHeaders }) => labels.readRequestLabels(rawHeaders).waitMs,
         onRejected: (request, failure) => this.observeRejection(request, failure),
         onClosed: () => observer.observe(newCount('fireflywick_closed_connections_total', {})),
@@ -107,11 +111,8 @@
       refuse(Failure.create('bad_request', `the request target "${target}" is not a path`));
       return;
     }
-    const maxBytes = limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     const { budget } = this.host;
-    const { smallParts, garbage } = this;
-    const bodyLimits = { maxBytes, timeoutMs: BODY_TIMEOUT_MS, budget, smallParts, garbage };
-    const body = await readBody(request, bodyLimits);
+    const body = await (this.bodies.get(request) ?? this.startReading(request));
     if (body.err) {
       refuse(body.val);
       return;
@@ -157,6 +158,20 @@
     });
   }
 
+  /**
+   * Starts to read the body of a request. Parts that arrived before the request has its turn would be kept one by
+   * one otherwise, whatever their number.
+   */
+  private startReading(request: IncomingMessage): BodyReading {
+    const { state, budget } = this.host;
+    const { smallParts, garbage } = this;
+    const maxBytes = state.routeIndex.current?.table.limits.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+    const limits = { maxBytes, timeoutMs: BODY_TIMEOUT_MS, budget, smallParts, garbage };
+    const reading = readBody(request, limits);
+    this.bodies.set(request, reading);
+    return reading;
+  }
+
   private observeRejection({ url, rawHeaders }: IncomingMessage, failure: Failure): void {
     const { observer, labels } = this.host;
     const { kind: result, message: reason } = failure;
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -6,6 +6,9 @@
 import type { BodyGarbage } from './bodyGarbage.ts';
 import type { SmallPartLimit } from './smallPartLimit.ts';
 
+/** Memory that a part of a body takes beside its bytes. */
+const PART_BYTES = 512;
+
 interface BodyLimits {
   maxBytes: number;
   timeoutMs: number;
@@ -26,7 +29,7 @@
 ): Promise<Result<Buffer, Failure>> {
   return new Promise((resolve) => {
     const received = BlockBuffer.create();
-    const parts = smallParts?.watch();
+    const parts = smallParts?.watch(request);
     const end = (result: Result<Buffer, Failure>) => {
       clearTimeout(timer);
       budget?.release(holder);
@@ -35,6 +38,8 @@
       request.off('data', addChunk);
       request.off('end', finish);
       request.off('close', handleClose);
+      // What still arrives before the connection is closed would be kept otherwise.
+      request.resume();
       resolve(result);
     };
     const rejectSlowSender = () => {
@@ -51,7 +56,7 @@
     };
     const addChunk = (chunk: Buffer) => {
       received.append(chunk);
-      garbage?.add(chunk.length);
+      garbage?.add(chunk.length + PART_BYTES);
       if (received.length > maxBytes) rejectLargeBody();
       else if (parts?.addPart(received.length) === false) holder.evict();
       else budget?.hold(holder, received.capacity);
--- a/src/http/bodyGarbage.ts
+++ b/src/http/bodyGarbage.ts
@@ -1,5 +1,5 @@
 /** Bytes of bodies after whose arrival their buffers are collected. */
-const COLLECT_AFTER_BYTES = 4 * 1_024 * 1_024;
+const COLLECT_AFTER_BYTES = 2 * 1_024 * 1_024;
 
 /**
  * Has the buffers collected in which bodies arrived. By itself the runtime lets 64 MB of them gather, which is more
--- a/src/http/constants.ts
+++ b/src/http/constants.ts
@@ -26,6 +26,8 @@
 export const STATUS_TIMEOUT_MS = 3_000;
 
 /** Parts of a body from which on their mean size counts, the size below which they are small, and most such bodies at once. */
-export const SMALL_PARTS = 4_096;
+export const SMALL_PARTS = 512;
 export const SMALL_PART_BYTES = 64;
 export const MAX_SMALL_PART_SENDERS = 2;
+/** Time for which a connection is not read after it has brought many small parts. */
+export const SMALL_PART_PAUSE_MS = 20;
--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -37,6 +37,8 @@
   backlog: AcceptBacklog;
   arrivals: ArrivalQueue;
   pollClock: PollClock;
+  /** Called when the head of a request was read, before the request waits for its turn. */
+  onHead?: (request: IncomingMessage) => void;
   /** Returns the time in ms that the caller of a request waits; Infinity if it set no limit. */
   getWaitMs: (request: IncomingMessage) => number;
   /** Called for each request that is rejected because the host is overloaded. */
@@ -82,8 +84,12 @@
       if (connections.get(request.socket)?.receive(request, response) !== true) return;
       const reading = { at: performance.now(), delayMs: intake?.pollClock.getReadDelayMs() ?? 0 };
       const take = (): void => void handleRequest(handle, request, response, reading);
-      if (intake === undefined) take();
-      else queueRequest(intake, request, response, take);
+      if (intake === undefined) {
+        take();
+        return;
+      }
+      intake.onHead?.(request);
+      queueRequest(intake, request, response, take);
     },
   );
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
