Show that keys and quotas hold over hosts as processes

Guards against keys that reach engines or log lines, removed keys that run on while the store is away, and quotas that end with the host that counts or are lowered while the store is slow. The stand-in of the store tells a clock that runs.

--- a/stand-ins/platform/rowStore.ts
+++ b/stand-ins/platform/rowStore.ts
@@ -150,13 +150,16 @@
       return row?.value === undefined ? { ...expected, ver: 0 } : row;
     });
     if (current.some(({ ver }, index) => ver !== expectedRev[index]?.ver)) {
-      return { status: 412, body: { rows: current, ver: this.version, nowMs: 0 } };
+      return {
+        status: 412,
+        body: { rows: current, ver: this.version, nowMs: Math.round(performance.now()) },
+      };
     }
     this.version += 1;
     for (const row of writes) this.storeRow({ ...row, ver: this.version });
     for (const row of remove) this.storeRow({ ...row, value: undefined, ver: this.version });
     this.answerWatches();
-    return { status: 200, body: { ver: this.version, nowMs: 0 } };
+    return { status: 200, body: { ver: this.version, nowMs: Math.round(performance.now()) } };
   }
 
   private handleRead(query: URLSearchParams): Reply {
@@ -166,7 +169,12 @@
       .filter((row) => row.table === table && row.value !== undefined && row.key >= from)
       .sort((a, b) => (a.key < b.key ? -1 : 1));
     const page = rows.slice(0, MAX_PAGE_ROWS);
-    const body = { rows: page, hasMore: rows.length > page.length, ver: this.version, nowMs: 0 };
+    const body = {
+      rows: page,
+      hasMore: rows.length > page.length,
+      ver: this.version,
+      nowMs: Math.round(performance.now()),
+    };
     return { status: 200, body };
   }
 
@@ -205,7 +213,7 @@
 
   private newFeedReply(changed: StoredRow[]): Reply {
     const rows = changed.map((row) => (row.value === undefined ? { ...row, deleted: true } : row));
-    return { status: 200, body: { rows, ver: this.version, nowMs: 0 } };
+    return { status: 200, body: { rows, ver: this.version, nowMs: Math.round(performance.now()) } };
   }
 
   private storeRow(row: StoredRow): void {
--- a/tests/gatewayHost/deployment.ts
+++ b/tests/gatewayHost/deployment.ts
@@ -29,6 +29,7 @@
 
 /** Routes for each kind of request. */
 const ROUTES = [
+  newRoute('open', '/open/', 'safe', { service: 'desk', public: true }),
   newRoute('status', '/status/', 'safe', { service: 'desk', attempts: 2 }),
   newRoute('booking', '/booking/', 'unsafe', { service: 'desk' }),
   newRoute('quick', '/status/quick/', 'safe', { service: 'desk', timeoutMs: 150 }),
@@ -75,7 +76,10 @@
   storeAddress = '';
 
   /** Writes the operator's routing configuration. */
-  configure(version: number, change: { routes?: unknown[]; limits?: object } = {}): void {
+  configure(
+    version: number,
+    change: { routes?: unknown[]; limits?: object; tenants?: object[] } = {},
+  ): void {
     this.store.put('op', 'config', {
       version,
       routes: change.routes ?? ROUTES,
@@ -87,6 +91,7 @@
         idleTimeoutMs: 5_000,
         ...change.limits,
       },
+      tenants: change.tenants,
     });
   }
 
