Keep the prefill budget in tokens, and rank requests where there are tenants

Change: the budget is 6,500 tokens again, the rate stays within twice the usual one and serves placement only; ranks order the queue for requests of tenants.

--- a/src/residency/constants.ts
+++ b/src/residency/constants.ts
@@ -42,10 +42,10 @@
 /** Additional prefill time of a prompt for each million token pairs (quadratic attention cost). */
 export const ATTENTION_MS_PER_MILLION_PAIRS = 1.1;
 /**
- * Time in which an engine reads the prompts that are sent to it at once. It reads them between two events of
- * all its streams, whose pauses may last up to 400 ms.
+ * Most prompt tokens that wait for prefill on an engine at once. The engine processes them between two events of all
+ * its streams, whose pauses may last up to 400 ms.
  */
-export const PREFILL_BUDGET_MS = 270;
+export const PREFILL_BUDGET_TOKENS = 6_500;
 /** Share of the budget from which on a prompt is long. */
 export const LONG_PROMPT_SHARE = 0.5;
 /** Share of the budget that short prompts have beside a long one. */
--- a/src/residency/engineSpeed.ts
+++ b/src/residency/engineSpeed.ts
@@ -1,11 +1,11 @@
 import { EXPECTED_FIRST_EVENT_MS, PREFILL_TOKENS_PER_MS } from './constants.ts';
 
 /** Weight of a sample in the mean, and the most that one changes it. */
-const SAMPLE_WEIGHT = 0.2;
+const SAMPLE_WEIGHT = 0.1;
 const MAX_CHANGE = 1.5;
 /** Bounds of the mean, as ratios to the usual rate. */
 const MIN_RATE_RATIO = 1 / 8;
-const MAX_RATE_RATIO = 4;
+const MAX_RATE_RATIO = 2;
 /** Fewest tokens that tell the rate; what else a first event takes outweighs fewer. */
 const MIN_SAMPLE_TOKENS = 600;
 
--- a/src/residency/prefill.ts
+++ b/src/residency/prefill.ts
@@ -1,7 +1,7 @@
 import {
   ATTENTION_MS_PER_MILLION_PAIRS,
   LONG_PROMPT_SHARE,
-  PREFILL_BUDGET_MS,
+  PREFILL_BUDGET_TOKENS,
   PREFILL_TOKENS_PER_MS,
   SHORT_PROMPT_RESERVE,
   PREFILL_TIMEOUT_MS,
@@ -28,25 +28,22 @@
  */
 export function canSendPrompt(owned: EngineResidency, promptTokens: number): boolean {
   const { pendingPrefillTokens, longPrefillTokens } = owned;
-  const budget = getPrefillBudget(owned);
-  if (pendingPrefillTokens === 0 || pendingPrefillTokens + promptTokens <= budget) return true;
+  if (pendingPrefillTokens === 0 || pendingPrefillTokens + promptTokens <= PREFILL_BUDGET_TOKENS)
+    return true;
   const pendingShortTokens = pendingPrefillTokens - longPrefillTokens;
-  const fitsReserve = pendingShortTokens + promptTokens <= budget * SHORT_PROMPT_RESERVE;
+  const fitsReserve =
+    pendingShortTokens + promptTokens <= PREFILL_BUDGET_TOKENS * SHORT_PROMPT_RESERVE;
   return longPrefillTokens > 0 && fitsReserve;
 }
 
 /** Whether a prompt takes so long to read that it holds up others on an engine. */
-export function isLongPrompt(owned: EngineResidency, promptTokens: number): boolean {
-  return promptTokens > getPrefillBudget(owned) * LONG_PROMPT_SHARE;
-}
-
-function getPrefillBudget({ speed }: EngineResidency): number {
-  return PREFILL_BUDGET_MS * speed.rate;
+export function isLongPrompt(promptTokens: number): boolean {
+  return promptTokens > PREFILL_BUDGET_TOKENS * LONG_PROMPT_SHARE;
 }
 
 /** Records that a prompt is sent to an engine; returns whether it is a long one. */
 export function startPrefill(owned: EngineResidency, promptTokens: number): boolean {
-  const isLong = isLongPrompt(owned, promptTokens);
+  const isLong = isLongPrompt(promptTokens);
   owned.pendingPrefillTokens += promptTokens;
   if (isLong) owned.longPrefillTokens += promptTokens;
   return isLong;
--- a/src/residency/reservationMoves.ts
+++ b/src/residency/reservationMoves.ts
@@ -29,7 +29,7 @@
       candidate === owned || (other !== undefined && canMoveTo(state, view, other, message, now));
     return isOption ? [newOption(state, engineClass, candidate, message, now)] : [];
   });
-  const isLong = isLongPrompt(owned, promptTokens);
+  const isLong = isLongPrompt(promptTokens);
   const engine = chooseOwnedEngine(options, { engine: asked, isLong, goalMs });
   return engine === asked ? message : { ...message, engine };
 }
--- a/src/residency/reservationQueue.ts
+++ b/src/residency/reservationQueue.ts
@@ -42,11 +42,11 @@
   const isUrgent = slackMs < URGENT_MS;
   return [
     0,
-    queued.priority ?? 0,
+    queued.tenant === undefined ? 0 : (queued.priority ?? 0),
     Number(overusers.has(queued.tenant ?? '')),
     Number(!isUrgent),
     Number(!holdsIdleCopy(owned, queued)),
-    Number(!isUrgent && isLongPrompt(owned, queued.promptTokens)),
+    Number(!isUrgent && isLongPrompt(queued.promptTokens)),
     getQueueRank(queued),
   ];
 }
