--- a/src/quotas/types.ts
+++ b/src/quotas/types.ts
@@ -75,8 +75,6 @@
 
 /** What this host uses of the quota of one tenant. */
 export interface TenantUse {
-  /** Host that it last reported to; empty before the first report. */
-  accountant: string;
   /** Monotonic ms until which requests are admitted without asking. */
   freeUntil: number;
   /** Monotonic ms until which requests are refused without asking that cost `refusedCost` units or more. */
--- a/src/quotas/usage.ts
+++ b/src/quotas/usage.ts
@@ -54,8 +54,7 @@
   const accountant = findAccountant(state, tenant.name, now);
   if (accountant === undefined) return { type: 'unknown' };
   const use = getUse(state, tenant.name);
-  // A tenant that had room a moment ago keeps it for that time when its accountant is no longer reached.
-  use.accountant = accountant;
+  // A tenant that had room a moment ago keeps it for that time, also when its accountant is no longer reached.
   if (use.freeUntil > now) {
     addUse(state, use, cost, now);
     return { type: 'admitted', cost };
@@ -163,7 +162,6 @@
     const accountant = findAccountant(state, tenant, now);
     const use = getUse(state, tenant);
     if (accountant === undefined || use.isAsking || use.waiting.length === 0) return [];
-    use.accountant = accountant;
     return askAccountant(state, accountant, [tenant], now);
   });
 }
@@ -200,7 +198,6 @@
   const known = quotas.uses.get(tenant);
   if (known !== undefined) return known;
   const use: TenantUse = {
-    accountant: '',
     freeUntil: -Infinity,
     refusedUntil: -Infinity,
     refusedCost: Infinity,
--- a/src/routes/checks.ts
+++ b/src/routes/checks.ts
@@ -1,4 +1,4 @@
-import type { EngineClass, Route, RoutingTable, Tenant } from './types.ts';
+import type { Route, RoutingTable, Tenant } from './types.ts';
 
 /** Something in a routing table that operators hardly mean. */
 export interface Finding {
@@ -82,11 +82,10 @@
   return kind === 'safe' || (kind === 'stream' && isResumable);
 }
 
-function findOddTenants({ tenants, routes, services }: RoutingTable): Finding[] {
+function findOddTenants({ tenants, routes }: RoutingTable): Finding[] {
   if (tenants == null) return [];
-  const engines = services.flatMap(({ engine }) => (engine === undefined ? [] : [engine]));
   const findings = tenants.flatMap((tenant, index) =>
-    newFindings(`tenants.${index}`, getTenantProblems(tenant, engines)),
+    newFindings(`tenants.${index}`, getTenantProblems(tenant)),
   );
   const isAnyReached = routes.some(({ isPublic }) => isPublic !== true);
   if (tenants.length > 0 && routes.length > 0 && !isAnyReached)
@@ -94,11 +93,7 @@
   return findings;
 }
 
-function getTenantProblems(
-  { keyDigests, ratePerS, burst, unit, plainTokens }: Tenant,
-  engines: readonly EngineClass[],
-): string[] {
-  const largest = Math.max(0, ...engines.map(({ memoryTokens }) => memoryTokens));
+function getTenantProblems({ keyDigests, ratePerS, burst, unit, plainTokens }: Tenant): string[] {
   return [
     keyDigests.length === 0 ? 'it has no key, so no request is its own' : '',
     ratePerS === 0 && burst > 0 ? `its burst of ${burst} does nothing without a rate` : '',
@@ -108,15 +103,9 @@
     ratePerS > 0 && unit === 'token' && burst > 0 && burst < plainTokens
       ? `its burst of ${burst} tokens is below the ${plainTokens} of a request without a count`
       : '',
-    ratePerS > 0 && unit === 'token' && largest > 0 && burst > largest * MAX_BURST_ENGINES
-      ? `its burst of ${burst} tokens fills the memory of ${MAX_BURST_ENGINES} engines at once`
-      : '',
   ];
 }
 
-/** Engines whose whole memory a burst may fill before it is worth a word. */
-const MAX_BURST_ENGINES = 1_000;
-
 function findUnusedServices({ routes, services }: RoutingTable): Finding[] {
   const used = new Set(routes.flatMap(({ targets }) => targets.map(({ service }) => service)));
   return services.flatMap(({ name }, index) =>
