Let a new reader prove that the directory answers it before it sends heartbeats

Cause: a follower makes no calls, so one that became the reader counted as answered until its first calls were overdue; its heartbeats covered for the former reader, which the store refused too, before the others noticed the gap. Change: heartbeats need an answer to a call of each topic within its wait and pause. Measured: tests/directory/operatorNews.test.ts fails before.

--- a/src/directory/group.ts
+++ b/src/directory/group.ts
@@ -1,11 +1,13 @@
 import { getRendezvousChoice } from '../base/hash.ts';
 import type { State } from '../core/state.ts';
 import {
+  MAX_WATCH_PAUSE_MS,
   MIN_ZONE_GROUP_MEMBERS,
   READER_HEARTBEAT_TIMEOUT_MS,
+  READER_WATCH_WAIT_MS,
   WATCH_ANSWER_SLACK_MS,
 } from './constants.ts';
-import type { Topic } from './types.ts';
+import { Topic } from './types.ts';
 
 /** Whether another host is the reader and the last reader heartbeat is recent enough. */
 export function isFollower(state: State, now: number): boolean {
@@ -54,15 +56,21 @@
 }
 
 /**
- * Whether this host's directory calls succeed: each topic was read, and none is unavailable or overdue.
+ * Whether this host's directory calls succeed: each topic was answered lately, and none is unavailable or
+ * overdue. A follower that becomes the reader has made no calls, and proves nothing before their answers.
  */
 export function isDirectoryAvailable({ directory }: State, now: number): boolean {
-  return Object.values(directory.topics).every(
-    ({ unavailableSince, version, isCallInFlight, answerDueAt }) =>
+  return Topic.options.every((topic) => {
+    const { unavailableSince, version, isCallInFlight, answerDueAt, answeredAt } =
+      directory.topics[topic];
+    const answerMs = READER_WATCH_WAIT_MS[topic] + MAX_WATCH_PAUSE_MS + WATCH_ANSWER_SLACK_MS;
+    return (
       unavailableSince === undefined &&
       version !== undefined &&
-      (!isCallInFlight || answerDueAt + WATCH_ANSWER_SLACK_MS >= now),
-  );
+      answeredAt + answerMs >= now &&
+      (!isCallInFlight || answerDueAt + WATCH_ANSWER_SLACK_MS >= now)
+    );
+  });
 }
 
 /** Returns the linked hosts of this host's group, without itself. */
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -101,6 +101,8 @@
   recoveredAt: number;
   /** Monotonic ms at which the directory, or a reader, last confirmed that this host knows the newest version. */
   confirmedAt: number;
+  /** Monotonic ms at which the directory last answered a call of this host. */
+  answeredAt: number;
   /** Monotonic ms at which the last call started. */
   callStartedAt: number;
   /** Newest time of the directory's clock, in ms, as of which this host is known to have every change. */
@@ -158,6 +160,7 @@
     unavailableSince: undefined,
     recoveredAt: -Infinity,
     confirmedAt: -Infinity,
+    answeredAt: -Infinity,
     callStartedAt: -Infinity,
     provenAtMs: undefined,
   };
--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -89,6 +89,7 @@
   if (answer.type === 'unavailable') {
     return [...observations, ...scheduleTopicRetry(state, topic, answer.reason, now)];
   }
+  known.answeredAt = now;
   const effects = [...observations, ...recordRecovery(known, topic, now)];
   if (answer.type === 'historyLost') {
     known.version = undefined;
--- a/tests/directory/operatorNews.test.ts
+++ b/tests/directory/operatorNews.test.ts
@@ -75,6 +75,29 @@
     expect(getReader(others)).toBe(first);
   });
 
+  // Guards against hosts that keep the old entries, as each new reader that the store refuses covers for the last.
+  it('is replaced by one that sends heartbeats only after the directory has answered it', () => {
+    const hosts = createGroup();
+    const first = getReader(hosts);
+    const others = hosts.filter(({ state }) => state.host.id !== first);
+    for (const host of others) {
+      for (const topic of Topic.options) host.answerDirectoryCall(topic, [], 20);
+      for (let waited = 0; waited < 3_000; waited += READER_HEARTBEAT_INTERVAL_MS) {
+        host.advance(READER_HEARTBEAT_INTERVAL_MS);
+        sendHeartbeat(host, first ?? '', [1, 10, 20]);
+      }
+      host.takeAllEffects();
+      host.advance(1_000);
+    }
+    const second = others.find(({ state }) => state.host.id === getReader(others));
+    const isHeartbeat = ({ type }: { type: string }): boolean => type === 'directoryFed';
+    const to = others.find((host) => host !== second)?.state.host.id ?? '';
+    expect(second?.takeMessages(to).filter(isHeartbeat)).toEqual([]);
+    for (const topic of Topic.options) second?.answerDirectoryCall(topic, [], 20);
+    second?.advance(READER_HEARTBEAT_INTERVAL_MS);
+    expect(second?.takeMessages(to).filter(isHeartbeat).length).toBeGreaterThan(0);
+  });
+
   it('does not take itself for the reader while its calls fail', () => {
     const hosts = createGroup();
     const first = hosts.find(({ state }) => chooseReader(state) === state.host.id);
