--- a/src/directory/membersChanges.ts
+++ b/src/directory/membersChanges.ts
@@ -6,7 +6,7 @@
 import { requestTopicChanges } from './watch.ts';
 
 /** Key of the members row in its topic. */
-export const MEMBERS_KEY = 'members';
+const MEMBERS_KEY = 'members';
 
 /** Returns what a change of the topic changed of the members row; undefined if it did not change the row alone. */
 export function newMembersChange(
--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -35,14 +35,29 @@
   if (known.isCallInFlight || state.phase === 'stopped') return [];
   const { version: after } = known;
   if (after !== undefined && isCoveredByReader(state, topic, now)) return [];
+  if (after !== undefined)
+    return startWatch(known, topic, after, getWaitMs(state, topic, now), now);
+  recordCallStart(known, now);
+  return [{ type: 'readTopic', topic, call: known.call }];
+}
+
+function startWatch(
+  known: TopicState,
+  topic: Topic,
+  after: number,
+  waitMs: number,
+  now: number,
+): Effect[] {
+  recordCallStart(known, now);
+  known.answerDueAt = now + waitMs;
+  return [{ type: 'watchTopic', topic, call: known.call, after, waitMs }];
+}
+
+/** Records that a call starts; answers to earlier ones are ignored. */
+function recordCallStart(known: TopicState, now: number): void {
   known.isCallInFlight = true;
   known.call += 1;
   known.callStartedAt = now;
-  const { call } = known;
-  if (after === undefined) return [{ type: 'readTopic', topic, call }];
-  const waitMs = getWaitMs(state, topic, now);
-  known.answerDueAt = now + waitMs;
-  return [{ type: 'watchTopic', topic, call, after, waitMs }];
 }
 
 function getWaitMs(state: State, topic: Topic, now: number): number {
@@ -129,13 +144,7 @@
   const known = state.directory.topics[topic];
   if (known.version === undefined || state.policy.directory?.maxKeyAgeMs === undefined)
     return forgotten;
-  // An answer to an earlier call is ignored; its changes are in the next one.
-  known.isCallInFlight = true;
-  known.call += 1;
-  known.callStartedAt = now;
-  known.answerDueAt = now;
-  const { call, version: after } = known;
-  return [...forgotten, { type: 'watchTopic', topic, call, after, waitMs: 0 }];
+  return [...forgotten, ...startWatch(known, topic, known.version, 0, now)];
 }
 
 /** Requests changes from a random linked host while the directory is unavailable. */
--- a/src/forwards/forwardEnd.ts
+++ b/src/forwards/forwardEnd.ts
@@ -32,14 +32,32 @@
 export function abandonForward(state: State, forward: Forward, reason: string): Effect[] {
   if (forward.hasFailedResponse && !forward.hasResponseStarted)
     return passFailedResponse(state, forward, reason);
-  const isOutcomeUnknown =
-    forward.mayHaveRun || forward.hasResponseStarted || forward.ranOn.size > 0;
-  const failure = isOutcomeUnknown
+  const failure = mayHaveBeenRun(forward)
     ? Failure.create('outcome_unknown', `the request may have run: ${reason}`)
     : Failure.create('service_unavailable', `the request was not run: ${reason}`);
   return failForward(state, forward, failure);
 }
 
+/**
+ * Refuses a request that has not run. One that may have run is abandoned for `reason`, as a refusal says that it
+ * has not.
+ */
+export function refuseForward(
+  state: State,
+  forward: Forward,
+  failure: Failure,
+  reason = failure.message,
+): Effect[] {
+  return mayHaveBeenRun(forward) || forward.hasFailedResponse
+    ? abandonForward(state, forward, reason)
+    : failForward(state, forward, failure);
+}
+
+/** Whether an attempt that has ended may have run. */
+function mayHaveBeenRun({ mayHaveRun, hasResponseStarted, ranOn }: Forward): boolean {
+  return mayHaveRun || hasResponseStarted || ranOn.size > 0;
+}
+
 /** Passes on the kept error response of an endpoint after the retries failed too. */
 function passFailedResponse(state: State, forward: Forward, reason: string): Effect[] {
   return [
@@ -145,8 +163,8 @@
 
 /** Gives the units of a request back to the quota of its tenant if no endpoint can have run it. */
 function giveBackUnused(state: State, forward: Forward): void {
-  const { tenant, quotaCost, sends, refusedBy, ranOn, mayHaveRun } = forward;
-  const hasRun = mayHaveRun || ranOn.size > 0 || sends > refusedBy.size;
+  const { tenant, quotaCost, sends, refusedBy } = forward;
+  const hasRun = mayHaveBeenRun(forward) || sends > refusedBy.size;
   if (tenant !== undefined && !hasRun) giveBackQuota(state, tenant, quotaCost, state.now);
 }
 
--- a/src/forwards/keyChecks.ts
+++ b/src/forwards/keyChecks.ts
@@ -2,7 +2,7 @@
 import type { State } from '../core/state.ts';
 import type { Failure } from '../errors/failure.ts';
 import { findTenant } from '../tenants/findTenant.ts';
-import { abandonForward, failForward } from './forwardEnd.ts';
+import { refuseForward } from './forwardEnd.ts';
 import type { Forward } from './types.ts';
 
 /**
@@ -17,10 +17,7 @@
   const failure = findKeyProblem(state, forward, now);
   if (failure === undefined) return undefined;
   forward.lastReason = failure.message;
-  const { mayHaveRun, ranOn, hasResponseStarted, hasFailedResponse } = forward;
-  if (mayHaveRun || ranOn.size > 0 || hasResponseStarted || hasFailedResponse)
-    return abandonForward(state, forward, failure.message);
-  return failForward(state, forward, failure);
+  return refuseForward(state, forward, failure);
 }
 
 /** Refuses the requests that wait and whose keys the routing table no longer holds. */
--- a/src/forwards/quarantinedForwards.ts
+++ b/src/forwards/quarantinedForwards.ts
@@ -6,7 +6,7 @@
 import { getQuarantine, newTrials, type Quarantine } from '../suspects/quarantine.ts';
 import { publishSuspects } from '../suspects/suspectReports.ts';
 import { MAX_QUARANTINE_RETRY_AFTER_MS } from './constants.ts';
-import { abandonForward, cancelRunningAttempt, failForward, rejectForward } from './forwardEnd.ts';
+import { cancelRunningAttempt, refuseForward, rejectForward } from './forwardEnd.ts';
 import type { Forward, NewForward } from './types.ts';
 
 /** Refuses a request that arrived with a quarantined attribute. */
@@ -29,9 +29,7 @@
     newRefusalCount(quarantine),
     ...cancelRunningAttempt(state, forward, failure.message),
   ];
-  if (forward.mayHaveRun || forward.hasFailedResponse)
-    return [...effects, ...abandonForward(state, forward, failure.message)];
-  return [...effects, ...failForward(state, forward, failure)];
+  return [...effects, ...refuseForward(state, forward, failure)];
 }
 
 /**
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -55,8 +55,8 @@
 }
 
 /**
- * `awaitingQuota`: asked the accountant of its tenant; `awaitingStreamRecord`: asked other hosts where the stream began that it resumes; `awaitingOwner`:
- * requested a reservation; `running`: sent to an endpoint; `backoff`: waits for a retry.
+ * `awaitingQuota`: asked the accountant of its tenant; `awaitingStreamRecord`: asked other hosts where the stream
+ * began that it resumes; `awaitingOwner`: requested a reservation; `running`: sent to an endpoint; `backoff`: waits for a retry.
  */
 export type ForwardPhase =
   'awaitingQuota' | 'awaitingStreamRecord' | 'awaitingOwner' | 'running' | 'backoff';
--- a/src/forwards/unavailability.ts
+++ b/src/forwards/unavailability.ts
@@ -6,7 +6,7 @@
 import { needsPermit } from '../limits/permits.ts';
 import { getShortestPauseMs, isPaused } from '../notices/pauses.ts';
 import { LEAVING_RETURN_MS, PAUSE_RETURN_SPREAD } from './constants.ts';
-import { abandonForward, failForward } from './forwardEnd.ts';
+import { refuseForward } from './forwardEnd.ts';
 import type { Forward } from './types.ts';
 
 /**
@@ -48,11 +48,9 @@
 }
 
 function refuse(state: State, forward: Forward, reason: string, returnMs: number): Effect[] {
-  const { mayHaveRun, ranOn, hasFailedResponse } = forward;
   forward.lastReason = reason;
-  if (mayHaveRun || ranOn.size > 0 || hasFailedResponse)
-    return abandonForward(state, forward, reason);
   const retryAfterS = Number.isFinite(returnMs) ? returnMs / 1_000 : undefined;
   const message = `the request was not run: ${reason}`;
-  return failForward(state, forward, Failure.create('overloaded', message, { retryAfterS }));
+  const failure = Failure.create('overloaded', message, { retryAfterS });
+  return refuseForward(state, forward, failure, reason);
 }
--- a/src/http/memoryBudget.ts
+++ b/src/http/memoryBudget.ts
@@ -45,7 +45,10 @@
   hold(holder: BytesHolder, bytes: number): void {
     const known = this.holdings.get(holder);
     this.total += bytes - (known?.bytes ?? 0);
-    this.holdings.set(holder, { bytes, changedAt: performance.now() });
+    const holding = known ?? { bytes, changedAt: 0 };
+    holding.bytes = bytes;
+    holding.changedAt = performance.now();
+    if (known === undefined) this.holdings.set(holder, holding);
     while (this.total > this.maxBytes) {
       const evicted = this.chooseEvicted();
       if (evicted === undefined) return;
--- a/src/quotas/accountants.ts
+++ b/src/quotas/accountants.ts
@@ -52,25 +52,23 @@
 
 /** Returns the monotonic ms since which this host is the accountant of a tenant by the members row. */
 export function getPrimarySince(state: State, tenant: string, now: number): number {
-  getPrimary(state, tenant);
   return state.quotas.primarySince.get(getShard(state, tenant)) ?? now;
 }
 
 /** Returns the accountant of a tenant by the members row. */
 function getPrimary(state: State, tenant: string): string | undefined {
-  updatePrimaries(state);
-  return state.quotas.primaries.hosts[getShard(state, tenant)];
+  return state.quotas.primaries[getShard(state, tenant)];
 }
 
 /** Chooses the accountants again after the members row changed. */
 export function updatePrimaries({ quotas, owners, host, now }: State): void {
   const { row } = owners;
-  if (row === undefined || quotas.primaries.epoch === row.epoch) return;
+  if (row === undefined) return;
   const members = row.members.map((member) => member.host);
   const hosts = Array.from({ length: countShards(members.length) }, (_, shard) =>
     getRendezvousChoice(getShardKey(shard), members),
   );
-  quotas.primaries = { epoch: row.epoch, hosts };
+  quotas.primaries = hosts;
   for (const shard of quotas.primarySince.keys()) {
     if (hosts[shard] !== host.id) quotas.primarySince.delete(shard);
   }
--- a/src/quotas/types.ts
+++ b/src/quotas/types.ts
@@ -104,8 +104,8 @@
   nextAsk = 1;
   /** Monotonic ms until which accountants are passed over that did not answer. */
   readonly silentUntil = new Map<string, number>();
-  /** Accountants by shard under the members row of `epoch`. */
-  primaries: { epoch: number; hosts: (string | undefined)[] } = { epoch: 0, hosts: [] };
+  /** Accountants by shard under the members row. */
+  primaries: (string | undefined)[] = [];
   /** Monotonic ms since which this host is the accountant of a shard. */
   readonly primarySince = new Map<number, number>();
   isReportScheduled = false;
--- a/src/quotas/usage.ts
+++ b/src/quotas/usage.ts
@@ -34,11 +34,11 @@
 
 /** Returns the units that a request counts against the quota of its tenant. */
 export function getQuotaCost(
-  { unit, plainTokens }: Pick<Tenant, 'unit' | 'plainTokens'>,
+  { unit, defaultTokens }: Pick<Tenant, 'unit' | 'defaultTokens'>,
   { promptTokens, outputTokens, hasTokenCount }: RequestLabels,
 ): number {
   if (unit === 'request') return 1;
-  return hasTokenCount === true ? promptTokens + outputTokens : plainTokens;
+  return hasTokenCount === true ? promptTokens + outputTokens : defaultTokens;
 }
 
 /** Decides whether a request fits into the quota of its tenant, or asks the accountant. */
--- a/src/residency/copies.ts
+++ b/src/residency/copies.ts
@@ -1,5 +1,6 @@
 import type { Popularity } from '../grants/popularity.ts';
 import type { EngineClass } from '../routes/types.ts';
+import { EXPECTED_LOAD_MS } from './constants.ts';
 import type { AdapterCopy, EngineResidency } from './types.ts';
 
 /** Returns the number of adapters that fit on an engine beside its base models. */
@@ -17,6 +18,13 @@
   return version === 0 || (copy.version ?? 0) >= version;
 }
 
+/** Returns the expected time until a copy is resident, in ms; undefined if no load of it has begun. */
+export function getLoadLeftMs(copy: AdapterCopy | undefined, now: number): number | undefined {
+  if (copy?.phase === 'resident') return 0;
+  if (copy?.phase === 'loading') return Math.max(0, copy.orderedAt + EXPECTED_LOAD_MS - now);
+  return undefined;
+}
+
 /** Returns the number of copies that are loading on an engine. */
 export function countLoading(owned: EngineResidency): number {
   let count = 0;
--- a/src/residency/engineStatus.ts
+++ b/src/residency/engineStatus.ts
@@ -5,7 +5,7 @@
 import { schedule } from '../core/timers.ts';
 import { ANNOUNCE_INTERVAL_MS, ANNOUNCE_INTERVAL_PER_HOST_MS } from './constants.ts';
 import { countOpenSlots, getSlotLimit } from './copies.ts';
-import { getPrefillBacklogMs, getPrefillMs } from './prefill.ts';
+import { getPrefillBacklogMs, getQueuePrefillMs } from './prefill.ts';
 import { isLoadingModel } from './modelOrders.ts';
 import { getOwnedEngineClass } from './reservations.ts';
 import type { EngineStatusAnnouncement, EngineResidency, EngineStatus } from './types.ts';
@@ -83,7 +83,7 @@
   return {
     engine: owned.id,
     epoch: owned.epoch,
-    backlogMs: Math.round(getPrefillBacklogMs(owned)) + getQueuePrefillMs(owned),
+    backlogMs: Math.round(getPrefillBacklogMs(owned)) + Math.round(getQueuePrefillMs(owned)),
     running: owned.reservations.size,
     models: [...owned.models],
     isLoadingModel: isLoadingModel(state, owned, now),
@@ -97,12 +97,3 @@
   const { engine, backlogMs, running, openSlots, adapters, isLoadingModel } = status;
   return { engine, backlogMs, running, openSlots, adapters: adapters.length, isLoadingModel };
 }
-
-function getQueuePrefillMs(owned: EngineResidency): number {
-  return Math.round(
-    owned.queue.reduce(
-      (sum, queued) => sum + getPrefillMs(queued.promptTokens, owned.speed.rate),
-      0,
-    ),
-  );
-}
--- a/src/residency/prefill.ts
+++ b/src/residency/prefill.ts
@@ -41,20 +41,24 @@
   return promptTokens > PREFILL_BUDGET_TOKENS * LONG_PROMPT_SHARE;
 }
 
-/** Records that a prompt is sent to an engine; returns whether it is a long one. */
-export function startPrefill(owned: EngineResidency, promptTokens: number): boolean {
-  const isLong = isLongPrompt(promptTokens);
+/** Returns the expected prefill time of the prompts that wait in the queue of an engine, in ms. */
+export function getQueuePrefillMs({ queue, speed }: EngineResidency): number {
+  return queue.reduce((sum, { promptTokens }) => sum + getPrefillMs(promptTokens, speed.rate), 0);
+}
+
+/** Records that a prompt is sent to an engine. */
+export function startPrefill(owned: EngineResidency, promptTokens: number): void {
   owned.pendingPrefillTokens += promptTokens;
-  if (isLong) owned.longPrefillTokens += promptTokens;
-  return isLong;
+  if (isLongPrompt(promptTokens)) owned.longPrefillTokens += promptTokens;
 }
 
 /** Records that an engine has processed the prompt of a reservation. */
 export function completePrefill(owned: EngineResidency, reservation: Reservation): void {
   if (!reservation.isPrefilling) return;
   reservation.isPrefilling = false;
-  owned.pendingPrefillTokens -= reservation.promptTokens;
-  if (reservation.isLong) owned.longPrefillTokens -= reservation.promptTokens;
+  const { promptTokens } = reservation;
+  owned.pendingPrefillTokens -= promptTokens;
+  if (isLongPrompt(promptTokens)) owned.longPrefillTokens -= promptTokens;
 }
 
 /** Completes the prefill of reservations without a first event after `PREFILL_TIMEOUT_MS`. */
--- a/src/residency/reservationMoves.ts
+++ b/src/residency/reservationMoves.ts
@@ -4,10 +4,10 @@
 import { needsPermit } from '../limits/permits.ts';
 import { isPaused } from '../notices/pauses.ts';
 import type { EngineClass } from '../routes/types.ts';
-import { EXPECTED_LOAD_MS, USABLE_MEMORY_SHARE } from './constants.ts';
-import { canServeVersion, countOpenSlots, getSlotLimit } from './copies.ts';
+import { USABLE_MEMORY_SHARE } from './constants.ts';
+import { canServeVersion, countOpenSlots, getLoadLeftMs, getSlotLimit } from './copies.ts';
 import { chooseOwnedEngine, type EngineOption } from './engineChoice.ts';
-import { getPrefillBacklogMs, getPrefillMs, isLongPrompt } from './prefill.ts';
+import { getPrefillBacklogMs, getPrefillMs, getQueuePrefillMs, isLongPrompt } from './prefill.ts';
 import { getEngineClass, getReservedTokens, getWantedVersion } from './reservations.ts';
 import type { EngineResidency, ReservationRequest } from './types.ts';
 
@@ -65,19 +65,14 @@
   message: ReservationRequest,
   now: number,
 ): EngineOption {
-  const { rate } = owned.speed;
-  const queuedMs = owned.queue.reduce(
-    (sum, { promptTokens }) => sum + getPrefillMs(promptTokens, rate),
-    0,
-  );
   const tokens = owned.reservedTokens + getReservedTokens(message);
   const hasRoom =
     owned.reservations.size < engineClass.batch &&
     tokens <= engineClass.memoryTokens * USABLE_MEMORY_SHARE;
   return {
     engine: owned.id,
-    backlogMs: getPrefillBacklogMs(owned) + queuedMs,
-    readMs: getPrefillMs(message.promptTokens, rate),
+    backlogMs: getPrefillBacklogMs(owned) + getQueuePrefillMs(owned),
+    readMs: getPrefillMs(message.promptTokens, owned.speed.rate),
     hasRoom,
     hasLongPrompt: owned.longPrefillTokens > 0,
     running: owned.reservations.size,
@@ -95,7 +90,7 @@
 ): number | undefined {
   if (message.adapter === '') return 0;
   const copy = copies.get(message.adapter);
-  if (copy === undefined || copy.phase === 'unloading') return undefined;
-  if (copy.phase === 'loading') return Math.max(0, copy.orderedAt + EXPECTED_LOAD_MS - now);
-  return canServeVersion(copy, getWantedVersion(state, message)) ? 0 : undefined;
+  const isOutdated =
+    copy?.phase === 'resident' && !canServeVersion(copy, getWantedVersion(state, message));
+  return isOutdated ? undefined : getLoadLeftMs(copy, now);
 }
--- a/src/residency/reservationQueue.ts
+++ b/src/residency/reservationQueue.ts
@@ -5,6 +5,7 @@
   QUEUE_DELAY_PER_TOKEN_MS,
   URGENT_MS,
 } from './constants.ts';
+import { getLoadLeftMs } from './copies.ts';
 import { getPrefillBacklogMs, getPrefillMs, isLongPrompt } from './prefill.ts';
 import type { EngineResidency, QueuedReservation } from './types.ts';
 
@@ -76,10 +77,7 @@
 /** Returns the expected time until the adapter is resident if its load begins now, in ms. */
 function getLoadMs(owned: EngineResidency, { adapter }: QueuedReservation, now: number): number {
   if (adapter === '') return 0;
-  const copy = owned.copies.get(adapter);
-  if (copy?.phase === 'resident') return 0;
-  if (copy?.phase === 'loading') return Math.max(0, copy.orderedAt + EXPECTED_LOAD_MS - now);
-  return EXPECTED_LOAD_MS;
+  return getLoadLeftMs(owned.copies.get(adapter), now) ?? EXPECTED_LOAD_MS;
 }
 
 /** Returns the sort key among requests that are on time: arrival plus a delay for long answers. */
--- a/src/residency/reservations.ts
+++ b/src/residency/reservations.ts
@@ -246,11 +246,11 @@
     tokens,
     promptTokens: queued.promptTokens,
     isPrefilling: true,
-    isLong: startPrefill(owned, queued.promptTokens),
     grantedAt: now,
     expiresAt: queued.deadlineAt + RESERVATION_GRACE_MS,
   });
   owned.reservedTokens += tokens;
+  startPrefill(owned, queued.promptTokens);
   recordTenantUse(owned, queued.tenant, tokens, now);
   const copy = owned.copies.get(queued.adapter);
   if (copy !== undefined) {
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -184,8 +184,6 @@
   promptTokens: number;
   /** Whether the engine has not sent the first event of the request yet. */
   isPrefilling: boolean;
-  /** Whether its prompt counted as long when it was granted. */
-  isLong: boolean;
   grantedAt: number;
   /** Monotonic ms after which the request cannot be running. */
   expiresAt: number;
--- a/src/routes/checks.ts
+++ b/src/routes/checks.ts
@@ -93,15 +93,15 @@
   return findings;
 }
 
-function getTenantProblems({ keyDigests, ratePerS, burst, unit, plainTokens }: Tenant): string[] {
+function getTenantProblems({ keyDigests, ratePerS, burst, unit, defaultTokens }: Tenant): string[] {
   return [
     keyDigests.length === 0 ? 'it has no key, so no request is its own' : '',
     ratePerS === 0 && burst > 0 ? `its burst of ${burst} does nothing without a rate` : '',
     ratePerS > 0 && unit === 'request' && burst < 1 && ratePerS < 1
       ? 'its rate and burst are below one request'
       : '',
-    ratePerS > 0 && unit === 'token' && burst > 0 && burst < plainTokens
-      ? `its burst of ${burst} tokens is below the ${plainTokens} of a request without a count`
+    ratePerS > 0 && unit === 'token' && burst > 0 && burst < defaultTokens
+      ? `its burst of ${burst} tokens is below the ${defaultTokens} of a request without a count`
       : '',
   ];
 }
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -88,7 +88,7 @@
   priority: z.int().min(0).optional(),
   unit: QuotaUnit,
   /** Units that a request counts which does not name its tokens. */
-  plainTokens: z.number().min(0),
+  defaultTokens: z.number().min(0),
   /** Units per second over all hosts, and units beyond them in one burst; a rate of 0 is no limit. */
   ratePerS: z.number().min(0),
   burst: z.number().min(0),
--- a/tests/quotas/quotas.test.ts
+++ b/tests/quotas/quotas.test.ts
@@ -16,7 +16,7 @@
     name: 'school',
     keyDigests: ['d1'],
     unit: 'request',
-    plainTokens: 0,
+    defaultTokens: 0,
     ratePerS: 60,
     burst: 20,
     ...change,
@@ -112,7 +112,7 @@
 
 // Guards against requests that count as one whatever their size.
 it('counts tokens, also of requests that are larger than the burst', () => {
-  const tenant = newTenant({ unit: 'token', ratePerS: 60_000, burst: 2_000, plainTokens: 200 });
+  const tenant = newTenant({ unit: 'token', ratePerS: 60_000, burst: 2_000, defaultTokens: 200 });
   const traffic = TenantTraffic.create(EVEN, tenant);
   traffic.run(15_000, 100, { promptTokens: 2_900, outputTokens: 100, hasTokenCount: true });
   const tokens = traffic.getMostInWindow() * 3_000;
--- a/tests/residency/sharedEngine.test.ts
+++ b/tests/residency/sharedEngine.test.ts
@@ -13,7 +13,7 @@
 const DURATION_MS = 30_000;
 
 function newTenant(name: string, priority: number | undefined): Tenant {
-  const quota = { unit: 'token' as const, plainTokens: 0, ratePerS: 10_000, burst: 10_000 };
+  const quota = { unit: 'token' as const, defaultTokens: 0, ratePerS: 10_000, burst: 10_000 };
   return { name, keyDigests: [name], priority, ...quota };
 }
 
--- a/tests/tenants/findTenant.test.ts
+++ b/tests/tenants/findTenant.test.ts
@@ -11,7 +11,7 @@
   name: 'school',
   keyDigests: ['d1'],
   unit: 'request',
-  plainTokens: 0,
+  defaultTokens: 0,
   ratePerS: 0,
   burst: 0,
 };
