Rank requests on public routes with those of tenants

Requests on public routes went before those of all tenants at an engine that has too little room. Cause: the owner ranked only requests that name a tenant, and took the others for the most urgent. Evidence: tests/residency/sharedEngine.test.ts, 'requests without a tenant have their rank as well', failed before. Change: all requests of a deployment with tenants are ranked; without tenants none are, as before.

--- a/src/residency/reservationQueue.ts
+++ b/src/residency/reservationQueue.ts
@@ -9,6 +9,14 @@
 import { getPrefillBacklogMs, getPrefillMs, isLongPrompt } from './prefill.ts';
 import type { EngineResidency, QueuedReservation } from './types.ts';
 
+/** What orders callers among each other. */
+export interface CallerOrder {
+  /** Whether the deployment has tenants, whose requests are ranked. */
+  hasRanks: boolean;
+  /** Tenants that used more than their share lately. */
+  overusers: ReadonlySet<string>;
+}
+
 /**
  * Sorts the queue of an engine for the load of more requests than it starts in time. Requests that can still
  * meet their goal come first. Among them, the more urgent rank precedes, then tenants that used no more than
@@ -20,11 +28,11 @@
  */
 export function sortReservationQueue(
   owned: EngineResidency,
-  overusers: ReadonlySet<string>,
+  order: CallerOrder,
   now: number,
 ): void {
   const positions = new Map(
-    owned.queue.map((queued) => [queued, newPosition(owned, overusers, queued, now)]),
+    owned.queue.map((queued) => [queued, newPosition(owned, order, queued, now)]),
   );
   owned.queue.sort((a, b) => comparePositions(positions.get(a), positions.get(b)));
 }
@@ -34,7 +42,7 @@
 
 function newPosition(
   owned: EngineResidency,
-  overusers: ReadonlySet<string>,
+  { hasRanks, overusers }: CallerOrder,
   queued: QueuedReservation,
   now: number,
 ): Position {
@@ -43,7 +51,7 @@
   const isUrgent = slackMs < URGENT_MS;
   return [
     0,
-    queued.tenant === undefined ? 0 : (queued.priority ?? 0),
+    hasRanks ? (queued.priority ?? 0) : 0,
     Number(overusers.has(queued.tenant ?? '')),
     Number(!isUrgent),
     Number(!holdsIdleCopy(owned, queued)),
--- a/src/residency/reservations.ts
+++ b/src/residency/reservations.ts
@@ -88,7 +88,8 @@
   removeExpiredReservations(owned, now);
   expirePrefills(owned, now);
   owned.queue = owned.queue.filter(({ deadlineAt }) => deadlineAt - MIN_REMAINING_MS > now);
-  sortReservationQueue(owned, findOverusers(state, owned, now), now);
+  const hasRanks = state.routeIndex.current?.tenantsByKey !== undefined;
+  sortReservationQueue(owned, { hasRanks, overusers: findOverusers(state, owned, now) }, now);
   const view = state.fleet.views.get(owned.id);
   const permits =
     view === undefined || !isLimited(view) ? undefined : getPermits(state, view, 'owner', now);
--- a/tests/residency/sharedEngine.test.ts
+++ b/tests/residency/sharedEngine.test.ts
@@ -17,19 +17,19 @@
   return { name, keyDigests: [name], priority, ...quota };
 }
 
-/** Requests per second of a group of callers, its tenant and the rank of its requests. */
+/** Requests per second of a group of callers, its tenant (none on a public route) and the rank of its requests. */
 interface Load {
-  tenant: string;
+  tenant: string | undefined;
   rank: number;
   perS: number;
 }
 
 /** Plays loads on an engine that reads prompts one after another; returns the share served on time. */
 function play(loads: readonly Load[], seed = 3): number[] {
-  const tenants = [...new Set(loads.map(({ tenant }) => tenant))];
+  const tenants = new Set(loads.flatMap(({ tenant }) => tenant ?? []));
   const host = DirectoryHost.create().configure({
     endpoints: [{ id: 'e0', service: 'llm', models: ['base'] }],
-    tenants: tenants.map((tenant) => newTenant(tenant, undefined)),
+    tenants: [...tenants].map((tenant) => newTenant(tenant, undefined)),
   });
   const random = Random.create(seed);
   const nextAt = loads.map(() => host.now);
@@ -100,6 +100,17 @@
   });
 });
 
+// Guards against requests on public routes that go before all tenants, whatever their rank.
+it('requests without a tenant have their rank as well', () => {
+  const perS = 0.9 * CAPACITY_PER_S;
+  const [urgent, open] = play([
+    { tenant: 'a', rank: 0, perS },
+    { tenant: undefined, rank: 11, perS },
+  ]);
+  expect(urgent).toBeGreaterThanOrEqual(0.95);
+  expect(open).toBeLessThan(urgent ?? 0);
+});
+
 // Guards against a small tenant that is passed over for good.
 it('a tenant that asks for little beside a large one is served', () => {
   const [, small] = play([
