Forget the use of tenants that a host no longer serves

A host kept an entry for each tenant that it had ever served, so that its memory grew with the tenants of the table. Evidence: tests/quotas/quotas.test.ts, 'a host forgets tenants that have stopped', failed before with 51 entries left. Change: the next report drops entries that say no more than a new one would.

--- a/src/quotas/usage.ts
+++ b/src/quotas/usage.ts
@@ -76,8 +76,9 @@
   const { quotas } = state;
   quotas.isReportScheduled = false;
   const byAccountant = new Map<string, string[]>();
-  for (const [tenant, { unreported }] of quotas.uses) {
-    if (unreported === 0) continue;
+  for (const [tenant, use] of quotas.uses) {
+    if (isIdle(use, now)) quotas.uses.delete(tenant);
+    if (use.unreported === 0) continue;
     const accountant = findAccountant(state, tenant, now);
     if (accountant === undefined) continue;
     const tenants = byAccountant.get(accountant) ?? [];
@@ -89,6 +90,15 @@
   );
 }
 
+/** Whether what is known of a tenant's use is no more than of one that this host has not served. */
+function isIdle(
+  { unreported, isAsking, waiting, freeUntil, refusedUntil }: TenantUse,
+  now: number,
+): boolean {
+  const hasRequests = isAsking || waiting.length > 0;
+  return unreported === 0 && !hasRequests && freeUntil <= now && refusedUntil <= now;
+}
+
 /** Applies the answer of an accountant; returns the waiting requests that it decides. */
 export function applyQuotaAnswer(
   state: State,
--- a/tests/quotas/quotas.test.ts
+++ b/tests/quotas/quotas.test.ts
@@ -175,6 +175,28 @@
   expect(traffic.getMostInWindow(from)).toBeLessThanOrEqual((15 * 8 + 5) * OVERAGE);
 });
 
+// Guards against hosts that remember every tenant that they ever served.
+it('a host forgets tenants that have stopped, once it serves another', () => {
+  const others = Array.from({ length: 50 }, (_, index) =>
+    newTenant({ name: `t${index}`, keyDigests: [`k${index}`] }),
+  );
+  const cluster = GatewayCluster.create({
+    hosts: 3,
+    route: ROUTE,
+    tenants: [newTenant(), ...others],
+  });
+  others.forEach((_, index) =>
+    cluster.request('h0', `r${index}`, { labels: { keyDigest: `k${index}` } }),
+  );
+  cluster.advance(5_000);
+  // The first request asks, and the second one is reported afterwards.
+  for (const fingerprint of ['first', 'second']) {
+    cluster.request('h0', fingerprint, { labels: { keyDigest: 'd1' } });
+    cluster.advance(1_000);
+  }
+  expect([...(cluster.hosts.get('h0')?.state.quotas.uses.keys() ?? [])]).toEqual(['school']);
+});
+
 // Guards against a message to the accountant for each request of a tenant that has room.
 it('hosts whose tenant has room report together what they admit', () => {
   const traffic = TenantTraffic.create(ONE_HOST, newTenant({ ratePerS: 6_000, burst: 6_000 }));
