Give test files that run at the same time ports of their own

Ports were chosen by a check, a close, and a start 0.3 s or more later, from one range for two test files that run at once, so that both could choose the same one. That the ports were the cause is not shown. Change: each worker of the test runner chooses from a range of its own.

--- a/tests/helpers/freePort.ts
+++ b/tests/helpers/freePort.ts
@@ -1,10 +1,19 @@
 import { randomInt } from 'node:crypto';
 import { createServer } from 'node:net';
+import process from 'node:process';
 import { listen } from '../../stand-ins/server.ts';
 
 /** Bounds of the ports that are chosen; ephemeral ports start at 32768 on Linux. */
 const MIN_PORT = 10_000;
 const MAX_PORT = 30_000;
+const PORTS_PER_WORKER = 2_000;
+/**
+ * Test files that run at the same time choose from ranges of their own: between the check of a port and the
+ * start of the process that is meant to listen on it, another file would find it free as well.
+ */
+const WORKERS = (MAX_PORT - MIN_PORT) / PORTS_PER_WORKER;
+const WORKER = Number(process.env.VITEST_POOL_ID ?? 0) % WORKERS;
+const FIRST_PORT = MIN_PORT + WORKER * PORTS_PER_WORKER;
 
 const returnedPorts = new Set<number>();
 
@@ -15,7 +24,7 @@
  */
 export async function findFreePort(ip: string): Promise<number> {
   for (;;) {
-    const port = randomInt(MIN_PORT, MAX_PORT);
+    const port = randomInt(FIRST_PORT, FIRST_PORT + PORTS_PER_WORKER);
     if (returnedPorts.has(port)) continue;
     const server = createServer();
     try {
