Announce what changed of a routing table, and have large changes read from the store

Cause: a reader sent each change of the operator to its followers as the whole table, and again at each heartbeat until it had arrived. With 1,500 routes and 29 followers one change of one route is 9.5 MB, 7.6 s on a link of 10 Mbit/s, where changes come each 0.33 s and are to be in force within 3 s. Change: the difference is announced; of one that is still above 256 KB for all followers together only its version, and followers read it from the directory. One that the directory does not answer asks the reader.

--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -2,6 +2,8 @@
 import {
   MembersChange,
   ReaderHeartbeat,
+  RoutingChange,
+  TopicAdvance,
   TopicChangesRequest,
   TopicChanges,
 } from '../directory/types.ts';
@@ -103,6 +105,8 @@
   MembersRowSeen,
   JoinRequest,
   MembersChange,
+  RoutingChange,
+  TopicAdvance,
   QuotaRequest,
   QuotaAnswer,
   TenantMetered,
--- a/src/directory/announcements.ts
+++ b/src/directory/announcements.ts
@@ -1,14 +1,18 @@
 import { sendMessage } from '../core/sendMessage.ts';
 import type { Effect } from '../core/effects.ts';
+import type { Message } from '../core/messages.ts';
 import type { State } from '../core/state.ts';
+import { MAX_ANNOUNCED_BYTES } from './constants.ts';
 import { getFollowers, isReader } from './group.ts';
 import { applyChanges } from './apply.ts';
 import { newMembersChange } from './membersChanges.ts';
+import { newRoutingChange } from './routingChanges.ts';
 import type { DirectoryChange, DirectoryContent, Topic, TopicChanges } from './types.ts';
 
 /**
  * As a reader, announces the changes of a watch answer up to version `upTo` to the followers. Call
- * it before the changes are applied. Of the members row, which is large, only the difference is announced.
+ * it before the changes are applied. Of the members row and of the routing table, which are large, only the
+ * difference is announced, and of operators' changes that are still large only that they are there.
  */
 export function announceTopicChanges(
   state: State,
@@ -24,18 +28,36 @@
   const after = known.announcedVersion;
   known.announcedVersion = Math.max(after, upTo);
   if (!isReader(state)) return [];
-  const difference =
-    topic === 'members'
-      ? newMembersChange(state, changed, after, known.announcedVersion)
-      : undefined;
-  const message = difference ?? {
-    type: 'topicTold' as const,
-    topic,
-    after,
-    upTo,
-    changes: changed,
-  };
-  return getFollowers(state).map((host) => sendMessage(state, host, message));
+  const followers = getFollowers(state);
+  const difference = differences[topic]?.(state, changed, after, known.announcedVersion);
+  const whole = { type: 'topicTold' as const, topic, after, upTo, changes: changed };
+  const content = difference ?? whole;
+  const message = isTooLarge(topic, content, followers.length)
+    ? { type: 'topicAdvanced' as const, topic, upTo }
+    : content;
+  return followers.map((host) => sendMessage(state, host, message));
+}
+
+/** What is announced of a topic whose rows are large; undefined stands for the rows themselves. */
+const differences: Partial<
+  Record<
+    Topic,
+    (
+      state: State,
+      changes: readonly DirectoryChange[],
+      after: number,
+      upTo: number,
+    ) => Message | undefined
+  >
+> = { members: newMembersChange, operator: newRoutingChange };
+
+/**
+ * Whether content of a topic is too large to be sent to `hosts` hosts; they read it from the directory then. Only
+ * the operators' rows grow so large.
+ */
+export function isTooLarge(topic: Topic, content: unknown, hosts: number): boolean {
+  if (topic !== 'operator') return false;
+  return JSON.stringify(content).length * hosts > MAX_ANNOUNCED_BYTES;
 }
 
 /**
--- a/src/directory/constants.ts
+++ b/src/directory/constants.ts
@@ -60,6 +60,13 @@
 export const WATCH_ANSWER_SLACK_MS = 250;
 /** Time that a follower's watch waits for a change where a reader of an earlier version does not announce it. */
 export const FOLLOWER_WATCH_WAIT_MS = 20_000;
+/**
+ * Bytes of one change that a reader sends to all its followers together; larger ones are read from the directory. A
+ * link of 10 Mbit/s carries them in 0.2 s.
+ */
+export const MAX_ANNOUNCED_BYTES = 256 * 1024;
+/** Time between requests to other hosts for large changes that the directory does not deliver. */
+export const WHOLE_REQUEST_INTERVAL_MS = 1_000;
 /** Longest pause between watches that keep returning changes, for example while many hosts join. */
 export const MAX_WATCH_PAUSE_MS = 800;
 /** Time without a change after which the pause between watches starts from its base again. */
--- a/src/directory/handlers.ts
+++ b/src/directory/handlers.ts
@@ -8,10 +8,12 @@
 import { runReaderHeartbeatRound, handleReaderHeartbeat } from './readerHeartbeats.ts';
 import { applyTopicChanges } from './announcements.ts';
 import { applyMembersChange } from './membersChanges.ts';
+import { applyRoutingChange } from './routingChanges.ts';
 import type { DirectoryEvent, DirectoryTimer, DirectoryWriteAnswer, HostRow } from './types.ts';
 import {
   handleClockJump,
   pollPeer,
+  readAdvancedTopic,
   startTopicCall,
   handleTopicAnswer,
   sendTopicChanges,
@@ -41,10 +43,17 @@
 };
 
 export const directoryMessages: MessageHandlers<
-  'topicAsked' | 'topicTold' | 'membersChanged' | 'directoryFed'
+  | 'topicAsked'
+  | 'topicTold'
+  | 'topicAdvanced'
+  | 'routingChanged'
+  | 'membersChanged'
+  | 'directoryFed'
 > = {
   membersChanged: (state, change, from, now) => applyMembersChange(state, change, from, now),
-  topicAsked: (state, { topic, after }, from) => sendTopicChanges(state, topic, after, from),
+  routingChanged: (state, change, from, now) => applyRoutingChange(state, change, from, now),
+  topicAdvanced: (state, advance, from, now) => readAdvancedTopic(state, advance, from, now),
+  topicAsked: (state, request, from) => sendTopicChanges(state, request, from),
   topicTold: (state, topicChanges, _from, now) => applyTopicChanges(state, topicChanges, now),
   directoryFed: (state, heartbeat, from, now) => handleReaderHeartbeat(state, heartbeat, from, now),
 };
--- a/src/directory/readerHeartbeats.ts
+++ b/src/directory/readerHeartbeats.ts
@@ -12,7 +12,7 @@
 import { recordProof } from './clock.ts';
 import { chooseReader, getFollowers, isDirectoryAvailable, isFollower, isReader } from './group.ts';
 import { type ReaderHeartbeat, Topic } from './types.ts';
-import { requestTopicChanges, startTopicCall } from './watch.ts';
+import { isReadingChanges, requestTopicChanges, startTopicCall } from './watch.ts';
 
 /** Starts the periodic rounds in which readers send heartbeats and followers check for them. */
 export function startReaderHeartbeats(state: State, now: number): Effect[] {
@@ -70,7 +70,7 @@
       const provenMs = heartbeat.provenMs?.[index] ?? undefined;
       if (provenMs !== undefined) recordProof(state, topic, provenMs);
     }
-    const isBehind = isOutdated && !isLeftToWatch;
+    const isBehind = isOutdated && !isLeftToWatch && !isReadingChanges(known, now);
     return isBehind ? [requestTopicChanges(state, topic, from)] : [];
   });
 }
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 import { Endpoint } from '../fleet/types.ts';
 import { Member, MembersRow } from '../owners/types.ts';
-import { RoutingTable } from '../routes/types.ts';
+import { CallerLimits, Route, RoutingTable, Service, Tenant } from '../routes/types.ts';
 import { VersionSplitsRow } from '../streams/types.ts';
 import { SuspectsRow } from '../suspects/types.ts';
 
@@ -105,6 +105,8 @@
   answeredAt: number;
   /** Monotonic ms at which the last call started. */
   callStartedAt: number;
+  /** Monotonic ms at which another host was last asked for changes however large they are. */
+  wholeRequestedAt: number;
   /** Newest time of the directory's clock, in ms, as of which this host is known to have every change. */
   provenAtMs: number | undefined;
 }
@@ -162,6 +164,7 @@
     confirmedAt: -Infinity,
     answeredAt: -Infinity,
     callStartedAt: -Infinity,
+    wholeRequestedAt: -Infinity,
     provenAtMs: undefined,
   };
 }
@@ -174,7 +177,13 @@
   type: z.literal('topicAsked'),
   topic: Topic,
   after: z.int().min(0),
+  /**
+   * Whether the changes are wanted however large they are, as the sender can't read them from the directory.
+   * Hosts of earlier versions omit it and want them.
+   */
+  isWhole: z.boolean().optional(),
 });
+export type TopicChangesRequest = z.infer<typeof TopicChangesRequest>;
 
 /** All changes of a topic after one version up to another that the receiving host needs. */
 export const TopicChanges = z.object({
@@ -186,6 +195,35 @@
 });
 export type TopicChanges = z.infer<typeof TopicChanges>;
 
+/** Tells that a topic has changes that are too large for the links between hosts; they are read from the directory. */
+export const TopicAdvance = z.object({
+  type: z.literal('topicAdvanced'),
+  topic: Topic,
+  upTo: z.int().min(0),
+});
+export type TopicAdvance = z.infer<typeof TopicAdvance>;
+
+/** What a change of the routing table changed; the whole table can be large. */
+export const RoutingChange = z.object({
+  type: z.literal('routingChanged'),
+  key: z.string(),
+  /** Versions of the topic before and after the change. */
+  after: z.int().min(0),
+  upTo: z.int().min(0),
+  /** Versions of the row after and before the change, and of the table in it. */
+  version: z.int().min(0),
+  fromVersion: z.int().min(0),
+  tableVersion: z.int().min(0),
+  /** Routes that are new or have changed, and the names of those that are gone. */
+  changed: z.array(Route),
+  removed: z.array(z.string()),
+  services: z.array(Service),
+  limits: CallerLimits,
+  /** Absent if the tenants did not change; null if there are none any more. */
+  tenants: z.array(Tenant).nullable().optional(),
+});
+export type RoutingChange = z.infer<typeof RoutingChange>;
+
 /** What a change of the members row changed; the whole row is large. */
 export const MembersChange = z.object({
   type: z.literal('membersChanged'),
--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -13,13 +13,21 @@
   MAX_WATCH_PAUSE_MS,
   READER_WATCH_PAUSE_MS,
   READER_WATCH_WAIT_MS,
+  WATCH_ANSWER_SLACK_MS,
   WATCH_PAUSE_MS,
   WATCH_WAIT_MS,
+  WHOLE_REQUEST_INTERVAL_MS,
 } from './constants.ts';
-import { hasFollowers, isCoveredByReader, isFollower } from './group.ts';
+import { getFollowers, hasFollowers, isCoveredByReader, isFollower } from './group.ts';
 import { forgetClockOffset, recordDirectoryClock, recordProof } from './clock.ts';
-import { announceTopicChanges } from './announcements.ts';
-import { type DirectoryAnswer, Topic, type TopicState } from './types.ts';
+import { announceTopicChanges, isTooLarge } from './announcements.ts';
+import {
+  type DirectoryAnswer,
+  Topic,
+  type TopicAdvance,
+  type TopicChangesRequest,
+  type TopicState,
+} from './types.ts';
 
 /** Reads all topics and watches them from then on. */
 export function startDirectoryWatches(state: State, now: number): Effect[] {
@@ -160,18 +168,57 @@
 
 /** Requests the changes after the known version of a topic from another host. */
 export function requestTopicChanges(state: State, topic: Topic, to: string): Effect {
-  const after = state.directory.topics[topic].version ?? 0;
-  return sendMessage(state, to, { type: 'topicAsked', topic, after });
+  const { version: after = 0, unavailableSince } = state.directory.topics[topic];
+  const isWhole = unavailableSince !== undefined;
+  return sendMessage(state, to, { type: 'topicAsked', topic, after, isWhole });
 }
 
-/** Sends another host the changes of a topic after the version that it knows. */
-export function sendTopicChanges(state: State, topic: Topic, after: number, to: string): Effect[] {
+/** Sends another host the changes of a topic after the version that it knows, or tells it to read them. */
+export function sendTopicChanges(
+  state: State,
+  { topic, after, isWhole = true }: TopicChangesRequest,
+  to: string,
+): Effect[] {
   const { entries, version: upTo } = state.directory.topics[topic];
   if (upTo === undefined || upTo <= after) return [];
   const changes = [...entries.values()].filter(({ version }) => version > after);
+  // The other followers may ask at the same time.
+  if (!isWhole && isTooLarge(topic, changes, getFollowers(state).length))
+    return [sendMessage(state, to, { type: 'topicAdvanced', topic, upTo })];
   return [sendMessage(state, to, { type: 'topicTold', topic, after, upTo, changes })];
 }
 
+/**
+ * Reads changes from the directory that are too large to be announced. If it does not deliver them in time, they
+ * are requested from the host that has them.
+ */
+export function readAdvancedTopic(
+  state: State,
+  { topic, upTo }: TopicAdvance,
+  from: string,
+  now: number,
+): Effect[] {
+  const known = state.directory.topics[topic];
+  if (known.version === undefined || known.version >= upTo) return [];
+  if (!known.isCallInFlight || isLongWatch(known))
+    return startWatch(known, topic, known.version, 0, now);
+  if (isReadingChanges(known, now)) return [];
+  if (known.wholeRequestedAt + WHOLE_REQUEST_INTERVAL_MS > now) return [];
+  known.wholeRequestedAt = now;
+  const request = { type: 'topicAsked' as const, topic, after: known.version, isWhole: true };
+  return [sendMessage(state, from, request)];
+}
+
+/** Whether a watch that returns at once is in flight and not overdue. */
+export function isReadingChanges(known: TopicState, now: number): boolean {
+  if (!known.isCallInFlight || isLongWatch(known)) return false;
+  return known.answerDueAt + WATCH_ANSWER_SLACK_MS > now;
+}
+
+function isLongWatch({ answerDueAt, callStartedAt }: TopicState): boolean {
+  return answerDueAt > callStartedAt;
+}
+
 function scheduleTopicRetry(state: State, topic: Topic, reason: string, now: number): Effect[] {
   const known = state.directory.topics[topic];
   const limit = Math.min(CALL_RETRY_MAX_MS, CALL_RETRY_BASE_MS * 2 ** known.failures);
--- a/tests/directory/directory.test.ts
+++ b/tests/directory/directory.test.ts
@@ -69,6 +69,7 @@
       type: 'topicAsked',
       topic: 'operator',
       after: 1,
+      isWhole: true,
     });
     const changes = [
       newDirectoryChange('config', 7, newRoutingContent(9, [{ pathPrefix: '/b/' }])),
--- a/tests/directory/operatorNews.test.ts
+++ b/tests/directory/operatorNews.test.ts
@@ -52,7 +52,9 @@
     const [host] = createGroup();
     if (host === undefined) throw new Error('no host');
     sendHeartbeat(host, 'h9', [4, 10, 20]);
-    expect(host.takeMessages('h9')).toEqual([{ type: 'topicAsked', topic: 'operator', after: 1 }]);
+    expect(host.takeMessages('h9')).toEqual([
+      { type: 'topicAsked', topic: 'operator', after: 1, isWhole: false },
+    ]);
   });
 });
 
@@ -144,7 +146,9 @@
     const host = createHost();
     if (change !== undefined) host.receiveMessage('h9', { ...change, fromEpoch: 2 });
     expect(host.state.owners.row?.epoch).toBe(3);
-    expect(host.takeMessages('h9')).toEqual([{ type: 'topicAsked', topic: 'members', after: 9 }]);
+    expect(host.takeMessages('h9')).toEqual([
+      { type: 'topicAsked', topic: 'members', after: 9, isWhole: false },
+    ]);
   });
 });
 
--- a/tests/directory/readerHeartbeats.test.ts
+++ b/tests/directory/readerHeartbeats.test.ts
@@ -187,7 +187,7 @@
     follower.takeAllEffects();
     sendHeartbeat(follower, [1, 15, 20]);
     expect(follower.takeMessages('reader')).toEqual([
-      { type: 'topicAsked', topic: 'endpoints', after: 10 },
+      { type: 'topicAsked', topic: 'endpoints', after: 10, isWhole: false },
     ]);
   });
 
@@ -205,7 +205,7 @@
     } as const;
     follower.receiveMessage('reader', announcement).takeAllEffects();
     sendHeartbeat(follower, [1, 15, 20]);
-    const request = { type: 'topicAsked', topic: 'endpoints', after: 10 };
+    const request = { type: 'topicAsked', topic: 'endpoints', after: 10, isWhole: false };
     expect(follower.takeMessages('reader')).toEqual([request]);
     follower.receiveMessage('reader', { ...announcement, after: 10 });
     expect(sendHeartbeat(follower, [1, 15, 20]).takeMessages('reader')).toEqual([]);
