Bound what callers make an entry host hold, and use the blocks of bodies again

Cause: an entry host had no limit on connections, on what bodies hold together, or on answers that are not read. At both hosts the buffers of bodies that gave way gathered: what was discarded was not counted as garbage, and blocks that had lived for some time were collected late. Change: CallerMemory holds the budget, the connection limit and the limit on small parts for both programs. An entry host counts the body of a call while it runs and refuses one without room before it runs.

--- a/src/admin/routes/commands.ts
+++ b/src/admin/routes/commands.ts
@@ -2,7 +2,6 @@
 import { parseIntent } from '../../configuration/intent.ts';
 import { DraftState } from '../../drafts/types.ts';
 import { Failure } from '../../errors/failure.ts';
-import { readBody } from '../../http/body.ts';
 import { MAX_AUDIT_PAGE_SIZE } from '../../operators/constants.ts';
 import type { OperatorCommand } from '../../operators/types.ts';
 import type { CommandRequest, CommandRoute, CommandRefusal } from '../types.ts';
@@ -57,13 +56,9 @@
 ];
 
 async function getPlanCommand({
-  request,
-  limits,
+  readBody,
 }: CommandRequest): Promise<Result<OperatorCommand, CommandRefusal>> {
-  const body = await readBody(request, {
-    maxBytes: limits.operatorBodyBytes,
-    timeoutMs: limits.slowSenderMs,
-  });
+  const body = await readBody();
   if (body.err) return Err({ failure: body.val, details: [] });
   const intent = parseIntent(body.val.toString('utf8'));
   if (intent.ok) return Ok({ type: 'makePlan', intent: intent.val });
--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -5,6 +5,8 @@
 import { Failure, getFailureBody } from '../errors/failure.ts';
 import { getErrorResponse } from '../errors/kinds.ts';
 import { findAccessKey } from '../http/accessKey.ts';
+import { ConnectionLimit } from '../http/connectionLimit.ts';
+import { MAX_STATUS_CONNECTIONS } from '../http/constants.ts';
 import { type RunningServer, startServer } from '../http/httpServer.ts';
 import { sendFailure, sendJson } from '../http/reply.ts';
 import type { OperatorAnswer } from '../operators/types.ts';
@@ -18,6 +20,7 @@
 /** HTTP server for operators. */
 export class AdminServer {
   private server: RunningServer | undefined;
+  private readonly connectionLimit = ConnectionLimit.create(MAX_STATUS_CONNECTIONS);
   /** Responses that wait for the reducer's answer, by request id. */
   private readonly pendingResponses = new Map<string, ServerResponse>();
 
@@ -51,6 +54,8 @@
       (request, response) => this.router.lookup(request, response) as void | Promise<void>,
       listen.operators,
       limits,
+      undefined,
+      this.connectionLimit,
     );
     return this.server.port;
   }
@@ -58,6 +63,7 @@
   /** Stops accepting connections and resolves once all have ended. */
   async stop(): Promise<void> {
     await this.server?.stop();
+    this.connectionLimit.stop();
   }
 
   /** Sends the reducer's answer to the operator, unless the connection has been closed. */
@@ -94,15 +100,17 @@
   ): Promise<void> {
     const id = randomUUID();
     response.setHeader('x-request-id', id);
-    const { access, limits } = this.host.settings;
-    const key = findAccessKey(access.keys, request.headers.authorization, 'operator');
+    const { settings, memory } = this.host;
+    const { operatorBodyBytes: maxBytes, slowSenderMs: timeoutMs } = settings.limits;
+    const key = findAccessKey(settings.access.keys, request.headers.authorization, 'operator');
     if (key === undefined) {
       const message = 'header Authorization carries no valid operator key';
       sendFailure(response, Failure.create('unauthorized', message));
       return;
     }
     const query = new URL(request.url ?? '/', 'http://localhost').searchParams;
-    const command = await route.getCommand({ request, params, query, limits });
+    const readBody = () => memory.readBody(request, { maxBytes, timeoutMs });
+    const command = await route.getCommand({ request, params, query, readBody });
     if (command.err) {
       sendRefusal(response, command.val.failure, command.val.details);
       return;
--- a/src/admin/types.ts
+++ b/src/admin/types.ts
@@ -3,6 +3,7 @@
 import type { Event } from '../core/events.ts';
 import type { State } from '../core/state.ts';
 import type { Failure } from '../errors/failure.ts';
+import type { CallerMemory } from '../http/callerMemory.ts';
 import type { OperatorCommand } from '../operators/types.ts';
 import type { AccessKey } from '../settings/accessKeys.ts';
 import type { EntrySettings } from '../settings/entryGroups.ts';
@@ -23,6 +24,7 @@
   readonly state: State;
   readonly settings: AdminSettings;
   readonly observer: { readonly metrics: { render(): string } };
+  readonly memory: CallerMemory;
   dispatch(event: Event): void;
 }
 
@@ -31,7 +33,8 @@
   request: IncomingMessage;
   params: Record<string, string | undefined>;
   query: URLSearchParams;
-  limits: AdminSettings['limits'];
+  /** Reads the whole body; fails as `readBody` does. */
+  readBody: () => Promise<Result<Buffer, Failure>>;
 }
 
 interface RouteBase {
--- a/src/base/blockBuffer.ts
+++ b/src/base/blockBuffer.ts
@@ -1,5 +1,33 @@
 const FIRST_BLOCK_BYTES = 1_024;
 const MAX_BLOCK_BYTES = 64 * 1_024;
+/** Largest blocks that a pool keeps while they are not in use. */
+const MAX_POOLED_BLOCKS = 64;
+
+/**
+ * Keeps blocks for reuse. Blocks that lived for some time are collected late, so that bodies which come and go would
+ * take a multiple of what is held at once.
+ */
+export class BlockPool {
+  private readonly blocks: Buffer[] = [];
+
+  private constructor() {}
+
+  static create(): BlockPool {
+    return new BlockPool();
+  }
+
+  /** Returns a block of `bytes` with any content. */
+  take(bytes: number): Buffer {
+    const pooled = bytes === MAX_BLOCK_BYTES ? this.blocks.pop() : undefined;
+    return pooled ?? Buffer.allocUnsafeSlow(bytes);
+  }
+
+  /** Takes back a block that nothing refers to any more. */
+  release(block: Buffer): void {
+    const isKept = block.length === MAX_BLOCK_BYTES && this.blocks.length < MAX_POOLED_BLOCKS;
+    if (isKept) this.blocks.push(block);
+  }
+}
 
 /**
  * Bytes of a body that arrive in parts. Copies each part into blocks, so that small parts need no more memory
@@ -12,10 +40,10 @@
   private total = 0;
   private allocated = 0;
 
-  private constructor() {}
+  private constructor(private readonly pool: BlockPool) {}
 
-  static create(): BlockBuffer {
-    return new BlockBuffer();
+  static create(pool = BlockPool.create()): BlockBuffer {
+    return new BlockBuffer(pool);
   }
 
   get length(): number {
@@ -47,7 +75,7 @@
 
   /** Removes all bytes and releases their memory. */
   clear(): void {
-    this.blocks.length = 0;
+    for (const block of this.blocks.splice(0)) this.pool.release(block);
     this.used = 0;
     this.total = 0;
     this.allocated = 0;
@@ -58,7 +86,7 @@
     const last = this.blocks.at(-1);
     if (last !== undefined && this.used < last.length) return last;
     const bytes = Math.min(MAX_BLOCK_BYTES, Math.max(FIRST_BLOCK_BYTES, this.allocated));
-    const block = Buffer.allocUnsafeSlow(bytes);
+    const block = this.pool.take(bytes);
     this.blocks.push(block);
     this.used = 0;
     this.allocated += bytes;
--- a/src/callers/routes/completions.ts
+++ b/src/callers/routes/completions.ts
@@ -1,4 +1,3 @@
-import { readBody } from '../../http/body.ts';
 import { hasCallerLeft, onCallerLeft } from '../../http/callerDeparture.ts';
 import { sendFailure, sendJson } from '../../http/reply.ts';
 import { formatTraceparent } from '../../observe/traceparent.ts';
@@ -39,10 +38,7 @@
     sendFailure(response, headers.val);
     return;
   }
-  const bytes = await readBody(request, {
-    maxBytes: limits.bodyBytes,
-    timeoutMs: limits.slowSenderMs,
-  });
+  const bytes = await context.readBody();
   if (bytes.err) {
     sendFailure(response, bytes.val, { connection: 'close' });
     return;
@@ -53,6 +49,7 @@
     return;
   }
   if (hasCallerLeft(request, response)) return;
+  if (!context.host.memory.admit(response, bytes.val.length)) return;
   if (isAsyncRequest(request.headers)) startDraft(context, path, completion.val);
   else startRequest(context, path, completion.val, headers.val, reading.at);
 }
--- a/src/callers/routes/services.ts
+++ b/src/callers/routes/services.ts
@@ -2,7 +2,6 @@
 import type { ActionAnswer } from '../../actions/types.ts';
 import { sha256 } from '../../base/hash.ts';
 import { Failure } from '../../errors/failure.ts';
-import { readBody } from '../../http/body.ts';
 import { hasCallerLeft, onCallerLeft } from '../../http/callerDeparture.ts';
 import { sendFailure } from '../../http/reply.ts';
 import { formatTraceparent } from '../../observe/traceparent.ts';
@@ -47,15 +46,13 @@
     sendFailure(response, Failure.create('bad_request', message, { param: 'Idempotency-Key' }));
     return;
   }
-  const body = await readBody(request, {
-    maxBytes: limits.bodyBytes,
-    timeoutMs: limits.slowSenderMs,
-  });
+  const body = await context.readBody();
   if (body.err) {
     sendFailure(response, body.val, { connection: 'close' });
     return;
   }
   if (hasCallerLeft(request, response)) return;
+  if (!host.memory.admit(response, body.val.length)) return;
   const method = request.method ?? 'GET';
   const { path, query } = target.val;
   host.addServiceExchange(id, {
@@ -95,7 +92,7 @@
   return forwarded;
 }
 
-function sendAnswer({ request, response }: RequestContext, answer: ActionAnswer): void {
+function sendAnswer({ request, response, host }: RequestContext, answer: ActionAnswer): void {
   if (response.destroyed) return;
   if (answer.type === 'failed') {
     sendFailure(response, answer.failure);
@@ -111,4 +108,5 @@
     ...(hasLength ? { 'content-length': body.length } : {}),
   });
   response.end(body);
+  host.memory.holdAnswer(response, body.length);
 }
--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import createRouter, { type HTTPMethod, type HTTPVersion, type Instance } from 'find-my-way';
 import { newCount, newLog } from '../core/observations.ts';
+import type { Result } from '../base/result.ts';
 import { Failure } from '../errors/failure.ts';
 import { findAccessKey } from '../http/accessKey.ts';
 import { type Reading, type RunningServer, startServer } from '../http/httpServer.ts';
@@ -41,7 +42,7 @@
 
   /** Starts listening and returns the port. */
   async start(): Promise<number> {
-    const { settings, backlog, arrivals, pollClock, observer } = this.host;
+    const { settings, backlog, arrivals, pollClock, observer, memory } = this.host;
     const { listen, limits } = settings;
     this.server = await startServer(
       (request, response, reading) =>
@@ -52,6 +53,7 @@
         backlog,
         arrivals,
         pollClock,
+        onHead: (request) => void this.readBody(request),
         getWaitMs: ({ headers }) => {
           const parsed = parseRequestHeaders(headers, limits, 0);
           return parsed.ok ? parsed.val.remainingMs : Infinity;
@@ -59,6 +61,7 @@
         onRejected: (_request, failure) => this.observeRejection(failure),
         onClosed: () => observer.observe(newCount('fireflywick_closed_connections_total', {})),
       },
+      memory.connectionLimit,
     );
     return this.server.port;
   }
@@ -86,6 +89,12 @@
     );
   }
 
+  private readBody(request: IncomingMessage): Promise<Result<Buffer, Failure>> {
+    const { memory, settings } = this.host;
+    const { bodyBytes: maxBytes, slowSenderMs: timeoutMs } = settings.limits;
+    return memory.readBody(request, { maxBytes, timeoutMs });
+  }
+
   private observeRejection({ kind: result, message: reason }: Failure): void {
     const { observer } = this.host;
     const labels = { firm: '', kind: 'ordinary', result };
@@ -113,12 +122,14 @@
     );
     if (key === undefined) {
       const message = 'header Authorization carries no valid caller key';
-      sendFailure(response, Failure.create('unauthorized', message));
+      sendFailure(response, Failure.create('unauthorized', message), getUnreadHeaders(request));
       return;
     }
     const trace = newTraceContext(parseTraceparent(getTraceHeader(request)));
     try {
-      await route.handle({ id, trace, request, response, reading, key, params, host: this.host });
+      const readBody = () => this.readBody(request);
+      const { host } = this;
+      await route.handle({ id, trace, request, response, reading, readBody, key, params, host });
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       sendFailure(response, Failure.create('internal', `request ${id} failed: ${reason}`));
@@ -126,6 +137,11 @@
   }
 }
 
+/** Returns the header that ends a connection on which the rest of a refused body would have to be read. */
+function getUnreadHeaders({ complete }: IncomingMessage): Record<string, string> {
+  return complete ? {} : { connection: 'close' };
+}
+
 function getTraceHeader({ headers }: IncomingMessage): string | undefined {
   return typeof headers.traceparent === 'string' ? headers.traceparent : undefined;
 }
@@ -144,7 +160,8 @@
   const path = (request.url ?? '/').split('?')[0] ?? '/';
   const allowed = ALL_METHODS.filter((method) => router.find(method, path) !== null);
   if (allowed.length === 0) {
-    sendFailure(response, Failure.create('not_found', `path ${path} does not exist`));
+    const failure = Failure.create('not_found', `path ${path} does not exist`);
+    sendFailure(response, failure, getUnreadHeaders(request));
     return;
   }
   response.setHeader('allow', [...allowed, 'OPTIONS'].join(', '));
--- a/src/callers/types.ts
+++ b/src/callers/types.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ArrivalQueue } from '../http/arrivalQueue.ts';
+import type { CallerMemory } from '../http/callerMemory.ts';
 import type { Reading } from '../http/httpServer.ts';
 import type { Event } from '../core/events.ts';
 import type { State } from '../core/state.ts';
@@ -10,6 +11,7 @@
 import type { AccessKey } from '../settings/accessKeys.ts';
 import type { EntrySettings } from '../settings/entryGroups.ts';
 import type { DraftReadAnswer } from '../drafts/types.ts';
+import type { Result } from '../base/result.ts';
 import type { Failure } from '../errors/failure.ts';
 import type { CompletionExchange } from './completionExchange.ts';
 import type { ServiceExchange } from './serviceExchange.ts';
@@ -27,6 +29,7 @@
   readonly pollClock: PollClock;
   readonly arrivals: ArrivalQueue;
   readonly backlog: AcceptBacklog;
+  readonly memory: CallerMemory;
   readonly observer: Observer;
   dispatch(event: Event): void;
   /** Keeps the body and response sink of a completion request until its response ends. */
@@ -48,6 +51,8 @@
   request: IncomingMessage;
   response: ServerResponse;
   reading: Reading;
+  /** Reads the whole body, which may have begun before; fails as `readBody` does. */
+  readBody: () => Promise<Result<Buffer, Failure>>;
   key: AccessKey;
   params: Record<string, string | undefined>;
   host: CallerHost;
--- a/src/clients/httpClient.ts
+++ b/src/clients/httpClient.ts
@@ -2,6 +2,7 @@
 import { Agent, Client, type Dispatcher } from 'undici';
 import type { TurnQueue } from '../eventLoop/turnQueue.ts';
 import { ByteBuffer } from '../base/byteBuffer.ts';
+import type { BodyGarbage } from '../http/bodyGarbage.ts';
 import { type BytesHolder, MemoryBudget } from '../http/memoryBudget.ts';
 import { confirmCloseDelimited } from './closeDelimited.ts';
 import { isServerRunning } from './connectionCheck.ts';
@@ -80,12 +81,13 @@
   maxBytes: number;
   /** Bytes of all bodies that are being read. */
   budget: MemoryBudget;
+  garbage: BodyGarbage | undefined;
 }
 
 /** Reads a whole body; rejects and closes the connection when it is larger than the limits. */
 async function readLimitedBody(
   body: OpenResponse['body'],
-  { maxBytes, budget }: BodyLimits,
+  { maxBytes, budget, garbage }: BodyLimits,
 ): Promise<Buffer> {
   const received = ByteBuffer.create();
   const holder: BytesHolder = {
@@ -95,6 +97,7 @@
   try {
     for await (const chunk of body as AsyncIterable<Buffer>) {
       received.append(chunk);
+      garbage?.add(chunk.length);
       if (received.length > maxBytes)
         throw new Error(`the response is larger than ${maxBytes} bytes`);
       budget.hold(holder, received.capacity);
@@ -169,14 +172,19 @@
       maxConnections?: number;
       /** Maximum size of a response that is read as a whole. */
       maxResponseBytes?: number;
+      /** Bytes that all responses hold which are being read; a limit of its own by default. */
+      budget?: MemoryBudget;
+      /** Has the buffers of responses collected; without, the runtime decides when. */
+      garbage?: BodyGarbage;
       /** Turns in which calls are written that may be cancelled; without, they are written at once. */
       turns?: TurnQueue;
     } = {},
   ): HttpClient {
     const { localAddress, maxConnections = MAX_CONNECTIONS_PER_ADDRESS } = options;
     const { maxResponseBytes: maxBytes = MAX_RESPONSE_BYTES } = options;
-    const budget = MemoryBudget.create(MAX_HELD_RESPONSE_BYTES);
-    return new HttpClient(localAddress, maxConnections, { maxBytes, budget }, options.turns);
+    const { budget = MemoryBudget.create(MAX_HELD_RESPONSE_BYTES) } = options;
+    const { garbage, turns } = options;
+    return new HttpClient(localAddress, maxConnections, { maxBytes, budget, garbage }, turns);
   }
 
   /** Makes a call and reads the whole response. */
--- a/src/gatewayHost/constants.ts
+++ b/src/gatewayHost/constants.ts
@@ -43,21 +43,6 @@
 export const LAME_DUCK_GRACE_SHARE = 0.5;
 export const STOP_GRACE_SHARE = 0.9;
 export const EXIT_GRACE_SHARE = 0.95;
-/**
- * Memory that all requests and responses hold together. The process takes up to twice as much for them
- * until the garbage collector has run.
- */
-export const MAX_HELD_BYTES = 64 * 1024 * 1024;
-export const MIN_HELD_BYTES = 8 * 1024 * 1024;
-/** Memory of a host at rest, and the share of the rest of its machine's that requests and responses hold. */
-export const REST_MEMORY_MB = 120;
-export const HELD_MEMORY_SHARE = 0.25;
-/** Memory that an open connection takes, with what has arrived and was not read. */
-export const BYTES_PER_CONNECTION = 16 * 1024;
-/** Descriptors that are kept for files, and the share of the others that connections of callers may take. */
-export const FILE_DESCRIPTORS = 200;
-export const CALLER_DESCRIPTOR_SHARE = 0.5;
-export const MIN_CALLER_CONNECTIONS = 16;
 /** Parts of a body that are handled before other connections have their turn. */
 export const MAX_PARTS_PER_TURN = 1_024;
 /** Maximum size of an engine's answer to an order or a request for its report. */
--- a/src/gatewayHost/frontServer.ts
+++ b/src/gatewayHost/frontServer.ts
@@ -1,18 +1,15 @@
 import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { MemoryBudget } from '../http/memoryBudget.ts';
 import type { Event } from '../core/events.ts';
 import { newCount, newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { Failure } from '../errors/failure.ts';
 import type { AcceptBacklog } from '../eventLoop/acceptBacklog.ts';
 import type { PollClock } from '../eventLoop/pollClock.ts';
-import { readBody } from '../http/body.ts';
+import type { Result } from '../base/result.ts';
 import type { Observer } from '../host/observer.ts';
 import type { ArrivalQueue } from '../http/arrivalQueue.ts';
-import type { ConnectionLimit } from '../http/connectionLimit.ts';
-import { BodyGarbage } from '../http/bodyGarbage.ts';
-import { SmallPartLimit } from '../http/smallPartLimit.ts';
+import type { CallerMemory } from '../http/callerMemory.ts';
 import { onCallerLeft } from '../http/callerDeparture.ts';
 import { type Reading, type RunningServer, startServer } from '../http/httpServer.ts';
 import { sendFailure } from '../http/reply.ts';
@@ -26,19 +23,15 @@
 import { ForwardExchange } from './forwardExchange.ts';
 import type { LabelPort } from './platform.ts';
 
-type BodyReading = ReturnType<typeof readBody>;
-
 /** The parts of the host that the front server uses. */
 export interface FrontServerContext {
   readonly state: State;
   readonly labels: LabelPort;
   readonly exchanges: Map<string, ForwardExchange>;
-  /** Bytes of all requests and responses of the host. */
-  readonly budget: MemoryBudget;
+  readonly memory: CallerMemory;
   readonly pollClock: PollClock;
   readonly arrivals: ArrivalQueue;
   readonly backlog: AcceptBacklog;
-  readonly connectionLimit: ConnectionLimit;
   readonly observer: Observer;
   dispatch(event: Event): void;
 }
@@ -48,9 +41,6 @@
   private server: RunningServer | undefined;
   private stopping: Promise<void> | undefined;
   private nextId = 0;
-  private readonly smallParts = SmallPartLimit.create();
-  private readonly garbage = BodyGarbage.create();
-  private readonly bodies = new WeakMap<IncomingMessage, BodyReading>();
 
   private constructor(private readonly host: FrontServerContext) {}
 
@@ -61,7 +51,7 @@
   /** Starts listening and returns the port; rejects when the address is in use. */
   async start(address: SocketAddress): Promise<number> {
     const limits = { headerBytes: MAX_HEADER_BYTES, slowSenderMs: DEFAULT_HEADER_TIMEOUT_MS };
-    const { backlog, arrivals, pollClock, labels, observer, connectionLimit } = this.host;
+    const { backlog, arrivals, pollClock, labels, observer, memory } = this.host;
     this.server = await startServer(
       (request, response, reading) => this.handleRequest(request, response, reading),
       address,
@@ -70,12 +60,12 @@
         backlog,
         arrivals,
         pollClock,
-        onHead: (request) => void this.startReading(request),
+        onHead: (request) => void this.readBody(request),
         getWaitMs: ({ rawHeaders }) => labels.readRequestLabels(rawHeaders).waitMs,
         onRejected: (request, failure) => this.observeRejection(request, failure),
         onClosed: () => observer.observe(newCount('fireflywick_closed_connections_total', {})),
       },
-      connectionLimit,
+      memory.connectionLimit,
     );
     return this.server.port;
   }
@@ -111,8 +101,8 @@
       refuse(Failure.create('bad_request', `the request target "${target}" is not a path`));
       return;
     }
-    const { budget } = this.host;
-    const body = await (this.bodies.get(request) ?? this.startReading(request));
+    const { budget } = this.host.memory;
+    const body = await this.readBody(request);
     if (body.err) {
       refuse(body.val);
       return;
@@ -158,18 +148,10 @@
     });
   }
 
-  /**
-   * Starts to read the body of a request. Parts that arrived before the request has its turn would be kept one by
-   * one otherwise, whatever their number.
-   */
-  private startReading(request: IncomingMessage): BodyReading {
-    const { state, budget } = this.host;
-    const { smallParts, garbage } = this;
+  private readBody(request: IncomingMessage): Promise<Result<Buffer, Failure>> {
+    const { state, memory } = this.host;
     const maxBytes = state.routeIndex.current?.table.limits.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const limits = { maxBytes, timeoutMs: BODY_TIMEOUT_MS, budget, smallParts, garbage };
-    const reading = readBody(request, limits);
-    this.bodies.set(request, reading);
-    return reading;
+    return memory.readBody(request, { maxBytes, timeoutMs: BODY_TIMEOUT_MS });
   }
 
   private observeRejection({ url, rawHeaders }: IncomingMessage, failure: Failure): void {
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -2,11 +2,9 @@
 import { suspectRoutes } from '../admin/routes/commands.ts';
 import { AdminServer } from '../admin/server.ts';
 import { ArrivalQueue } from '../http/arrivalQueue.ts';
-import { MemoryBudget } from '../http/memoryBudget.ts';
 import { hash32 } from '../base/hash.ts';
 import { HttpClient } from '../clients/httpClient.ts';
 import type { Event } from '../core/events.ts';
-import { newCount, newGauge, newLog } from '../core/observations.ts';
 import { isReady } from '../core/lifecycle.ts';
 import { type Policy, State } from '../core/state.ts';
 import type { Failure } from '../errors/failure.ts';
@@ -17,8 +15,10 @@
 import type { AttemptSpec } from '../forwards/types.ts';
 import type { Loop } from '../host/loop.ts';
 import { observeArrival } from '../host/observeArrival.ts';
+import { newGauge } from '../core/observations.ts';
+import { observeEviction } from '../host/observeEviction.ts';
 import { newObservedLoop } from '../host/observedLoop.ts';
-import { ConnectionLimit } from '../http/connectionLimit.ts';
+import { CallerMemory } from '../http/callerMemory.ts';
 import { StatusServer } from '../http/statusServer.ts';
 import { Observer } from '../host/observer.ts';
 import { describeError } from '../host/processErrors.ts';
@@ -41,7 +41,6 @@
   MIN_CONNECTIONS_PER_ENDPOINT,
   STOP_GRACE_SHARE,
 } from './constants.ts';
-import { getHeldBytes, getMaxCallerConnections } from './callerLimits.ts';
 import type { ForwardExchange } from './forwardExchange.ts';
 import { FrontServer } from './frontServer.ts';
 import { LogOutputStream } from './logOutputStream.ts';
@@ -65,8 +64,7 @@
 /** A host that forwards requests to the endpoints of a directory: loop, clients and servers. */
 export class GatewayHost {
   readonly exchanges = new Map<string, ForwardExchange>();
-  readonly budget: MemoryBudget;
-  readonly connectionLimit: ConnectionLimit;
+  readonly memory: CallerMemory;
   readonly pollClock = PollClock.create();
   private readonly clockJumps = ClockJumps.create();
   readonly backlog = AcceptBacklog.create();
@@ -109,13 +107,8 @@
   ) {
     const { host, listen, log } = settings;
     this.state = newState(settings);
-    const { memoryMb, descriptors } = settings.limits;
-    this.budget = MemoryBudget.create(getHeldBytes(memoryMb), (bytes) =>
-      this.observeEviction('bytes', { bytes }),
-    );
-    this.connectionLimit = ConnectionLimit.create(
-      getMaxCallerConnections(memoryMb, descriptors),
-      () => this.observeEviction('connection', {}),
+    this.memory = CallerMemory.create(settings.limits, (eviction) =>
+      observeEviction(this.observer, eviction),
     );
     const fields = { host: host.id, zone: host.zone };
     const stream = LogOutputStream.create();
@@ -153,7 +146,7 @@
       host: host.id,
       localAddress: host.sourceAddress,
       maxConnections: (endpoint) => this.getMaxConnections(endpoint),
-      budget: this.budget,
+      budget: this.memory.budget,
       turns: this.turns,
     });
     this.loop = newObservedLoop({
@@ -211,7 +204,7 @@
     this.sampler.stop();
     this.pollClock.stop();
     for (const server of this.servers) server.stop();
-    this.connectionLimit.stop();
+    this.memory.stop();
     await this.relayServer.stop(Math.max(0, (this.state.stopAt ?? 0) - performance.now()));
     await this.links.stop();
     await this.endpointClient.close();
@@ -330,11 +323,6 @@
   }
 
   /** Records that a caller gave way to others. */
-  private observeEviction(resource: 'bytes' | 'connection', fields: { bytes?: number }): void {
-    this.observer.observe(newCount('fireflywick_evictions_total', { resource }));
-    this.observer.observe(newLog('info', 'caller gave way', { resource, ...fields }));
-  }
-
   private logJobError(error: unknown): void {
     this.observer.logger.write('error', 'queued job failed', { reason: describeError(error) });
   }
@@ -351,14 +339,14 @@
   private newAdminServer(): AdminServer | undefined {
     const { listen, access } = this.settings;
     if (listen.operators === undefined) return undefined;
-    const { state, observer } = this;
+    const { state, observer, memory } = this;
     const settings = {
       listen: { operators: listen.operators },
       access: { keys: access.keys ?? [] },
       limits: ADMIN_LIMITS,
     };
     const dispatch = (event: Event): void => this.dispatch(event);
-    return AdminServer.create({ state, observer, settings, dispatch }, suspectRoutes);
+    return AdminServer.create({ state, observer, settings, memory, dispatch }, suspectRoutes);
   }
 
   /** Returns the path of an endpoint's health check; undefined for an engine. */
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -1,5 +1,6 @@
 import { AdminServer } from '../admin/server.ts';
 import { ArrivalQueue } from '../http/arrivalQueue.ts';
+import { CallerMemory } from '../http/callerMemory.ts';
 import type { DraftReadHandler, DraftAcceptanceHandler } from '../callers/types.ts';
 import type { CompletionExchange } from '../callers/completionExchange.ts';
 import type { ServiceExchange } from '../callers/serviceExchange.ts';
@@ -26,6 +27,7 @@
 import type { HostContext, RunningAttempt } from './context.ts';
 import type { Loop } from './loop.ts';
 import { observeArrival } from './observeArrival.ts';
+import { observeEviction } from './observeEviction.ts';
 import { newObservedLoop } from './observedLoop.ts';
 import { Observer } from './observer.ts';
 import { describeError } from './processErrors.ts';
@@ -50,6 +52,7 @@
   readonly pollClock = PollClock.create();
   readonly backlog = AcceptBacklog.create();
   readonly arrivals: ArrivalQueue;
+  readonly memory: CallerMemory;
   private readonly http: HttpClient;
   private readonly loop: Loop;
   private readonly callerServer: CallerServer;
@@ -71,7 +74,12 @@
       getFraction: () => this.state.random.getFraction(),
       onResult: (result) => observeArrival(this.observer, result),
     });
-    const http = HttpClient.create({ localAddress: settings.host.sourceAddress, turns });
+    this.memory = CallerMemory.create(settings.limits, (eviction) =>
+      observeEviction(this.observer, eviction),
+    );
+    const { sourceAddress: localAddress } = settings.host;
+    const { budget, garbage } = this.memory;
+    const http = HttpClient.create({ localAddress, turns, budget, garbage });
     this.http = http;
     const { tableUrl, objectsUrl, hostsUrl } = settings.platform;
     this.table = TableClient.create({ address: tableUrl, http });
@@ -124,6 +132,7 @@
     this.pollClock.stop();
     await this.callerServer.stop();
     await this.adminServer.stop();
+    this.memory.stop();
     await this.links.stop();
     await this.http.close();
   }
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { BlockBuffer } from '../base/blockBuffer.ts';
+import { BlockBuffer, type BlockPool } from '../base/blockBuffer.ts';
 import type { BytesHolder, MemoryBudget } from './memoryBudget.ts';
 import { Err, Ok, type Result } from '../base/result.ts';
 import { Failure } from '../errors/failure.ts';
@@ -17,6 +17,8 @@
   /** Limits bodies in small parts; unlimited if undefined. */
   smallParts?: SmallPartLimit;
   garbage?: BodyGarbage;
+  /** Blocks in which bodies are kept; new ones if undefined. */
+  blocks?: BlockPool;
 }
 
 /**
@@ -25,10 +27,10 @@
  */
 export function readBody(
   request: IncomingMessage,
-  { maxBytes, timeoutMs, budget, smallParts, garbage }: BodyLimits,
+  { maxBytes, timeoutMs, budget, smallParts, garbage, blocks }: BodyLimits,
 ): Promise<Result<Buffer, Failure>> {
   return new Promise((resolve) => {
-    const received = BlockBuffer.create();
+    const received = BlockBuffer.create(blocks);
     const parts = smallParts?.watch(request);
     const end = (result: Result<Buffer, Failure>) => {
       clearTimeout(timer);
@@ -38,10 +40,11 @@
       request.off('data', addChunk);
       request.off('end', finish);
       request.off('close', handleClose);
-      // What still arrives before the connection is closed would be kept otherwise.
-      request.resume();
+      // What still arrives before the connection is closed would be kept otherwise, and its buffers gather too.
+      request.on('data', discardChunk);
       resolve(result);
     };
+    const discardChunk = (chunk: Buffer) => garbage?.add(chunk.length + PART_BYTES);
     const rejectSlowSender = () => {
       end(Err(Failure.create('slow_sender', `the body did not arrive within ${timeoutMs} ms`)));
     };
--- a/src/gatewayHost/callerLimits.ts
+++ b/src/http/callerLimits.ts
@@ -11,6 +11,12 @@
 
 const BYTES_PER_MB = 1_024 * 1_024;
 
+/** Memory in MB and descriptors of the machine; undefined stands for one that does not limit them. */
+export interface MachineLimits {
+  memoryMb?: number | undefined;
+  descriptors?: number | undefined;
+}
+
 /**
  * Returns the bytes that all requests and responses of a host may hold together on a machine with `memoryMb`;
  * undefined stands for a machine that does not limit them.
--- a/src/http/constants.ts
+++ b/src/http/constants.ts
@@ -31,3 +31,19 @@
 export const MAX_SMALL_PART_SENDERS = 2;
 /** Time for which a connection is not read after it has brought many small parts. */
 export const SMALL_PART_PAUSE_MS = 20;
+
+/**
+ * Memory that all requests and responses hold together. The process takes up to twice as much for them
+ * until the garbage collector has run.
+ */
+export const MAX_HELD_BYTES = 64 * 1024 * 1024;
+export const MIN_HELD_BYTES = 8 * 1024 * 1024;
+/** Memory of a host at rest, and the share of the rest of its machine's that requests and responses hold. */
+export const REST_MEMORY_MB = 120;
+export const HELD_MEMORY_SHARE = 0.25;
+/** Memory that an open connection takes, with what has arrived and was not read. */
+export const BYTES_PER_CONNECTION = 16 * 1024;
+/** Descriptors that are kept for files, and the share of the others that connections of callers may take. */
+export const FILE_DESCRIPTORS = 200;
+export const CALLER_DESCRIPTOR_SHARE = 0.5;
+export const MIN_CALLER_CONNECTIONS = 16;
--- a/src/http/memoryBudget.ts
+++ b/src/http/memoryBudget.ts
@@ -2,6 +2,8 @@
 export interface BytesHolder {
   /** Whether it holds a complete response that is being written out; these give way last. */
   readonly isComplete: boolean;
+  /** Whether a call uses the bytes, so that giving way frees nothing before it has ended. */
+  readonly isRunning?: boolean;
   /** Gives up the bytes for lack of memory and ends what they belong to. */
   evict(): void;
 }
@@ -65,7 +67,9 @@
   }
 
   private chooseEvicted(): [BytesHolder, Holding] | undefined {
-    const all = [...this.holdings];
+    const known = [...this.holdings];
+    const idle = known.filter(([{ isRunning }]) => isRunning !== true);
+    const all = idle.length > 0 ? idle : known;
     const incomplete = all.filter(([{ isComplete }]) => !isComplete);
     const candidates = incomplete.length > 0 ? incomplete : all;
     const stalledBefore = performance.now() - STALLED_AFTER_MS;
--- a/src/settings/entryGroups.ts
+++ b/src/settings/entryGroups.ts
@@ -27,6 +27,8 @@
 export const MAX_DURATION_MS = 600_000;
 const MAX_COUNT = 1_000_000;
 const MAX_BODY_BYTES = 67_108_864;
+const MAX_MEMORY_MB = 1_048_576;
+const MAX_DESCRIPTORS = 1_048_576;
 
 /** Identity of the host. */
 export const HostSettings = z.object({
@@ -141,8 +143,25 @@
   }),
 });
 
+/** Limits of the machine, which bound what callers may make the host hold. */
+export const MachineLimitSettings = z.object({
+  memoryMb: newSetting(newOptional(newInteger(1, MAX_MEMORY_MB)), {
+    name: 'memory',
+    help: 'Memory of the machine in MB, from which follows what callers may make the host hold; 64 MiB by default.',
+    allowed: 'a whole number from 1 to 1048576',
+    isOptional: true,
+  }),
+  descriptors: newSetting(newOptional(newInteger(1, MAX_DESCRIPTORS)), {
+    name: 'descriptors',
+    help: 'Descriptors that the process may open, from which follows how many connections callers may keep.',
+    allowed: 'a whole number from 1 to 1048576',
+    isOptional: true,
+  }),
+});
+
 /** Limits on requests and on the shutdown. */
 export const LimitSettings = z.object({
+  ...MachineLimitSettings.shape,
   maxRequests: newSetting(newInteger(1, MAX_COUNT), {
     name: 'max-requests',
     help: 'Requests in flight that this host takes.',
--- a/src/settings/gatewayGroups.ts
+++ b/src/settings/gatewayGroups.ts
@@ -6,6 +6,7 @@
   LISTEN_ADDRESS_ALLOWED,
   ListenSettings,
   LogSettings,
+  MachineLimitSettings,
   MAX_DURATION_MS,
   URL_ALLOWED,
 } from './entryGroups.ts';
@@ -19,9 +20,6 @@
   newUrl,
 } from './values.ts';
 
-const MAX_MEMORY_MB = 1_048_576;
-const MAX_DESCRIPTORS = 1_048_576;
-
 /** Identity of the host. */
 export const GatewayHostSettings = z.object({
   ...HostSettings.pick({ id: true, zone: true, region: true, sourceAddress: true }).shape,
@@ -101,18 +99,7 @@
 
 /** Limits of the machine and time limits of the shutdown. */
 export const GatewayLimitSettings = z.object({
-  memoryMb: newSetting(newOptional(newInteger(1, MAX_MEMORY_MB)), {
-    name: 'memory',
-    help: 'Memory of the machine in MB, from which follows what callers may make the host hold; 64 MiB by default.',
-    allowed: 'a whole number from 1 to 1048576',
-    isOptional: true,
-  }),
-  descriptors: newSetting(newOptional(newInteger(1, MAX_DESCRIPTORS)), {
-    name: 'descriptors',
-    help: 'Descriptors that the process may open, from which follows how many connections callers may keep.',
-    allowed: 'a whole number from 1 to 1048576',
-    isOptional: true,
-  }),
+  ...MachineLimitSettings.shape,
   lameDuckMs: newSetting(newDuration(0, MAX_DURATION_MS), {
     name: 'lame-duck',
     help: 'Time after SIGTERM for which the host takes requests that can still end in time; at most half of --shutdown-grace.',
--- a/tests/admin/fixture.ts
+++ b/tests/admin/fixture.ts
@@ -1,5 +1,6 @@
 import { AdminServer } from '../../src/admin/server.ts';
 import { sha256 } from '../../src/base/hash.ts';
+import { CallerMemory } from '../../src/http/callerMemory.ts';
 import { Metrics } from '../../src/observe/metrics.ts';
 import { parseEntrySettings } from '../../src/settings/parse.ts';
 import { ImmediateCluster } from '../configuration/immediateCluster.ts';
@@ -30,6 +31,7 @@
     state: cluster.getState('h1'),
     settings: parseEntrySettings(SETTINGS_ARGV, {}).unwrap(),
     observer: { metrics: Metrics.create() },
+    memory: CallerMemory.create(),
     dispatch: (event) => {
       cluster.feed('h1', event);
       for (const [id, answer] of cluster.answers) server.answer(id, answer);
--- a/tests/helpers/deployment.ts
+++ b/tests/helpers/deployment.ts
@@ -51,6 +51,7 @@
     readonly layout: Layout,
     readonly platform: DeploymentPlatform,
     private readonly settings: Record<string, string>,
+    private readonly nodeFlags: readonly string[],
   ) {
     this.network = Network.create(
       () => [
@@ -62,9 +63,13 @@
   }
 
   /** Starts the platform and all hosts of the layout; they are stopped after the test. */
-  static async start(layout: Layout, settings: Record<string, string> = {}): Promise<Deployment> {
+  static async start(
+    layout: Layout,
+    settings: Record<string, string> = {},
+    nodeFlags: readonly string[] = [],
+  ): Promise<Deployment> {
     const platform = await DeploymentPlatform.start(layout);
-    const deployment = new Deployment(layout, platform, settings);
+    const deployment = new Deployment(layout, platform, settings, nodeFlags);
     cleanUpAfterTest(() => deployment.stopAll());
     await platform.writeFirstConfiguration();
     for (const [index, zone] of layout.zones.entries()) {
@@ -110,14 +115,19 @@
     const managedHost = this.managedHosts.get(id);
     if (managedHost === undefined) throw new Error(`host ${id} does not exist`);
     managedHost.incarnation += 1;
-    const host = await HostProcess.start(managedHost.spec, managedHost.incarnation, {
-      'table-url': `http://${this.platform.table.address}`,
-      'objects-url': `http://${this.platform.objectStore.address}`,
-      'hosts-url': `http://${this.platform.hostList.address}`,
-      keys: KEYS,
-      'loads-per-second': String(LOADS_PER_S),
-      ...this.settings,
-    });
+    const host = await HostProcess.start(
+      managedHost.spec,
+      managedHost.incarnation,
+      {
+        'table-url': `http://${this.platform.table.address}`,
+        'objects-url': `http://${this.platform.objectStore.address}`,
+        'hosts-url': `http://${this.platform.hostList.address}`,
+        keys: KEYS,
+        'loads-per-second': String(LOADS_PER_S),
+        ...this.settings,
+      },
+      this.nodeFlags,
+    );
     this.hosts.set(id, host);
     this.runs.push(host);
     return host;
--- a/tests/helpers/hostProcess.ts
+++ b/tests/helpers/hostProcess.ts
@@ -61,6 +61,7 @@
     spec: HostSpec,
     incarnation: number,
     settings: Record<string, string>,
+    nodeFlags: readonly string[] = [],
   ): Promise<HostProcess> {
     const flags = Object.entries({
       'host-id': spec.id,
@@ -74,7 +75,7 @@
       'source-address': spec.ip,
       ...settings,
     }).map(([name, value]) => `--${name}=${value}`);
-    const child = spawn(process.execPath, [BUNDLE, 'entry', ...flags], {
+    const child = spawn(process.execPath, [...nodeFlags, BUNDLE, 'entry', ...flags], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: {},
     });
@@ -88,6 +89,10 @@
     return host;
   }
 
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
   get isRunning(): boolean {
     return this.exitedAt === Infinity;
   }
