Have hosts with more processor capacity own engines and read for others first

Cause: who owns engines and who reads for a group was chosen by hashing alone, though hosts of one deployment differ by five times in processor and by twenty times in link. Change: a host states its capacity in the members row; of those that may take over work, the largest come first. The choice of an engine's owner among the owners stays unweighted, so that hosts of both versions agree on it.

--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -35,6 +35,8 @@
   readonly address: string;
   /** Increases with each start of the host. */
   readonly incarnation: number;
+  /** Processor capacity relative to other hosts; undefined if the settings do not state it. */
+  readonly capacity?: number | undefined;
 }
 
 /** Limit on retries to one service, shared by all hosts, over a sliding window. */
--- a/src/directory/group.ts
+++ b/src/directory/group.ts
@@ -1,5 +1,6 @@
-import { getRendezvousChoice } from '../base/hash.ts';
 import type { State } from '../core/state.ts';
+import { chooseCapableMember } from '../owners/owner.ts';
+import type { Member } from '../owners/types.ts';
 import {
   MAX_WATCH_PAUSE_MS,
   MIN_ZONE_GROUP_MEMBERS,
@@ -35,17 +36,18 @@
 
 /**
  * Returns the reader of this host's group; undefined if the group has none. A host that the directory does not
- * answer is passed over, by itself at once and by others when its heartbeats stop.
+ * answer is passed over, by itself at once and by others when its heartbeats stop. The one with the most capacity
+ * reads for the others.
  */
 export function chooseReader(state: State): string | undefined {
   const { directory, host, now } = state;
   const group = getGroup(state);
-  const able = group.filter((id) =>
+  const able = group.filter(({ host: id }) =>
     id === host.id
       ? !isDirectoryLost(state)
       : (directory.avoidedReaders.get(id) ?? -Infinity) <= now,
   );
-  return getRendezvousChoice('directory', able.length === 0 ? group : able);
+  return chooseCapableMember('directory', able.length === 0 ? group : able);
 }
 
 /** Whether calls of this host to the directory fail. */
@@ -75,21 +77,21 @@
 
 /** Returns the linked hosts of this host's group, without itself. */
 export function getFollowers(state: State): string[] {
-  return getGroup(state).filter((host) => host !== state.host.id);
+  const hosts = getGroup(state).map(({ host }) => host);
+  return hosts.filter((host) => host !== state.host.id);
 }
 
 /**
  * Returns this host and the linked members of its group: its large zone, or all small zones
  * together.
  */
-function getGroup({ owners, host }: State): string[] {
+function getGroup({ owners, host }: State): Member[] {
   const members = owners.row?.members ?? [];
   const sizes = new Map<string, number>();
   for (const { zone } of members) sizes.set(zone, (sizes.get(zone) ?? 0) + 1);
   const isLarge = (zone: string): boolean => (sizes.get(zone) ?? 0) >= MIN_ZONE_GROUP_MEMBERS;
-  const group = members.filter(({ host: id, zone }) => {
+  return members.filter(({ host: id, zone }) => {
     if (id !== host.id && !owners.linkedHosts.has(id)) return false;
     return isLarge(host.zone) ? zone === host.zone : !isLarge(zone);
   });
-  return group.map(({ host: id }) => id);
 }
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -414,16 +414,28 @@
 }
 
 function newState(settings: GatewaySettings): State {
-  const { host, listen } = settings;
+  const { host, listen, limits } = settings;
   const { id, zone, region, incarnation } = host;
   return State.create({
-    host: { id, zone, region, incarnation, address: listen.advertised },
+    host: {
+      id,
+      zone,
+      region,
+      incarnation,
+      address: listen.advertised,
+      capacity: getCapacity(limits),
+    },
     policy: newPolicy(settings),
     // Random numbers differ between hosts and between restarts of a host.
     randomSeed: hash32(`${id}/${incarnation}`),
   });
 }
 
+/** Returns the processor capacity of the host; undefined if the settings do not state it. */
+function getCapacity({ cpuShare, cpuSpeed = 1 }: GatewaySettings['limits']): number | undefined {
+  return cpuShare === undefined ? undefined : cpuShare * cpuSpeed;
+}
+
 function newPolicy({ directory, limits }: GatewaySettings): Policy {
   const { graceMs } = limits;
   const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs, maxKeyAgeMs } = directory;
--- a/src/owners/members.ts
+++ b/src/owners/members.ts
@@ -25,7 +25,7 @@
 } from './constants.ts';
 import { getRendezvousChoice } from '../base/hash.ts';
 import { requestJoin } from './joining.ts';
-import { ensureOwners, getMember, recordFormerRow } from './owner.ts';
+import { chooseCapableMember, ensureOwners, getMember, recordFormerRow } from './owner.ts';
 import { updateOwnReachability } from './reachability.ts';
 import type { Member, MembersRow, Owners } from './types.ts';
 
@@ -214,6 +214,7 @@
     zone: host.zone,
     address: host.address,
     isOwner: getMember(owners, host.id)?.isOwner ?? false,
+    capacity: host.capacity,
   };
 }
 
@@ -225,11 +226,7 @@
   const { owners, host, fleet } = state;
   const zoneMembers = owners.row?.members.filter(({ zone }) => zone === host.zone) ?? [];
   const standby = zoneMembers.filter(({ isOwner }) => !isOwner);
-  const choice = getRendezvousChoice(
-    host.zone,
-    standby.map((member) => member.host),
-  );
-  if (choice !== host.id) return [];
+  if (chooseCapableMember(host.zone, standby) !== host.id) return [];
   let engines = 0;
   for (const view of fleet.views.values()) {
     if (view.endpoint.zone === host.zone && isRoutableEngine(state, view)) engines += 1;
--- a/src/owners/owner.ts
+++ b/src/owners/owner.ts
@@ -83,6 +83,24 @@
   return row?.members.find((member) => member.host === host);
 }
 
+/**
+ * Returns the member that is the first to take over work for others: of those with the most processor capacity, the
+ * one that rendezvous hashing chooses. Undefined without members.
+ */
+export function chooseCapableMember(key: string, members: readonly Member[]): string | undefined {
+  const most = Math.max(...members.map(getCapacity));
+  const capable = members.filter((member) => getCapacity(member) === most);
+  return getRendezvousChoice(
+    key,
+    capable.map(({ host }) => host),
+  );
+}
+
+/** Returns the processor capacity of a member, of which those that do not state it have the least. */
+function getCapacity({ capacity = 0 }: Member): number {
+  return capacity;
+}
+
 /** Returns the members, with one promoted to owner in each zone without an owner. */
 export function ensureOwners(members: readonly Member[]): Member[] {
   const zones = new Set(members.map(({ zone }) => zone));
@@ -90,10 +108,7 @@
   for (const zone of zones) {
     const zoneMembers = members.filter((member) => member.zone === zone);
     if (zoneMembers.some(({ isOwner }) => isOwner)) continue;
-    const choice = getRendezvousChoice(
-      zone,
-      zoneMembers.map(({ host }) => host),
-    );
+    const choice = chooseCapableMember(zone, zoneMembers);
     if (choice !== undefined) promoted.add(choice);
   }
   return members.map((member) =>
--- a/src/owners/types.ts
+++ b/src/owners/types.ts
@@ -10,6 +10,8 @@
   address: z.string(),
   /** Whether the host owns engines; a member that does not is on standby. */
   isOwner: z.boolean(),
+  /** Processor capacity relative to other members; hosts of earlier versions omit it. */
+  capacity: z.number().positive().optional(),
   /** Host that suspects this one to have failed; the member itself clears it. */
   suspectedBy: z.string().optional(),
   /** Engines that it can't order, as it doesn't reach them directly; some of them, if there are many. */
--- a/src/settings/gatewayGroups.ts
+++ b/src/settings/gatewayGroups.ts
@@ -97,9 +97,23 @@
   }),
 });
 
+const MAX_CPU_CAPACITY = 1_024;
+
 /** Limits of the machine and time limits of the shutdown. */
 export const GatewayLimitSettings = z.object({
   ...MachineLimitSettings.shape,
+  cpuShare: newSetting(newOptional(newNumber(0.001, MAX_CPU_CAPACITY)), {
+    name: 'cpu-share',
+    help: 'Share of a core that the host may use; hosts with more capacity own engines and read for others first.',
+    allowed: 'a number from 0.001 to 1024',
+    isOptional: true,
+  }),
+  cpuSpeed: newSetting(newOptional(newNumber(0.001, MAX_CPU_CAPACITY)), {
+    name: 'cpu-speed',
+    help: 'Speed of that core, relative to those of the other hosts; 1 by default.',
+    allowed: 'a number from 0.001 to 1024',
+    isOptional: true,
+  }),
   lameDuckMs: newSetting(newDuration(0, MAX_DURATION_MS), {
     name: 'lame-duck',
     help: 'Time after SIGTERM for which the host takes requests that can still end in time; at most half of --shutdown-grace.',
