Place requests by what engines have left to read

A prompt counted in full until its first event, so that engines which are busy most of the time looked busier than they were. Also, the time between the end of a prompt and its first event counted as reading. Change: the backlog of an engine shrinks while it reads its first prompt, and grows while the first event is overdue.

--- a/src/residency/engineSpeed.ts
+++ b/src/residency/engineSpeed.ts
@@ -35,8 +35,8 @@
    * another, and short ones together; a sample spans enough of them to tell the rate.
    */
   recordStart(promptTokens: number, grantedAt: number, now: number): void {
-    if (grantedAt >= this.lastStartAt) {
-      // The engine had read all earlier prompts.
+    // A first event follows the end of its prompt after a while, in which the engine may be idle.
+    if (grantedAt >= this.lastStartAt - EXPECTED_FIRST_EVENT_MS) {
       this.tokens = 0;
       this.beganAt = grantedAt + EXPECTED_FIRST_EVENT_MS;
     }
--- a/src/residency/ownedEngines.ts
+++ b/src/residency/ownedEngines.ts
@@ -86,6 +86,7 @@
     known.reservedTokens = 0;
     known.pendingPrefillTokens = 0;
     known.longPrefillTokens = 0;
+    known.reading = undefined;
     known.speed = EngineSpeed.create();
     known.orderInFlight = undefined;
     requireReport(known, now);
@@ -125,6 +126,7 @@
     reservedTokens: 0,
     pendingPrefillTokens: 0,
     longPrefillTokens: 0,
+    reading: undefined,
     speed: EngineSpeed.create(),
     tenantUse: new Map(),
   };
--- a/src/residency/prefill.ts
+++ b/src/residency/prefill.ts
@@ -1,5 +1,6 @@
 import {
   ATTENTION_MS_PER_MILLION_PAIRS,
+  EXPECTED_FIRST_EVENT_MS,
   LONG_PROMPT_SHARE,
   PREFILL_BUDGET_TOKENS,
   PREFILL_TOKENS_PER_MS,
@@ -8,6 +9,9 @@
 } from './constants.ts';
 import type { EngineResidency, Reservation } from './types.ts';
 
+/** What tells the backlog of an engine. */
+type PrefillState = Pick<EngineResidency, 'pendingPrefillTokens' | 'speed' | 'reading'>;
+
 /** Returns the expected prefill time of a prompt at `rate` tokens per ms, in ms. */
 export function getPrefillMs(promptTokens: number, rate = PREFILL_TOKENS_PER_MS): number {
   return (
@@ -21,6 +25,35 @@
   return pendingPrefillTokens / speed.rate;
 }
 
+/**
+ * Returns the expected time until an engine has processed its pending prompts, less what it has read of the first
+ * one. An engine whose first event is overdue is expected to need as long again.
+ */
+export function getRemainingBacklogMs(
+  { pendingPrefillTokens, speed, reading }: PrefillState,
+  now: number,
+): number {
+  const backlogMs = pendingPrefillTokens / speed.rate;
+  if (reading === undefined) return backlogMs;
+  const expectedMs = reading.tokens / speed.rate;
+  const elapsedMs = now - reading.since;
+  const overdueMs = Math.max(0, elapsedMs - expectedMs - EXPECTED_FIRST_EVENT_MS);
+  return Math.max(0, backlogMs - Math.min(elapsedMs, expectedMs) + overdueMs);
+}
+
+/** Records which of the pending prompts the engine reads; prompts are read in the order of their grants. */
+export function updateReading(owned: EngineResidency, now: number): void {
+  const first = [...owned.reservations.values()].find(({ isPrefilling }) => isPrefilling);
+  if (first === undefined) {
+    owned.reading = undefined;
+    return;
+  }
+  const { request, promptTokens: tokens, grantedAt } = first;
+  if (owned.reading?.request === request) return;
+  // The first event of the prompt before this one followed its end after a while.
+  owned.reading = { request, tokens, since: Math.max(grantedAt, now - EXPECTED_FIRST_EVENT_MS) };
+}
+
 /**
  * Whether an engine may be sent another prompt. It reads pending prompts between two events of all its
  * streams, so the time to read them bounds the pauses of the streams. Beside a long prompt, short ones have a
--- a/src/residency/reservationMoves.ts
+++ b/src/residency/reservationMoves.ts
@@ -7,7 +7,7 @@
 import { USABLE_MEMORY_SHARE } from './constants.ts';
 import { canServeVersion, countOpenSlots, getLoadLeftMs, getSlotLimit } from './copies.ts';
 import { chooseOwnedEngine, type EngineOption } from './engineChoice.ts';
-import { getPrefillBacklogMs, getPrefillMs, getQueuePrefillMs, isLongPrompt } from './prefill.ts';
+import { getPrefillMs, getQueuePrefillMs, getRemainingBacklogMs, isLongPrompt } from './prefill.ts';
 import { getEngineClass, getReservedTokens, getWantedVersion } from './reservations.ts';
 import type { EngineResidency, ReservationRequest } from './types.ts';
 
@@ -71,7 +71,7 @@
     tokens <= engineClass.memoryTokens * USABLE_MEMORY_SHARE;
   return {
     engine: owned.id,
-    backlogMs: getPrefillBacklogMs(owned) + getQueuePrefillMs(owned),
+    backlogMs: getRemainingBacklogMs(owned, now) + getQueuePrefillMs(owned),
     readMs: getPrefillMs(message.promptTokens, owned.speed.rate),
     hasRoom,
     hasLongPrompt: owned.longPrefillTokens > 0,
--- a/src/residency/reservations.ts
+++ b/src/residency/reservations.ts
@@ -31,6 +31,7 @@
   expirePrefills,
   getPrefillBacklogMs,
   startPrefill,
+  updateReading,
 } from './prefill.ts';
 import { moveReservation } from './reservationMoves.ts';
 import { findOverusers, recordTenantUse } from './tenantShares.ts';
@@ -87,6 +88,7 @@
   const effects: Effect[] = [];
   removeExpiredReservations(owned, now);
   expirePrefills(owned, now);
+  updateReading(owned, now);
   owned.queue = owned.queue.filter(({ deadlineAt }) => deadlineAt - MIN_REMAINING_MS > now);
   const hasRanks = state.routeIndex.current?.tenantsByKey !== undefined;
   sortReservationQueue(owned, { hasRanks, overusers: findOverusers(state, owned, now) }, now);
@@ -252,6 +254,7 @@
   });
   owned.reservedTokens += tokens;
   startPrefill(owned, queued.promptTokens);
+  updateReading(owned, now);
   recordTenantUse(owned, queued.tenant, tokens, now);
   const copy = owned.copies.get(queued.adapter);
   if (copy !== undefined) {
--- a/src/residency/types.ts
+++ b/src/residency/types.ts
@@ -257,11 +257,20 @@
   pendingPrefillTokens: number;
   /** Those of them that belong to long prompts. */
   longPrefillTokens: number;
+  /** The prompt that the engine is reading, as far as first events tell. */
+  reading: PromptReading | undefined;
   speed: EngineSpeed;
   /** Decayed tokens of the reservations of each tenant. */
   tenantUse: Map<string, DecayingCounter>;
 }
 
+/** A prompt that an engine is reading, and monotonic ms since when it may have been. */
+export interface PromptReading {
+  request: string;
+  tokens: number;
+  since: number;
+}
+
 export interface AdapterOrder {
   type: 'load' | 'unload';
   /** `model/adapter`, or `model` for the base model itself. */
