--- a/tests/gatewayHost/deployment.ts
+++ b/tests/gatewayHost/deployment.ts
@@ -4,6 +4,7 @@
 import { parseGatewaySettings } from '../../src/settings/parse.ts';
 import { PlatformEndpoint } from '../../stand-ins/platform/platformEndpoint.ts';
 import { RowStore } from '../../stand-ins/platform/rowStore.ts';
+import { findFreePort } from '../helpers/freePort.ts';
 import { cleanUpAfterTest, startStandIn, waitUntil } from '../support.ts';
 
 /** A response as a caller receives it; `error` is set if the connection broke. */
@@ -126,14 +127,15 @@
   /** Starts a host in this process; `settings` are flags by name. */
   async addHost(settings: Record<string, string> = {}): Promise<GatewayHost> {
     const index = this.hosts.length;
+    const peerAddress = `127.0.0.1:${await findFreePort('127.0.0.1')}`;
     const flags = {
       'host-id': `h${index}`,
       zone: 'z1',
       region: 'r1',
       'front-listen': '127.0.0.1:0',
       'ready-listen': '127.0.0.1:0',
-      'peer-listen': `127.0.0.1:${18_400 + index + (process.pid % 500) * 10}`,
-      'peer-address': `127.0.0.1:${18_400 + index + (process.pid % 500) * 10}`,
+      'peer-listen': peerAddress,
+      'peer-address': peerAddress,
       'directory-url': `http://${this.storeAddress}`,
       'lame-duck': '50ms',
       'log-level': 'error',
