--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -22,8 +22,6 @@
 import { StatusServer } from '../http/statusServer.ts';
 import { Observer } from '../host/observer.ts';
 import { describeError } from '../host/processErrors.ts';
-import { isRoutable } from '../fleet/endpointChoice.ts';
-import { isPausedSince } from '../notices/pauses.ts';
 import type { EndpointNotice, EndpointPaused } from '../notices/types.ts';
 import { Logger } from '../observe/logger.ts';
 import { ProcessSampler } from '../observe/processSampler.ts';
@@ -45,8 +43,8 @@
 import { FrontServer } from './frontServer.ts';
 import { LogOutputStream } from './logOutputStream.ts';
 import type { LabelPort, Platform, PlatformFactory } from './platform.ts';
-import { EndpointClient, type RunningForwardAttempt } from './endpointClient.ts';
-import { PathMonitor } from './pathMonitor.ts';
+import { AttemptSender } from './attemptSender.ts';
+import { EndpointClient } from './endpointClient.ts';
 import { runGatewayEffect } from './runners.ts';
 
 /** Limits of the requests of operators, whose commands have no body. */
@@ -74,21 +72,17 @@
     getFraction: () => this.state.random.getFraction(),
     onResult: (result) => observeArrival(this.observer, result),
   });
-  /** Attempts that are sent in the next turn. */
-  private readonly queuedAttempts = new Set<string>();
-  readonly runningAttempts = new Map<string, RunningForwardAttempt>();
+  readonly attempts = AttemptSender.create(this);
   readonly state: State;
   readonly observer: Observer;
   readonly platform: Platform;
   readonly links: PeerLinks;
   readonly endpointClient: EndpointClient;
   readonly labels: LabelPort;
-  /** Monitors of the paths to endpoints, by relay; that of direct connections under an empty name. */
-  private readonly pathMonitors = new Map<string, PathMonitor>();
   private readonly relayServer: RelayServer;
   private readonly http: HttpClient;
   private readonly engineHttp: HttpClient;
-  private readonly loop: Loop;
+  readonly loop: Loop;
   readonly frontServer: FrontServer;
   /** Undefined if no address for operators is set. */
   readonly adminServer: AdminServer | undefined;
@@ -200,7 +194,7 @@
     await this.frontServer.stop();
     await this.adminServer?.stop();
     this.loop.stop();
-    for (const monitor of this.pathMonitors.values()) monitor.stop();
+    this.attempts.stop();
     this.sampler.stop();
     this.pollClock.stop();
     for (const server of this.servers) server.stop();
@@ -237,44 +231,6 @@
     this.loop.dispatch(event);
   }
 
-  /** Sends one attempt of a request to an endpoint, unless its caller is found to have left. */
-  sendForward(spec: AttemptSpec): void {
-    this.queuedAttempts.add(spec.attempt);
-    this.turns.run('send', () => {
-      if (!this.queuedAttempts.delete(spec.attempt)) return;
-      this.loop.guard({ type: 'sendForward', spec }, () => this.sendQueuedAttempt(spec));
-    });
-  }
-
-  cancelForward(attempt: string): void {
-    if (!this.queuedAttempts.delete(attempt)) this.runningAttempts.get(attempt)?.cancel();
-  }
-
-  private sendQueuedAttempt(spec: AttemptSpec): void {
-    const { id, attempt } = spec;
-    const exchange = this.exchanges.get(id);
-    if (exchange === undefined || isTooLate(spec, exchange)) {
-      this.dispatch({ type: 'forwardEnded', id, attempt, outcome: { type: 'unsent' } });
-      return;
-    }
-    const monitor = this.getPathMonitor(spec.relay?.host);
-    monitor.recordSent();
-    const running = this.endpointClient.sendAttempt(spec, exchange, {
-      isStillWanted: () => this.isStillWanted(spec),
-      isTooLate: () => isTooLate(spec, exchange),
-      onReceived: () => monitor.recordReceived(),
-      onNoticeRead: (notice) => this.reportNotice(spec, notice),
-      onResponseStarted: () => this.dispatch({ type: 'forwardStarted', id, attempt }),
-      onEnded: (outcome, hasReceived) => {
-        monitor.recordEnded(hasReceived);
-        this.runningAttempts.delete(attempt);
-        this.dispatch({ type: 'forwardEnded', id, attempt, outcome });
-      },
-    });
-    // An attempt that fails immediately has ended before `sendAttempt` returns.
-    if (!running.hasEnded) this.runningAttempts.set(attempt, running);
-  }
-
   /** Returns what has to be known of a call to an endpoint, which is sent now, when its answer arrives. */
   newSentCall(endpoint: string): SentCall {
     const endpointStartedAt = this.state.fleet.views.get(endpoint)?.endpoint.startedAt ?? 0;
@@ -310,19 +266,10 @@
       });
   }
 
-  /** Whether an endpoint still takes a request that was to be sent to it at `sentAt`. */
-  private isStillWanted({ endpoint, sentAt }: AttemptSpec): boolean {
-    const view = this.state.fleet.views.get(endpoint);
-    return (
-      view !== undefined && isRoutable(view) && !isPausedSince(view, sentAt, performance.now())
-    );
-  }
-
   onStopped(): void {
     this.resolveStopped();
   }
 
-  /** Records that a caller gave way to others. */
   private logJobError(error: unknown): void {
     this.observer.logger.write('error', 'queued job failed', { reason: describeError(error) });
   }
@@ -358,16 +305,6 @@
       : (known.healthPath ?? '/');
   }
 
-  private getPathMonitor(relay: string | undefined): PathMonitor {
-    const known = this.pathMonitors.get(relay ?? '');
-    if (known !== undefined) return known;
-    const monitor = PathMonitor.create((silentMs) =>
-      this.dispatch({ type: 'pathSilent', relay, silentMs }),
-    );
-    this.pathMonitors.set(relay ?? '', monitor);
-    return monitor;
-  }
-
   private getMaxConnections(endpoint: string): number {
     const service = this.state.fleet.views.get(endpoint)?.endpoint.service ?? '';
     const limit = this.state.routeIndex.current?.services.get(service)?.connectionLimit ?? 0;
@@ -408,11 +345,6 @@
   }
 }
 
-/** Whether nobody waits for the answer to an attempt any more; its request ends without another attempt. */
-function isTooLate({ deadlineAt }: AttemptSpec, exchange: ForwardExchange): boolean {
-  return exchange.hasCallerLeft || performance.now() >= deadlineAt;
-}
-
 function newState(settings: GatewaySettings): State {
   const { host, listen, limits } = settings;
   const { id, zone, region, incarnation } = host;
--- a/src/gatewayHost/runners.ts
+++ b/src/gatewayHost/runners.ts
@@ -115,9 +115,9 @@
     host.endpointClient.retireConnections({ endpoint, relay }),
   tellRelayedHosts: (host, { message, except }) => host.tellRelayedHosts(message, except),
   breakSilentAttempt: (host, { attempt, silentMs }) =>
-    host.runningAttempts.get(attempt)?.breakIfSilent(silentMs),
-  sendForward: (host, { spec }) => host.sendForward(spec),
-  cancelForward: (host, { attempt }) => host.cancelForward(attempt),
+    host.attempts.breakIfSilent(attempt, silentMs),
+  sendForward: (host, { spec }) => host.attempts.send(spec),
+  cancelForward: (host, { attempt }) => host.attempts.cancel(attempt),
   passResponse: (host, { id }) => host.exchanges.get(id)?.sendBufferedResponse(),
   endResponse: (host, { id }) => host.exchanges.get(id)?.end(),
   failForward: (host, { id, failure }) => host.exchanges.get(id)?.fail(failure),
