Announce the tenants that changed, and other rows of the operator with a table

Change: tenants are compared one by one as routes are, and the other rows travel with the difference.

--- /dev/null
+++ b/src/directory/namedDifferences.ts
@@ -0,0 +1,50 @@
+/** What changed of a list whose entries have names. */
+export interface NamedDifference<T> {
+  /** Entries that are new or have changed, in their order. */
+  changed: T[];
+  /** Names of those that are gone. */
+  removed: string[];
+}
+
+/** An entry of a list with a name of its own. */
+interface Named {
+  name: string;
+}
+
+/** Returns what makes one list of another; undefined if their common entries are in another order. */
+export function newNamedDifference<T extends Named>(
+  before: readonly T[],
+  after: readonly T[],
+): NamedDifference<T> | undefined {
+  const known = new Map(before.map((entry) => [entry.name, entry]));
+  const names = getNames(after);
+  const present = new Set(names);
+  const difference = {
+    changed: after.filter((entry) => !isSame(known.get(entry.name), entry)),
+    removed: [...known.keys()].filter((name) => !present.has(name)),
+  };
+  const merged = applyNamedDifference(before, difference);
+  return isSame(getNames(merged), names) ? difference : undefined;
+}
+
+/** Returns a list with the changed entries in their places, without the removed ones, and with the new ones last. */
+export function applyNamedDifference<T extends Named>(
+  before: readonly T[],
+  { changed, removed }: NamedDifference<T>,
+): T[] {
+  const gone = new Set(removed);
+  const replacements = new Map(changed.map((entry) => [entry.name, entry]));
+  const kept = before
+    .filter(({ name }) => !gone.has(name))
+    .map((entry) => replacements.get(entry.name) ?? entry);
+  const names = new Set(getNames(kept));
+  return [...kept, ...changed.filter(({ name }) => !names.has(name))];
+}
+
+function getNames(entries: readonly Named[]): string[] {
+  return entries.map(({ name }) => name);
+}
+
+function isSame(a: unknown, b: unknown): boolean {
+  return JSON.stringify(a) === JSON.stringify(b);
+}
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -203,6 +203,11 @@
 });
 export type TopicAdvance = z.infer<typeof TopicAdvance>;
 
+/** Returns the schema of what changed of a list whose entries have names. */
+function newDifferenceSchema<T extends z.ZodType>(entry: T) {
+  return z.object({ changed: z.array(entry), removed: z.array(z.string()) });
+}
+
 /** What a change of the routing table changed; the whole table can be large. */
 export const RoutingChange = z.object({
   type: z.literal('routingChanged'),
@@ -214,13 +219,15 @@
   version: z.int().min(0),
   fromVersion: z.int().min(0),
   tableVersion: z.int().min(0),
-  /** Routes that are new or have changed, and the names of those that are gone. */
-  changed: z.array(Route),
-  removed: z.array(z.string()),
+  /** Routes and tenants that are new or have changed, and the names of those that are gone. */
+  routes: newDifferenceSchema(Route),
+  tenants: newDifferenceSchema(Tenant),
+  /** Whether requests need keys of tenants. */
+  hasTenants: z.boolean(),
   services: z.array(Service),
   limits: CallerLimits,
-  /** Absent if the tenants did not change; null if there are none any more. */
-  tenants: z.array(Tenant).nullable().optional(),
+  /** Other changes of the topic up to the same version. */
+  others: z.array(DirectoryChange),
 });
 export type RoutingChange = z.infer<typeof RoutingChange>;
 
--- a/tests/directory/largeTables.test.ts
+++ b/tests/directory/largeTables.test.ts
@@ -74,13 +74,55 @@
     const sent = announce(reader, 2, changed);
     expect(sent).toHaveLength(IDS.length - 1);
     for (const messages of sent) {
-      expect(messages).toMatchObject([{ type: 'routingChanged', changed: [{ name: 'route-7' }] }]);
+      expect(messages).toMatchObject([
+        { type: 'routingChanged', routes: { changed: [{ name: 'route-7' }] } },
+      ]);
       expect(JSON.stringify(messages).length).toBeLessThan(2_000);
     }
     for (const message of sent[0] ?? []) follower.receiveMessage('h9', message);
     expect(getTable(follower)).toEqual(getTable(reader));
   });
 
+  // Guards against a call to the store by each host for each key that is taken away.
+  it('announces the tenants whose keys changed', () => {
+    const tenants = Array.from({ length: 16 }, (_, index) => ({
+      ...TENANT,
+      name: `tenant-${index}`,
+      keyDigests: Array.from({ length: 20 }, (_digest, key) => `${index}-${key}`.padEnd(44, '=')),
+    }));
+    const [first, ...others] = tenants;
+    const routes = newRoutes(17);
+    const { reader, follower } = createPair(routes, tenants);
+    const changed = { ...TENANT, ...first, keyDigests: first?.keyDigests.slice(1) ?? [] };
+    const [messages = []] = announce(reader, 2, routes, [changed, ...others]);
+    expect(messages).toMatchObject([
+      { type: 'routingChanged', tenants: { changed: [{ name: 'tenant-0' }] } },
+    ]);
+    for (const message of messages) follower.receiveMessage('h9', message);
+    expect(getTable(follower)).toEqual(getTable(reader));
+  });
+
+  it('announces a version of an adapter together with a change of the table', () => {
+    const routes = newRoutes(1_500);
+    const { reader, follower } = createPair(routes);
+    reader.advance(MAX_WATCH_PAUSE_MS).takeAllEffects();
+    const content = newRoutingContent(
+      2,
+      routes.with(7, { name: 'route-7', pathPrefix: '/moved/' }),
+    );
+    const adapter = { type: 'adapterVersion' as const, adapter: 'base/a1', version: 4 };
+    const changes = [
+      newDirectoryChange('version/base.a1', 2, adapter),
+      newDirectoryChange('config', 3, content),
+    ];
+    reader.answerDirectoryCall('operator', changes, 3);
+    const [message] = reader.takeMessages(follower.state.host.id);
+    if (message !== undefined) follower.receiveMessage('h9', message);
+    expect(getTable(follower)).toEqual(getTable(reader));
+    expect(follower.state.residency.versions.get('base/a1')).toBe(4);
+    expect(follower.state.directory.topics.operator.version).toBe(3);
+  });
+
   it('has its followers read a change that is large itself', () => {
     const { reader, follower } = createPair(newRoutes(17));
     const sent = announce(reader, 2, newRoutes(1_417));
