Announce a whole table if its names are not unique

Cause: found by reading the diff. A difference names entries by name, so that two routes of one name would both have become the one that changed. Test: one more case of largeTables.test.ts, which failed before.

--- a/src/directory/namedDifferences.ts
+++ b/src/directory/namedDifferences.ts
@@ -11,7 +11,10 @@
   name: string;
 }
 
-/** Returns what makes one list of another; undefined if their common entries are in another order. */
+/**
+ * Returns what makes one list of another; undefined if their common entries are in another order, or if names are not
+ * unique.
+ */
 export function newNamedDifference<T extends Named>(
   before: readonly T[],
   after: readonly T[],
@@ -19,6 +22,7 @@
   const known = new Map(before.map((entry) => [entry.name, entry]));
   const names = getNames(after);
   const present = new Set(names);
+  if (known.size < before.length || present.size < names.length) return undefined;
   const difference = {
     changed: after.filter((entry) => !isSame(known.get(entry.name), entry)),
     removed: [...known.keys()].filter((name) => !present.has(name)),
--- a/tests/directory/largeTables.test.ts
+++ b/tests/directory/largeTables.test.ts
@@ -7,6 +7,7 @@
   WATCH_ANSWER_SLACK_MS,
 } from '../../src/directory/constants.ts';
 import { chooseReader } from '../../src/directory/group.ts';
+import { newNamedDifference } from '../../src/directory/namedDifferences.ts';
 import type { Route, RoutingTable, Tenant } from '../../src/routes/types.ts';
 import { DirectoryHost, newDirectoryChange, newRoutingContent } from '../helpers/directoryHost.ts';
 
@@ -159,6 +160,16 @@
     expect(getTable(follower)?.version).toBe(2);
   });
 
+  // Guards against two entries of one name that both become the one that changed.
+  it('needs names that are unique', () => {
+    const entries = [
+      { name: 'a', value: 1 },
+      { name: 'a', value: 2 },
+    ];
+    const changed = [{ name: 'a', value: 3 }, ...entries.slice(1)];
+    expect(newNamedDifference(entries, changed)).toBeUndefined();
+  });
+
   it('is not applied to another table than the one it starts from', () => {
     const { reader, follower } = createPair([first]);
     announce(reader, 2, [first, second]);
