Collect the buffers in which answers of endpoints arrive

The parts of answers were not counted as garbage, as those of requests are. Change: they are counted.

--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -1,5 +1,5 @@
 import { type buildConnector, Client, type Dispatcher, Pool } from 'undici';
-import type { MemoryBudget } from '../http/memoryBudget.ts';
+import type { CallerMemory } from '../http/callerMemory.ts';
 import { confirmCloseDelimited } from '../clients/closeDelimited.ts';
 import { isServerRunning } from '../clients/connectionCheck.ts';
 import { handOverInTurns, newTrackedConnector, SocketEndTracker } from '../clients/connector.ts';
@@ -65,7 +65,7 @@
     private readonly host: string,
     private readonly localAddress: string | undefined,
     private readonly maxConnections: (endpoint: string) => number,
-    private readonly budget: MemoryBudget,
+    private readonly memory: Pick<CallerMemory, 'budget' | 'garbage'>,
     private readonly turns: TurnQueue,
   ) {}
 
@@ -78,12 +78,12 @@
     /** Returns the maximum number of connections to an endpoint. */
     maxConnections: (endpoint: string) => number;
     /** Bytes of all requests and responses of the host. */
-    budget: MemoryBudget;
+    memory: Pick<CallerMemory, 'budget' | 'garbage'>;
     /** Turns in which requests are written to new connections. */
     turns: TurnQueue;
   }): EndpointClient {
-    const { labels, host, localAddress, maxConnections, budget, turns } = options;
-    return new EndpointClient(labels, host, localAddress, maxConnections, budget, turns);
+    const { labels, host, localAddress, maxConnections, memory, turns } = options;
+    return new EndpointClient(labels, host, localAddress, maxConnections, memory, turns);
   }
 
   /** Sends a request once. */
@@ -107,7 +107,8 @@
       spec,
       exchange,
       labels: this.labels,
-      budget: this.budget,
+      budget: this.memory.budget,
+      garbage: this.memory.garbage,
       listener,
       onUnresponsive: () => this.retirePool(pool),
     });
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from 'undici';
 import { ByteBuffer } from '../base/byteBuffer.ts';
 import { MAX_STATUS } from '../clients/constants.ts';
+import type { BodyGarbage } from '../http/bodyGarbage.ts';
 import type { BytesHolder, MemoryBudget } from '../http/memoryBudget.ts';
 import { type BodyFraming, getBodyFraming } from '../clients/closeDelimited.ts';
 import type { AttemptSpec, BodyEnd, ForwardOutcome } from '../forwards/types.ts';
@@ -30,6 +31,8 @@
   labels: LabelPort;
   /** Bytes of all requests and responses of the host. */
   budget: MemoryBudget;
+  /** Has the buffers collected in which responses arrive. */
+  garbage: BodyGarbage;
   listener: ForwardAttemptListener;
   /** Called when a cancelled attempt got no response for so long that connections may be dead. */
   onUnresponsive: () => void;
@@ -151,6 +154,7 @@
 
   onResponseData(controller: Controller, chunk: Buffer): void {
     this.recordReceived();
+    this.options.garbage.add(chunk.length);
     this.yieldAfterManyParts(controller);
     if (this.mode === 'streaming') {
       for (const event of this.splitter.push(chunk)) this.passEvent(controller, event);
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -140,7 +140,7 @@
       host: host.id,
       localAddress: host.sourceAddress,
       maxConnections: (endpoint) => this.getMaxConnections(endpoint),
-      budget: this.memory.budget,
+      memory: this.memory,
       turns: this.turns,
     });
     this.loop = newObservedLoop({
