Find what changed of members and of named lists in one place

Cause: the difference of the members row and that of routes and tenants computed the same twice. Change: findChanges serves both.

--- a/src/directory/membersChanges.ts
+++ b/src/directory/membersChanges.ts
@@ -1,7 +1,8 @@
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
-import type { Member, MembersRow } from '../owners/types.ts';
+import type { MembersRow } from '../owners/types.ts';
 import { applyTopicChanges } from './announcements.ts';
+import { findChanges } from './namedDifferences.ts';
 import type { DirectoryChange, MembersChange } from './types.ts';
 import { requestTopicChanges } from './watch.ts';
 
@@ -20,8 +21,6 @@
   if (changes.length !== 1 || change?.content.type !== 'members') return undefined;
   if (before?.type !== 'members') return undefined;
   const { row } = change.content;
-  const known = new Map(before.row.members.map((member) => [member.host, member]));
-  const present = new Set(row.members.map(({ host }) => host));
   return {
     type: 'membersChanged',
     after,
@@ -29,8 +28,7 @@
     version: change.version,
     fromEpoch: before.row.epoch,
     epoch: row.epoch,
-    changed: row.members.filter((member) => !isSameMember(known.get(member.host), member)),
-    removed: [...known.keys()].filter((host) => !present.has(host)),
+    ...findChanges(before.row.members, row.members, ({ host }) => host),
   };
 }
 
@@ -58,7 +56,3 @@
   const replaced = new Set([...removed, ...changed.map(({ host }) => host)]);
   return { epoch, members: [...members.filter(({ host }) => !replaced.has(host)), ...changed] };
 }
-
-function isSameMember(known: Member | undefined, member: Member): boolean {
-  return JSON.stringify(known) === JSON.stringify(member);
-}
--- a/src/directory/namedDifferences.ts
+++ b/src/directory/namedDifferences.ts
@@ -11,6 +11,20 @@
   name: string;
 }
 
+/** Returns the entries of a list that another one lacks or has otherwise, and the keys that only the other one has. */
+export function findChanges<T>(
+  before: readonly T[],
+  after: readonly T[],
+  getKey: (entry: T) => string,
+): NamedDifference<T> {
+  const known = new Map(before.map((entry) => [getKey(entry), entry]));
+  const present = new Set(after.map(getKey));
+  return {
+    changed: after.filter((entry) => !isSame(known.get(getKey(entry)), entry)),
+    removed: [...known.keys()].filter((key) => !present.has(key)),
+  };
+}
+
 /**
  * Returns what makes one list of another; undefined if their common entries are in another order, or if names are not
  * unique.
@@ -19,14 +33,9 @@
   before: readonly T[],
   after: readonly T[],
 ): NamedDifference<T> | undefined {
-  const known = new Map(before.map((entry) => [entry.name, entry]));
   const names = getNames(after);
-  const present = new Set(names);
-  if (known.size < before.length || present.size < names.length) return undefined;
-  const difference = {
-    changed: after.filter((entry) => !isSame(known.get(entry.name), entry)),
-    removed: [...known.keys()].filter((name) => !present.has(name)),
-  };
+  if (!areUnique(names) || !areUnique(getNames(before))) return undefined;
+  const difference = findChanges(before, after, ({ name }) => name);
   const merged = applyNamedDifference(before, difference);
   return isSame(getNames(merged), names) ? difference : undefined;
 }
@@ -49,6 +58,10 @@
   return entries.map(({ name }) => name);
 }
 
+function areUnique(names: readonly string[]): boolean {
+  return new Set(names).size === names.length;
+}
+
 function isSame(a: unknown, b: unknown): boolean {
   return JSON.stringify(a) === JSON.stringify(b);
 }
