Give an entry host's calls to the platform a budget of their own again

Cause: since all calls of an entry host shared the budget of callers' bodies, so that under a crowd a large answer of the table service or the object store could be given up and lost. Change: only the answers of services, whose size callers decide, share it.

--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -53,7 +53,7 @@
   readonly backlog = AcceptBacklog.create();
   readonly arrivals: ArrivalQueue;
   readonly memory: CallerMemory;
-  private readonly http: HttpClient;
+  private readonly httpClients: readonly HttpClient[];
   private readonly loop: Loop;
   private readonly callerServer: CallerServer;
   private readonly adminServer: AdminServer;
@@ -79,13 +79,15 @@
     );
     const { sourceAddress: localAddress } = settings.host;
     const { budget, garbage } = this.memory;
-    const http = HttpClient.create({ localAddress, turns, budget, garbage });
-    this.http = http;
+    const http = HttpClient.create({ localAddress, turns });
+    // Callers decide how large the answers of services are; those of the platform must not give way to them.
+    const serviceHttp = HttpClient.create({ localAddress, turns, budget, garbage });
+    this.httpClients = [http, serviceHttp];
     const { tableUrl, objectsUrl, hostsUrl } = settings.platform;
     this.table = TableClient.create({ address: tableUrl, http });
     this.objects = ObjectClient.create({ address: objectsUrl, http });
     this.hostList = HostListClient.create({ address: hostsUrl, http });
-    this.services = ServiceClient.create({ http });
+    this.services = ServiceClient.create({ http: serviceHttp });
     this.engines = EngineClient.create({ http });
     this.links = PeerLinks.create({
       identity: this.state.host,
@@ -134,7 +136,7 @@
     await this.adminServer.stop();
     this.memory.stop();
     await this.links.stop();
-    await this.http.close();
+    await Promise.all(this.httpClients.map((client) => client.close()));
   }
 
   dispatch(event: Event): void {
