--- a/src/directory/constants.ts
+++ b/src/directory/constants.ts
@@ -62,7 +62,7 @@
 export const FOLLOWER_WATCH_WAIT_MS = 20_000;
 /**
  * Bytes of one change that a reader sends to all its followers together; larger ones are read from the directory. A
- * link of 10 Mbit/s carries them in 0.2 s.
+ * slow link (10 Mbit/s) carries them within the interval of heartbeats.
  */
 export const MAX_ANNOUNCED_BYTES = 256 * 1024;
 /** Time between requests to other hosts for large changes that the directory does not deliver. */
--- a/src/residency/prefill.ts
+++ b/src/residency/prefill.ts
@@ -41,9 +41,14 @@
   return Math.max(0, backlogMs - Math.min(elapsedMs, expectedMs) + overdueMs);
 }
 
+function findFirstPrefill({ reservations }: EngineResidency): Reservation | undefined {
+  for (const reservation of reservations.values()) if (reservation.isPrefilling) return reservation;
+  return undefined;
+}
+
 /** Records which of the pending prompts the engine reads; prompts are read in the order of their grants. */
 export function updateReading(owned: EngineResidency, now: number): void {
-  const first = [...owned.reservations.values()].find(({ isPrefilling }) => isPrefilling);
+  const first = findFirstPrefill(owned);
   if (first === undefined) {
     owned.reading = undefined;
     return;
--- a/tests/crowds/callerCrowds.test.ts
+++ b/tests/crowds/callerCrowds.test.ts
@@ -1,7 +1,5 @@
-import { readdirSync } from 'node:fs';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 import { GatewayDeployment } from '../gatewayHost/deployment.ts';
 import {
@@ -14,6 +12,7 @@
   sendChunks,
   sendFields,
 } from '../helpers/callerCrowds.ts';
+import { NODE_FLAGS, observeCrowd } from '../helpers/crowdObservation.ts';
 import { GatewayProcess } from '../helpers/gatewayProcess.ts';
 import { getPeakMb } from '../helpers/processMemory.ts';
 import { cleanUpAfterTest, waitUntil } from '../support.ts';
@@ -27,8 +26,6 @@
 const BODY_BYTES = 1_000_000;
 /** Bytes of an answer that is large. */
 const ANSWER_BYTES = 1_000_000;
-/** Flags under which the users' machines run the program. */
-const NODE_FLAGS = ['--expose-gc', '--max-old-space-size=200', '--max-semi-space-size=4'];
 
 type Listener = 'front' | 'ready' | 'metrics';
 
@@ -78,10 +75,6 @@
   ['metrics that are not read', 'metrics', { callers: 300, run: readNothing('/metrics') }],
 ];
 
-function countDescriptors(pid: number): number {
-  return readdirSync(`/proc/${pid}/fd`).length;
-}
-
 /** Starts an endpoint whose answers to `/status/large` are large. */
 async function startLargeEndpoint(): Promise<string> {
   const large = Buffer.alloc(ANSWER_BYTES, 'y');
@@ -127,17 +120,8 @@
       ready: gateway.readinessAddress,
       metrics: gateway.metricsAddress,
     };
-    const state = { isOver: false };
-    const crowded = runCrowd(addresses[listener], crowd).finally(() => (state.isOver = true));
-    let openDescriptors = 0;
-    const statuses: number[] = [];
-    while (!state.isOver) {
-      openDescriptors = Math.max(openDescriptors, countDescriptors(gateway.pid));
-      statuses.push(await send());
-      await sleep(50);
-    }
-    await crowded;
-    await waitUntil(async () => (await send()) === 200);
+    const crowded = runCrowd(addresses[listener], crowd);
+    const { openDescriptors, statuses } = await observeCrowd(crowded, gateway.pid, send);
     expect(gateway.isRunning).toBe(true);
     expect(statuses).toContain(200);
     expect(openDescriptors).toBeLessThanOrEqual(MAX_OPEN_DESCRIPTORS);
--- a/tests/crowds/entryHostCrowds.test.ts
+++ b/tests/crowds/entryHostCrowds.test.ts
@@ -1,5 +1,3 @@
-import { readdirSync } from 'node:fs';
-import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 import {
   type Crowd,
@@ -12,11 +10,11 @@
   sendChunks,
   sendFields,
 } from '../helpers/callerCrowds.ts';
+import { NODE_FLAGS, observeCrowd } from '../helpers/crowdObservation.ts';
 import { getCallerKey } from '../helpers/callers.ts';
 import { Deployment } from '../helpers/deployment.ts';
 import type { Layout } from '../helpers/layouts.ts';
 import { getPeakMb } from '../helpers/processMemory.ts';
-import { waitUntil } from '../support.ts';
 
 const LAYOUT: Layout = {
   name: 'small',
@@ -35,7 +33,6 @@
 const BODY_BYTES = 1_000_000;
 const KEY = `authorization: Bearer ${getCallerKey('atlas')}\r\n`;
 const NO_KEY = '';
-const NODE_FLAGS = ['--expose-gc', '--max-old-space-size=200', '--max-semi-space-size=4'];
 
 type Listener = 'callers' | 'operators';
 
@@ -89,10 +86,6 @@
   ],
 ];
 
-function countDescriptors(pid: number): number {
-  return readdirSync(`/proc/${pid}/fd`).length;
-}
-
 // Guards against callers that end a process, or keep it from all others.
 describe('an entry host outlives a crowd of', () => {
   it.each(CROWDS)('%s', async (_name, listener, headers, crowd) => {
@@ -113,17 +106,8 @@
     };
     expect(await send()).toBe(200);
     const address = { callers: host.callerAddress, operators: host.operatorAddress }[listener];
-    const state = { isOver: false };
-    const crowded = runCrowd(address, crowd, headers).finally(() => (state.isOver = true));
-    let openDescriptors = 0;
-    const statuses: (number | undefined)[] = [];
-    while (!state.isOver) {
-      openDescriptors = Math.max(openDescriptors, countDescriptors(host.pid));
-      statuses.push(await send());
-      await sleep(50);
-    }
-    await crowded;
-    await waitUntil(async () => (await send()) === 200);
+    const crowded = runCrowd(address, crowd, headers);
+    const { openDescriptors, statuses } = await observeCrowd(crowded, host.pid, send);
     expect(host.isRunning).toBe(true);
     expect(statuses).toContain(200);
     expect(openDescriptors).toBeLessThanOrEqual(MAX_OPEN_DESCRIPTORS);
--- a/tests/crowds/honestCallers.test.ts
+++ b/tests/crowds/honestCallers.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 import { GatewayDeployment, HOST } from '../gatewayHost/deployment.ts';
+import { NODE_FLAGS } from '../helpers/crowdObservation.ts';
 import { GatewayProcess } from '../helpers/gatewayProcess.ts';
 import { cleanUpAfterTest, waitUntil } from '../support.ts';
 
@@ -13,7 +14,6 @@
   FIREFLYWICK_DESCRIPTORS: '2212',
 };
 const LIMITS = { headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3_000 };
-const NODE_FLAGS = ['--expose-gc', '--max-old-space-size=200', '--max-semi-space-size=4'];
 /** The largest body of the deployments' requests. */
 const USUAL_BODY_BYTES = 14_000;
 /** Time within which slow callers send what they send. */
