Log who told a host its routing table, when, and how old the proof was

Cause: the lines of a request that an old configuration handled name the version only, and the one at the end of the request, not the one that chose its route. They cannot tell a host that lost the directory (H1) from one that trusts old heartbeats (H2) or misses a row (H3). Change: "request ended" and "request refused" name the version that chose the route, its source, and the age of the proof; "routing table applied" the same; two lines say when the heartbeats of a reader begin and end; one histogram holds the ages. No decision changes.

--- a/src/core/metricNames.ts
+++ b/src/core/metricNames.ts
@@ -129,6 +129,10 @@
     kind: 'histogram',
     help: 'Longest time for which a request may have waited before this host read its headers.',
   },
+  fireflywick_routing_age_ms: {
+    kind: 'histogram',
+    help: 'Longest time for which the routing table that decided a request may have been outdated.',
+  },
   process_cpu_seconds_total: {
     kind: 'counter',
     help: 'User and system processor time of the process, in seconds.',
--- a/src/directory/announcements.ts
+++ b/src/directory/announcements.ts
@@ -67,6 +67,7 @@
 export function applyTopicChanges(
   state: State,
   { topic, after, upTo, changes }: TopicChanges,
+  from: string,
   now: number,
 ): Effect[] {
   const known = state.directory.topics[topic];
@@ -76,7 +77,7 @@
     known.version = Math.max(known.version, upTo);
     known.announcedVersion = Math.max(known.announcedVersion, upTo);
   }
-  return applyChanges(state, topic, accepted, now);
+  return applyChanges(state, topic, accepted, { source: 'host', from }, now);
 }
 
 /** Whether a change that another host sent has all that this version knows of; tenants are essential. */
--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -1,5 +1,5 @@
 import type { Effect } from '../core/effects.ts';
-import { newLog } from '../core/observations.ts';
+import { newGauge, newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
 import { countCrashesOfEndpoint } from '../forwards/crashEvidence.ts';
@@ -15,23 +15,29 @@
 import { applySuspectsRow } from '../suspects/directorySuspects.ts';
 import { applyVersionSplits, scheduleSplitUpdate } from '../streams/splitsRow.ts';
 import { recordFormerVersion } from '../streams/softwareVersions.ts';
+import { getLoggedTopicAgeMs } from './clock.ts';
 import { EXPIRY_GRACE_MS, MAX_REMOVAL_DEFERRAL_MS } from './constants.ts';
-import type { DirectoryChange, DirectoryContent, Topic } from './types.ts';
+import { recordRoutingSource } from './routingKnowledge.ts';
+import type { ChangeSource, DirectoryChange, DirectoryContent, Topic } from './types.ts';
+
+type Applier<C extends DirectoryContent = DirectoryContent> = (
+  state: State,
+  content: C,
+  change: DirectoryChange,
+  now: number,
+  source: ChangeSource,
+) => Effect[];
 
 type Appliers = {
-  [T in DirectoryContent['type']]: (
-    state: State,
-    content: Extract<DirectoryContent, { type: T }>,
-    change: DirectoryChange,
-    now: number,
-  ) => Effect[];
+  [T in DirectoryContent['type']]: Applier<Extract<DirectoryContent, { type: T }>>;
 };
 
 const appliers: Appliers = {
-  routing: (state, { table }, _change, now) => {
+  routing: (state, { table }, change, now, source) => {
     const known = state.routeIndex.current;
     if (known !== undefined && table.version <= known.table.version) return [];
     state.routeIndex.current = newRouteIndex(table);
+    recordRoutingSource(state, source, now);
     const refused = table.tenants == null ? [] : refuseInvalidKeys(state, now);
     scheduleSplitUpdate(state, now);
     const { version, routes, services } = table;
@@ -42,7 +48,11 @@
         routes: routes.length,
         services: services.length,
         tenants: table.tenants?.length,
+        rowVersion: change.version,
+        ...source,
+        ageMs: getLoggedTopicAgeMs(state, 'operator', now),
       }),
+      newGauge('fireflywick_configuration_revision', {}, version),
       ...refused,
     ];
   },
@@ -99,6 +109,7 @@
   state: State,
   topic: Topic,
   changes: DirectoryChange[],
+  source: ChangeSource,
   now: number,
 ): Effect[] {
   const { entries } = state.directory.topics[topic];
@@ -106,7 +117,7 @@
     const known = entries.get(change.key);
     if (known !== undefined && known.version >= change.version) return [];
     entries.set(change.key, change);
-    const effects = applyChange(state, change, now);
+    const effects = applyChange(state, change, source, now);
     if (change.content.type !== 'removed' || known === undefined) return effects;
     return [...effects, ...handleRemovedRow(state, known.content, now)];
   });
@@ -118,6 +129,7 @@
   topic: Topic,
   changes: DirectoryChange[],
   version: number,
+  source: ChangeSource,
   now: number,
 ): Effect[] {
   const { entries } = state.directory.topics[topic];
@@ -126,7 +138,7 @@
     .filter((known) => !present.has(known.key) && known.version <= version)
     .filter(({ content }) => content.type !== 'removed')
     .map(({ key }): DirectoryChange => ({ key, version, content: { type: 'removed' } }));
-  return applyChanges(state, topic, [...changes, ...removed], now);
+  return applyChanges(state, topic, [...changes, ...removed], source, now);
 }
 
 /** Applies the deferred removals whose grace period has ended. */
@@ -146,14 +158,14 @@
   return [];
 }
 
-function applyChange(state: State, change: DirectoryChange, now: number): Effect[] {
-  const applier = appliers[change.content.type] as (
-    state: State,
-    content: DirectoryContent,
-    change: DirectoryChange,
-    now: number,
-  ) => Effect[];
-  return applier(state, change.content, change, now);
+function applyChange(
+  state: State,
+  change: DirectoryChange,
+  source: ChangeSource,
+  now: number,
+): Effect[] {
+  const applier = appliers[change.content.type] as Applier;
+  return applier(state, change.content, change, now, source);
 }
 
 /**
--- a/src/directory/clock.ts
+++ b/src/directory/clock.ts
@@ -40,6 +40,12 @@
   return Math.max(0, now - clockOffsetMs - provenAtMs);
 }
 
+/** Returns the age of a topic for log lines, in whole ms; undefined if nothing tells it. */
+export function getLoggedTopicAgeMs(state: State, topic: Topic, now: number): number | undefined {
+  const ageMs = getTopicAgeMs(state, topic, now);
+  return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+}
+
 /** Forgets how the directory's clock compares to this host's, of which one may have jumped or stood still. */
 export function forgetClockOffset({ directory }: State, reason: string): Effect[] {
   directory.clockOffsetMs = undefined;
--- a/src/directory/handlers.ts
+++ b/src/directory/handlers.ts
@@ -54,7 +54,7 @@
   routingChanged: (state, change, from, now) => applyRoutingChange(state, change, from, now),
   topicAdvanced: (state, advance, from, now) => readAdvancedTopic(state, advance, from, now),
   topicAsked: (state, request, from) => sendTopicChanges(state, request, from),
-  topicTold: (state, topicChanges, _from, now) => applyTopicChanges(state, topicChanges, now),
+  topicTold: (state, topicChanges, from, now) => applyTopicChanges(state, topicChanges, from, now),
   directoryFed: (state, heartbeat, from, now) => handleReaderHeartbeat(state, heartbeat, from, now),
 };
 
--- a/src/directory/membersChanges.ts
+++ b/src/directory/membersChanges.ts
@@ -45,11 +45,8 @@
   const { after, upTo, version } = change;
   const content = { type: 'members' as const, row: newRow(known.row, change) };
   const changes = [{ key: MEMBERS_KEY, version, content }];
-  return applyTopicChanges(
-    state,
-    { type: 'topicTold', topic: 'members', after, upTo, changes },
-    now,
-  );
+  const told = { type: 'topicTold' as const, topic: 'members' as const, after, upTo, changes };
+  return applyTopicChanges(state, told, from, now);
 }
 
 function newRow({ members }: MembersRow, { epoch, changed, removed }: MembersChange): MembersRow {
--- a/src/directory/readerHeartbeats.ts
+++ b/src/directory/readerHeartbeats.ts
@@ -9,7 +9,7 @@
   READER_HEARTBEAT_INTERVAL_MS,
   READER_HEARTBEAT_TIMEOUT_MS,
 } from './constants.ts';
-import { recordProof } from './clock.ts';
+import { getLoggedTopicAgeMs, recordProof } from './clock.ts';
 import { chooseReader, getFollowers, isDirectoryAvailable, isFollower, isReader } from './group.ts';
 import { type ReaderHeartbeat, Topic } from './types.ts';
 import { isReadingChanges, requestTopicChanges, startTopicCall } from './watch.ts';
@@ -29,8 +29,12 @@
   const { directory } = state;
   const replaced = replaceSilentReader(state, now);
   if (directory.lastHeartbeatAt !== -Infinity && !isFollower(state, now)) {
+    const silentMs = Math.round(now - directory.lastHeartbeatAt);
     directory.lastHeartbeatAt = -Infinity;
-    return [...replaced, ...restartWatches(state, now)];
+    const ageMs = getLoggedTopicAgeMs(state, 'operator', now);
+    const from = directory.heartbeatFrom;
+    const ended = newLog('info', 'heartbeats of a reader ended', { from, silentMs, ageMs });
+    return [...replaced, ended, ...restartWatches(state, now)];
   }
   if (!isReader(state) || !isDirectoryAvailable(state, now)) return replaced;
   const { operator, endpoints, members } = directory.topics;
@@ -52,11 +56,11 @@
   now: number,
 ): Effect[] {
   const { directory } = state;
-  directory.lastHeartbeatAt = now;
+  const started = recordHeartbeat(state, heartbeat, from, now);
   directory.isReaderProving = heartbeat.provenMs !== undefined;
   const { endpoints } = directory.topics;
   endpoints.recoveredAt = Math.max(endpoints.recoveredAt, now - heartbeat.regainedMs);
-  return Topic.options.flatMap((topic, index) => {
+  const requests = Topic.options.flatMap((topic, index) => {
     const known = directory.topics[topic];
     if (known.version === undefined) return [];
     // While members change, this host's own watch returns the changes as well, if it has one.
@@ -73,6 +77,20 @@
     const isBehind = isOutdated && !isLeftToWatch && !isReadingChanges(known, now);
     return isBehind ? [requestTopicChanges(state, topic, from)] : [];
   });
+  return [...started, ...requests];
+}
+
+/** Records the time of a heartbeat; the first one after a time without any is logged. */
+function recordHeartbeat(
+  { directory }: State,
+  { told }: ReaderHeartbeat,
+  from: string,
+  now: number,
+): Effect[] {
+  const isFirst = directory.lastHeartbeatAt === -Infinity;
+  directory.lastHeartbeatAt = now;
+  directory.heartbeatFrom = from;
+  return isFirst ? [newLog('info', 'heartbeats of a reader began', { from, told })] : [];
 }
 
 /** Passes over a reader that should have sent heartbeats by now, so that another host takes its place. */
--- a/src/directory/routingChanges.ts
+++ b/src/directory/routingChanges.ts
@@ -47,11 +47,8 @@
     return [requestTopicChanges(state, 'operator', from)];
   const content = { type: 'routing' as const, table: mergeTable(known.content.table, change) };
   const changes = [{ key, version, content }, ...others];
-  return applyTopicChanges(
-    state,
-    { type: 'topicTold', topic: 'operator', after, upTo, changes },
-    now,
-  );
+  const told = { type: 'topicTold' as const, topic: 'operator' as const, after, upTo, changes };
+  return applyTopicChanges(state, told, from, now);
 }
 
 function mergeTable(known: RoutingTable, change: RoutingChange): RoutingTable {
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -64,6 +64,9 @@
   | { type: 'historyLost'; isRestored: boolean }
   | { type: 'unavailable'; reason: string };
 
+/** How a change of the directory arrived: by a call of this host, or from another host. */
+export type ChangeSource = { source: 'read' | 'watch' } | { source: 'host'; from: string };
+
 /** The answer to a conditional write of a row. */
 export type DirectoryWriteAnswer =
   | { type: 'written'; version: number }
@@ -123,6 +126,8 @@
    * watches the directory itself because the heartbeats stopped.
    */
   lastHeartbeatAt = -Infinity;
+  /** Host that sent the last reader heartbeat, for logs. */
+  heartbeatFrom: string | undefined;
   /** Host that is to be the reader, and monotonic ms since which this host expects its heartbeats. */
   expectedReader: { host: string; since: number } | undefined;
   /** Monotonic ms until which hosts that sent no heartbeats are passed over as readers. */
@@ -141,6 +146,9 @@
    */
   readonly deferredRemovals = new Map<string, { change: DirectoryChange; until: number }>();
 
+  /** How the routing table that applies arrived, and at which monotonic ms. */
+  routingSource: (ChangeSource & { at: number }) | undefined;
+
   private constructor() {}
 
   static create(): Directory {
--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -129,8 +129,8 @@
   known.confirmedAt = now;
   if (answer.asOfMs !== undefined) recordProof(state, topic, answer.asOfMs);
   const applied = isRead
-    ? applySnapshot(state, topic, answer.changes, answer.version, now)
-    : applyChanges(state, topic, answer.changes, now);
+    ? applySnapshot(state, topic, answer.changes, answer.version, { source: 'read' }, now)
+    : applyChanges(state, topic, answer.changes, { source: 'watch' }, now);
   const isUnchanged = answer.changes.length === 0;
   // Without a pause, a reader's short watches would follow each other closely while nothing
   // changes.
--- a/src/forwards/forwardAdmission.ts
+++ b/src/forwards/forwardAdmission.ts
@@ -3,6 +3,7 @@
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
+import { getRoutingKnowledge, type RoutingKnowledge } from '../directory/routingKnowledge.ts';
 import { Failure } from '../errors/failure.ts';
 import { findTenant } from '../tenants/findTenant.ts';
 import { chooseService, findRoute } from '../routes/match.ts';
@@ -32,7 +33,8 @@
   const version = state.residency.versions.get(arrival.labels.adapter) ?? 0;
   const attributes = getAttributes(arrival, version);
   const service = chooseService(route, state.random.getFraction());
-  const forward = newForward(arrival, found.val, service, attributes);
+  const routing = getRoutingKnowledge(state, now);
+  const forward = newForward(arrival, found.val, service, attributes, routing);
   getRetryBudget(state, forward.service).addRequest(now);
   const quarantine = getQuarantine(state, attributes, now);
   if (quarantine !== undefined) return rejectQuarantined(state, arrival, quarantine);
@@ -108,6 +110,7 @@
   { route, tenant }: Admission,
   service: string,
   attributes: readonly Attribute[],
+  routing: RoutingKnowledge,
 ): Forward {
   const { arrivedAt } = arrival;
   // Fields are listed one by one, since spreading `arrival` is slow.
@@ -121,6 +124,7 @@
     arrivedAt,
     readDelayMs: arrival.readDelayMs,
     route,
+    routing,
     service,
     tenant,
     quotaCost: 0,
--- a/src/forwards/forwardEnd.ts
+++ b/src/forwards/forwardEnd.ts
@@ -2,6 +2,7 @@
 import type { Effect } from '../core/effects.ts';
 import { newCount, newLog, newObserve } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
+import { getRoutingKnowledge } from '../directory/routingKnowledge.ts';
 import { Failure } from '../errors/failure.ts';
 import { MAX_LOGGED_ID_LENGTH, RETRY_AFTER_MS, RETRY_AFTER_JITTER_MS } from './constants.ts';
 import { giveBackQuota } from '../quotas/usage.ts';
@@ -19,7 +20,7 @@
       fingerprint: arrival.fingerprint,
       result: failure.kind,
       reason: failure.message,
-      routingVersion: state.routeIndex.current?.table.version ?? 0,
+      ...getRoutingKnowledge(state, state.now),
     }),
     { type: 'failForward', id: arrival.id, failure: withRetryAfter(state, failure) },
   ];
@@ -115,6 +116,11 @@
   });
 }
 
+function observeRoutingAge({ routing: { routingAgeMs } }: Forward): Effect[] {
+  if (routingAgeMs === undefined) return [];
+  return [newObserve('fireflywick_routing_age_ms', {}, routingAgeMs)];
+}
+
 /** Removes a request that has its final result, and records it in the metrics and the log. */
 export function endForward(
   state: State,
@@ -132,6 +138,7 @@
     newCount('fireflywick_requests_total', { ...metricLabels, result }),
     newObserve('fireflywick_request_duration_ms', metricLabels, durationMs),
     newObserve('fireflywick_read_delay_ms', {}, forward.readDelayMs),
+    ...observeRoutingAge(forward),
     newLog('info', 'request ended', {
       requestId: labels.attemptId,
       fingerprint: forward.fingerprint,
@@ -156,7 +163,7 @@
       ranOn: [...ranOn],
       passedOver: [...excluded],
       lastReason: forward.lastReason,
-      routingVersion: state.routeIndex.current?.table.version ?? 0,
+      ...forward.routing,
     }),
   ];
 }
--- a/src/forwards/types.ts
+++ b/src/forwards/types.ts
@@ -1,3 +1,4 @@
+import type { RoutingKnowledge } from '../directory/routingKnowledge.ts';
 import type { Failure } from '../errors/failure.ts';
 import { Popularity } from '../grants/popularity.ts';
 import type { ConnectionProblem, Relay } from '../paths/types.ts';
@@ -94,6 +95,8 @@
 /** A request in flight that this host forwards to an endpoint. */
 export interface Forward extends NewForward {
   route: Route;
+  /** What this host knew of the routing table when it chose the route, for logs. */
+  routing: RoutingKnowledge;
   service: string;
   /** Tenant that holds the caller's key; undefined on a public route and without tenants. */
   tenant: string | undefined;
