Let a host that lost the directory call it again, whoever covers for it

Cause: the retry of a failed call ended silently if heartbeats of a reader had begun meanwhile, and when these ended, the host left the topic to that retry. It never called again: no change by itself, never a reader, no upkeep of the members row. It asked a random host each 0.5 s, and the others took it for an able reader, waiting 0.7 s or more for each of its kind. Change: a host that lost a topic keeps calling (each 1 to 2 s while covered, with an answer at once), each round starts calls that are needed and neither under way nor scheduled, and the end of the heartbeats starts all calls at once. A covered host no longer asks random hosts.

--- a/src/directory/constants.ts
+++ b/src/directory/constants.ts
@@ -21,6 +21,8 @@
 /** First pause after a failed call; doubles up to the maximum, with jitter on its second half. */
 export const CALL_RETRY_BASE_MS = 150;
 export const CALL_RETRY_MAX_MS = 1_000;
+/** Longest pause after a failed call while a reader announces the changes. */
+export const COVERED_CALL_RETRY_MS = 2_000;
 /** Interval at which a peer is asked for changes while the directory is unavailable. */
 export const PEER_POLL_INTERVAL_MS = 500;
 /**
--- a/src/directory/readerHeartbeats.ts
+++ b/src/directory/readerHeartbeats.ts
@@ -12,7 +12,12 @@
 import { getLoggedTopicAgeMs, recordProof } from './clock.ts';
 import { chooseReader, getFollowers, isDirectoryAvailable, isFollower, isReader } from './group.ts';
 import { type ReaderHeartbeat, Topic } from './types.ts';
-import { isReadingChanges, requestTopicChanges, startTopicCall } from './watch.ts';
+import {
+  isReadingChanges,
+  requestTopicChanges,
+  resumeTopicCalls,
+  startTopicCall,
+} from './watch.ts';
 
 /** Starts the periodic rounds in which readers send heartbeats and followers check for them. */
 export function startReaderHeartbeats(state: State, now: number): Effect[] {
@@ -36,7 +41,8 @@
     const ended = newLog('info', 'heartbeats of a reader ended', { from, silentMs, ageMs });
     return [...replaced, ended, ...restartWatches(state, now)];
   }
-  if (!isReader(state) || !isDirectoryAvailable(state, now)) return replaced;
+  const resumed = resumeTopicCalls(state, now);
+  if (!isReader(state) || !isDirectoryAvailable(state, now)) return [...replaced, ...resumed];
   const { operator, endpoints, members } = directory.topics;
   const heartbeat: ReaderHeartbeat = {
     type: 'directoryFed',
@@ -45,7 +51,7 @@
     provenMs: [operator, endpoints, members].map(({ provenAtMs }) => provenAtMs ?? null),
   };
   const heartbeats = getFollowers(state).map((host) => sendMessage(state, host, heartbeat));
-  return [...replaced, ...heartbeats];
+  return [...replaced, ...resumed, ...heartbeats];
 }
 
 /** Records a reader's heartbeat, and requests the changes that did not arrive from the reader. */
@@ -109,13 +115,10 @@
   return [newLog('info', 'reader of the directory is replaced', { reader })];
 }
 
-/** Starts the usual watches in place of the long ones of a follower, which may hang. */
+/** Starts the usual watches in place of the long ones of a follower, which may hang, and of retries that are due later. */
 function restartWatches(state: State, now: number): Effect[] {
   return Topic.options.flatMap((topic) => {
-    const known = state.directory.topics[topic];
-    // A failed call is retried by its own timer.
-    if (known.unavailableSince !== undefined) return [];
-    known.isCallInFlight = false;
+    state.directory.topics[topic].isCallInFlight = false;
     return startTopicCall(state, topic, now);
   });
 }
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -96,6 +96,8 @@
   /** Consecutive watches that returned changes, and the monotonic ms of the last one. */
   watchesWithChanges: number;
   changedAt: number;
+  /** Monotonic ms at which the next call is due, if one is scheduled; in the past otherwise. */
+  nextCallAt: number;
   /** Consecutive failed calls. */
   failures: number;
   /** Monotonic ms of the first of these failures; undefined while calls succeed. */
@@ -166,6 +168,7 @@
     announcedVersion: 0,
     watchesWithChanges: 0,
     changedAt: -Infinity,
+    nextCallAt: -Infinity,
     failures: 0,
     unavailableSince: undefined,
     recoveredAt: -Infinity,
--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -8,6 +8,7 @@
   PEER_POLL_INTERVAL_MS,
   CALL_RETRY_MAX_MS,
   CALL_RETRY_BASE_MS,
+  COVERED_CALL_RETRY_MS,
   WATCH_PAUSE_RESET_MS,
   FOLLOWER_WATCH_WAIT_MS,
   MAX_WATCH_PAUSE_MS,
@@ -42,13 +43,36 @@
   const known = state.directory.topics[topic];
   if (known.isCallInFlight || state.phase === 'stopped') return [];
   const { version: after } = known;
-  if (after !== undefined && isCoveredByReader(state, topic, now)) return [];
-  if (after !== undefined)
+  if (after !== undefined) {
+    if (!needsOwnCalls(state, topic, now)) return [];
     return startWatch(known, topic, after, getWaitMs(state, topic, now), now);
+  }
   recordCallStart(known, now);
   return [{ type: 'readTopic', topic, call: known.call }];
 }
 
+/** Starts the calls that are needed again, and of which none is under way or scheduled. */
+export function resumeTopicCalls(state: State, now: number): Effect[] {
+  return Topic.options.flatMap((topic) => {
+    const { nextCallAt } = state.directory.topics[topic];
+    return nextCallAt > now ? [] : startTopicCall(state, topic, now);
+  });
+}
+
+/**
+ * Whether this host calls the directory itself. One that lost the directory has to find out when it is back, as it
+ * could not replace the reader until then.
+ */
+function needsOwnCalls(state: State, topic: Topic, now: number): boolean {
+  const { unavailableSince } = state.directory.topics[topic];
+  return unavailableSince !== undefined || !isCoveredByReader(state, topic, now);
+}
+
+function scheduleTopicCall(state: State, topic: Topic, at: number): void {
+  state.directory.topics[topic].nextCallAt = at;
+  schedule(state, at, { type: 'startTopicCall', topic });
+}
+
 function startWatch(
   known: TopicState,
   topic: Topic,
@@ -66,9 +90,12 @@
   known.isCallInFlight = true;
   known.call += 1;
   known.callStartedAt = now;
+  known.nextCallAt = -Infinity;
 }
 
 function getWaitMs(state: State, topic: Topic, now: number): number {
+  // An answer at once shows soonest that the directory is back.
+  if (state.directory.topics[topic].unavailableSince !== undefined) return 0;
   if (hasFollowers(state)) return READER_WATCH_WAIT_MS[topic];
   // A reader of an earlier version announces some topics only.
   return isFollower(state, now) ? FOLLOWER_WATCH_WAIT_MS : WATCH_WAIT_MS[topic];
@@ -138,7 +165,7 @@
   if (isRead || (isUnchanged && !isPaced))
     return [...effects, ...applied, ...startTopicCall(state, topic, now)];
   const pauseMs = isUnchanged ? READER_WATCH_PAUSE_MS : updatePauseMs(state, topic, now);
-  schedule(state, now + pauseMs, { type: 'startTopicCall', topic });
+  scheduleTopicCall(state, topic, now + pauseMs);
   return [...effects, ...applied];
 }
 
@@ -160,6 +187,7 @@
   const known = state.directory.topics[topic];
   if (known.unavailableSince === undefined) return [];
   schedule(state, now + PEER_POLL_INTERVAL_MS, { type: 'pollPeer', topic });
+  if (isCoveredByReader(state, topic, now)) return [];
   const linked = [...state.owners.linkedHosts];
   const peer = linked[state.random.getInteger(Math.max(1, linked.length))];
   if (peer === undefined) return [];
@@ -221,10 +249,12 @@
 
 function scheduleTopicRetry(state: State, topic: Topic, reason: string, now: number): Effect[] {
   const known = state.directory.topics[topic];
-  const limit = Math.min(CALL_RETRY_MAX_MS, CALL_RETRY_BASE_MS * 2 ** known.failures);
+  const limit = isCoveredByReader(state, topic, now)
+    ? COVERED_CALL_RETRY_MS
+    : Math.min(CALL_RETRY_MAX_MS, CALL_RETRY_BASE_MS * 2 ** known.failures);
   known.failures = Math.min(known.failures + 1, 16);
   const pause = limit * (0.5 + state.random.getFraction() / 2);
-  schedule(state, now + pause, { type: 'startTopicCall', topic });
+  scheduleTopicCall(state, topic, now + pause);
   if (known.unavailableSince !== undefined) return [];
   known.unavailableSince = now;
   return [
