Announce rows that a reader has heard from other hosts before its own watch

Callers would see: a route or an adapter's version that hosts of a group lack until it changes again, or requests to an engine that left. Cause: a host that hears a row but not the one before it keeps the row and its version. As the reader, it left the row out of the announcement of its next watch, since its entry had not changed, and named the version of the row, in announcements and heartbeats. Differences of the table and of the members row started from such a row too. Change: only entries up to the host's version count as announced. Measured: 4 of 4 cases of tests/directory/topicVersions.test.ts pass that failed before.

--- a/src/directory/announcements.ts
+++ b/src/directory/announcements.ts
@@ -4,6 +4,7 @@
 import type { State } from '../core/state.ts';
 import { MAX_ANNOUNCED_BYTES } from './constants.ts';
 import { getFollowers, isReader } from './group.ts';
+import { getAnnouncedEntry } from './announcedEntries.ts';
 import { applyChanges } from './apply.ts';
 import { newMembersChange } from './membersChanges.ts';
 import { newRoutingChange } from './routingChanges.ts';
@@ -20,9 +21,9 @@
   { changes, version: upTo }: { changes: readonly DirectoryChange[]; version: number },
 ): Effect[] {
   const known = state.directory.topics[topic];
-  const changed = changes.filter((change) => {
-    const before = known.entries.get(change.key);
-    return before === undefined || !isSameContent(before.content, change.content);
+  const changed = changes.filter(({ key, content }) => {
+    const before = getAnnouncedEntry(known, key);
+    return before === undefined || !isSameContent(before.content, content);
   });
   if (changed.length === 0) return [];
   const after = known.announcedVersion;
--- a/src/directory/membersChanges.ts
+++ b/src/directory/membersChanges.ts
@@ -1,6 +1,7 @@
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
 import type { MembersRow } from '../owners/types.ts';
+import { getAnnouncedEntry } from './announcedEntries.ts';
 import { applyTopicChanges } from './announcements.ts';
 import { findChanges } from './namedDifferences.ts';
 import type { DirectoryChange, MembersChange } from './types.ts';
@@ -17,7 +18,7 @@
   upTo: number,
 ): MembersChange | undefined {
   const [change] = changes;
-  const before = directory.topics.members.entries.get(MEMBERS_KEY)?.content;
+  const before = getAnnouncedEntry(directory.topics.members, MEMBERS_KEY)?.content;
   if (changes.length !== 1 || change?.content.type !== 'members') return undefined;
   if (before?.type !== 'members') return undefined;
   const { row } = change.content;
--- a/src/directory/routingChanges.ts
+++ b/src/directory/routingChanges.ts
@@ -1,6 +1,7 @@
 import type { Effect } from '../core/effects.ts';
 import type { State } from '../core/state.ts';
 import type { RoutingTable } from '../routes/types.ts';
+import { getAnnouncedEntry } from './announcedEntries.ts';
 import { applyTopicChanges } from './announcements.ts';
 import { applyNamedDifference, newNamedDifference } from './namedDifferences.ts';
 import type { DirectoryChange, RoutingChange } from './types.ts';
@@ -19,7 +20,7 @@
   const change = changes.find(({ content }) => content.type === 'routing');
   if (change?.content.type !== 'routing') return undefined;
   const { key, version, content } = change;
-  const known = directory.topics.operator.entries.get(key);
+  const known = getAnnouncedEntry(directory.topics.operator, key);
   if (known?.content.type !== 'routing') return undefined;
   const before = known.content.table;
   const { version: tableVersion, services, limits, ...table } = content.table;
