Let followers rely on what the directory proved, not on when a heartbeat arrived

Callers would see: CONFIG at hosts that nothing happened to, while the reader's messages become late (its link fills up, or it falls behind). Cause: coverage counted from the arrival of a heartbeat. From the constants: a reader's watch of the operator's rows may be answered up to 2,050 ms after the last answer before heartbeats stop, followers trust the last one 500 ms longer and look each 200 ms: 2,750 ms, and without bound if the heartbeats themselves are late but regular. Change: a follower is covered for a topic while what it knows is proven to be at most 1,300 ms old by the directory's clock (3,000 ms for the members row), and otherwise asks the directory once, with an answer at once. To stay below that, a reader waits 500 instead of 1,000 ms for the operator's rows and pauses at most 400 instead of 800 ms after changes. Hosts of earlier versions are covered, and cover others, as before.

--- a/src/directory/clock.ts
+++ b/src/directory/clock.ts
@@ -1,7 +1,8 @@
 import type { Effect } from '../core/effects.ts';
 import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
-import type { Topic } from './types.ts';
+import { MAX_CLOCK_DRIFT } from './constants.ts';
+import type { Directory, Topic } from './types.ts';
 
 /**
  * Records the time of the directory's clock, in ms, as an answer that arrives now tells it. `sentAt` is the
@@ -14,7 +15,17 @@
   now: number,
 ): void {
   directory.clock = { ms: clockMs, readAt: now };
-  directory.clockOffsetMs = Math.max(directory.clockOffsetMs ?? -Infinity, sentAt - clockMs);
+  const offsetMs = sentAt - clockMs;
+  const knownMs = getClockOffsetMs(directory, sentAt) ?? -Infinity;
+  if (offsetMs >= knownMs) directory.clockOffset = { ms: offsetMs, at: sentAt };
+}
+
+/**
+ * Returns a lower bound of the difference between this host's monotonic clock and the directory's, in ms; undefined
+ * before an answer told it. The bound falls, as the clocks drift.
+ */
+function getClockOffsetMs({ clockOffset }: Directory, now: number): number | undefined {
+  return clockOffset && clockOffset.ms - (now - clockOffset.at) * MAX_CLOCK_DRIFT;
 }
 
 /** Returns the time of the directory's clock, in ms; undefined before an answer told it. */
@@ -35,9 +46,9 @@
  */
 export function getTopicAgeMs({ directory }: State, topic: Topic, now: number): number {
   const { provenAtMs } = directory.topics[topic];
-  const { clockOffsetMs } = directory;
-  if (provenAtMs === undefined || clockOffsetMs === undefined) return Infinity;
-  return Math.max(0, now - clockOffsetMs - provenAtMs);
+  const offsetMs = getClockOffsetMs(directory, now);
+  if (provenAtMs === undefined || offsetMs === undefined) return Infinity;
+  return Math.max(0, now - offsetMs - provenAtMs);
 }
 
 /** Returns the age of a topic for log lines, in whole ms; undefined if nothing tells it. */
@@ -48,6 +59,6 @@
 
 /** Forgets how the directory's clock compares to this host's, of which one may have jumped or stood still. */
 export function forgetClockOffset({ directory }: State, reason: string): Effect[] {
-  directory.clockOffsetMs = undefined;
+  directory.clockOffset = undefined;
   return [newLog('info', 'clock of the directory is unknown', { reason })];
 }
--- a/src/directory/constants.ts
+++ b/src/directory/constants.ts
@@ -52,7 +52,7 @@
  * followers have to learn of a change by themselves in time.
  */
 export const READER_WATCH_WAIT_MS: Record<Topic, number> = {
-  operator: 1_000,
+  operator: 500,
   endpoints: 400,
   members: 1_000,
 };
@@ -71,5 +71,18 @@
 export const WHOLE_REQUEST_INTERVAL_MS = 1_000;
 /** Longest pause between watches that keep returning changes, for example while many hosts join. */
 export const MAX_WATCH_PAUSE_MS = 800;
+/** The same for a reader, whose followers learn of a change after the pause. */
+export const MAX_READER_WATCH_PAUSE_MS = 400;
+/**
+ * Age of what a follower knows of a topic from which on it asks the directory itself. It is longer than a reader's wait
+ * and pause with an interval of heartbeats; with a round and a call, a change applies within 2 s.
+ */
+export const MAX_COVERED_AGE_MS: Record<Topic, number> = {
+  operator: 1_300,
+  endpoints: 1_300,
+  members: 3_000,
+};
+/** Highest difference between the rates of two clocks that are kept in step, as a share of the time. */
+export const MAX_CLOCK_DRIFT = 0.0005;
 /** Time without a change after which the pause between watches starts from its base again. */
 export const WATCH_PAUSE_RESET_MS = 2_000;
--- a/src/directory/group.ts
+++ b/src/directory/group.ts
@@ -1,7 +1,9 @@
 import type { State } from '../core/state.ts';
 import { chooseCapableMember } from '../owners/owner.ts';
 import type { Member } from '../owners/types.ts';
+import { getTopicAgeMs } from './clock.ts';
 import {
+  MAX_COVERED_AGE_MS,
   MAX_WATCH_PAUSE_MS,
   MIN_ZONE_GROUP_MEMBERS,
   READER_HEARTBEAT_TIMEOUT_MS,
@@ -15,10 +17,16 @@
   return state.directory.lastHeartbeatAt + READER_HEARTBEAT_TIMEOUT_MS > now && !isReader(state);
 }
 
-/** Whether the reader announces the changes of a topic, so that this host need not watch it. */
+/**
+ * Whether the reader announces the changes of a topic, and has proven lately that this host knows all of them, so
+ * that this host need not watch it. A reader of an earlier version proves nothing.
+ */
 export function isCoveredByReader(state: State, topic: Topic, now: number): boolean {
   if (!isFollower(state, now)) return false;
-  return topic === 'endpoints' || state.directory.isReaderProving;
+  const { isReaderProving, clock } = state.directory;
+  if (!isReaderProving) return topic === 'endpoints';
+  // Without the directory's clock there are no proofs, and only heartbeats count.
+  return clock === undefined || getTopicAgeMs(state, topic, now) <= MAX_COVERED_AGE_MS[topic];
 }
 
 /** Whether this host is a reader with at least one follower. */
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -141,10 +141,10 @@
   /** Time of the directory's steady clock, and monotonic ms at which an answer told it. */
   clock: { ms: number; readAt: number } | undefined;
   /**
-   * Lower bound of the difference between this host's monotonic clock and the directory's, in ms: an answer
-   * is given after its call started. Undefined until an answer tells the clock.
+   * Lower bound of the difference between this host's monotonic clock and the directory's, in ms, at a monotonic
+   * ms: an answer is given after its call started. Undefined until an answer tells the clock.
    */
-  clockOffsetMs: number | undefined;
+  clockOffset: { ms: number; at: number } | undefined;
   /**
    * Deferred removals by endpoint: the entry of a live endpoint may have expired in an outage.
    */
--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -11,6 +11,7 @@
   COVERED_CALL_RETRY_MS,
   WATCH_PAUSE_RESET_MS,
   FOLLOWER_WATCH_WAIT_MS,
+  MAX_READER_WATCH_PAUSE_MS,
   MAX_WATCH_PAUSE_MS,
   READER_WATCH_PAUSE_MS,
   READER_WATCH_WAIT_MS,
@@ -97,8 +98,9 @@
   // An answer at once shows soonest that the directory is back.
   if (state.directory.topics[topic].unavailableSince !== undefined) return 0;
   if (hasFollowers(state)) return READER_WATCH_WAIT_MS[topic];
-  // A reader of an earlier version announces some topics only.
-  return isFollower(state, now) ? FOLLOWER_WATCH_WAIT_MS : WATCH_WAIT_MS[topic];
+  if (!isFollower(state, now)) return WATCH_WAIT_MS[topic];
+  // A reader of an earlier version announces some topics only; another one gets its turn again after one answer.
+  return state.directory.isReaderProving ? 0 : FOLLOWER_WATCH_WAIT_MS;
 }
 
 /**
@@ -112,7 +114,8 @@
   known.changedAt = now;
   if (topic === 'endpoints')
     return hasFollowers(state) ? READER_WATCH_PAUSE_MS : WATCH_PAUSE_MS.endpoints;
-  return Math.min(MAX_WATCH_PAUSE_MS, WATCH_PAUSE_MS[topic] * 2 ** known.watchesWithChanges);
+  const maxPauseMs = hasFollowers(state) ? MAX_READER_WATCH_PAUSE_MS : MAX_WATCH_PAUSE_MS;
+  return Math.min(maxPauseMs, WATCH_PAUSE_MS[topic] * 2 ** known.watchesWithChanges);
 }
 
 /** Applies the answer of a directory call and starts or schedules the next call. */
