Keep the calls of a reader to which another host sends heartbeats

Callers saw nothing by itself; a group had no heartbeats for 0.7 s every 8.7 s, in which each host reads for itself, and its store got calls in vain. Cause: a host that takes itself for the reader counted each heartbeat of another one as the begin of coverage, and in its next round as the end, upon which it started all its calls again. None was answered in time, so it never sent heartbeats and the others passed it over each time it was its turn. Change: a reader is not covered by another one's heartbeats. Measured: the new case of tests/directory/readerHeartbeats.test.ts failed before (15 watches in 3 s, now none).

--- a/src/directory/readerHeartbeats.ts
+++ b/src/directory/readerHeartbeats.ts
@@ -86,13 +86,18 @@
   return [...started, ...requests];
 }
 
-/** Records the time of a heartbeat; the first one after a time without any is logged. */
+/**
+ * Records the time of a heartbeat; the first one after a time without any is logged. A reader is not covered by another
+ * host that takes itself for the reader too.
+ */
 function recordHeartbeat(
-  { directory }: State,
+  state: State,
   { told }: ReaderHeartbeat,
   from: string,
   now: number,
 ): Effect[] {
+  if (isReader(state)) return [];
+  const { directory } = state;
   const isFirst = directory.lastHeartbeatAt === -Infinity;
   directory.lastHeartbeatAt = now;
   directory.heartbeatFrom = from;
--- a/tests/directory/readerHeartbeats.test.ts
+++ b/tests/directory/readerHeartbeats.test.ts
@@ -114,6 +114,15 @@
     ]);
   });
 
+  // Guards against two hosts that take turns as the reader, as one starts its calls again at each heartbeat of the other.
+  it('keeps its calls while another host sends it heartbeats too', () => {
+    const reader = getFirst(createGroup().readers);
+    advanceWithHeartbeats(reader, 3 * READER_HEARTBEAT_INTERVAL_MS);
+    reader.takeAllEffects();
+    advanceWithHeartbeats(reader, 3_000);
+    expect(getWatches(reader, 'operator')).toEqual([]);
+  });
+
   it('sends no heartbeats once the directory does not answer its watch', () => {
     const { readers, followers } = createGroup();
     const reader = getFirst(readers);
