Have followers take over what their reader has, where they saw more than it announces

Callers would see: requests to an engine that was removed, or none to one that came back, in one group of hosts that had lost the directory meanwhile. Cause: a reader leaves out a row that is, but for what orders change, what it was at its last watch. A host that saw the row between (by its own calls, or from another reader) kept that, and the next announcement moved its version past it. A host that asked a former follower got rows after a version, which lack those that had been left out there; and a late answer brought back a row that had been removed. Change: a host continues the announcements of another one only if it has no row of its own that is newer than what both share, and asks for the changes otherwise; a host that has heard announcements answers with what all rows are now, if it may have missed one; a row that is older than what the host knows and that it does not have was removed. A calm group sends nothing more.

--- a/src/directory/announcements.ts
+++ b/src/directory/announcements.ts
@@ -7,8 +7,15 @@
 import { getAnnouncedEntry } from './announcedEntries.ts';
 import { applyChanges, findRemovals } from './apply.ts';
 import { newMembersChange } from './membersChanges.ts';
+import { isRequested, isSyncedWith } from './readerSync.ts';
 import { newRoutingChange } from './routingChanges.ts';
-import type { DirectoryChange, DirectoryContent, Topic, TopicChanges } from './types.ts';
+import type {
+  DirectoryChange,
+  DirectoryContent,
+  Topic,
+  TopicChanges,
+  TopicState,
+} from './types.ts';
 
 /**
  * As a reader, announces the changes of a watch answer up to version `upTo` to the followers. Call
@@ -72,14 +79,42 @@
   now: number,
 ): Effect[] {
   const known = state.directory.topics[topic];
-  const accepted = changes.filter(isComplete);
+  const accepted = changes.filter((change) => isComplete(change) && !isOutdated(known, change));
   // A host of an earlier version leaves out what it does not know.
-  if (accepted.length === changes.length && known.version !== undefined && after <= known.version) {
+  const isWhole = changes.every(isComplete);
+  const isAnswer = isRequested(known, from, after);
+  const isContinued = isAnswer || isSyncedWith(known, from, after);
+  if (isWhole && isContinued && known.version !== undefined && after <= known.version) {
     known.version = Math.max(known.version, upTo);
     known.announcedVersion = Math.max(known.announcedVersion, upTo);
+    known.synced = { host: from, version: upTo };
+    if (!isAnswer) known.omittedUpTo = upTo;
   }
-  const removals = keys === undefined ? [] : findRemovals(known, keys, upTo);
-  return applyChanges(state, topic, [...accepted, ...removals], { source: 'host', from }, now);
+  const rows = keys === undefined ? accepted : findRowsAsOf(known, accepted, keys, upTo);
+  return applyChanges(state, topic, rows, { source: 'host', from }, now);
+}
+
+/**
+ * Returns rows as they are up to `version`, with the removals of known rows that are not among the keys. A known row that
+ * is newer than its change, and not newer than `version`, has changed back since.
+ */
+function findRowsAsOf(
+  known: TopicState,
+  changes: readonly DirectoryChange[],
+  keys: readonly string[],
+  version: number,
+): DirectoryChange[] {
+  const rows = changes.map((change) => {
+    const knownVersion = known.entries.get(change.key)?.version ?? 0;
+    const isOverwritten = knownVersion > change.version && knownVersion < version;
+    return isOverwritten ? { ...change, version } : change;
+  });
+  return [...rows, ...findRemovals(known, keys, version)];
+}
+
+/** Whether a change is of a row that has been removed since; a host that started after the removal does not know the row. */
+function isOutdated({ entries, version = 0 }: TopicState, change: DirectoryChange): boolean {
+  return change.version <= version && !entries.has(change.key);
 }
 
 /** Whether a change that another host sent has all that this version knows of; tenants are essential. */
--- a/src/directory/apply.ts
+++ b/src/directory/apply.ts
@@ -118,14 +118,15 @@
   source: ChangeSource,
   now: number,
 ): Effect[] {
-  const { entries } = state.directory.topics[topic];
+  const known = state.directory.topics[topic];
   return changes.flatMap((change) => {
-    const known = entries.get(change.key);
-    if (known !== undefined && known.version >= change.version) return [];
-    entries.set(change.key, change);
+    const before = known.entries.get(change.key);
+    if (before !== undefined && before.version >= change.version) return [];
+    known.entries.set(change.key, change);
+    known.newestVersion = Math.max(known.newestVersion, change.version);
     const effects = applyChange(state, change, source, now);
-    if (change.content.type !== 'removed' || known === undefined) return effects;
-    return [...effects, ...handleRemovedRow(state, known.content, now)];
+    if (change.content.type !== 'removed' || before === undefined) return effects;
+    return [...effects, ...handleRemovedRow(state, before.content, now)];
   });
 }
 
--- a/src/directory/readerHeartbeats.ts
+++ b/src/directory/readerHeartbeats.ts
@@ -11,6 +11,7 @@
 } from './constants.ts';
 import { getLoggedTopicAgeMs, recordProof } from './clock.ts';
 import { chooseReader, getFollowers, isDirectoryAvailable, isFollower, isReader } from './group.ts';
+import { isSyncedWith } from './readerSync.ts';
 import { type ReaderHeartbeat, Topic } from './types.ts';
 import {
   isReadingChanges,
@@ -74,7 +75,8 @@
       topic === 'members' &&
       !directory.isReaderProving &&
       known.changedAt + WATCH_PAUSE_RESET_MS > now;
-    const isOutdated = (heartbeat.told[index] ?? 0) > known.version;
+    const told = heartbeat.told[index] ?? 0;
+    const isOutdated = told > known.version || !isSyncedWith(known, from, told);
     if (!isOutdated) {
       known.confirmedAt = now;
       const provenMs = heartbeat.provenMs?.[index] ?? undefined;
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -83,8 +83,19 @@
   entries: Map<string, DirectoryChange>;
   /** Version from which the next watch continues; undefined before the first read. */
   version: number | undefined;
+  /** Highest version of the entries. */
+  newestVersion: number;
+  /** Host that last told this one changes, and the version up to which both have the same rows. */
+  synced: { host: string; version: number } | undefined;
+  /** Host that was last asked for changes, and the version after which it was asked for them. */
+  requested: { host: string; after: number } | undefined;
   /** Version of the last read; this host may not know of removals before it. */
   readVersion: number;
+  /**
+   * Version of the last announcement, which leaves out rows that changed and changed back; this host may have older
+   * versions of them. 0 after a read.
+   */
+  omittedUpTo: number;
   /** Number of the last call; answers to older calls are ignored. */
   call: number;
   isCallInFlight: boolean;
@@ -164,7 +175,11 @@
   return {
     entries: new Map(),
     version: undefined,
+    newestVersion: 0,
+    synced: undefined,
+    requested: undefined,
     readVersion: 0,
+    omittedUpTo: 0,
     call: 0,
     isCallInFlight: false,
     answerDueAt: 0,
@@ -207,8 +222,9 @@
   upTo: z.int().min(0),
   changes: z.array(DirectoryChange),
   /**
-   * Keys of all rows, if the sender may not know of every removal after the first version; rows of other keys were
-   * removed. Hosts of earlier versions omit and ignore it.
+   * Keys of all rows, if the sender may not know of every change after the first version: rows of other keys were
+   * removed, and the changes are what the rows are up to the second version, whatever came between. Hosts of earlier
+   * versions omit and ignore it.
    */
   keys: z.array(z.string()).optional(),
 });
--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -27,6 +27,7 @@
   type DirectoryAnswer,
   Topic,
   type TopicAdvance,
+  type TopicChanges,
   type TopicChangesRequest,
   type TopicState,
 } from './types.ts';
@@ -153,7 +154,7 @@
     recordDirectoryClock(state, answer.clockMs, known.callStartedAt, now);
   // A read is not announced: it does not list the keys that were removed since the last call.
   // Followers request the changes, removals included, when a heartbeat names the new version.
-  if (isRead) known.announcedVersion = known.readVersion = answer.version;
+  if (isRead) recordRead(known, answer.version);
   else effects.push(...announceTopicChanges(state, topic, answer));
   known.version = Math.max(known.version ?? 0, answer.version);
   known.confirmedAt = now;
@@ -172,6 +173,12 @@
   return [...effects, ...applied];
 }
 
+function recordRead(known: TopicState, version: number): void {
+  known.announcedVersion = version;
+  known.readVersion = version;
+  known.omittedUpTo = 0;
+}
+
 /**
  * Asks the directory for its clock after a clock of this host jumped, as the age of what is known of keys can't
  * be told until then.
@@ -199,8 +206,10 @@
 
 /** Requests the changes after the known version of a topic from another host. */
 export function requestTopicChanges(state: State, topic: Topic, to: string): Effect {
-  const { version: after = 0, unavailableSince } = state.directory.topics[topic];
+  const known = state.directory.topics[topic];
+  const { version: after = 0, unavailableSince } = known;
   const isWhole = unavailableSince !== undefined;
+  known.requested = { host: to, after };
   return sendMessage(state, to, { type: 'topicAsked', topic, after, isWhole });
 }
 
@@ -210,20 +219,26 @@
   { topic, after, isWhole = true }: TopicChangesRequest,
   to: string,
 ): Effect[] {
-  const { entries, version: upTo, readVersion } = state.directory.topics[topic];
+  const known = state.directory.topics[topic];
+  const { version: upTo } = known;
   if (upTo === undefined || upTo <= after) return [];
-  const changes = [...entries.values()].filter(({ version }) => version > after);
-  const keys = after < readVersion ? getRowKeys(entries) : undefined;
-  const told = { type: 'topicTold' as const, topic, after, upTo, changes, keys };
+  const told = { type: 'topicTold' as const, topic, after, upTo, ...getChanges(known, after) };
   // The other followers may ask at the same time.
   if (!isWhole && isTooLarge(topic, told, getFollowers(state).length))
     return [sendMessage(state, to, { type: 'topicAdvanced', topic, upTo })];
   return [sendMessage(state, to, told)];
 }
 
-function getRowKeys(entries: TopicState['entries']): string[] {
-  const rows = [...entries.values()].filter(({ content }) => content.type !== 'removed');
-  return rows.map(({ key }) => key);
+/** Returns what a host that knows all up to a version needs; see `TopicChanges`. */
+function getChanges(
+  { entries, readVersion, omittedUpTo }: TopicState,
+  after: number,
+): Pick<TopicChanges, 'changes' | 'keys'> {
+  const all = [...entries.values()];
+  const newer = all.filter(({ version }) => version > after);
+  if (after >= Math.max(readVersion, omittedUpTo)) return { changes: newer };
+  const rows = all.filter(({ content }) => content.type !== 'removed');
+  return { changes: after < omittedUpTo ? rows : newer, keys: rows.map(({ key }) => key) };
 }
 
 /**
@@ -243,6 +258,7 @@
   if (isReadingChanges(known, now)) return [];
   if (known.wholeRequestedAt + WHOLE_REQUEST_INTERVAL_MS > now) return [];
   known.wholeRequestedAt = now;
+  known.requested = { host: from, after: known.version };
   const request = { type: 'topicAsked' as const, topic, after: known.version, isWhole: true };
   return [sendMessage(state, from, request)];
 }
--- a/tests/directory/topicVersions.test.ts
+++ b/tests/directory/topicVersions.test.ts
@@ -117,3 +117,26 @@
     expect(getContent(follower, 'endpoints', 'e0')).toBe(type);
   });
 });
+
+// Guards against a row that its reader does not announce, as it has become again what the reader knew.
+describe('a follower that saw a row between two watches of its reader', () => {
+  it.each<[string, DirectoryContent, DirectoryContent]>([
+    ['removed, added and removed', { type: 'removed' }, added],
+    ['added, removed and added', added, { type: 'removed' }],
+  ])('takes over what the reader has: %s', (_name, content, between) => {
+    const { reader, follower } = createPair();
+    const known = [newDirectoryChange('e1', 22, content)];
+    const told = { topic: 'endpoints' as const, after: KNOWN, upTo: 22, changes: known };
+    for (const host of [reader, follower])
+      host.receiveMessage('h9', { type: 'topicTold', ...told });
+    follower.answerDirectoryCall('endpoints', [newDirectoryChange('e1', 23, between)], 23);
+    reader.answerDirectoryCall('operator', [], 24).answerDirectoryCall('members', [], 24);
+    reader.answerDirectoryCall('endpoints', [newDirectoryChange('e1', 24, content)], 24);
+    reader.advance(READER_HEARTBEAT_INTERVAL_MS);
+    follower.takeAllEffects();
+    deliver(reader, follower);
+    deliver(follower, reader);
+    deliver(reader, follower);
+    expect(getContent(follower, 'endpoints', 'e1')).toBe(content.type);
+  });
+});
