Tell a host that asks also of rows that are ahead of the version

Cause: since a host that hears a row which it cannot continue from keeps its version, and answered a host that asked with nothing, although it had the row. Change: the answer holds rows beyond the version of the answering host; the asker's version does not move past it.

--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -220,8 +220,9 @@
   to: string,
 ): Effect[] {
   const known = state.directory.topics[topic];
-  const { version: upTo } = known;
-  if (upTo === undefined || upTo <= after) return [];
+  const { version: upTo, newestVersion } = known;
+  // Rows that are ahead of the version are told as well.
+  if (upTo === undefined || Math.max(upTo, newestVersion) <= after) return [];
   const told = { type: 'topicTold' as const, topic, after, upTo, ...getChanges(known, after) };
   // The other followers may ask at the same time.
   if (!isWhole && isTooLarge(topic, told, getFollowers(state).length))
