Answer in full to hosts that ask one that was itself answered with keys

A request that had been answered also counted as answered by the next announcement from its version. Change: such an answer counts as one that leaves rows out, and a request is answered once.

--- a/src/directory/announcements.ts
+++ b/src/directory/announcements.ts
@@ -90,8 +90,10 @@
     known.version = Math.max(known.version, upTo);
     known.announcedVersion = Math.max(known.announcedVersion, upTo);
     known.synced = { host: from, version: upTo };
-    if (!isAnswer) known.omittedUpTo = upTo;
+    // An answer with keys leaves out what came and went between.
+    if (!isAnswer || keys !== undefined) known.omittedUpTo = upTo;
   }
+  if (isAnswer) known.requested = undefined;
   // This host has every change up to its version; older ones arrive late.
   const newer = rows.filter((row) => row.version > version);
   return applyChanges(state, topic, newer, { source: 'host', from }, now);
--- a/src/directory/readerHeartbeats.ts
+++ b/src/directory/readerHeartbeats.ts
@@ -122,7 +122,10 @@
   return [newLog('info', 'reader of the directory is replaced', { reader })];
 }
 
-/** Starts the usual watches in place of the long ones of a follower, which may hang, and of retries that are due later. */
+/**
+ * Starts the usual watches in place of the long ones of a follower, which may hang, and of retries that are due
+ * later.
+ */
 function restartWatches(state: State, now: number): Effect[] {
   return Topic.options.flatMap((topic) => {
     state.directory.topics[topic].isCallInFlight = false;
--- a/src/directory/types.ts
+++ b/src/directory/types.ts
@@ -92,8 +92,8 @@
   /** Version of the last read; this host may not know of removals before it. */
   readVersion: number;
   /**
-   * Version of the last announcement, which leaves out rows that changed and changed back; this host may have older
-   * versions of them. 0 after a read.
+   * Version of the last announcement, or answer of a host, that left out rows which changed and changed back; this host
+   * may have older versions of them. 0 after a read.
    */
   omittedUpTo: number;
   /** Number of the last call; answers to older calls are ignored. */
