Ignore rows of a watch that announcements have overtaken

Callers would see: an endpoint that was removed, or is leaving, in use again, in a host that was frozen and in the hosts that it reads for. Cause: a frozen host handles what waited for it in any order. Change: rows up to the version that the host knows are ignored in its own answers too.

--- a/src/directory/watch.ts
+++ b/src/directory/watch.ts
@@ -152,16 +152,19 @@
   }
   if (answer.clockMs !== undefined)
     recordDirectoryClock(state, answer.clockMs, known.callStartedAt, now);
+  const { version: knownVersion = 0 } = known;
+  // News of other hosts may have overtaken the answer.
+  const changes = answer.changes.filter(({ version }) => version > knownVersion);
   // A read is not announced: it does not list the keys that were removed since the last call.
   // Followers request the changes, removals included, when a heartbeat names the new version.
   if (isRead) recordRead(known, answer.version);
-  else effects.push(...announceTopicChanges(state, topic, answer));
+  else effects.push(...announceTopicChanges(state, topic, { changes, version: answer.version }));
   known.version = Math.max(known.version ?? 0, answer.version);
   known.confirmedAt = now;
   if (answer.asOfMs !== undefined) recordProof(state, topic, answer.asOfMs);
   const applied = isRead
-    ? applySnapshot(state, topic, answer.changes, answer.version, { source: 'read' }, now)
-    : applyChanges(state, topic, answer.changes, { source: 'watch' }, now);
+    ? applySnapshot(state, topic, changes, answer.version, { source: 'read' }, now)
+    : applyChanges(state, topic, changes, { source: 'watch' }, now);
   const isUnchanged = answer.changes.length === 0;
   // Without a pause, a reader's short watches would follow each other closely while nothing
   // changes.
--- a/tests/directory/topicVersions.test.ts
+++ b/tests/directory/topicVersions.test.ts
@@ -140,3 +140,14 @@
     expect(getContent(follower, 'endpoints', 'e1')).toBe(content.type);
   });
 });
+
+// Guards against an endpoint that is back in use, or in other hosts' minds, by an answer that waited while its host was frozen.
+it('an answer to a watch that announcements have overtaken changes nothing', () => {
+  const { reader, follower } = createPair();
+  const told = { topic: 'endpoints' as const, after: KNOWN, upTo: 30, changes: [] };
+  reader.receiveMessage('h9', { type: 'topicTold', ...told }).takeAllEffects();
+  reader.answerDirectoryCall('endpoints', [newDirectoryChange('e1', 23, added)], 24);
+  deliver(reader, follower);
+  for (const host of [reader, follower])
+    expect(getContent(host, 'endpoints', 'e1')).toBe('removed');
+});
