--- a/src/directory/handlers.ts
+++ b/src/directory/handlers.ts
@@ -10,14 +10,8 @@
 import { applyMembersChange } from './membersChanges.ts';
 import { applyRoutingChange } from './routingChanges.ts';
 import type { DirectoryEvent, DirectoryTimer, DirectoryWriteAnswer, HostRow } from './types.ts';
-import {
-  handleClockJump,
-  pollPeer,
-  readAdvancedTopic,
-  startTopicCall,
-  handleTopicAnswer,
-  sendTopicChanges,
-} from './watch.ts';
+import { pollPeer, readAdvancedTopic, sendTopicChanges } from './peerChanges.ts';
+import { handleClockJump, handleTopicAnswer, startTopicCall } from './watch.ts';
 
 type RowWriteHandler<T extends HostRow['type'] = HostRow['type']> = (
   state: State,
--- a/src/directory/membersChanges.ts
+++ b/src/directory/membersChanges.ts
@@ -5,7 +5,7 @@
 import { applyTopicChanges } from './announcements.ts';
 import { findChanges } from './namedDifferences.ts';
 import type { DirectoryChange, MembersChange } from './types.ts';
-import { requestTopicChanges } from './watch.ts';
+import { requestTopicChanges } from './peerChanges.ts';
 
 /** Key of the members row in its topic. */
 const MEMBERS_KEY = 'members';
--- a/src/directory/readerHeartbeats.ts
+++ b/src/directory/readerHeartbeats.ts
@@ -11,14 +11,10 @@
 } from './constants.ts';
 import { getLoggedTopicAgeMs, recordProof } from './clock.ts';
 import { chooseReader, getFollowers, isDirectoryAvailable, isFollower, isReader } from './group.ts';
+import { isReadingChanges, requestTopicChanges } from './peerChanges.ts';
 import { isSyncedWith } from './readerSync.ts';
 import { type ReaderHeartbeat, Topic } from './types.ts';
-import {
-  isReadingChanges,
-  requestTopicChanges,
-  resumeTopicCalls,
-  startTopicCall,
-} from './watch.ts';
+import { resumeTopicCalls, startTopicCall } from './watch.ts';
 
 /** Starts the periodic rounds in which readers send heartbeats and followers check for them. */
 export function startReaderHeartbeats(state: State, now: number): Effect[] {
--- a/src/directory/routingChanges.ts
+++ b/src/directory/routingChanges.ts
@@ -5,7 +5,7 @@
 import { applyTopicChanges } from './announcements.ts';
 import { applyNamedDifference, newNamedDifference } from './namedDifferences.ts';
 import type { DirectoryChange, RoutingChange } from './types.ts';
-import { requestTopicChanges } from './watch.ts';
+import { requestTopicChanges } from './peerChanges.ts';
 
 /**
  * Returns what changes of the operator's topic changed of the routing table, with the other changes; undefined if they
--- a/src/owners/members.ts
+++ b/src/owners/members.ts
@@ -5,7 +5,7 @@
 import { schedule } from '../core/timers.ts';
 import type { DirectoryWriteAnswer } from '../directory/types.ts';
 import { splitDirectoryVersion } from '../directory/versions.ts';
-import { requestTopicChanges } from '../directory/watch.ts';
+import { requestTopicChanges } from '../directory/peerChanges.ts';
 import { isRoutable } from '../fleet/endpointChoice.ts';
 import type { EndpointView } from '../fleet/types.ts';
 import { dropRelay } from '../paths/pathOutcomes.ts';
--- a/tests/helpers/directoryGroup.ts
+++ b/tests/helpers/directoryGroup.ts
@@ -17,6 +17,8 @@
   appliedAt: Map<string, number>;
 }
 
+const ZONE = 'z1';
+/** Time of a call that the directory answers at once, and of a message between two hosts. */
 const ANSWER_MS = 4;
 const LINK_MS = 1;
 /** Time after which a link that was reset is open again. */
@@ -42,16 +44,12 @@
   private readonly links = new Map<string, { isOpen: boolean; opened: number }>();
   private tableVersion = 1;
 
-  private constructor(
-    readonly ids: readonly string[],
-    private readonly getZone: (id: string) => string,
-  ) {}
+  private constructor(readonly ids: readonly string[]) {}
 
-  static create(options: { hosts: number; getZone?: (id: string) => string }): DirectoryGroup {
-    const { getZone = () => 'z1' } = options;
-    const ids = Array.from({ length: options.hosts }, (_, index) => `h${index}`);
-    const group = new DirectoryGroup(ids, getZone);
-    const members = ids.map((host) => ({ host, zone: getZone(host) }));
+  static create({ hosts }: { hosts: number }): DirectoryGroup {
+    const ids = Array.from({ length: hosts }, (_, index) => `h${index}`);
+    const group = new DirectoryGroup(ids);
+    const members = ids.map((host) => ({ host, zone: ZONE }));
     group.directory.write('operator', 'config', newRoutingContent(1, [{}]));
     group.directory.write('members', 'members', {
       type: 'members',
@@ -64,12 +62,13 @@
 
   /** Starts a host, or starts it again without what its earlier process knew. */
   startHost(id: string): void {
-    const host = DirectoryHost.create(id, this.getZone(id), this.now);
+    const host = DirectoryHost.create(id, ZONE, this.now);
     this.hosts.set(id, host);
     this.runEffects(host);
     for (const other of this.ids) if (other !== id) this.openLink(id, other);
   }
 
+  /** Ends the process of a host, which the others notice at once. */
   killHost(id: string): void {
     this.hosts.delete(id);
     for (const other of this.ids) if (other !== id) this.closeLink(id, other);
@@ -229,58 +228,38 @@
   ): void {
     this.calls += 1;
     const { id } = host.state.host;
-    const startedAt = this.now;
-    let isAnswered = false;
-    const answer = (delayMs: number, get: () => DirectoryAnswer): void => {
-      if (isAnswered) return;
-      isAnswered = true;
-      const content = get();
-      this.schedule(delayMs, () => {
-        const isLost = content.type !== 'unavailable' && this.getReaction(id) === 'ignores';
-        if (isLost) return;
-        const isRead = type === 'readTopic';
-        this.run(
-          id,
-          () => host.dispatch({ type: 'directoryAnswered', topic, call, isRead, answer: content }),
-          host,
-        );
-      });
-    };
-    const timeoutMs = waitMs + DIRECTORY_TIMEOUT_MS;
-    this.schedule(timeoutMs, () =>
+    const isRead = type === 'readTopic';
+    const deliver = (answer: DirectoryAnswer): void =>
       this.run(
         id,
-        () =>
-          host.dispatch({
-            type: 'directoryAnswered',
-            topic,
-            call,
-            isRead: type === 'readTopic',
-            answer: { type: 'unavailable', reason: 'timeout' },
-          }),
+        () => host.dispatch({ type: 'directoryAnswered', topic, call, isRead, answer }),
         host,
-      ),
-    );
+      );
+    const waitsUntil = this.now + waitMs;
+    let isAnswered = false;
     const tryAnswer = (): void => {
-      const reaction = this.getReaction(id);
-      if (reaction === 'ignores') return;
-      if (reaction === 'refuses') {
-        answer(ANSWER_MS / 2, () => ({ type: 'unavailable', reason: 'refused' }));
-        return;
-      }
-      const content = poll();
-      const isEmpty = content.type === 'changes' && content.changes.length === 0;
-      if (isEmpty && type === 'watchTopic' && this.now < startedAt + waitMs) {
+      if (isAnswered || this.getReaction(id) === 'ignores') return;
+      const answer = this.getAnswer(id, poll);
+      if (!isRead && isEmpty(answer) && this.now < waitsUntil) {
         this.directory.onChange(topic, tryAnswer);
         return;
       }
-      const clockMs = this.now;
-      answer(ANSWER_MS / 2, () =>
-        content.type === 'changes' ? { ...content, clockMs, asOfMs: clockMs } : content,
-      );
+      isAnswered = true;
+      this.schedule(ANSWER_MS / 2, () => {
+        if (this.getReaction(id) !== 'ignores') deliver(answer);
+      });
     };
     this.schedule(ANSWER_MS / 2, tryAnswer);
     if (waitMs > 0) this.schedule(waitMs + ANSWER_MS / 2, tryAnswer);
+    const timeout = { type: 'unavailable' as const, reason: 'timeout' };
+    this.schedule(waitMs + DIRECTORY_TIMEOUT_MS, () => deliver(timeout));
+  }
+
+  /** Returns what the directory answers a host now, with its clock. */
+  private getAnswer(id: string, poll: () => DirectoryAnswer): DirectoryAnswer {
+    if (this.getReaction(id) === 'refuses') return { type: 'unavailable', reason: 'refused' };
+    const answer = poll();
+    return answer.type === 'changes' ? { ...answer, clockMs: this.now, asOfMs: this.now } : answer;
   }
 
   private openLink(a: string, b: string): void {
@@ -304,6 +283,10 @@
   }
 }
 
+function isEmpty(answer: DirectoryAnswer): boolean {
+  return answer.type === 'changes' && answer.changes.length === 0;
+}
+
 function newLinkKey(a: string, b: string): string {
   return a < b ? `${a} ${b}` : `${b} ${a}`;
 }
