Confirm a follower by heartbeats of a reader that knows less

Cause: since a heartbeat confirmed nothing where the follower had a row newer than what its reader had announced. A host that reads last after a start of all hosts was not confirmed until the reader's next watch had caught up, which can take longer than the 0.6 s that such a stream waits. Change: a follower that has all that the heartbeat names is confirmed as before; it still asks for what it may lack.

--- a/src/directory/readerHeartbeats.ts
+++ b/src/directory/readerHeartbeats.ts
@@ -72,13 +72,14 @@
       !directory.isReaderProving &&
       known.changedAt + WATCH_PAUSE_RESET_MS > now;
     const told = heartbeat.told[index] ?? 0;
-    const isOutdated = told > known.version || !isSyncedWith(known, from, told);
+    const isOutdated = told > known.version;
     if (!isOutdated) {
       known.confirmedAt = now;
       const provenMs = heartbeat.provenMs?.[index] ?? undefined;
       if (provenMs !== undefined) recordProof(state, topic, provenMs);
     }
-    const isBehind = isOutdated && !isLeftToWatch && !isReadingChanges(known, now);
+    const needsChanges = isOutdated || !isSyncedWith(known, from, told);
+    const isBehind = needsChanges && !isLeftToWatch && !isReadingChanges(known, now);
     return isBehind ? [requestTopicChanges(state, topic, from)] : [];
   });
   return [...started, ...requests];
--- a/tests/directory/topicVersions.test.ts
+++ b/tests/directory/topicVersions.test.ts
@@ -141,6 +141,17 @@
   });
 });
 
+// Guards against streams that are refused after all hosts started again, as the endpoints of one that read last are not confirmed.
+it('a follower that knows more than its reader is confirmed by its heartbeats', () => {
+  const { reader, follower } = createPair();
+  follower.answerDirectoryCall('endpoints', [newDirectoryChange('e1', 23, added)], 23);
+  for (const topic of ['operator', 'members'] as const) reader.answerDirectoryCall(topic, [], 22);
+  reader.answerDirectoryCall('endpoints', [], 22).advance(READER_HEARTBEAT_INTERVAL_MS);
+  follower.advance(READER_HEARTBEAT_INTERVAL_MS).takeAllEffects();
+  deliver(reader, follower);
+  expect(follower.state.directory.topics.endpoints.confirmedAt).toBe(follower.now);
+});
+
 // Guards against an endpoint that is back in use, or in other hosts' minds, by an answer that waited while its host was frozen.
 it('an answer to a watch that announcements have overtaken changes nothing', () => {
   const { reader, follower } = createPair();
