Wait for a caller once, and share the event loop between streams

Cause: two line ends counted as an event, and each event was written alone. Each write that the caller's buffer did not take added a listener for its drain; a part of 8 KiB holds thousands. All of them ran at the first drain, and each read on. Taking listeners off is linear in their number, so that one drain with 115,829 of them took over 25 s.

Change: the events of a part are passed on in one write, one listener waits for the caller, and reading goes on once neither the caller nor other connections are a reason to wait. Blank lines belong to the next event; 64 KiB of them and of comments without an event break a stream off. A connection that delivers 8 KiB in one iteration of the event loop waits for a turn; all that wait have 5 ms of an iteration. It replaces the bound of 1,024 parts of one connection.

--- a/src/gatewayHost/constants.ts
+++ b/src/gatewayHost/constants.ts
@@ -17,6 +17,8 @@
 export const MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024;
 /** Maximum size of one event of a stream. */
 export const MAX_EVENT_BYTES = 1024 * 1024;
+/** Maximum size of the comments and empty lines between two events of a stream. */
+export const MAX_FILLER_BYTES = 64 * 1024;
 /** Bytes and time after which the rest of a response that is not passed on is no longer read. */
 export const MAX_DISCARDED_BYTES = 64 * 1024;
 export const DISCARD_TIMEOUT_MS = 1_000;
@@ -43,7 +45,5 @@
 export const LAME_DUCK_GRACE_SHARE = 0.5;
 export const STOP_GRACE_SHARE = 0.9;
 export const EXIT_GRACE_SHARE = 0.95;
-/** Parts of a body that are handled before other connections have their turn. */
-export const MAX_PARTS_PER_TURN = 1_024;
 /** Maximum size of an engine's answer to an order or a request for its report. */
 export const MAX_REPORT_BYTES = 1024 * 1024;
--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -4,6 +4,7 @@
 import { isServerRunning } from '../clients/connectionCheck.ts';
 import { handOverInTurns, newTrackedConnector, SocketEndTracker } from '../clients/connector.ts';
 import { limitInterimResponses } from '../clients/interimResponses.ts';
+import type { ReadTurns } from '../eventLoop/readTurns.ts';
 import type { TurnQueue } from '../eventLoop/turnQueue.ts';
 import type { AttemptSpec, ForwardOutcome } from '../forwards/types.ts';
 import type { EndpointNotice } from '../notices/types.ts';
@@ -67,6 +68,7 @@
     private readonly maxConnections: (endpoint: string) => number,
     private readonly memory: Pick<CallerMemory, 'budget' | 'garbage'>,
     private readonly turns: TurnQueue,
+    private readonly readTurns: ReadTurns,
   ) {}
 
   static create(options: {
@@ -81,9 +83,11 @@
     memory: Pick<CallerMemory, 'budget' | 'garbage'>;
     /** Turns in which requests are written to new connections. */
     turns: TurnQueue;
+    /** Turns in which responses are read that arrive without a pause. */
+    readTurns: ReadTurns;
   }): EndpointClient {
-    const { labels, host, localAddress, maxConnections, memory, turns } = options;
-    return new EndpointClient(labels, host, localAddress, maxConnections, memory, turns);
+    const { labels, host, localAddress, maxConnections, memory, turns, readTurns } = options;
+    return new EndpointClient(labels, host, localAddress, maxConnections, memory, turns, readTurns);
   }
 
   /** Sends a request once. */
@@ -109,6 +113,7 @@
       labels: this.labels,
       budget: this.memory.budget,
       garbage: this.memory.garbage,
+      readTurns: this.readTurns,
       listener,
       onUnresponsive: () => this.retirePool(pool),
     });
--- a/src/gatewayHost/eventSplitter.ts
+++ b/src/gatewayHost/eventSplitter.ts
@@ -1,4 +1,5 @@
 import { ByteBuffer } from '../base/byteBuffer.ts';
+import { type BlockKind, getBlockKind } from './eventCheck.ts';
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
@@ -9,22 +10,25 @@
 /** Empty lines and complete comment lines. */
 const ONLY_COMMENTS = /^(?:\xEF\xBB\xBF)?(?::[^\r\n]*[\r\n]|[\r\n])*$/;
 
-/** An unmodified event of a stream, including the empty line that ends it. */
-export interface StreamEvent {
+/** An unmodified block of lines of a stream, including the empty line that ends it. */
+export interface StreamBlock {
   bytes: Buffer;
+  kind: BlockKind;
   /** Octets of its id, each as one character, as a header carries them; undefined without an id. */
   id: string | undefined;
 }
 
 /**
- * Splits the bytes of an event stream into events. Lines end with CRLF, LF or CR. A line feed that
- * arrives after the carriage return that ends an event belongs to the next event.
+ * Splits the bytes of an event stream into events and blocks of comments. Lines end with CRLF, LF or CR. A line
+ * feed that arrives after the carriage return that ends a block belongs to the next one, as do empty lines.
  */
 export class EventSplitter {
   private readonly rest = ByteBuffer.create();
   /** Start of the last line in `rest`, and the index up to which it was searched for line ends. */
   private lineStart = 0;
   private searchedTo = 0;
+  /** Whether a line that is not empty has ended in `rest`. */
+  private hasLine = false;
 
   private constructor() {}
 
@@ -37,24 +41,28 @@
     return this.rest.length;
   }
 
+  /** Empty lines before the next block, in bytes. */
+  get emptyLineBytes(): number {
+    return this.hasLine ? 0 : this.lineStart;
+  }
+
   /** Whether a part of an event, or of a line, follows the last complete event. */
   get isWithinEvent(): boolean {
     return !ONLY_COMMENTS.test(this.rest.content.toString('latin1'));
   }
 
-  /** Returns the events that `chunk` completes. */
-  push(chunk: Buffer): StreamEvent[] {
+  /** Returns the blocks that `chunk` completes. */
+  push(chunk: Buffer): StreamBlock[] {
     this.rest.append(chunk);
-    const events: StreamEvent[] = [];
+    const blocks: StreamBlock[] = [];
     for (;;) {
       const end = this.findEnd();
-      if (end === undefined) return events;
-      // A copy, since it may wait for a caller that reads slowly.
-      const bytes = Buffer.from(this.rest.content.subarray(0, end));
-      events.push({ bytes, id: getId(bytes.toString('latin1')) });
+      if (end === undefined) return blocks;
+      blocks.push(newBlock(Buffer.from(this.rest.content.subarray(0, end))));
       this.rest.drop(end);
       this.lineStart = 0;
       this.searchedTo = 0;
+      this.hasLine = false;
     }
   }
 
@@ -72,10 +80,11 @@
       const isCrLf = byte === CARRIAGE_RETURN && rest[index + 1] === LINE_FEED;
       const lineEnd = index + (isCrLf ? 2 : 1);
       const isEmptyLine = index === this.lineStart;
-      if (isEmptyLine && index > 0) return lineEnd;
+      if (isEmptyLine && this.hasLine) return lineEnd;
       this.searchedTo = index;
       // A line feed may follow.
       if (byte === CARRIAGE_RETURN && lineEnd === rest.length) return undefined;
+      this.hasLine ||= !isEmptyLine;
       this.lineStart = lineEnd;
       index = lineEnd - 1;
     }
@@ -84,6 +93,12 @@
   }
 }
 
+function newBlock(bytes: Buffer): StreamBlock {
+  const text = bytes.toString('latin1');
+  const kind = getBlockKind(text);
+  return { bytes, kind, id: kind === 'event' ? getId(text) : undefined };
+}
+
 /** Returns the id that the last id line of an event sets; undefined if no header can carry it. */
 function getId(event: string): string | undefined {
   const [, id = ''] = [...event.matchAll(ID_LINES)].at(-1) ?? [];
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -4,6 +4,7 @@
 import { MAX_STATUS } from '../clients/constants.ts';
 import type { BodyGarbage } from '../http/bodyGarbage.ts';
 import type { BytesHolder, MemoryBudget } from '../http/memoryBudget.ts';
+import type { ReadShare, ReadTurns } from '../eventLoop/readTurns.ts';
 import { type BodyFraming, getBodyFraming } from '../clients/closeDelimited.ts';
 import type { AttemptSpec, BodyEnd, ForwardOutcome } from '../forwards/types.ts';
 import type { ConnectionProblem } from '../paths/types.ts';
@@ -13,13 +14,11 @@
   MAX_BUFFERED_RESPONSE_BYTES,
   MAX_CONNECTION_WAIT_MS,
   MAX_DISCARDED_BYTES,
-  MAX_EVENT_BYTES,
-  MAX_PARTS_PER_TURN,
   UNRESPONSIVE_AFTER_MS,
 } from './constants.ts';
-import { isEvent } from './eventCheck.ts';
-import { EventSplitter, type StreamEvent } from './eventSplitter.ts';
+import { EventForwarder } from './eventForwarder.ts';
 import type { ForwardExchange } from './forwardExchange.ts';
+import { PausableReading } from './pausableReading.ts';
 import type { LabelPort } from './platform.ts';
 import type { ForwardAttemptListener, RunningForwardAttempt } from './endpointClient.ts';
 
@@ -33,6 +32,8 @@
   budget: MemoryBudget;
   /** Has the buffers collected in which responses arrive. */
   garbage: BodyGarbage;
+  /** Shares the event loop between the responses. */
+  readTurns: ReadTurns;
   listener: ForwardAttemptListener;
   /** Called when a cancelled attempt got no response for so long that connections may be dead. */
   onUnresponsive: () => void;
@@ -58,20 +59,19 @@
   private headers: string[] = [];
   private readonly received = ByteBuffer.create();
   private discardedBytes = 0;
-  private partsInTurn = 0;
-  /** Why reading is paused. */
-  private isCallerBusy = false;
-  private isYielding = false;
   private discardTimer: NodeJS.Timeout | undefined;
-  private readonly splitter = EventSplitter.create();
+  private readonly events: EventForwarder;
+  private readonly reading = PausableReading.create();
+  private readonly readShare: ReadShare;
   /** Whether a byte of an answer arrived. */
   private hasReceived = false;
   private receivedAt = this.sentAt;
-  private hasPassedEvent = false;
-  private lastPassedAt = 0;
-  private longestPauseMs = 0;
 
-  private constructor(private readonly options: Options) {}
+  private constructor(private readonly options: Options) {
+    const { exchange, readTurns } = options;
+    this.events = EventForwarder.create({ exchange, onFirstEvent: () => this.startResponse() });
+    this.readShare = readTurns.newShare();
+  }
 
   static create(options: Options): ForwardResponseHandler {
     return new ForwardResponseHandler(options);
@@ -155,12 +155,9 @@
   onResponseData(controller: Controller, chunk: Buffer): void {
     this.recordReceived();
     this.options.garbage.add(chunk.length);
-    this.yieldAfterManyParts(controller);
+    this.waitForTurn(controller, chunk.length);
     if (this.mode === 'streaming') {
-      for (const event of this.splitter.push(chunk)) this.passEvent(controller, event);
-      if (this.splitter.pendingBytes > MAX_EVENT_BYTES)
-        this.abort(controller, `an event is larger than ${MAX_EVENT_BYTES} bytes`);
-      else this.hold(this.splitter.pendingBytes);
+      this.passEvents(controller, chunk);
     } else if (this.mode === 'buffering') {
       this.received.append(chunk);
       if (this.received.length > MAX_BUFFERED_RESPONSE_BYTES)
@@ -178,7 +175,7 @@
     if (this.isEnded) return;
     const { exchange } = this.options;
     if (this.mode === 'streaming') {
-      if (this.splitter.isWithinEvent) {
+      if (this.events.isWithinEvent) {
         this.abort(controller, 'the stream ended within an event');
         return;
       }
@@ -186,11 +183,10 @@
         this.abort(controller, 'the stream ended without an event');
         return;
       }
-      const rest = this.splitter.takeRemainder();
-      const bodyEnd = this.getBodyEnd(rest.length);
-      if (rest.length > 0) this.passEvent(controller, { bytes: rest, id: undefined });
+      const { longestGapMs: longestPauseMs, pendingBytes } = this.events;
       exchange.startResponse(this.status, this.headers);
-      this.end({ type: 'passed', longestPauseMs: this.longestPauseMs, bodyEnd });
+      this.events.finish();
+      this.end({ type: 'passed', longestPauseMs, bodyEnd: this.getBodyEnd(pendingBytes) });
       return;
     }
     const { status, headers } = this;
@@ -213,50 +209,39 @@
   private mayHaveStoppedBehindHead(): boolean {
     const { exchange } = this.options;
     const isContinued = exchange.hasResponseStarted || exchange.resumesStream;
-    return this.framing === 'connectionClose' && !this.hasPassedEvent && !isContinued;
+    return this.framing === 'connectionClose' && !this.events.hasPassedEvent && !isContinued;
   }
 
-  private passEvent(controller: Controller, { bytes, id }: StreamEvent): void {
-    const { exchange, listener } = this.options;
-    if (this.isEnded || isRepeated(id, exchange.lastEventId)) return;
-    if (!isEvent(bytes)) {
-      this.abort(controller, 'the stream holds bytes that are no event');
+  private passEvents(controller: Controller, chunk: Buffer): void {
+    if (this.isEnded) return;
+    const passed = this.events.push(chunk);
+    if (passed.problem !== undefined) {
+      this.abort(controller, passed.problem);
       return;
     }
-    const now = performance.now();
-    if (this.hasPassedEvent)
-      this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastPassedAt);
-    this.lastPassedAt = now;
-    if (!this.hasPassedEvent) {
-      this.hasPassedEvent = true;
-      exchange.startResponse(this.status, this.headers);
-      listener.onResponseStarted();
-    }
-    if (id !== undefined) exchange.lastEventId = id;
-    if (exchange.write(bytes)) return;
-    controller.pause();
-    this.isCallerBusy = true;
-    exchange.onceDrained(() => {
-      this.isCallerBusy = false;
-      this.resume(controller);
-    });
+    this.hold(this.events.pendingBytes);
+    if (!passed.isCallerReady) this.waitForCaller(controller);
   }
 
-  /** Lets other connections have their turn, also while an endpoint sends tiny parts without a pause. */
-  private yieldAfterManyParts(controller: Controller): void {
-    this.partsInTurn += 1;
-    if (this.partsInTurn < MAX_PARTS_PER_TURN) return;
-    this.partsInTurn = 0;
-    this.isYielding = true;
-    controller.pause();
-    setImmediate(() => {
-      this.isYielding = false;
-      this.resume(controller);
-    });
+  private startResponse(): void {
+    const { exchange, listener } = this.options;
+    exchange.startResponse(this.status, this.headers);
+    listener.onResponseStarted();
+  }
+
+  /** Pauses the reading until the caller has taken what was passed on. */
+  private waitForCaller(controller: Controller): void {
+    if (this.reading.isPausedFor('caller')) return;
+    this.reading.pause(controller, 'caller');
+    this.options.exchange.onceDrained(() => this.reading.resume(controller, 'caller'));
   }
 
-  private resume(controller: Controller): void {
-    if (!this.isCallerBusy && !this.isYielding) controller.resume();
+  /** Lets other connections have their turn, also while an endpoint sends without a pause. */
+  private waitForTurn(controller: Controller, bytes: number): void {
+    const { readTurns } = this.options;
+    if (!readTurns.count(this.readShare, bytes) || this.reading.isPausedFor('turn')) return;
+    this.reading.pause(controller, 'turn');
+    readTurns.wait(this.readShare, () => this.reading.resume(controller, 'turn'));
   }
 
   /** Reads the rest of a response, so that its connection can be reused, if it ends soon. */
@@ -281,7 +266,7 @@
 
   private endBroken(reason: string, problem?: ConnectionProblem): void {
     const { lastEventId } = this.options.exchange;
-    const bodyEnd = this.getBodyEnd(this.splitter.pendingBytes);
+    const bodyEnd = this.getBodyEnd(this.events.pendingBytes);
     this.end({ type: 'broken', reason, lastEventId, bodyEnd, problem });
   }
 
@@ -340,13 +325,6 @@
   }
 }
 
-/** Whether an event was passed on before; a resumed stream may start with such events. */
-function isRepeated(id: string | undefined, last: string | undefined): boolean {
-  if (id === undefined || last === undefined) return false;
-  const [number, before] = [Number(id), Number(last)];
-  return Number.isFinite(number) && Number.isFinite(before) ? number <= before : id === last;
-}
-
 /** Returns names and values of the headers, each octet as the character with its number. */
 function getRawHeaders(controller: Controller): string[] {
   const raw = (controller as { rawHeaders?: unknown }).rawHeaders;
--- a/src/gatewayHost/gatewayHost.ts
+++ b/src/gatewayHost/gatewayHost.ts
@@ -11,6 +11,7 @@
 import { AcceptBacklog } from '../eventLoop/acceptBacklog.ts';
 import { ClockJumps } from '../eventLoop/clockJumps.ts';
 import { PollClock } from '../eventLoop/pollClock.ts';
+import { ReadTurns } from '../eventLoop/readTurns.ts';
 import { TurnQueue } from '../eventLoop/turnQueue.ts';
 import type { AttemptSpec } from '../forwards/types.ts';
 import type { Loop } from '../host/loop.ts';
@@ -142,6 +143,7 @@
       maxConnections: (endpoint) => this.getMaxConnections(endpoint),
       memory: this.memory,
       turns: this.turns,
+      readTurns: ReadTurns.create(),
     });
     this.loop = newObservedLoop({
       state: this.state,
--- a/tests/faults/floods.test.ts
+++ b/tests/faults/floods.test.ts
@@ -1,8 +1,7 @@
-import { spawn } from 'node:child_process';
-import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 import { GatewayDeployment } from '../gatewayHost/deployment.ts';
+import { startFlood } from '../helpers/floodingProcess.ts';
 import { GatewayProcess } from '../helpers/gatewayProcess.ts';
 import { getPeakMb } from '../helpers/processMemory.ts';
 import { cleanUpAfterTest, waitUntil } from '../support.ts';
@@ -15,18 +14,6 @@
 const MAX_ANSWER_MS = 3_500;
 const SOUND_INTERVAL_MS = 20;
 
-async function startFlood(kind: string): Promise<string> {
-  const child = spawn(process.execPath, ['tests/helpers/floodingEndpoint.mjs', kind], {
-    stdio: ['pipe', 'pipe', 'inherit'],
-  });
-  cleanUpAfterTest(async () => {
-    child.stdin.end();
-    await once(child, 'exit');
-  });
-  const [port] = (await once(child.stdout, 'data')) as [Buffer];
-  return `127.0.0.1:${port.toString().trim()}`;
-}
-
 // Guards against one endpoint that takes the memory or the processor time of all others' requests.
 describe('an endpoint that sends bytes without end does not cost requests to others', () => {
   it.each<[string, string, 'desk' | 'llm', number]>([
--- a/tests/gatewayHost/resumedStreams.test.ts
+++ b/tests/gatewayHost/resumedStreams.test.ts
@@ -1,5 +1,5 @@
 import { beforeEach, describe, expect, it } from 'vitest';
-import { isEvent } from '../../src/gatewayHost/eventCheck.ts';
+import { type BlockKind, getBlockKind } from '../../src/gatewayHost/eventCheck.ts';
 import {
   FIN,
   getRawChunk,
@@ -128,20 +128,24 @@
   },
 );
 
-it.each<[string, string, boolean]>([
-  ['an event', 'id: 1\ndata: a\n\n', true],
-  ['an event with a field of the platform', 'weight-versions: 3\nid: 1\ndata: a\n\n', true],
-  ['an event after a byte order mark', '\uFEFFid: 1\ndata: a\n\n', true],
-  ['several lines of data, CRLF', 'data: a b\r\ndata: {"c": 1}\r\n\r\n', true],
-  ['a field without a value', 'data\n\n', true],
-  ['comments', ': keep-alive\n\n', true],
-  ['a text', 'upstream failed\n\n', false],
-  ['one word', 'error\n\n', false],
-  ['JSON', '{"error": "x"}\n\n', false],
-  ['HTML', '<html>\n\n', false],
-  ['a head', 'HTTP/1.1 500 Error\r\nServer: x\r\n\r\n', false],
-  ['headers', 'Server: x\r\nDate: y\r\n\r\n', false],
-  ['an event and a text', 'id: 1\nupstream failed\n\n', false],
-])('tells whether a block of lines is an event: %s', (_name, text, expected) => {
-  expect(isEvent(Buffer.from(text))).toBe(expected);
+it.each<[string, string, BlockKind]>([
+  ['an event', 'id: 1\ndata: a\n\n', 'event'],
+  ['an event with a field of the platform', 'weight-versions: 3\nid: 1\ndata: a\n\n', 'event'],
+  ['an event after a byte order mark', '\uFEFFid: 1\ndata: a\n\n', 'event'],
+  ['several lines of data, CRLF', 'data: a b\r\ndata: {"c": 1}\r\n\r\n', 'event'],
+  ['a field without a value', 'data\n\n', 'event'],
+  ['comments', ': keep-alive\n\n', 'filler'],
+  ['empty lines', '\n\r\n\r', 'filler'],
+  ['a time to reconnect', 'retry: 1000\n\n', 'filler'],
+  ['the name of an event', 'event: ping\n\n', 'filler'],
+  ['a comment and a text', ': a\nupstream failed\n\n', 'malformed'],
+  ['a text', 'upstream failed\n\n', 'malformed'],
+  ['one word', 'error\n\n', 'malformed'],
+  ['JSON', '{"error": "x"}\n\n', 'malformed'],
+  ['HTML', '<html>\n\n', 'malformed'],
+  ['a head', 'HTTP/1.1 500 Error\r\nServer: x\r\n\r\n', 'malformed'],
+  ['headers', 'Server: x\r\nDate: y\r\n\r\n', 'malformed'],
+  ['an event and a text', 'id: 1\nupstream failed\n\n', 'malformed'],
+])('tells what a block of lines is: %s', (_name, text, expected) => {
+  expect(getBlockKind(Buffer.from(text).toString('latin1'))).toBe(expected);
 });
--- a/tests/helpers/floodingEndpoint.mjs
+++ b/tests/helpers/floodingEndpoint.mjs
@@ -9,6 +9,7 @@
 const PIECE_BYTES = 65_536;
 const REPORT = JSON.stringify({ seq: 0, models: [{ name: 'base', adapters: [] }], coming: [] });
 const CHUNKED = 'transfer-encoding: chunked\r\n';
+const EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
 
 /** Head of the answer, the piece that follows over and over, and the pause between pieces in ms. */
 const FLOODS = {
@@ -17,8 +18,23 @@
   headers: ['', 'x-a: b\r\n', 0],
   trailers: [`${CHUNKED}\r\n0\r\n`, 'x-a: b\r\n', 0],
   interim: [undefined, 'HTTP/1.1 103 Early Hints\r\n\r\n', 0],
+  blankLines: [`${CHUNKED}\r\n${newChunk(EVENTS)}`, newChunk('\n'.repeat(PIECE_BYTES)), 0],
+  blankLinesFirst: [`${CHUNKED}\r\n`, newChunk('\n'.repeat(PIECE_BYTES)), 0],
+  blankCrLfLines: [
+    `${CHUNKED}\r\n${newChunk(EVENTS)}`,
+    newChunk('\r\n'.repeat(PIECE_BYTES / 2)),
+    0,
+  ],
+  comments: [`${CHUNKED}\r\n${newChunk(EVENTS)}`, newChunk(':\n\n'.repeat(PIECE_BYTES / 3)), 0],
+  commentsFirst: [`${CHUNKED}\r\n`, newChunk(':\n\n'.repeat(PIECE_BYTES / 3)), 0],
+  events: [`${CHUNKED}\r\n`, newChunk('data: x\n\n'.repeat(PIECE_BYTES / 9)), 0],
 };
 
+/** Returns a chunk of a chunked body. */
+function newChunk(content) {
+  return `${content.length.toString(16)}\r\n${content}\r\n`;
+}
+
 const [head, piece, pauseMs] = FLOODS[process.argv[2]];
 const bytes = Buffer.from(
   piece.length >= PIECE_BYTES ? piece : piece.repeat(Math.ceil(PIECE_BYTES / piece.length)),
