Hold comments of a stream until its first event

What callers saw: a stream whose engine sends only comments began with 200 and broke off; no other engine could serve it any more.

Cause: a block of comments counted as an event.

Change: a block without data and id begins nothing. It is held until the first event, and passed on as it is afterwards, as callers take it for a sign of life. It counts for the path to the engine, which works, not for pauses.

--- a/src/gatewayHost/eventForwarder.ts
+++ b/src/gatewayHost/eventForwarder.ts
@@ -1,10 +1,11 @@
+import { ByteBuffer } from '../base/byteBuffer.ts';
 import { MAX_EVENT_BYTES, MAX_FILLER_BYTES } from './constants.ts';
 import { EventSplitter, type StreamBlock } from './eventSplitter.ts';
 import type { ForwardExchange } from './forwardExchange.ts';
 
 interface Options {
   exchange: ForwardExchange;
-  /** Called before the first block of this attempt is passed on; starts the response to the caller. */
+  /** Called before the first event of this attempt is passed on; starts the response to the caller. */
   onFirstEvent: () => void;
 }
 
@@ -12,12 +13,14 @@
 export type ForwardedPart = { problem: string } | { problem: undefined; isCallerReady: boolean };
 
 /**
- * Passes a stream on to its caller event by event, the events of one part in one write. A stream of which only
- * comments and empty lines come is broken off.
+ * Passes a stream on to its caller event by event, the events of one part in one write. Comments and empty lines
+ * are held until the first event, so that another attempt can still take its place. A stream of which nothing
+ * else comes is broken off.
  */
 export class EventForwarder {
   private readonly splitter = EventSplitter.create();
-  private hasBegun = false;
+  /** Blocks without content that wait for the first event. */
+  private readonly heldFillers = ByteBuffer.create();
   /** Bytes of blocks without content since the last event. */
   private fillerBytes = 0;
   private lastEventAt: number | undefined;
@@ -40,7 +43,7 @@
 
   /** Bytes that have arrived and are not passed on. */
   get pendingBytes(): number {
-    return this.splitter.pendingBytes;
+    return this.splitter.pendingBytes + this.heldFillers.length;
   }
 
   /** Whether a part of an event, or of a line, follows the last complete event. */
@@ -60,7 +63,7 @@
 
   /** Passes the comments and empty lines on that follow the last event. */
   finish(): void {
-    const rest = this.splitter.takeRemainder();
+    const rest = Buffer.concat([this.heldFillers.take(), this.splitter.takeRemainder()]);
     if (rest.length > 0) this.options.exchange.write(rest);
   }
 
@@ -77,35 +80,30 @@
     const { exchange } = this.options;
     const wanted = blocks.filter((block) => this.accept(block)).map(({ bytes }) => bytes);
     if (wanted.length === 0) return true;
-    return exchange.write(Buffer.concat(wanted));
+    if (this.hasPassedEvent || exchange.hasResponseStarted)
+      return exchange.write(Buffer.concat([this.heldFillers.take(), ...wanted]));
+    for (const bytes of wanted) this.heldFillers.append(bytes);
+    return true;
   }
 
   /** Records a block; returns whether it is passed on. */
   private accept({ kind, id, bytes }: StreamBlock): boolean {
     const { exchange } = this.options;
     if (kind === 'filler') {
-      this.begin();
       this.fillerBytes += bytes.length;
       return true;
     }
     if (isRepeated(id, exchange.lastEventId)) return false;
     this.fillerBytes = 0;
-    this.begin();
     this.recordEvent();
     if (id !== undefined) exchange.lastEventId = id;
     return true;
   }
 
-  private begin(): void {
-    if (this.hasBegun) return;
-    this.hasBegun = true;
-    this.options.onFirstEvent();
-  }
-
   private recordEvent(): void {
     const now = performance.now();
-    if (this.lastEventAt !== undefined)
-      this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastEventAt);
+    if (this.lastEventAt === undefined) this.options.onFirstEvent();
+    else this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastEventAt);
     this.lastEventAt = now;
   }
 }
--- a/stand-ins/platform/platformEndpoint.ts
+++ b/stand-ins/platform/platformEndpoint.ts
@@ -35,6 +35,9 @@
   | 'endlessBytes'
   | 'endlessHeaders'
   | 'endlessBody'
+  /** The same with comments or empty lines after the head of a stream. */
+  | 'endlessComments'
+  | 'endlessLines'
   /** The same after a head which states that the request was not executed. */
   | 'endlessShed';
 
@@ -62,6 +65,14 @@
     head: 'HTTP/1.1 200 OK\r\nattempt-id: ATTEMPT\r\nresponse-seal: s\r\n\r\n',
     repeated: 'x'.repeat(16_384),
   },
+  endlessComments: {
+    head: 'HTTP/1.1 200 OK\r\nattempt-id: ATTEMPT\r\nresponse-seal: s\r\n\r\n',
+    repeated: ': alive\n\n'.repeat(1_024),
+  },
+  endlessLines: {
+    head: 'HTTP/1.1 200 OK\r\nattempt-id: ATTEMPT\r\nresponse-seal: s\r\n\r\n',
+    repeated: '\n'.repeat(16_384),
+  },
   endlessShed: {
     head: 'HTTP/1.1 503 Full\r\nattempt-id: ATTEMPT\r\nnot-executed: 1\r\n\r\n',
     repeated: 'x'.repeat(16_384),
--- a/tests/gatewayHost/endlessResponses.test.ts
+++ b/tests/gatewayHost/endlessResponses.test.ts
@@ -34,6 +34,8 @@
     ['in the body of a refusal', 'endlessShed', '/booking/1', 200],
     ['in place of the head of a stream', 'endlessBytes', '/labels/1', 502],
     ['within an event of a stream', 'endlessBody', '/labels/1', 502],
+    ['in comments of a stream', 'endlessComments', '/labels/1', 502],
+    ['in empty lines of a stream', 'endlessLines', '/labels/1', 502],
   ])('%s', async (_name, behaviour, path, status) => {
     for (const { plannedBehaviours } of endpoints) plannedBehaviours.push(behaviour);
     const startedAt = performance.now();
@@ -46,4 +48,24 @@
     await waitUntil(() => getSum(({ openEndless }) => openEndless) === 0);
     expect(getSum(({ endlessBytes }) => endlessBytes)).toBeLessThan(MAX_BYTES);
   });
+
+  // Guards against comments that begin the response, after which no other engine could serve the request.
+  it.each<[string, EndpointBehaviour]>([
+    ['comments', 'endlessComments'],
+    ['empty lines', 'endlessLines'],
+  ])('%s in place of events leave the request to another engine', async (_name, behaviour) => {
+    endpoints.push(await deployment.addServer('llm', 'e2'));
+    await deployment.waitReady(3);
+    const [, first, second] = endpoints;
+    first?.plannedBehaviours.push(behaviour);
+    second?.plannedBehaviours.push('serve');
+    const answers = [
+      await deployment.stream('/notes/1', undefined),
+      await deployment.stream('/notes/2', undefined),
+    ];
+    expect(answers.map(({ status, error }) => [status, error])).toEqual([
+      [200, undefined],
+      [200, undefined],
+    ]);
+  });
 });
