Log when a host takes an endpoint for crashed

The line "endpoint crashed while running requests" is missing where no attempt broke.

Change: "endpoint refuses connections", once for each start of an endpoint, with its software version and the host that confirmed it.

--- a/src/forwards/crashEvidence.ts
+++ b/src/forwards/crashEvidence.ts
@@ -96,8 +96,14 @@
   checkedEndpoints.delete(endpoint);
   if (relay !== undefined && isRunning) return clearCrashes(state, endpoint, startedAt, now);
   if (!isRefused) return next;
+  const isNew = crashedEndpoints.get(endpoint)?.startedAt !== startedAt;
   crashedEndpoints.set(endpoint, { startedAt, at: now });
-  return attributeCrash(state, endpoint, startedAt, now);
+  const log = newLog('warn', 'endpoint refuses connections', {
+    endpoint,
+    softwareVersion: view?.endpoint.softwareVersion,
+    confirmedBy: relay,
+  });
+  return [...(isNew ? [log] : []), ...attributeCrash(state, endpoint, startedAt, now)];
 }
 
 /**
