Begin no resumable stream beside the split while its version is down

Cause: while a host knew that all engines of the version which the split gives to a new stream had crashed, it let the stream begin on any version. Only records in the memory of hosts told of that. A host without records derives the version from the split.

The mixed streams began at the hosts that had the crash confirmed by another host, and at no other: a host whose check was declined (the other one had lost its path to the engine too) takes the engine for unreachable, tries it again (up to 381 attempts) and lets no stream begin elsewhere. No split changed between the crash and the kill, and no host had read an older row. Ruled out: entries that went or came (the entry was there all the time), clocks, hosts that had not read the row.

Change: such a stream is refused at once and told to return. It comes back with another attempt id, which the split gives to a version that runs in most cases. A stream of a service of which all engines are down waits as before. Weighed: a split without the version as soon as it is down (hosts that know of the crash and hosts that don't would write it back and forth); a record in the directory for each stream (a write before each first event, and none with the store away).

--- a/src/forwards/endpointCandidates.ts
+++ b/src/forwards/endpointCandidates.ts
@@ -60,17 +60,38 @@
  * refused connections may come back with other software, so it resumes no stream until then.
  */
 export function getPossibleEndpoints(state: State, forward: Forward, now: number): EndpointView[] {
-  const { service, origin, route, labels } = forward;
+  const { service, origin, labels } = forward;
   const views = getRoutableEndpoints(state.fleet, service);
-  if (origin === undefined) {
-    if (route.kind !== 'stream' || !route.isResumable) return views;
-    const chosen = filterByVersionSplit(state, service, labels.attemptId, views, now);
-    // Records tell the version as long as a host lives; refusing the stream would help nobody.
-    const areAllCrashed =
-      chosen.length > 0 && chosen.every((view) => isKnownCrashed(state, view, now));
-    return areAllCrashed ? views : chosen;
-  }
-  return views.filter((view) => canResumeStream(origin, view) && !isKnownCrashed(state, view, now));
+  if (origin !== undefined)
+    return views.filter(
+      (view) => canResumeStream(origin, view) && !isKnownCrashed(state, view, now),
+    );
+  if (!beginsResumableStream(forward)) return views;
+  // Also while all of them are down: a host without records derives where the stream began from the split.
+  return filterByVersionSplit(state, service, labels.attemptId, views, now);
+}
+
+/** Whether a request begins a stream that its caller may take up again at another host. */
+export function beginsResumableStream({ route, origin }: Forward): boolean {
+  return origin === undefined && route.kind === 'stream' && route.isResumable;
+}
+
+/**
+ * Returns the software version on which the stream of a request would have to begin, if its endpoints are known to
+ * be down while other endpoints of the service are not; undefined otherwise.
+ */
+export function findVersionThatIsDown(
+  state: State,
+  forward: Forward,
+  possible: readonly EndpointView[],
+  now: number,
+): { softwareVersion: string | undefined } | undefined {
+  const [first] = possible;
+  if (first === undefined || !beginsResumableStream(forward)) return undefined;
+  if (!possible.every((view) => isKnownCrashed(state, view, now))) return undefined;
+  const views = getRoutableEndpoints(state.fleet, forward.service);
+  if (views.every((view) => isKnownCrashed(state, view, now))) return undefined;
+  return { softwareVersion: first.endpoint.softwareVersion };
 }
 
 function choosePlainEndpoint(
--- a/src/forwards/unavailability.ts
+++ b/src/forwards/unavailability.ts
@@ -6,13 +6,14 @@
 import { needsPermit } from '../limits/permits.ts';
 import { getShortestPauseMs, isPaused } from '../notices/pauses.ts';
 import { LEAVING_RETURN_MS, PAUSE_RETURN_SPREAD } from './constants.ts';
+import { findVersionThatIsDown } from './endpointCandidates.ts';
 import { refuseForward } from './forwardEnd.ts';
 import type { Forward } from './types.ts';
 
 /**
  * Refuses a request at once, with a time to return, if no endpoint will take it soon: each one that
- * could run it has asked for a pause or is at its limit, or all of its service leave. Returns undefined
- * otherwise.
+ * could run it has asked for a pause or is at its limit, those of the software version on which its stream would
+ * begin are down, or all of its service leave. Returns undefined otherwise.
  */
 export function refuseIfUnavailable(
   state: State,
@@ -24,6 +25,11 @@
     if (!areAllLeaving(state, forward)) return undefined;
     return refuse(state, forward, 'all endpoints of the service are leaving', LEAVING_RETURN_MS);
   }
+  const down = findVersionThatIsDown(state, forward, possible, now);
+  if (down !== undefined) {
+    const reason = `the endpoints of software version "${down.softwareVersion ?? ''}" are down`;
+    return refuseForward(state, forward, Failure.create('service_unavailable', reason));
+  }
   const mayTake = possible.some((view) => !isPaused(view, now) && !isAtLimit(view, forward));
   if (mayTake) return undefined;
   const paused = possible.filter((view) => isPaused(view, now));
