Tell callers of streams whose version is down to return after its restart

What callers saw: streams that broke with the only engine of their version never went on, though it was back 2.6 s later: their callers were told to return after 0.3 to 0.6 s, four times, and gave up.

Cause: a request that resumes a stream got the same time to return as any other one, after which others find another endpoint. It has no other one to go to.

Change: told to return after 1.5 to 2 s; three returns outlast a restart of 4 s.

--- a/src/forwards/constants.ts
+++ b/src/forwards/constants.ts
@@ -39,6 +39,8 @@
 export const RETRY_AFTER_JITTER_MS = 500;
 /** Time after which callers should return whose service has leaving endpoints only. */
 export const LEAVING_RETURN_MS = 1_000;
+/** Time after which callers should return whose streams can go on only at endpoints that are down. */
+export const VERSION_RETURN_MS = 1_500;
 /** Share of a pause of endpoints over which the returns of refused callers are spread after it. */
 export const PAUSE_RETURN_SPREAD = 0.5;
 /** Longest `Retry-After` of a request that is refused because of a quarantine. */
--- a/src/forwards/forwardPlacement.ts
+++ b/src/forwards/forwardPlacement.ts
@@ -15,22 +15,20 @@
   getPossibleEndpoints,
   isEngineRequest,
 } from './endpointCandidates.ts';
-import { abandonForward } from './forwardEnd.ts';
 import { getMaxPermitWaitMs, recordPermitRefusal } from './limitedPlacement.ts';
 import { scheduleRetry, sendAttempt } from './sending.ts';
-import type { StreamOrigin } from './streamOrigin.ts';
 import type { Forward } from './types.ts';
-import { refuseIfUnavailable } from './unavailability.ts';
+import { refuseIfUnavailable, refuseWithoutVersion } from './unavailability.ts';
 
 /**
  * Chooses an endpoint for a request and sends it there, or requests a reservation from the owner of
- * the engine first. Schedules a retry when no endpoint can serve the request now; abandons one that
+ * the engine first. Schedules a retry when no endpoint can serve the request now; refuses one that
  * resumes a stream when no endpoint of its software version is left.
  */
 export function placeForward(state: State, forward: Forward, now: number): Effect[] {
   const possible = getPossibleEndpoints(state, forward, now);
   if (possible.length === 0 && forward.origin !== undefined)
-    return abandonForward(state, forward, getMissingVersionReason(forward.origin));
+    return refuseWithoutVersion(state, forward, forward.origin);
   const refused = refuseIfUnavailable(state, forward, possible, now);
   if (refused !== undefined) return refused;
   const views = possible.filter(
@@ -97,12 +95,6 @@
   return sendAttempt(state, forward, view, undefined, version, now);
 }
 
-function getMissingVersionReason({ softwareVersion }: StreamOrigin): string {
-  return softwareVersion === undefined
-    ? 'the software version that began the stream is unknown'
-    : `no endpoint of software version "${softwareVersion}", which began the stream, is left`;
-}
-
 function getRequiredVersion(
   state: State,
   { labels }: Forward,
--- a/src/forwards/unavailability.ts
+++ b/src/forwards/unavailability.ts
@@ -5,9 +5,10 @@
 import type { EndpointView } from '../fleet/types.ts';
 import { needsPermit } from '../limits/permits.ts';
 import { getShortestPauseMs, isPaused } from '../notices/pauses.ts';
-import { LEAVING_RETURN_MS, PAUSE_RETURN_SPREAD } from './constants.ts';
+import { LEAVING_RETURN_MS, PAUSE_RETURN_SPREAD, VERSION_RETURN_MS } from './constants.ts';
 import { findVersionThatIsDown } from './endpointCandidates.ts';
-import { refuseForward } from './forwardEnd.ts';
+import { abandonForward, refuseForward } from './forwardEnd.ts';
+import type { StreamOrigin } from './streamOrigin.ts';
 import type { Forward } from './types.ts';
 
 /**
@@ -43,6 +44,24 @@
   return refuse(state, forward, reason, Math.min(pauseReturnMs, permitReturnMs));
 }
 
+/**
+ * Refuses a request that resumes a stream when no endpoint of its software version is left. Its caller has nowhere
+ * else to go and returns a few times only, so that it is told to return when a restart is probably over.
+ */
+export function refuseWithoutVersion(
+  state: State,
+  forward: Forward,
+  { softwareVersion }: StreamOrigin,
+): Effect[] {
+  if (softwareVersion === undefined)
+    return abandonForward(state, forward, 'the software version that began the stream is unknown');
+  const reason = `no endpoint of software version "${softwareVersion}", which began the stream, is left`;
+  const message = `the request was not run: ${reason}`;
+  const retryAfterS = VERSION_RETURN_MS / 1_000;
+  const failure = Failure.create('service_unavailable', message, { retryAfterS });
+  return refuseForward(state, forward, failure, reason);
+}
+
 function areAllLeaving({ fleet }: State, { service }: Forward): boolean {
   const views = getPresentEndpoints(fleet, service);
   return views.length > 0 && views.every(isLeaving);
--- a/tests/streams/streamHosts.ts
+++ b/tests/streams/streamHosts.ts
@@ -45,6 +45,8 @@
   /** Monotonic ms of the last kill. */
   private killedAt = 1_000;
   private nextRequest = 0;
+  /** Time after which the caller of the last refused request was told to return, in ms. */
+  lastReturnMs = 0;
   /** Whether a host drops a message, as one of an earlier version drops types that it does not know. */
   isDropped: (to: string, message: Message) => boolean = () => false;
 
@@ -245,8 +247,10 @@
         for (const effect of effects) {
           if (effect.type === 'sendForward' && effect.spec.id === id)
             placement.version = this.endpoints.get(effect.spec.endpoint)?.softwareVersion;
-          if (effect.type === 'failForward' && effect.id === id)
+          if (effect.type === 'failForward' && effect.id === id) {
             placement.refusal = effect.failure.kind;
+            this.lastReturnMs = (effect.failure.retryAfterS ?? 0) * 1_000;
+          }
         }
       });
       if (placement.version !== undefined || placement.refusal !== undefined) return placement;
--- a/tests/streams/versionSplits.test.ts
+++ b/tests/streams/versionSplits.test.ts
@@ -15,6 +15,8 @@
 const ATTEMPTS = 2_000;
 /** Time within which hosts learn of a change of the row. */
 const LAG_MS = 2_000;
+/** Times that a caller returns before it gives up. */
+const CALLER_RETRIES = 3;
 
 /** Returns a split of v1 and v2 in which v1 has `share`. */
 function newSplit(since: number, share: number): VersionSplit {
@@ -403,3 +405,30 @@
   for (const host of hosts.ids) for (const id of ['e0', 'e1']) hosts.refuseConnections(host, id);
   expect(hosts.begin('h0', 'w1').refusal).toBeUndefined();
 });
+
+// Guards against callers that give up while the engine that began their streams restarts.
+it.each([1_000, 2_600, 4_000])(
+  'a caller that returns as told takes its stream up after its version was down for %d ms',
+  (downMs) => {
+    const hosts = StreamHosts.create(3, 100_000, true);
+    crashOnlyEngine(hosts);
+    hosts.register({ id: 'e2', zone: 'z9', startedAt: 2, softwareVersion: 'v2' });
+    const names = Array.from({ length: 20 }, (_, index) => `d${index}`);
+    const stream = names.find((name) => hosts.begin('h0', name).version === 'v2') ?? '';
+    for (const host of hosts.ids) hosts.refuseConnections(host, 'e2');
+    let waitedMs = 0;
+    let version: string | undefined;
+    for (let retry = 0; retry < CALLER_RETRIES && waitedMs < downMs; retry++) {
+      const host = hosts.ids[retry % hosts.ids.length] ?? '';
+      const { refusal } = hosts.resume(host, `r${retry}`, { resumedAttempt: stream });
+      expect(refusal).toBe('service_unavailable');
+      hosts.advance(hosts.lastReturnMs);
+      waitedMs += hosts.lastReturnMs;
+    }
+    if (waitedMs >= downMs) {
+      hosts.register({ id: 'e2', zone: 'z9', startedAt: 3, softwareVersion: 'v2' });
+      ({ version } = hosts.resume('h0', 'last', { resumedAttempt: stream }));
+    }
+    expect(version).toBe('v2');
+  },
+);
