Date a split by the latest time that the directory's clock can show

Cause: a host dated a new split by a clock that runs late after an answer that arrived late, or after the host was suspended. Hosts without a record then take the split before it for replaced earlier than it was, and derive a version by the new split alone.

Change: the split is dated by the latest time that is possible, which the call that told the clock bounds. After a jump of a clock none is written until the directory has told its clock again; other hosts write it meanwhile.

--- a/src/directory/clock.ts
+++ b/src/directory/clock.ts
@@ -28,7 +28,16 @@
   return clockOffset && clockOffset.ms - (now - clockOffset.at) * MAX_CLOCK_DRIFT;
 }
 
-/** Returns the time of the directory's clock, in ms; undefined before an answer told it. */
+/** Returns the latest time that the directory's clock can show now, in ms; undefined while nothing tells it. */
+export function getLatestDirectoryClock({ directory }: State, now: number): number | undefined {
+  const offsetMs = getClockOffsetMs(directory, now);
+  return offsetMs === undefined ? undefined : now - offsetMs;
+}
+
+/**
+ * Returns a time that the directory's clock has reached, in ms: answers that arrive late and pauses of this host
+ * make it earlier. Undefined before an answer told it.
+ */
 export function getDirectoryClock({ directory }: State, now: number): number | undefined {
   const { clock } = directory;
   return clock === undefined ? undefined : clock.ms + (now - clock.readAt);
--- a/src/streams/splitsRow.ts
+++ b/src/streams/splitsRow.ts
@@ -2,7 +2,7 @@
 import { newLog } from '../core/observations.ts';
 import type { State } from '../core/state.ts';
 import { schedule } from '../core/timers.ts';
-import { getDirectoryClock } from '../directory/clock.ts';
+import { getLatestDirectoryClock } from '../directory/clock.ts';
 import type { DirectoryWriteAnswer } from '../directory/types.ts';
 import { getRoutableEndpoints } from '../fleet/endpointChoice.ts';
 import type { RoutingTable } from '../routes/types.ts';
@@ -36,7 +36,9 @@
     scheduleSplitUpdate(state, now);
     return [];
   }
-  const clock = getDirectoryClock(state, now);
+  // A split that seemed to begin too early would be taken for the only one that a stream can have begun by.
+  const clock = getLatestDirectoryClock(state, now);
+  if (clock === undefined && directory.clock !== undefined) scheduleSplitUpdate(state, now);
   const { current: routeIndex } = state.routeIndex;
   if (streams.isWritingSplits || clock === undefined || routeIndex === undefined) return [];
   const services = getResumableServices(routeIndex.table).map((service) =>
--- a/tests/streams/versionSplits.test.ts
+++ b/tests/streams/versionSplits.test.ts
@@ -46,6 +46,14 @@
   return host.answerDirectoryCall('members', changes, 30, false, clockMs);
 }
 
+/** Returns the split that a host writes when it learns of v2, or none. */
+function takeWrittenSplit(host: DirectoryHost): VersionSplit | undefined {
+  const endpoint = newEndpoint({ id: 'e2', service: 'llm', softwareVersion: 'v2' });
+  const change = newDirectoryChange('e2', 50, { type: 'endpoint', endpoint });
+  host.answerDirectoryCall('endpoints', [change], 50).advance(1_000);
+  return host.takeRowWrites('versionSplits')[0]?.row.services[0]?.splits.at(-1);
+}
+
 /** Returns the software version on which a host lets the stream of an attempt begin. */
 function getFirstVersion({ state, now }: DirectoryHost, attempt: string): string | undefined {
   const views = [...state.fleet.views.values()];
@@ -177,6 +185,32 @@
   });
 });
 
+// Guards against a split that seems older than it is, so that the one before it is left out of account.
+describe('a split does not begin before it is written', () => {
+  it.each([0, 5_000])('by a host whose last answer arrived %d ms late', (lateMs) => {
+    const host = createHost(newRow([newSplit(0, 1)]), undefined, ['v1', 'v1']);
+    host.advance(2_000);
+    const { callStartedAt } = host.state.directory.topics.members;
+    host.now += lateMs;
+    host.answerDirectoryCall('members', [], 31, false, CLOCK_MS);
+    const split = takeWrittenSplit(host);
+    // The directory may have answered when the call was made.
+    expect(split?.since).toBeGreaterThanOrEqual(CLOCK_MS + lateMs);
+    expect(split?.since).toBeLessThanOrEqual(CLOCK_MS + (host.now - callStartedAt) * 1.01);
+  });
+
+  it('by a host whose clock stood still until it has asked again', () => {
+    const host = createHost(newRow([newSplit(0, 1)]), CLOCK_MS, ['v1', 'v1']);
+    host.dispatch({ type: 'clockJumped' });
+    expect(takeWrittenSplit(host)).toBeUndefined();
+    host.answerDirectoryCall('members', [], 51, false, CLOCK_MS + 60_000).advance(1_000);
+    const [written] = host.takeRowWrites('versionSplits');
+    expect(written?.row.services[0]?.splits.at(-1)?.since).toBeGreaterThanOrEqual(
+      CLOCK_MS + 60_000,
+    );
+  });
+});
+
 // Guards against streams that go on at another version than the one that began them.
 it('no stream is derived to another version than the one that began it', () => {
   const steps = fc.array(
