Check the split again when an owner grants a place to a new stream

Found by looking for other ways in which a stream begins beside the split; no run of a process has shown it.

Cause: a host asked the owner of an engine for a place by the split, and took whatever engine the owner granted. The owner may have moved the request to an engine of which it knows an older entry, or have granted it for another start of the engine; the split may have changed meanwhile.

Change: a grant for a stream that may be taken up again holds only at an engine at which the host would let it begin now, and for the start that it knows, as it did for streams that go on.

--- a/src/forwards/endpointCandidates.ts
+++ b/src/forwards/endpointCandidates.ts
@@ -71,6 +71,15 @@
   return filterByVersionSplit(state, service, labels.attemptId, views, now);
 }
 
+/**
+ * Whether a request may run at an endpoint that its owner granted: what this host knows of the endpoint, or the
+ * split, may have changed since it asked, and the owner may know an older entry.
+ */
+export function mayRunAt(state: State, forward: Forward, view: EndpointView, now: number): boolean {
+  if (!beginsResumableStream(forward)) return canResumeStream(forward.origin, view);
+  return getPossibleEndpoints(state, forward, now).includes(view);
+}
+
 /** Whether a request begins a stream that its caller may take up again at another host. */
 export function beginsResumableStream({ route, origin }: Forward): boolean {
   return origin === undefined && route.kind === 'stream' && route.isResumable;
--- a/src/forwards/reservationAnswers.ts
+++ b/src/forwards/reservationAnswers.ts
@@ -3,10 +3,10 @@
 import type { State } from '../core/state.ts';
 import { isAvailable } from '../fleet/endpointChoice.ts';
 import type { ReservationGranted } from '../residency/types.ts';
+import { beginsResumableStream, mayRunAt } from './endpointCandidates.ts';
 import { releaseForwardReservation } from './forwardEnd.ts';
 import { placeForward } from './forwardPlacement.ts';
 import { scheduleRetry, sendAttempt } from './sending.ts';
-import { canResumeStream } from './streamOrigin.ts';
 import type { Forward } from './types.ts';
 
 /** Sends a request under a reservation that its owner granted; returns one that is not needed. */
@@ -27,11 +27,11 @@
   if (forward.pendingReservation !== undefined) forward.pendingReservation.engine = engine;
   const view = state.fleet.views.get(engine);
   forward.stallMs += stallMs;
-  if (view === undefined || !isAvailable(view, now) || !canResumeStream(forward.origin, view))
+  if (view === undefined || !isAvailable(view, now) || !mayRunAt(state, forward, view, now))
     return [...releaseForwardReservation(state, forward), ...placeForward(state, forward, now)];
   // Otherwise one of the two hosts has not learned yet that the engine restarted.
   const isSameStart = startedAt === undefined || startedAt === view.endpoint.startedAt;
-  if (!isSameStart && forward.origin !== undefined) {
+  if (!isSameStart && (forward.origin !== undefined || beginsResumableStream(forward))) {
     const released = releaseForwardReservation(state, forward);
     const reason = 'the software version of the engine is unknown after its restart';
     return [...released, ...scheduleRetry(state, forward, reason, now)];
--- a/tests/residency/softwareVersions.test.ts
+++ b/tests/residency/softwareVersions.test.ts
@@ -76,4 +76,32 @@
     host.receiveMessage('h1', { ...grant, request, ask: number, startedAt });
     expect(host.takeEffects('sendForward')).toHaveLength(isSent ? 1 : 0);
   });
+
+  // Guards against streams that begin on another version than the one that hosts without records derive.
+  it.each<[string, string, number, boolean]>([
+    ['begins a stream at the engine that it asked for', 'e0', 1, true],
+    ['begins none at another start of the engine', 'e0', 2, false],
+    ['begins none at an engine of another version to which the owner moved it', 'e1', 1, false],
+  ])('%s', (_name, engine, startedAt, isSent) => {
+    const host = DirectoryHost.create().configure({
+      routes: [{ kind: 'stream', isResumable: true, targets: [{ service: 'llm', weight: 1 }] }],
+      endpoints: [ENGINE, { ...ENGINE, id: 'e1', softwareVersion: 'v2' }],
+      members: [{ host: 'h1' }],
+    });
+    const shares = ['v1', 'v2'].map((version) => ({ version, share: 0.5 }));
+    const row = { services: [{ service: 'llm', splits: [{ since: 0, shares }] }] };
+    const change = newDirectoryChange('versionSplits', 30, { type: 'versionSplits', row });
+    host.answerDirectoryCall('members', [change], 30, false, 1_000_000);
+    host.dispatch({ type: 'linkOpened', host: 'h1' });
+    const asked = Array.from({ length: 20 }, (_, index) => {
+      host.takeAllEffects();
+      host.receiveForward({ id: `f${index}`, labels: { attemptId: `b${index}`, model: 'base' } });
+      return host.takeMessages('h1').find((message) => message.type === 'placeAsked');
+    }).find((message) => message?.engine === 'e0');
+    if (asked === undefined) throw new Error('no reservation was requested');
+    const grant = { type: 'placeGiven', engine, stallMs: 0, version: undefined } as const;
+    const { request, ask: number } = asked;
+    host.receiveMessage('h1', { ...grant, request, ask: number, startedAt });
+    expect(host.takeEffects('sendForward')).toHaveLength(isSent ? 1 : 0);
+  });
 });
