Begin no resumable stream before the row of splits was read

Cause: a host without the directory's clock let streams begin on any version, since a directory without one has no splits. A host that has not been answered yet, and knows endpoints from other hosts, has no clock either.

Change: the row must have been read first, with a clock or without.

Measured: tests/streams/versionSplits.test.ts, the case without a clock failed before.

--- a/src/streams/versionSplits.ts
+++ b/src/streams/versionSplits.ts
@@ -24,11 +24,12 @@
     const version = chooseVersion(split, attempt);
     return views.filter(({ endpoint }) => endpoint.softwareVersion === version);
   }
+  // Until this host has read the row, streams could begin on other versions than it says.
+  if (!hasReadMembers(state)) return [];
   // Without the directory's clock, hosts write no splits.
   if (getDirectoryClock(state, now) === undefined) return views;
-  // Until this host has read the row, streams of several versions could begin on other ones than it says.
   const versions = new Set(views.map(({ endpoint }) => endpoint.softwareVersion));
-  return hasReadMembers(state) && versions.size <= 1 ? views : [];
+  return versions.size <= 1 ? views : [];
 }
 
 /**
--- a/tests/streams/versionSplits.test.ts
+++ b/tests/streams/versionSplits.test.ts
@@ -377,25 +377,31 @@
   });
 });
 
-it('a host that has not read the row begins no resumable stream while there are two versions', () => {
-  const host = DirectoryHost.create();
-  const route = { kind: 'stream' as const, isResumable: true };
-  const content = newRoutingContent(1, [route]);
-  const routing = [newDirectoryChange('config', 1, content)];
-  host.answerDirectoryCall('operator', routing, 1, true, CLOCK_MS);
-  const endpoints = ['v1', 'v2'].map((softwareVersion, index) => {
-    const endpoint = newEndpoint({ id: `e${index}`, softwareVersion });
-    return newDirectoryChange(endpoint.id, 2, { type: 'endpoint', endpoint });
-  });
-  host.answerDirectoryCall('endpoints', endpoints, 2, true, CLOCK_MS);
-  host.receiveForward({ labels: { attemptId: 'a1' } });
-  expect(host.takeEffects('sendForward')).toEqual([]);
-  const row = { services: [{ service: 'desk', splits: [newSplit(0, 0)] }] };
-  const change = newDirectoryChange('versionSplits', 3, { type: 'versionSplits', row });
-  host.answerDirectoryCall('members', [change], 3, true, CLOCK_MS);
-  host.advance(200);
-  expect(host.takeEffects('sendForward').map(({ spec }) => spec.endpoint)).toEqual(['e1']);
-});
+it.each<[string, number | undefined]>([
+  ['', CLOCK_MS],
+  [' and knows no clock of the directory', undefined],
+])(
+  'a host that has not read the row%s begins no resumable stream beside two versions',
+  (_name, clockMs) => {
+    const host = DirectoryHost.create();
+    const route = { kind: 'stream' as const, isResumable: true };
+    const content = newRoutingContent(1, [route]);
+    const routing = [newDirectoryChange('config', 1, content)];
+    host.answerDirectoryCall('operator', routing, 1, true, clockMs);
+    const endpoints = ['v1', 'v2'].map((softwareVersion, index) => {
+      const endpoint = newEndpoint({ id: `e${index}`, softwareVersion });
+      return newDirectoryChange(endpoint.id, 2, { type: 'endpoint', endpoint });
+    });
+    host.answerDirectoryCall('endpoints', endpoints, 2, true, clockMs);
+    host.receiveForward({ labels: { attemptId: 'a1' } });
+    expect(host.takeEffects('sendForward')).toEqual([]);
+    const row = { services: [{ service: 'desk', splits: [newSplit(0, 0)] }] };
+    const change = newDirectoryChange('versionSplits', 3, { type: 'versionSplits', row });
+    host.answerDirectoryCall('members', [change], 3, true, clockMs);
+    host.advance(200);
+    expect(host.takeEffects('sendForward').map(({ spec }) => spec.endpoint)).toEqual(['e1']);
+  },
+);
 
 // Guards against requests that wait for a version that no endpoint tells.
 it.each([1, 3, 7])(
