Take no path for silent while this host does not read

While the only streams in flight had callers that did not read, the host took the path to all endpoints for silent every 0.4 s, probed it, and broke off streams that may go on elsewhere.

Cause: a host that waits for a caller does not read the answer, and counted the time as silence of the endpoint.

Change: an answer that waits for its caller is not watched until it is read again.

--- a/src/gatewayHost/attemptSender.ts
+++ b/src/gatewayHost/attemptSender.ts
@@ -68,14 +68,23 @@
     }
     const monitor = this.getMonitor(spec.relay?.host);
     monitor.recordSent();
+    let isRead = true;
     const running = host.endpointClient.sendAttempt(spec, exchange, {
       isStillWanted: () => this.isStillWanted(spec),
       isTooLate: () => isTooLate(spec, exchange),
       onReceived: () => monitor.recordReceived(),
+      onReadingPaused: () => {
+        isRead = false;
+        monitor.recordEnded(true);
+      },
+      onReadingResumed: () => {
+        isRead = true;
+        monitor.recordSent();
+      },
       onNoticeRead: (notice) => host.reportNotice(spec, notice),
       onResponseStarted: () => host.dispatch({ type: 'forwardStarted', id, attempt }),
       onEnded: (outcome, hasReceived) => {
-        monitor.recordEnded(hasReceived);
+        if (isRead) monitor.recordEnded(hasReceived);
         this.running.delete(attempt);
         host.dispatch({ type: 'forwardEnded', id, attempt, outcome });
       },
--- a/src/gatewayHost/endpointClient.ts
+++ b/src/gatewayHost/endpointClient.ts
@@ -36,6 +36,9 @@
   isTooLate: () => boolean;
   /** Called when bytes of an answer arrive. */
   onReceived: () => void;
+  /** Called when the answer is not read for a time, as its caller does not take what was passed on. */
+  onReadingPaused: () => void;
+  onReadingResumed: () => void;
   /** Called with what the head of a valid response says of the endpoint. */
   onNoticeRead: (notice: EndpointNotice) => void;
   /** Called when the first event of a stream is passed on. */
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -90,7 +90,9 @@
   }
 
   breakIfSilent(silentMs: number): void {
-    if (this.isEnded || performance.now() - this.receivedAt < silentMs) return;
+    // Nothing arrives while this host does not read.
+    if (this.isEnded || this.reading.isPausedFor('caller')) return;
+    if (performance.now() - this.receivedAt < silentMs) return;
     this.endBroken('the path to the endpoint is lost', 'silent');
     this.controller?.abort(new Error('the path to the endpoint is lost'));
     this.isCancelled = true;
@@ -233,7 +235,16 @@
   private waitForCaller(controller: Controller): void {
     if (this.reading.isPausedFor('caller')) return;
     this.reading.pause(controller, 'caller');
-    this.options.exchange.onceDrained(() => this.reading.resume(controller, 'caller'));
+    this.options.listener.onReadingPaused();
+    this.options.exchange.onceDrained(() => this.readOnForCaller(controller));
+  }
+
+  private readOnForCaller(controller: Controller): void {
+    if (!this.isEnded) {
+      this.receivedAt = performance.now();
+      this.options.listener.onReadingResumed();
+    }
+    this.reading.resume(controller, 'caller');
   }
 
   /** Lets other connections have their turn, also while an endpoint sends without a pause. */
--- a/src/gatewayHost/pathMonitor.ts
+++ b/src/gatewayHost/pathMonitor.ts
@@ -14,6 +14,7 @@
     return new PathMonitor(onSilent);
   }
 
+  /** Records an attempt whose answer is awaited from now on, or read again after a pause. */
   recordSent(): void {
     this.running += 1;
     if (this.waitingSince === undefined) this.startWaiting();
@@ -23,7 +24,7 @@
     if (this.waitingSince !== undefined) this.waitingSince = performance.now();
   }
 
-  /** Records the end of an attempt; one that ended without a byte of an answer keeps the path under watch. */
+  /** Records the end of an attempt, or that its answer is not read for a time; one that ended without a byte of an answer keeps the path under watch. */
   recordEnded(hasReceived: boolean): void {
     this.running -= 1;
     if (this.running === 0 && hasReceived) this.stop();
