Let a relay wait once for an endpoint that does not read

What callers saw: found by looking for listeners that are added for each part that a peer sends; no caller has seen it.

Cause: a relay passes requests on in turns. Each part that was queued before the caller's connection was paused added a listener of its own.

Change: one listener waits, whatever number of parts is queued.

--- a/src/relays/joinSockets.ts
+++ b/src/relays/joinSockets.ts
@@ -17,11 +17,20 @@
 
 /** Passes bytes on in turns: a caller that has closed its connection has cancelled its request. */
 function passRequestsOn(caller: Socket, endpoint: Socket, turns: TurnQueue): void {
+  let isWaiting = false;
+  const waitForEndpoint = (): void => {
+    if (isWaiting) return;
+    isWaiting = true;
+    caller.pause();
+    endpoint.once('drain', () => {
+      isWaiting = false;
+      caller.resume();
+    });
+  };
   caller.on('data', (bytes) => {
     turns.push('send', () => {
-      if (caller.destroyed || caller.readableEnded || endpoint.write(bytes)) return;
-      caller.pause();
-      endpoint.once('drain', () => caller.resume());
+      if (caller.destroyed || caller.readableEnded) return;
+      if (!endpoint.write(bytes)) waitForEndpoint();
     });
   });
   caller.resume();
--- a/tests/relays/joinSockets.test.ts
+++ b/tests/relays/joinSockets.test.ts
@@ -18,18 +18,31 @@
   return (server.address() as AddressInfo).port;
 }
 
-/** Starts a relay in front of an endpoint; returns a connection through it and what the endpoint receives. */
-async function startRelay(): Promise<{ caller: Socket; received: () => string }> {
+interface Relay {
+  /** A connection through the relay. */
+  caller: Socket;
+  /** What the endpoint has received. */
+  received: () => string;
+  /** Most listeners that have waited at once for the endpoint to take more. */
+  peakDrainListeners: () => number;
+}
+
+/** Starts a relay in front of an endpoint, which reads after `readDelayMs`. */
+async function startRelay(readDelayMs = 0): Promise<Relay> {
   const turns = TurnQueue.create(AcceptBacklog.create(), (error) => expect(error).toBeUndefined());
   let received = '';
   let isJoined = false;
+  let peakDrainListeners = 0;
   const endpointPort = await listen((socket) => {
-    socket.on('data', (bytes) => (received += bytes.toString()));
+    setTimeout(() => socket.on('data', (bytes) => (received += bytes.toString())), readDelayMs);
   });
   const relayPort = await listen((socket) => {
     socket.pause();
     const endpoint = connect(endpointPort, '127.0.0.1');
     endpoint.on('error', () => undefined);
+    endpoint.on('newListener', () => {
+      peakDrainListeners = Math.max(peakDrainListeners, endpoint.listenerCount('drain') + 1);
+    });
     endpoint.once('connect', () => {
       joinSockets(socket, endpoint, turns);
       isJoined = true;
@@ -39,7 +52,7 @@
   caller.on('error', () => undefined);
   cleanUpAfterTest(() => Promise.resolve(void caller.destroy()));
   await waitUntil(() => isJoined);
-  return { caller, received: () => received };
+  return { caller, received: () => received, peakDrainListeners: () => peakDrainListeners };
 }
 
 /** Blocks the event loop, as a process is that was suspended. */
@@ -66,3 +79,13 @@
     await waitUntil(() => received() === 'request');
   });
 });
+
+// Guards against listeners that pile up, one for each part of a request that an endpoint does not read.
+it('a relay waits once for an endpoint that does not read', async () => {
+  const { caller, received, peakDrainListeners } = await startRelay(300);
+  const request = 'x'.repeat(16 * 1024 * 1024);
+  caller.write(request);
+  await waitUntil(() => received().length === request.length);
+  // One of the stream that passes the answers back may wait as well.
+  expect(peakDrainListeners()).toBeLessThanOrEqual(2);
+});
