--- a/src/gatewayHost/eventForwarder.ts
+++ b/src/gatewayHost/eventForwarder.ts
@@ -24,7 +24,8 @@
   /** Bytes of blocks without content since the last event. */
   private fillerBytes = 0;
   private lastEventAt: number | undefined;
-  private longestPauseMs = 0;
+  /** Longest time between two events of this attempt, in ms. */
+  longestPauseMs = 0;
 
   private constructor(private readonly options: Options) {}
 
@@ -36,11 +37,6 @@
     return this.lastEventAt !== undefined;
   }
 
-  /** Longest time between two events of this attempt, in ms. */
-  get longestGapMs(): number {
-    return this.longestPauseMs;
-  }
-
   /** Bytes that have arrived and are not passed on. */
   get pendingBytes(): number {
     return this.splitter.pendingBytes + this.heldFillers.length;
--- a/src/gatewayHost/forwardResponseHandler.ts
+++ b/src/gatewayHost/forwardResponseHandler.ts
@@ -20,6 +20,7 @@
 import type { ForwardExchange } from './forwardExchange.ts';
 import { PausableReading } from './pausableReading.ts';
 import type { LabelPort } from './platform.ts';
+import { getRawHeaders } from './rawHeaders.ts';
 import type { ForwardAttemptListener, RunningForwardAttempt } from './endpointClient.ts';
 
 type Controller = Dispatcher.DispatchController;
@@ -185,7 +186,7 @@
         this.abort(controller, 'the stream ended without an event');
         return;
       }
-      const { longestGapMs: longestPauseMs, pendingBytes } = this.events;
+      const { longestPauseMs, pendingBytes } = this.events;
       exchange.startResponse(this.status, this.headers);
       this.events.finish();
       this.end({ type: 'passed', longestPauseMs, bodyEnd: this.getBodyEnd(pendingBytes) });
@@ -336,16 +337,6 @@
   }
 }
 
-/** Returns names and values of the headers, each octet as the character with its number. */
-function getRawHeaders(controller: Controller): string[] {
-  const raw = (controller as { rawHeaders?: unknown }).rawHeaders;
-  return Array.isArray(raw) ? raw.map(decodeOctets) : [];
-}
-
-function decodeOctets(value: unknown): string {
-  return Buffer.isBuffer(value) ? value.toString('latin1') : String(value);
-}
-
 /** Returns why a connection could not be opened, as far as it tells something of the path. */
 function getConnectProblem(error: Error): ConnectionProblem {
   return error instanceof RelayError ? error.problem : 'unanswered';
